--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+SEED ?= 1
+SECONDS ?= 20
+ARGS ?=
+export PYTHONPATH := src
+
+.PHONY: setup demo test format format-check lint binary bench lock
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	touch $@
+
+lock: pyproject.toml
+	$(BIN)/pip install --quiet --upgrade '.[test,report]'
+	$(BIN)/pip freeze --exclude oriolejunction > requirements.lock
+
+demo: setup
+	$(BIN)/python -m oriolejunction demo
+
+test: setup
+	$(BIN)/python -m pytest $(ARGS)
+
+format: setup
+	$(BIN)/black --quiet src tests $(wildcard bench)
+
+format-check: setup
+	$(BIN)/black --check --quiet src tests $(wildcard bench)
+
+lint: setup
+	$(BIN)/flake8 src tests $(wildcard bench)
+
+binary: setup
+	mkdir -p dist
+	$(BIN)/shiv --quiet --console-script oriolejunction \
+		--output-file dist/oriolejunction --reproducible \
+		--compressed '.[report]'
+
+bench: setup
+	$(BIN)/python -m oriolejunction bench $(NAME) --seed $(SEED) --json
--- /dev/null
+++ b/src/oriolejunction/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/src/oriolejunction/blackboard.py
@@ -0,0 +1,91 @@
+"""Shared observations and decisions, one writer for each cell.
+
+Controllers read cells and write decisions to cells that they own; the
+shells subscribe to changes and turn them into I/O.
+"""
+
+import dataclasses
+import typing
+
+import reactivex
+from reactivex import subject
+
+from oriolejunction import configuration
+from oriolejunction import ids
+from oriolejunction import invariants
+from oriolejunction import states
+
+Value = typing.TypeVar("Value")
+
+
+class Cell(typing.Generic[Value]):
+    """One value on the blackboard with a stream of its changes."""
+
+    def __init__(self, value: Value) -> None:
+        self._value = value
+        self._writer: str | None = None
+        self._changes: subject.Subject = subject.Subject()
+
+    def read(self) -> Value:
+        """Return the present value."""
+        return self._value
+
+    def changes(self) -> reactivex.Observable:
+        """Return an observable of the values written from now on."""
+        return self._changes
+
+    def own(self, writer: str) -> typing.Callable[[Value], None]:
+        """Make `writer` the only writer and return its write function."""
+        invariants.require(
+            "one_writer_per_cell",
+            self._writer in (None, writer),
+            owner=self._writer,
+            writer=writer,
+        )
+        self._writer = writer
+        return self._write
+
+    def _write(self, value: Value) -> None:
+        self._value = value
+        self._changes.on_next(value)
+
+
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """The configuration that an instance applies now."""
+
+    revision: ids.Revision
+    configuration: configuration.Configuration
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigurationLease:
+    """Right to serve under the configuration in force until `until_ms`."""
+
+    until_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineReport:
+    """Last load report of an engine and when it was taken.
+
+    `tokens_per_s` is the decode speed of one stream.
+    """
+
+    running: int
+    waiting: int
+    tokens_per_s: float
+    taken_at_ms: float
+
+
+class Blackboard:
+    """All cells of one instance."""
+
+    def __init__(self) -> None:
+        self.instance_state = Cell(states.InstanceState.STARTING)
+        self.in_force: Cell[InForce | None] = Cell(None)
+        self.lease = Cell(ConfigurationLease(until_ms=0.0))
+        self.engine_report_by_id: Cell[dict[ids.EngineId, EngineReport]]
+        self.engine_report_by_id = Cell({})
+        self.engine_state_by_id: Cell[dict[ids.EngineId, states.EngineState]]
+        self.engine_state_by_id = Cell({})
--- /dev/null
+++ b/src/oriolejunction/cli.py
@@ -0,0 +1,181 @@
+"""The command line of the one binary."""
+
+import asyncio
+import os
+import pathlib
+import sys
+
+import fire
+import msgspec
+import orjson
+
+from oriolejunction import clock as clocks
+from oriolejunction import demonstration
+from oriolejunction import errors
+from oriolejunction import local_deployment
+from oriolejunction import logs
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import checks
+from oriolejunction.questionnaire import fill
+from oriolejunction import settings as instance_settings
+from oriolejunction.standin import engine as standin_engine
+from oriolejunction.standin import programs
+from oriolejunction.standin import service as standin_service
+from oriolejunction import wiring
+
+
+class Questionnaire:
+    """Fill in, check and submit a questionnaire."""
+
+    def fill(self, file: str) -> None:
+        """Ask question by question and write the answers to FILE."""
+        path = pathlib.Path(file)
+        known = _read_answers(file) if path.exists() else None
+        path.write_text(answer_files.dump(fill.fill(known, input, print)))
+        self.check(file)
+
+    def check(self, file: str) -> None:
+        """Explain every fault of the answers in FILE."""
+        answers = checks.require_sound(_read_answers(file))
+        print(f"{file}: {len(answers.engines)} engines, no faults")
+
+    def submit(
+        self, file: str, url: str | None = None, token: str | None = None
+    ) -> None:
+        """Store the configuration generated from FILE as a draft."""
+        answers = checks.require_sound(_read_answers(file))
+        redacted = answer_files.dump(answer_files.without_keys(answers))
+        reply = asyncio.run(_operator(url, token).submit(redacted))
+        print(f"draft {reply['draft_id']}")
+        for line in reply["differences"] or ["nothing changes"]:
+            print(f"  {line}")
+
+
+class Commands:
+    """Serving system for long generations on engines that fail."""
+
+    def __init__(self) -> None:
+        self.questionnaire = Questionnaire()
+
+    def serve(self, **flags: object) -> None:
+        """Run one process of the system until SIGINT or SIGTERM."""
+        settings = instance_settings.load(flags, os.environ)
+        logs.configure(
+            settings.log_level,
+            instance=settings.instance_id,
+            zone=settings.zone,
+        )
+        asyncio.run(_serve(settings))
+
+    def local(self) -> None:
+        """Run a whole deployment in one process on loopback."""
+        logs.configure("warning")
+        asyncio.run(_local())
+
+    def demo(self) -> None:
+        """Show that an answer survives its engine; exit 0 if it did."""
+        logs.configure("error")
+        report = demonstration.main()
+        print(report.table())
+        if not report.passed:
+            sys.exit(1)
+
+    def accept(
+        self, draft: str, url: str | None = None, token: str | None = None
+    ) -> None:
+        """Put DRAFT in force on every instance."""
+        reply = asyncio.run(_operator(url, token).accept(str(draft)))
+        print(f"revision {reply['revision']} is in force")
+
+    def withdraw(
+        self, target: str, url: str | None = None, token: str | None = None
+    ) -> None:
+        """Drop a draft, or bring back what stood before a revision."""
+        reply = asyncio.run(_operator(url, token).withdraw(str(target)))
+        print(f"revision {reply['revision']} is in force")
+
+    def status(self, url: str | None = None, token: str | None = None) -> None:
+        """Show each instance and the revision in force there."""
+        reply = asyncio.run(_operator(url, token).status())
+        print(f"revision {reply['revision']}, leader {reply['leader']}")
+        for row in reply["instances"]:
+            print(
+                f"  {row['instance']:<20} {row['zone']:<16}"
+                f" revision {row['applied']}"
+                f" lease {row['lease_left_ms']} ms"
+                f"{' leaving' if row['leaving'] else ''}"
+            )
+
+    def audit(self, url: str | None = None, token: str | None = None) -> None:
+        """Print the trail of changes, complete since the first."""
+        reply = asyncio.run(_operator(url, token).audit())
+        for entry in reply["entries"]:
+            print(orjson.dumps(entry).decode())
+
+    def engine(
+        self,
+        listen: str = "127.0.0.1:8100",
+        name: str = "engine-0",
+        model: str = local_deployment.MODEL,
+        version: str = local_deployment.MODEL_VERSION,
+        slowdown: float = 1.0,
+    ) -> None:
+        """Run a stand-in engine."""
+        options = standin_engine.EngineOptions(
+            name, model, str(version), slowdown
+        )
+        app = standin_engine.StandinEngine(options).application()
+        asyncio.run(programs.serve(app, listen))
+
+    def service(self, listen: str = "127.0.0.1:8200") -> None:
+        """Run a stand-in plain service."""
+        app = standin_service.StandinService().application()
+        asyncio.run(programs.serve(app, listen))
+
+
+def main() -> None:
+    """Run the command line; a typed failure is told in one line."""
+    try:
+        fire.Fire(Commands, name="oriolejunction")
+    except errors.Failure as failure:
+        print(failure.error.message, file=sys.stderr)
+        sys.exit(2)
+
+
+def _read_answers(file: str) -> answer_files.Answers:
+    try:
+        return answer_files.parse(pathlib.Path(file).read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.Failure(errors.FaultyAnswers(f"{file}: {error}"))
+
+
+def _operator(
+    url: str | None, token: str | None
+) -> operator_client.OperatorClient:
+    prefix = instance_settings.ENVIRONMENT_PREFIX
+    url = url or os.environ.get(prefix + "OPERATOR_URL")
+    token = token or os.environ.get(prefix + "OPERATOR_TOKEN")
+    missing = [
+        f"--{name} / {prefix}OPERATOR_{name.upper()}: is required"
+        for name, value in (("url", url), ("token", token))
+        if not value
+    ]
+    if missing:
+        raise errors.Failure(errors.BadSettings("\n".join(missing)))
+    return operator_client.OperatorClient(url, str(token))
+
+
+async def _serve(settings: instance_settings.Settings) -> None:
+    instance = wiring.Instance(settings, clocks.SystemClock())
+    await instance.start()
+    await programs.stop_signal()
+    await instance.drain()
+    await instance.stop()
+
+
+async def _local() -> None:
+    async with local_deployment.running() as deployment:
+        await demonstration.accept_sample(deployment)
+        print(msgspec.json.encode(deployment.addresses).decode(), flush=True)
+        await programs.stop_signal()
--- /dev/null
+++ b/src/oriolejunction/clock.py
@@ -0,0 +1,68 @@
+"""Clock in milliseconds, real or driven by a test."""
+
+import asyncio
+import heapq
+import itertools
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """Monotonic time in ms, wall time in ms and a sleep."""
+
+    def now_ms(self) -> float:
+        """Return monotonic milliseconds."""
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch, for records only."""
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Sleep for the given milliseconds."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def now_ms(self) -> float:
+        """Return monotonic milliseconds."""
+        return time.monotonic() * 1000.0
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch, for records only."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Sleep for the given milliseconds."""
+        await asyncio.sleep(duration_ms / 1000.0)
+
+
+class ManualClock:
+    """A clock that a test moves on by hand."""
+
+    def __init__(self, start_ms: float = 0.0) -> None:
+        self._now_ms = start_ms
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future]] = []
+
+    def now_ms(self) -> float:
+        """Return monotonic milliseconds."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Return the manual time, rounded down."""
+        return int(self._now_ms)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Sleep until the clock was advanced far enough."""
+        waiter = asyncio.get_running_loop().create_future()
+        due_ms = self._now_ms + duration_ms
+        heapq.heappush(self._sleepers, (due_ms, next(self._order), waiter))
+        await waiter
+
+    def advance(self, duration_ms: float) -> None:
+        """Move time on and wake the sleepers that are due."""
+        self._now_ms += duration_ms
+        while self._sleepers and self._sleepers[0][0] <= self._now_ms:
+            waiter = heapq.heappop(self._sleepers)[2]
+            if not waiter.done():
+                waiter.set_result(None)
--- /dev/null
+++ b/src/oriolejunction/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: sans-I/O core, disk storage and snapshots."""
--- /dev/null
+++ b/src/oriolejunction/consensus/replica.py
@@ -0,0 +1,39 @@
+"""What a control replica offers to the shells around it."""
+
+import typing
+
+from oriolejunction.controllers import control_state
+from oriolejunction import messages
+
+
+class NotLeader(Exception):
+    """This replica cannot commit now; `hint` is the leader's address."""
+
+    def __init__(self, hint: str | None = None) -> None:
+        super().__init__("not the leader")
+        self.hint = hint
+
+
+class Replica(typing.Protocol):
+    """A replica of the control state."""
+
+    @property
+    def state(self) -> control_state.ControlState:
+        """Return the state as applied so far."""
+
+    async def propose(
+        self, command: messages.Command
+    ) -> messages.CommandResult:
+        """Commit a command durably and return its result.
+
+        Raise `NotLeader` only where the command was not committed here.
+        """
+
+    async def confirm(self) -> None:
+        """Wait until `state` is at least as new as this call.
+
+        Raise `NotLeader` where no majority confirms it.
+        """
+
+    async def close(self) -> None:
+        """Stop and close the files."""
--- /dev/null
+++ b/src/oriolejunction/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions and closures over the blackboard."""
--- /dev/null
+++ b/src/oriolejunction/engine_protocol.py
@@ -0,0 +1,71 @@
+"""Messages of the model engines' HTTP protocol.
+
+``POST /v1/generate`` answers with server-sent events; each `TokenEvent`
+carries token ids with the text that they complete. A continuation gives
+the ids delivered so far as `forced_ids`, and `max_tokens` counts them.
+"""
+
+import msgspec
+
+from oriolejunction import ids
+from oriolejunction import states
+
+
+class Sampling(msgspec.Struct, frozen=True):
+    """Sampling parameters, pinned for a generation."""
+
+    temperature: float = 0.0
+    top_p: float = 1.0
+    seed: int | None = None
+    presence_penalty: float = 0.0
+    frequency_penalty: float = 0.0
+
+
+class GenerateRequest(msgspec.Struct, frozen=True):
+    """One attempt at a generation."""
+
+    generation: ids.GenerationId
+    attempt: ids.AttemptNumber
+    model: ids.ModelName
+    version: ids.ModelVersion
+    adapter: str
+    prompt: str
+    max_tokens: int
+    sampling: Sampling = Sampling()
+    forced_ids: tuple[int, ...] = ()
+    priority: int = 0
+
+
+class EngineEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Tokens at an offset, or the end where `finish_reason` is set.
+
+    `safe` is false where the ids end inside a UTF-8 sequence.
+    """
+
+    generation: ids.GenerationId
+    attempt: ids.AttemptNumber
+    offset: int
+    ids: tuple[int, ...] = ()
+    text: str = ""
+    safe: bool = True
+    finish_reason: states.FinishReason | None = None
+    prompt_tokens: int = 0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Load of an engine; `tokens_per_s` is the speed of one stream."""
+
+    engine_id: ids.EngineId
+    incarnation: str
+    running: int
+    waiting: int
+    tokens_per_s: float
+    leaving: bool = False
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A fault to provoke in a stand-in engine."""
+
+    kind: str
+    duration_ms: int = 0
+    marker: str = ""
--- /dev/null
+++ b/src/oriolejunction/errors.py
@@ -0,0 +1,193 @@
+"""Failures, each a type that says what a caller may conclude.
+
+Pure code returns these in an ``expression`` result; the shells raise them
+inside `Failure` and turn them into typed JSON answers.
+"""
+
+import dataclasses
+import http
+import typing
+
+from oriolejunction import states
+
+
+@dataclasses.dataclass(frozen=True)
+class ServingError:
+    """Base of all failures that reach a caller or an operator.
+
+    `retry_after_ms` tells the client when to come back, where known.
+    """
+
+    message: str
+    retry_after_ms: int | None = None
+
+    code: typing.ClassVar[str] = "internal"
+    outcome: typing.ClassVar[states.Outcome] = states.Outcome.FAILED
+    status: typing.ClassVar[http.HTTPStatus] = (
+        http.HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+
+
+class Failure(Exception):
+    """Carry a typed error through code that raises."""
+
+    def __init__(self, error: ServingError) -> None:
+        super().__init__(f"{error.code}: {error.message}")
+        self.error = error
+
+
+class NotRunError(ServingError):
+    """Base of failures that prove that nothing was run."""
+
+    outcome = states.Outcome.NOT_RUN
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class MalformedRequest(NotRunError):
+    """The request cannot be read or asks for what is not supported."""
+
+    code = "malformed_request"
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class RequestTooLarge(NotRunError):
+    """The body is larger than the limit."""
+
+    code = "request_too_large"
+    status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+class UnknownWorkspace(NotRunError):
+    """The bearer key belongs to no workspace."""
+
+    code = "unknown_workspace"
+    status = http.HTTPStatus.UNAUTHORIZED
+
+
+class UnknownModel(NotRunError):
+    """No model of that name is configured."""
+
+    code = "unknown_model"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class UnknownService(NotRunError):
+    """No plain service of that name is configured."""
+
+    code = "unknown_service"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class IdempotencyKeyMissing(NotRunError):
+    """A never-twice call came without a key."""
+
+    code = "idempotency_key_missing"
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class IdempotencyKeyReused(NotRunError):
+    """The key was used before with another body."""
+
+    code = "idempotency_key_reused"
+    status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class NotReady(NotRunError):
+    """The instance has no configuration in force or is stopping."""
+
+    code = "not_ready"
+
+
+class NoEngine(NotRunError):
+    """No engine can take the generation now."""
+
+    code = "no_engine"
+
+
+class ControlUnavailable(NotRunError):
+    """No majority of control replicas answered before anything ran."""
+
+    code = "control_unavailable"
+
+
+class CallInProgress(ServingError):
+    """Another call with the same key is being run."""
+
+    code = "call_in_progress"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.CONFLICT
+
+
+class CallUnknown(ServingError):
+    """The call may or may not have run and is never run again."""
+
+    code = "call_unknown"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.BAD_GATEWAY
+
+
+class ServiceFailed(ServingError):
+    """A repeatable call to a plain service failed."""
+
+    code = "service_failed"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.BAD_GATEWAY
+
+
+class GenerationLost(ServingError):
+    """The answer cannot be finished whole; discard the part received."""
+
+    code = "generation_lost"
+    status = http.HTTPStatus.BAD_GATEWAY
+
+
+class AttemptLost(ServingError):
+    """An engine lost its attempt at a generation."""
+
+    code = "attempt_lost"
+
+
+class NotAuthorized(NotRunError):
+    """The operator token is wrong."""
+
+    code = "not_authorized"
+    status = http.HTTPStatus.UNAUTHORIZED
+
+
+class FaultyAnswers(NotRunError):
+    """The questionnaire has faults; `message` lists them by question."""
+
+    code = "faulty_answers"
+    status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class UnknownDraft(NotRunError):
+    """No draft or revision has that id."""
+
+    code = "unknown_draft"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class RevisionConflict(NotRunError):
+    """Another revision was accepted first; `message` names it."""
+
+    code = "revision_conflict"
+    status = http.HTTPStatus.CONFLICT
+
+
+class BadSettings(ServingError):
+    """A flag or environment variable is missing or wrong."""
+
+    code = "bad_settings"
+
+
+class CorruptLog(ServingError):
+    """The log on disk is damaged other than by a torn tail."""
+
+    code = "corrupt_log"
+
+
+class InvariantViolated(ServingError):
+    """An invariant of the program does not hold."""
+
+    code = "invariant_violated"
--- /dev/null
+++ b/src/oriolejunction/http/__init__.py
@@ -0,0 +1,1 @@
+"""I/O shells for HTTP, towards callers, operators and back ends."""
--- /dev/null
+++ b/src/oriolejunction/http/callers.py
@@ -0,0 +1,222 @@
+"""The callers' listener: generations, plain services, health."""
+
+import collections.abc
+import dataclasses
+
+from aiohttp import web
+import aioprometheus
+import structlog
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction import configuration
+from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import generation_runner
+from oriolejunction import errors
+from oriolejunction.http import openai_answers
+from oriolejunction.http import openai_requests
+from oriolejunction.http import replies
+from oriolejunction.http import service_calls
+from oriolejunction import ids
+from oriolejunction import states
+from oriolejunction import telemetry as metrics
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerParts:
+    """What the callers' listener needs of its instance."""
+
+    instance_id: ids.InstanceId
+    clock: clocks.Clock
+    blackboard: blackboards.Blackboard
+    telemetry: metrics.Telemetry
+    runner: generation_runner.RunnerParts
+    services: service_calls.ServiceCalls
+    new_generation_id: collections.abc.Callable[[], ids.GenerationId]
+    max_body_bytes: int
+
+
+def application(parts: CallerParts) -> web.Application:
+    """Return the application of the callers' listener."""
+    app = web.Application(
+        middlewares=[replies.typed_errors],
+        client_max_size=parts.max_body_bytes,
+    )
+    routes = _Routes(parts)
+    app.add_routes(
+        [
+            web.post("/v1/completions", routes.completions),
+            web.post("/v1/chat/completions", routes.chat),
+            web.get("/v1/models", routes.models),
+            web.route("*", "/services/{service}/{path:.*}", routes.service),
+            web.get("/ready", routes.ready),
+            web.get("/live", routes.live),
+            web.get("/metrics", routes.metrics),
+        ]
+    )
+    return app
+
+
+def in_force(parts: CallerParts) -> configuration.Configuration:
+    """Return the configuration to serve under.
+
+    Raise `Failure` with `NotReady` without a lease or while draining.
+    """
+    board = parts.blackboard
+    current = board.in_force.read()
+    ready = (
+        board.instance_state.read() is states.InstanceState.READY
+        and current is not None
+        and board.lease.read().until_ms > parts.clock.now_ms()
+    )
+    if not ready:
+        raise errors.Failure(
+            errors.NotReady("instance is not ready", retry_after_ms=500)
+        )
+    return current.configuration
+
+
+def workspace_of(
+    request: web.Request, content: configuration.Configuration
+) -> configuration.Workspace:
+    """Return the workspace of the bearer key or raise `Failure`."""
+    workspace = content.workspace_of_key(replies.bearer(request))
+    if workspace is None:
+        raise errors.Failure(errors.UnknownWorkspace("unknown bearer key"))
+    return workspace
+
+
+class _Routes:
+    def __init__(self, parts: CallerParts) -> None:
+        self._parts = parts
+
+    async def completions(self, request: web.Request) -> web.StreamResponse:
+        return await self._generate(request, chat=False)
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        return await self._generate(request, chat=True)
+
+    async def _generate(
+        self, request: web.Request, chat: bool
+    ) -> web.StreamResponse:
+        parts = self._parts
+        content = in_force(parts)
+        workspace = workspace_of(request, content)
+        body = openai_requests.parse(await request.read(), chat)
+        generation = generations.Generation(
+            parts.new_generation_id(),
+            openai_requests.generation_request(
+                body, workspace.workspace_id, content
+            ),
+        )
+        writer = openai_answers.AnswerWriter(
+            generation.generation_id, parts.instance_id, body.model, chat
+        )
+        deliveries = generation_runner.run(generation, parts.runner)
+        if body.stream:
+            usage = bool(
+                body.stream_options and body.stream_options.include_usage
+            )
+            return await self._stream(
+                request, generation, deliveries, writer, usage
+            )
+        text = "".join(
+            [part.text async for batch in deliveries for part in batch]
+        )
+        self._count(generation, "whole")
+        return web.Response(
+            body=writer.whole(generation, text),
+            content_type="application/json",
+        )
+
+    async def _stream(
+        self, request, generation, deliveries, writer, include_usage
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-cache",
+            }
+        )
+        try:
+            async for batch in deliveries:
+                if not response.prepared:
+                    await response.prepare(request)
+                    await response.write(writer.opening())
+                await response.write(b"".join(map(writer.delivery, batch)))
+        except errors.Failure as failure:
+            self._count(generation, failure.error.code)
+            if not response.prepared:
+                raise
+            await response.write(openai_answers.error_event(failure.error))
+            return response
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write(writer.ending(generation, include_usage))
+        self._count(generation, "whole")
+        return response
+
+    def _count(self, generation: generations.Generation, outcome: str) -> None:
+        telemetry = self._parts.telemetry
+        telemetry.requests.inc({"kind": "generation", "outcome": outcome})
+        telemetry.tokens.add({}, len(generation.delivered_ids))
+
+    async def models(self, request: web.Request) -> web.Response:
+        content = in_force(self._parts)
+        workspace_of(request, content)
+        return web.json_response(
+            {
+                "object": "list",
+                "data": [
+                    {"id": model.name, "object": "model"}
+                    for model in content.models
+                ],
+            }
+        )
+
+    async def service(self, request: web.Request) -> web.Response:
+        content = in_force(self._parts)
+        workspace = workspace_of(request, content)
+        name = request.match_info["service"]
+        service = content.service(name)
+        if service is None:
+            raise errors.Failure(
+                errors.UnknownService(f"there is no service {name!r}")
+            )
+        answer = await self._parts.services.call(
+            service, workspace.workspace_id, await _service_call(request)
+        )
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            content_type=answer.content_type,
+        )
+
+    async def ready(self, request: web.Request) -> web.Response:
+        in_force(self._parts)
+        return web.json_response({"ready": True})
+
+    async def live(self, request: web.Request) -> web.Response:
+        return web.json_response({"live": True})
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        content, headers = aioprometheus.render(
+            self._parts.telemetry.registry,
+            request.headers.getall("Accept", []),
+        )
+        return web.Response(body=content, headers=headers)
+
+
+async def _service_call(request: web.Request) -> service_calls.ServiceCall:
+    path = "/" + request.match_info["path"]
+    query = request.query_string
+    return service_calls.ServiceCall(
+        method=request.method,
+        path=path,
+        path_and_query=f"{path}?{query}" if query else path,
+        content_type=request.content_type,
+        key=request.headers.get("Idempotency-Key", ""),
+        body=await request.read(),
+    )
--- /dev/null
+++ b/src/oriolejunction/http/engine_client.py
@@ -0,0 +1,103 @@
+"""HTTP client of the model engines."""
+
+import asyncio
+import collections.abc
+
+import aiohttp
+import msgspec
+
+from oriolejunction import configuration
+from oriolejunction import engine_protocol
+from oriolejunction import errors
+from oriolejunction import ids
+
+CANCEL_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 1.0
+MAX_EVENT_BYTES = 1 << 20
+_encode = msgspec.json.Encoder().encode
+_decode_event = msgspec.json.Decoder(engine_protocol.EngineEvent).decode
+
+
+def parse_events(
+    data: bytes,
+) -> tuple[list[engine_protocol.EngineEvent], bytes]:
+    """Return the whole events of SSE bytes, and the rest.
+
+    Raise `Failure` with `AttemptLost` where they cannot be parsed.
+    """
+    *blocks, rest = data.split(b"\n\n")
+    if len(rest) > MAX_EVENT_BYTES:
+        raise errors.Failure(errors.AttemptLost("event too large"))
+    events = []
+    for block in blocks:
+        if not block.startswith(b"data: "):
+            continue
+        try:
+            events.append(_decode_event(block[6:]))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise errors.Failure(errors.AttemptLost(f"bad event: {error}"))
+    return events, rest
+
+
+class EngineClient:
+    """Streams, cancellations and load reports of engines."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+        self._cancels: set[asyncio.Task] = set()
+
+    async def generate(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+    ) -> collections.abc.AsyncGenerator[
+        list[engine_protocol.EngineEvent], None
+    ]:
+        """Yield the events of an attempt as they arrive, in batches."""
+        try:
+            async with self._session.post(
+                engine.url + "/v1/generate", data=_encode(request)
+            ) as response:
+                if response.status != 200:
+                    raise errors.Failure(
+                        errors.AttemptLost(f"status {response.status}")
+                    )
+                rest = b""
+                async for chunk in response.content.iter_any():
+                    events, rest = parse_events(rest + chunk)
+                    if events:
+                        yield events
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise errors.Failure(errors.AttemptLost(repr(error)))
+
+    async def cancel(
+        self,
+        engine: configuration.Engine,
+        generation: ids.GenerationId,
+        attempt: ids.AttemptNumber,
+    ) -> None:
+        """Cancel an attempt in the background."""
+        task = asyncio.create_task(
+            self._cancel(f"{engine.url}/v1/streams/{generation}.{attempt}")
+        )
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _cancel(self, url: str) -> None:
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._session.delete(url, timeout=timeout):
+                pass
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in self._cancels:
+            task.cancel()
+        await self._session.close()
--- /dev/null
+++ b/src/oriolejunction/http/openai_answers.py
@@ -0,0 +1,132 @@
+"""Writing of OpenAI-compatible answers, streamed and whole."""
+
+import time
+import typing
+
+import orjson
+
+from oriolejunction.controllers import generation as generations
+from oriolejunction import errors
+from oriolejunction import ids
+
+DONE = b"data: [DONE]\n\n"
+
+
+class AnswerWriter:
+    """Encode the deliveries of one generation.
+
+    The event id is ``<generation>.<journal instance>.<offset>``, where the
+    offset counts the tokens that the caller holds after the event.
+    """
+
+    def __init__(
+        self,
+        generation_id: ids.GenerationId,
+        journal: ids.InstanceId,
+        model: str,
+        chat: bool,
+    ) -> None:
+        self._chat = chat
+        self._id_prefix = f"id: {generation_id}.{journal}.".encode()
+        self._base: dict[str, typing.Any] = {
+            "id": ("chatcmpl-" if chat else "cmpl-") + generation_id,
+            "object": ("chat.completion.chunk" if chat else "text_completion"),
+            "created": int(time.time()),
+            "model": model,
+        }
+        head = orjson.dumps(self._base)[:-1]
+        if chat:
+            self._before = head + (
+                b',"choices":[{"index":0,"delta":{"content":'
+            )
+            self._after = b'},"finish_reason":null}]}\n\n'
+        else:
+            self._before = head + b',"choices":[{"index":0,"text":'
+            self._after = b',"logprobs":null,"finish_reason":null}]}\n\n'
+
+    def opening(self) -> bytes:
+        """Return the first event of a chat stream, which gives the role."""
+        if not self._chat:
+            return b""
+        return self._event(
+            {"delta": {"role": "assistant", "content": ""}}, None
+        )
+
+    def delivery(self, delivery: generations.Delivery) -> bytes:
+        """Return the event of delivered tokens."""
+        held = delivery.offset + len(delivery.ids)
+        return b"".join(
+            (
+                self._id_prefix,
+                str(held).encode(),
+                b"\ndata: ",
+                self._before,
+                orjson.dumps(delivery.text),
+                self._after,
+            )
+        )
+
+    def ending(
+        self, generation: generations.Generation, include_usage: bool
+    ) -> bytes:
+        """Return the last events with finish reason and usage."""
+        choice = {"delta": {}} if self._chat else {"text": ""}
+        parts = [self._event(choice, generation.finish_reason.value)]
+        if include_usage:
+            record = self._base | {"choices": [], "usage": usage(generation)}
+            parts.append(b"data: " + orjson.dumps(record) + b"\n\n")
+        return b"".join(parts) + DONE
+
+    def whole(self, generation: generations.Generation, text: str) -> bytes:
+        """Return the body of an answer that is not streamed."""
+        choice: dict[str, typing.Any] = {
+            "index": 0,
+            "finish_reason": generation.finish_reason.value,
+            "logprobs": None,
+        }
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        record = self._base | {
+            "object": "chat.completion" if self._chat else "text_completion",
+            "choices": [choice],
+            "usage": usage(generation),
+        }
+        return orjson.dumps(record)
+
+    def _event(self, choice: dict, finish_reason: str | None) -> bytes:
+        full = {"index": 0} | choice | {"finish_reason": finish_reason}
+        record = self._base | {"choices": [full]}
+        return b"data: " + orjson.dumps(record) + b"\n\n"
+
+
+def usage(generation: generations.Generation) -> dict[str, int]:
+    """Return the token counts of a finished generation."""
+    completion = len(generation.delivered_ids)
+    return {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": completion,
+        "total_tokens": generation.prompt_tokens + completion,
+    }
+
+
+def error_body(error: errors.ServingError) -> bytes:
+    """Return the JSON body of a failure, typed and with its outcome."""
+    return orjson.dumps({"error": error_record(error)})
+
+
+def error_event(error: errors.ServingError) -> bytes:
+    """Return a failure as the last event of a stream."""
+    return b"data: " + error_body(error) + b"\n\n"
+
+
+def error_record(error: errors.ServingError) -> dict[str, typing.Any]:
+    """Return the fields of a failure."""
+    return {
+        "type": error.code,
+        "code": error.code,
+        "message": error.message,
+        "outcome": error.outcome.value,
+        "retry_after_ms": error.retry_after_ms,
+    }
--- /dev/null
+++ b/src/oriolejunction/http/operators.py
@@ -0,0 +1,150 @@
+"""The operators' listener: drafts, accept, withdraw, status, audit."""
+
+import dataclasses
+import hashlib
+import hmac
+
+from aiohttp import web
+import msgspec
+
+from oriolejunction import clock as clocks
+from oriolejunction import errors
+from oriolejunction.http import replies
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction.peers import control_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import checks
+from oriolejunction.questionnaire import differences
+from oriolejunction.questionnaire import generate
+
+MAX_ANSWERS_BYTES = 4 << 20
+_error_by_code = {
+    error.code: error
+    for error in (errors.UnknownDraft, errors.RevisionConflict)
+}
+
+
+class ChangeRequest(msgspec.Struct, frozen=True):
+    """Body of accept and withdraw."""
+
+    target: str
+    operator: str = "operator"
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorParts:
+    """What the operators' listener needs of its instance."""
+
+    token: str
+    clock: clocks.Clock
+    control: control_client.ControlClient
+
+
+def application(parts: OperatorParts) -> web.Application:
+    """Return the application of the operators' listener."""
+
+    @web.middleware
+    async def authorized(request, handler):
+        token = replies.bearer(request).encode()
+        if not hmac.compare_digest(token, parts.token.encode()):
+            raise errors.Failure(errors.NotAuthorized("wrong operator token"))
+        return await handler(request)
+
+    app = web.Application(
+        middlewares=[replies.typed_errors, authorized],
+        client_max_size=MAX_ANSWERS_BYTES,
+    )
+    routes = _Routes(parts)
+    app.add_routes(
+        [
+            web.post("/drafts", routes.submit),
+            web.post("/accept", routes.accept),
+            web.post("/withdraw", routes.withdraw),
+            web.get("/status", routes.status),
+            web.get("/audit", routes.audit),
+        ]
+    )
+    return app
+
+
+class _Routes:
+    def __init__(self, parts: OperatorParts) -> None:
+        self._parts = parts
+
+    async def submit(self, request: web.Request) -> web.Response:
+        text = (await request.read()).decode("utf-8", "replace")
+        answers = checks.require_sound(answer_files.parse(text))
+        in_force = await self._parts.control.in_force()
+        content = generate.configuration_of(answers)
+        redacted = answer_files.dump(answer_files.without_keys(answers))
+        digest = hashlib.sha256(
+            f"{in_force.revision}\0{redacted}".encode()
+        ).hexdigest()
+        draft_id = ids.DraftId("d-" + digest[:12])
+        return await self._propose(
+            messages.SubmitDraft(
+                operation_id=_operation("submit", draft_id),
+                draft_id=draft_id,
+                base_revision=in_force.revision,
+                configuration=content,
+                answers_toml=redacted,
+                differences=tuple(
+                    differences.in_words(in_force.configuration, content)
+                ),
+                operator=request.headers.get("X-Operator", "operator"),
+                at_ms=self._parts.clock.wall_ms(),
+            )
+        )
+
+    async def accept(self, request: web.Request) -> web.Response:
+        body = _change_request(await request.read())
+        return await self._propose(
+            messages.AcceptDraft(
+                operation_id=_operation("accept", body.target),
+                draft_id=ids.DraftId(body.target),
+                operator=body.operator,
+                at_ms=self._parts.clock.wall_ms(),
+            )
+        )
+
+    async def withdraw(self, request: web.Request) -> web.Response:
+        body = _change_request(await request.read())
+        return await self._propose(
+            messages.WithdrawChange(
+                operation_id=_operation("withdraw", body.target),
+                target=body.target,
+                operator=body.operator,
+                at_ms=self._parts.clock.wall_ms(),
+            )
+        )
+
+    async def status(self, request: web.Request) -> web.Response:
+        return _json(await self._parts.control.status())
+
+    async def audit(self, request: web.Request) -> web.Response:
+        return _json(await self._parts.control.audit())
+
+    async def _propose(self, command: messages.Command) -> web.Response:
+        result = await self._parts.control.propose(command)
+        if isinstance(result, messages.ChangeRefused):
+            error = _error_by_code[result.code]
+            raise errors.Failure(error(result.message))
+        return _json(result)
+
+
+def _operation(action: str, target: str) -> ids.OperationId:
+    return ids.OperationId(f"{action}:{target}")
+
+
+def _change_request(data: bytes) -> ChangeRequest:
+    try:
+        return msgspec.json.decode(data, type=ChangeRequest)
+    except msgspec.DecodeError as error:
+        raise errors.Failure(errors.MalformedRequest(str(error)))
+
+
+def _json(message: messages.Message) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(message), content_type="application/json"
+    )
--- /dev/null
+++ b/src/oriolejunction/http/replies.py
@@ -0,0 +1,48 @@
+"""Typed error replies for the aiohttp listeners."""
+
+import collections.abc
+import math
+
+from aiohttp import web
+
+from oriolejunction import errors
+from oriolejunction.http import openai_answers
+
+Handler = collections.abc.Callable[
+    [web.Request], collections.abc.Awaitable[web.StreamResponse]
+]
+
+
+def error_response(error: errors.ServingError) -> web.Response:
+    """Return the JSON reply of a failure."""
+    headers = {}
+    if error.retry_after_ms is not None:
+        seconds = math.ceil(error.retry_after_ms / 1000)
+        headers["Retry-After"] = str(seconds)
+    return web.Response(
+        status=error.status,
+        body=openai_answers.error_body(error),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+@web.middleware
+async def typed_errors(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turn each failure of a handler into a typed reply."""
+    try:
+        return await handler(request)
+    except errors.Failure as failure:
+        return error_response(failure.error)
+    except web.HTTPRequestEntityTooLarge as error:
+        return error_response(errors.RequestTooLarge(error.text or ""))
+    except web.HTTPNotFound:
+        return error_response(errors.MalformedRequest("no such path"))
+
+
+def bearer(request: web.Request) -> str:
+    """Return the bearer token of a request, or an empty string."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
--- /dev/null
+++ b/src/oriolejunction/http/service_client.py
@@ -0,0 +1,60 @@
+"""HTTP client of the plain services.
+
+Connections are never reused: a request sent on an idle connection that the
+service just closed could be sent again by a library.
+"""
+
+import aiohttp
+
+from oriolejunction import errors
+from oriolejunction import messages
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 30.0
+
+
+class ServiceClient:
+    """Send each call once."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(
+                total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+
+    async def send(
+        self,
+        url: str,
+        method: str,
+        path_and_query: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> messages.StoredAnswer:
+        """Send a call and return its answer.
+
+        Raise `Failure` with `ServiceFailed` where the outcome is unknown,
+        or with `NoEngine` where no connection was made and nothing sent.
+        """
+        try:
+            async with self._session.request(
+                method,
+                url + path_and_query,
+                headers=headers,
+                data=body,
+                allow_redirects=False,
+            ) as response:
+                return messages.StoredAnswer(
+                    status=response.status,
+                    content_type=response.content_type,
+                    body=await response.read(),
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise errors.Failure(errors.NoEngine(f"not reached: {error}"))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise errors.Failure(errors.ServiceFailed(repr(error)))
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._session.close()
--- /dev/null
+++ b/src/oriolejunction/ids.py
@@ -0,0 +1,22 @@
+"""Identifiers, each a type of its own."""
+
+import typing
+
+AttemptNumber = typing.NewType("AttemptNumber", int)
+DraftId = typing.NewType("DraftId", str)
+EngineId = typing.NewType("EngineId", str)
+GenerationId = typing.NewType("GenerationId", str)
+IdempotencyKey = typing.NewType("IdempotencyKey", str)
+InstanceId = typing.NewType("InstanceId", str)
+LogIndex = typing.NewType("LogIndex", int)
+ModelName = typing.NewType("ModelName", str)
+ModelVersion = typing.NewType("ModelVersion", str)
+OperationId = typing.NewType("OperationId", str)
+Revision = typing.NewType("Revision", int)
+ServiceName = typing.NewType("ServiceName", str)
+Term = typing.NewType("Term", int)
+TokenId = typing.NewType("TokenId", int)
+WorkspaceId = typing.NewType("WorkspaceId", str)
+ZoneId = typing.NewType("ZoneId", str)
+
+NO_REVISION = Revision(0)
--- /dev/null
+++ b/src/oriolejunction/invariants.py
@@ -0,0 +1,61 @@
+"""Assertions of what must always hold.
+
+Each check raises `Failure` with `InvariantViolated`, after logging and
+counting it, at the one place that could break the invariant.
+"""
+
+import structlog
+
+from oriolejunction import errors
+
+_log = structlog.get_logger(__name__)
+violations_by_name: dict[str, int] = {}
+
+
+def violation_count() -> int:
+    """Return the number of violations seen by this process."""
+    return sum(violations_by_name.values())
+
+
+def require(name: str, holds: bool, **facts: object) -> None:
+    """Raise, log and count where the invariant `name` does not hold."""
+    if holds:
+        return
+    violations_by_name[name] = violations_by_name.get(name, 0) + 1
+    _log.error("invariant violated", invariant=name, **facts)
+    raise errors.Failure(errors.InvariantViolated(f"{name}: {facts}"))
+
+
+def require_contiguous(next_offset: int, offset: int) -> None:
+    """Require that tokens are appended only at the next offset."""
+    require(
+        "no_token_missing_or_repeated",
+        next_offset == offset,
+        next_offset=next_offset,
+        offset=offset,
+    )
+
+
+def require_one_generation(expected: str, actual: str) -> None:
+    """Require that an answer holds tokens of a single generation."""
+    require(
+        "one_generation_per_answer",
+        expected == actual,
+        expected=expected,
+        actual=actual,
+    )
+
+
+def require_rising_revision(current: int, following: int) -> None:
+    """Require that a revision in force is never replaced by an older one."""
+    require(
+        "revision_never_reverts",
+        following >= current,
+        current=current,
+        following=following,
+    )
+
+
+def require_single_dispatch(key: str, already_dispatched: bool) -> None:
+    """Require that a never-twice call is dispatched at most once."""
+    require("call_runs_at_most_once", not already_dispatched, key=key)
--- /dev/null
+++ b/src/oriolejunction/local_deployment.py
@@ -0,0 +1,177 @@
+"""A whole deployment in one process on loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import secrets
+import socket
+import tempfile
+
+from aiohttp import web
+
+from oriolejunction import clock as clocks
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import settings as instance_settings
+from oriolejunction.standin import engine as standin_engine
+from oriolejunction.standin import service as standin_service
+from oriolejunction import states
+from oriolejunction import wiring
+
+HOST = "127.0.0.1"
+ZONES = ("fukuoka", "kumamoto", "kagoshima")
+MODEL = "brew-assist"
+MODEL_VERSION = "1"
+SERVICE = "order-desk"
+ENGINE_COUNT = 5
+KEY_BY_WORKSPACE = {"hakata": "hakata-key", "aso": "aso-key"}
+
+
+@dataclasses.dataclass(frozen=True)
+class Addresses:
+    """Where a local deployment listens; printed as one JSON line."""
+
+    callers_urls: tuple[str, ...]
+    operators_urls: tuple[str, ...]
+    engine_urls: tuple[str, ...]
+    service_urls: tuple[str, ...]
+    workspace_keys: dict[str, str]
+    models: tuple[str, ...]
+    operator_token: str
+
+
+class LocalDeployment:
+    """Instances, stand-in engines and a stand-in service."""
+
+    def __init__(self, data_root: pathlib.Path) -> None:
+        self.instances: list[wiring.Instance] = []
+        self.engines: list[standin_engine.StandinEngine] = []
+        self.service = standin_service.StandinService()
+        self._runners: list[web.AppRunner] = []
+        self._data_root = data_root
+        self.addresses: Addresses
+
+    async def start(self) -> None:
+        """Start the stand-ins and the instances."""
+        engine_urls = [
+            await self._start_engine(number) for number in range(ENGINE_COUNT)
+        ]
+        service_url = await self._serve(self.service.application())
+        token = secrets.token_hex(16)
+        ports = free_ports(3 * len(ZONES))
+        for number, zone in enumerate(ZONES):
+            await self._start_instance(number, zone, ports, token)
+        self.addresses = Addresses(
+            callers_urls=tuple(
+                f"http://{i.settings.caller_listen}" for i in self.instances
+            ),
+            operators_urls=tuple(
+                f"http://{i.settings.operator_listen}" for i in self.instances
+            ),
+            engine_urls=tuple(engine_urls),
+            service_urls=(service_url,),
+            workspace_keys=dict(KEY_BY_WORKSPACE),
+            models=(MODEL,),
+            operator_token=token,
+        )
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        for instance in self.instances:
+            await instance.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def sample_answers(
+        self, measure: states.Measure = states.Measure.LATENCY
+    ) -> answer_files.Answers:
+        """Return the answers that describe this deployment."""
+        return answer_files.Answers(
+            measure=measure,
+            zones=ZONES,
+            models=(answer_files.ModelAnswer(MODEL, MODEL_VERSION),),
+            engines=tuple(
+                answer_files.EngineAnswer(
+                    f"engine-{number}", url, ZONES[number % len(ZONES)], MODEL
+                )
+                for number, url in enumerate(self.addresses.engine_urls)
+            ),
+            services=(
+                answer_files.ServiceAnswer(
+                    SERVICE,
+                    self.addresses.service_urls,
+                    never_twice=("POST /orders",),
+                ),
+            ),
+            workspaces=tuple(
+                answer_files.WorkspaceAnswer(name, key)
+                for name, key in KEY_BY_WORKSPACE.items()
+            ),
+        )
+
+    async def _start_engine(self, number: int) -> str:
+        engine = standin_engine.StandinEngine(
+            standin_engine.EngineOptions(
+                f"engine-{number}", MODEL, MODEL_VERSION
+            )
+        )
+        self.engines.append(engine)
+        return await self._serve(engine.application())
+
+    async def _start_instance(
+        self, number: int, zone: str, ports: list[int], token: str
+    ) -> None:
+        caller, operator, peer = ports[3 * number : 3 * number + 3]
+        settings = instance_settings.Settings(
+            instance_id=f"instance-{number}",
+            zone=zone,
+            caller_listen=f"{HOST}:{caller}",
+            operator_listen=f"{HOST}:{operator}",
+            peer_listen=f"{HOST}:{peer}",
+            control_peers=f"instance-0={HOST}:{ports[2]}",
+            operator_token=token,
+            data_dir=str(self._data_root / "0") if number == 0 else None,
+            drain_delay_ms=100,
+        )
+        instance = wiring.Instance(settings, clocks.SystemClock())
+        await instance.start()
+        self.instances.append(instance)
+
+    async def _serve(self, app: web.Application) -> str:
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, HOST, 0)
+        await site.start()
+        self._runners.append(runner)
+        port = runner.addresses[0][1]
+        return f"http://{HOST}:{port}"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return distinct free ports of the loopback address."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            listener = stack.enter_context(socket.socket())
+            listener.bind((HOST, 0))
+            ports.append(listener.getsockname()[1])
+        return ports
+
+
+@contextlib.asynccontextmanager
+async def running():
+    """Run a local deployment for the length of a block."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = LocalDeployment(pathlib.Path(folder))
+        await deployment.start()
+        try:
+            yield deployment
+        finally:
+            await deployment.stop()
+
+
+async def until_ready(deployment: LocalDeployment) -> None:
+    """Wait until each instance applies a configuration."""
+    for instance in deployment.instances:
+        while instance.blackboard.in_force.read() is None:
+            await asyncio.sleep(0.02)
--- /dev/null
+++ b/src/oriolejunction/messages.py
@@ -0,0 +1,216 @@
+"""Typed messages between the system's own processes.
+
+Encoded as MessagePack by ``msgspec``; unions are told apart by a tag.
+"""
+
+import msgspec
+
+from oriolejunction import configuration
+from oriolejunction import ids
+from oriolejunction import states
+
+
+class Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of all messages that may stand in a union."""
+
+
+class SubmitDraft(Message, frozen=True):
+    """Store the configuration generated from answers as a draft."""
+
+    operation_id: ids.OperationId
+    draft_id: ids.DraftId
+    base_revision: ids.Revision
+    configuration: configuration.Configuration
+    answers_toml: str
+    differences: tuple[str, ...]
+    operator: str
+    at_ms: int
+
+
+class AcceptDraft(Message, frozen=True):
+    """Put a draft in force if its base revision is still current."""
+
+    operation_id: ids.OperationId
+    draft_id: ids.DraftId
+    operator: str
+    at_ms: int
+
+
+class WithdrawChange(Message, frozen=True):
+    """Drop a draft, or bring back what stood before a revision."""
+
+    operation_id: ids.OperationId
+    target: str
+    operator: str
+    at_ms: int
+
+
+class ClaimCall(Message, frozen=True):
+    """Claim the single right to dispatch a never-twice call."""
+
+    workspace: ids.WorkspaceId
+    service: ids.ServiceName
+    key: ids.IdempotencyKey
+    body_digest: str
+    owner: ids.InstanceId
+    claim_id: str
+    at_ms: int
+
+
+class RecordCallOutcome(Message, frozen=True):
+    """Store the answer of a claimed call."""
+
+    workspace: ids.WorkspaceId
+    service: ids.ServiceName
+    key: ids.IdempotencyKey
+    claim_id: str
+    state: states.CallState
+    answer: "StoredAnswer | None"
+    at_ms: int
+
+
+class StoredAnswer(Message, frozen=True):
+    """The answer of a plain service, kept for resends."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+Command = (
+    SubmitDraft | AcceptDraft | WithdrawChange | ClaimCall | RecordCallOutcome
+)
+
+
+class ChangeAccepted(Message, frozen=True):
+    """A configuration change was committed."""
+
+    draft_id: ids.DraftId
+    revision: ids.Revision
+    differences: tuple[str, ...] = ()
+
+
+class ChangeRefused(Message, frozen=True):
+    """A configuration change was refused."""
+
+    code: str
+    message: str
+
+
+class CallClaim(Message, frozen=True):
+    """Result of a claim: the state of the call and who holds it.
+
+    `granted` is true only for the claim that may dispatch.
+    """
+
+    granted: bool
+    state: states.CallState
+    body_matches: bool
+    answer: StoredAnswer | None = None
+
+
+class Recorded(Message, frozen=True):
+    """A command without a result of its own was applied."""
+
+
+CommandResult = ChangeAccepted | ChangeRefused | CallClaim | Recorded
+
+
+class ProposeRequest(Message, frozen=True):
+    """Ask a control replica to commit a command."""
+
+    command: Command
+
+
+class ProposeReply(Message, frozen=True):
+    """The committed result, or a hint where the leader is.
+
+    `not_leader` is a proof that this replica did not commit the command.
+    """
+
+    result: CommandResult | None = None
+    not_leader: bool = False
+    leader_hint: str | None = None
+
+
+class RenewRequest(Message, frozen=True):
+    """Renew a configuration lease and tell the revision applied."""
+
+    instance: ids.InstanceId
+    zone: ids.ZoneId
+    incarnation: str
+    applied: ids.Revision
+    leaving: bool = False
+
+
+class RenewReply(Message, frozen=True):
+    """Confirmed latest revision; its content where the caller is behind.
+
+    `lease_ms` counts from the moment at which the request was sent.
+    """
+
+    revision: ids.Revision
+    configuration: configuration.Configuration | None
+    lease_ms: int
+    not_leader: bool = False
+
+
+class StatusRequest(Message, frozen=True):
+    """Ask for the revision in force on each instance."""
+
+
+class InstanceStatus(Message, frozen=True):
+    """One instance as the control leader knows it."""
+
+    instance: ids.InstanceId
+    zone: ids.ZoneId
+    applied: ids.Revision
+    lease_left_ms: int
+    leaving: bool
+
+
+class StatusReply(Message, frozen=True):
+    """The current revision and each lease-holder."""
+
+    revision: ids.Revision
+    leader: ids.InstanceId
+    instances: tuple[InstanceStatus, ...]
+    not_leader: bool = False
+
+
+class AuditRequest(Message, frozen=True):
+    """Ask for the trail of changes, from an entry number on."""
+
+    start: int = 0
+
+
+class AuditEntry(Message, frozen=True):
+    """One change: who, when, what, from which answers."""
+
+    number: int
+    at_ms: int
+    operator: str
+    action: states.ChangeAction
+    draft_id: ids.DraftId
+    revision: ids.Revision
+    answers_digest: str
+    differences: tuple[str, ...]
+
+
+class AuditReply(Message, frozen=True):
+    """A part of the trail."""
+
+    entries: tuple[AuditEntry, ...]
+    not_leader: bool = False
+
+
+class InForceRequest(Message, frozen=True):
+    """Ask for the content in force or of a draft, for differences."""
+
+
+class InForceReply(Message, frozen=True):
+    """The configuration in force, confirmed by a majority."""
+
+    revision: ids.Revision
+    configuration: configuration.Configuration | None
+    not_leader: bool = False
--- /dev/null
+++ b/src/oriolejunction/operator_client.py
@@ -0,0 +1,74 @@
+"""Client of the operators' listener, for the command line."""
+
+import getpass
+import json
+import typing
+
+import aiohttp
+
+from oriolejunction import errors
+
+TIMEOUT_S = 20.0
+
+
+class OperatorError(errors.ServingError):
+    """The operators' listener refused; `message` says why."""
+
+    code = "operator_error"
+
+
+class OperatorClient:
+    """Submit, accept, withdraw and read over HTTP."""
+
+    def __init__(self, url: str, token: str) -> None:
+        self._url = url.rstrip("/")
+        self._headers = {
+            "Authorization": f"Bearer {token}",
+            "X-Operator": getpass.getuser(),
+        }
+
+    async def submit(self, answers_toml: str) -> dict[str, typing.Any]:
+        """Store a draft and return its id and differences."""
+        return await self._send("POST", "/drafts", data=answers_toml)
+
+    async def accept(self, draft: str) -> dict[str, typing.Any]:
+        """Put a draft in force on every instance."""
+        return await self._change("/accept", draft)
+
+    async def withdraw(self, target: str) -> dict[str, typing.Any]:
+        """Drop a draft or bring back what stood before a revision."""
+        return await self._change("/withdraw", target)
+
+    async def status(self) -> dict[str, typing.Any]:
+        """Return each instance and the revision in force there."""
+        return await self._send("GET", "/status")
+
+    async def audit(self) -> dict[str, typing.Any]:
+        """Return the trail of changes."""
+        return await self._send("GET", "/audit")
+
+    async def _change(self, path: str, target: str):
+        body = {"target": target, "operator": self._headers["X-Operator"]}
+        return await self._send("POST", path, data=json.dumps(body))
+
+    async def _send(self, method: str, path: str, data: str | None = None):
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        try:
+            async with aiohttp.request(
+                method,
+                self._url + path,
+                data=data,
+                headers=self._headers,
+                timeout=timeout,
+            ) as response:
+                reply = await response.json()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise errors.Failure(
+                OperatorError(
+                    f"no answer from {self._url}; the order may have been"
+                    f" carried out, send it again: {error!r}"
+                )
+            )
+        if "error" in reply:
+            raise errors.Failure(OperatorError(reply["error"]["message"]))
+        return reply
--- /dev/null
+++ b/src/oriolejunction/peers/methods.py
@@ -0,0 +1,20 @@
+"""The methods that the system's processes serve to each other."""
+
+from oriolejunction import messages
+from oriolejunction.peers import rpc
+
+PROPOSE = rpc.Method(
+    "Control", "Propose", messages.ProposeRequest, messages.ProposeReply
+)
+RENEW = rpc.Method(
+    "Control", "Renew", messages.RenewRequest, messages.RenewReply
+)
+STATUS = rpc.Method(
+    "Control", "Status", messages.StatusRequest, messages.StatusReply
+)
+AUDIT = rpc.Method(
+    "Control", "Audit", messages.AuditRequest, messages.AuditReply
+)
+IN_FORCE = rpc.Method(
+    "Control", "InForce", messages.InForceRequest, messages.InForceReply
+)
--- /dev/null
+++ b/src/oriolejunction/peers/rpc.py
@@ -0,0 +1,86 @@
+"""Typed unary calls over gRPC with MessagePack bodies.
+
+No generated stubs: a method is its path with a request and a reply type.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import grpc
+import msgspec
+
+Request = typing.TypeVar("Request")
+Reply = typing.TypeVar("Reply")
+
+CHANNEL_OPTIONS = (
+    ("grpc.enable_retries", 0),
+    ("grpc.max_receive_message_length", 64 << 20),
+    ("grpc.max_send_message_length", 64 << 20),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Method(typing.Generic[Request, Reply]):
+    """One unary method between the system's processes."""
+
+    service: str
+    name: str
+    request_type: type[Request]
+    reply_type: type[Reply]
+
+    @property
+    def path(self) -> str:
+        """Return the gRPC path."""
+        return f"/oriolejunction.{self.service}/{self.name}"
+
+
+Handler = collections.abc.Callable[[typing.Any], collections.abc.Awaitable]
+
+
+def add_methods(
+    server: grpc.aio.Server, handler_by_method: dict[Method, Handler]
+) -> None:
+    """Serve methods of one or more services on a server."""
+    by_service: dict[str, dict[str, grpc.RpcMethodHandler]] = {}
+    for method, handler in handler_by_method.items():
+        by_service.setdefault(method.service, {})[method.name] = _rpc_handler(
+            method, handler
+        )
+    server.add_generic_rpc_handlers(
+        tuple(
+            grpc.method_handlers_generic_handler(
+                f"oriolejunction.{service}", handler_by_name
+            )
+            for service, handler_by_name in by_service.items()
+        )
+    )
+
+
+def _rpc_handler(method: Method, handler: Handler) -> grpc.RpcMethodHandler:
+    async def behavior(request, context):
+        return await handler(request)
+
+    return grpc.unary_unary_rpc_method_handler(
+        behavior,
+        request_deserializer=msgspec.msgpack.Decoder(
+            method.request_type
+        ).decode,
+        response_serializer=msgspec.msgpack.Encoder().encode,
+    )
+
+
+def caller(
+    channel: grpc.aio.Channel, method: Method[Request, Reply]
+) -> collections.abc.Callable[..., collections.abc.Awaitable[Reply]]:
+    """Return a function that calls `method` over `channel`."""
+    return channel.unary_unary(
+        method.path,
+        request_serializer=msgspec.msgpack.Encoder().encode,
+        response_deserializer=msgspec.msgpack.Decoder(
+            method.reply_type
+        ).decode,
+    )
--- /dev/null
+++ b/src/oriolejunction/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""The operator questionnaire: questions, checks and generation."""
--- /dev/null
+++ b/src/oriolejunction/questionnaire/checks.py
@@ -0,0 +1,144 @@
+"""Checks of the answers; each fault names its question."""
+
+import collections
+import collections.abc
+import dataclasses
+import ipaddress
+
+import yarl
+
+from oriolejunction import errors
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import questions
+
+METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault in plain words."""
+
+    question: int
+    text: str
+
+    def line(self) -> str:
+        """Return the fault with the number of its question."""
+        return f"question {self.question}: {self.text}"
+
+
+Faults = collections.abc.Iterator[tuple[str, str]]
+
+
+def faults_of(answers: answer_files.Answers) -> list[Fault]:
+    """Return all faults, in the order of the questions."""
+    pairs = [
+        *_zones(answers),
+        *_weight_store(answers),
+        *_models(answers),
+        *_engines(answers),
+        *_services(answers),
+        *_workspaces(answers),
+    ]
+    return [
+        Fault(questions.number_by_field[field], text) for field, text in pairs
+    ]
+
+
+def require_sound(answers: answer_files.Answers) -> answer_files.Answers:
+    """Return the answers or raise `Failure` with `FaultyAnswers`."""
+    faults = faults_of(answers)
+    if faults:
+        text = "\n".join(fault.line() for fault in faults)
+        raise errors.Failure(errors.FaultyAnswers(text))
+    return answers
+
+
+def _zones(answers: answer_files.Answers) -> Faults:
+    if not answers.zones:
+        yield "zones", "at least one availability zone is needed"
+    yield from _duplicates("zones", answers.zones)
+
+
+def _weight_store(answers: answer_files.Answers) -> Faults:
+    if answers.weight_loads_per_minute < 1:
+        yield "weight_loads_per_minute", "at least 1 load a minute is needed"
+
+
+def _models(answers: answer_files.Answers) -> Faults:
+    names = [model.name for model in answers.models]
+    yield from _duplicates("models", names)
+    served = {engine.model for engine in answers.engines}
+    for name in names:
+        if name not in served:
+            yield "models", f"no engine serves the model {name!r}"
+
+
+def _engines(answers: answer_files.Answers) -> Faults:
+    yield from _duplicates("engines", [e.name for e in answers.engines])
+    yield from _duplicates("engines", [e.url for e in answers.engines])
+    models = {model.name for model in answers.models}
+    for engine in answers.engines:
+        if engine.zone not in answers.zones:
+            yield "engines", (
+                f"{engine.name!r} is in the unknown zone {engine.zone!r}"
+            )
+        if engine.model not in models:
+            yield "engines", (
+                f"{engine.name!r} serves the unknown model {engine.model!r}"
+            )
+        if not _is_url(engine.url):
+            yield "engines", (
+                f"{engine.name!r} needs an address like"
+                f" http://10.0.0.1:8000, not {engine.url!r}"
+            )
+
+
+def _services(answers: answer_files.Answers) -> Faults:
+    yield from _duplicates("services", [s.name for s in answers.services])
+    for service in answers.services:
+        if not service.urls:
+            yield "services", f"{service.name!r} has no address"
+        for url in service.urls:
+            if not _is_url(url):
+                yield "services", f"{service.name!r} has the address {url!r}"
+        for pattern in service.never_twice:
+            method, _, path = pattern.partition(" ")
+            if method not in METHODS or not path.startswith("/"):
+                yield "services", (
+                    f"{service.name!r}: {pattern!r} should be like"
+                    " 'POST /orders'"
+                )
+
+
+def _workspaces(answers: answer_files.Answers) -> Faults:
+    entries = answers.workspaces
+    if not entries:
+        yield "workspaces", "at least one workspace is needed"
+    yield from _duplicates("workspaces", [w.name for w in entries])
+    digests = [answer_files.key_digest(w.key) for w in entries]
+    if len(set(digests)) < len(digests):
+        yield "workspaces", "two workspaces have the same key"
+    for workspace in entries:
+        if not workspace.key:
+            yield "workspaces", f"{workspace.name!r} has no key"
+        if workspace.share < 1:
+            yield "workspaces", f"{workspace.name!r} needs a share of 1 up"
+        if workspace.tokens_per_s < 0 or workspace.concurrent_requests < 0:
+            yield "workspaces", f"{workspace.name!r} has a negative limit"
+
+
+def _duplicates(field: str, names: collections.abc.Iterable[str]) -> Faults:
+    for name, count in collections.Counter(names).items():
+        if not name:
+            yield field, "a name is empty"
+        if count > 1:
+            yield field, f"{name!r} is given {count} times"
+
+
+def _is_url(text: str) -> bool:
+    try:
+        url = yarl.URL(text)
+        ipaddress.ip_address(url.host or "")
+    except ValueError:
+        return False
+    return url.scheme in ("http", "https") and url.path in ("", "/")
--- /dev/null
+++ b/src/oriolejunction/questionnaire/differences.py
@@ -0,0 +1,75 @@
+"""Differences between two configurations, in plain words."""
+
+import collections.abc
+
+import msgspec
+
+from oriolejunction import configuration
+
+_KEY_BY_SECTION = {
+    "models": ("model", "name"),
+    "engines": ("engine", "engine_id"),
+    "services": ("service", "name"),
+    "workspaces": ("workspace", "workspace_id"),
+}
+_SECRET_FIELDS = frozenset({"key_digest"})
+
+
+def in_words(
+    before: configuration.Configuration | None,
+    after: configuration.Configuration,
+) -> collections.abc.Iterator[str]:
+    """Yield one sentence for each difference."""
+    if before is None:
+        yield "this is the first configuration"
+        return
+    if before.measure is not after.measure:
+        yield (
+            f"what matters more changes from {before.measure.value}"
+            f" to {after.measure.value}"
+        )
+    if before.zones != after.zones:
+        yield f"availability zones become {', '.join(after.zones)}"
+    if before.weight_loads_per_minute != after.weight_loads_per_minute:
+        yield (
+            "model loads a minute change from"
+            f" {before.weight_loads_per_minute}"
+            f" to {after.weight_loads_per_minute}"
+        )
+    for section, (noun, key) in _KEY_BY_SECTION.items():
+        yield from _entries(
+            noun,
+            {getattr(e, key): e for e in getattr(before, section)},
+            {getattr(e, key): e for e in getattr(after, section)},
+        )
+
+
+def _entries(
+    noun: str,
+    before_by_name: dict[str, msgspec.Struct],
+    after_by_name: dict[str, msgspec.Struct],
+) -> collections.abc.Iterator[str]:
+    for name in sorted(before_by_name.keys() - after_by_name.keys()):
+        yield f"{noun} {name} is removed"
+    for name in sorted(after_by_name.keys() - before_by_name.keys()):
+        yield f"{noun} {name} is added"
+    for name in sorted(before_by_name.keys() & after_by_name.keys()):
+        before, after = before_by_name[name], after_by_name[name]
+        for field in before.__struct_fields__:
+            old, new = getattr(before, field), getattr(after, field)
+            if old == new:
+                continue
+            if field in _SECRET_FIELDS:
+                yield f"{noun} {name} gets another key"
+            else:
+                yield (
+                    f"{noun} {name}: {field} changes from"
+                    f" {_shown(old)} to {_shown(new)}"
+                )
+
+
+def _shown(value: object) -> str:
+    plain = msgspec.to_builtins(value)
+    if isinstance(plain, str):
+        return plain
+    return msgspec.json.encode(plain).decode()
--- /dev/null
+++ b/src/oriolejunction/settings.py
@@ -0,0 +1,110 @@
+"""Settings of one process, from flags and environment variables.
+
+A flag ``--peer-listen`` has the variable ``ORIOLEJUNCTION_PEER_LISTEN``;
+the flag goes first. Values are checked by ``msgspec`` before anything
+starts.
+"""
+
+import collections.abc
+import ipaddress
+import typing
+
+import msgspec
+
+from oriolejunction import errors
+from oriolejunction import ids
+
+ENVIRONMENT_PREFIX = "ORIOLEJUNCTION_"
+
+Name = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=64, pattern="^[\\w.-]+$")
+]
+Address = typing.Annotated[str, msgspec.Meta(pattern="^.+:[0-9]{1,5}$")]
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Checked settings of ``serve``; addresses are ``IP:PORT``.
+
+    `control_peers` lists the control replicas as ``ID=IP:PORT`` separated
+    by commas.
+    """
+
+    instance_id: Name
+    zone: Name
+    caller_listen: Address
+    operator_listen: Address
+    peer_listen: Address
+    control_peers: str
+    operator_token: typing.Annotated[str, msgspec.Meta(min_length=8)]
+    data_dir: str | None = None
+    max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
+    drain_delay_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 3_000
+    log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
+
+    def control_address_by_id(self) -> dict[ids.InstanceId, str]:
+        """Return the addresses of the control replicas."""
+        pairs = (part.split("=", 1) for part in self.control_peers.split(","))
+        return {ids.InstanceId(name): address for name, address in pairs}
+
+
+def load(
+    flags: collections.abc.Mapping[str, object],
+    environment: collections.abc.Mapping[str, str],
+) -> Settings:
+    """Return checked settings or raise `Failure` with `BadSettings`.
+
+    The message has one line for each fault.
+    """
+    value_by_name = {}
+    faults = [
+        f"--{name.replace('_', '-')}: there is no such flag"
+        for name in flags
+        if name not in Settings.__struct_fields__
+    ]
+    for field in msgspec.structs.fields(Settings):
+        raw = flags.get(field.name, environment.get(_variable(field.name)))
+        if raw is None:
+            if field.required:
+                faults.append(_fault(field.name, "is required"))
+            continue
+        try:
+            value_by_name[field.name] = _checked(field, raw)
+        except (msgspec.ValidationError, ValueError) as error:
+            faults.append(_fault(field.name, str(error)))
+    if faults:
+        raise errors.Failure(errors.BadSettings("\n".join(faults)))
+    return Settings(**value_by_name)
+
+
+def _checked(field: msgspec.structs.FieldInfo, raw: object) -> object:
+    value = msgspec.convert(str(raw), field.type, strict=False)
+    if field.name.endswith("_listen"):
+        split_address(value)
+    if field.name == "control_peers":
+        for part in value.split(","):
+            name, separator, address = part.partition("=")
+            if not (name and separator):
+                raise ValueError(f"{part!r} is not ID=IP:PORT")
+            split_address(address)
+    return value
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of ``IP:PORT``.
+
+    Raise `ValueError` where the host is no IP number.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not 0 <= int(port) <= 65_535:
+        raise ValueError(f"port {port} is out of range")
+    return host, int(port)
+
+
+def _variable(name: str) -> str:
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
+def _fault(name: str, text: str) -> str:
+    flag = "--" + name.replace("_", "-")
+    return f"{flag} / {_variable(name)}: {text}"
--- /dev/null
+++ b/src/oriolejunction/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: engines and plain services."""
--- /dev/null
+++ b/src/oriolejunction/states.py
@@ -0,0 +1,70 @@
+"""States and kinds, as enumerations."""
+
+import enum
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude from an error."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class Measure(enum.Enum):
+    """The measure that a deployment weighs more."""
+
+    LATENCY = "latency"
+    RESOURCES = "resources"
+
+
+class FinishReason(enum.Enum):
+    """Why a generation ended, in the words of the OpenAI protocol."""
+
+    STOP = "stop"
+    LENGTH = "length"
+
+
+class CommitOutcome(enum.Enum):
+    """What became of tokens offered to the commit point."""
+
+    COMMITTED = "committed"
+    NOT_OWNER = "not_owner"
+    REPEATED = "repeated"
+    GAP = "gap"
+    FINISHED = "finished"
+
+
+class EngineState(enum.Enum):
+    """Whether an engine may be given new work."""
+
+    LIVE = "live"
+    SUSPECTED = "suspected"
+    LEAVING = "leaving"
+
+
+class InstanceState(enum.Enum):
+    """The life of one entry instance."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class CallState(enum.Enum):
+    """State of a never-twice call in the ledger."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    RELEASED = "released"
+    VOID = "void"
+    UNKNOWN = "unknown"
+
+
+class ChangeAction(enum.Enum):
+    """What an operator did to the configuration."""
+
+    SUBMIT = "submit"
+    ACCEPT = "accept"
+    WITHDRAW = "withdraw"
--- /dev/null
+++ b/src/oriolejunction/wiring.py
@@ -0,0 +1,146 @@
+"""The composition root: build one instance from its settings."""
+
+import asyncio
+import pathlib
+import random
+import uuid
+
+from aiohttp import web
+import grpc
+import structlog
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import single
+from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import routing
+from oriolejunction.http import callers
+from oriolejunction.http import engine_client
+from oriolejunction.http import operators
+from oriolejunction.http import service_calls
+from oriolejunction.http import service_client
+from oriolejunction import ids
+from oriolejunction.peers import configuration_watch
+from oriolejunction.peers import control_client
+from oriolejunction.peers import control_service
+from oriolejunction import settings as instance_settings
+from oriolejunction import states
+from oriolejunction import telemetry as metrics
+
+DRAIN_POLL_MS = 50
+_log = structlog.get_logger(__name__)
+
+
+class Instance:
+    """One running process of the system."""
+
+    def __init__(
+        self, settings: instance_settings.Settings, clock: clocks.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.blackboard = blackboards.Blackboard()
+        self.telemetry = metrics.Telemetry()
+        self._write_state = self.blackboard.instance_state.own("wiring")
+        self._requests_in_flight = 0
+        self._tasks: list[asyncio.Task] = []
+        self._runners: list[web.AppRunner] = []
+        self._server: grpc.aio.Server | None = None
+        self._replica: single.SingleReplica | None = None
+
+    async def start(self) -> None:
+        """Open the listeners and begin to serve."""
+        settings = self.settings
+        instance_id = ids.InstanceId(settings.instance_id)
+        if settings.data_dir is not None:
+            await self._start_replica(instance_id)
+        self._control = control_client.ControlClient(
+            settings.control_address_by_id()
+        )
+        self._engines = engine_client.EngineClient()
+        self._services = service_client.ServiceClient()
+        watch = configuration_watch.ConfigurationWatch(
+            instance_id,
+            ids.ZoneId(settings.zone),
+            self.clock,
+            self.blackboard,
+            self._control,
+        )
+        self._tasks.append(asyncio.create_task(watch.run()))
+        caller_app = callers.application(self._caller_parts(instance_id))
+        caller_app.middlewares.append(self._count_in_flight)
+        await self._listen(caller_app, settings.caller_listen)
+        operator_app = operators.application(
+            operators.OperatorParts(
+                settings.operator_token, self.clock, self._control
+            )
+        )
+        await self._listen(operator_app, settings.operator_listen)
+        self._write_state(states.InstanceState.READY)
+        _log.info("instance started", instance=instance_id)
+
+    async def drain(self) -> None:
+        """Refuse new requests, then wait until all others are finished."""
+        self._write_state(states.InstanceState.DRAINING)
+        await self.clock.sleep_ms(self.settings.drain_delay_ms)
+        while self._requests_in_flight:
+            await self.clock.sleep_ms(DRAIN_POLL_MS)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in self._tasks:
+            await configuration_watch.stop_task(task)
+        for client in (self._engines, self._services, self._control):
+            await client.close()
+        if self._server is not None:
+            await self._server.stop(None)
+        if self._replica is not None:
+            await self._replica.close()
+        self._write_state(states.InstanceState.STOPPED)
+
+    async def _start_replica(self, instance_id: ids.InstanceId) -> None:
+        data_dir = pathlib.Path(self.settings.data_dir)
+        data_dir.mkdir(parents=True, exist_ok=True)
+        self._replica = single.SingleReplica(data_dir)
+        self._server = grpc.aio.server()
+        control_service.ControlService(
+            instance_id, self._replica, self.clock
+        ).add_to(self._server)
+        self._server.add_insecure_port(self.settings.peer_listen)
+        await self._server.start()
+
+    def _caller_parts(self, instance_id: ids.InstanceId):
+        rng = random.Random(instance_id)
+        return callers.CallerParts(
+            instance_id=instance_id,
+            clock=self.clock,
+            blackboard=self.blackboard,
+            telemetry=self.telemetry,
+            runner=generation_runner.RunnerParts(
+                engines=self._engines,
+                choose_engine=routing.random_choice(self.blackboard, rng),
+                telemetry=self.telemetry,
+            ),
+            services=service_calls.ServiceCalls(
+                instance_id, self.clock, self._services, self._control
+            ),
+            new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
+            max_body_bytes=self.settings.max_body_bytes,
+        )
+
+    @web.middleware
+    async def _count_in_flight(self, request, handler):
+        self._requests_in_flight += 1
+        try:
+            return await handler(request)
+        finally:
+            self._requests_in_flight -= 1
+
+    async def _listen(self, app: web.Application, address: str) -> None:
+        host, port = instance_settings.split_address(address)
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        await web.TCPSite(runner, host, port).start()
+        self._runners.append(runner)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,33 @@
+"""Settings of hypothesis and fixtures shared by the tests."""
+
+import hypothesis
+import pytest
+
+from oriolejunction import demonstration
+from oriolejunction import invariants
+from oriolejunction import local_deployment
+
+hypothesis.settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile("ci")
+
+
+@pytest.fixture
+async def deployment():
+    """Run a local deployment with the sample configuration in force."""
+    async with local_deployment.running() as running:
+        await demonstration.accept_sample(running)
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def no_violations():
+    """Fail a test that violated an invariant of the program."""
+    invariants.violations_by_name.clear()
+    yield
+    assert invariants.violations_by_name == {}
--- /dev/null
+++ b/tests/questionnaire/test_checks.py
@@ -0,0 +1,83 @@
+"""Faults of a questionnaire are told by question."""
+
+import msgspec
+import pytest
+
+from oriolejunction import errors
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import checks
+from oriolejunction.questionnaire import differences
+from oriolejunction.questionnaire import fill
+from oriolejunction.questionnaire import generate
+from oriolejunction import states
+
+SOUND = answer_files.Answers(
+    measure=states.Measure.LATENCY,
+    zones=("a",),
+    models=(answer_files.ModelAnswer("m", "1"),),
+    engines=(answer_files.EngineAnswer("e", "http://10.0.0.1:1", "a", "m"),),
+    services=(
+        answer_files.ServiceAnswer(
+            "s", ("http://10.0.0.1:2",), ("POST /orders",)
+        ),
+    ),
+    workspaces=(answer_files.WorkspaceAnswer("w", "key"),),
+)
+
+
+def test_sound_answers_have_no_faults():
+    assert checks.faults_of(SOUND) == []
+
+
+def test_each_fault_names_its_question():
+    faulty = answer_files.Answers(
+        measure=states.Measure.LATENCY,
+        zones=(),
+        weight_loads_per_minute=0,
+        models=(answer_files.ModelAnswer("m", "1"),),
+        engines=(answer_files.EngineAnswer("e", "nowhere", "z", "x"),),
+        services=(answer_files.ServiceAnswer("s", (), ("orders",)),),
+    )
+    numbers = {fault.question for fault in checks.faults_of(faulty)}
+    assert numbers == {2, 3, 4, 5, 6, 7}
+
+
+@pytest.mark.parametrize("text", ["", "measure = 3", "x = ", "zones = []"])
+def test_unreadable_answers_are_typed(text):
+    with pytest.raises(errors.Failure) as caught:
+        answer_files.parse(text)
+    assert isinstance(caught.value.error, errors.FaultyAnswers)
+
+
+def test_answers_survive_their_file_without_clear_keys():
+    text = answer_files.dump(answer_files.without_keys(SOUND))
+    assert '"key"' not in text
+    again = answer_files.parse(text)
+    assert generate.configuration_of(again) == generate.configuration_of(SOUND)
+
+
+def test_differences_in_words_hide_keys():
+    before = generate.configuration_of(SOUND)
+    workspace = answer_files.WorkspaceAnswer("w", "other", share=2)
+    after = generate.configuration_of(
+        msgspec.structs.replace(
+            SOUND, workspaces=(workspace,), zones=("a", "b")
+        )
+    )
+    assert list(differences.in_words(before, after)) == [
+        "availability zones become a, b",
+        "workspace w gets another key",
+        "workspace w: share changes from 1 to 2",
+    ]
+
+
+def test_fill_asks_and_keeps_what_is_known():
+    lines = iter(
+        ["resources", "a, b", "", "", "-e", "f", "http://10.0.0.2:1", "b"]
+        + ["m", "yes", "", "", "", "", ""]
+    )
+    filled = fill.fill(SOUND, lambda text: next(lines), lambda text: None)
+    assert filled.measure is states.Measure.RESOURCES
+    assert filled.zones == ("a", "b")
+    assert [engine.name for engine in filled.engines] == ["f"]
+    assert filled.models == SOUND.models
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,101 @@
+"""A caller's answer survives its engine, from one end to the other."""
+
+import aiohttp
+import openai
+import pytest
+
+from oriolejunction import local_deployment
+from oriolejunction.standin import chain
+
+PROMPT = "Which flavours keep longest? [[length=120]]"
+KEY = local_deployment.KEY_BY_WORKSPACE["hakata"]
+
+
+def _client(deployment):
+    return openai.AsyncOpenAI(
+        base_url=deployment.addresses.callers_urls[1] + "/v1",
+        api_key=KEY,
+        max_retries=0,
+    )
+
+
+async def _fault_busy_engine(deployment, kind):
+    url = next(
+        url
+        for engine, url in zip(
+            deployment.engines, deployment.addresses.engine_urls
+        )
+        if engine.tokens_computed
+    )
+    async with aiohttp.ClientSession() as session:
+        await session.post(url + "/fault", json={"kind": kind})
+
+
+@pytest.mark.parametrize("kind", ["die", "reset", "truncate"])
+async def test_openai_client_streams_completion_through_loss(deployment, kind):
+    stream = await _client(deployment).completions.create(
+        model=local_deployment.MODEL,
+        prompt=PROMPT,
+        max_tokens=500,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    parts, usage, finish = [], None, None
+    async for chunk in stream:
+        usage = chunk.usage or usage
+        for choice in chunk.choices:
+            parts.append(choice.text)
+            finish = choice.finish_reason or finish
+        if len(parts) == 30:
+            await _fault_busy_engine(deployment, kind)
+    verdict = chain.check_text("".join(parts), "1", "", PROMPT)
+    assert verdict == chain.Verdict(True, 120)
+    assert finish == "stop"
+    assert usage.completion_tokens == 120
+
+
+async def test_openai_client_streams_chat_through_loss(deployment):
+    stream = await _client(deployment).chat.completions.create(
+        model=local_deployment.MODEL,
+        messages=[{"role": "user", "content": PROMPT}],
+        max_tokens=100,
+        stream=True,
+    )
+    parts, finish = [], None
+    async for chunk in stream:
+        parts.append(chunk.choices[0].delta.content or "")
+        finish = chunk.choices[0].finish_reason or finish
+        if len(parts) == 30:
+            await _fault_busy_engine(deployment, "die")
+    verdict = chain.check_text("".join(parts), "1", "", f"user: {PROMPT}\n")
+    assert verdict == chain.Verdict(True, 100)
+    assert finish == "length"
+
+
+async def test_openai_client_gets_whole_answers(deployment):
+    client = _client(deployment)
+    chat = await client.chat.completions.create(
+        model=local_deployment.MODEL,
+        messages=[{"role": "user", "content": PROMPT}],
+        max_tokens=40,
+    )
+    plain = await client.completions.create(
+        model=local_deployment.MODEL, prompt=PROMPT, max_tokens=40
+    )
+    assert chain.check_text(
+        chat.choices[0].message.content, "1", "", f"user: {PROMPT}\n"
+    ) == chain.Verdict(True, 40)
+    assert chain.check_text(plain.choices[0].text, "1", "", PROMPT).whole
+
+
+async def test_stop_string_cuts_the_answer(deployment):
+    whole = await _client(deployment).completions.create(
+        model=local_deployment.MODEL, prompt=PROMPT, max_tokens=40
+    )
+    text = whole.choices[0].text
+    stop = text[62:67]
+    cut = await _client(deployment).completions.create(
+        model=local_deployment.MODEL, prompt=PROMPT, max_tokens=40, stop=stop
+    )
+    assert cut.choices[0].text == text[: text.index(stop)]
+    assert cut.choices[0].finish_reason == "stop"
