--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,10 @@
 		--output-file dist/oriolejunction --reproducible \
 		--compressed '.[report]'
 
+# Benches that need real processes; the others run inside the binary.
+PROCESS_BENCHES := config ledger throughput capacity processes
+BENCH_MODULE = $(if $(filter $(NAME),$(PROCESS_BENCHES)),bench,oriolejunction bench)
+
 bench: setup
-	$(BIN)/python -m oriolejunction bench $(NAME) --seed $(SEED) --json
+	@$(BIN)/python -m $(BENCH_MODULE) $(NAME) --seed $(SEED) \
+		--seconds $(SECONDS) --json
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches that need real processes; not shipped."""
--- /dev/null
+++ b/bench/catalogue.py
@@ -0,0 +1,17 @@
+"""The benches that run real processes, by name."""
+
+from oriolejunction.bench import catalogue as shipped
+from oriolejunction import errors
+
+BENCH_BY_NAME: dict[str, shipped.Bench] = {}
+
+
+def bench_of(name: str) -> shipped.Bench:
+    """Return the bench of a name or raise `Failure`."""
+    bench = BENCH_BY_NAME.get(name)
+    if bench is None:
+        known = ", ".join(sorted(BENCH_BY_NAME))
+        raise errors.Failure(
+            shipped.UnknownBench(f"there is no bench {name!r}; known: {known}")
+        )
+    return bench
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,158 @@
+"""Real ``serve`` and stand-in processes on loopback, for benches."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+
+from oriolejunction import local_deployment
+
+READY_POLL_S = 0.05
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+TOKEN = "bench-operator-token"
+ENTRY = (sys.executable, "-m", "oriolejunction")
+
+
+@dataclasses.dataclass
+class ManagedProcess:
+    """One process started by the bench, signalled only by its own id."""
+
+    name: str
+    arguments: tuple[str, ...]
+    log_path: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process; its log is appended to a file."""
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *ENTRY,
+                *self.arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"GRPC_VERBOSITY": "NONE"},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal where the process still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop the process without its noticing."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End the process without notice."""
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def terminate(self) -> int:
+        """Ask for a graceful shutdown and return the exit status."""
+        self.signal(signal.SIGTERM)
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await self.process.wait()
+
+
+@dataclasses.dataclass
+class ServeProcess:
+    """A ``serve`` process with its addresses."""
+
+    managed: ManagedProcess
+    caller_url: str
+    operator_url: str
+    peer_address: str
+    data_dir: pathlib.Path | None
+
+
+def serve_processes(
+    folder: pathlib.Path,
+    zones: collections.abc.Sequence[str],
+    replicas: int,
+    extra: tuple[str, ...] = (),
+) -> list[ServeProcess]:
+    """Return unstarted instances, one a zone; the first have a disk."""
+    host = local_deployment.HOST
+    ports = local_deployment.free_ports(3 * len(zones))
+    peers = ",".join(
+        f"instance-{number}={host}:{ports[3 * number + 2]}"
+        for number in range(replicas)
+    )
+    instances = []
+    for number, zone in enumerate(zones):
+        caller, operator, peer = ports[3 * number : 3 * number + 3]
+        data_dir = folder / f"data-{number}" if number < replicas else None
+        arguments = (
+            "serve",
+            f"--instance-id=instance-{number}",
+            f"--zone={zone}",
+            f"--caller-listen={host}:{caller}",
+            f"--operator-listen={host}:{operator}",
+            f"--peer-listen={host}:{peer}",
+            f"--control-peers={peers}",
+            f"--operator-token={TOKEN}",
+            "--log-level=warning",
+            *([f"--data-dir={data_dir}"] if data_dir else []),
+            *extra,
+        )
+        instances.append(
+            ServeProcess(
+                ManagedProcess(
+                    f"instance-{number}",
+                    arguments,
+                    folder / f"instance-{number}.log",
+                ),
+                caller_url=f"http://{host}:{caller}",
+                operator_url=f"http://{host}:{operator}",
+                peer_address=f"{host}:{peer}",
+                data_dir=data_dir,
+            )
+        )
+    return instances
+
+
+async def until_live(urls: collections.abc.Iterable[str]) -> None:
+    """Wait until each callers' listener answers."""
+    async with aiohttp.ClientSession() as session:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for url in urls:
+                await _until_status(session, url + "/live")
+
+
+async def until_ready(urls: collections.abc.Iterable[str]) -> None:
+    """Wait until each instance has a configuration in force."""
+    async with aiohttp.ClientSession() as session:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for url in urls:
+                await _until_status(session, url + "/ready")
+
+
+async def _until_status(session: aiohttp.ClientSession, url: str) -> None:
+    while True:
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with session.get(url) as response:
+                if response.status == 200:
+                    return
+        await asyncio.sleep(READY_POLL_S)
+
+
+async def stop_all(
+    processes: collections.abc.Iterable[ManagedProcess],
+) -> None:
+    """Kill what still runs, paused or not."""
+    for process in processes:
+        if process.process is not None:
+            process.resume()
+            await process.kill()
--- /dev/null
+++ b/src/oriolejunction/bench/catalogue.py
@@ -0,0 +1,30 @@
+"""The benches that run in one process, by name."""
+
+import collections.abc
+
+from oriolejunction.bench import result
+from oriolejunction import errors
+
+Bench = collections.abc.Callable[
+    [result.BenchOptions], collections.abc.Awaitable[result.BenchResult]
+]
+
+
+class UnknownBench(errors.ServingError):
+    """No bench has that name."""
+
+    code = "unknown_bench"
+
+
+BENCH_BY_NAME: dict[str, Bench] = {}
+
+
+def bench_of(name: str) -> Bench:
+    """Return the bench of a name or raise `Failure`."""
+    bench = BENCH_BY_NAME.get(name)
+    if bench is None:
+        known = ", ".join(sorted(BENCH_BY_NAME))
+        raise errors.Failure(
+            UnknownBench(f"there is no bench {name!r}; known: {known}")
+        )
+    return bench
--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -9,6 +9,8 @@
 import msgspec
 import orjson
 
+from oriolejunction.bench import catalogue
+from oriolejunction.bench import result
 from oriolejunction import clock as clocks
 from oriolejunction import demonstration
 from oriolejunction import errors
@@ -113,6 +115,21 @@
         for entry in reply["entries"]:
             print(orjson.dumps(entry).decode())
 
+    def bench(
+        self,
+        name: str,
+        seed: int = 1,
+        seconds: float = 20.0,
+        json: bool = True,
+    ) -> None:
+        """Run bench NAME; exit non-zero where an invariant was violated."""
+        logs.configure("error")
+        options = result.BenchOptions(seed=seed, seconds=seconds)
+        outcome = asyncio.run(catalogue.bench_of(name)(options))
+        print(outcome.json())
+        if outcome.violations:
+            sys.exit(1)
+
     def engine(
         self,
         listen: str = "127.0.0.1:8100",
--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment in one process on loopback."""
 
 import asyncio
+import collections.abc
 import contextlib
 import dataclasses
 import pathlib
@@ -27,6 +28,34 @@
 KEY_BY_WORKSPACE = {"hakata": "hakata-key", "aso": "aso-key"}
 
 
+@dataclasses.dataclass(frozen=True)
+class EngineOptions:
+    """One stand-in engine of a local deployment."""
+
+    zone: str
+    slowdown: float = 1.0
+    max_running: int = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class LocalOptions:
+    """What a local deployment consists of.
+
+    `zones` holds the availability zone of each entry instance, and
+    `key_by_workspace` the bearer key of each workspace.
+    """
+
+    zones: tuple[str, ...] = ZONES
+    engines: tuple[EngineOptions, ...] = tuple(
+        EngineOptions(ZONES[number % len(ZONES)])
+        for number in range(ENGINE_COUNT)
+    )
+    measure: states.Measure = states.Measure.LATENCY
+    key_by_workspace: dict[str, str] = dataclasses.field(
+        default_factory=lambda: dict(KEY_BY_WORKSPACE)
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Addresses:
     """Where a local deployment listens; printed as one JSON line."""
@@ -43,7 +72,8 @@
 class LocalDeployment:
     """Instances, stand-in engines and a stand-in service."""
 
-    def __init__(self, data_root: pathlib.Path) -> None:
+    def __init__(self, data_root: pathlib.Path, options: LocalOptions) -> None:
+        self.options = options
         self.instances: list[wiring.Instance] = []
         self.engines: list[standin_engine.StandinEngine] = []
         self.service = standin_service.StandinService()
@@ -54,12 +84,13 @@
     async def start(self) -> None:
         """Start the stand-ins and the instances."""
         engine_urls = [
-            await self._start_engine(number) for number in range(ENGINE_COUNT)
+            await self._start_engine(number, engine)
+            for number, engine in enumerate(self.options.engines)
         ]
         service_url = await self._serve(self.service.application())
         token = secrets.token_hex(16)
-        ports = free_ports(3 * len(ZONES))
-        for number, zone in enumerate(ZONES):
+        ports = free_ports(3 * len(self.options.zones))
+        for number, zone in enumerate(self.options.zones):
             await self._start_instance(number, zone, ports, token)
         self.addresses = Addresses(
             callers_urls=tuple(
@@ -70,7 +101,7 @@
             ),
             engine_urls=tuple(engine_urls),
             service_urls=(service_url,),
-            workspace_keys=dict(KEY_BY_WORKSPACE),
+            workspace_keys=dict(self.options.key_by_workspace),
             models=(MODEL,),
             operator_token=token,
         )
@@ -82,19 +113,19 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    def sample_answers(
-        self, measure: states.Measure = states.Measure.LATENCY
-    ) -> answer_files.Answers:
+    def sample_answers(self) -> answer_files.Answers:
         """Return the answers that describe this deployment."""
         return answer_files.Answers(
-            measure=measure,
-            zones=ZONES,
+            measure=self.options.measure,
+            zones=tuple(dict.fromkeys(self.options.zones)),
             models=(answer_files.ModelAnswer(MODEL, MODEL_VERSION),),
             engines=tuple(
                 answer_files.EngineAnswer(
-                    f"engine-{number}", url, ZONES[number % len(ZONES)], MODEL
+                    f"engine-{number}", url, engine.zone, MODEL
+                )
+                for number, (engine, url) in enumerate(
+                    zip(self.options.engines, self.addresses.engine_urls)
                 )
-                for number, url in enumerate(self.addresses.engine_urls)
             ),
             services=(
                 answer_files.ServiceAnswer(
@@ -105,14 +136,18 @@
             ),
             workspaces=tuple(
                 answer_files.WorkspaceAnswer(name, key)
-                for name, key in KEY_BY_WORKSPACE.items()
+                for name, key in self.options.key_by_workspace.items()
             ),
         )
 
-    async def _start_engine(self, number: int) -> str:
+    async def _start_engine(self, number: int, options: EngineOptions) -> str:
         engine = standin_engine.StandinEngine(
             standin_engine.EngineOptions(
-                f"engine-{number}", MODEL, MODEL_VERSION
+                f"engine-{number}",
+                MODEL,
+                MODEL_VERSION,
+                slowdown=options.slowdown,
+                max_running=options.max_running,
             )
         )
         self.engines.append(engine)
@@ -159,10 +194,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running():
+async def running(
+    options: LocalOptions = LocalOptions(),
+) -> collections.abc.AsyncIterator[LocalDeployment]:
     """Run a local deployment for the length of a block."""
     with tempfile.TemporaryDirectory() as folder:
-        deployment = LocalDeployment(pathlib.Path(folder))
+        deployment = LocalDeployment(pathlib.Path(folder), options)
         await deployment.start()
         try:
             yield deployment
