--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -18,6 +18,7 @@
 from oriolejunction.http import replies
 from oriolejunction.http import service_calls
 from oriolejunction import ids
+from oriolejunction.peers import traffic
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
@@ -202,6 +203,7 @@
         return web.json_response({"live": True})
 
     async def metrics(self, request: web.Request) -> web.Response:
+        self._parts.telemetry.record_traffic(traffic.totals)
         content, headers = aioprometheus.render(
             self._parts.telemetry.registry,
             request.headers.getall("Accept", []),
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -10,6 +10,8 @@
 import grpc
 import msgspec
 
+from oriolejunction.peers import traffic
+
 Request = typing.TypeVar("Request")
 Reply = typing.TypeVar("Reply")
 
@@ -66,10 +68,12 @@
 
     return grpc.unary_unary_rpc_method_handler(
         behavior,
-        request_deserializer=msgspec.msgpack.Decoder(
-            method.request_type
-        ).decode,
-        response_serializer=msgspec.msgpack.Encoder().encode,
+        request_deserializer=traffic.counted_decode(
+            msgspec.msgpack.Decoder(method.request_type).decode
+        ),
+        response_serializer=traffic.counted_encode(
+            msgspec.msgpack.Encoder().encode
+        ),
     )
 
 
@@ -79,8 +83,10 @@
     """Return a function that calls `method` over `channel`."""
     return channel.unary_unary(
         method.path,
-        request_serializer=msgspec.msgpack.Encoder().encode,
-        response_deserializer=msgspec.msgpack.Decoder(
-            method.reply_type
-        ).decode,
+        request_serializer=traffic.counted_encode(
+            msgspec.msgpack.Encoder().encode
+        ),
+        response_deserializer=traffic.counted_decode(
+            msgspec.msgpack.Decoder(method.reply_type).decode
+        ),
     )
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -1,7 +1,11 @@
 """Metrics of one instance, by ``aioprometheus``."""
 
+import dataclasses
+
 import aioprometheus
 
+from oriolejunction.peers import traffic
+
 
 class Telemetry:
     """Counters and gauges with their registry."""
@@ -24,5 +28,16 @@
             "oj_extra_tokens_total", "Tokens computed more than once."
         )
 
+        self.peer_traffic = aioprometheus.Gauge(
+            "oj_peer_traffic",
+            "Bytes and messages exchanged with peers by this process.",
+            registry=self.registry,
+        )
+
+    def record_traffic(self, totals: traffic.Traffic) -> None:
+        """Publish the totals exchanged with peers."""
+        for kind, value in dataclasses.asdict(totals).items():
+            self.peer_traffic.set({"kind": kind}, value)
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
