Tell the router about the whole attempt

Cause: the router knew only a model and the engines to leave out, too little for prefix affinity, continuations first or a quarantine.

Change: RouteRequest with generation, workspace, version, adapter, prompt, fingerprint and delivered tokens. Choosing is awaited, so that a router may pace continuations after many losses.

--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -9,6 +9,7 @@
 
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import route_request
 from oriolejunction import engine_protocol
 from oriolejunction import errors
 from oriolejunction import ids
@@ -41,17 +42,12 @@
         """Cancel an attempt, without waiting long or raising."""
 
 
-ChooseEngine = collections.abc.Callable[
-    [ids.ModelName, frozenset[ids.EngineId]], configuration.Engine | None
-]
-
-
 @dataclasses.dataclass(frozen=True)
 class RunnerParts:
     """What a run needs from its instance."""
 
     engines: EnginePort
-    choose_engine: ChooseEngine
+    choose_engine: route_request.ChooseEngine
     telemetry: metrics.Telemetry
 
 
@@ -65,7 +61,9 @@
     """
     lost: set[ids.EngineId] = set()
     for _ in range(MAX_ATTEMPTS):
-        engine = parts.choose_engine(generation.request.model, frozenset(lost))
+        engine = await parts.choose_engine(
+            route_request.route_of(generation, frozenset(lost), bool(lost))
+        )
         if engine is None:
             break
         try:
--- /dev/null
+++ b/src/oriolejunction/controllers/route_request.py
@@ -0,0 +1,75 @@
+"""What a router is told about an attempt that needs an engine."""
+
+import collections.abc
+import dataclasses
+
+import xxhash
+
+from oriolejunction import configuration
+from oriolejunction.controllers import generation as generations
+from oriolejunction import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteRequest:
+    """One attempt in search of an engine.
+
+    `excluded` holds the engines that this generation must not use again,
+    `continuation` is true once an engine worked on it, and `delivered`
+    counts the tokens that the engine gets as a forced prefix.
+    """
+
+    generation: ids.GenerationId
+    workspace: ids.WorkspaceId
+    model: ids.ModelName
+    version: ids.ModelVersion
+    adapter: str
+    prompt: str
+    excluded: frozenset[ids.EngineId]
+    continuation: bool
+    fingerprint: ids.Fingerprint
+    delivered: int
+
+
+ChooseEngine = collections.abc.Callable[
+    [RouteRequest],
+    collections.abc.Awaitable[configuration.Engine | None],
+]
+
+
+def fingerprint_of(
+    request: generations.GenerationRequest,
+) -> ids.Fingerprint:
+    """Return the digest by which a resend of a request is recognised."""
+    digest = xxhash.xxh3_128()
+    for part in (
+        request.workspace,
+        request.model,
+        request.adapter,
+        request.prompt,
+        repr((request.max_tokens, request.sampling, request.stop)),
+    ):
+        digest.update(part.encode("utf-8", "surrogatepass"))
+        digest.update(b"\0")
+    return ids.Fingerprint(digest.hexdigest())
+
+
+def route_of(
+    generation: generations.Generation,
+    excluded: frozenset[ids.EngineId],
+    continuation: bool,
+) -> RouteRequest:
+    """Return the route request of a generation's next attempt."""
+    request = generation.request
+    return RouteRequest(
+        generation=generation.generation_id,
+        workspace=request.workspace,
+        model=request.model,
+        version=request.version,
+        adapter=request.adapter,
+        prompt=request.prompt,
+        excluded=excluded,
+        continuation=continuation,
+        fingerprint=fingerprint_of(request),
+        delivered=len(generation.delivered_ids),
+    )
--- a/src/oriolejunction/ids.py
+++ b/src/oriolejunction/ids.py
@@ -5,6 +5,7 @@
 AttemptNumber = typing.NewType("AttemptNumber", int)
 DraftId = typing.NewType("DraftId", str)
 EngineId = typing.NewType("EngineId", str)
+Fingerprint = typing.NewType("Fingerprint", str)
 GenerationId = typing.NewType("GenerationId", str)
 IdempotencyKey = typing.NewType("IdempotencyKey", str)
 InstanceId = typing.NewType("InstanceId", str)
--- /dev/null
+++ b/tests/controllers/test_route_request.py
@@ -0,0 +1,37 @@
+"""Fingerprints of requests."""
+
+import dataclasses
+
+from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import route_request
+from oriolejunction import engine_protocol
+
+REQUEST = generations.GenerationRequest(
+    workspace="w",
+    model="m",
+    version="1",
+    adapter="",
+    prompt="p",
+    max_tokens=100,
+    sampling=engine_protocol.Sampling(),
+    stop=(),
+)
+
+
+def test_resend_after_a_new_version_has_the_same_fingerprint():
+    again = dataclasses.replace(REQUEST, version="2")
+    assert route_request.fingerprint_of(again) == route_request.fingerprint_of(
+        REQUEST
+    )
+
+
+def test_other_workspace_or_body_has_another_fingerprint():
+    others = [
+        dataclasses.replace(REQUEST, workspace="v"),
+        dataclasses.replace(REQUEST, prompt="q"),
+        dataclasses.replace(REQUEST, max_tokens=99),
+        dataclasses.replace(REQUEST, stop=("x",)),
+    ]
+    fingerprints = {route_request.fingerprint_of(r) for r in others}
+    assert len(fingerprints) == len(others)
+    assert route_request.fingerprint_of(REQUEST) not in fingerprints
