--- a/src/oriolejunction/controllers/configuration_history.py
+++ b/src/oriolejunction/controllers/configuration_history.py
@@ -14,7 +14,11 @@
 
 @dataclasses.dataclass
 class ConfigurationHistory:
-    """What the committed changes add up to."""
+    """What the committed changes add up to.
+
+    `audit` holds the entries not drained yet, `audit_count` how many there
+    ever were.
+    """
 
     revision: ids.Revision = ids.NO_REVISION
     content_by_revision: dict[ids.Revision, configuration.Configuration] = (
@@ -29,6 +33,7 @@
     winner_by_base: dict[ids.Revision, ids.Revision] = dataclasses.field(
         default_factory=dict
     )
+    audit_count: int = 0
     audit: list[messages.AuditEntry] = dataclasses.field(default_factory=list)
 
     @property
@@ -124,9 +129,10 @@
     change: Change,
 ) -> None:
     answers = draft.answers_toml if draft else ""
+    history.audit_count += 1
     history.audit.append(
         messages.AuditEntry(
-            number=len(history.audit) + 1,
+            number=history.audit_count,
             at_ms=change.at_ms,
             operator=change.operator,
             action=action,
--- a/src/oriolejunction/controllers/control_state.py
+++ b/src/oriolejunction/controllers/control_state.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 
+import msgspec
+
 from oriolejunction.controllers import configuration_history
 from oriolejunction.controllers import ledger as ledgers
+from oriolejunction import errors
 from oriolejunction import messages
 
 
@@ -17,6 +20,10 @@
     ledger: ledgers.Ledger = dataclasses.field(default_factory=ledgers.Ledger)
 
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ControlState)
+
+
 def apply(
     state: ControlState, command: messages.Command
 ) -> messages.CommandResult:
@@ -31,3 +38,30 @@
             return ledgers.record_outcome(state.ledger, command)
         case _:
             return configuration_history.apply_change(state.history, command)
+
+
+def drain_audit(state: ControlState) -> list[messages.AuditEntry]:
+    """Remove and return the audit entries appended since the last call.
+
+    A caller that drains after each `apply` keeps the trail itself; one that
+    never does finds it whole in ``state.history.audit``.
+    """
+    entries = state.history.audit
+    state.history.audit = []
+    return entries
+
+
+def dump(state: ControlState) -> bytes:
+    """Return a snapshot, with the audit entries that are not drained."""
+    return _encoder.encode(state)
+
+
+def load(data: bytes) -> ControlState:
+    """Return the state of a snapshot.
+
+    Raise `Failure` with `CorruptLog` where it cannot be read.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise errors.Failure(errors.CorruptLog(f"snapshot: {error}"))
--- a/src/oriolejunction/peers/control_client.py
+++ b/src/oriolejunction/peers/control_client.py
@@ -8,6 +8,7 @@
 from oriolejunction import messages
 from oriolejunction.peers import methods
 from oriolejunction.peers import rpc
+from oriolejunction.peers import transport as transports
 
 CALL_TIMEOUT_MS = 1_500
 PROPOSE_TIMEOUT_MS = 8_000
@@ -17,7 +18,12 @@
 class ControlClient:
     """Call the leader, found by asking the replicas in turn."""
 
-    def __init__(self, address_by_id: dict[ids.InstanceId, str]) -> None:
+    def __init__(
+        self,
+        address_by_id: dict[ids.InstanceId, str],
+        transport: transports.PeerTransport = transports.PLAIN,
+    ) -> None:
+        self._transport = transport
         self._addresses = list(address_by_id.values())
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
 
@@ -84,8 +90,6 @@
     def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(
-                address, options=rpc.CHANNEL_OPTIONS
-            )
+            channel = self._transport.channel(address)
             self._channel_by_address[address] = channel
         return channel
--- a/src/oriolejunction/settings.py
+++ b/src/oriolejunction/settings.py
@@ -26,7 +26,8 @@
     """Checked settings of ``serve``; addresses are ``IP:PORT``.
 
     `control_peers` lists the control replicas as ``ID=IP:PORT`` separated
-    by commas.
+    by commas. The three `peer_tls` files in PEM turn on mutual TLS between
+    the instances; they are given together or not at all.
     """
 
     instance_id: Name
@@ -39,6 +40,9 @@
     data_dir: str | None = None
     max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
     drain_delay_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 3_000
+    peer_tls_certificate: str | None = None
+    peer_tls_key: str | None = None
+    peer_tls_authority: str | None = None
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
     def control_address_by_id(self) -> dict[ids.InstanceId, str]:
@@ -71,11 +75,20 @@
             value_by_name[field.name] = _checked(field, raw)
         except (msgspec.ValidationError, ValueError) as error:
             faults.append(_fault(field.name, str(error)))
+    faults += _tls_faults(value_by_name)
     if faults:
         raise errors.Failure(errors.BadSettings("\n".join(faults)))
     return Settings(**value_by_name)
 
 
+def _tls_faults(value_by_name: dict[str, object]) -> list[str]:
+    names = ("peer_tls_certificate", "peer_tls_key", "peer_tls_authority")
+    missing = [name for name in names if name not in value_by_name]
+    if len(missing) in (0, len(names)):
+        return []
+    return [_fault(name, "is required for TLS") for name in missing]
+
+
 def _checked(field: msgspec.structs.FieldInfo, raw: object) -> object:
     value = msgspec.convert(str(raw), field.type, strict=False)
     if field.name.endswith("_listen"):
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -23,6 +23,7 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import transport as transports
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -41,6 +42,7 @@
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._requests_in_flight = 0
         self._tasks: list[asyncio.Task] = []
@@ -55,7 +57,7 @@
         if settings.data_dir is not None:
             await self._start_replica(instance_id)
         self._control = control_client.ControlClient(
-            settings.control_address_by_id()
+            settings.control_address_by_id(), self._transport
         )
         self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
@@ -108,7 +110,7 @@
         control_service.ControlService(
             instance_id, self._replica, self.clock
         ).add_to(self._server)
-        self._server.add_insecure_port(self.settings.peer_listen)
+        self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
 
     def _caller_parts(self, instance_id: ids.InstanceId):
--- /dev/null
+++ b/tests/controllers/test_control_state.py
@@ -0,0 +1,78 @@
+"""The replicated state survives its snapshot."""
+
+import pytest
+
+from oriolejunction.controllers import control_state
+from oriolejunction import errors
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import generate
+from oriolejunction import states
+
+CONTENT = generate.configuration_of(
+    answer_files.Answers(
+        measure=states.Measure.LATENCY,
+        zones=("a",),
+        workspaces=(answer_files.WorkspaceAnswer("w", "key"),),
+    )
+)
+
+
+def _submit(base=0):
+    return messages.SubmitDraft(
+        operation_id=ids.OperationId(f"submit:{base}"),
+        draft_id=ids.DraftId(f"d-{base}"),
+        base_revision=ids.Revision(base),
+        configuration=CONTENT,
+        answers_toml="",
+        differences=(),
+        operator="mika",
+        at_ms=1,
+    )
+
+
+def _accept(base=0):
+    return messages.AcceptDraft(
+        ids.OperationId(f"accept:{base}"), ids.DraftId(f"d-{base}"), "mika", 2
+    )
+
+
+def _claim():
+    return messages.ClaimCall(
+        ids.WorkspaceId("w"),
+        ids.ServiceName("s"),
+        ids.IdempotencyKey("k"),
+        "digest",
+        ids.InstanceId("i"),
+        "claim",
+        3,
+    )
+
+
+def _state():
+    state = control_state.ControlState()
+    for command in (_submit(), _accept(), _claim()):
+        control_state.apply(state, command)
+    return state
+
+
+def test_snapshot_holds_the_whole_state():
+    state = _state()
+    assert control_state.load(control_state.dump(state)) == state
+
+
+def test_damaged_snapshot_is_typed():
+    with pytest.raises(errors.Failure) as caught:
+        control_state.load(control_state.dump(_state())[:-1])
+    assert isinstance(caught.value.error, errors.CorruptLog)
+
+
+def test_drained_audit_goes_on_with_its_numbers():
+    state = _state()
+    first = control_state.drain_audit(state)
+    for command in (_submit(1), _accept(1)):
+        control_state.apply(state, command)
+    second = control_state.drain_audit(state)
+    assert [entry.number for entry in first + second] == [1, 2, 3, 4]
+    assert state.history.audit == []
