Tell each instance the peer addresses of the others

Change: every instance opens its peer listener; a renewal carries the peer address, its reply the lease-holders where they differ from a digest; the cell instance_by_id holds them.

--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -13,6 +13,7 @@
 from oriolejunction import configuration
 from oriolejunction import ids
 from oriolejunction import invariants
+from oriolejunction import messages
 from oriolejunction import states
 
 Value = typing.TypeVar("Value")
@@ -85,6 +86,8 @@
         self.instance_state = Cell(states.InstanceState.STARTING)
         self.in_force: Cell[InForce | None] = Cell(None)
         self.lease = Cell(ConfigurationLease(until_ms=0.0))
+        self.instance_by_id: Cell[dict[ids.InstanceId, messages.PeerInstance]]
+        self.instance_by_id = Cell({})
         self.engine_report_by_id: Cell[dict[ids.EngineId, EngineReport]]
         self.engine_report_by_id = Cell({})
         self.engine_state_by_id: Cell[dict[ids.EngineId, states.EngineState]]
--- a/src/oriolejunction/controllers/lease_table.py
+++ b/src/oriolejunction/controllers/lease_table.py
@@ -6,6 +6,10 @@
 """
 
 import dataclasses
+import math
+
+import msgspec
+import xxhash
 
 from oriolejunction import ids
 from oriolejunction import messages
@@ -23,6 +27,17 @@
     applied: ids.Revision
     until_ms: float
     leaving: bool
+    incarnation: str = ""
+    peer_address: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """The lease-holders as told to the others, until one may run out."""
+
+    instances: tuple[messages.PeerInstance, ...] = ()
+    digest: int = 0
+    until_ms: float = -math.inf
 
 
 @dataclasses.dataclass
@@ -33,6 +48,7 @@
     holder_by_instance: dict[ids.InstanceId, LeaseHolder] = dataclasses.field(
         default_factory=dict
     )
+    peers: Peers = Peers()
 
 
 def new_table(now_ms: float, revision: ids.Revision) -> LeaseTable:
@@ -50,12 +66,49 @@
     table: LeaseTable, request: messages.RenewRequest, now_ms: float
 ) -> None:
     """Grant or renew a lease from `now_ms` on."""
-    table.holder_by_instance[request.instance] = LeaseHolder(
+    former = table.holder_by_instance.get(request.instance)
+    holder = LeaseHolder(
         instance=request.instance,
         zone=request.zone,
         applied=request.applied,
         until_ms=now_ms + LEASE_MS + CLOCK_RATE_MARGIN_MS,
         leaving=request.leaving,
+        incarnation=request.incarnation,
+        peer_address=request.peer_address,
+    )
+    if former is None or _peer(former) != _peer(holder):
+        table.peers = Peers()
+    table.holder_by_instance[request.instance] = holder
+
+
+def live_peers(table: LeaseTable, now_ms: float) -> Peers:
+    """Return the lease-holders, computed anew only after a change."""
+    if now_ms < table.peers.until_ms:
+        return table.peers
+    live = [
+        holder
+        for holder in table.holder_by_instance.values()
+        if holder.until_ms > now_ms and holder.peer_address
+    ]
+    instances = tuple(
+        _peer(holder)
+        for holder in sorted(live, key=lambda holder: holder.instance)
+    )
+    table.peers = Peers(
+        instances,
+        xxhash.xxh64_intdigest(msgspec.msgpack.encode(instances)),
+        min((holder.until_ms for holder in live), default=-math.inf),
+    )
+    return table.peers
+
+
+def _peer(holder: LeaseHolder) -> messages.PeerInstance:
+    return messages.PeerInstance(
+        instance=holder.instance,
+        zone=holder.zone,
+        incarnation=holder.incarnation,
+        peer_address=holder.peer_address,
+        leaving=holder.leaving,
     )
 
 
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -134,25 +134,43 @@
 
 
 class RenewRequest(Message, frozen=True):
-    """Renew a configuration lease and tell the revision applied."""
+    """Renew a configuration lease and tell the revision applied.
+
+    `known_peers` is the digest of the lease-holders known to the sender.
+    """
 
     instance: ids.InstanceId
     zone: ids.ZoneId
     incarnation: str
     applied: ids.Revision
     leaving: bool = False
+    peer_address: str = ""
+    known_peers: int = 0
+
+
+class PeerInstance(Message, frozen=True):
+    """A lease-holder as the others reach it; `peer_address` is IP:PORT."""
+
+    instance: ids.InstanceId
+    zone: ids.ZoneId
+    incarnation: str
+    peer_address: str
+    leaving: bool = False
 
 
 class RenewReply(Message, frozen=True):
     """Confirmed latest revision; its content where the caller is behind.
 
-    `lease_ms` counts from the moment at which the request was sent.
+    `lease_ms` counts from the moment at which the request was sent. `peers`
+    holds the lease-holders where they differ from the digest given.
     """
 
     revision: ids.Revision
     configuration: configuration.Configuration | None
     lease_ms: int
     not_leader: bool = False
+    peers: tuple[PeerInstance, ...] | None = None
+    peers_digest: int = 0
 
 
 class StatusRequest(Message, frozen=True):
--- a/src/oriolejunction/peers/configuration_watch.py
+++ b/src/oriolejunction/peers/configuration_watch.py
@@ -30,12 +30,16 @@
         clock: clocks.Clock,
         blackboard: blackboards.Blackboard,
         control: control_client.ControlClient,
+        peer_address: str = "",
     ) -> None:
         self._instance_id = instance_id
         self._zone = zone
         self._clock = clock
         self._blackboard = blackboard
         self._control = control
+        self._peer_address = peer_address
+        self._known_peers = 0
+        self._write_instances = blackboard.instance_by_id.own(_WRITER)
         self._incarnation = secrets.token_hex(8)
         self._write_in_force = blackboard.in_force.own(_WRITER)
         self._write_lease = blackboard.lease.own(_WRITER)
@@ -64,6 +68,8 @@
                 applied=applied,
                 leaving=self._blackboard.instance_state.read()
                 is states.InstanceState.DRAINING,
+                peer_address=self._peer_address,
+                known_peers=self._known_peers,
             )
         )
         invariants.require_rising_revision(applied, reply.revision)
@@ -75,8 +81,15 @@
         self._write_lease(
             blackboards.ConfigurationLease(sent_ms + reply.lease_ms)
         )
+        self._write_peers(reply)
         return reply.configuration is not None
 
+    def _write_peers(self, reply: messages.RenewReply) -> None:
+        if reply.peers is None:
+            return
+        self._known_peers = reply.peers_digest
+        self._write_instances({peer.instance: peer for peer in reply.peers})
+
     def _applied(self) -> ids.Revision:
         current = self._blackboard.in_force.read()
         return current.revision if current else ids.NO_REVISION
--- a/src/oriolejunction/peers/control_service.py
+++ b/src/oriolejunction/peers/control_service.py
@@ -71,12 +71,17 @@
                 ids.NO_REVISION, None, lease_ms=0, not_leader=True
             )
         history = self._replica.state.history
-        lease_table.renew(self._leases, request, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        lease_table.renew(self._leases, request, now_ms)
+        peers = lease_table.live_peers(self._leases, now_ms)
+        known = request.known_peers == peers.digest
         behind = request.applied < history.revision
         return messages.RenewReply(
             revision=history.revision,
             configuration=history.content if behind else None,
             lease_ms=lease_table.LEASE_MS,
+            peers=None if known else peers.instances,
+            peers_digest=peers.digest,
         )
 
     async def _status(
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -52,8 +52,7 @@
         """Open the listeners and begin to serve."""
         settings = self.settings
         instance_id = ids.InstanceId(settings.instance_id)
-        if settings.data_dir is not None:
-            await self._start_replica(instance_id)
+        await self._start_peer_listener(instance_id)
         self._control = control_client.ControlClient(
             settings.control_address_by_id()
         )
@@ -65,6 +64,7 @@
             self.clock,
             self.blackboard,
             self._control,
+            settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
@@ -100,16 +100,20 @@
             await self._replica.close()
         self._write_state(states.InstanceState.STOPPED)
 
-    async def _start_replica(self, instance_id: ids.InstanceId) -> None:
+    async def _start_peer_listener(self, instance_id: ids.InstanceId) -> None:
+        self._server = grpc.aio.server()
+        if self.settings.data_dir is not None:
+            self._add_replica(instance_id)
+        self._server.add_insecure_port(self.settings.peer_listen)
+        await self._server.start()
+
+    def _add_replica(self, instance_id: ids.InstanceId) -> None:
         data_dir = pathlib.Path(self.settings.data_dir)
         data_dir.mkdir(parents=True, exist_ok=True)
         self._replica = single.SingleReplica(data_dir)
-        self._server = grpc.aio.server()
         control_service.ControlService(
             instance_id, self._replica, self.clock
         ).add_to(self._server)
-        self._server.add_insecure_port(self.settings.peer_listen)
-        await self._server.start()
 
     def _caller_parts(self, instance_id: ids.InstanceId):
         rng = random.Random(instance_id)
--- /dev/null
+++ b/tests/peers/test_configuration_watch.py
@@ -0,0 +1,46 @@
+"""Instances learn each other's peer addresses with their leases."""
+
+from oriolejunction.controllers import lease_table
+from oriolejunction import messages
+
+
+def _request(instance, **fields):
+    return messages.RenewRequest(
+        instance=instance,
+        zone="fukuoka",
+        incarnation="1",
+        applied=0,
+        peer_address=f"127.0.0.1:{instance}",
+        **fields,
+    )
+
+
+async def test_each_instance_knows_all_others(deployment):
+    for instance in deployment.instances:
+        while len(instance.blackboard.instance_by_id.read()) < 3:
+            await instance.clock.sleep_ms(20)
+        known = instance.blackboard.instance_by_id.read()
+        assert {name: peer.peer_address for name, peer in known.items()} == {
+            other.settings.instance_id: other.settings.peer_listen
+            for other in deployment.instances
+        }
+
+
+def test_peers_change_only_with_a_holder():
+    table = lease_table.new_table(0, 0)
+    lease_table.renew(table, _request("1"), 0)
+    first = lease_table.live_peers(table, 1)
+    lease_table.renew(table, _request("1"), 2)
+    assert lease_table.live_peers(table, 3) is first
+    lease_table.renew(table, _request("1", leaving=True), 4)
+    assert lease_table.live_peers(table, 5).instances[0].leaving
+
+
+def test_peer_whose_lease_ran_out_is_told_no_longer():
+    table = lease_table.new_table(0, 0)
+    lease_table.renew(table, _request("1"), 0)
+    lease_table.renew(table, _request("2"), 1_000)
+    assert len(lease_table.live_peers(table, 1_000).instances) == 2
+    end_ms = lease_table.LEASE_MS + lease_table.CLOCK_RATE_MARGIN_MS
+    left = lease_table.live_peers(table, end_ms).instances
+    assert [peer.instance for peer in left] == ["2"]
