Keep the ledger of never-twice calls bounded and truthful

Cause: keys were kept for ever, a failed record lost a good answer, a caller that hung up left its call unknown, a claim that was not confirmed was answered not_run although an earlier request with the key may have run, and //orders passed by the pattern POST /orders.

Change: dated keys with a horizon, digests of plain keys, void, look-up, claims released also where they are committed late, outcomes recorded in the background, one dispatch asserted, canonical paths required.

Conclusion: a keyed call without a ledger to ask is now unknown.

--- a/src/oriolejunction/configuration.py
+++ b/src/oriolejunction/configuration.py
@@ -92,8 +92,12 @@
 
 
 def runs_never_twice(service: Service, method: str, path: str) -> bool:
-    """Return whether a call to the service must run at most once."""
+    """Return whether a call to the service must run at most once.
+
+    Case does not count: a service may not tell ``/Orders`` from ``/orders``.
+    """
     return any(
-        method == pattern.method and path.startswith(pattern.path_prefix)
+        method == pattern.method
+        and path.lower().startswith(pattern.path_prefix.lower())
         for pattern in service.never_twice
     )
--- a/src/oriolejunction/controllers/control_state.py
+++ b/src/oriolejunction/controllers/control_state.py
@@ -36,6 +36,10 @@
             return ledgers.claim(state.ledger, command)
         case messages.RecordCallOutcome():
             return ledgers.record_outcome(state.ledger, command)
+        case messages.VoidCall():
+            return ledgers.void(state.ledger, command)
+        case messages.ResolveCall():
+            return ledgers.resolve(state.ledger, command)
         case _:
             return configuration_history.apply_change(state.history, command)
 
--- a/src/oriolejunction/controllers/ledger.py
+++ b/src/oriolejunction/controllers/ledger.py
@@ -1,57 +1,119 @@
 """Ledger of never-twice calls, as a deterministic state.
 
 A key is claimed before its one dispatch. A claim without an outcome stays
-claimed: whether it ran is then unknown, and it is never run again.
+claimed: whether it ran is then unknown, and it is never run again. Keys
+leave the ledger after `HORIZON_HOURS`: a dated key is then refused by its
+date, a plain one by a digest that is kept for good.
 """
 
 import dataclasses
+import hashlib
 
+from oriolejunction.controllers import idempotency_keys
 from oriolejunction import ids
 from oriolejunction import messages
 from oriolejunction import states
 
+HORIZON_HOURS = 24
+EARLY_HOURS = 1
+IN_PROGRESS_MS = 60_000
+MAX_KEYS_PER_WORKSPACE = 50_000
+MAX_PLAIN_KEYS_PER_WORKSPACE = 1_000_000
+MAX_ANSWER_BYTES = 64 << 10
+MAX_ANSWERS_BYTES = 32 << 20
+MAX_RELEASES = 16
+MAX_OWNERS = 1_024
+DIGEST_BYTES = 8
+
 CallKey = tuple[ids.WorkspaceId, ids.ServiceName, ids.IdempotencyKey]
+CallCommand = (
+    messages.ClaimCall
+    | messages.RecordCallOutcome
+    | messages.VoidCall
+    | messages.ResolveCall
+)
 
 
 @dataclasses.dataclass
 class LedgerEntry:
-    """State of one key."""
+    """State of one key; claims in `released_claims` are never granted."""
 
     body_digest: str
-    owner: ids.InstanceId
     claim_id: str
     state: states.CallState
     claimed_at_ms: int
     answer: messages.StoredAnswer | None = None
+    released_claims: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass
 class Ledger:
-    """All keys known."""
+    """All keys known.
+
+    `now_ms` only rises: the median of the wall clocks that the instances
+    reported, so that a single wrong clock expires nothing.
+    """
 
+    now_ms: int = 0
+    wall_ms_by_owner: dict[ids.InstanceId, int] = dataclasses.field(
+        default_factory=dict
+    )
     entry_by_key: dict[CallKey, LedgerEntry] = dataclasses.field(
         default_factory=dict
     )
+    keys_by_hour: dict[int, list[CallKey]] = dataclasses.field(
+        default_factory=dict
+    )
+    count_by_workspace: dict[ids.WorkspaceId, int] = dataclasses.field(
+        default_factory=dict
+    )
+    answer_bytes_by_key: dict[CallKey, int] = dataclasses.field(
+        default_factory=dict
+    )
+    answer_bytes: int = 0
+    used_by_workspace: dict[ids.WorkspaceId, bytearray] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def claim(ledger: Ledger, command: messages.ClaimCall) -> messages.CallClaim:
     """Grant the first claim of a key; tell later ones where it stands."""
-    key = (command.workspace, command.service, command.key)
+    _advance(ledger, command.owner, command.at_ms)
+    key = _key_of(command)
     entry = ledger.entry_by_key.get(key)
-    if entry is None or entry.state is states.CallState.RELEASED:
-        ledger.entry_by_key[key] = LedgerEntry(
-            body_digest=command.body_digest,
-            owner=command.owner,
-            claim_id=command.claim_id,
-            state=states.CallState.CLAIMED,
-            claimed_at_ms=command.at_ms,
-        )
-        return messages.CallClaim(True, states.CallState.CLAIMED, True)
+    if entry is None:
+        refusal = _refusal(ledger, key)
+        if refusal is not None:
+            return _refused(refusal)
+        entry = _new_entry(ledger, key, states.CallState.RELEASED)
+    if entry.state is states.CallState.RELEASED:
+        _grant(ledger, entry, command)
     return messages.CallClaim(
         granted=entry.claim_id == command.claim_id
         and entry.state is states.CallState.CLAIMED,
-        state=entry.state,
-        body_matches=entry.body_digest == command.body_digest,
+        state=_seen_state(ledger, entry),
+        body_matches=entry.body_digest == command.body_digest
+        or entry.state is states.CallState.VOID,
+        answer=entry.answer,
+    )
+
+
+def void(ledger: Ledger, command: messages.VoidCall) -> messages.CallClaim:
+    """Bar a key for good unless a claim was committed before."""
+    _advance(ledger, command.owner, command.at_ms)
+    key = _key_of(command)
+    entry = ledger.entry_by_key.get(key)
+    if entry is None:
+        refusal = _refusal(ledger, key)
+        if refusal is not None:
+            return _refused(refusal)
+        entry = _new_entry(ledger, key, states.CallState.VOID)
+    if entry.state is states.CallState.RELEASED:
+        entry.state = states.CallState.VOID
+    return messages.CallClaim(
+        granted=False,
+        state=_seen_state(ledger, entry),
+        body_matches=True,
         answer=entry.answer,
     )
 
@@ -59,14 +121,195 @@
 def record_outcome(
     ledger: Ledger, command: messages.RecordCallOutcome
 ) -> messages.Recorded:
-    """Store the outcome of the claim that dispatched the call."""
-    key = (command.workspace, command.service, command.key)
+    """Store the outcome of the claim that dispatched the call.
+
+    A release bars its claim for good, also one that is committed later.
+    """
+    key = _key_of(command)
     entry = ledger.entry_by_key.get(key)
-    if (
-        entry is not None
-        and entry.claim_id == command.claim_id
-        and entry.state is states.CallState.CLAIMED
-    ):
+    if command.state is states.CallState.RELEASED:
+        _release(ledger, key, entry, command.claim_id)
+    elif entry is not None and _is_open(entry, command.claim_id):
         entry.state = command.state
-        entry.answer = command.answer
+        _keep_answer(ledger, key, entry, command.answer)
+    return messages.Recorded()
+
+
+def resolve(
+    ledger: Ledger, command: messages.ResolveCall
+) -> messages.Recorded:
+    """Store that the service's look-up knows the call as run."""
+    key = _key_of(command)
+    entry = ledger.entry_by_key.get(key)
+    if entry is not None and entry.state in (
+        states.CallState.CLAIMED,
+        states.CallState.UNKNOWN,
+    ):
+        entry.state = states.CallState.DONE
+        _keep_answer(ledger, key, entry, command.answer)
     return messages.Recorded()
+
+
+def _key_of(command: CallCommand) -> CallKey:
+    return (command.workspace, command.service, command.key)
+
+
+def _refused(refusal: states.KeyRefusal) -> messages.CallClaim:
+    return messages.CallClaim(
+        granted=False,
+        state=states.CallState.UNKNOWN,
+        body_matches=True,
+        refusal=refusal,
+    )
+
+
+def _is_open(entry: LedgerEntry, claim_id: str) -> bool:
+    return (
+        entry.claim_id == claim_id and entry.state is states.CallState.CLAIMED
+    )
+
+
+def _seen_state(ledger: Ledger, entry: LedgerEntry) -> states.CallState:
+    overdue = ledger.now_ms - entry.claimed_at_ms > IN_PROGRESS_MS
+    if entry.state is states.CallState.CLAIMED and overdue:
+        return states.CallState.UNKNOWN
+    return entry.state
+
+
+def _grant(
+    ledger: Ledger, entry: LedgerEntry, command: messages.ClaimCall
+) -> None:
+    if command.claim_id in entry.released_claims:
+        return
+    if len(entry.released_claims) >= MAX_RELEASES:
+        entry.state = states.CallState.VOID
+        return
+    entry.body_digest = command.body_digest
+    entry.claim_id = command.claim_id
+    entry.claimed_at_ms = ledger.now_ms
+    entry.state = states.CallState.CLAIMED
+
+
+def _release(
+    ledger: Ledger, key: CallKey, entry: LedgerEntry | None, claim_id: str
+) -> None:
+    if entry is None:
+        if _refusal(ledger, key) is not None:
+            return
+        entry = _new_entry(ledger, key, states.CallState.RELEASED)
+    if _is_open(entry, claim_id):
+        entry.state = states.CallState.RELEASED
+    known = claim_id in entry.released_claims
+    if not known and len(entry.released_claims) < MAX_RELEASES:
+        entry.released_claims.append(claim_id)
+
+
+def _new_entry(
+    ledger: Ledger, key: CallKey, state: states.CallState
+) -> LedgerEntry:
+    entry = LedgerEntry("", "", state, ledger.now_ms)
+    ledger.entry_by_key[key] = entry
+    hour = idempotency_keys.hour_of(key[2])
+    if hour is None:
+        hour = _hour(ledger)
+    ledger.keys_by_hour.setdefault(hour, []).append(key)
+    count = ledger.count_by_workspace.get(key[0], 0)
+    ledger.count_by_workspace[key[0]] = count + 1
+    return entry
+
+
+def _refusal(ledger: Ledger, key: CallKey) -> states.KeyRefusal | None:
+    hour = idempotency_keys.hour_of(key[2])
+    used = ledger.used_by_workspace.get(key[0], bytearray())
+    count = ledger.count_by_workspace.get(key[0], 0)
+    if hour is None:
+        if _is_used(used, _digest(key)):
+            return states.KeyRefusal.USED
+        kept = len(used) // DIGEST_BYTES
+        if kept + count >= MAX_PLAIN_KEYS_PER_WORKSPACE:
+            return states.KeyRefusal.NO_ROOM
+    elif hour + HORIZON_HOURS < _hour(ledger):
+        return states.KeyRefusal.EXPIRED
+    elif hour > _hour(ledger) + EARLY_HOURS:
+        return states.KeyRefusal.EARLY
+    if count >= MAX_KEYS_PER_WORKSPACE:
+        return states.KeyRefusal.NO_ROOM
+    return None
+
+
+def _hour(ledger: Ledger) -> int:
+    return ledger.now_ms // idempotency_keys.HOUR_MS
+
+
+def _advance(ledger: Ledger, owner: ids.InstanceId, wall_ms: int) -> None:
+    walls = ledger.wall_ms_by_owner
+    walls.pop(owner, None)
+    walls[owner] = wall_ms
+    if len(walls) > MAX_OWNERS:
+        del walls[next(iter(walls))]
+    median = sorted(walls.values())[(len(walls) - 1) // 2]
+    before = _hour(ledger)
+    ledger.now_ms = max(ledger.now_ms, median)
+    if _hour(ledger) > before:
+        _forget(ledger)
+
+
+def _forget(ledger: Ledger) -> None:
+    first = _hour(ledger) - HORIZON_HOURS
+    for hour in sorted(h for h in ledger.keys_by_hour if h < first):
+        for key in ledger.keys_by_hour.pop(hour):
+            _drop(ledger, key)
+
+
+def _drop(ledger: Ledger, key: CallKey) -> None:
+    del ledger.entry_by_key[key]
+    ledger.count_by_workspace[key[0]] -= 1
+    ledger.answer_bytes -= ledger.answer_bytes_by_key.pop(key, 0)
+    if idempotency_keys.hour_of(key[2]) is None:
+        used = ledger.used_by_workspace.setdefault(key[0], bytearray())
+        _add_used(used, _digest(key))
+
+
+def _keep_answer(
+    ledger: Ledger,
+    key: CallKey,
+    entry: LedgerEntry,
+    answer: messages.StoredAnswer | None,
+) -> None:
+    if answer is None or len(answer.body) > MAX_ANSWER_BYTES:
+        return
+    entry.answer = answer
+    ledger.answer_bytes_by_key[key] = len(answer.body)
+    ledger.answer_bytes += len(answer.body)
+    while ledger.answer_bytes > MAX_ANSWERS_BYTES:
+        oldest = next(iter(ledger.answer_bytes_by_key))
+        ledger.answer_bytes -= ledger.answer_bytes_by_key.pop(oldest)
+        ledger.entry_by_key[oldest].answer = None
+
+
+def _digest(key: CallKey) -> bytes:
+    text = "\0".join(key[1:]).encode()
+    return hashlib.sha256(text).digest()[:DIGEST_BYTES]
+
+
+def _position(used: bytearray, digest: bytes) -> int:
+    low, high = 0, len(used) // DIGEST_BYTES
+    while low < high:
+        middle = (low + high) // 2
+        start = middle * DIGEST_BYTES
+        if used[start : start + DIGEST_BYTES] < digest:
+            low = middle + 1
+        else:
+            high = middle
+    return low * DIGEST_BYTES
+
+
+def _is_used(used: bytearray, digest: bytes) -> bool:
+    start = _position(used, digest)
+    return used[start : start + DIGEST_BYTES] == digest
+
+
+def _add_used(used: bytearray, digest: bytes) -> None:
+    if not _is_used(used, digest):
+        start = _position(used, digest)
+        used[start:start] = digest
--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -126,6 +126,53 @@
     status = http.HTTPStatus.BAD_GATEWAY
 
 
+class CallUnconfirmed(ServingError):
+    """The ledger could not be asked; nothing was sent for this request.
+
+    The key names the request: an earlier one with it may have run.
+    """
+
+    code = "call_unconfirmed"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class KeyExpired(ServingError):
+    """The key is older than the ledger remembers; never run afresh."""
+
+    code = "idempotency_key_expired"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.GONE
+
+
+class AnswerNotKept(ServingError):
+    """The call ran, but its answer is no longer kept."""
+
+    code = "answer_not_kept"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.CONFLICT
+
+
+class KeyVoided(NotRunError):
+    """The key was barred before any run and never runs."""
+
+    code = "idempotency_key_voided"
+    status = http.HTTPStatus.GONE
+
+
+class KeyNotYetValid(NotRunError):
+    """The key is dated in the future."""
+
+    code = "idempotency_key_not_yet_valid"
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class LedgerFull(NotRunError):
+    """The workspace has no room for another key now."""
+
+    code = "ledger_full"
+
+
 class ServiceFailed(ServingError):
     """A repeatable call to a plain service failed."""
 
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import secrets
 
 from aiohttp import web
 import aioprometheus
@@ -12,7 +13,11 @@
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
 from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import idempotency_keys
+from oriolejunction.controllers import ledger
 from oriolejunction import errors
+from oriolejunction.http import call_messages
+from oriolejunction.http import never_twice_calls
 from oriolejunction.http import openai_answers
 from oriolejunction.http import openai_requests
 from oriolejunction.http import replies
@@ -51,6 +56,7 @@
             web.post("/v1/completions", routes.completions),
             web.post("/v1/chat/completions", routes.chat),
             web.get("/v1/models", routes.models),
+            web.get("/v1/idempotency-key", routes.idempotency_key),
             web.route("*", "/services/{service}/{path:.*}", routes.service),
             web.get("/ready", routes.ready),
             web.get("/live", routes.live),
@@ -178,7 +184,7 @@
         )
 
     async def service(self, request: web.Request) -> web.Response:
-        content = in_force(self._parts)
+        content = _content_for_call(request, self._parts)
         workspace = workspace_of(request, content)
         name = request.match_info["service"]
         service = content.service(name)
@@ -195,6 +201,15 @@
             content_type=answer.content_type,
         )
 
+    async def idempotency_key(self, request: web.Request) -> web.Response:
+        workspace_of(request, in_force(self._parts))
+        key = idempotency_keys.new_key(
+            self._parts.clock.wall_ms(), secrets.token_hex(16)
+        )
+        return web.json_response(
+            {"key": key, "valid_hours": ledger.HORIZON_HOURS}
+        )
+
     async def ready(self, request: web.Request) -> web.Response:
         in_force(self._parts)
         return web.json_response({"ready": True})
@@ -211,14 +226,33 @@
         return web.Response(body=content, headers=headers)
 
 
-async def _service_call(request: web.Request) -> service_calls.ServiceCall:
+def _content_for_call(
+    request: web.Request, parts: CallerParts
+) -> configuration.Configuration:
+    """Return the configuration in force.
+
+    A key names its request, so that an instance that may not ask the ledger
+    cannot prove that the request was never run.
+    """
+    try:
+        return in_force(parts)
+    except errors.Failure:
+        if "Idempotency-Key" not in request.headers:
+            raise
+        raise errors.Failure(never_twice_calls.unconfirmed())
+
+
+async def _service_call(request: web.Request) -> call_messages.ServiceCall:
     path = "/" + request.match_info["path"]
-    query = request.query_string
-    return service_calls.ServiceCall(
+    raw = request.rel_url.raw_path
+    return call_messages.ServiceCall(
         method=request.method,
         path=path,
-        path_and_query=f"{path}?{query}" if query else path,
+        path_and_query="/"
+        + raw.split("/", 3)[3]
+        + (f"?{query}" if (query := request.rel_url.raw_query_string) else ""),
         content_type=request.content_type,
         key=request.headers.get("Idempotency-Key", ""),
         body=await request.read(),
+        void=request.headers.get("Idempotency-Void", "").lower() == "true",
     )
--- /dev/null
+++ b/src/oriolejunction/http/never_twice_calls.py
@@ -0,0 +1,336 @@
+"""Calls that run at most once: claim, one dispatch, recorded outcome."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import functools
+import urllib.parse
+import uuid
+
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction import configuration
+from oriolejunction.controllers import ledger as ledgers
+from oriolejunction import errors
+from oriolejunction.http import call_messages
+from oriolejunction import ids
+from oriolejunction import invariants
+from oriolejunction import messages
+from oriolejunction import states
+
+CLAIM_WAIT_MS = 4_000
+RECORD_WAIT_MS = 1_000
+RECORD_RETRY_MS = 500
+RECORD_ATTEMPTS = 240
+REMEMBERED_DISPATCHES = 10_000
+_log = structlog.get_logger(__name__)
+
+Send = collections.abc.Callable[
+    [configuration.Service, call_messages.ServiceCall],
+    collections.abc.Awaitable[messages.StoredAnswer],
+]
+Propose = collections.abc.Callable[
+    [messages.Command], collections.abc.Awaitable[messages.CommandResult]
+]
+
+
+class NeverTwiceCalls:
+    """Run each call under a committed claim.
+
+    A call goes on when its caller disconnects, so that its outcome is
+    recorded; `pending` tells whether any still does.
+    """
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        clock: clocks.Clock,
+        send: Send,
+        propose: Propose,
+    ) -> None:
+        self._instance_id = instance_id
+        self._clock = clock
+        self._send = send
+        self._propose = propose
+        self._tasks: set[asyncio.Task] = set()
+        self._dispatched: collections.OrderedDict[ledgers.CallKey, None]
+        self._dispatched = collections.OrderedDict()
+
+    @property
+    def pending(self) -> bool:
+        """Return whether a call or the record of an outcome goes on."""
+        return bool(self._tasks)
+
+    async def run(
+        self,
+        service: configuration.Service,
+        workspace: ids.WorkspaceId,
+        call: call_messages.ServiceCall,
+    ) -> messages.StoredAnswer:
+        """Return the answer of the one run or raise a typed `Failure`."""
+        return await asyncio.shield(
+            self._spawn(self._run(service, workspace, call))
+        )
+
+    async def void(
+        self,
+        service: configuration.Service,
+        workspace: ids.WorkspaceId,
+        call: call_messages.ServiceCall,
+    ) -> messages.StoredAnswer:
+        """Bar a key for good; return the earlier answer where it ran.
+
+        Raise `Failure` with `KeyVoided`, the proof that it never runs.
+        """
+        command = messages.VoidCall(
+            workspace=workspace,
+            service=service.name,
+            key=ids.IdempotencyKey(call.key),
+            owner=self._instance_id,
+            at_ms=self._clock.wall_ms(),
+        )
+        try:
+            found = await self._propose(command)
+        except errors.Failure:
+            raise errors.Failure(unconfirmed())
+        return await self._earlier_answer(service, command, found)
+
+    async def close(self) -> None:
+        """Stop recording; a call without an outcome stays unknown."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run(
+        self,
+        service: configuration.Service,
+        workspace: ids.WorkspaceId,
+        call: call_messages.ServiceCall,
+    ) -> messages.StoredAnswer:
+        claim = messages.ClaimCall(
+            workspace=workspace,
+            service=service.name,
+            key=ids.IdempotencyKey(call.key),
+            body_digest=call.digest(),
+            owner=self._instance_id,
+            claim_id=uuid.uuid4().hex,
+            at_ms=self._clock.wall_ms(),
+        )
+        found = await self._claim(claim)
+        if not found.body_matches:
+            raise errors.Failure(
+                errors.IdempotencyKeyReused("key was used with another body")
+            )
+        if not found.granted:
+            return await self._earlier_answer(service, claim, found)
+        return await self._dispatch(service, claim, call)
+
+    async def _claim(self, claim: messages.ClaimCall) -> messages.CallClaim:
+        proposal = self._spawn(self._propose(claim))
+        try:
+            if await self._within(proposal, CLAIM_WAIT_MS):
+                return proposal.result()
+        except errors.Failure as failure:
+            _log.debug("claim failed", why=str(failure))
+        proposal.cancel()
+        self._spawn(self._release_later(claim))
+        raise errors.Failure(unconfirmed())
+
+    async def _dispatch(
+        self,
+        service: configuration.Service,
+        claim: messages.ClaimCall,
+        call: call_messages.ServiceCall,
+    ) -> messages.StoredAnswer:
+        self._require_single_dispatch(claim)
+        try:
+            answer = await self._send(service, call)
+        except errors.Failure as failure:
+            if failure.error.outcome is not states.Outcome.NOT_RUN:
+                await self._record(claim, states.CallState.UNKNOWN, None)
+                raise errors.Failure(errors.CallUnknown(failure.error.message))
+            self._dispatched.pop(_key_of(claim), None)
+            if await self._record(claim, states.CallState.RELEASED, None):
+                raise
+            raise errors.Failure(
+                errors.CallUnknown(
+                    "nothing was sent, but the key is not released yet;"
+                    " send the call again"
+                )
+            )
+        await self._record(claim, states.CallState.DONE, answer)
+        return answer
+
+    def _require_single_dispatch(self, claim: messages.ClaimCall) -> None:
+        key = _key_of(claim)
+        invariants.require_single_dispatch(claim.key, key in self._dispatched)
+        self._dispatched[key] = None
+        if len(self._dispatched) > REMEMBERED_DISPATCHES:
+            self._dispatched.popitem(last=False)
+
+    async def _record(
+        self,
+        claim: messages.ClaimCall,
+        state: states.CallState,
+        answer: messages.StoredAnswer | None,
+    ) -> bool:
+        """Record an outcome; return whether it is committed by now.
+
+        Where it is not, it goes on in the background: an answer in hand
+        does not wait for the control replicas.
+        """
+        return await self._within(
+            self._spawn(self._record_until_done(claim, state, answer)),
+            RECORD_WAIT_MS,
+        )
+
+    async def _release_later(self, claim: messages.ClaimCall) -> None:
+        released = states.CallState.RELEASED
+        await self._record_until_done(claim, released, None)
+
+    async def _record_until_done(
+        self,
+        claim: messages.ClaimCall,
+        state: states.CallState,
+        answer: messages.StoredAnswer | None,
+    ) -> None:
+        command = messages.RecordCallOutcome(
+            workspace=claim.workspace,
+            service=claim.service,
+            key=claim.key,
+            claim_id=claim.claim_id,
+            state=state,
+            answer=_bounded(answer),
+            at_ms=self._clock.wall_ms(),
+        )
+        for _ in range(RECORD_ATTEMPTS):
+            try:
+                await self._propose(command)
+                return
+            except errors.Failure as failure:
+                _log.debug("outcome not recorded", why=str(failure))
+            await self._clock.sleep_ms(RECORD_RETRY_MS)
+        _log.error("outcome given up", key=claim.key, state=state.value)
+
+    async def _earlier_answer(
+        self,
+        service: configuration.Service,
+        command: messages.ClaimCall | messages.VoidCall,
+        found: messages.CallClaim,
+    ) -> messages.StoredAnswer:
+        if found.refusal is not None:
+            raise errors.Failure(_error_of(found.refusal))
+        match found.state:
+            case states.CallState.DONE if found.answer is not None:
+                return found.answer
+            case states.CallState.DONE:
+                raise errors.Failure(
+                    errors.AnswerNotKept("it ran; its answer is not kept")
+                )
+            case states.CallState.VOID:
+                raise errors.Failure(
+                    errors.KeyVoided("the key is barred; it never runs")
+                )
+            case states.CallState.UNKNOWN:
+                return await self._look_up(service, command)
+            case _:
+                raise errors.Failure(
+                    errors.CallInProgress("call is being run", 500)
+                )
+
+    async def _look_up(
+        self,
+        service: configuration.Service,
+        command: messages.ClaimCall | messages.VoidCall,
+    ) -> messages.StoredAnswer:
+        """Ask the service itself; only "it ran" settles anything.
+
+        Its "not known" does not: the owner of the claim may be paused and
+        dispatch later.
+        """
+        unknown = errors.CallUnknown("call may have run, is not run again")
+        if service.lookup_path is None:
+            raise errors.Failure(unknown)
+        quoted = urllib.parse.quote(command.key, safe="")
+        path = service.lookup_path.replace("{key}", quoted)
+        try:
+            answer = await self._send(service, call_messages.look_up(path))
+        except errors.Failure:
+            raise errors.Failure(unknown)
+        if answer.status != 200:
+            raise errors.Failure(unknown)
+        resolved = messages.ResolveCall(
+            workspace=command.workspace,
+            service=command.service,
+            key=command.key,
+            answer=answer,
+            at_ms=self._clock.wall_ms(),
+        )
+        with contextlib.suppress(errors.Failure):
+            await self._propose(resolved)
+        return answer
+
+    async def _within(self, task: asyncio.Task, wait_ms: float) -> bool:
+        """Return whether the task ended in time; raise its exception."""
+        timer = asyncio.create_task(self._clock.sleep_ms(wait_ms))
+        try:
+            await asyncio.wait(
+                (task, timer), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+        if not task.done():
+            return False
+        task.result()
+        return True
+
+    def _spawn(self, work: collections.abc.Coroutine) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(functools.partial(_settle, self._tasks))
+        return task
+
+
+def unconfirmed() -> errors.CallUnconfirmed:
+    """Return the failure of a call whose key could not be asked about."""
+    return errors.CallUnconfirmed(
+        "nothing was sent; whether an earlier request with this key ran"
+        " could not be asked, send it again",
+        retry_after_ms=1_000,
+    )
+
+
+def _settle(tasks: set[asyncio.Task], task: asyncio.Task) -> None:
+    tasks.discard(task)
+    if not task.cancelled():
+        task.exception()
+
+
+def _key_of(claim: messages.ClaimCall) -> ledgers.CallKey:
+    return (claim.workspace, claim.service, claim.key)
+
+
+def _bounded(
+    answer: messages.StoredAnswer | None,
+) -> messages.StoredAnswer | None:
+    if answer is None or len(answer.body) > ledgers.MAX_ANSWER_BYTES:
+        return None
+    return answer
+
+
+def _error_of(refusal: states.KeyRefusal) -> errors.ServingError:
+    match refusal:
+        case states.KeyRefusal.EXPIRED | states.KeyRefusal.USED:
+            return errors.KeyExpired(
+                "the key is too old: this request was not run, an earlier"
+                " one with the key may have been"
+            )
+        case states.KeyRefusal.EARLY:
+            return errors.KeyNotYetValid("the key is dated in the future")
+        case states.KeyRefusal.NO_ROOM:
+            return errors.LedgerFull(
+                "no room for another key of this workspace; use dated keys"
+                " from /v1/idempotency-key"
+            )
--- a/src/oriolejunction/http/service_calls.py
+++ b/src/oriolejunction/http/service_calls.py
@@ -1,12 +1,12 @@
 """Calls to plain services, with the ledger where they run at most once."""
 
-import dataclasses
-import hashlib
-import uuid
+import itertools
 
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
 from oriolejunction import errors
+from oriolejunction.http import call_messages
+from oriolejunction.http import never_twice_calls
 from oriolejunction.http import service_client
 from oriolejunction import ids
 from oriolejunction import messages
@@ -16,26 +16,6 @@
 MAX_KEY_LENGTH = 256
 
 
-@dataclasses.dataclass(frozen=True)
-class ServiceCall:
-    """One call as it came from a caller."""
-
-    method: str
-    path: str
-    path_and_query: str
-    content_type: str
-    key: str
-    body: bytes
-
-    def digest(self) -> str:
-        """Return the digest by which a resend is recognised."""
-        whole = hashlib.sha256()
-        for part in (self.method, self.path_and_query):
-            whole.update(part.encode() + b"\0")
-        whole.update(self.body)
-        return whole.hexdigest()
-
-
 class ServiceCalls:
     """Dispatch calls, never-twice ones only after a committed claim."""
 
@@ -46,19 +26,35 @@
         client: service_client.ServiceClient,
         control: control_client.ControlClient,
     ) -> None:
-        self._instance_id = instance_id
-        self._clock = clock
         self._client = client
-        self._control = control
+        self._turn = itertools.count()
+        self._never_twice = never_twice_calls.NeverTwiceCalls(
+            instance_id, clock, self._send, control.propose
+        )
+
+    @property
+    def pending(self) -> bool:
+        """Return whether a never-twice call goes on without its caller."""
+        return self._never_twice.pending
 
     async def call(
         self,
         service: configuration.Service,
         workspace: ids.WorkspaceId,
-        call: ServiceCall,
+        call: call_messages.ServiceCall,
     ) -> messages.StoredAnswer:
         """Return the answer of a call or raise a typed `Failure`."""
+        if service.never_twice and not call_messages.is_canonical(call.path):
+            raise errors.Failure(
+                errors.MalformedRequest(f"not a canonical path: {call.path}")
+            )
         if not configuration.runs_never_twice(service, call.method, call.path):
+            if call.void:
+                raise errors.Failure(
+                    errors.MalformedRequest(
+                        "only a call that runs at most once can be voided"
+                    )
+                )
             return await self._send(service, call)
         if not 0 < len(call.key) <= MAX_KEY_LENGTH:
             raise errors.Failure(
@@ -67,92 +63,30 @@
                     f" Idempotency-Key of 1 to {MAX_KEY_LENGTH} characters"
                 )
             )
-        return await self._call_once(service, workspace, call)
+        if call.void:
+            return await self._never_twice.void(service, workspace, call)
+        return await self._never_twice.run(service, workspace, call)
 
-    async def _call_once(
-        self,
-        service: configuration.Service,
-        workspace: ids.WorkspaceId,
-        call: ServiceCall,
-    ) -> messages.StoredAnswer:
-        claim = messages.ClaimCall(
-            workspace=workspace,
-            service=service.name,
-            key=ids.IdempotencyKey(call.key),
-            body_digest=call.digest(),
-            owner=self._instance_id,
-            claim_id=uuid.uuid4().hex,
-            at_ms=self._clock.wall_ms(),
-        )
-        granted = await self._control.propose(claim)
-        if not granted.body_matches:
-            raise errors.Failure(
-                errors.IdempotencyKeyReused("key was used with another body")
-            )
-        if not granted.granted:
-            return _earlier_answer(granted)
-        try:
-            answer = await self._send(service, call)
-        except errors.Failure as failure:
-            await self._record(claim, _state_after(failure), None)
-            raise _typed(failure)
-        await self._record(claim, states.CallState.DONE, answer)
-        return answer
+    async def close(self) -> None:
+        """Stop what still records outcomes."""
+        await self._never_twice.close()
 
     async def _send(
-        self, service: configuration.Service, call: ServiceCall
+        self, service: configuration.Service, call: call_messages.ServiceCall
     ) -> messages.StoredAnswer:
+        """Send to one address; go on to the next only if none was sent."""
         headers = {"Content-Type": call.content_type}
         if call.key:
             headers["Idempotency-Key"] = call.key
-        return await self._client.send(
-            service.urls[0],
-            call.method,
-            call.path_and_query,
-            headers,
-            call.body,
-        )
-
-    async def _record(
-        self,
-        claim: messages.ClaimCall,
-        state: states.CallState,
-        answer: messages.StoredAnswer | None,
-    ) -> None:
-        await self._control.propose(
-            messages.RecordCallOutcome(
-                workspace=claim.workspace,
-                service=claim.service,
-                key=claim.key,
-                claim_id=claim.claim_id,
-                state=state,
-                answer=answer,
-                at_ms=self._clock.wall_ms(),
-            )
-        )
-
-
-def _earlier_answer(claim: messages.CallClaim) -> messages.StoredAnswer:
-    match claim.state:
-        case states.CallState.DONE:
-            return claim.answer
-        case states.CallState.CLAIMED:
-            raise errors.Failure(
-                errors.CallInProgress("call is being run", retry_after_ms=500)
-            )
-        case _:
-            raise errors.Failure(
-                errors.CallUnknown("call may have run and is not run again")
-            )
-
-
-def _state_after(failure: errors.Failure) -> states.CallState:
-    if failure.error.outcome is states.Outcome.NOT_RUN:
-        return states.CallState.RELEASED
-    return states.CallState.UNKNOWN
-
-
-def _typed(failure: errors.Failure) -> errors.Failure:
-    if failure.error.outcome is states.Outcome.NOT_RUN:
-        return failure
-    return errors.Failure(errors.CallUnknown(failure.error.message))
+        first = next(self._turn)
+        for step in range(len(service.urls)):
+            url = service.urls[(first + step) % len(service.urls)]
+            try:
+                return await self._client.send(
+                    url, call.method, call.path_and_query, headers, call.body
+                )
+            except errors.Failure as failure:
+                last = step == len(service.urls) - 1
+                if last or failure.error.outcome is not states.Outcome.NOT_RUN:
+                    raise
+        raise errors.Failure(errors.NoEngine(f"{service.name} has no address"))
--- a/src/oriolejunction/http/service_client.py
+++ b/src/oriolejunction/http/service_client.py
@@ -5,6 +5,7 @@
 """
 
 import aiohttp
+import yarl
 
 from oriolejunction import errors
 from oriolejunction import messages
@@ -40,7 +41,7 @@
         try:
             async with self._session.request(
                 method,
-                url + path_and_query,
+                yarl.URL(url + path_and_query, encoded=True),
                 headers=headers,
                 data=body,
                 allow_redirects=False,
@@ -50,7 +51,10 @@
                     content_type=response.content_type,
                     body=await response.read(),
                 )
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             raise errors.Failure(errors.NoEngine(f"not reached: {error}"))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise errors.Failure(errors.ServiceFailed(repr(error)))
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -69,6 +69,26 @@
     at_ms: int
 
 
+class VoidCall(Message, frozen=True):
+    """Bar a key for good if it was never claimed."""
+
+    workspace: ids.WorkspaceId
+    service: ids.ServiceName
+    key: ids.IdempotencyKey
+    owner: ids.InstanceId
+    at_ms: int
+
+
+class ResolveCall(Message, frozen=True):
+    """Store what the service's own look-up tells of an unknown call."""
+
+    workspace: ids.WorkspaceId
+    service: ids.ServiceName
+    key: ids.IdempotencyKey
+    answer: "StoredAnswer"
+    at_ms: int
+
+
 class StoredAnswer(Message, frozen=True):
     """The answer of a plain service, kept for resends."""
 
@@ -78,7 +98,13 @@
 
 
 Command = (
-    SubmitDraft | AcceptDraft | WithdrawChange | ClaimCall | RecordCallOutcome
+    SubmitDraft
+    | AcceptDraft
+    | WithdrawChange
+    | ClaimCall
+    | RecordCallOutcome
+    | VoidCall
+    | ResolveCall
 )
 
 
@@ -98,15 +124,17 @@
 
 
 class CallClaim(Message, frozen=True):
-    """Result of a claim: the state of the call and who holds it.
+    """Result of a claim or void: where the call stands.
 
-    `granted` is true only for the claim that may dispatch.
+    `granted` is true only for the claim that may dispatch. `refusal` tells
+    why a key that is not in the ledger cannot enter it.
     """
 
     granted: bool
     state: states.CallState
     body_matches: bool
     answer: StoredAnswer | None = None
+    refusal: states.KeyRefusal | None = None
 
 
 class Recorded(Message, frozen=True):
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -62,6 +62,15 @@
     UNKNOWN = "unknown"
 
 
+class KeyRefusal(enum.Enum):
+    """Why an idempotency key cannot enter the ledger."""
+
+    EXPIRED = "expired"
+    EARLY = "early"
+    USED = "used"
+    NO_ROOM = "no_room"
+
+
 class ChangeAction(enum.Enum):
     """What an operator did to the configuration."""
 
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -60,6 +60,9 @@
         )
         self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
+        self._service_calls = service_calls.ServiceCalls(
+            instance_id, self.clock, self._services, self._control
+        )
         watch = configuration_watch.ConfigurationWatch(
             instance_id,
             ids.ZoneId(settings.zone),
@@ -85,7 +88,7 @@
         """Refuse new requests, then wait until all others are finished."""
         self._write_state(states.InstanceState.DRAINING)
         await self.clock.sleep_ms(self.settings.drain_delay_ms)
-        while self._requests_in_flight:
+        while self._requests_in_flight or self._service_calls.pending:
             await self.clock.sleep_ms(DRAIN_POLL_MS)
 
     async def stop(self) -> None:
@@ -94,6 +97,7 @@
             await runner.cleanup()
         for task in self._tasks:
             await configuration_watch.stop_task(task)
+        await self._service_calls.close()
         for client in (self._engines, self._services, self._control):
             await client.close()
         if self._server is not None:
@@ -129,9 +133,7 @@
                 choose_engine=routing.random_choice(self.blackboard, rng),
                 telemetry=self.telemetry,
             ),
-            services=service_calls.ServiceCalls(
-                instance_id, self.clock, self._services, self._control
-            ),
+            services=self._service_calls,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
         )
