Measure the slopes of control cost

Change: bench capacity runs real processes at four sizes of each driver (lease-holders, engines, workspaces) and extrapolates to the target.

--- /dev/null
+++ b/bench/capacity_model.py
@@ -0,0 +1,78 @@
+"""From measured slopes to the target's sizes, budget by budget."""
+
+import collections.abc
+import dataclasses
+import statistics
+
+NODES = 370
+ENGINES = 1_100
+WORKSPACES = 1_400
+CHANGES_PER_DAY = 4_200
+SECONDS_PER_DAY = 86_400
+CPU_BUDGET = 0.019
+MEMORY_BUDGET_MB = 256.0
+BYTES_BUDGET_PER_S = 10_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Slope:
+    """A straight line through measured points."""
+
+    per_unit: float
+    at_zero: float
+
+    def at(self, size: float) -> float:
+        """Return the value at a size."""
+        return self.at_zero + self.per_unit * size
+
+    def size_at(self, budget: float) -> float | None:
+        """Return the size that uses up a budget; None where none does."""
+        if self.per_unit <= 0:
+            return None
+        return max(0.0, (budget - self.at_zero) / self.per_unit)
+
+
+def fit(points: collections.abc.Sequence[tuple[float, float]]) -> Slope:
+    """Return the least-squares line through (size, value) points."""
+    sizes, values = zip(*points)
+    line = statistics.linear_regression(sizes, values)
+    return Slope(line.slope, line.intercept)
+
+
+@dataclasses.dataclass(frozen=True)
+class BudgetRow:
+    """One budget at the target: what it needs and where it breaks.
+
+    `breaks_at` is the size of `driver` that uses up the budget alone.
+    """
+
+    role: str
+    budget: str
+    driver: str
+    limit: float
+    at_target: float
+    breaks_at: float | None
+
+    @property
+    def within(self) -> bool:
+        """Return whether the target fits the budget."""
+        return self.at_target <= self.limit
+
+
+def row(
+    role: str,
+    budget: str,
+    driver: str,
+    slope: Slope,
+    size: float,
+    limit: float,
+) -> BudgetRow:
+    """Return the row of one slope at the target's size."""
+    return BudgetRow(
+        role=role,
+        budget=budget,
+        driver=driver,
+        limit=limit,
+        at_target=slope.at(size),
+        breaks_at=slope.size_at(limit),
+    )
--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -1,9 +1,12 @@
 """The benches that run real processes, by name."""
 
+from bench import capacity
 from oriolejunction.bench import catalogue as shipped
 from oriolejunction import errors
 
-BENCH_BY_NAME: dict[str, shipped.Bench] = {}
+BENCH_BY_NAME: dict[str, shipped.Bench] = {
+    "capacity": capacity.run,
+}
 
 
 def bench_of(name: str) -> shipped.Bench:
--- /dev/null
+++ b/bench/lease_load.py
@@ -0,0 +1,64 @@
+"""Many lease-holders in one process, renewing as an instance does."""
+
+import asyncio
+import dataclasses
+
+import grpc
+
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction.peers import configuration_watch
+from oriolejunction.peers import methods
+from oriolejunction.peers import rpc
+
+RENEW_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass
+class LeaseLoad:
+    """Simulated lease-holders over a few shared channels."""
+
+    address: str
+    renewals: int = 0
+    failures: int = 0
+    tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
+    channels: list[grpc.aio.Channel] = dataclasses.field(default_factory=list)
+
+    def start(self, holders: int, channels: int = 8) -> None:
+        """Begin to renew for `holders` instances."""
+        self.channels = [
+            grpc.aio.insecure_channel(
+                self.address, options=rpc.CHANNEL_OPTIONS
+            )
+            for _ in range(channels)
+        ]
+        for number in range(holders):
+            channel = self.channels[number % channels]
+            self.tasks.append(asyncio.create_task(self._hold(number, channel)))
+
+    async def stop(self) -> None:
+        """End all holders."""
+        for task in self.tasks:
+            await configuration_watch.stop_task(task)
+        for channel in self.channels:
+            await channel.close()
+
+    async def _hold(self, number: int, channel: grpc.aio.Channel) -> None:
+        renew = rpc.caller(channel, methods.RENEW)
+        interval_s = configuration_watch.RENEW_INTERVAL_MS / 1000.0
+        await asyncio.sleep(interval_s * (number % 16) / 16)
+        applied = ids.NO_REVISION
+        while True:
+            request = messages.RenewRequest(
+                instance=ids.InstanceId(f"holder-{number}"),
+                zone=ids.ZoneId(f"zone-{number % 17}"),
+                incarnation="bench",
+                applied=applied,
+            )
+            try:
+                reply = await renew(request, timeout=RENEW_TIMEOUT_S)
+                applied = reply.revision
+                self.renewals += 1
+            except grpc.aio.AioRpcError:
+                self.failures += 1
+            await asyncio.sleep(interval_s)
