Publish each lost attempt and restore generations

Cause: quarantine, routing and takeover need to know of losses, to recognise a resend, and to go on after tokens that another instance delivered.

Change: a subject of typed losses on the blackboard, a cause for each loss, a fingerprint of the request, Generation.restore.

Conclusion: hooks only; no policy changed.

--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -78,6 +78,22 @@
     taken_at_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptLoss:
+    """An attempt that an engine lost, in ms of the instance's clock.
+
+    `engine_wide` tells that no other stream of the engine was going on.
+    """
+
+    engine_id: ids.EngineId
+    generation: ids.GenerationId
+    workspace: ids.WorkspaceId
+    fingerprint: ids.RequestFingerprint
+    cause: states.LossCause
+    at_ms: float
+    engine_wide: bool
+
+
 class Blackboard:
     """All cells of one instance."""
 
@@ -89,3 +105,4 @@
         self.engine_report_by_id = Cell({})
         self.engine_state_by_id: Cell[dict[ids.EngineId, states.EngineState]]
         self.engine_state_by_id = Cell({})
+        self.attempt_losses: subject.Subject = subject.Subject()
--- a/src/oriolejunction/controllers/generation.py
+++ b/src/oriolejunction/controllers/generation.py
@@ -6,6 +6,7 @@
 possible stop string.
 """
 
+import collections.abc
 import dataclasses
 
 from oriolejunction import engine_protocol
@@ -59,10 +60,30 @@
         self.finish_reason: states.FinishReason | None = None
         self.prompt_tokens = 0
         self.owner = NO_ATTEMPT
-        self._last_attempt = 0
+        self._last_attempt = NO_ATTEMPT
         self._next_offset = 0
         self._pending: list[Delivery] = []
 
+    def restore(
+        self,
+        delivered_ids: collections.abc.Iterable[int],
+        last_attempt: ids.AttemptNumber,
+        prompt_tokens: int = 0,
+    ) -> None:
+        """Go on after tokens that another instance delivered.
+
+        Attempts are numbered after `last_attempt`, the highest number that
+        the former instance can have used.
+        """
+        invariants.require(
+            "restored_before_the_first_attempt",
+            self._last_attempt == NO_ATTEMPT and not self.delivered_ids,
+            generation=self.generation_id,
+        )
+        self.delivered_ids.extend(delivered_ids)
+        self._last_attempt = last_attempt
+        self.prompt_tokens = prompt_tokens
+
     @property
     def finished(self) -> bool:
         """Return whether the answer is complete."""
@@ -74,8 +95,8 @@
         Tokens held back by the former owner are dropped; the new attempt
         goes on after what was delivered.
         """
-        self._last_attempt += 1
-        self.owner = ids.AttemptNumber(self._last_attempt)
+        self._last_attempt = ids.AttemptNumber(self._last_attempt + 1)
+        self.owner = self._last_attempt
         self._pending.clear()
         self._next_offset = len(self.delivered_ids)
         return engine_protocol.GenerateRequest(
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -5,10 +5,14 @@
 import dataclasses
 import typing
 
+from reactivex import subject
 import structlog
 
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import request_fingerprint
 from oriolejunction import engine_protocol
 from oriolejunction import errors
 from oriolejunction import ids
@@ -53,6 +57,8 @@
     engines: EnginePort
     choose_engine: ChooseEngine
     telemetry: metrics.Telemetry
+    clock: clocks.Clock
+    attempt_losses: subject.Subject
 
 
 async def run(
@@ -112,7 +118,7 @@
                         {"why": commit.outcome.value}
                     )
                 if commit.outcome is states.CommitOutcome.GAP:
-                    raise _lost("gap in offsets")
+                    raise _lost(states.LossCause.GAP)
                 if commit.deliveries:
                     yield commit.deliveries
     finally:
@@ -130,17 +136,31 @@
         async with asyncio.timeout(GAP_TIMEOUT_MS / 1000.0):
             return await anext(stream)
     except TimeoutError:
-        raise _lost("silent for too long")
+        raise _lost(states.LossCause.SILENT)
     except StopAsyncIteration:
-        raise _lost("stream ended without a finish reason")
+        raise _lost(states.LossCause.ENDED_EARLY)
 
 
-def _lost(why: str) -> errors.Failure:
-    return errors.Failure(errors.AttemptLost(why))
+def _lost(cause: states.LossCause) -> errors.Failure:
+    return errors.Failure(errors.AttemptLost(cause.value, cause=cause))
 
 
 def _record_loss(generation, engine, failure, parts) -> None:
-    parts.telemetry.attempts_lost.inc({"engine": engine.engine_id})
+    cause = failure.error.cause
+    parts.telemetry.attempts_lost.inc(
+        {"engine": engine.engine_id, "cause": cause.value}
+    )
+    parts.attempt_losses.on_next(
+        blackboards.AttemptLoss(
+            engine_id=engine.engine_id,
+            generation=generation.generation_id,
+            workspace=generation.request.workspace,
+            fingerprint=request_fingerprint.of(generation.request),
+            cause=cause,
+            at_ms=parts.clock.now_ms(),
+            engine_wide=cause is states.LossCause.NOT_REACHED,
+        )
+    )
     _log.warning(
         "attempt lost",
         generation=generation.generation_id,
--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -141,9 +141,12 @@
     status = http.HTTPStatus.BAD_GATEWAY
 
 
+@dataclasses.dataclass(frozen=True)
 class AttemptLost(ServingError):
     """An engine lost its attempt at a generation."""
 
+    cause: states.LossCause = states.LossCause.DISCONNECTED
+
     code = "attempt_lost"
 
 
--- a/src/oriolejunction/http/engine_client.py
+++ b/src/oriolejunction/http/engine_client.py
@@ -10,6 +10,7 @@
 from oriolejunction import engine_protocol
 from oriolejunction import errors
 from oriolejunction import ids
+from oriolejunction import states
 
 CANCEL_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
@@ -27,7 +28,11 @@
     """
     *blocks, rest = data.split(b"\n\n")
     if len(rest) > MAX_EVENT_BYTES:
-        raise errors.Failure(errors.AttemptLost("event too large"))
+        raise errors.Failure(
+            errors.AttemptLost(
+                "event too large", cause=states.LossCause.MALFORMED
+            )
+        )
     events = []
     for block in blocks:
         if not block.startswith(b"data: "):
@@ -35,7 +40,11 @@
         try:
             events.append(_decode_event(block[6:]))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise errors.Failure(errors.AttemptLost(f"bad event: {error}"))
+            raise errors.Failure(
+                errors.AttemptLost(
+                    f"bad event: {error}", cause=states.LossCause.MALFORMED
+                )
+            )
     return events, rest
 
 
@@ -65,15 +74,23 @@
             ) as response:
                 if response.status != 200:
                     raise errors.Failure(
-                        errors.AttemptLost(f"status {response.status}")
+                        errors.AttemptLost(
+                            f"status {response.status}",
+                            cause=states.LossCause.REFUSED,
+                        )
                     )
                 rest = b""
                 async for chunk in response.content.iter_any():
                     events, rest = parse_events(rest + chunk)
                     if events:
                         yield events
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise _lost(error, states.LossCause.NOT_REACHED)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise errors.Failure(errors.AttemptLost(repr(error)))
+            raise _lost(error, states.LossCause.DISCONNECTED)
 
     async def cancel(
         self,
@@ -101,3 +118,7 @@
         for task in self._cancels:
             task.cancel()
         await self._session.close()
+
+
+def _lost(error: Exception, cause: states.LossCause) -> errors.Failure:
+    return errors.Failure(errors.AttemptLost(repr(error), cause=cause))
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -35,6 +35,23 @@
     FINISHED = "finished"
 
 
+class LossCause(enum.Enum):
+    """How an engine lost its attempt at a generation.
+
+    `REFUSED` is an answer other than 200, `FOREIGN` an event of another
+    generation or attempt.
+    """
+
+    SILENT = "silent"
+    DISCONNECTED = "disconnected"
+    NOT_REACHED = "not_reached"
+    REFUSED = "refused"
+    ENDED_EARLY = "ended_early"
+    MALFORMED = "malformed"
+    GAP = "gap"
+    FOREIGN = "foreign"
+
+
 class EngineState(enum.Enum):
     """Whether an engine may be given new work."""
 
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -122,6 +122,8 @@
                 engines=self._engines,
                 choose_engine=routing.random_choice(self.blackboard, rng),
                 telemetry=self.telemetry,
+                clock=self.clock,
+                attempt_losses=self.blackboard.attempt_losses,
             ),
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
--- a/tests/controllers/test_generation.py
+++ b/tests/controllers/test_generation.py
@@ -92,3 +92,17 @@
     stop = whole[start : start + length] or "x"
     expected = whole[: whole.index(stop)] if stop in whole else whole
     assert _complete_text((stop,)) == expected
+
+
+@hypothesis.given(strategies.integers(0, 40), strategies.integers(1, 9))
+def test_restored_generation_goes_on_after_delivered_tokens(held, attempts):
+    whole = _generation()
+    for event in _events(whole.begin_attempt()):
+        whole.commit(event)
+    generation = _generation()
+    generation.restore(whole.delivered_ids[:held], attempts)
+    request = generation.begin_attempt()
+    assert request.attempt == attempts + 1
+    for event in _events(request):
+        generation.commit(event)
+    assert generation.delivered_ids == whole.delivered_ids
