--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -23,6 +23,7 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import transport as transports
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -41,6 +42,7 @@
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._requests_in_flight = 0
         self._tasks: list[asyncio.Task] = []
@@ -54,7 +56,7 @@
         instance_id = ids.InstanceId(settings.instance_id)
         await self._start_peer_listener(instance_id)
         self._control = control_client.ControlClient(
-            settings.control_address_by_id()
+            settings.control_address_by_id(), self._transport
         )
         self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
@@ -104,7 +106,7 @@
         self._server = grpc.aio.server()
         if self.settings.data_dir is not None:
             self._add_replica(instance_id)
-        self._server.add_insecure_port(self.settings.peer_listen)
+        self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
 
     def _add_replica(self, instance_id: ids.InstanceId) -> None:
