Split the stand-in engine and let attempts contend for a generation

Cause: most faults of the design could not be provoked; only one attempt at a time could work on a generation; a token cut inside a UTF-8 sequence was delivered as a boundary where a stop string held back its successor, and the checker took the replacement character for a separator anywhere, so that it did not see the broken character.

Change: streams and faults of the stand-in engine in modules of their own, with pause, crash, repeat, skip, cross, drop, poison and recover; contenders and diverged or foreign events at the commit point; the checker takes a cut character only at the end of an answer; prompt tokens come with the first event, so that usage is right where a stop string ends the answer.

Conclusion: the runner does not start contenders yet.

--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -89,7 +89,7 @@
     engine_id: ids.EngineId
     generation: ids.GenerationId
     workspace: ids.WorkspaceId
-    fingerprint: ids.RequestFingerprint
+    fingerprint: ids.Fingerprint
     cause: states.LossCause
     at_ms: float
     engine_wide: bool
--- a/src/oriolejunction/controllers/generation.py
+++ b/src/oriolejunction/controllers/generation.py
@@ -1,20 +1,23 @@
 """One generation and its single commit point.
 
 Engines work on a generation as attempts with rising numbers. Only the
-owning attempt may append, and only at its next offset. Tokens become
-deliverable at a safe boundary: not inside a UTF-8 sequence, not inside a
-possible stop string.
+owning attempt may append, and only at its next offset. A contender is an
+attempt that runs beside the owner: the first of them to give the next
+token owns, and all others are revoked. Tokens become deliverable at a safe
+boundary: not inside a UTF-8 sequence, not inside a possible stop string.
 """
 
 import collections.abc
 import dataclasses
 
+from oriolejunction.controllers import stop_strings
 from oriolejunction import engine_protocol
 from oriolejunction import ids
 from oriolejunction import invariants
 from oriolejunction import states
 
 NO_ATTEMPT = ids.AttemptNumber(0)
+CONTINUATION_PRIORITY = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +51,17 @@
     deliveries: tuple[Delivery, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class _Held:
+    """A committed event that is not delivered yet."""
+
+    delivery: Delivery
+    safe: bool
+
+
+_COMMITTED = Commit(states.CommitOutcome.COMMITTED)
+
+
 class Generation:
     """State of one generation; `delivered_ids` is what a caller holds."""
 
@@ -62,7 +76,8 @@
         self.owner = NO_ATTEMPT
         self._last_attempt = NO_ATTEMPT
         self._next_offset = 0
-        self._pending: list[Delivery] = []
+        self._held: list[_Held] = []
+        self._base_by_contender: dict[ids.AttemptNumber, int] = {}
 
     def restore(
         self,
@@ -89,117 +104,177 @@
         """Return whether the answer is complete."""
         return self.finish_reason is not None
 
-    def begin_attempt(self) -> engine_protocol.GenerateRequest:
+    def begin_attempt(
+        self, from_start: bool = False
+    ) -> engine_protocol.GenerateRequest:
         """Make a new attempt the owner and return its request.
 
         Tokens held back by the former owner are dropped; the new attempt
-        goes on after what was delivered.
+        goes on after what was delivered, or computes it again where
+        `from_start` is set.
         """
+        attempt = self._new_attempt()
+        self._base_by_contender.clear()
+        self._make_owner(attempt, len(self.delivered_ids))
+        return self._request_of(attempt, from_start)
+
+    def begin_contender(self) -> engine_protocol.GenerateRequest:
+        """Return the request of a new attempt beside the others."""
+        attempt = self._new_attempt()
+        self._base_by_contender[attempt] = len(self.delivered_ids)
+        return self._request_of(attempt, from_start=False)
+
+    def abandon(self, attempt: ids.AttemptNumber) -> None:
+        """Take from an attempt the right to append."""
+        self._base_by_contender.pop(attempt, None)
+        if attempt == self.owner:
+            self.owner = NO_ATTEMPT
+            self._held.clear()
+
+    def may_append(self, attempt: ids.AttemptNumber) -> bool:
+        """Return whether an attempt owns or may still come to own."""
+        return attempt == self.owner or attempt in self._base_by_contender
+
+    def complete_at_limit(self) -> bool:
+        """Finish where all asked tokens are delivered; return if finished.
+
+        An engine may be lost between its last token and its last event.
+        """
+        if not self.finished and (
+            len(self.delivered_ids) >= self.request.max_tokens
+        ):
+            self.finish_reason = states.FinishReason.LENGTH
+        return self.finished
+
+    def commit(self, event: engine_protocol.EngineEvent) -> Commit:
+        """Append the tokens of an event, the only way to append."""
+        refusal = self._refusal(event)
+        if refusal is not None:
+            return Commit(refusal)
+        self.prompt_tokens = event.prompt_tokens or self.prompt_tokens
+        if event.ids or event.finish_reason is not None:
+            self._settle_owner(event.attempt)
+        if event.ids:
+            self._next_offset += len(event.ids)
+            delivery = Delivery(event.offset, event.ids, event.text)
+            self._held.append(_Held(delivery, event.safe))
+        if self.request.stop:
+            return self._commit_around_stops(event)
+        if event.finish_reason is not None:
+            return self._finish(event.finish_reason)
+        if not event.safe:
+            return _COMMITTED
+        return self._committed(self._release(len(self._held)))
+
+    def _new_attempt(self) -> ids.AttemptNumber:
         self._last_attempt = ids.AttemptNumber(self._last_attempt + 1)
-        self.owner = self._last_attempt
-        self._pending.clear()
-        self._next_offset = len(self.delivered_ids)
+        return self._last_attempt
+
+    def _request_of(
+        self, attempt: ids.AttemptNumber, from_start: bool
+    ) -> engine_protocol.GenerateRequest:
+        forced_ids = () if from_start else tuple(self.delivered_ids)
         return engine_protocol.GenerateRequest(
             generation=self.generation_id,
-            attempt=self.owner,
+            attempt=attempt,
             model=self.request.model,
             version=self.request.version,
             adapter=self.request.adapter,
             prompt=self.request.prompt,
             max_tokens=self.request.max_tokens,
             sampling=self.request.sampling,
-            forced_ids=tuple(self.delivered_ids),
-            priority=1 if self.delivered_ids else 0,
+            forced_ids=forced_ids,
+            priority=CONTINUATION_PRIORITY if forced_ids else 0,
         )
 
-    def commit(self, event: engine_protocol.EngineEvent) -> Commit:
-        """Append the tokens of an event, the only way to append."""
-        refusal = self._refusal(event)
-        if refusal is not None:
-            return Commit(refusal)
-        self._next_offset += len(event.ids)
-        if event.ids:
-            self._pending.append(Delivery(event.offset, event.ids, event.text))
-        if event.finish_reason is not None:
-            return self._finish(event.finish_reason, event.prompt_tokens)
-        if not event.safe:
-            return Commit(states.CommitOutcome.COMMITTED)
-        if self.request.stop:
-            return self._deliver_around_stops()
-        return Commit(states.CommitOutcome.COMMITTED, self._release_all())
+    def _make_owner(self, attempt: ids.AttemptNumber, base: int) -> None:
+        invariants.require_owner_goes_on(base, len(self.delivered_ids))
+        self.owner = attempt
+        self._held.clear()
+        self._next_offset = base
+
+    def _settle_owner(self, attempt: ids.AttemptNumber) -> None:
+        """Give the generation to the attempt that gave the next token."""
+        if attempt != self.owner:
+            self._make_owner(attempt, self._base_by_contender[attempt])
+        self._base_by_contender.clear()
 
     def _refusal(
         self, event: engine_protocol.EngineEvent
     ) -> states.CommitOutcome | None:
         if self.finished:
             return states.CommitOutcome.FINISHED
-        if event.attempt != self.owner:
-            return states.CommitOutcome.NOT_OWNER
         if event.generation != self.generation_id:
+            return states.CommitOutcome.FOREIGN
+        if event.attempt == self.owner:
+            expected = self._next_offset
+        elif event.attempt in self._base_by_contender:
+            expected = self._base_by_contender[event.attempt]
+        else:
             return states.CommitOutcome.NOT_OWNER
-        if event.offset < self._next_offset:
-            return states.CommitOutcome.REPEATED
-        if event.offset > self._next_offset:
+        if event.offset == expected:
+            return None
+        return self._misplaced(event, expected)
+
+    def _misplaced(
+        self, event: engine_protocol.EngineEvent, expected: int
+    ) -> states.CommitOutcome:
+        end = event.offset + len(event.ids)
+        if event.offset > expected or end > expected:
             return states.CommitOutcome.GAP
-        return None
+        known = self.delivered_ids[event.offset : end]
+        if known != list(event.ids[: len(known)]):
+            return states.CommitOutcome.DIVERGED
+        return states.CommitOutcome.REPEATED
 
-    def _finish(
-        self, reason: states.FinishReason, prompt_tokens: int
+    def _commit_around_stops(
+        self, event: engine_protocol.EngineEvent
     ) -> Commit:
-        deliveries = self._release_all()
-        self.finish_reason = reason
-        self.prompt_tokens = prompt_tokens
-        return Commit(states.CommitOutcome.COMMITTED, deliveries)
-
-    def _release_all(self) -> tuple[Delivery, ...]:
-        released = tuple(self._pending)
-        self._pending.clear()
-        for delivery in released:
-            self._mark_delivered(delivery)
-        return released
-
-    def _mark_delivered(self, delivery: Delivery) -> None:
-        invariants.require_contiguous(len(self.delivered_ids), delivery.offset)
-        self.delivered_ids.extend(delivery.ids)
-
-    def _deliver_around_stops(self) -> Commit:
-        text = "".join(part.text for part in self._pending)
-        found = _first_stop(text, self.request.stop)
+        text = "".join(held.delivery.text for held in self._held)
+        found = stop_strings.first_position(text, self.request.stop)
         if found is not None:
             return self._cut_at(found)
-        free = len(text) - _held_length(text, self.request.stop)
-        released = []
-        while self._pending and len(self._pending[0].text) <= free:
-            delivery = self._pending.pop(0)
-            free -= len(delivery.text)
-            self._mark_delivered(delivery)
-            released.append(delivery)
-        return Commit(states.CommitOutcome.COMMITTED, tuple(released))
+        if event.finish_reason is not None:
+            return self._finish(event.finish_reason)
+        free = len(text) - stop_strings.held_length(text, self.request.stop)
+        return self._committed(self._release(self._safe_count(free)))
+
+    def _safe_count(self, free: int) -> int:
+        """Return how many held events end safely within `free` characters."""
+        count = 0
+        for position, held in enumerate(self._held):
+            free -= len(held.delivery.text)
+            if free < 0:
+                break
+            if held.safe:
+                count = position + 1
+        return count
+
+    def _finish(self, reason: states.FinishReason) -> Commit:
+        released = self._release(len(self._held))
+        self.finish_reason = reason
+        return self._committed(released)
 
     def _cut_at(self, position: int) -> Commit:
         released = []
-        for delivery in self._release_all():
+        for delivery in self._release(len(self._held)):
             text = delivery.text[: max(position, 0)]
             position -= len(delivery.text)
             released.append(dataclasses.replace(delivery, text=text))
         self.finish_reason = states.FinishReason.STOP
-        return Commit(states.CommitOutcome.COMMITTED, tuple(released))
-
-
-def _first_stop(text: str, stops: tuple[str, ...]) -> int | None:
-    positions = [text.find(stop) for stop in stops]
-    found = [position for position in positions if position >= 0]
-    return min(found) if found else None
-
-
-def _held_length(text: str, stops: tuple[str, ...]) -> int:
-    """Return the length of the longest suffix that may begin a stop."""
-    return max(
-        (
-            length
-            for stop in stops
-            for length in range(1, min(len(stop), len(text) + 1))
-            if text.endswith(stop[:length])
-        ),
-        default=0,
-    )
+        return self._committed(tuple(released))
+
+    def _release(self, count: int) -> tuple[Delivery, ...]:
+        released = tuple(held.delivery for held in self._held[:count])
+        del self._held[:count]
+        for delivery in released:
+            invariants.require_contiguous(
+                len(self.delivered_ids), delivery.offset
+            )
+            self.delivered_ids.extend(delivery.ids)
+        return released
+
+    def _committed(self, deliveries: tuple[Delivery, ...]) -> Commit:
+        if not deliveries:
+            return _COMMITTED
+        return Commit(states.CommitOutcome.COMMITTED, deliveries)
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -12,7 +12,6 @@
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
-from oriolejunction.controllers import request_fingerprint
 from oriolejunction.controllers import route_request
 from oriolejunction import engine_protocol
 from oriolejunction import errors
@@ -153,7 +152,7 @@
             engine_id=engine.engine_id,
             generation=generation.generation_id,
             workspace=generation.request.workspace,
-            fingerprint=request_fingerprint.of(generation.request),
+            fingerprint=route_request.fingerprint_of(generation.request),
             cause=cause,
             at_ms=parts.clock.now_ms(),
             engine_wide=cause is states.LossCause.NOT_REACHED,
--- a/src/oriolejunction/invariants.py
+++ b/src/oriolejunction/invariants.py
@@ -36,6 +36,16 @@
     )
 
 
+def require_owner_goes_on(base: int, delivered: int) -> None:
+    """Require that an attempt comes to own only where delivery stands."""
+    require(
+        "owner_goes_on_where_delivery_stands",
+        base == delivered,
+        base=base,
+        delivered=delivered,
+    )
+
+
 def require_one_generation(expected: str, actual: str) -> None:
     """Require that an answer holds tokens of a single generation."""
     require(
--- a/src/oriolejunction/standin/chain.py
+++ b/src/oriolejunction/standin/chain.py
@@ -16,6 +16,7 @@
 TAG_SHIFT = 52
 SEPARATOR = "·"
 _SEPARATOR_BYTES = SEPARATOR.encode()
+_CUT_CHARACTER = "\ufffd"
 _SPLIT_RESIDUE = 3
 _SPLIT_MODULUS = 8
 
@@ -66,8 +67,13 @@
 def check_text(
     text: str, version: str, adapter: str, prompt: str, sampled: bool = False
 ) -> Verdict:
-    """Walk the text of an answer and check each token of the chain."""
-    parts = text.replace("\ufffd", SEPARATOR).split(SEPARATOR)
+    """Walk the text of an answer and check each token of the chain.
+
+    Only the last token may end inside a UTF-8 sequence.
+    """
+    if text.endswith(_CUT_CHARACTER):
+        text = text.removesuffix(_CUT_CHARACTER) + SEPARATOR
+    parts = text.split(SEPARATOR)
     state = start_state(version, adapter, prompt)
     for offset, part in enumerate(parts[:-1]):
         token = _parse(part)
--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -1,7 +1,6 @@
 """Stand-in model engine: continuous batching over the token chain."""
 
 import asyncio
-import codecs
 import dataclasses
 import secrets
 
@@ -9,14 +8,13 @@
 import msgspec
 
 from oriolejunction import engine_protocol
-from oriolejunction.standin import chain
-from oriolejunction import states
+from oriolejunction.standin import engine_faults
+from oriolejunction.standin import engine_stream
 
 STEP_BASE_MS = 5.0
 STREAM_LINGER_MS = 5_000.0
 _encode = msgspec.json.Encoder().encode
 _decode_request = msgspec.json.Decoder(engine_protocol.GenerateRequest).decode
-_decode_event = msgspec.json.Decoder(engine_protocol.EngineEvent).decode
 _decode_fault = msgspec.json.Decoder(engine_protocol.Fault).decode
 
 
@@ -31,110 +29,6 @@
     max_running: int = 32
 
 
-@dataclasses.dataclass
-class EngineStream:
-    """One attempt being generated, kept for a while to be resumed."""
-
-    request: engine_protocol.GenerateRequest
-    natural_length: int
-    state: int
-    nonce: int | None
-    previous: int | None
-    decoder: codecs.IncrementalDecoder
-    offset: int
-    event_by_position: list[bytes] = dataclasses.field(default_factory=list)
-    first_offset: int = 0
-    finished: bool = False
-    cancelled: bool = False
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-
-def natural_length(prompt: str, state: int) -> int:
-    """Return the length after which a generation stops by itself.
-
-    A marker ``[[length=N]]`` in the prompt sets it.
-    """
-    _, marker, rest = prompt.partition("[[length=")
-    digits = rest.partition("]]")[0]
-    if marker and digits.isdecimal():
-        return int(digits)
-    return 16 + state % 48
-
-
-def open_stream(request: engine_protocol.GenerateRequest) -> EngineStream:
-    """Return a stream that goes on after the forced tokens."""
-    state = chain.start_state(request.version, request.adapter, request.prompt)
-    length = natural_length(request.prompt, state)
-    for token in request.forced_ids:
-        state = chain.following_state(state, token)
-    sampled = request.sampling.temperature > 0
-    offset = len(request.forced_ids)
-    return EngineStream(
-        request=request,
-        natural_length=length,
-        state=state,
-        nonce=secrets.randbits(64) if sampled else None,
-        previous=request.forced_ids[-1] if offset else None,
-        decoder=codecs.getincrementaldecoder("utf-8")("replace"),
-        offset=offset,
-        first_offset=offset,
-    )
-
-
-def step(stream: EngineStream) -> None:
-    """Generate one token, or finish the stream."""
-    request = stream.request
-    end = min(request.max_tokens, stream.natural_length)
-    if stream.offset >= end:
-        _finish(stream)
-        return
-    token = chain.token_at(stream.state, stream.nonce)
-    raw = chain.token_bytes(stream.previous, token)
-    last = stream.offset + 1 >= end
-    text = stream.decoder.decode(raw, final=last)
-    _emit(
-        stream,
-        engine_protocol.EngineEvent(
-            generation=request.generation,
-            attempt=request.attempt,
-            offset=stream.offset,
-            ids=(token,),
-            text=text,
-            safe=last or not chain.is_split(token),
-        ),
-    )
-    stream.state = chain.following_state(stream.state, token)
-    stream.previous = token
-    stream.offset += 1
-    if last:
-        _finish(stream)
-
-
-def _finish(stream: EngineStream) -> None:
-    request = stream.request
-    by_length = request.max_tokens <= stream.natural_length
-    stream.finished = True
-    _emit(
-        stream,
-        engine_protocol.EngineEvent(
-            generation=request.generation,
-            attempt=request.attempt,
-            offset=stream.offset,
-            finish_reason=(
-                states.FinishReason.LENGTH
-                if by_length
-                else states.FinishReason.STOP
-            ),
-            prompt_tokens=len(request.prompt.split()),
-        ),
-    )
-
-
-def _emit(stream: EngineStream, event: engine_protocol.EngineEvent) -> None:
-    stream.event_by_position.append(b"data: " + _encode(event) + b"\n\n")
-    stream.changed.set()
-
-
 class StandinEngine:
     """An engine with its streams, batch loop and provoked faults."""
 
@@ -142,19 +36,18 @@
         self.options = options
         self.tokens_computed = 0
         self.requests_run = 0
+        self.reattached = 0
+        self.faults = engine_faults.EngineFaults(
+            self._running, self._forget_streams
+        )
         self._incarnation = secrets.token_hex(4)
-        self._stream_by_id: dict[str, EngineStream] = {}
-        self._alive = asyncio.Event()
-        self._alive.set()
-        self._truncating = False
-        self._leaving = False
+        self._stream_by_id: dict[str, engine_stream.EngineStream] = {}
         self._work = asyncio.Event()
         self._batch_task: asyncio.Task | None = None
-        self._transports: set[asyncio.Transport] = set()
 
     def application(self) -> web.Application:
         """Return the HTTP application of this engine."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._drop_when_crashed])
         app.add_routes(
             [
                 web.post("/v1/generate", self._generate),
@@ -175,12 +68,18 @@
     async def _stop(self, app: web.Application) -> None:
         self._batch_task.cancel()
 
-    def _running(self) -> list[EngineStream]:
-        unfinished = [
-            stream
-            for stream in self._stream_by_id.values()
-            if not (stream.finished or stream.cancelled)
-        ]
+    def _forget_streams(self) -> None:
+        self._incarnation = secrets.token_hex(4)
+        for stream in self._stream_by_id.values():
+            stream.cancelled = True
+            stream.changed.set()
+        self._stream_by_id.clear()
+
+    def _unfinished(self) -> list[engine_stream.EngineStream]:
+        return [s for s in self._stream_by_id.values() if s.running]
+
+    def _running(self) -> list[engine_stream.EngineStream]:
+        unfinished = self._unfinished()
         unfinished.sort(key=lambda stream: -stream.request.priority)
         return unfinished[: self.options.max_running]
 
@@ -191,17 +90,41 @@
                 self._work.clear()
                 await self._work.wait()
                 continue
-            await self._alive.wait()
+            await self.faults.until_responsive()
             load = 1.0 + len(running) / self.options.max_running
             delay_ms = STEP_BASE_MS * self.options.slowdown * load
             await asyncio.sleep(delay_ms / 1000.0)
-            await self._alive.wait()
-            for stream in running:
-                step(stream)
+            await self.faults.until_responsive()
+            self._step(running)
+
+    def _step(self, running: list[engine_stream.EngineStream]) -> None:
+        for stream in running:
+            if self.faults.crash_if_poisoned(stream):
+                return
+        for stream in running:
+            if stream.running:
+                engine_stream.step(stream)
                 self.tokens_computed += 1
+                if stream.finished:
+                    self._forget_later(stream)
+
+    def _forget_later(self, stream: engine_stream.EngineStream) -> None:
+        request = stream.request
+        stream_id = f"{request.generation}.{request.attempt}"
+        asyncio.get_running_loop().call_later(
+            STREAM_LINGER_MS / 1000.0, self._stream_by_id.pop, stream_id, None
+        )
+
+    @web.middleware
+    async def _drop_when_crashed(self, request, handler):
+        if self.faults.crashed and request.path not in ("/fault", "/counts"):
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=503)
+        return await handler(request)
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
-        await self._alive.wait()
+        await self.faults.until_responsive()
         body = _decode_request(await request.read())
         wrong = (
             body.model != self.options.model
@@ -209,32 +132,38 @@
         )
         if wrong:
             return web.json_response({"error": "wrong model"}, status=409)
-        stream = open_stream(body)
+        stream = engine_stream.open_stream(body)
         self.requests_run += 1
         self._stream_by_id[f"{body.generation}.{body.attempt}"] = stream
         self._work.set()
-        return await self._follow(request, stream, body.forced_ids)
+        return await self._follow(request, stream, len(body.forced_ids))
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
-        await self._alive.wait()
+        await self.faults.until_responsive()
         stream = self._stream_by_id.get(request.match_info["stream_id"])
         offset = int(request.query["offset"])
         if stream is None or stream.cancelled or offset < stream.first_offset:
             return web.json_response({"error": "no such stream"}, status=404)
-        return await self._follow(request, stream, range(offset))
-
-    async def _follow(self, request, stream, before) -> web.StreamResponse:
+        self.reattached += 1
+        return await self._follow(request, stream, offset)
+
+    async def _follow(
+        self,
+        request: web.Request,
+        stream: engine_stream.EngineStream,
+        offset: int,
+    ) -> web.StreamResponse:
         response = web.StreamResponse(
             headers={"Content-Type": "text/event-stream"}
         )
-        self._transports.add(request.transport)
-        position = len(before) - stream.first_offset
+        transport = request.transport
+        if transport is not None:
+            self.faults.connections.add(transport)
+        position = stream.position_of(offset)
         try:
             await response.prepare(request)
             while not stream.cancelled:
-                await self._alive.wait()
-                if self._truncating:
-                    break
+                await self.faults.until_responsive()
                 events = stream.event_by_position[position:]
                 if events:
                     position += len(events)
@@ -246,21 +175,19 @@
                 await stream.changed.wait()
             return response
         finally:
-            self._transports.discard(request.transport)
+            self.faults.connections.discard(transport)
 
     async def _cancel(self, request: web.Request) -> web.Response:
         stream = self._stream_by_id.get(request.match_info["stream_id"])
         if stream is not None:
             stream.cancelled = True
             stream.changed.set()
+            self._forget_later(stream)
         return web.json_response({"cancelled": stream is not None})
 
     async def _load(self, request: web.Request) -> web.Response:
-        await self._alive.wait()
-        unfinished = sum(
-            not (s.finished or s.cancelled)
-            for s in self._stream_by_id.values()
-        )
+        await self.faults.until_responsive()
+        unfinished = len(self._unfinished())
         running = min(unfinished, self.options.max_running)
         report = engine_protocol.LoadReport(
             engine_id=self.options.engine_id,
@@ -268,7 +195,7 @@
             running=running,
             waiting=unfinished - running,
             tokens_per_s=1000.0 / (STEP_BASE_MS * self.options.slowdown),
-            leaving=self._leaving,
+            leaving=self.faults.leaving,
         )
         return web.Response(
             body=_encode(report), content_type="application/json"
@@ -284,34 +211,8 @@
 
     async def _fault(self, request: web.Request) -> web.Response:
         fault = _decode_fault(await request.read())
-        match fault.kind:
-            case "die":
-                self._alive.clear()
-            case "reset":
-                self._reset()
-            case "truncate":
-                await self._truncate()
-            case "leave":
-                self._leaving = True
-            case _:
-                return web.json_response({"error": "no fault"}, status=400)
+        try:
+            self.faults.apply(fault)
+        except ValueError:
+            return web.json_response({"error": "no such fault"}, status=400)
         return web.json_response({"kind": fault.kind})
-
-    def _reset(self) -> None:
-        self._incarnation = secrets.token_hex(4)
-        self._stream_by_id.clear()
-        for transport in list(self._transports):
-            transport.abort()
-
-    async def _truncate(self) -> None:
-        self._truncating = True
-        for stream in self._stream_by_id.values():
-            stream.changed.set()
-        await asyncio.sleep(0.05)
-        self._truncating = False
-        self._stream_by_id.clear()
-
-
-def decode_event(raw: bytes) -> engine_protocol.EngineEvent:
-    """Return the event of one encoded server-sent event."""
-    return _decode_event(raw.removeprefix(b"data: "))
--- /dev/null
+++ b/src/oriolejunction/standin/engine_faults.py
@@ -0,0 +1,144 @@
+"""Faults that are provoked in a stand-in engine.
+
+A silent engine keeps its connections open and sends nothing. A crashed one
+has lost its connections and streams, and drops each new connection.
+"""
+
+import asyncio
+import collections.abc
+import enum
+
+from oriolejunction import engine_protocol
+from oriolejunction.standin import engine_stream
+
+
+class FaultKind(enum.Enum):
+    """What can be provoked with ``POST /fault``.
+
+    `PAUSE`, and `DIE` or `CRASH` with a duration, end by themselves after
+    `duration_ms`. `POISON` makes the engine crash on each request whose
+    prompt holds `marker`; it is back after `duration_ms`, 0 for never.
+    """
+
+    DIE = "die"
+    RESET = "reset"
+    CRASH = "crash"
+    PAUSE = "pause"
+    TRUNCATE = "truncate"
+    REPEAT = "repeat"
+    SKIP = "skip"
+    CROSS = "cross"
+    DROP = "drop"
+    POISON = "poison"
+    LEAVE = "leave"
+    RECOVER = "recover"
+
+
+class EngineFaults:
+    """The faults in effect and the connections that they act on."""
+
+    def __init__(
+        self,
+        running: collections.abc.Callable[
+            [], list[engine_stream.EngineStream]
+        ],
+        forget_streams: collections.abc.Callable[[], None],
+    ) -> None:
+        self.crashed = False
+        self.crashes = 0
+        self.leaving = False
+        self.truncations = 0
+        self.restart_after_ms_by_marker: dict[str, int] = {}
+        self.connections: set[asyncio.Transport] = set()
+        self._responsive = asyncio.Event()
+        self._responsive.set()
+        self._running = running
+        self._forget_streams = forget_streams
+
+    async def until_responsive(self) -> None:
+        """Wait while the engine is silent."""
+        await self._responsive.wait()
+
+    def apply(self, fault: engine_protocol.Fault) -> None:
+        """Provoke a fault; raise `ValueError` where there is no such one."""
+        kind = FaultKind(fault.kind)
+        match kind:
+            case FaultKind.DIE | FaultKind.PAUSE:
+                self._responsive.clear()
+                self._recover_after(fault.duration_ms)
+            case FaultKind.RESET:
+                self._drop_all()
+            case FaultKind.CRASH:
+                self.crash(fault.duration_ms)
+            case FaultKind.TRUNCATE:
+                self._truncate()
+            case FaultKind.REPEAT | FaultKind.SKIP | FaultKind.CROSS:
+                disturb(self._running(), kind)
+            case FaultKind.DROP:
+                self._drop_connections()
+            case FaultKind.POISON:
+                marker = fault.marker
+                self.restart_after_ms_by_marker[marker] = fault.duration_ms
+            case FaultKind.LEAVE:
+                self.leaving = True
+            case FaultKind.RECOVER:
+                self.recover()
+
+    def crash(self, restart_after_ms: int) -> None:
+        """Lose all connections and streams, until a restart."""
+        self.crashed = True
+        self.crashes += 1
+        self._drop_all()
+        self._recover_after(restart_after_ms)
+
+    def recover(self) -> None:
+        """Answer again, after silence with all that was held."""
+        self.crashed = False
+        self._responsive.set()
+
+    def crash_if_poisoned(self, stream: engine_stream.EngineStream) -> bool:
+        """Crash where the prompt of a running stream is poisonous."""
+        for marker, after_ms in self.restart_after_ms_by_marker.items():
+            if marker in stream.request.prompt:
+                self.crash(after_ms)
+                return True
+        return False
+
+    def _recover_after(self, duration_ms: int) -> None:
+        if duration_ms:
+            loop = asyncio.get_running_loop()
+            loop.call_later(duration_ms / 1000.0, self.recover)
+
+    def _drop_all(self) -> None:
+        self._forget_streams()
+        self._drop_connections()
+
+    def _drop_connections(self) -> None:
+        for transport in list(self.connections):
+            transport.abort()
+
+    def _truncate(self) -> None:
+        self.truncations += 1
+        for stream in self._running():
+            stream.cancelled = True
+            stream.changed.set()
+
+
+def disturb(
+    streams: list[engine_stream.EngineStream], kind: FaultKind
+) -> None:
+    """Repeat or skip an event of each stream, or cross the streams."""
+    last_by_stream = [s.event_by_position[-1:] for s in streams]
+    for number, stream in enumerate(streams):
+        match kind:
+            case FaultKind.REPEAT:
+                _append(stream, last_by_stream[number])
+            case FaultKind.SKIP:
+                stream.skips += 1
+            case FaultKind.CROSS:
+                _append(stream, last_by_stream[number - 1])
+
+
+def _append(stream: engine_stream.EngineStream, events: list[bytes]) -> None:
+    for event in events:
+        stream.emit(stream.offset, event)
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -30,6 +30,8 @@
 
     COMMITTED = "committed"
     NOT_OWNER = "not_owner"
+    FOREIGN = "foreign"
+    DIVERGED = "diverged"
     REPEATED = "repeated"
     GAP = "gap"
     FINISHED = "finished"
@@ -50,6 +52,7 @@
     MALFORMED = "malformed"
     GAP = "gap"
     FOREIGN = "foreign"
+    DIVERGED = "diverged"
 
 
 class EngineState(enum.Enum):
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -39,5 +39,18 @@
         for kind, value in dataclasses.asdict(totals).items():
             self.peer_traffic.set({"kind": kind}, value)
 
+        self.second_attempts = self._counter(
+            "oj_second_attempts_total",
+            "Attempts started while a suspected one was alive.",
+        )
+        self.false_suspicions = self._counter(
+            "oj_false_suspicions_total",
+            "Suspected attempts that went on by themselves.",
+        )
+        self.reattached = self._counter(
+            "oj_reattached_total",
+            "Engine streams resumed after their connection was lost.",
+        )
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
--- a/tests/controllers/test_generation.py
+++ b/tests/controllers/test_generation.py
@@ -6,7 +6,7 @@
 from oriolejunction.controllers import generation as generations
 from oriolejunction import engine_protocol
 from oriolejunction.standin import chain
-from oriolejunction.standin import engine as standin_engine
+from oriolejunction.standin import engine_stream
 from oriolejunction import states
 
 PROMPT = "p [[length=40]]"
@@ -29,11 +29,11 @@
 
 
 def _events(request):
-    stream = standin_engine.open_stream(request)
+    stream = engine_stream.open_stream(request)
     while not stream.finished:
-        standin_engine.step(stream)
+        engine_stream.step(stream)
     for raw in stream.event_by_position:
-        yield standin_engine.decode_event(raw)
+        yield engine_stream.decode_event(raw)
 
 
 def _complete_text(stop=()):
--- a/tests/controllers/test_route_request.py
+++ b/tests/controllers/test_route_request.py
@@ -31,6 +31,10 @@
         dataclasses.replace(REQUEST, prompt="q"),
         dataclasses.replace(REQUEST, max_tokens=99),
         dataclasses.replace(REQUEST, stop=("x",)),
+        dataclasses.replace(REQUEST, adapter="a"),
+        dataclasses.replace(
+            REQUEST, sampling=engine_protocol.Sampling(temperature=1.0)
+        ),
     ]
     fingerprints = {route_request.fingerprint_of(r) for r in others}
     assert len(fingerprints) == len(others)
