--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -13,6 +13,7 @@
 from oriolejunction import configuration
 from oriolejunction import ids
 from oriolejunction import invariants
+from oriolejunction import messages
 from oriolejunction import states
 
 Value = typing.TypeVar("Value")
@@ -78,6 +79,22 @@
     taken_at_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptLoss:
+    """An attempt that an engine lost, in ms of the instance's clock.
+
+    `engine_wide` tells that no other stream of the engine was going on.
+    """
+
+    engine_id: ids.EngineId
+    generation: ids.GenerationId
+    workspace: ids.WorkspaceId
+    fingerprint: ids.Fingerprint
+    cause: states.LossCause
+    at_ms: float
+    engine_wide: bool
+
+
 class Blackboard:
     """All cells of one instance."""
 
@@ -85,7 +102,10 @@
         self.instance_state = Cell(states.InstanceState.STARTING)
         self.in_force: Cell[InForce | None] = Cell(None)
         self.lease = Cell(ConfigurationLease(until_ms=0.0))
+        self.instance_by_id: Cell[dict[ids.InstanceId, messages.PeerInstance]]
+        self.instance_by_id = Cell({})
         self.engine_report_by_id: Cell[dict[ids.EngineId, EngineReport]]
         self.engine_report_by_id = Cell({})
         self.engine_state_by_id: Cell[dict[ids.EngineId, states.EngineState]]
         self.engine_state_by_id = Cell({})
+        self.attempt_losses: subject.Subject = subject.Subject()
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -30,11 +30,31 @@
 
     COMMITTED = "committed"
     NOT_OWNER = "not_owner"
+    FOREIGN = "foreign"
+    DIVERGED = "diverged"
     REPEATED = "repeated"
     GAP = "gap"
     FINISHED = "finished"
 
 
+class LossCause(enum.Enum):
+    """How an engine lost its attempt at a generation.
+
+    `REFUSED` is an answer other than 200, `FOREIGN` an event of another
+    generation or attempt.
+    """
+
+    SILENT = "silent"
+    DISCONNECTED = "disconnected"
+    NOT_REACHED = "not_reached"
+    REFUSED = "refused"
+    ENDED_EARLY = "ended_early"
+    MALFORMED = "malformed"
+    GAP = "gap"
+    FOREIGN = "foreign"
+    DIVERGED = "diverged"
+
+
 class EngineState(enum.Enum):
     """Whether an engine may be given new work."""
 
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -23,6 +23,7 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import transport as transports
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -41,6 +42,7 @@
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._requests_in_flight = 0
         self._tasks: list[asyncio.Task] = []
@@ -52,10 +54,9 @@
         """Open the listeners and begin to serve."""
         settings = self.settings
         instance_id = ids.InstanceId(settings.instance_id)
-        if settings.data_dir is not None:
-            await self._start_replica(instance_id)
+        await self._start_peer_listener(instance_id)
         self._control = control_client.ControlClient(
-            settings.control_address_by_id()
+            settings.control_address_by_id(), self._transport
         )
         self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
@@ -65,6 +66,7 @@
             self.clock,
             self.blackboard,
             self._control,
+            settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
@@ -100,16 +102,20 @@
             await self._replica.close()
         self._write_state(states.InstanceState.STOPPED)
 
-    async def _start_replica(self, instance_id: ids.InstanceId) -> None:
+    async def _start_peer_listener(self, instance_id: ids.InstanceId) -> None:
+        self._server = grpc.aio.server()
+        if self.settings.data_dir is not None:
+            self._add_replica(instance_id)
+        self._transport.listen(self._server, self.settings.peer_listen)
+        await self._server.start()
+
+    def _add_replica(self, instance_id: ids.InstanceId) -> None:
         data_dir = pathlib.Path(self.settings.data_dir)
         data_dir.mkdir(parents=True, exist_ok=True)
         self._replica = single.SingleReplica(data_dir)
-        self._server = grpc.aio.server()
         control_service.ControlService(
             instance_id, self._replica, self.clock
         ).add_to(self._server)
-        self._server.add_insecure_port(self.settings.peer_listen)
-        await self._server.start()
 
     def _caller_parts(self, instance_id: ids.InstanceId):
         rng = random.Random(instance_id)
@@ -122,6 +128,8 @@
                 engines=self._engines,
                 choose_engine=routing.random_choice(self.blackboard, rng),
                 telemetry=self.telemetry,
+                clock=self.clock,
+                attempt_losses=self.blackboard.attempt_losses,
             ),
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
