Soak a local deployment with mixed traffic and all faults

Cause: each lane tests its own failures; nothing tests them together.

Change: bench soak runs checked answers, never-twice orders and racing changes while engines fail in every way and instances drain or stop.

--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from oriolejunction.bench import result
+from oriolejunction.bench import soak
 from oriolejunction import errors
 
 Bench = collections.abc.Callable[
@@ -16,7 +17,9 @@
     code = "unknown_bench"
 
 
-BENCH_BY_NAME: dict[str, Bench] = {}
+BENCH_BY_NAME: dict[str, Bench] = {
+    "soak": soak.run,
+}
 
 
 def bench_of(name: str) -> Bench:
--- /dev/null
+++ b/src/oriolejunction/bench/mixed_traffic.py
@@ -0,0 +1,164 @@
+"""Mixed traffic whose every answer is checked: answers, orders, changes."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+import msgspec
+
+from oriolejunction.bench import resilient_client
+from oriolejunction import clock as clocks
+from oriolejunction import errors
+from oriolejunction import local_deployment
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.standin import chain
+
+SHORTEST_TOKENS = 10
+LONGEST_TOKENS = 600
+CHANGE_INTERVAL_MS = 2_000
+ORDER_INTERVAL_MS = 100
+OPERATOR_NAMES = ("first", "second")
+
+
+@dataclasses.dataclass
+class Tally:
+    """What the callers and operators saw."""
+
+    ends: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    error_codes: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    tokens: int = 0
+    resends: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
+    orders: list[resilient_client.OrderRecord] = dataclasses.field(
+        default_factory=list
+    )
+    accepted: list[int] = dataclasses.field(default_factory=list)
+    conflicts: int = 0
+
+
+class MixedTraffic:
+    """Callers and operators of one deployment."""
+
+    def __init__(
+        self,
+        addresses: local_deployment.Addresses,
+        answers: answer_files.Answers,
+        seed: int,
+        clock: clocks.Clock,
+    ) -> None:
+        self.tally = Tally()
+        self._addresses = addresses
+        self._answers = answers
+        self._rng = random.Random(seed)
+        self._clock = clock
+        self._clients = [
+            resilient_client.ResilientClient(
+                addresses.callers_urls, key, self._rng, clock
+            )
+            for key in addresses.workspace_keys.values()
+        ]
+        self._number = 0
+
+    async def run(self, until: asyncio.Event, streams: int) -> None:
+        """Keep `streams` answers going, with orders and changes."""
+        works = [self._one_answer] * streams
+        works += [self._one_order, self._racing_changes]
+        async with asyncio.TaskGroup() as group:
+            for work in works:
+                group.create_task(resilient_client.forever(work, until))
+        for client in self._clients:
+            await client.close()
+
+    async def _one_answer(self) -> None:
+        self._number += 1
+        length = self._rng.randint(SHORTEST_TOKENS, LONGEST_TOKENS)
+        sampled = self._rng.random() < 0.5
+        prompt = f"request {self._number} [[length={length}]]"
+        body = {
+            "model": local_deployment.MODEL,
+            "prompt": prompt,
+            "max_tokens": 2 * length,
+            "temperature": 0.7 if sampled else 0.0,
+        }
+        answer = await self._rng.choice(self._clients).stream(body)
+        self._check_answer(answer, prompt, length, sampled)
+
+    def _check_answer(
+        self,
+        answer: resilient_client.Answer,
+        prompt: str,
+        length: int,
+        sampled: bool,
+    ) -> None:
+        tally = self.tally
+        tally.ends[answer.end.value] += 1
+        tally.resends += answer.sends - 1
+        if answer.error_code is not None:
+            tally.error_codes[answer.error_code] += 1
+        verdict = chain.check_text(
+            answer.text, local_deployment.MODEL_VERSION, "", prompt, sampled
+        )
+        tally.tokens += verdict.tokens
+        finished = answer.end is resilient_client.AnswerEnd.FINISHED
+        whole = verdict.whole and verdict.tokens == length
+        mixed = verdict.wrong_at is not None
+        if mixed or finished and not whole:
+            tally.broken.append(f"{prompt}: {answer.end} {verdict}")
+
+    async def _one_order(self) -> None:
+        record = resilient_client.OrderRecord(
+            f"order-{self._rng.randrange(1 << 62):x}"
+        )
+        self.tally.orders.append(record)
+        path = f"/services/{local_deployment.SERVICE}/orders"
+        await self._rng.choice(self._clients).order(path, record)
+        await self._clock.sleep_ms(ORDER_INTERVAL_MS)
+
+    async def _racing_changes(self) -> None:
+        shares = self._rng.sample(range(1, 1_000_000), len(OPERATOR_NAMES))
+        async with asyncio.TaskGroup() as group:
+            for share in shares:
+                group.create_task(self._change(share))
+        await self._clock.sleep_ms(CHANGE_INTERVAL_MS)
+
+    async def _change(self, share: int) -> None:
+        first, *others = self._answers.workspaces
+        first = msgspec.structs.replace(first, share=share)
+        answers = msgspec.structs.replace(
+            self._answers, workspaces=(first, *others)
+        )
+        client = operator_client.OperatorClient(
+            self._rng.choice(self._addresses.operators_urls),
+            self._addresses.operator_token,
+        )
+        text = answer_files.dump(answer_files.without_keys(answers))
+        try:
+            draft = await client.submit(text)
+            reply = await client.accept(draft["draft_id"])
+            self.tally.accepted.append(reply["revision"])
+        except errors.Failure:
+            self.tally.conflicts += 1
+
+
+def violations(tally: Tally, runs_by_key: collections.Counter) -> list[str]:
+    """Return each promise that the traffic saw broken."""
+    found = [f"broken answer: {text}" for text in tally.broken]
+    for record in tally.orders:
+        runs = runs_by_key[record.key]
+        if runs > 1:
+            found.append(f"{record.key} ran {runs} times")
+        told_not_run = record.not_run == record.sends
+        if told_not_run and runs:
+            found.append(f"{record.key} ran though told not run")
+        if record.answered and not runs:
+            found.append(f"{record.key} was answered but did not run")
+    for revision, count in collections.Counter(tally.accepted).items():
+        if count > 1:
+            found.append(f"revision {revision} was won {count} times")
+    return found
--- /dev/null
+++ b/src/oriolejunction/bench/resilient_client.py
@@ -0,0 +1,181 @@
+"""A caller that comes back elsewhere when its entry instance is lost.
+
+It resends the same request with ``Last-Event-ID`` and never sends a
+never-twice call under another key.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import enum
+import random
+
+import aiohttp
+import orjson
+
+from oriolejunction import clock as clocks
+
+SILENCE_TIMEOUT_S = 10.0
+RETRY_PAUSE_MS = 150
+MAX_SENDS = 40
+_DONE = b"data: [DONE]"
+
+
+class AnswerEnd(enum.Enum):
+    """How an answer ended for the caller."""
+
+    FINISHED = "finished"
+    REFUSED = "refused"
+    LOST = "lost"
+    GIVEN_UP = "given_up"
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller holds of one streamed answer."""
+
+    end: AnswerEnd = AnswerEnd.GIVEN_UP
+    text: str = ""
+    last_event_id: str | None = None
+    error_code: str | None = None
+    sends: int = 0
+    longest_gap_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class OrderRecord:
+    """What a caller was told about one never-twice call."""
+
+    key: str
+    sends: int = 0
+    answered: bool = False
+    unsure: int = 0
+    not_run: int = 0
+
+
+class ResilientClient:
+    """Streams answers and sends orders through any entry instance."""
+
+    def __init__(
+        self,
+        urls: collections.abc.Sequence[str],
+        key: str,
+        rng: random.Random,
+        clock: clocks.Clock,
+    ) -> None:
+        self._urls = urls
+        self._rng = rng
+        self._clock = clock
+        self._session = aiohttp.ClientSession(
+            headers={"Authorization": f"Bearer {key}"},
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_read=SILENCE_TIMEOUT_S
+            ),
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def stream(self, body: dict[str, object]) -> Answer:
+        """Stream a completion until it ends, whatever instance is lost."""
+        answer = Answer()
+        for _ in range(MAX_SENDS):
+            answer.sends += 1
+            try:
+                if await self._stream_once(body, answer):
+                    return answer
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                pass
+            await self._clock.sleep_ms(RETRY_PAUSE_MS)
+        return answer
+
+    async def _stream_once(
+        self, body: dict[str, object], answer: Answer
+    ) -> bool:
+        url = self._rng.choice(self._urls) + "/v1/completions"
+        headers = {}
+        if answer.last_event_id is not None:
+            headers["Last-Event-ID"] = answer.last_event_id
+        async with self._session.post(
+            url, json=body | {"stream": True}, headers=headers
+        ) as response:
+            if response.status != 200:
+                error = (await response.json())["error"]
+                return self._refused(answer, error)
+            return await self._read(response.content, answer)
+
+    def _refused(self, answer: Answer, error: dict) -> bool:
+        answer.error_code = error["code"]
+        if error["code"] == "generation_lost":
+            answer.end = AnswerEnd.LOST
+            return True
+        if error["retry_after_ms"] is not None:
+            return False
+        answer.end = AnswerEnd.REFUSED
+        return True
+
+    async def _read(
+        self, content: aiohttp.StreamReader, answer: Answer
+    ) -> bool:
+        event_id = None
+        last_ms = self._clock.now_ms()
+        async for line in content:
+            if line.startswith(b"id: "):
+                event_id = line[4:].decode().strip()
+            elif line.startswith(_DONE):
+                answer.end = AnswerEnd.FINISHED
+                return True
+            elif line.startswith(b"data: "):
+                record = orjson.loads(line[6:])
+                if "error" in record:
+                    return self._refused(answer, record["error"])
+                answer.text += _text(record)
+                answer.last_event_id = event_id or answer.last_event_id
+                now_ms = self._clock.now_ms()
+                gap_ms = now_ms - last_ms
+                answer.longest_gap_ms = max(answer.longest_gap_ms, gap_ms)
+                last_ms = now_ms
+        return False
+
+    async def order(self, path: str, record: OrderRecord) -> None:
+        """Send a never-twice call, and again until it is answered."""
+        for _ in range(MAX_SENDS):
+            record.sends += 1
+            try:
+                if await self._order_once(path, record):
+                    return
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                record.unsure += 1
+            await self._clock.sleep_ms(RETRY_PAUSE_MS)
+
+    async def _order_once(self, path: str, record: OrderRecord) -> bool:
+        async with self._session.post(
+            self._rng.choice(self._urls) + path,
+            data=record.key,
+            headers={"Idempotency-Key": record.key},
+        ) as response:
+            if response.status == 200:
+                record.answered = True
+                return True
+            error = (await response.json())["error"]
+        if error["outcome"] == "not_run":
+            record.not_run += 1
+        else:
+            record.unsure += 1
+        return error["retry_after_ms"] is None
+
+
+def _text(record: dict) -> str:
+    choices = record.get("choices") or [{}]
+    return choices[0].get("text") or ""
+
+
+async def forever(
+    work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    until: asyncio.Event,
+) -> None:
+    """Repeat some work until an event is set."""
+    while not until.is_set():
+        await work()
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -29,6 +29,7 @@
 from oriolejunction import telemetry as metrics
 
 DRAIN_POLL_MS = 50
+STOP_TIMEOUT_S = 0.1
 _log = structlog.get_logger(__name__)
 
 
@@ -148,7 +149,12 @@
 
     async def _listen(self, app: web.Application, address: str) -> None:
         host, port = instance_settings.split_address(address)
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
         await runner.setup()
         await web.TCPSite(runner, host, port).start()
         self._runners.append(runner)
