--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -134,6 +134,26 @@
     status = http.HTTPStatus.BAD_GATEWAY
 
 
+class ResumeRefused(NotRunError):
+    """`Last-Event-ID` does not fit the request or the journal."""
+
+    code = "resume_refused"
+    status = http.HTTPStatus.CONFLICT
+
+
+class JournalUnavailable(NotRunError):
+    """The journal of a generation did not answer; asking again may help."""
+
+    code = "journal_unavailable"
+
+
+class OwnerFenced(ServingError):
+    """Another instance took the generation over."""
+
+    code = "owner_fenced"
+    status = http.HTTPStatus.CONFLICT
+
+
 class GenerationLost(ServingError):
     """The answer cannot be finished whole; discard the part received."""
 
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -12,12 +12,16 @@
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
 from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import journal_owner
 from oriolejunction import errors
+from oriolejunction.http import answer_stream
 from oriolejunction.http import openai_answers
 from oriolejunction.http import openai_requests
 from oriolejunction.http import replies
+from oriolejunction.http import resumption
 from oriolejunction.http import service_calls
 from oriolejunction import ids
+from oriolejunction.peers import journal_client
 from oriolejunction.peers import traffic
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -35,6 +39,7 @@
     telemetry: metrics.Telemetry
     runner: generation_runner.RunnerParts
     services: service_calls.ServiceCalls
+    journals: journal_client.JournalClient
     new_generation_id: collections.abc.Callable[[], ids.GenerationId]
     max_body_bytes: int
 
@@ -106,23 +111,23 @@
         content = in_force(parts)
         workspace = workspace_of(request, content)
         body = openai_requests.parse(await request.read(), chat)
-        generation = generations.Generation(
-            parts.new_generation_id(),
-            openai_requests.generation_request(
-                body, workspace.workspace_id, content
-            ),
+        asked = openai_requests.generation_request(
+            body, workspace.workspace_id, content
         )
+        answer = await self._answer(request, asked, bool(body.stream))
+        generation = answer.generation
         writer = openai_answers.AnswerWriter(
-            generation.generation_id, parts.instance_id, body.model, chat
+            generation.generation_id, body.model, chat
         )
         deliveries = generation_runner.run(generation, parts.runner)
         if body.stream:
             usage = bool(
                 body.stream_options and body.stream_options.include_usage
             )
-            return await self._stream(
-                request, generation, deliveries, writer, usage
+            stream = answer_stream.AnswerStream(
+                request, answer, parts.journals, writer
             )
+            return await self._stream(stream, generation, deliveries, usage)
         text = "".join(
             [part.text async for batch in deliveries for part in batch]
         )
@@ -132,32 +137,35 @@
             content_type="application/json",
         )
 
+    async def _answer(
+        self,
+        request: web.Request,
+        asked: generations.GenerationRequest,
+        streamed: bool,
+    ) -> resumption.Answer:
+        parts = self._parts
+        if streamed and resumption.HEADER in request.headers:
+            return await resumption.resume(request, asked, parts.journals)
+        generation = generations.Generation(parts.new_generation_id(), asked)
+        journal = None
+        if journal_owner.needs_journal(asked, streamed):
+            journal = parts.journals.new_journal(
+                generation.generation_id, asked
+            )
+        return resumption.Answer(generation, journal)
+
     async def _stream(
-        self, request, generation, deliveries, writer, include_usage
+        self, stream, generation, deliveries, include_usage
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-cache",
-            }
-        )
         try:
-            async for batch in deliveries:
-                if not response.prepared:
-                    await response.prepare(request)
-                    await response.write(writer.opening())
-                await response.write(b"".join(map(writer.delivery, batch)))
+            await stream.run(deliveries, include_usage)
         except errors.Failure as failure:
             self._count(generation, failure.error.code)
-            if not response.prepared:
+            if not stream.prepared:
                 raise
-            await response.write(openai_answers.error_event(failure.error))
-            return response
-        if not response.prepared:
-            await response.prepare(request)
-        await response.write(writer.ending(generation, include_usage))
+            return stream.response
         self._count(generation, "whole")
-        return response
+        return stream.response
 
     def _count(self, generation: generations.Generation, outcome: str) -> None:
         telemetry = self._parts.telemetry
--- a/src/oriolejunction/http/openai_answers.py
+++ b/src/oriolejunction/http/openai_answers.py
@@ -16,18 +16,20 @@
     """Encode the deliveries of one generation.
 
     The event id is ``<generation>.<journal instance>.<offset>``, where the
-    offset counts the tokens that the caller holds after the event.
+    offset counts the tokens that the caller holds after the event. Without
+    a journal the middle is empty and the generation cannot be resumed.
     """
 
     def __init__(
         self,
         generation_id: ids.GenerationId,
-        journal: ids.InstanceId,
         model: str,
         chat: bool,
     ) -> None:
         self._chat = chat
-        self._id_prefix = f"id: {generation_id}.{journal}.".encode()
+        self._generation_id = generation_id
+        self._replica: ids.InstanceId | None = None
+        self._id_prefix = f"id: {generation_id}..".encode()
         self._base: dict[str, typing.Any] = {
             "id": ("chatcmpl-" if chat else "cmpl-") + generation_id,
             "object": ("chat.completion.chunk" if chat else "text_completion"),
@@ -44,6 +46,14 @@
             self._before = head + b',"choices":[{"index":0,"text":'
             self._after = b',"logprobs":null,"finish_reason":null}]}\n\n'
 
+    def set_replica(self, replica: ids.InstanceId | None) -> None:
+        """Name the instance whose journal holds the following events."""
+        if replica != self._replica:
+            self._replica = replica
+            self._id_prefix = (
+                f"id: {self._generation_id}.{replica or ''}.".encode()
+            )
+
     def opening(self) -> bytes:
         """Return the first event of a chat stream, which gives the role."""
         if not self._chat:
--- /dev/null
+++ b/src/oriolejunction/http/resumption.py
@@ -0,0 +1,88 @@
+"""Resuming of a generation from the last event that a caller holds."""
+
+import dataclasses
+
+from aiohttp import web
+
+from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import journal_owner
+from oriolejunction import errors
+from oriolejunction import ids
+from oriolejunction.peers import journal_client
+
+HEADER = "Last-Event-ID"
+MAX_OFFSET_DIGITS = 9
+
+
+@dataclasses.dataclass(frozen=True)
+class EventId:
+    """Id of an event: the caller holds `offset` tokens after it."""
+
+    generation: ids.GenerationId
+    replica: ids.InstanceId
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A generation to be streamed, and the tokens that its caller holds."""
+
+    generation: generations.Generation
+    journal: journal_owner.OwnedJournal | None
+    held: int = 0
+
+
+def parse_event_id(text: str) -> EventId:
+    """Return the parts of an event id.
+
+    Raise `Failure` with `ResumeRefused` for a malformed id, or with
+    `GenerationLost` where the generation was not protected.
+    """
+    generation, first, rest = text.strip().partition(".")
+    replica, second, offset = rest.rpartition(".")
+    well_formed = (
+        generation
+        and first
+        and second
+        and offset.isascii()
+        and offset.isdecimal()
+        and len(offset) <= MAX_OFFSET_DIGITS
+    )
+    if not well_formed:
+        raise errors.Failure(
+            errors.ResumeRefused(f"malformed {HEADER} {text[:200]!r}")
+        )
+    if not replica:
+        raise errors.Failure(
+            errors.GenerationLost(
+                "it was not journalled; discard the part received"
+            )
+        )
+    return EventId(
+        ids.GenerationId(generation), ids.InstanceId(replica), int(offset)
+    )
+
+
+async def resume(
+    request: web.Request,
+    asked: generations.GenerationRequest,
+    journals: journal_client.JournalClient,
+) -> Answer:
+    """Take over the generation that `Last-Event-ID` names.
+
+    Raise `Failure` with `ResumeRefused`, `GenerationLost` or
+    `JournalUnavailable`.
+    """
+    event = parse_event_id(request.headers[HEADER])
+    journal = await journals.take_over(
+        event.generation, asked, event.replica, event.offset
+    )
+    generation = generations.Generation(event.generation, journal.request)
+    last_attempt = journal.owner * journal_owner.ATTEMPTS_PER_OWNER
+    prompt_tokens = journal.finish.prompt_tokens if journal.finish else 0
+    generation.restore(
+        journal.tokens.ids, ids.AttemptNumber(last_attempt), prompt_tokens
+    )
+    if journal.finish is not None:
+        generation.finish_reason = journal.finish.reason
+    return Answer(generation, journal, event.offset)
--- a/src/oriolejunction/invariants.py
+++ b/src/oriolejunction/invariants.py
@@ -46,6 +46,26 @@
     )
 
 
+def require_acknowledged(delivered: int, acknowledged: int) -> None:
+    """Require that the journal holds each token before the caller does."""
+    require(
+        "journal_before_delivery",
+        delivered <= acknowledged,
+        delivered=delivered,
+        acknowledged=acknowledged,
+    )
+
+
+def require_rising_owner(current: int, following: int) -> None:
+    """Require that a journal changes hands only to a higher owner number."""
+    require(
+        "owner_number_rises",
+        following > current,
+        current=current,
+        following=following,
+    )
+
+
 def require_rising_revision(current: int, following: int) -> None:
     """Require that a revision in force is never replaced by an older one."""
     require(
--- /dev/null
+++ b/src/oriolejunction/journal_messages.py
@@ -0,0 +1,101 @@
+"""Typed messages between the owner of a generation and its journal.
+
+Records are arrays in MessagePack, since there is one for each event.
+"""
+
+import msgspec
+
+from oriolejunction.controllers import generation as generations
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction import states
+from oriolejunction import token_log
+
+
+class JournalFinish(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a generation."""
+
+    reason: states.FinishReason
+    prompt_tokens: int
+
+
+class JournalRecord(messages.Message, frozen=True, array_like=True):
+    """Base of the records of a batch.
+
+    `owner` is the number of the instance that works on the generation; it
+    rises with each takeover.
+    """
+
+    generation: ids.GenerationId
+    owner: ids.OwnerNumber
+
+
+class JournalOpen(JournalRecord, frozen=True, array_like=True):
+    """Journal a generation whole, from its first token to its present end."""
+
+    instance: ids.InstanceId
+    request: generations.GenerationRequest
+    tokens: token_log.PackedTokens = token_log.PackedTokens()
+    finish: JournalFinish | None = None
+
+
+class JournalAppend(JournalRecord, frozen=True, array_like=True):
+    """Append tokens at an offset."""
+
+    offset: int
+    ids: tuple[int, ...]
+    text: str
+    finish: JournalFinish | None = None
+
+
+class JournalClose(JournalRecord, frozen=True, array_like=True):
+    """Forget a generation whose caller needs it no longer."""
+
+
+class JournalBatch(messages.Message, frozen=True):
+    """Records of many generations, in order for each generation."""
+
+    records: tuple[JournalOpen | JournalAppend | JournalClose, ...]
+
+
+class JournalRefused(messages.Message, frozen=True):
+    """A record of a generation was refused."""
+
+    generation: ids.GenerationId
+    owner: ids.OwnerNumber
+    reason: states.JournalRefusal
+
+
+class JournalBatchReply(messages.Message, frozen=True):
+    """All records of the batch count but those of refused generations."""
+
+    refused: tuple[JournalRefused, ...] = ()
+
+
+class JournalTakeOver(messages.Message, frozen=True):
+    """Make `instance` the owner for a caller that holds `offset` tokens.
+
+    `request` is what the caller sent again; only the version may differ.
+    """
+
+    generation: ids.GenerationId
+    request: generations.GenerationRequest
+    offset: int
+    instance: ids.InstanceId
+
+
+class JournalContent(messages.Message, frozen=True):
+    """A generation as journalled, handed over to its new owner."""
+
+    generation: ids.GenerationId
+    owner: ids.OwnerNumber
+    request: generations.GenerationRequest
+    tokens: token_log.PackedTokens
+    finish: JournalFinish | None
+
+
+class JournalTakeOverReply(messages.Message, frozen=True):
+    """The content, or why there is none."""
+
+    content: JournalContent | None = None
+    refusal: states.JournalRefusal | None = None
--- /dev/null
+++ b/src/oriolejunction/peers/journal_client.py
@@ -0,0 +1,288 @@
+"""Journalling of this instance's generations at other instances."""
+
+import asyncio
+import collections.abc
+import random
+
+import grpc
+import structlog
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import journal_owner
+from oriolejunction import errors
+from oriolejunction import ids
+from oriolejunction import journal_messages
+from oriolejunction.peers import journal_methods
+from oriolejunction.peers import journal_sender
+from oriolejunction.peers import journal_service
+from oriolejunction.peers import rpc
+from oriolejunction import states
+from oriolejunction import telemetry as metrics
+
+TAKE_OVER_TIMEOUT_MS = 600
+MAX_REPLICAS_TRIED = 3
+RETRY_MS = 1_000
+LOST_REPLICA_MS = 3_000
+_log = structlog.get_logger(__name__)
+
+OpenChannel = collections.abc.Callable[[str], grpc.aio.Channel]
+
+
+class JournalClient:
+    """Open, extend and take over journals."""
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        zone: ids.ZoneId,
+        clock: clocks.Clock,
+        blackboard: blackboards.Blackboard,
+        telemetry: metrics.Telemetry,
+        local: journal_service.JournalService,
+        open_channel: OpenChannel,
+    ) -> None:
+        self._instance_id = instance_id
+        self._zone = zone
+        self._clock = clock
+        self._blackboard = blackboard
+        self._telemetry = telemetry
+        self._local = local
+        self._open_channel = open_channel
+        self._rng = random.Random(instance_id)
+        self._sender_by_address: dict[str, journal_sender.JournalSender] = {}
+        self._lost_until_ms_by_id: dict[ids.InstanceId, float] = {}
+        self._leaving: frozenset[ids.InstanceId] = frozenset()
+        self._subscription = blackboard.instance_by_id.changes().subscribe(
+            self._note_leaving
+        )
+
+    def new_journal(
+        self,
+        generation_id: ids.GenerationId,
+        request: generations.GenerationRequest,
+    ) -> journal_owner.OwnedJournal:
+        """Return the journal of a generation that begins here."""
+        return journal_owner.OwnedJournal(
+            generation_id, request, self._instance_id
+        )
+
+    async def append(
+        self,
+        journal: journal_owner.OwnedJournal,
+        deliveries: journal_owner.Deliveries,
+        finish: journal_messages.JournalFinish | None = None,
+    ) -> None:
+        """Return when a replica holds the deliveries or none can be had.
+
+        Raise `Failure` with `OwnerFenced` where another instance took the
+        generation over.
+        """
+        records = journal.extend(deliveries, finish)
+        self._telemetry.journal_tokens.add(
+            {}, sum(len(part.ids) for part in deliveries)
+        )
+        if journal.replica is None or journal.replica in self._leaving:
+            await self._protect(journal)
+            return
+        if not await self._submitted(journal, journal.replica, records):
+            journal.retry_at_ms = 0.0
+            await self._protect(journal)
+
+    async def close(self) -> None:
+        """Give up what is pending and close all channels."""
+        self._subscription.dispose()
+        for sender in self._sender_by_address.values():
+            await sender.close()
+
+    def forget(self, journal: journal_owner.OwnedJournal) -> None:
+        """Let the replica drop a journal that cannot be gone on with."""
+        sender = self._sender(journal.replica)
+        if sender is not None:
+            done = sender.submit((journal.closing(),))
+            done.add_done_callback(asyncio.Future.exception)
+
+    async def take_over(
+        self,
+        generation_id: ids.GenerationId,
+        request: generations.GenerationRequest,
+        replica: ids.InstanceId,
+        offset: int,
+    ) -> journal_owner.OwnedJournal:
+        """Become the owner of a generation journalled at `replica`.
+
+        Raise `Failure` with `GenerationLost`, `ResumeRefused` or
+        `JournalUnavailable`.
+        """
+        reply = await self._ask_take_over(
+            replica,
+            journal_messages.JournalTakeOver(
+                generation_id, request, offset, self._instance_id
+            ),
+        )
+        if reply.content is None:
+            raise _refused(reply.refusal)
+        journal = journal_owner.OwnedJournal(
+            generation_id,
+            reply.content.request,
+            self._instance_id,
+            owner=journal_owner.NO_OWNER,
+        )
+        journal.adopt(reply.content, replica)
+        _log.info(
+            "generation taken over",
+            generation=generation_id,
+            owner=journal.owner,
+            journalled=journal.tokens.end,
+        )
+        return journal
+
+    async def _ask_take_over(
+        self,
+        replica: ids.InstanceId,
+        request: journal_messages.JournalTakeOver,
+    ) -> journal_messages.JournalTakeOverReply:
+        if replica == self._instance_id:
+            return await self._local.take_over(request)
+        sender = self._sender(replica)
+        if sender is None:
+            raise errors.Failure(
+                errors.GenerationLost(
+                    "its journal is lost; discard the part received"
+                )
+            )
+        try:
+            return await sender.take_over(
+                request, timeout=TAKE_OVER_TIMEOUT_MS / 1000.0
+            )
+        except grpc.aio.AioRpcError as error:
+            raise errors.Failure(
+                errors.JournalUnavailable(
+                    f"journal did not answer: {error.code()}",
+                    retry_after_ms=500,
+                )
+            )
+
+    async def _protect(self, journal: journal_owner.OwnedJournal) -> None:
+        """Journal a generation whole at another instance, if there is one."""
+        now_ms = self._clock.now_ms()
+        if now_ms < journal.retry_at_ms:
+            return
+        former = journal.replica
+        journal.replica = None
+        for _ in range(MAX_REPLICAS_TRIED):
+            replica = self._choose()
+            if replica is None:
+                break
+            if await self._submitted(journal, replica, (journal.opening(),)):
+                break
+        journal.retry_at_ms = self._clock.now_ms() + RETRY_MS
+        if journal.replica is None:
+            self._telemetry.journals_unprotected.inc({})
+            _log.warning(
+                "generation unprotected",
+                generation=journal.generation_id,
+                former=former,
+            )
+
+    def _choose(self) -> ids.InstanceId | None:
+        now_ms = self._clock.now_ms()
+        lost = {
+            replica
+            for replica, until_ms in self._lost_until_ms_by_id.items()
+            if until_ms > now_ms
+        }
+        return journal_owner.choose_replica(
+            self._blackboard.instance_by_id.read(),
+            self._instance_id,
+            self._zone,
+            lost,
+            self._rng,
+        )
+
+    async def _submitted(
+        self,
+        journal: journal_owner.OwnedJournal,
+        replica: ids.InstanceId,
+        records: tuple[journal_messages.JournalRecord, ...],
+    ) -> bool:
+        """Return whether `replica` acknowledged, and note that it did."""
+        if not records:
+            return True
+        sender = self._sender(replica)
+        if sender is None:
+            return False
+        end = journal.tokens.end
+        try:
+            refusal = await sender.submit(records)
+        except errors.Failure as failure:
+            self._note_lost(replica, failure)
+            return False
+        if refusal is states.JournalRefusal.FENCED:
+            raise errors.Failure(
+                errors.OwnerFenced("another instance took over")
+            )
+        if refusal is not None:
+            _log.warning("journal refused", replica=replica, why=refusal.value)
+            return False
+        journal.replica = replica
+        journal.acknowledge(end)
+        return True
+
+    def _note_lost(
+        self, replica: ids.InstanceId, failure: errors.Failure
+    ) -> None:
+        self._telemetry.journal_replicas_lost.inc({})
+        self._lost_until_ms_by_id[replica] = (
+            self._clock.now_ms() + LOST_REPLICA_MS
+        )
+        _log.warning(
+            "journal replica lost", replica=replica, why=failure.error.message
+        )
+
+    def _note_leaving(self, peer_by_id) -> None:
+        leaving = {
+            peer.instance for peer in peer_by_id.values() if peer.leaving
+        }
+        self._leaving = frozenset(leaving)
+
+    def _sender(
+        self, replica: ids.InstanceId | None
+    ) -> journal_sender.JournalSender | None:
+        peer = self._blackboard.instance_by_id.read().get(replica)
+        if peer is None:
+            return None
+        sender = self._sender_by_address.get(peer.peer_address)
+        if sender is None:
+            sender = self._new_sender(peer.peer_address)
+            self._sender_by_address[peer.peer_address] = sender
+        return sender
+
+    def _new_sender(self, address: str) -> journal_sender.JournalSender:
+        channel = self._open_channel(address)
+        return journal_sender.JournalSender(
+            channel,
+            write=rpc.encoded_caller(channel, journal_methods.WRITE),
+            take_over=rpc.caller(channel, journal_methods.TAKE_OVER),
+            clock=self._clock,
+            count_bytes=self._telemetry.journal_bytes.add,
+        )
+
+
+def _refused(refusal: states.JournalRefusal) -> errors.Failure:
+    match refusal:
+        case states.JournalRefusal.OTHER_REQUEST:
+            return errors.Failure(
+                errors.ResumeRefused("Last-Event-ID is of another request")
+            )
+        case states.JournalRefusal.NO_BOUNDARY:
+            return errors.Failure(
+                errors.ResumeRefused("Last-Event-ID was never sent")
+            )
+        case _:
+            return errors.Failure(
+                errors.GenerationLost(
+                    "its journal is gone; discard the part received"
+                )
+            )
--- /dev/null
+++ b/src/oriolejunction/peers/journal_methods.py
@@ -0,0 +1,17 @@
+"""The methods of journal replicas."""
+
+from oriolejunction import journal_messages
+from oriolejunction.peers import rpc
+
+WRITE = rpc.Method(
+    "Journal",
+    "Write",
+    journal_messages.JournalBatch,
+    journal_messages.JournalBatchReply,
+)
+TAKE_OVER = rpc.Method(
+    "Journal",
+    "TakeOver",
+    journal_messages.JournalTakeOver,
+    journal_messages.JournalTakeOverReply,
+)
--- /dev/null
+++ b/src/oriolejunction/peers/journal_sender.py
@@ -0,0 +1,136 @@
+"""Batched journal writes to one replica.
+
+One batch is under way at a time, so that records keep their order; what
+comes meanwhile goes with the next one.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import grpc
+import msgspec
+
+from oriolejunction import clock as clocks
+from oriolejunction import errors
+from oriolejunction import journal_messages
+
+BATCH_WINDOW_MS = 2.0
+BATCH_TIMEOUT_MS = 600
+MAX_BATCH_RECORDS = 4_000
+
+_encode = msgspec.msgpack.Encoder().encode
+
+Write = collections.abc.Callable[
+    ..., collections.abc.Awaitable[journal_messages.JournalBatchReply]
+]
+
+
+TakeOver = collections.abc.Callable[
+    ..., collections.abc.Awaitable[journal_messages.JournalTakeOverReply]
+]
+CountBytes = collections.abc.Callable[[dict[str, str], int], None]
+
+
+class ReplicaLost(errors.ServingError):
+    """A journal replica did not acknowledge in time."""
+
+    code = "journal_replica_lost"
+
+
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """Records of one generation that wait for their acknowledgement."""
+
+    records: tuple[journal_messages.JournalRecord, ...]
+    done: asyncio.Future
+
+
+class JournalSender:
+    """Send records to one replica for as long as it answers."""
+
+    def __init__(
+        self,
+        channel: grpc.aio.Channel,
+        write: Write,
+        take_over: TakeOver,
+        clock: clocks.Clock,
+        count_bytes: CountBytes,
+    ) -> None:
+        self._channel = channel
+        self._write = write
+        self.take_over = take_over
+        self._clock = clock
+        self._count_bytes = count_bytes
+        self._pending: list[Submission] = []
+        self._task: asyncio.Task | None = None
+
+    def submit(
+        self, records: tuple[journal_messages.JournalRecord, ...]
+    ) -> asyncio.Future:
+        """Return a future of the refusal of these records, or none.
+
+        It fails with `Failure` of `ReplicaLost` where none came in time.
+        """
+        done = asyncio.get_running_loop().create_future()
+        self._pending.append(Submission(records, done))
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+        return done
+
+    async def close(self) -> None:
+        """Give up what is pending and close the channel."""
+        if self._task is not None:
+            self._task.cancel()
+        await self._channel.close()
+
+    async def _run(self) -> None:
+        try:
+            while self._pending:
+                await self._clock.sleep_ms(BATCH_WINDOW_MS)
+                await self._send(self._take())
+        finally:
+            self._task = None
+
+    def _take(self) -> list[Submission]:
+        taken, size = [], 0
+        while self._pending and size < MAX_BATCH_RECORDS:
+            taken.append(self._pending.pop(0))
+            size += len(taken[-1].records)
+        return taken
+
+    async def _send(self, submissions: list[Submission]) -> None:
+        batch = _encode(
+            journal_messages.JournalBatch(
+                tuple(
+                    record
+                    for submission in submissions
+                    for record in submission.records
+                )
+            )
+        )
+        self._count_bytes({}, len(batch))
+        try:
+            reply = await self._write(batch, timeout=BATCH_TIMEOUT_MS / 1000.0)
+        except grpc.aio.AioRpcError as error:
+            _fail(submissions, str(error.code()))
+            return
+        except asyncio.CancelledError:
+            _fail(submissions, "instance stops")
+            raise
+        refusal_by_key = {
+            (refused.generation, refused.owner): refused.reason
+            for refused in reply.refused
+        }
+        for submission in submissions:
+            first = submission.records[0]
+            if not submission.done.done():
+                submission.done.set_result(
+                    refusal_by_key.get((first.generation, first.owner))
+                )
+
+
+def _fail(submissions: list[Submission], why: str) -> None:
+    for submission in submissions:
+        if not submission.done.done():
+            submission.done.set_exception(errors.Failure(ReplicaLost(why)))
--- /dev/null
+++ b/src/oriolejunction/peers/journal_service.py
@@ -0,0 +1,59 @@
+"""gRPC service of the journals that an instance keeps for others."""
+
+import expression
+import grpc
+
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import journal_replica
+from oriolejunction import journal_messages
+from oriolejunction.peers import journal_methods
+from oriolejunction.peers import rpc
+
+EXPIRE_INTERVAL_MS = 1_000
+
+
+class JournalService:
+    """Answer owners and takers from the journals of this instance."""
+
+    def __init__(
+        self, replica: journal_replica.JournalReplica, clock: clocks.Clock
+    ) -> None:
+        self.replica = replica
+        self._clock = clock
+
+    def add_to(self, server: grpc.aio.Server) -> None:
+        """Serve on a gRPC server."""
+        rpc.add_methods(
+            server,
+            {
+                journal_methods.WRITE: self._write,
+                journal_methods.TAKE_OVER: self.take_over,
+            },
+        )
+
+    async def run(self) -> None:
+        """Forget old journals for as long as the instance lives."""
+        while True:
+            await self._clock.sleep_ms(EXPIRE_INTERVAL_MS)
+            journal_replica.expire(self.replica, self._clock.now_ms())
+
+    async def _write(
+        self, batch: journal_messages.JournalBatch
+    ) -> journal_messages.JournalBatchReply:
+        return journal_messages.JournalBatchReply(
+            journal_replica.write(
+                self.replica, batch.records, self._clock.now_ms()
+            )
+        )
+
+    async def take_over(
+        self, request: journal_messages.JournalTakeOver
+    ) -> journal_messages.JournalTakeOverReply:
+        """Hand a generation over, to this instance itself or another."""
+        match journal_replica.take_over(
+            self.replica, request, self._clock.now_ms()
+        ):
+            case expression.Result(tag="ok", ok=content):
+                return journal_messages.JournalTakeOverReply(content)
+            case expression.Result(error=refusal):
+                return journal_messages.JournalTakeOverReply(refusal=refusal)
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -90,3 +90,16 @@
             msgspec.msgpack.Decoder(method.reply_type).decode
         ),
     )
+
+
+def encoded_caller(
+    channel: grpc.aio.Channel, method: Method[Request, Reply]
+) -> collections.abc.Callable[..., collections.abc.Awaitable[Reply]]:
+    """Return a function that calls `method` with an encoded request."""
+    return channel.unary_unary(
+        method.path,
+        request_serializer=traffic.counted_encode(bytes),
+        response_deserializer=traffic.counted_decode(
+            msgspec.msgpack.Decoder(method.reply_type).decode
+        ),
+    )
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -61,14 +61,31 @@
 
 
 class InstanceState(enum.Enum):
-    """The life of one entry instance."""
+    """The life of one entry instance.
+
+    A leaving instance is not ready but takes requests until the balancer
+    has noticed; a draining one only finishes what it runs.
+    """
 
     STARTING = "starting"
     READY = "ready"
+    LEAVING = "leaving"
     DRAINING = "draining"
     STOPPED = "stopped"
 
 
+class JournalRefusal(enum.Enum):
+    """Why a journal replica refused a record or a takeover."""
+
+    UNKNOWN = "unknown"
+    FENCED = "fenced"
+    GAP = "gap"
+    FINISHED = "finished"
+    FULL = "full"
+    OTHER_REQUEST = "other_request"
+    NO_BOUNDARY = "no_boundary"
+
+
 class CallState(enum.Enum):
     """State of a never-twice call in the ledger."""
 
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -27,7 +27,23 @@
         self.extra_tokens = self._counter(
             "oj_extra_tokens_total", "Tokens computed more than once."
         )
-
+        self.journal_bytes = self._counter(
+            "oj_journal_bytes_total", "Bytes sent to journal replicas."
+        )
+        self.journal_tokens = self._counter(
+            "oj_journal_tokens_total", "Tokens given to the journal."
+        )
+        self.journal_replicas_lost = self._counter(
+            "oj_journal_replicas_lost_total",
+            "Batches that a journal replica did not acknowledge.",
+        )
+        self.journals_unprotected = self._counter(
+            "oj_journals_unprotected_total",
+            "Times that no journal replica could be had for a generation.",
+        )
+        self.takeovers = self._counter(
+            "oj_takeovers_total", "Resumed generations, by outcome."
+        )
         self.peer_traffic = aioprometheus.Gauge(
             "oj_peer_traffic",
             "Bytes and messages exchanged with peers by this process.",
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -13,6 +13,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import single
 from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import journal_replica
 from oriolejunction.controllers import routing
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
@@ -23,6 +24,8 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import journal_client
+from oriolejunction.peers import journal_service
 from oriolejunction.peers import transport as transports
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
@@ -49,6 +52,9 @@
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
         self._replica: single.SingleReplica | None = None
+        self._journal_service = journal_service.JournalService(
+            journal_replica.JournalReplica(), clock
+        )
 
     async def start(self) -> None:
         """Open the listeners and begin to serve."""
@@ -60,6 +66,15 @@
         )
         self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
+        self._journals = journal_client.JournalClient(
+            instance_id,
+            ids.ZoneId(settings.zone),
+            self.clock,
+            self.blackboard,
+            self.telemetry,
+            self._journal_service,
+            self._transport.channel,
+        )
         watch = configuration_watch.ConfigurationWatch(
             instance_id,
             ids.ZoneId(settings.zone),
@@ -69,6 +84,7 @@
             settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
+        self._tasks.append(asyncio.create_task(self._journal_service.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
         caller_app.middlewares.append(self._count_in_flight)
         await self._listen(caller_app, settings.caller_listen)
@@ -94,18 +110,28 @@
             await runner.cleanup()
         for task in self._tasks:
             await configuration_watch.stop_task(task)
-        for client in (self._engines, self._services, self._control):
+        for client in (
+            self._journals,
+            self._engines,
+            self._services,
+            self._control,
+        ):
             await client.close()
-        if self._server is not None:
-            await self._server.stop(None)
+        await self.stop_peer_listener()
         if self._replica is not None:
             await self._replica.close()
         self._write_state(states.InstanceState.STOPPED)
 
+    async def stop_peer_listener(self) -> None:
+        """Answer the other instances no more."""
+        if self._server is not None:
+            await self._server.stop(None)
+
     async def _start_peer_listener(self, instance_id: ids.InstanceId) -> None:
         self._server = grpc.aio.server()
         if self.settings.data_dir is not None:
             self._add_replica(instance_id)
+        self._journal_service.add_to(self._server)
         self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
 
@@ -134,6 +160,7 @@
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
             ),
+            journals=self._journals,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
         )
--- /dev/null
+++ b/tests/http/answer_reader.py
@@ -0,0 +1,75 @@
+"""A caller that reads a streamed answer and can go on elsewhere."""
+
+import dataclasses
+
+import aiohttp
+import orjson
+
+from oriolejunction import local_deployment
+
+PROMPT = "Which flavours keep longest? [[length=160]]"
+HEADERS = {
+    "Authorization": f"Bearer {local_deployment.KEY_BY_WORKSPACE['hakata']}"
+}
+
+
+@dataclasses.dataclass
+class Reader:
+    """What a caller holds of one answer."""
+
+    parts: list[str] = dataclasses.field(default_factory=list)
+    event_ids: list[str] = dataclasses.field(default_factory=list)
+    finish_reason: str | None = None
+    errors: list[dict] = dataclasses.field(default_factory=list)
+    done: bool = False
+    broken: bool = False
+
+    @property
+    def text(self):
+        return "".join(self.parts)
+
+    def take(self, line):
+        if line.startswith(b"id: "):
+            self.event_ids.append(line[4:].strip().decode())
+        if line.startswith(b"data: [DONE]"):
+            self.done = True
+        if not line.startswith(b"data: {"):
+            return
+        record = orjson.loads(line[6:])
+        if "error" in record:
+            self.errors.append(record["error"])
+        for choice in record.get("choices", ()):
+            self.parts.append(choice["text"])
+            self.finish_reason = choice["finish_reason"]
+
+
+def body(prompt=PROMPT, max_tokens=400):
+    """Return the request that every caller of these tests sends."""
+    return {
+        "model": local_deployment.MODEL,
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": True,
+    }
+
+
+async def read(session, url, reader, until=10_000, headers=None, **request):
+    """Read events until `until` parts are held; return the status."""
+    resume = {"Last-Event-ID": reader.event_ids[-1]} if reader.parts else {}
+    try:
+        async with session.post(
+            url + "/v1/completions",
+            json=body(**request),
+            headers=HEADERS | resume | (headers or {}),
+        ) as response:
+            if response.status != 200:
+                reader.errors.append((await response.json())["error"])
+                return response.status
+            async for line in response.content:
+                reader.take(line)
+                if len(reader.parts) >= until:
+                    break
+            return response.status
+    except aiohttp.ClientError:
+        reader.broken = True
+        return None
--- /dev/null
+++ b/tests/http/test_resumption.py
@@ -0,0 +1,170 @@
+"""A caller goes on elsewhere after its connection or instance is lost."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from oriolejunction import demonstration
+from oriolejunction import errors
+from oriolejunction.http import resumption
+from oriolejunction import local_deployment
+from oriolejunction.standin import chain
+from tests.http import answer_reader
+
+WHOLE = chain.Verdict(True, 160)
+
+
+@pytest.fixture
+async def session():
+    """Open a client session."""
+    async with aiohttp.ClientSession() as opened:
+        yield opened
+
+
+def _verdict(reader):
+    return chain.check_text(reader.text, "1", "", answer_reader.PROMPT)
+
+
+async def _until_known(deployment, count=3):
+    for instance in deployment.instances:
+        while len(instance.blackboard.instance_by_id.read()) < count:
+            await asyncio.sleep(0.02)
+
+
+async def _started(deployment, session, until=40):
+    await _until_known(deployment)
+    urls = deployment.addresses.callers_urls
+    reader = answer_reader.Reader()
+    await answer_reader.read(session, urls[0], reader, until)
+    return urls, reader
+
+
+async def test_caller_that_lost_its_connection_goes_on_elsewhere(
+    deployment, session
+):
+    urls, reader = await _started(deployment, session)
+    for number in (1, 2, 0, 1):
+        until = len(reader.parts) + 20
+        await answer_reader.read(session, urls[number], reader, until)
+    await answer_reader.read(session, urls[2], reader)
+    assert reader.errors == []
+    assert _verdict(reader) == WHOLE
+    assert reader.finish_reason == "stop" and reader.done
+
+
+async def test_former_owner_stops_without_a_finish(deployment, session):
+    await _until_known(deployment)
+    urls = deployment.addresses.callers_urls
+    former, following = answer_reader.Reader(), answer_reader.Reader()
+    reading = asyncio.create_task(answer_reader.read(session, urls[0], former))
+    while len(former.parts) < 30:
+        await asyncio.sleep(0.005)
+    following.parts = list(former.parts)
+    following.event_ids = list(former.event_ids)
+    await answer_reader.read(session, urls[1], following)
+    await reading
+    assert former.broken and former.finish_reason is None
+    assert not former.done
+    assert _verdict(following) == WHOLE
+    assert following.text.startswith(former.text)
+
+
+async def test_finished_answer_can_be_fetched_again(deployment, session):
+    urls, reader = await _started(deployment, session, until=10_000)
+    del reader.parts[50:], reader.event_ids[50:]
+    reader.done = False
+    status = await answer_reader.read(session, urls[1], reader)
+    assert status == 200 and reader.done
+    assert _verdict(reader) == WHOLE
+
+
+@pytest.mark.parametrize(
+    "change, code",
+    [
+        ({"prompt": "another"}, "resume_refused"),
+        ({"max_tokens": 399}, "resume_refused"),
+        (
+            {
+                "headers": {
+                    "Authorization": "Bearer "
+                    + local_deployment.KEY_BY_WORKSPACE["aso"]
+                }
+            },
+            "generation_lost",
+        ),
+    ],
+)
+async def test_request_must_be_the_same(deployment, session, change, code):
+    urls, reader = await _started(deployment, session)
+    await answer_reader.read(session, urls[1], reader, **change)
+    assert [error["code"] for error in reader.errors] == [code]
+
+
+@pytest.mark.parametrize(
+    "change, code",
+    [
+        (lambda event: event + "9999", "resume_refused"),
+        (lambda event: "x" + event, "generation_lost"),
+        (lambda event: event.split(".")[0] + "..3", "generation_lost"),
+        (lambda event: event.replace(".instance", ".gone"), "generation_lost"),
+        (lambda event: "nonsense", "resume_refused"),
+    ],
+)
+async def test_event_id_must_be_known(deployment, session, change, code):
+    urls, reader = await _started(deployment, session)
+    reader.event_ids[-1] = change(reader.event_ids[-1])
+    await answer_reader.read(session, urls[1], reader)
+    assert [error["code"] for error in reader.errors] == [code]
+
+
+async def test_answer_is_journalled_anew_where_its_replica_is_lost(
+    deployment, session
+):
+    await _until_known(deployment)
+    urls = deployment.addresses.callers_urls
+    reader = answer_reader.Reader()
+    reading = asyncio.create_task(
+        answer_reader.read(session, urls[0], reader, until=120)
+    )
+    while len(reader.parts) < 20:
+        await asyncio.sleep(0.005)
+    lost = reader.event_ids[-1].split(".")[1]
+    by_id = {i.settings.instance_id: i for i in deployment.instances}
+    await by_id[lost].stop_peer_listener()
+    await reading
+    replica = reader.event_ids[-1].split(".")[1]
+    assert replica not in (lost, "instance-0", "")
+    number = int(lost.removeprefix("instance-"))
+    await answer_reader.read(session, urls[number], reader)
+    assert reader.errors == []
+    assert _verdict(reader) == WHOLE
+
+
+async def test_generation_of_a_lone_instance_is_marked_unprotected(session):
+    options = local_deployment.LocalOptions(
+        zones=("fukuoka",),
+        engines=(local_deployment.EngineOptions("fukuoka"),),
+    )
+    async with local_deployment.running(options) as deployment:
+        await demonstration.accept_sample(deployment)
+        urls, reader = (
+            deployment.addresses.callers_urls,
+            answer_reader.Reader(),
+        )
+        await answer_reader.read(session, urls[0], reader, until=30)
+        assert {event.split(".")[1] for event in reader.event_ids} == {""}
+        await answer_reader.read(session, urls[0], reader)
+    assert [error["code"] for error in reader.errors] == ["generation_lost"]
+
+
+@pytest.mark.parametrize("text", ["", ".", "a.b", "a.b.", "a.b.-1", "a.b.²"])
+def test_malformed_event_id_is_refused(text):
+    with pytest.raises(errors.Failure) as raised:
+        resumption.parse_event_id(text)
+    assert isinstance(raised.value.error, errors.ResumeRefused)
+
+
+def test_instance_names_may_hold_dots():
+    event = resumption.parse_event_id("g.zone.a-1.17")
+    assert event == resumption.EventId("g", "zone.a-1", 17)
