--- a/src/oriolejunction/controllers/ledger.py
+++ b/src/oriolejunction/controllers/ledger.py
@@ -125,6 +125,7 @@
 
     A release bars its claim for good, also one that is committed later.
     """
+    _advance(ledger, command.owner, command.at_ms)
     key = _key_of(command)
     entry = ledger.entry_by_key.get(key)
     if command.state is states.CallState.RELEASED:
--- a/src/oriolejunction/http/never_twice_calls.py
+++ b/src/oriolejunction/http/never_twice_calls.py
@@ -201,6 +201,7 @@
             service=claim.service,
             key=claim.key,
             claim_id=claim.claim_id,
+            owner=self._instance_id,
             state=state,
             answer=_bounded(answer),
             at_ms=self._clock.wall_ms(),
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -64,6 +64,7 @@
     service: ids.ServiceName
     key: ids.IdempotencyKey
     claim_id: str
+    owner: ids.InstanceId
     state: states.CallState
     answer: "StoredAnswer | None"
     at_ms: int
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -30,11 +30,31 @@
 
     COMMITTED = "committed"
     NOT_OWNER = "not_owner"
+    FOREIGN = "foreign"
+    DIVERGED = "diverged"
     REPEATED = "repeated"
     GAP = "gap"
     FINISHED = "finished"
 
 
+class LossCause(enum.Enum):
+    """How an engine lost its attempt at a generation.
+
+    `REFUSED` is an answer other than 200, `FOREIGN` an event of another
+    generation or attempt.
+    """
+
+    SILENT = "silent"
+    DISCONNECTED = "disconnected"
+    NOT_REACHED = "not_reached"
+    REFUSED = "refused"
+    ENDED_EARLY = "ended_early"
+    MALFORMED = "malformed"
+    GAP = "gap"
+    FOREIGN = "foreign"
+    DIVERGED = "diverged"
+
+
 class EngineState(enum.Enum):
     """Whether an engine may be given new work."""
 
@@ -44,14 +64,31 @@
 
 
 class InstanceState(enum.Enum):
-    """The life of one entry instance."""
+    """The life of one entry instance.
+
+    A leaving instance is not ready but takes requests until the balancer
+    has noticed; a draining one only finishes what it runs.
+    """
 
     STARTING = "starting"
     READY = "ready"
+    LEAVING = "leaving"
     DRAINING = "draining"
     STOPPED = "stopped"
 
 
+class JournalRefusal(enum.Enum):
+    """Why a journal replica refused a record or a takeover."""
+
+    UNKNOWN = "unknown"
+    FENCED = "fenced"
+    GAP = "gap"
+    FINISHED = "finished"
+    FULL = "full"
+    OTHER_REQUEST = "other_request"
+    NO_BOUNDARY = "no_boundary"
+
+
 class CallState(enum.Enum):
     """State of a never-twice call in the ledger."""
 
--- a/tests/controllers/test_ledger.py
+++ b/tests/controllers/test_ledger.py
@@ -38,6 +38,7 @@
             **_CALL,
             key=key,
             claim_id=claim_id,
+            owner=ids.InstanceId("i"),
             state=state,
             answer=answer,
             at_ms=START_MS,
--- a/tests/http/test_never_twice.py
+++ b/tests/http/test_never_twice.py
@@ -250,6 +250,8 @@
     def teardown(self):
         for instance in self.instances:
             self.loop.run_until_complete(instance.close())
+        for sending in self.sendings:
+            sending.task.cancel()
         self._settle()
         self.loop.close()
         assert invariants.violations_by_name == {}
