Report all benches as tables and plots

Cause: figures in JSON lines are not readable by someone who has not seen the code.

The runner of real processes runs both catalogues into one report.

Conclusion: each new bench appears in the report by its catalogue entry.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 ARGS ?=
 export PYTHONPATH := src
 
-.PHONY: setup demo test format format-check lint binary bench lock
+.PHONY: report setup demo test format format-check lint binary bench lock
 
 setup: $(VENV)/.ready
 
@@ -41,9 +41,14 @@
 		--compressed '.[report]'
 
 # Benches that need real processes; the others run inside the binary.
-PROCESS_BENCHES := config ledger throughput capacity processes
+PROCESS_BENCHES := config ledger throughput capacity soak-processes
 BENCH_MODULE = $(if $(filter $(NAME),$(PROCESS_BENCHES)),bench,oriolejunction bench)
 
 bench: setup
 	@$(BIN)/python -m $(BENCH_MODULE) $(NAME) --seed $(SEED) \
 		--seconds $(SECONDS) --json
+
+# All benches, with tables and plots in the folder report/.
+report: setup
+	$(BIN)/python -m bench all --seed $(SEED) --seconds $(SECONDS) \
+		--report report
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,23 +1,35 @@
-"""Run a bench of real processes: ``python -m bench NAME --seed N``."""
+"""Run benches of real processes: ``python -m bench NAME --seed N``.
+
+``all`` runs these and the ones inside the binary, into one report.
+"""
 
-import asyncio
 import sys
 
 import fire
 
 from bench import catalogue
+from oriolejunction.bench import batch
+from oriolejunction.bench import catalogue as shipped
 from oriolejunction.bench import result
 from oriolejunction import errors
 from oriolejunction import logs
 
 
-def run(name: str, seed: int = 1, seconds: float = 20.0, json: bool = True):
-    """Run one bench and print its result as JSON."""
+def run(
+    name: str,
+    seed: int = 1,
+    seconds: float = 20.0,
+    report: str | None = None,
+    json: bool = True,
+) -> None:
+    """Run one bench, or all of them with a report in a folder."""
     logs.configure("error")
+    selected = shipped.BENCH_BY_NAME | catalogue.BENCH_BY_NAME
+    if name != "all":
+        selected = {name: catalogue.bench_of(name)}
     options = result.BenchOptions(seed=seed, seconds=seconds)
-    outcome = asyncio.run(catalogue.bench_of(name)(options))
-    print(outcome.json())
-    sys.exit(1 if outcome.violations else 0)
+    if batch.run(selected, options, report):
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -9,6 +9,7 @@
 import msgspec
 import orjson
 
+from oriolejunction.bench import batch
 from oriolejunction.bench import catalogue
 from oriolejunction.bench import result
 from oriolejunction import clock as clocks
@@ -120,14 +121,19 @@
         name: str,
         seed: int = 1,
         seconds: float = 20.0,
+        report: str | None = None,
         json: bool = True,
     ) -> None:
-        """Run bench NAME; exit non-zero where an invariant was violated."""
+        """Run bench NAME, or all of them with a report in a folder.
+
+        Exits non-zero where an invariant or a bound was violated.
+        """
         logs.configure("error")
+        selected = catalogue.BENCH_BY_NAME
+        if name != "all":
+            selected = {name: catalogue.bench_of(name)}
         options = result.BenchOptions(seed=seed, seconds=seconds)
-        outcome = asyncio.run(catalogue.bench_of(name)(options))
-        print(outcome.json())
-        if outcome.violations:
+        if batch.run(selected, options, report):
             sys.exit(1)
 
     def engine(
