Drain without cutting off a request

Cause: a stopping instance refused requests while the balancer still sent them, and journals kept on it were lost with it. Change: leaving (not ready, takes requests) for the balancer's delay, then draining (refuses as not_run); renewals announce both; owners move their journals away from a leaving replica, which waits up to 5 s for that.

--- a/src/oriolejunction/controllers/journal_replica.py
+++ b/src/oriolejunction/controllers/journal_replica.py
@@ -227,10 +227,11 @@
     return len(old)
 
 
-def unfinished_count(replica: JournalReplica) -> int:
-    """Return the number of journals that may still be appended to."""
+def active_count(replica: JournalReplica, since_ms: float) -> int:
+    """Return the number of unfinished journals written to since then."""
     return sum(
-        entry.finish is None for entry in replica.entry_by_generation.values()
+        entry.finish is None and entry.touched_ms >= since_ms
+        for entry in replica.entry_by_generation.values()
     )
 
 
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -27,6 +27,7 @@
 from oriolejunction import telemetry as metrics
 
 _log = structlog.get_logger(__name__)
+_TAKES_REQUESTS = (states.InstanceState.READY, states.InstanceState.LEAVING)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,12 +69,13 @@
 def in_force(parts: CallerParts) -> configuration.Configuration:
     """Return the configuration to serve under.
 
-    Raise `Failure` with `NotReady` without a lease or while draining.
+    Raise `Failure` with `NotReady` without a lease or while draining. A
+    leaving instance still serves what the balancer sends.
     """
     board = parts.blackboard
     current = board.in_force.read()
     ready = (
-        board.instance_state.read() is states.InstanceState.READY
+        board.instance_state.read() in _TAKES_REQUESTS
         and current is not None
         and board.lease.read().until_ms > parts.clock.now_ms()
     )
@@ -205,6 +207,11 @@
 
     async def ready(self, request: web.Request) -> web.Response:
         in_force(self._parts)
+        state = self._parts.blackboard.instance_state.read()
+        if state is not states.InstanceState.READY:
+            raise errors.Failure(
+                errors.NotReady("instance is leaving", retry_after_ms=500)
+            )
         return web.json_response({"ready": True})
 
     async def live(self, request: web.Request) -> web.Response:
--- a/src/oriolejunction/peers/configuration_watch.py
+++ b/src/oriolejunction/peers/configuration_watch.py
@@ -16,6 +16,7 @@
 from oriolejunction import states
 
 RENEW_INTERVAL_MS = 400
+_LEAVING = (states.InstanceState.LEAVING, states.InstanceState.DRAINING)
 _WRITER = "configuration_watch"
 _log = structlog.get_logger(__name__)
 
@@ -66,8 +67,7 @@
                 zone=self._zone,
                 incarnation=self._incarnation,
                 applied=applied,
-                leaving=self._blackboard.instance_state.read()
-                is states.InstanceState.DRAINING,
+                leaving=self._blackboard.instance_state.read() in _LEAVING,
                 peer_address=self._peer_address,
                 known_peers=self._known_peers,
             )
--- a/src/oriolejunction/peers/journal_client.py
+++ b/src/oriolejunction/peers/journal_client.py
@@ -83,7 +83,7 @@
         self._telemetry.journal_tokens.add(
             {}, sum(len(part.ids) for part in deliveries)
         )
-        if journal.replica is None or journal.replica in self._leaving:
+        if journal.replica is None or self._should_move(journal):
             await self._protect(journal)
             return
         if not await self._submitted(journal, journal.replica, records):
@@ -186,6 +186,12 @@
                 former=former,
             )
 
+    def _should_move(self, journal: journal_owner.OwnedJournal) -> bool:
+        return (
+            journal.replica in self._leaving
+            and self._clock.now_ms() >= journal.retry_at_ms
+        )
+
     def _choose(self) -> ids.InstanceId | None:
         now_ms = self._clock.now_ms()
         lost = {
--- a/src/oriolejunction/peers/journal_service.py
+++ b/src/oriolejunction/peers/journal_service.py
@@ -10,6 +10,7 @@
 from oriolejunction.peers import rpc
 
 EXPIRE_INTERVAL_MS = 1_000
+ACTIVE_MS = 1_000
 
 
 class JournalService:
@@ -37,6 +38,11 @@
             await self._clock.sleep_ms(EXPIRE_INTERVAL_MS)
             journal_replica.expire(self.replica, self._clock.now_ms())
 
+    def active_count(self) -> int:
+        """Return how many journals were appended to a moment ago."""
+        since_ms = self._clock.now_ms() - ACTIVE_MS
+        return journal_replica.active_count(self.replica, since_ms)
+
     async def _write(
         self, batch: journal_messages.JournalBatch
     ) -> journal_messages.JournalBatchReply:
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -14,6 +14,7 @@
 from oriolejunction.consensus import single
 from oriolejunction.controllers import generation_runner
 from oriolejunction.controllers import journal_replica
+from oriolejunction.controllers import planned_stop
 from oriolejunction.controllers import routing
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
@@ -31,7 +32,6 @@
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
-DRAIN_POLL_MS = 50
 _log = structlog.get_logger(__name__)
 
 
@@ -47,7 +47,6 @@
         self.telemetry = metrics.Telemetry()
         self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
-        self._requests_in_flight = 0
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
@@ -55,6 +54,12 @@
         self._journal_service = journal_service.JournalService(
             journal_replica.JournalReplica(), clock
         )
+        self._planned_stop = planned_stop.PlannedStop(
+            clock,
+            self._write_state,
+            settings.drain_delay_ms,
+            self._journal_service.active_count,
+        )
 
     async def start(self) -> None:
         """Open the listeners and begin to serve."""
@@ -98,11 +103,8 @@
         _log.info("instance started", instance=instance_id)
 
     async def drain(self) -> None:
-        """Refuse new requests, then wait until all others are finished."""
-        self._write_state(states.InstanceState.DRAINING)
-        await self.clock.sleep_ms(self.settings.drain_delay_ms)
-        while self._requests_in_flight:
-            await self.clock.sleep_ms(DRAIN_POLL_MS)
+        """Leave without cutting off a request; return when it may stop."""
+        await self._planned_stop.run()
 
     async def stop(self) -> None:
         """Close everything at once."""
@@ -167,11 +169,8 @@
 
     @web.middleware
     async def _count_in_flight(self, request, handler):
-        self._requests_in_flight += 1
-        try:
+        with self._planned_stop.request():
             return await handler(request)
-        finally:
-            self._requests_in_flight -= 1
 
     async def _listen(self, app: web.Application, address: str) -> None:
         host, port = instance_settings.split_address(address)
