Suspect engines by their own speed and start a second attempt early

Cause: a fixed silence of 1,500 ms decided the resume latency, for fast and for slow engines alike, and a lost connection to a living engine cost a continuation.

Change: gap estimates for each engine as TCP estimates round trips, decode and first token apart, with floor and ceiling by policy; a second attempt beside a suspected one, the first to give the next token owns; reattach where only the connection was lost; losses tell whether the whole engine stood still; not_run is told only where no attempt can have run; a late timer of the process itself is no evidence against engines.

Conclusion: policies LATENCY and RESOURCES are picked by the measure.

--- /dev/null
+++ b/src/oriolejunction/controllers/generation_attempt.py
@@ -0,0 +1,206 @@
+"""One attempt: read an engine's stream into the inbox of its generation."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import typing
+
+from oriolejunction import clock as clocks
+from oriolejunction import configuration
+from oriolejunction.controllers import suspicion as suspicions
+from oriolejunction import engine_protocol
+from oriolejunction import errors
+from oriolejunction import ids
+from oriolejunction import states
+
+INBOX_BATCHES = 256
+MAX_REATTACHES = 3
+
+EventStream = collections.abc.AsyncIterator[list[engine_protocol.EngineEvent]]
+
+
+class EnginePort(typing.Protocol):
+    """What the runner needs of the shell towards engines."""
+
+    def generate(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+    ) -> EventStream:
+        """Open a stream; raise `Failure` with `AttemptLost` on any loss."""
+
+    def resume(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+        offset: int,
+    ) -> EventStream:
+        """Go on with an attempt's stream at an offset, as `generate`."""
+
+    async def cancel(
+        self,
+        engine: configuration.Engine,
+        generation: ids.GenerationId,
+        attempt: ids.AttemptNumber,
+    ) -> None:
+        """Cancel an attempt, without waiting long or raising."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """What an attempt brought: events, or the failure that ended it."""
+
+    attempt: "Attempt"
+    events: list[engine_protocol.EngineEvent]
+    failure: Exception | None = None
+
+
+class Inbox:
+    """Arrivals of all attempts of a generation, and ticks of its timer."""
+
+    def __init__(self) -> None:
+        self._arrivals: collections.deque[Arrival] = collections.deque()
+        self._wanted: asyncio.Future | None = None
+        self._room = asyncio.Event()
+        self._ticked = False
+
+    def put(self, arrival: Arrival) -> None:
+        """Add an arrival and wake the reader."""
+        self._arrivals.append(arrival)
+        self._wake()
+
+    def tick(self) -> None:
+        """Wake the reader without an arrival."""
+        self._ticked = True
+        self._wake()
+
+    @property
+    def full(self) -> bool:
+        """Return whether the writers should wait for the reader."""
+        return len(self._arrivals) >= INBOX_BATCHES
+
+    async def until_room(self) -> None:
+        """Wait until the reader has taken arrivals."""
+        self._room.clear()
+        await self._room.wait()
+
+    async def take(self) -> list[Arrival]:
+        """Return all arrivals, none after a tick; wait for either."""
+        if not self._arrivals and not self._ticked:
+            self._wanted = asyncio.get_running_loop().create_future()
+            try:
+                await self._wanted
+            finally:
+                self._wanted = None
+        self._ticked = False
+        arrivals = list(self._arrivals)
+        self._arrivals.clear()
+        self._room.set()
+        return arrivals
+
+    def _wake(self) -> None:
+        if self._wanted is not None and not self._wanted.done():
+            self._wanted.set_result(None)
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptParts:
+    """What an attempt works with."""
+
+    engines: EnginePort
+    clock: clocks.Clock
+    suspicion: suspicions.Suspicion
+    inbox: Inbox
+
+
+class Attempt:
+    """An attempt at a generation on one engine.
+
+    `suspected` is set while a second attempt runs because of its silence.
+    """
+
+    def __init__(
+        self,
+        parts: AttemptParts,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+        may_reattach: bool,
+    ) -> None:
+        self.engine = engine
+        self.request = request
+        self.suspected = False
+        self.reattaches = 0
+        self.reattaching_since_ms: float | None = None
+        self.waits_for_reader = False
+        self._parts = parts
+        self._may_reattach = may_reattach
+        self._offset = len(request.forced_ids)
+        self._finished = False
+        self.key = (request.generation, request.attempt)
+        parts.suspicion.open(engine.engine_id, self.key, parts.clock.now_ms())
+
+    async def run(self) -> None:
+        """Bring events to the inbox until the stream ends or is lost."""
+        try:
+            failure: Exception = await self._read()
+        except errors.Failure as raised:
+            failure = raised
+        finally:
+            if not self._finished:
+                await self._parts.engines.cancel(
+                    self.engine, self.request.generation, self.request.attempt
+                )
+        self._parts.inbox.put(Arrival(self, [], failure))
+
+    async def _read(self) -> errors.Failure:
+        engines = self._parts.engines
+        failure = await self._pump(engines.generate(self.engine, self.request))
+        while self._should_reattach(failure):
+            self.reattaches += 1
+            self.reattaching_since_ms = self._parts.clock.now_ms()
+            failure = await self._pump(
+                engines.resume(self.engine, self.request, self._offset)
+            )
+            if failure.error.cause is states.LossCause.REFUSED:
+                return lost(states.LossCause.DISCONNECTED)
+        return failure
+
+    async def _pump(self, stream: EventStream) -> errors.Failure:
+        try:
+            async with contextlib.aclosing(stream):
+                async for events in stream:
+                    await self._bring(events)
+        except errors.Failure as failure:
+            if not isinstance(failure.error, errors.AttemptLost):
+                raise
+            return failure
+        return lost(states.LossCause.ENDED_EARLY)
+
+    async def _bring(self, events: list[engine_protocol.EngineEvent]) -> None:
+        parts = self._parts
+        parts.suspicion.progress(
+            self.engine.engine_id, self.key, parts.clock.now_ms()
+        )
+        self.reattaching_since_ms = None
+        last = events[-1]
+        self._offset = max(self._offset, last.offset + len(last.ids))
+        self._finished = last.finish_reason is not None
+        parts.inbox.put(Arrival(self, events))
+        if parts.inbox.full:
+            self.waits_for_reader = True
+            await parts.inbox.until_room()
+            self.waits_for_reader = False
+
+    def _should_reattach(self, failure: errors.Failure) -> bool:
+        return (
+            self._may_reattach
+            and self.reattaches < MAX_REATTACHES
+            and failure.error.cause is states.LossCause.DISCONNECTED
+        )
+
+
+def lost(cause: states.LossCause) -> errors.Failure:
+    """Return the failure of an attempt that is lost."""
+    return errors.Failure(errors.AttemptLost(cause.value, cause=cause))
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import dataclasses
-import typing
 
 from reactivex import subject
 import structlog
@@ -12,37 +11,34 @@
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import generation_attempt
+from oriolejunction.controllers import loss_policy
+from oriolejunction.controllers import loss_reports
 from oriolejunction.controllers import route_request
+from oriolejunction.controllers import suspicion as suspicions
 from oriolejunction import engine_protocol
 from oriolejunction import errors
 from oriolejunction import ids
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
-GAP_TIMEOUT_MS = 1_500
-MAX_ATTEMPTS = 8
+MAX_ATTEMPTS = 12
+MIN_CHECK_MS = 10.0
+IDLE_CHECK_MS = 1_000.0
+LATE_TIMER_MS = 50.0
+LATE_TIMER_GRACE_MS = 100.0
+REATTACH_BOUND_MS = 250.0
 _log = structlog.get_logger(__name__)
 
-EventStream = collections.abc.AsyncIterator[list[engine_protocol.EngineEvent]]
-
-
-class EnginePort(typing.Protocol):
-    """What the runner needs of the shell towards engines."""
-
-    def generate(
-        self,
-        engine: configuration.Engine,
-        request: engine_protocol.GenerateRequest,
-    ) -> EventStream:
-        """Open a stream; raise `Failure` with `AttemptLost` on any loss."""
-
-    async def cancel(
-        self,
-        engine: configuration.Engine,
-        generation: ids.GenerationId,
-        attempt: ids.AttemptNumber,
-    ) -> None:
-        """Cancel an attempt, without waiting long or raising."""
+EnginePort = generation_attempt.EnginePort
+EventStream = generation_attempt.EventStream
+Deliveries = tuple[generations.Delivery, ...]
+_LOSS_BY_OUTCOME = {
+    states.CommitOutcome.GAP: states.LossCause.GAP,
+    states.CommitOutcome.FOREIGN: states.LossCause.FOREIGN,
+    states.CommitOutcome.DIVERGED: states.LossCause.DIVERGED,
+}
+_PROVES_NOT_RUN = (states.LossCause.NOT_REACHED, states.LossCause.REFUSED)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,114 +50,354 @@
     telemetry: metrics.Telemetry
     clock: clocks.Clock
     attempt_losses: subject.Subject
+    suspicion: suspicions.Suspicion
+    policy: collections.abc.Callable[[], loss_policy.LossPolicy]
 
 
 async def run(
     generation: generations.Generation, parts: RunnerParts
-) -> collections.abc.AsyncIterator[tuple[generations.Delivery, ...]]:
+) -> collections.abc.AsyncIterator[Deliveries]:
     """Yield the deliveries of an answer, whatever engines are lost.
 
     Raise `Failure` with `NoEngine` where nothing was run, or with
     `GenerationLost` where the answer cannot be finished whole.
     """
-    lost: set[ids.EngineId] = set()
-    for _ in range(MAX_ATTEMPTS):
-        engine = await parts.choose_engine(
-            route_request.route_of(generation, frozenset(lost), bool(lost))
+    race = _Race(generation, parts)
+    try:
+        while not generation.complete_at_limit():
+            await race.ensure_attempt()
+            arrivals = await race.inbox.take()
+            for arrival in arrivals:
+                for deliveries in race.apply(arrival):
+                    yield deliveries
+            if not arrivals:
+                race.check_silence()
+    finally:
+        await race.close()
+
+
+class _Race:
+    """The attempts of one generation and what is known of lost ones."""
+
+    def __init__(
+        self, generation: generations.Generation, parts: RunnerParts
+    ) -> None:
+        self.inbox = generation_attempt.Inbox()
+        self._generation = generation
+        self._parts = parts
+        self._policy = parts.policy()
+        self._task_by_attempt: dict[generation_attempt.Attempt, asyncio.Task]
+        self._task_by_attempt = {}
+        self._second: asyncio.Task | None = None
+        self._timer: asyncio.Task | None = None
+        self._lost: set[ids.EngineId] = set()
+        self._begun = 0
+        self._may_have_run = False
+        self._timer_late = False
+        self._attempt_parts = generation_attempt.AttemptParts(
+            parts.engines, parts.clock, parts.suspicion, self.inbox
         )
-        if engine is None:
-            break
-        try:
-            async for deliveries in _attempt(generation, engine, parts):
+
+    async def ensure_attempt(self) -> None:
+        """Begin an attempt where none is left."""
+        if self._task_by_attempt:
+            return
+        if self._second is not None:
+            await asyncio.wait([self._second])
+            if self._task_by_attempt:
+                return
+        engine = await self._choose_or_raise()
+        if self._policy.resumption is loss_policy.Resumption.RESTART:
+            request = self._generation.begin_attempt(from_start=True)
+        else:
+            request = self._generation.begin_attempt()
+        self._begin(engine, request)
+
+    def apply(
+        self, arrival: generation_attempt.Arrival
+    ) -> collections.abc.Iterator[Deliveries]:
+        """Yield what an arrival made deliverable."""
+        attempt = arrival.attempt
+        if attempt not in self._task_by_attempt:
+            self._count_dropped(arrival.events, "revoked")
+            return
+        if arrival.failure is not None:
+            self._lose(attempt, _cause_of(arrival.failure))
+            return
+        self._settle_suspicion(attempt)
+        for event in arrival.events:
+            cause, deliveries = self._commit(attempt, event)
+            if deliveries:
                 yield deliveries
-        except errors.Failure as failure:
-            if not isinstance(failure.error, errors.AttemptLost):
-                raise
-            lost.add(engine.engine_id)
-            _record_loss(generation, engine, failure, parts)
-        if _complete(generation):
+            if cause is not None:
+                self._lose(attempt, cause)
+                return
+
+    def check_silence(self) -> None:
+        """Give up or suspect the attempts that were silent too long."""
+        if self._timer_late or self._generation.finished:
             return
-    if lost:
-        raise errors.Failure(
-            errors.GenerationLost("no engine is left to go on; discard")
-        )
-    raise errors.Failure(
-        errors.NoEngine("no engine is free", retry_after_ms=1_000)
-    )
+        now_ms = self._parts.clock.now_ms()
+        for attempt in list(self._task_by_attempt):
+            if attempt.waits_for_reader:
+                continue
+            silence_ms = self._silence_ms(attempt, now_ms)
+            if silence_ms >= self._give_up_ms(attempt):
+                self._lose(attempt, states.LossCause.SILENT)
+            elif silence_ms >= self._suspect_ms(attempt):
+                self._suspect(attempt)
+
+    async def _run_timer(self) -> None:
+        """Tick the inbox when a silence may have grown too long."""
+        clock = self._parts.clock
+        while True:
+            wait_ms = self._until_check_ms()
+            if wait_ms <= 0:
+                self.inbox.tick()
+            wait_ms = max(wait_ms, MIN_CHECK_MS)
+            due_ms = clock.now_ms() + wait_ms
+            await clock.sleep_ms(wait_ms)
+            # A timer that is late tells of a pause of this process; what
+            # arrived meanwhile is read before any engine is suspected.
+            if clock.now_ms() - due_ms > LATE_TIMER_MS:
+                self._timer_late = True
+                await clock.sleep_ms(LATE_TIMER_GRACE_MS)
+                self._timer_late = False
 
+    async def close(self) -> None:
+        """End what is still running."""
+        ending = list(self._task_by_attempt.values())
+        for task in (self._timer, self._second):
+            if task is not None:
+                task.cancel()
+                ending.append(task)
+        for attempt in list(self._task_by_attempt):
+            self._end(attempt)
+        await asyncio.gather(*ending, return_exceptions=True)
 
-def _complete(generation: generations.Generation) -> bool:
-    if not generation.finished and (
-        len(generation.delivered_ids) >= generation.request.max_tokens
-    ):
-        generation.finish_reason = states.FinishReason.LENGTH
-    return generation.finished
+    async def _choose_or_raise(self) -> configuration.Engine:
+        try:
+            engine = await self._choose(frozenset(self._lost))
+            if engine is None and self._lost:
+                self._lost.clear()
+                engine = await self._choose(frozenset())
+        except errors.Failure as failure:
+            raise self._honest(failure)
+        if engine is None or self._begun >= MAX_ATTEMPTS:
+            raise self._honest(
+                errors.Failure(
+                    errors.NoEngine("no engine is free", retry_after_ms=1_000)
+                )
+            )
+        return engine
 
+    async def _choose(
+        self, excluded: frozenset[ids.EngineId]
+    ) -> configuration.Engine | None:
+        """Choose, if possible not among the engines that seem silent."""
+        silent = self._parts.suspicion.silent_engines(
+            self._parts.clock.now_ms(), self._policy.give_up
+        )
+        engine = None
+        if silent - excluded:
+            engine = await self._routed(excluded | silent)
+        return engine or await self._routed(excluded)
 
-async def _attempt(
-    generation: generations.Generation,
-    engine: configuration.Engine,
-    parts: RunnerParts,
-) -> collections.abc.AsyncIterator[tuple[generations.Delivery, ...]]:
-    request = generation.begin_attempt()
-    stream = parts.engines.generate(engine, request)
-    try:
-        while not generation.finished:
-            events = await _next_events(stream)
-            for event in events:
-                commit = generation.commit(event)
-                if commit.outcome is not states.CommitOutcome.COMMITTED:
-                    parts.telemetry.tokens_dropped.inc(
-                        {"why": commit.outcome.value}
-                    )
-                if commit.outcome is states.CommitOutcome.GAP:
-                    raise _lost(states.LossCause.GAP)
-                if commit.deliveries:
-                    yield commit.deliveries
-    finally:
-        await stream.aclose()
-        if not generation.finished or generation.request.stop:
-            await parts.engines.cancel(
-                engine, generation.generation_id, request.attempt
+    async def _routed(
+        self, excluded: frozenset[ids.EngineId]
+    ) -> configuration.Engine | None:
+        continuation = self._begun > 0 or bool(self._generation.delivered_ids)
+        return await self._parts.choose_engine(
+            route_request.route_of(self._generation, excluded, continuation)
+        )
+
+    def _honest(self, failure: errors.Failure) -> errors.Failure:
+        """Return a failure that says `not_run` only where it is proved."""
+        untouched = not (self._may_have_run or self._generation.delivered_ids)
+        if untouched or failure.error.outcome is not states.Outcome.NOT_RUN:
+            return failure
+        return errors.Failure(
+            errors.GenerationLost(
+                "the answer cannot go on, discard the part received:"
+                f" {failure.error.message}"
             )
+        )
 
+    def _begin(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+    ) -> None:
+        self._begun += 1
+        attempt = generation_attempt.Attempt(
+            self._attempt_parts, engine, request, self._policy.reattach
+        )
+        task = asyncio.create_task(attempt.run())
+        self._task_by_attempt[attempt] = task
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.create_task(self._run_timer())
 
-async def _next_events(
-    stream: EventStream,
-) -> list[engine_protocol.EngineEvent]:
-    try:
-        async with asyncio.timeout(GAP_TIMEOUT_MS / 1000.0):
-            return await anext(stream)
-    except TimeoutError:
-        raise _lost(states.LossCause.SILENT)
-    except StopAsyncIteration:
-        raise _lost(states.LossCause.ENDED_EARLY)
+    def _commit(
+        self,
+        attempt: generation_attempt.Attempt,
+        event: engine_protocol.EngineEvent,
+    ) -> tuple[states.LossCause | None, Deliveries]:
+        if event.attempt != attempt.request.attempt:
+            self._count_dropped([event], "foreign")
+            return states.LossCause.FOREIGN, ()
+        commit = self._generation.commit(event)
+        if commit.outcome is states.CommitOutcome.COMMITTED:
+            self._revoke_losers()
+            return None, commit.deliveries
+        self._count_dropped([event], commit.outcome.value)
+        return _LOSS_BY_OUTCOME.get(commit.outcome), ()
 
+    def _revoke_losers(self) -> None:
+        if len(self._task_by_attempt) == 1 and self._second is None:
+            return
+        for attempt in list(self._task_by_attempt):
+            if self._generation.may_append(attempt.request.attempt):
+                continue
+            if attempt.suspected:
+                self._lose(attempt, states.LossCause.SILENT)
+            else:
+                self._end(attempt)
+        if len(self._task_by_attempt) == 1 and self._second is not None:
+            self._second.cancel()
+            self._second = None
 
-def _lost(cause: states.LossCause) -> errors.Failure:
-    return errors.Failure(errors.AttemptLost(cause.value, cause=cause))
+    def _settle_suspicion(self, attempt: generation_attempt.Attempt) -> None:
+        if attempt.suspected:
+            attempt.suspected = False
+            self._parts.telemetry.false_suspicions.inc({})
+        if attempt.reattaches and attempt.reattaching_since_ms is None:
+            self._parts.telemetry.reattached.add({}, attempt.reattaches)
+            attempt.reattaches = 0
 
+    def _silence_ms(
+        self, attempt: generation_attempt.Attempt, now_ms: float
+    ) -> float:
+        return self._parts.suspicion.silence_ms(
+            attempt.engine.engine_id, attempt.key, now_ms
+        )
 
-def _record_loss(generation, engine, failure, parts) -> None:
-    cause = failure.error.cause
-    parts.telemetry.attempts_lost.inc(
-        {"engine": engine.engine_id, "cause": cause.value}
-    )
-    parts.attempt_losses.on_next(
-        blackboards.AttemptLoss(
-            engine_id=engine.engine_id,
-            generation=generation.generation_id,
-            workspace=generation.request.workspace,
-            fingerprint=route_request.fingerprint_of(generation.request),
+    def _give_up_ms(self, attempt: generation_attempt.Attempt) -> float:
+        suspicion = self._parts.suspicion
+        engine_id = attempt.engine.engine_id
+        now_ms = self._parts.clock.now_ms()
+        since_ms = attempt.reattaching_since_ms
+        if since_ms is not None:
+            silence_ms = self._silence_ms(attempt, now_ms)
+            return silence_ms - (now_ms - since_ms) + REATTACH_BOUND_MS
+        limit_ms = suspicion.limit_ms(
+            engine_id,
+            attempt.key,
+            self._policy.give_up,
+            self._policy.give_up_first,
+        )
+        if not suspicion.started(engine_id, attempt.key) and (
+            suspicion.others_went_on(engine_id, attempt.key, now_ms - limit_ms)
+        ):
+            return self._policy.first_ceiling_ms
+        return limit_ms
+
+    def _suspect_ms(self, attempt: generation_attempt.Attempt) -> float:
+        policy = self._policy
+        ready = (
+            policy.suspect is not None
+            and not attempt.suspected
+            and self._second is None
+            and len(self._task_by_attempt) == 1
+        )
+        if not ready:
+            return float("inf")
+        return min(
+            self._give_up_ms(attempt),
+            self._parts.suspicion.limit_ms(
+                attempt.engine.engine_id,
+                attempt.key,
+                policy.suspect,
+                policy.suspect_first,
+            ),
+        )
+
+    def _until_check_ms(self) -> float:
+        now_ms = self._parts.clock.now_ms()
+        waits = [
+            min(self._give_up_ms(attempt), self._suspect_ms(attempt))
+            - self._silence_ms(attempt, now_ms)
+            for attempt in self._task_by_attempt
+            if not attempt.waits_for_reader
+        ]
+        return min(waits, default=IDLE_CHECK_MS)
+
+    def _suspect(self, attempt: generation_attempt.Attempt) -> None:
+        attempt.suspected = True
+        self._parts.telemetry.second_attempts.inc({})
+        self._second = asyncio.create_task(self._begin_second(attempt))
+
+    async def _begin_second(self, first: generation_attempt.Attempt) -> None:
+        excluded = self._lost | {first.engine.engine_id}
+        try:
+            engine = await self._choose(frozenset(excluded))
+        except errors.Failure:
+            engine = None
+        wanted = first.suspected or not self._task_by_attempt
+        if engine is not None and wanted and not self._generation.finished:
+            self._begin(engine, self._generation.begin_contender())
+        self._second = None
+
+    def _lose(
+        self,
+        attempt: generation_attempt.Attempt,
+        cause: states.LossCause,
+    ) -> None:
+        self._lost.add(attempt.engine.engine_id)
+        if cause not in _PROVES_NOT_RUN:
+            self._may_have_run = True
+        parts = self._parts
+        loss = loss_reports.loss_of(
+            self._generation,
+            attempt,
+            cause,
+            parts.suspicion,
+            parts.clock.now_ms(),
+        )
+        self._end(attempt)
+        self._report(loss)
+
+    def _end(self, attempt: generation_attempt.Attempt) -> None:
+        self._task_by_attempt.pop(attempt).cancel()
+        self._parts.suspicion.close(attempt.engine.engine_id, attempt.key)
+        self._generation.abandon(attempt.request.attempt)
+
+    def _report(self, loss: blackboards.AttemptLoss) -> None:
+        cause = loss.cause.value
+        self._parts.telemetry.attempts_lost.inc(
+            {"engine": loss.engine_id, "cause": cause}
+        )
+        _log.warning(
+            "attempt lost",
+            generation=loss.generation,
+            engine=loss.engine_id,
             cause=cause,
-            at_ms=parts.clock.now_ms(),
-            engine_wide=cause is states.LossCause.NOT_REACHED,
+            engine_wide=loss.engine_wide,
+            delivered=len(self._generation.delivered_ids),
         )
+        self._parts.attempt_losses.on_next(loss)
+
+    def _count_dropped(
+        self, events: list[engine_protocol.EngineEvent], why: str
+    ) -> None:
+        tokens = sum(len(event.ids) for event in events)
+        self._parts.telemetry.tokens_dropped.add({"why": why}, tokens)
+
+
+def _cause_of(failure: Exception) -> states.LossCause:
+    lost = isinstance(failure, errors.Failure) and isinstance(
+        failure.error, errors.AttemptLost
     )
-    _log.warning(
-        "attempt lost",
-        generation=generation.generation_id,
-        engine=engine.engine_id,
-        delivered=len(generation.delivered_ids),
-        why=failure.error.message,
-    )
+    if not lost:
+        raise failure
+    return failure.error.cause
--- /dev/null
+++ b/src/oriolejunction/controllers/loss_policy.py
@@ -0,0 +1,88 @@
+"""What is done about a suspected or lost attempt, by policy.
+
+The questionnaire's measure picks the policy of a deployment; the others are
+the baselines that the bench compares them with.
+"""
+
+import dataclasses
+import enum
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction.controllers import suspicion
+from oriolejunction import states
+
+
+class Resumption(enum.Enum):
+    """How the next attempt gets to where delivery stands."""
+
+    RESTART = "restart"
+    CONTINUE = "continue"
+
+
+@dataclasses.dataclass(frozen=True)
+class LossPolicy:
+    """When an attempt is suspected or given up, and what follows.
+
+    On suspicion a second attempt starts beside the first where `suspect` is
+    given. `give_up` and `give_up_first` bound the silence after which an
+    attempt is lost, while decoding and before its first token;
+    `first_ceiling_ms` is the longest wait for the first token of an engine
+    whose other streams go on.
+    """
+
+    resumption: Resumption
+    suspect: suspicion.SilenceBounds | None
+    suspect_first: suspicion.SilenceBounds | None
+    give_up: suspicion.SilenceBounds
+    give_up_first: suspicion.SilenceBounds
+    first_ceiling_ms: float = 10_000.0
+    reattach: bool = True
+
+
+RESTART = LossPolicy(
+    resumption=Resumption.RESTART,
+    suspect=None,
+    suspect_first=None,
+    give_up=suspicion.SilenceBounds(0.0, 1_500.0, 1_500.0),
+    give_up_first=suspicion.SilenceBounds(0.0, 1_500.0, 1_500.0),
+    reattach=False,
+)
+FIXED = dataclasses.replace(RESTART, resumption=Resumption.CONTINUE)
+THRIFT = LossPolicy(
+    resumption=Resumption.CONTINUE,
+    suspect=None,
+    suspect_first=None,
+    give_up=suspicion.SilenceBounds(16.0, 900.0, 1_500.0),
+    give_up_first=suspicion.SilenceBounds(8.0, 900.0, 1_200.0),
+)
+ADAPTIVE = dataclasses.replace(
+    THRIFT,
+    give_up=suspicion.SilenceBounds(12.0, 400.0, 1_200.0),
+    give_up_first=suspicion.SilenceBounds(8.0, 500.0, 1_200.0),
+)
+EARLY = dataclasses.replace(
+    ADAPTIVE,
+    suspect=suspicion.SilenceBounds(6.0, 120.0, 600.0),
+    suspect_first=suspicion.SilenceBounds(6.0, 250.0, 800.0),
+)
+POLICY_BY_MEASURE = {
+    states.Measure.LATENCY: EARLY,
+    states.Measure.RESOURCES: THRIFT,
+}
+
+
+class PolicyChoice:
+    """The policy in force: by the measure, unless a bench sets another."""
+
+    def __init__(self, blackboard: blackboards.Blackboard) -> None:
+        self.override: LossPolicy | None = None
+        self._blackboard = blackboard
+
+    def current(self) -> LossPolicy:
+        """Return the policy for an attempt that begins now."""
+        if self.override is not None:
+            return self.override
+        in_force = self._blackboard.in_force.read()
+        if in_force is None:
+            return THRIFT
+        return POLICY_BY_MEASURE[in_force.configuration.measure]
--- /dev/null
+++ b/src/oriolejunction/controllers/loss_reports.py
@@ -0,0 +1,49 @@
+"""Description of a lost attempt for routing and quarantine."""
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import generation_attempt
+from oriolejunction.controllers import route_request
+from oriolejunction.controllers import suspicion as suspicions
+from oriolejunction import states
+
+_CONNECTION_CAUSES = (
+    states.LossCause.DISCONNECTED,
+    states.LossCause.NOT_REACHED,
+)
+
+
+def loss_of(
+    generation: generations.Generation,
+    attempt: generation_attempt.Attempt,
+    cause: states.LossCause,
+    suspicion: suspicions.Suspicion,
+    now_ms: float,
+) -> blackboards.AttemptLoss:
+    """Return the loss of an attempt that is still watched."""
+    return blackboards.AttemptLoss(
+        engine_id=attempt.engine.engine_id,
+        generation=generation.generation_id,
+        workspace=generation.request.workspace,
+        fingerprint=route_request.fingerprint_of(generation.request),
+        cause=cause,
+        at_ms=now_ms,
+        engine_wide=_is_engine_wide(attempt, cause, suspicion, now_ms),
+    )
+
+
+def _is_engine_wide(
+    attempt: generation_attempt.Attempt,
+    cause: states.LossCause,
+    suspicion: suspicions.Suspicion,
+    now_ms: float,
+) -> bool:
+    engine_id = attempt.engine.engine_id
+    if cause in _CONNECTION_CAUSES:
+        since_ms = attempt.reattaching_since_ms or now_ms
+    elif cause is states.LossCause.SILENT:
+        silence_ms = suspicion.silence_ms(engine_id, attempt.key, now_ms)
+        since_ms = now_ms - silence_ms / 2
+    else:
+        return False
+    return not suspicion.others_went_on(engine_id, attempt.key, since_ms)
--- /dev/null
+++ b/src/oriolejunction/controllers/suspicion.py
@@ -0,0 +1,156 @@
+"""Suspicion of engines that stopped sending, adapted to their speed.
+
+The gaps between the events of an engine's streams are estimated as TCP
+estimates round trips: a smoothed mean and a smoothed deviation. Decoding and
+the wait for the first event are estimated apart. The estimates of an engine
+are shared by its streams.
+"""
+
+import collections
+import dataclasses
+
+from oriolejunction import ids
+
+MEAN_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+WARM_SAMPLES = 4
+
+StreamKey = tuple[ids.GenerationId, ids.AttemptNumber]
+
+
+@dataclasses.dataclass(frozen=True)
+class SilenceBounds:
+    """Silence tolerated: mean and deviations, within floor and ceiling."""
+
+    deviations: float
+    floor_ms: float
+    ceiling_ms: float
+
+    def limit_ms(self, estimate: "GapEstimate") -> float:
+        """Return the silence in ms after which a stream is suspected."""
+        if estimate.samples < WARM_SAMPLES:
+            return self.ceiling_ms
+        expected = estimate.mean_ms + self.deviations * estimate.deviation_ms
+        return min(self.ceiling_ms, max(self.floor_ms, expected))
+
+
+@dataclasses.dataclass
+class GapEstimate:
+    """Smoothed mean and deviation of a gap in ms."""
+
+    mean_ms: float = 0.0
+    deviation_ms: float = 0.0
+    samples: int = 0
+
+    def add(self, gap_ms: float) -> None:
+        """Take in one gap."""
+        self.samples += 1
+        if self.samples == 1:
+            self.mean_ms = gap_ms
+            self.deviation_ms = gap_ms / 2
+            return
+        error = gap_ms - self.mean_ms
+        self.mean_ms += MEAN_WEIGHT * error
+        self.deviation_ms += DEVIATION_WEIGHT * (
+            abs(error) - self.deviation_ms
+        )
+
+
+@dataclasses.dataclass
+class StreamProgress:
+    """When a stream last sent something, and whether it ever did."""
+
+    last_ms: float
+    started: bool = False
+
+
+class _EngineProgress:
+    def __init__(self) -> None:
+        self.decode = GapEstimate()
+        self.first = GapEstimate()
+        self.stream_by_key: dict[StreamKey, StreamProgress] = {}
+
+
+class Suspicion:
+    """Progress of all streams of one instance, by engine."""
+
+    def __init__(self) -> None:
+        self._engine_by_id: dict[ids.EngineId, _EngineProgress]
+        self._engine_by_id = collections.defaultdict(_EngineProgress)
+
+    def open(
+        self, engine_id: ids.EngineId, key: StreamKey, now_ms: float
+    ) -> None:
+        """Begin to watch a stream."""
+        streams = self._engine_by_id[engine_id].stream_by_key
+        streams[key] = StreamProgress(now_ms)
+
+    def progress(
+        self, engine_id: ids.EngineId, key: StreamKey, now_ms: float
+    ) -> None:
+        """Take note of an event of a stream."""
+        engine = self._engine_by_id[engine_id]
+        stream = engine.stream_by_key[key]
+        estimate = engine.decode if stream.started else engine.first
+        estimate.add(now_ms - stream.last_ms)
+        stream.last_ms = now_ms
+        stream.started = True
+
+    def close(self, engine_id: ids.EngineId, key: StreamKey) -> None:
+        """End the watch of a stream."""
+        self._engine_by_id[engine_id].stream_by_key.pop(key, None)
+
+    def started(self, engine_id: ids.EngineId, key: StreamKey) -> bool:
+        """Return whether a stream has sent its first event."""
+        return self._engine_by_id[engine_id].stream_by_key[key].started
+
+    def silence_ms(
+        self, engine_id: ids.EngineId, key: StreamKey, now_ms: float
+    ) -> float:
+        """Return for how long a stream has sent nothing."""
+        stream = self._engine_by_id[engine_id].stream_by_key[key]
+        return now_ms - stream.last_ms
+
+    def limit_ms(
+        self,
+        engine_id: ids.EngineId,
+        key: StreamKey,
+        decode: SilenceBounds,
+        first: SilenceBounds,
+    ) -> float:
+        """Return the silence after which a stream is suspected."""
+        engine = self._engine_by_id[engine_id]
+        if engine.stream_by_key[key].started:
+            return decode.limit_ms(engine.decode)
+        return first.limit_ms(engine.first)
+
+    def others_went_on(
+        self, engine_id: ids.EngineId, key: StreamKey, since_ms: float
+    ) -> bool:
+        """Return whether another stream of the engine sent something."""
+        streams = self._engine_by_id[engine_id].stream_by_key
+        return any(
+            stream.started and stream.last_ms > since_ms
+            for other, stream in streams.items()
+            if other != key
+        )
+
+    def silent_engines(
+        self, now_ms: float, decode: SilenceBounds
+    ) -> frozenset[ids.EngineId]:
+        """Return the engines whose started streams are all suspected."""
+        return frozenset(
+            engine_id
+            for engine_id, engine in self._engine_by_id.items()
+            if _is_silent(engine, now_ms, decode)
+        )
+
+
+def _is_silent(
+    engine: _EngineProgress, now_ms: float, decode: SilenceBounds
+) -> bool:
+    started = [s for s in engine.stream_by_key.values() if s.started]
+    limit_ms = decode.limit_ms(engine.decode)
+    return bool(started) and all(
+        now_ms - stream.last_ms > limit_ms for stream in started
+    )
--- a/src/oriolejunction/http/engine_client.py
+++ b/src/oriolejunction/http/engine_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 import aiohttp
 import msgspec
@@ -68,29 +69,29 @@
         list[engine_protocol.EngineEvent], None
     ]:
         """Yield the events of an attempt as they arrive, in batches."""
-        try:
-            async with self._session.post(
-                engine.url + "/v1/generate", data=_encode(request)
-            ) as response:
-                if response.status != 200:
-                    raise errors.Failure(
-                        errors.AttemptLost(
-                            f"status {response.status}",
-                            cause=states.LossCause.REFUSED,
-                        )
-                    )
-                rest = b""
-                async for chunk in response.content.iter_any():
-                    events, rest = parse_events(rest + chunk)
-                    if events:
-                        yield events
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            raise _lost(error, states.LossCause.NOT_REACHED)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise _lost(error, states.LossCause.DISCONNECTED)
+        post = self._session.post(
+            engine.url + "/v1/generate", data=_encode(request)
+        )
+        async with contextlib.aclosing(_events_of(post)) as batches:
+            async for events in batches:
+                yield events
+
+    async def resume(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+        offset: int,
+    ) -> collections.abc.AsyncGenerator[
+        list[engine_protocol.EngineEvent], None
+    ]:
+        """Yield the further events of an attempt that still runs."""
+        stream = f"{request.generation}.{request.attempt}"
+        get = self._session.get(
+            f"{engine.url}/v1/streams/{stream}", params={"offset": offset}
+        )
+        async with contextlib.aclosing(_events_of(get)) as batches:
+            async for events in batches:
+                yield events
 
     async def cancel(
         self,
@@ -122,3 +123,29 @@
 
 def _lost(error: Exception, cause: states.LossCause) -> errors.Failure:
     return errors.Failure(errors.AttemptLost(repr(error), cause=cause))
+
+
+async def _events_of(
+    opening: contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse],
+) -> collections.abc.AsyncGenerator[list[engine_protocol.EngineEvent], None]:
+    try:
+        async with opening as response:
+            if response.status != 200:
+                raise errors.Failure(
+                    errors.AttemptLost(
+                        f"status {response.status}",
+                        cause=states.LossCause.REFUSED,
+                    )
+                )
+            rest = b""
+            async for chunk in response.content.iter_any():
+                events, rest = parse_events(rest + chunk)
+                if events:
+                    yield events
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise _lost(error, states.LossCause.NOT_REACHED)
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        raise _lost(error, states.LossCause.DISCONNECTED)
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -13,7 +13,9 @@
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import single
 from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import loss_policy
 from oriolejunction.controllers import routing
+from oriolejunction.controllers import suspicion
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
 from oriolejunction.http import operators
@@ -42,6 +44,7 @@
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self.loss_policy = loss_policy.PolicyChoice(self.blackboard)
         self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._requests_in_flight = 0
@@ -130,6 +133,8 @@
                 telemetry=self.telemetry,
                 clock=self.clock,
                 attempt_losses=self.blackboard.attempt_losses,
+                suspicion=suspicion.Suspicion(),
+                policy=self.loss_policy.current,
             ),
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
