Register the counters of second attempts where they belong

Cause: a merge put them behind another method; the demo failed.

Change: moved; the test of losses requires that an attempt was lost.

--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -28,17 +28,6 @@
             "oj_extra_tokens_total", "Tokens computed more than once."
         )
 
-        self.peer_traffic = aioprometheus.Gauge(
-            "oj_peer_traffic",
-            "Bytes and messages exchanged with peers by this process.",
-            registry=self.registry,
-        )
-
-    def record_traffic(self, totals: traffic.Traffic) -> None:
-        """Publish the totals exchanged with peers."""
-        for kind, value in dataclasses.asdict(totals).items():
-            self.peer_traffic.set({"kind": kind}, value)
-
         self.second_attempts = self._counter(
             "oj_second_attempts_total",
             "Attempts started while a suspected one was alive.",
@@ -51,6 +40,16 @@
             "oj_reattached_total",
             "Engine streams resumed after their connection was lost.",
         )
+        self.peer_traffic = aioprometheus.Gauge(
+            "oj_peer_traffic",
+            "Bytes and messages exchanged with peers by this process.",
+            registry=self.registry,
+        )
+
+    def record_traffic(self, totals: traffic.Traffic) -> None:
+        """Publish the totals exchanged with peers."""
+        for kind, value in dataclasses.asdict(totals).items():
+            self.peer_traffic.set({"kind": kind}, value)
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -19,6 +19,13 @@
     )
 
 
+def _losses(deployment):
+    losses = []
+    for instance in deployment.instances:
+        instance.blackboard.attempt_losses.subscribe(losses.append)
+    return losses
+
+
 async def _fault_busy_engine(deployment, kind):
     url = next(
         url
@@ -33,6 +40,7 @@
 
 @pytest.mark.parametrize("kind", ["die", "reset", "truncate"])
 async def test_openai_client_streams_completion_through_loss(deployment, kind):
+    losses = _losses(deployment)
     stream = await _client(deployment).completions.create(
         model=local_deployment.MODEL,
         prompt=PROMPT,
@@ -52,6 +60,7 @@
     assert verdict == chain.Verdict(True, 120)
     assert finish == "stop"
     assert usage.completion_tokens == 120
+    assert len(losses) == 1
 
 
 async def test_openai_client_streams_chat_through_loss(deployment):
