--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -118,6 +118,8 @@
     ) -> collections.abc.Iterator[Deliveries]:
         """Yield what an arrival made deliverable."""
         attempt = arrival.attempt
+        if self._generation.finished:
+            return
         if attempt not in self._task_by_attempt:
             self._count_dropped(arrival.events, "revoked")
             return
