--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 
 from reactivex import subject
 import structlog
@@ -15,6 +16,7 @@
 from oriolejunction.controllers import loss_policy
 from oriolejunction.controllers import loss_reports
 from oriolejunction.controllers import route_request
+from oriolejunction.controllers import silence
 from oriolejunction.controllers import suspicion as suspicions
 from oriolejunction import engine_protocol
 from oriolejunction import errors
@@ -27,7 +29,6 @@
 IDLE_CHECK_MS = 1_000.0
 LATE_TIMER_MS = 50.0
 LATE_TIMER_GRACE_MS = 100.0
-REATTACH_BOUND_MS = 250.0
 _log = structlog.get_logger(__name__)
 
 EnginePort = generation_attempt.EnginePort
@@ -94,6 +95,9 @@
         self._begun = 0
         self._may_have_run = False
         self._timer_late = False
+        self._silence = silence.Silence(
+            parts.suspicion, parts.clock, self._policy
+        )
         self._attempt_parts = generation_attempt.AttemptParts(
             parts.engines, parts.clock, parts.suspicion, self.inbox
         )
@@ -139,14 +143,13 @@
         """Give up or suspect the attempts that were silent too long."""
         if self._timer_late or self._generation.finished:
             return
-        now_ms = self._parts.clock.now_ms()
         for attempt in list(self._task_by_attempt):
             if attempt.waits_for_reader:
                 continue
-            silence_ms = self._silence_ms(attempt, now_ms)
-            if silence_ms >= self._give_up_ms(attempt):
+            lasted_ms = self._silence.lasted_ms(attempt)
+            if lasted_ms >= self._silence.give_up_ms(attempt):
                 self._lose(attempt, states.LossCause.SILENT)
-            elif silence_ms >= self._suspect_ms(attempt):
+            elif lasted_ms >= self._suspect_ms(attempt):
                 self._suspect(attempt)
 
     async def _run_timer(self) -> None:
@@ -277,58 +280,16 @@
             self._parts.telemetry.reattached.add({}, attempt.reattaches)
             attempt.reattaches = 0
 
-    def _silence_ms(
-        self, attempt: generation_attempt.Attempt, now_ms: float
-    ) -> float:
-        return self._parts.suspicion.silence_ms(
-            attempt.engine.engine_id, attempt.key, now_ms
-        )
-
-    def _give_up_ms(self, attempt: generation_attempt.Attempt) -> float:
-        suspicion = self._parts.suspicion
-        engine_id = attempt.engine.engine_id
-        now_ms = self._parts.clock.now_ms()
-        since_ms = attempt.reattaching_since_ms
-        if since_ms is not None:
-            silence_ms = self._silence_ms(attempt, now_ms)
-            return silence_ms - (now_ms - since_ms) + REATTACH_BOUND_MS
-        limit_ms = suspicion.limit_ms(
-            engine_id,
-            attempt.key,
-            self._policy.give_up,
-            self._policy.give_up_first,
-        )
-        if not suspicion.started(engine_id, attempt.key) and (
-            suspicion.others_went_on(engine_id, attempt.key, now_ms - limit_ms)
-        ):
-            return self._policy.first_ceiling_ms
-        return limit_ms
-
     def _suspect_ms(self, attempt: generation_attempt.Attempt) -> float:
-        policy = self._policy
-        ready = (
-            policy.suspect is not None
-            and not attempt.suspected
-            and self._second is None
-            and len(self._task_by_attempt) == 1
-        )
-        if not ready:
-            return float("inf")
-        return min(
-            self._give_up_ms(attempt),
-            self._parts.suspicion.limit_ms(
-                attempt.engine.engine_id,
-                attempt.key,
-                policy.suspect,
-                policy.suspect_first,
-            ),
-        )
+        ready = self._second is None and len(self._task_by_attempt) == 1
+        if not ready or attempt.suspected:
+            return math.inf
+        return self._silence.suspect_ms(attempt)
 
     def _until_check_ms(self) -> float:
-        now_ms = self._parts.clock.now_ms()
         waits = [
-            min(self._give_up_ms(attempt), self._suspect_ms(attempt))
-            - self._silence_ms(attempt, now_ms)
+            min(self._silence.give_up_ms(attempt), self._suspect_ms(attempt))
+            - self._silence.lasted_ms(attempt)
             for attempt in self._task_by_attempt
             if not attempt.waits_for_reader
         ]
--- /dev/null
+++ b/src/oriolejunction/controllers/silence.py
@@ -0,0 +1,70 @@
+"""How long an attempt may be silent, under the policy of its generation."""
+
+import dataclasses
+import math
+
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import generation_attempt
+from oriolejunction.controllers import loss_policy
+from oriolejunction.controllers import suspicion as suspicions
+
+REATTACH_BOUND_MS = 250.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Silence:
+    """Limits of the attempts of one generation, in ms."""
+
+    suspicion: suspicions.Suspicion
+    clock: clocks.Clock
+    policy: loss_policy.LossPolicy
+
+    def lasted_ms(self, attempt: generation_attempt.Attempt) -> float:
+        """Return for how long an attempt has sent nothing."""
+        return self.suspicion.silence_ms(
+            attempt.engine.engine_id, attempt.key, self.clock.now_ms()
+        )
+
+    def give_up_ms(self, attempt: generation_attempt.Attempt) -> float:
+        """Return the silence after which an attempt is lost."""
+        since_ms = attempt.reattaching_since_ms
+        if since_ms is not None:
+            before_ms = self.lasted_ms(attempt) - self.clock.now_ms()
+            return before_ms + since_ms + REATTACH_BOUND_MS
+        limit_ms = self._limit_ms(
+            attempt, self.policy.give_up, self.policy.give_up_first
+        )
+        if self._waits_in_busy_engine(attempt, limit_ms):
+            return self.policy.first_ceiling_ms
+        return limit_ms
+
+    def suspect_ms(self, attempt: generation_attempt.Attempt) -> float:
+        """Return the silence after which a second attempt may start."""
+        policy = self.policy
+        if policy.suspect is None or policy.suspect_first is None:
+            return math.inf
+        limit_ms = self._limit_ms(
+            attempt, policy.suspect, policy.suspect_first
+        )
+        if self._waits_in_busy_engine(attempt, limit_ms):
+            return math.inf
+        return limit_ms
+
+    def _limit_ms(
+        self,
+        attempt: generation_attempt.Attempt,
+        decode: suspicions.SilenceBounds,
+        first: suspicions.SilenceBounds,
+    ) -> float:
+        return self.suspicion.limit_ms(
+            attempt.engine.engine_id, attempt.key, decode, first
+        )
+
+    def _waits_in_busy_engine(
+        self, attempt: generation_attempt.Attempt, limit_ms: float
+    ) -> bool:
+        engine_id = attempt.engine.engine_id
+        if self.suspicion.started(engine_id, attempt.key):
+            return False
+        since_ms = self.clock.now_ms() - limit_ms
+        return self.suspicion.others_went_on(engine_id, attempt.key, since_ms)
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -13,8 +13,8 @@
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import single
 from oriolejunction.controllers import generation_runner
-from oriolejunction.controllers import loss_policy
 from oriolejunction.controllers import journal_replica
+from oriolejunction.controllers import loss_policy
 from oriolejunction.controllers import routing
 from oriolejunction.controllers import suspicion
 from oriolejunction.http import callers
