--- /dev/null
+++ b/src/oriolejunction/consensus/applier.py
@@ -0,0 +1,101 @@
+"""Applies committed entries in order and tells who waits for them."""
+
+import asyncio
+import pathlib
+
+import msgspec
+
+from oriolejunction.consensus import audit_file
+from oriolejunction.consensus import replica as replicas
+from oriolejunction.consensus import types
+from oriolejunction.controllers import control_state
+from oriolejunction import invariants
+from oriolejunction import messages
+
+_decoder = msgspec.msgpack.Decoder(messages.Command)
+
+
+def trail_length(snapshot: types.Snapshot) -> int:
+    """Return how many entries of the trail a snapshot stands on."""
+    return 0
+
+
+class Applier:
+    """The state machine with the index up to which it is applied."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.state = control_state.ControlState()
+        self.index = 0
+        self.trail = audit_file.AuditFile(folder)
+        self._result_by_index: dict[int, tuple[int, asyncio.Future]] = {}
+        self._waiting: list[tuple[int, asyncio.Future]] = []
+
+    def apply(self, entry: types.Entry) -> None:
+        """Apply the entry that follows the last one."""
+        invariants.require(
+            "applied_in_order",
+            entry.index == self.index + 1,
+            applied=self.index,
+            index=entry.index,
+        )
+        result = None
+        if entry.command is not None:
+            command = _decoder.decode(entry.command)
+            result = control_state.apply(self.state, command)
+            self._append_trail()
+        self.index = entry.index
+        self._tell_result(entry, result)
+        self._tell_applied()
+
+    def _append_trail(self) -> None:
+        self.trail.append_missing(self.state.history.audit)
+
+    def _tell_result(
+        self, entry: types.Entry, result: messages.CommandResult | None
+    ) -> None:
+        term, future = self._result_by_index.pop(entry.index, (0, None))
+        if future is None or future.done():
+            return
+        if term == entry.term:
+            future.set_result(result)
+        else:
+            future.set_exception(replicas.NotLeader())
+
+    def _tell_applied(self) -> None:
+        for index, future in self._waiting:
+            if index <= self.index and not future.done():
+                future.set_result(None)
+        self._waiting = [w for w in self._waiting if w[0] > self.index]
+
+    def install(self, snapshot: types.Snapshot) -> None:
+        """Replace the state by that of a snapshot."""
+        raise NotImplementedError
+
+    async def result_of(self, index: int, term: int) -> messages.CommandResult:
+        """Return the result of a command proposed at a place in the log."""
+        future = asyncio.get_running_loop().create_future()
+        self._result_by_index[index] = (term, future)
+        return await future
+
+    async def applied(self, index: int) -> None:
+        """Wait until the entry at `index` is applied."""
+        if index <= self.index:
+            return
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append((index, future))
+        await future
+
+    def fail_waiting(self) -> None:
+        """Tell all that wait for a result that it is unknown."""
+        for _, future in self._result_by_index.values():
+            if not future.done():
+                future.set_exception(replicas.OutcomeUnknown())
+        self._result_by_index.clear()
+        for _, future in self._waiting:
+            if not future.done():
+                future.set_exception(replicas.NotLeader())
+        self._waiting.clear()
+
+    def close(self) -> None:
+        """Close the trail."""
+        self.trail.close()
--- /dev/null
+++ b/src/oriolejunction/consensus/audit_file.py
@@ -0,0 +1,105 @@
+"""The trail of changes on disk: append-only, checksummed, kept for ever."""
+
+import collections.abc
+import os
+import pathlib
+
+import msgspec
+
+from oriolejunction.consensus import segments
+from oriolejunction import errors
+from oriolejunction import messages
+
+FILE_NAME = "audit.log"
+ENTRIES_PER_MARK = 64
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(messages.AuditEntry)
+
+
+class AuditFile:
+    """Entries in number order; only sparse offsets are held in memory."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._path = folder / FILE_NAME
+        self._mark_offsets: list[int] = []
+        self.last_number = 0
+        self._file = self._path.open("ab")
+        self._end = 0
+        self._scan()
+
+    def _scan(self) -> None:
+        data = self._path.read_bytes()
+        bodies, end = segments.read_frames(data, FILE_NAME)
+        if end < len(data):
+            self._file.truncate(end)
+        for body in bodies:
+            entry = _decoder.decode(body)
+            self._require_next(entry)
+            self._count(entry, segments.HEADER_BYTES + len(body))
+
+    def append_missing(
+        self, entries: collections.abc.Sequence[messages.AuditEntry]
+    ) -> None:
+        """Append those of the entries that the file does not have yet."""
+        for entry in entries[_first_after(entries, self.last_number) :]:
+            self._require_next(entry)
+            data = segments.frame(_encoder.encode(entry))
+            self._file.write(data)
+            self._count(entry, len(data))
+        self._file.flush()
+
+    def _require_next(self, entry: messages.AuditEntry) -> None:
+        if entry.number != self.last_number + 1:
+            raise errors.Failure(
+                errors.CorruptLog(
+                    f"{FILE_NAME}: number {entry.number} follows"
+                    f" {self.last_number}"
+                )
+            )
+
+    def _count(self, entry: messages.AuditEntry, size: int) -> None:
+        if (entry.number - 1) % ENTRIES_PER_MARK == 0:
+            self._mark_offsets.append(self._end)
+        self._end += size
+        self.last_number = entry.number
+
+    def read(self, start: int, limit: int) -> tuple[messages.AuditEntry, ...]:
+        """Return up to `limit` entries after number `start`."""
+        start = max(0, start)
+        if start >= self.last_number or limit <= 0:
+            return ()
+        mark = start // ENTRIES_PER_MARK
+        last_mark = (start + limit - 1) // ENTRIES_PER_MARK + 1
+        offsets = self._mark_offsets
+        stop = offsets[last_mark] if last_mark < len(offsets) else self._end
+        with self._path.open("rb") as file:
+            file.seek(offsets[mark])
+            data = file.read(stop - offsets[mark])
+        entries = _entries(data)
+        first = start - mark * ENTRIES_PER_MARK
+        return tuple(entries[first : first + limit])
+
+    def sync(self) -> None:
+        """Make all entries durable; raise `OSError`."""
+        os.fsync(self._file.fileno())
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def _first_after(
+    entries: collections.abc.Sequence[messages.AuditEntry], number: int
+) -> int:
+    if not entries:
+        return 0
+    return max(0, number - entries[0].number + 1)
+
+
+def _entries(data: bytes) -> list[messages.AuditEntry]:
+    entries = []
+    position = 0
+    while (body := segments.frame_at(data, position)) is not None:
+        entries.append(_decoder.decode(body))
+        position += segments.HEADER_BYTES + len(body)
+    return entries
--- /dev/null
+++ b/src/oriolejunction/consensus/identity.py
@@ -0,0 +1,58 @@
+"""Who a replica is: kept on its disk and lost with it."""
+
+import pathlib
+import secrets
+
+import msgspec
+
+from oriolejunction.consensus import segments
+from oriolejunction.consensus import types
+from oriolejunction import errors
+
+FILE_NAME = "identity"
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Random id of this disk, and the group it belongs to, if any."""
+
+    replica: types.ReplicaId
+    group: types.GroupId | None = None
+
+
+def new_identity() -> Identity:
+    """Return an identity that no other disk has."""
+    return Identity(types.ReplicaId(secrets.token_hex(8)))
+
+
+def new_group() -> types.GroupId:
+    """Return the id of a group that is being formed."""
+    return types.GroupId(secrets.token_hex(8))
+
+
+def load(folder: pathlib.Path) -> Identity:
+    """Return the identity in a folder; an empty folder gets a new one.
+
+    Raise `Failure` with `CorruptLog` where it is damaged, or missing
+    beside a log.
+    """
+    path = folder / FILE_NAME
+    if not path.exists():
+        if any(folder.glob("wal-*.log")):
+            raise errors.Failure(
+                errors.CorruptLog(f"{folder.name}: a log without an identity")
+            )
+        identity = new_identity()
+        save(folder, identity)
+        return identity
+    body = segments.frame_at(path.read_bytes(), 0)
+    if body is None:
+        raise errors.Failure(
+            errors.CorruptLog(f"{folder.name}: the identity is damaged")
+        )
+    return msgspec.msgpack.decode(body, type=Identity)
+
+
+def save(folder: pathlib.Path, identity: Identity) -> None:
+    """Store an identity durably."""
+    body = msgspec.msgpack.encode(identity)
+    segments.write_durably(folder / FILE_NAME, segments.frame(body))
--- /dev/null
+++ b/src/oriolejunction/consensus/raft_messages.py
@@ -0,0 +1,76 @@
+"""Requests between replicas beside the log's own messages."""
+
+import msgspec
+
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
+from oriolejunction import messages
+
+
+class Request(msgspec.Struct, frozen=True, tag=True):
+    """Base of requests and replies between replicas."""
+
+
+class Deliver(Request, frozen=True):
+    """Messages of the log; `address` is where the sender listens."""
+
+    group: types.GroupId
+    address: str
+    messages: tuple[wire.Message, ...]
+
+
+class Delivered(Request, frozen=True):
+    """The messages were received; they may still be dropped."""
+
+
+class Hello(Request, frozen=True):
+    """Ask who listens at an address."""
+
+
+class Introduction(Request, frozen=True):
+    """Who listens here; `group` is None on an empty disk."""
+
+    member: types.Member
+    group: types.GroupId | None
+
+
+class Form(Request, frozen=True):
+    """Form a group with these voters; the receiver must be one of them."""
+
+    group: types.GroupId
+    membership: types.Membership
+
+
+class Formed(Request, frozen=True):
+    """The group that the receiver belongs to now."""
+
+    group: types.GroupId | None
+
+
+class Join(Request, frozen=True):
+    """Ask the leader to add a learner."""
+
+    member: types.Member
+
+
+class JoinReply(Request, frozen=True):
+    """Whether the learner is in a committed membership.
+
+    `leader_address` is a hint where the receiver does not lead.
+    """
+
+    accepted: bool
+    group: types.GroupId | None = None
+    leader_address: str | None = None
+
+
+class FetchAudit(Request, frozen=True):
+    """Ask for entries of the trail after number `start`."""
+
+    start: int
+
+
+class AuditPage(Request, frozen=True):
+    """Entries of the trail, none at its end."""
+
+    entries: tuple[messages.AuditEntry, ...]
--- /dev/null
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -0,0 +1,394 @@
+"""A control replica: the core driven by a disk, a network and a clock."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import typing
+
+import msgspec
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import applier
+from oriolejunction.consensus import core as cores
+from oriolejunction.consensus import core_state
+from oriolejunction.consensus import identity as identities
+from oriolejunction.consensus import membership as memberships
+from oriolejunction.consensus import repair
+from oriolejunction.consensus import replica as replicas
+from oriolejunction.consensus import storage as storages
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
+from oriolejunction.controllers import control_state
+from oriolejunction import messages
+
+TICK_MS = 20
+HAND_OVER_POLL_MS = 20
+HAND_OVER_LIMIT_MS = 2_000
+_encoder = msgspec.msgpack.Encoder()
+_log = structlog.get_logger(__name__)
+
+
+class Transport(typing.Protocol):
+    """Sends messages to replicas; may lose, delay or repeat them."""
+
+    def send(
+        self, group: types.GroupId, message: wire.Message, address: str | None
+    ) -> None:
+        """Queue a message; `address` is where its receiver was last."""
+
+
+class RaftReplica:
+    """Commit commands through the group and apply them in order."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        member: typing.Callable[[types.ReplicaId], types.Member],
+        transport: Transport,
+        clock: clocks.Clock,
+        rng: random.Random,
+        timing: core_state.Timing = core_state.Timing(),
+    ) -> None:
+        self._folder = folder
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._timing = timing
+        self.identity = identities.load(folder)
+        self.member = member(self.identity.replica)
+        self._core: cores.Core | None = None
+        self._storage: storages.Storage | None = None
+        self._applier = applier.Applier(folder)
+        self._tokens = 0
+        self._future_by_read: dict[int, asyncio.Future] = {}
+        self._wake = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        if self.identity.group is not None:
+            self._open(storages.Storage.load(folder))
+
+    @property
+    def state(self) -> control_state.ControlState:
+        """Return the state as applied so far."""
+        return self._applier.state
+
+    @property
+    def leader_term(self) -> int | None:
+        """Return the term that this replica leads, None elsewhere."""
+        if self._core is None or not self._core.state.is_leader():
+            return None
+        return self._core.state.term
+
+    @property
+    def group(self) -> types.GroupId | None:
+        """Return the group that this replica belongs to."""
+        return self.identity.group
+
+    @property
+    def membership(self) -> types.Membership:
+        """Return the latest membership known here."""
+        if self._core is None:
+            return storages.EMPTY_MEMBERSHIP
+        return self._core.state.log.membership
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._tasks.append(asyncio.create_task(self._run()))
+        self._tasks.append(asyncio.create_task(self._keep_time()))
+
+    def form(
+        self, group: types.GroupId, membership: types.Membership
+    ) -> types.GroupId | None:
+        """Become a first voter of a group; an old member stays as it is."""
+        if self.identity.group is None:
+            if self.member.replica in membership.voter_ids():
+                first = types.Entry(1, 1, membership=membership)
+                self._enter(
+                    group,
+                    (
+                        types.HardState(1, None),
+                        types.AppendEntries((first,)),
+                    ),
+                )
+        return self.identity.group
+
+    def campaign_soon(self) -> None:
+        """Ask for votes at the next tick; a new group needs no wait."""
+        if self._core is not None:
+            self._core.state.election_due_ms = self._clock.now_ms()
+
+    def enter_as_learner(self, group: types.GroupId) -> None:
+        """Follow a group that has added this replica."""
+        if self.identity.group is None:
+            self._enter(group, ())
+
+    def _enter(
+        self, group: types.GroupId, records: tuple[types.Record, ...]
+    ) -> None:
+        storage = storages.Storage.create(self._folder, records)
+        self.identity = identities.Identity(self.identity.replica, group)
+        identities.save(self._folder, self.identity)
+        self._open(storage)
+        self._wake.set()
+
+    def _open(self, storage: storages.Storage) -> None:
+        commit = 0
+        if storage.snapshot is not None:
+            self._applier.install(storage.snapshot)
+            commit = storage.snapshot.index
+        self._storage = storage
+        self._core = cores.Core(
+            self.identity.replica,
+            storage.log,
+            storage.hard_state,
+            commit,
+            self._clock.now_ms(),
+            self._rng,
+            self._timing,
+        )
+
+    def leader_address(self) -> str | None:
+        """Return where the leader listens, as far as known."""
+        if self._core is None or self._core.state.leader is None:
+            return None
+        member = self.membership.member(self._core.state.leader)
+        return member.address if member else None
+
+    def is_adrift(self, silence_ms: float) -> bool:
+        """Return whether no leader reaches this replica, which has no vote.
+
+        Such a replica asks to be added as a learner.
+        """
+        if self._core is None:
+            return True
+        state = self._core.state
+        if state.is_voter() and not state.removed:
+            return False
+        return self._clock.now_ms() - state.heard_leader_ms > silence_ms
+
+    async def propose(
+        self, command: messages.Command
+    ) -> messages.CommandResult:
+        """Commit a command and return its result."""
+        core = self._require_core()
+        place = core.propose(_encoder.encode(command))
+        if place is None:
+            raise replicas.NotLeader(self.leader_address())
+        self._wake.set()
+        return await self._applier.result_of(*place)
+
+    async def confirm(self) -> None:
+        """Wait until `state` is at least as new as this call."""
+        core = self._require_core()
+        self._tokens += 1
+        token = self._tokens
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_read[token] = future
+        core.read(token)
+        self._wake.set()
+        try:
+            index = await future
+        finally:
+            self._future_by_read.pop(token, None)
+        if index is None:
+            raise replicas.NotLeader(self.leader_address())
+        await self._applier.applied(index)
+
+    async def audit(
+        self, start: int, limit: int
+    ) -> tuple[messages.AuditEntry, ...]:
+        """Return entries of the trail after number `start`."""
+        return await asyncio.to_thread(self._applier.trail.read, start, limit)
+
+    def deliver(self, received: tuple[wire.Message, ...]) -> None:
+        """Take in messages of this group."""
+        if self._core is None:
+            return
+        for message in received:
+            self._core.step(message)
+        self._wake.set()
+
+    @property
+    def trail_end(self) -> int:
+        """Return the number of the last entry of the trail held here."""
+        return self._applier.trail.last_number
+
+    def trail_length(self, snapshot: types.Snapshot) -> int:
+        """Return how many entries of the trail a snapshot stands on."""
+        return applier.trail_length(snapshot)
+
+    def add_trail(self, entries: tuple[messages.AuditEntry, ...]) -> None:
+        """Append entries of the trail that another replica holds."""
+        self._applier.trail.append_missing(entries)
+
+    def initial_membership(self) -> types.Membership | None:
+        """Return the first voters while the start of the log is held."""
+        if self._core is None or self._core.state.log.base_index > 0:
+            return None
+        log = self._core.state.log
+        return log.entry(1).membership if log.last_index else None
+
+    def add_learner(self, member: types.Member) -> bool:
+        """As the leader, add a learner; return whether it is committed."""
+        core = self._require_core()
+        state = core.state
+        if not state.is_leader():
+            raise replicas.NotLeader(self.leader_address())
+        _, committed = state.log.membership_at(state.commit)
+        if committed.member(member.replica) is not None:
+            return True
+        latest = state.log.membership
+        known = latest.member(member.replica) is not None
+        if not known and len(latest.learners) < repair.MAX_LEARNERS:
+            core.propose_membership(memberships.with_learner(latest, member))
+            self._wake.set()
+        return False
+
+    def repair(self) -> None:
+        """As the leader, propose the membership change that is due."""
+        if self.leader_term is None:
+            return
+        change = repair.next_change(self._core.state)
+        if change is not None and self._core.propose_membership(change):
+            _log.warning(
+                "membership changes",
+                voters=[member.instance for member in change.voters],
+                learners=[member.instance for member in change.learners],
+            )
+            self._wake.set()
+
+    async def hand_over(self) -> None:
+        """Give leadership to the voter that is best caught up."""
+        deadline_ms = self._clock.now_ms() + HAND_OVER_LIMIT_MS
+        while self.leader_term is not None:
+            target = self._best_follower()
+            if target is None or self._clock.now_ms() > deadline_ms:
+                return
+            if self._core.state.transfer_to is None:
+                self._core.transfer(target)
+                self._wake.set()
+            await self._clock.sleep_ms(HAND_OVER_POLL_MS)
+
+    def _best_follower(self) -> types.ReplicaId | None:
+        state = self._core.state
+        others = state.log.membership.voter_ids() - {state.self_id}
+        return max(
+            sorted(others),
+            key=lambda replica: state.progress_by_id[replica].match,
+            default=None,
+        )
+
+    async def close(self) -> None:
+        """Stop and close the files."""
+        for task in self._tasks:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        self._fail_waiting()
+        if self._storage is not None:
+            self._storage.close()
+        self._applier.close()
+
+    def _require_core(self) -> cores.Core:
+        if self._core is None:
+            raise replicas.NotLeader()
+        return self._core
+
+    def _fail_waiting(self) -> None:
+        self._applier.fail_waiting()
+        for future in self._future_by_read.values():
+            if not future.done():
+                future.set_result(None)
+
+    async def _keep_time(self) -> None:
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            self._wake.set()
+
+    async def _run(self) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                if self._core is not None:
+                    await self._turn(self._core)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            # After a failed sync the disk's content is unknown, so that
+            # this replica must not acknowledge anything more.
+            _log.exception("control replica stopped")
+            self._core = None
+            self._fail_waiting()
+            raise
+
+    async def _turn(self, core: cores.Core) -> None:
+        core.tick(self._clock.now_ms())
+        output = core.take_output()
+        self._send(output.early)
+        for replica in output.snapshot_to:
+            self._send_snapshot(core, replica)
+        if output.writes:
+            await asyncio.to_thread(self._storage.write, output.writes)
+            self._tell_synced(core, output.writes)
+        self._send(output.messages)
+        for result in output.reads:
+            future = self._future_by_read.get(result.token)
+            if future is not None and not future.done():
+                future.set_result(result.index)
+        if not core.state.is_leader():
+            self._applier.fail_waiting()
+        self._apply(core)
+        await self._compact(core)
+        if not core.state.output.is_empty():
+            self._wake.set()
+
+    def _tell_synced(
+        self, core: cores.Core, writes: list[types.Record]
+    ) -> None:
+        for record in reversed(writes):
+            if isinstance(record, types.AppendEntries):
+                last = record.entries[-1]
+                core.synced(last.index, last.term)
+                return
+
+    def _apply(self, core: cores.Core) -> None:
+        state = core.state
+        snapshot = self._storage.snapshot
+        if snapshot and snapshot.index > self._applier.index:
+            self._applier.install(snapshot)
+        while self._applier.index < state.commit:
+            following = self._applier.index + 1
+            if following <= state.log.base_index:
+                # The snapshot that holds it is still being written.
+                return
+            self._applier.apply(state.log.entry(following))
+
+    async def _compact(self, core: cores.Core) -> None:
+        """Write a snapshot where the log has grown long."""
+
+    def _send(self, outgoing: list[wire.Message]) -> None:
+        for message in outgoing:
+            member = self.membership.member(message.to)
+            self._transport.send(
+                self.identity.group, message, member and member.address
+            )
+
+    def _send_snapshot(
+        self, core: cores.Core, replica: types.ReplicaId
+    ) -> None:
+        state = core.state
+        if self._storage.snapshot is None:
+            return
+        self._send(
+            [
+                wire.InstallSnapshot(
+                    state.self_id,
+                    replica,
+                    state.term,
+                    self._storage.snapshot,
+                    state.round,
+                )
+            ]
+        )
--- /dev/null
+++ b/src/oriolejunction/consensus/repair.py
@@ -0,0 +1,133 @@
+"""Repair of the group: which membership change is due next, if any."""
+
+import dataclasses
+
+from oriolejunction.consensus import core_state
+from oriolejunction.consensus import membership as memberships
+from oriolejunction.consensus import types
+
+LOST_AFTER_MS = 60_000.0
+REPLACED_AFTER_MS = 3_000.0
+LEARNER_ALIVE_MS = 1_000.0
+MAX_LEARNERS = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class MemberView:
+    """A member as the leader sees it: silence in ms and entries behind."""
+
+    member: types.Member
+    silent_ms: float
+    entries_behind: int
+
+
+def views(state: core_state.CoreState) -> list[MemberView]:
+    """Return how the leader sees each member of the latest membership."""
+    return [
+        MemberView(
+            member,
+            _silent_ms(state, member.replica),
+            state.commit - state.progress_by_id[member.replica].match,
+        )
+        for member in state.log.membership.members()
+    ]
+
+
+def _silent_ms(state: core_state.CoreState, replica: types.ReplicaId) -> float:
+    if replica == state.self_id:
+        return 0.0
+    return state.now_ms - state.progress_by_id[replica].heard_ms
+
+
+def next_change(state: core_state.CoreState) -> types.Membership | None:
+    """Return the membership that the leader should propose now.
+
+    One step at a time: too many voters lose the one lost longest; a lost
+    or missing voter gets a caught-up learner first; learners that are
+    gone are dropped.
+    """
+    current = state.log.membership
+    seen = views(state)
+    voters = [v for v in seen if v.member in current.voters]
+    learners = [v for v in seen if v.member in current.learners]
+    if len(voters) > current.voter_target:
+        spare = _spare_voter(state, voters)
+        if spare is None:
+            return None
+        return memberships.without(current, spare.member.replica)
+    candidate = _best_learner(learners, voters)
+    lost = [v for v in voters if is_lost(v, current)]
+    if candidate and (lost or len(voters) < current.voter_target):
+        return memberships.with_promoted(current, candidate.member.replica)
+    for view in learners:
+        if is_lost(view, current):
+            return memberships.without(current, view.member.replica)
+    return None
+
+
+def is_lost(view: MemberView, current: types.Membership) -> bool:
+    """Return whether a member is to be replaced.
+
+    A disk that came back with a new identity on the same instance proves
+    the loss of the old one; a silent member alone may be paused or cut off.
+    """
+    replaced = _is_replaced(view.member, current)
+    limit_ms = REPLACED_AFTER_MS if replaced else LOST_AFTER_MS
+    return view.silent_ms > limit_ms
+
+
+def _is_replaced(member: types.Member, current: types.Membership) -> bool:
+    return any(
+        other.instance == member.instance
+        and other.replica != member.replica
+        and _is_later(other, member, current)
+        for other in current.members()
+    )
+
+
+def _is_later(
+    member: types.Member, other: types.Member, current: types.Membership
+) -> bool:
+    order = current.members()
+    return order.index(member) > order.index(other)
+
+
+def _spare_voter(
+    state: core_state.CoreState, voters: list[MemberView]
+) -> MemberView | None:
+    """Return the voter to drop: replaced, then silent, then any spare.
+
+    A new leader has heard nobody yet, so that its silences prove nothing
+    before each voter has answered it.
+    """
+    current = state.log.membership
+    others = [v for v in voters if v.member.replica != state.self_id]
+    silent = [v for v in others if v.silent_ms > REPLACED_AFTER_MS]
+    for view in others:
+        if _is_replaced(view.member, current):
+            return view
+    if silent:
+        return max(silent, key=lambda view: view.silent_ms)
+    if all(state.progress_by_id[v.member.replica].round for v in others):
+        return max(others, key=lambda view: _zone_count(view, voters))
+    return None
+
+
+def _zone_count(view: MemberView, voters: list[MemberView]) -> int:
+    return sum(v.member.zone == view.member.zone for v in voters)
+
+
+def _best_learner(
+    learners: list[MemberView], voters: list[MemberView]
+) -> MemberView | None:
+    alive_zones = {
+        v.member.zone for v in voters if v.silent_ms < LEARNER_ALIVE_MS
+    }
+    ready = [
+        view
+        for view in learners
+        if view.entries_behind <= 0 and view.silent_ms < LEARNER_ALIVE_MS
+    ]
+    if not ready:
+        return None
+    return min(ready, key=lambda view: view.member.zone in alive_zones)
--- a/src/oriolejunction/consensus/replica.py
+++ b/src/oriolejunction/consensus/replica.py
@@ -7,13 +7,17 @@
 
 
 class NotLeader(Exception):
-    """This replica cannot commit now; `hint` is the leader's address."""
+    """This replica did not commit it; `hint` is the leader's address."""
 
     def __init__(self, hint: str | None = None) -> None:
         super().__init__("not the leader")
         self.hint = hint
 
 
+class OutcomeUnknown(Exception):
+    """Leadership was lost while a command waited; it may be committed."""
+
+
 class Replica(typing.Protocol):
     """A replica of the control state."""
 
@@ -21,12 +25,17 @@
     def state(self) -> control_state.ControlState:
         """Return the state as applied so far."""
 
+    @property
+    def leader_term(self) -> int | None:
+        """Return the term that this replica leads, None elsewhere."""
+
     async def propose(
         self, command: messages.Command
     ) -> messages.CommandResult:
         """Commit a command durably and return its result.
 
-        Raise `NotLeader` only where the command was not committed here.
+        Raise `NotLeader` only where the command was not committed here,
+        `OutcomeUnknown` where it may have been.
         """
 
     async def confirm(self) -> None:
@@ -35,5 +44,13 @@
         Raise `NotLeader` where no majority confirms it.
         """
 
+    async def audit(
+        self, start: int, limit: int
+    ) -> tuple[messages.AuditEntry, ...]:
+        """Return entries of the trail after number `start`."""
+
+    async def hand_over(self) -> None:
+        """Give leadership to another voter, where there is one."""
+
     async def close(self) -> None:
         """Stop and close the files."""
--- /dev/null
+++ b/src/oriolejunction/consensus/replication.py
@@ -0,0 +1,302 @@
+"""Replication: appending, matching, committing and confirming reads."""
+
+from oriolejunction.consensus import core_state
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
+from oriolejunction import invariants
+
+MAX_ENTRIES_PER_APPEND = 256
+MAX_BYTES_PER_APPEND = 1 << 20
+MAX_ENTRIES_IN_FLIGHT = 4_096
+SNAPSHOT_RETRY_MS = 3_000.0
+
+
+def become_leader(state: core_state.CoreState) -> None:
+    """Lead the term and append an entry of it, so that reads can start."""
+    state.role = types.Role.LEADER
+    state.leader = state.self_id
+    state.progress_by_id.clear()
+    state.reads.clear()
+    state.transfer_to = None
+    state.term_start_index = state.log.last_index + 1
+    _add_progress(state)
+    append_own(state, None, None)
+    state.heartbeat_due_ms = state.now_ms
+
+
+def _add_progress(state: core_state.CoreState) -> None:
+    members = state.log.membership.member_ids()
+    for replica in members | {state.self_id}:
+        if replica not in state.progress_by_id:
+            state.progress_by_id[replica] = core_state.Progress(
+                next=state.log.last_index + 1, heard_ms=state.now_ms
+            )
+    for replica in list(state.progress_by_id):
+        if replica not in members and replica != state.self_id:
+            del state.progress_by_id[replica]
+
+
+def append_own(
+    state: core_state.CoreState,
+    command: bytes | None,
+    membership: types.Membership | None,
+) -> int:
+    """Append an entry as the leader and return its index."""
+    entry = types.Entry(
+        state.log.last_index + 1, state.term, command, membership
+    )
+    _append(state, (entry,))
+    if membership is not None:
+        _add_progress(state)
+    state.has_new_entries = True
+    return entry.index
+
+
+def _append(
+    state: core_state.CoreState, entries: tuple[types.Entry, ...]
+) -> None:
+    state.log.append(entries)
+    state.output.writes.append(types.AppendEntries(entries))
+
+
+def broadcast(state: core_state.CoreState) -> None:
+    """Start a round: send what each member lacks, at least a heartbeat."""
+    state.round += 1
+    state.progress_by_id[state.self_id].round = state.round
+    state.heartbeat_due_ms = state.now_ms + state.timing.heartbeat_ms
+    state.has_new_entries = False
+    state.has_new_reads = False
+    for replica in sorted(state.log.membership.member_ids()):
+        if replica != state.self_id:
+            send_append(state, replica)
+    confirm_reads(state)
+
+
+def send_append(state: core_state.CoreState, replica: types.ReplicaId) -> None:
+    """Send a member the entries it lacks, or ask for a snapshot."""
+    progress = state.progress_by_id[replica]
+    if progress.next <= state.log.base_index:
+        _send_snapshot(state, replica, progress)
+        _send_heartbeat(state, replica)
+        return
+    prev_index = progress.next - 1
+    entries: tuple[types.Entry, ...] = ()
+    if prev_index - progress.match < MAX_ENTRIES_IN_FLIGHT:
+        entries = state.log.slice(
+            progress.next, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND
+        )
+    state.output.early.append(
+        wire.AppendRequest(
+            sender=state.self_id,
+            to=replica,
+            term=state.term,
+            prev_index=prev_index,
+            prev_term=state.log.term_at(prev_index),
+            entries=entries,
+            commit=state.commit,
+            round=state.round,
+        )
+    )
+    progress.next += len(entries)
+
+
+def _send_snapshot(
+    state: core_state.CoreState,
+    replica: types.ReplicaId,
+    progress: core_state.Progress,
+) -> None:
+    if state.now_ms - progress.snapshot_sent_ms < SNAPSHOT_RETRY_MS:
+        return
+    progress.snapshot_sent_ms = state.now_ms
+    state.output.snapshot_to.append(replica)
+
+
+def _send_heartbeat(
+    state: core_state.CoreState, replica: types.ReplicaId
+) -> None:
+    state.output.early.append(
+        wire.AppendRequest(
+            sender=state.self_id,
+            to=replica,
+            term=state.term,
+            prev_index=0,
+            prev_term=0,
+            entries=(),
+            commit=0,
+            round=state.round,
+        )
+    )
+
+
+def on_append_request(
+    state: core_state.CoreState, request: wire.AppendRequest
+) -> None:
+    """Match the log with the leader's, append, and advance the commit."""
+    log = state.log
+    if request.prev_index > log.last_index:
+        _reply(state, request, False, log.last_index)
+        return
+    if request.prev_index < log.base_index:
+        _reply(state, request, False, state.commit)
+        return
+    if log.term_at(request.prev_index) != request.prev_term:
+        _reply(state, request, False, state.commit)
+        return
+    _append_missing(state, request.entries)
+    match = request.prev_index + len(request.entries)
+    advance_commit(state, min(request.commit, match))
+    _reply(state, request, True, match)
+
+
+def _append_missing(
+    state: core_state.CoreState, entries: tuple[types.Entry, ...]
+) -> None:
+    log = state.log
+    for place, entry in enumerate(entries):
+        if entry.index <= log.last_index:
+            if log.term_at(entry.index) == entry.term:
+                continue
+            invariants.require(
+                "committed_entry_never_lost",
+                entry.index > state.commit,
+                commit=state.commit,
+                index=entry.index,
+            )
+            log.truncate(entry.index)
+            state.output.writes.append(types.TruncateLog(entry.index))
+        _append(state, entries[place:])
+        return
+
+
+def _reply(
+    state: core_state.CoreState,
+    request: wire.AppendRequest | wire.InstallSnapshot,
+    success: bool,
+    match: int,
+) -> None:
+    state.output.messages.append(
+        wire.AppendReply(
+            sender=state.self_id,
+            to=request.sender,
+            term=state.term,
+            success=success,
+            match=match,
+            round=request.round,
+        )
+    )
+
+
+def on_append_reply(
+    state: core_state.CoreState, reply: wire.AppendReply
+) -> None:
+    """Take in how far a member is; send it what it lacks."""
+    progress = state.progress_by_id.get(reply.sender)
+    if progress is None:
+        return
+    progress.heard_ms = state.now_ms
+    progress.round = max(progress.round, reply.round)
+    confirm_reads(state)
+    if not reply.success:
+        progress.next = max(progress.match, reply.match) + 1
+        progress.next = min(progress.next, state.log.last_index + 1)
+        if progress.next > state.log.base_index:
+            send_append(state, reply.sender)
+        return
+    progress.match = max(progress.match, reply.match)
+    progress.next = max(progress.next, progress.match + 1)
+    progress.snapshot_sent_ms = core_state.NEVER_MS
+    commit_matched(state)
+    _continue_transfer(state, reply.sender, progress)
+    if state.log.base_index < progress.next <= state.log.last_index:
+        send_append(state, reply.sender)
+
+
+def commit_matched(state: core_state.CoreState) -> None:
+    """Commit what a majority has synced, of the present term only."""
+    matches = sorted(
+        (
+            state.progress_by_id[replica].match
+            for replica in state.log.membership.voter_ids()
+        ),
+        reverse=True,
+    )
+    index = matches[state.quorum() - 1]
+    if index > state.commit and state.log.term_at(index) == state.term:
+        advance_commit(state, index)
+
+
+def advance_commit(state: core_state.CoreState, index: int) -> None:
+    """Raise the commit index; it never falls."""
+    state.commit = max(state.commit, index)
+
+
+def on_install_snapshot(
+    state: core_state.CoreState, message: wire.InstallSnapshot
+) -> None:
+    """Replace the log by a snapshot that is ahead of what is committed."""
+    snapshot = message.snapshot
+    if snapshot.index > state.commit:
+        state.log.reset(snapshot)
+        state.commit = snapshot.index
+        state.output.writes.append(snapshot)
+        _reply(state, message, True, snapshot.index)
+        return
+    _reply(state, message, True, state.commit)
+
+
+def read(state: core_state.CoreState, token: int) -> None:
+    """Register a read; it is served once a majority confirmed a round."""
+    if not state.is_leader():
+        state.output.reads.append(core_state.ReadResult(token, None))
+        return
+    index = max(state.commit, state.term_start_index)
+    state.reads.append(core_state.PendingRead(token, state.round + 1, index))
+    state.has_new_reads = True
+
+
+def confirm_reads(state: core_state.CoreState) -> None:
+    """Release the reads whose round a majority has confirmed."""
+    if not state.reads:
+        return
+    rounds = sorted(
+        (
+            state.progress_by_id[replica].round
+            for replica in state.log.membership.voter_ids()
+        ),
+        reverse=True,
+    )
+    confirmed = rounds[state.quorum() - 1]
+    for pending in state.reads:
+        if pending.round <= confirmed:
+            state.output.reads.append(
+                core_state.ReadResult(pending.token, pending.index)
+            )
+    state.reads = [r for r in state.reads if r.round > confirmed]
+
+
+def fail_reads(state: core_state.CoreState) -> None:
+    """Refuse the reads that wait; this replica leads no more."""
+    for pending in state.reads:
+        state.output.reads.append(core_state.ReadResult(pending.token, None))
+    state.reads.clear()
+
+
+def start_transfer(
+    state: core_state.CoreState, target: types.ReplicaId
+) -> None:
+    """Hand leadership over; no command is taken meanwhile."""
+    state.transfer_to = target
+    state.transfer_until_ms = state.now_ms + state.timing.election_max_ms
+    _continue_transfer(state, target, state.progress_by_id[target])
+
+
+def _continue_transfer(
+    state: core_state.CoreState,
+    replica: types.ReplicaId,
+    progress: core_state.Progress,
+) -> None:
+    caught_up = progress.match == state.log.last_index
+    if replica == state.transfer_to and caught_up:
+        state.output.messages.append(
+            wire.TimeoutNow(state.self_id, replica, state.term)
+        )
--- /dev/null
+++ b/src/oriolejunction/consensus/segments.py
@@ -0,0 +1,71 @@
+"""Checksummed frames in append-only files, and durable files as a whole."""
+
+import os
+import pathlib
+import zlib
+
+from oriolejunction import errors
+
+HEADER_BYTES = 8
+
+
+def frame(body: bytes) -> bytes:
+    """Return a body with its length and checksum before it."""
+    checksum = zlib.crc32(body)
+    return len(body).to_bytes(4, "big") + checksum.to_bytes(4, "big") + body
+
+
+def frame_at(data: bytes, position: int) -> bytes | None:
+    """Return the body of a sound frame at a place, else None."""
+    start = position + HEADER_BYTES
+    if start > len(data):
+        return None
+    length = int.from_bytes(data[position : position + 4], "big")
+    checksum = int.from_bytes(data[position + 4 : start], "big")
+    body = data[start : start + length]
+    if not length or len(body) < length or zlib.crc32(body) != checksum:
+        return None
+    return body
+
+
+def read_frames(data: bytes, name: str) -> tuple[list[bytes], int]:
+    """Return the bodies and where the sound part ends.
+
+    What follows the sound part was torn by a crash: a frame is written
+    only after the one before it is synced. Raise `Failure` with
+    `CorruptLog` where a sound frame follows the damage.
+    """
+    bodies = []
+    position = 0
+    while (body := frame_at(data, position)) is not None:
+        bodies.append(body)
+        position += HEADER_BYTES + len(body)
+    for later in range(position + 1, len(data) - HEADER_BYTES):
+        if frame_at(data, later) is not None:
+            raise errors.Failure(
+                errors.CorruptLog(
+                    f"{name}: damaged at byte {position},"
+                    f" but byte {later} starts a sound record"
+                )
+            )
+    return bodies, position
+
+
+def write_durably(path: pathlib.Path, data: bytes) -> None:
+    """Replace a file so that a crash leaves the old one or the new one."""
+    temporary = path.with_suffix(path.suffix + ".tmp")
+    with temporary.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make the names in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/src/oriolejunction/consensus/storage.py
@@ -0,0 +1,214 @@
+"""Term, vote, log and snapshots on disk.
+
+One write-ahead log file at a time. Each batch of records is one frame, and
+is synced before the next one is written.
+"""
+
+import collections.abc
+import os
+import pathlib
+
+import msgspec
+
+from oriolejunction.consensus import log as logs
+from oriolejunction.consensus import segments
+from oriolejunction.consensus import types
+from oriolejunction import errors
+
+EMPTY_MEMBERSHIP = types.Membership(())
+_SEGMENT_GLOB = "wal-*.log"
+_SNAPSHOT_NAME = "snapshot"
+
+
+class Base(msgspec.Struct, frozen=True, tag=True):
+    """What is before the first entry of a segment."""
+
+    index: int
+    term: int
+    membership: types.Membership
+    membership_index: int
+
+
+_Stored = Base | types.HardState | types.AppendEntries | types.TruncateLog
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[_Stored, ...])
+_snapshot_decoder = msgspec.msgpack.Decoder(types.Snapshot)
+
+
+class Storage:
+    """The durable part of one replica, in a folder of its own."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self.hard_state = types.HardState(0, None)
+        self.log = logs.Log(EMPTY_MEMBERSHIP)
+        self.snapshot: types.Snapshot | None = None
+        self.segment_bytes = 0
+        self._number = 0
+        self._file = None
+        self.sync_count = 0
+
+    @classmethod
+    def create(
+        cls,
+        folder: pathlib.Path,
+        records: collections.abc.Iterable[types.Record] = (),
+    ) -> "Storage":
+        """Return the storage of a replica that has none yet."""
+        storage = cls(folder)
+        storage._start_segment((Base(0, 0, EMPTY_MEMBERSHIP, 0), *records))
+        storage._replay_records((*records,))
+        return storage
+
+    @classmethod
+    def load(cls, folder: pathlib.Path) -> "Storage":
+        """Return the storage found in a folder.
+
+        Raise `Failure` with `CorruptLog` where it is missing or damaged
+        other than by a write that a crash cut off.
+        """
+        storage = cls(folder)
+        storage._load_snapshot()
+        storage._load_segment()
+        storage._join_snapshot()
+        return storage
+
+    def _load_snapshot(self) -> None:
+        path = self._folder / _SNAPSHOT_NAME
+        if not path.exists():
+            return
+        body = segments.frame_at(path.read_bytes(), 0)
+        if body is None:
+            raise errors.Failure(errors.CorruptLog("the snapshot is damaged"))
+        self.snapshot = _snapshot_decoder.decode(body)
+
+    def _load_segment(self) -> None:
+        paths = sorted(self._folder.glob(_SEGMENT_GLOB))
+        if not paths:
+            raise errors.Failure(errors.CorruptLog("the log is missing"))
+        path = paths[-1]
+        data = path.read_bytes()
+        bodies, end = segments.read_frames(data, path.name)
+        if not bodies:
+            raise errors.Failure(errors.CorruptLog("the log has no start"))
+        for body in bodies:
+            self._replay_records(_decoder.decode(body))
+        self._number = int(path.stem.removeprefix("wal-"))
+        self._file = path.open("ab")
+        if end < len(data):
+            self._file.truncate(end)
+            os.fsync(self._file.fileno())
+        self.segment_bytes = end
+        for old in paths[:-1]:
+            old.unlink()
+
+    def _replay_records(
+        self, records: collections.abc.Iterable[_Stored]
+    ) -> None:
+        for record in records:
+            match record:
+                case Base():
+                    self.log = logs.Log(
+                        record.membership,
+                        record.membership_index,
+                        record.index,
+                        record.term,
+                    )
+                case types.HardState():
+                    self.hard_state = record
+                case types.AppendEntries():
+                    self.log.append(record.entries)
+                case types.TruncateLog():
+                    self.log.truncate(record.index)
+
+    def _join_snapshot(self) -> None:
+        snapshot = self.snapshot
+        base_index = self.log.base_index
+        if base_index and (snapshot is None or snapshot.index < base_index):
+            raise errors.Failure(
+                errors.CorruptLog("the snapshot before the log is missing")
+            )
+        if snapshot is None:
+            return
+        if self.log.term_at(snapshot.index) != snapshot.term:
+            self._reset_to(snapshot)
+
+    def _reset_to(self, snapshot: types.Snapshot) -> None:
+        self.log.reset(snapshot)
+        self._start_segment(
+            (
+                Base(
+                    snapshot.index,
+                    snapshot.term,
+                    snapshot.membership,
+                    snapshot.membership_index,
+                ),
+                self.hard_state,
+            )
+        )
+
+    def write(self, records: collections.abc.Sequence[types.Record]) -> None:
+        """Write records in order and sync them; raise `OSError`."""
+        batch: list[types.Record] = []
+        for record in records:
+            if isinstance(record, types.HardState):
+                self.hard_state = record
+            if not isinstance(record, types.Snapshot):
+                batch.append(record)
+                continue
+            self._write_batch(batch)
+            batch = []
+            self._save_snapshot(record)
+            self._reset_to(record)
+        self._write_batch(batch)
+
+    def _write_batch(
+        self, batch: collections.abc.Sequence[types.Record]
+    ) -> None:
+        if not batch:
+            return
+        data = segments.frame(_encoder.encode(tuple(batch)))
+        self._file.write(data)
+        self._file.flush()
+        os.fdatasync(self._file.fileno())
+        self.segment_bytes += len(data)
+        self.sync_count += 1
+
+    def _save_snapshot(self, snapshot: types.Snapshot) -> None:
+        segments.write_durably(
+            self._folder / _SNAPSHOT_NAME,
+            segments.frame(_encoder.encode(snapshot)),
+        )
+        self.snapshot = snapshot
+
+    def compact(
+        self,
+        snapshot: types.Snapshot,
+        base: Base,
+        hard_state: types.HardState,
+        entries: tuple[types.Entry, ...],
+    ) -> None:
+        """Save a snapshot, then keep only the entries after a base."""
+        self._save_snapshot(snapshot)
+        self._start_segment((base, hard_state, types.AppendEntries(entries)))
+
+    def _start_segment(
+        self, records: collections.abc.Sequence[_Stored]
+    ) -> None:
+        self._number += 1
+        path = self._folder / f"wal-{self._number:08}.log"
+        data = segments.frame(_encoder.encode(tuple(records)))
+        segments.write_durably(path, data)
+        if self._file is not None:
+            self._file.close()
+        self._file = path.open("ab")
+        self.segment_bytes = len(data)
+        for old in sorted(self._folder.glob(_SEGMENT_GLOB)):
+            if old < path:
+                old.unlink()
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -25,6 +25,7 @@
 MODEL_VERSION = "1"
 SERVICE = "order-desk"
 ENGINE_COUNT = 5
+REPLICAS = 3
 KEY_BY_WORKSPACE = {"hakata": "hakata-key", "aso": "aso-key"}
 
 
@@ -163,9 +164,16 @@
             caller_listen=f"{HOST}:{caller}",
             operator_listen=f"{HOST}:{operator}",
             peer_listen=f"{HOST}:{peer}",
-            control_peers=f"instance-0={HOST}:{ports[2]}",
+            control_peers=",".join(
+                f"instance-{replica}={HOST}:{ports[3 * replica + 2]}"
+                for replica in range(min(REPLICAS, len(ports) // 3))
+            ),
             operator_token=token,
-            data_dir=str(self._data_root / "0") if number == 0 else None,
+            data_dir=(
+                str(self._data_root / str(number))
+                if number < REPLICAS
+                else None
+            ),
             drain_delay_ms=100,
         )
         instance = wiring.Instance(settings, clocks.SystemClock())
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -125,12 +125,30 @@
 class ProposeReply(Message, frozen=True):
     """The committed result, or a hint where the leader is.
 
-    `not_leader` is a proof that this replica did not commit the command.
+    `not_leader` is a proof that this replica did not commit the command;
+    `unknown` says that it may have. `in_force` tells of an accepted change
+    whether each lease-holder applies it already.
     """
 
     result: CommandResult | None = None
     not_leader: bool = False
     leader_hint: str | None = None
+    unknown: bool = False
+    in_force: bool = True
+
+
+class AwaitInForceRequest(Message, frozen=True):
+    """Wait, for a bounded time, until a revision is in force everywhere."""
+
+    revision: ids.Revision
+
+
+class AwaitInForceReply(Message, frozen=True):
+    """Whether each lease-holder applies the revision or a later one."""
+
+    in_force: bool
+    not_leader: bool = False
+    leader_hint: str | None = None
 
 
 class RenewRequest(Message, frozen=True):
@@ -169,6 +187,7 @@
     configuration: configuration.Configuration | None
     lease_ms: int
     not_leader: bool = False
+    leader_hint: str | None = None
     peers: tuple[PeerInstance, ...] | None = None
     peers_digest: int = 0
 
@@ -194,6 +213,7 @@
     leader: ids.InstanceId
     instances: tuple[InstanceStatus, ...]
     not_leader: bool = False
+    leader_hint: str | None = None
 
 
 class AuditRequest(Message, frozen=True):
@@ -220,6 +240,7 @@
 
     entries: tuple[AuditEntry, ...]
     not_leader: bool = False
+    leader_hint: str | None = None
 
 
 class InForceRequest(Message, frozen=True):
@@ -232,3 +253,4 @@
     revision: ids.Revision
     configuration: configuration.Configuration | None
     not_leader: bool = False
+    leader_hint: str | None = None
--- a/src/oriolejunction/peers/control_client.py
+++ b/src/oriolejunction/peers/control_client.py
@@ -3,22 +3,35 @@
 import grpc
 import structlog
 
+from oriolejunction import clock as clocks
 from oriolejunction import errors
 from oriolejunction import ids
 from oriolejunction import messages
 from oriolejunction.peers import methods
 from oriolejunction.peers import rpc
 
+TRY_TIMEOUT_MS = 1_000
+PROPOSE_TRY_TIMEOUT_MS = 2_500
 CALL_TIMEOUT_MS = 1_500
-PROPOSE_TIMEOUT_MS = 8_000
+PROPOSE_TIMEOUT_MS = 10_000
+RETRY_PAUSE_MS = 100
 _log = structlog.get_logger(__name__)
 
 
 class ControlClient:
-    """Call the leader, found by asking the replicas in turn."""
+    """Call the leader, found by the replicas' hints or in turn.
 
-    def __init__(self, address_by_id: dict[ids.InstanceId, str]) -> None:
+    A call that got no answer is sent again, also to another replica: reads
+    change nothing, and commands are idempotent by the ids they carry.
+    """
+
+    def __init__(
+        self,
+        address_by_id: dict[ids.InstanceId, str],
+        clock: clocks.Clock = clocks.SystemClock(),
+    ) -> None:
         self._addresses = list(address_by_id.values())
+        self._clock = clock
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
 
     async def propose(
@@ -26,16 +39,42 @@
     ) -> messages.CommandResult:
         """Commit a command that is idempotent by its own ids.
 
-        Raise `Failure` with `ControlUnavailable` where no replica answered;
-        the command may still have been committed.
+        An accepted change returns once it is in force on every instance
+        with a lease. Raise `Failure` with `ControlUnavailable` where that
+        is not known in time; the command may still have been committed.
         """
+        deadline_ms = self._clock.now_ms() + PROPOSE_TIMEOUT_MS
         reply = await self._ask(
             methods.PROPOSE,
             messages.ProposeRequest(command),
-            PROPOSE_TIMEOUT_MS,
+            deadline_ms,
+            PROPOSE_TRY_TIMEOUT_MS,
         )
+        if not reply.in_force:
+            await self._until_in_force(reply.result.revision, deadline_ms)
         return reply.result
 
+    async def _until_in_force(
+        self, revision: ids.Revision, deadline_ms: float
+    ) -> None:
+        request = messages.AwaitInForceRequest(revision)
+        while self._clock.now_ms() < deadline_ms:
+            reply = await self._ask(
+                methods.AWAIT_IN_FORCE,
+                request,
+                deadline_ms,
+                PROPOSE_TRY_TIMEOUT_MS,
+            )
+            if reply.in_force:
+                return
+        raise errors.Failure(
+            errors.ControlUnavailable(
+                f"revision {revision} is committed, but not yet known to be"
+                " in force on every instance; send the order again",
+                retry_after_ms=1_000,
+            )
+        )
+
     async def renew(
         self, request: messages.RenewRequest
     ) -> messages.RenewReply:
@@ -47,8 +86,14 @@
         return await self._ask(methods.STATUS, messages.StatusRequest())
 
     async def audit(self, start: int = 0) -> messages.AuditReply:
-        """Return the trail of changes from `start` on."""
-        return await self._ask(methods.AUDIT, messages.AuditRequest(start))
+        """Return the trail of changes after number `start`, to its end."""
+        entries: list[messages.AuditEntry] = []
+        while True:
+            request = messages.AuditRequest(start + len(entries))
+            page = await self._ask(methods.AUDIT, request)
+            if not page.entries:
+                return messages.AuditReply(tuple(entries))
+            entries.extend(page.entries)
 
     async def in_force(self) -> messages.InForceReply:
         """Return the configuration in force."""
@@ -59,27 +104,64 @@
         for channel in self._channel_by_address.values():
             await channel.close()
 
-    async def _ask(self, method, request, timeout_ms=CALL_TIMEOUT_MS):
-        for address in list(self._addresses):
-            call = rpc.caller(self._channel(address), method)
-            try:
-                reply = await call(request, timeout=timeout_ms / 1000.0)
-            except grpc.aio.AioRpcError as error:
-                _log.debug("replica failed", address=address, why=error.code())
-                self._try_last(address)
-                continue
-            if not reply.not_leader:
+    async def _ask(
+        self, method, request, deadline_ms=None, try_ms=TRY_TIMEOUT_MS
+    ):
+        if deadline_ms is None:
+            deadline_ms = self._clock.now_ms() + CALL_TIMEOUT_MS
+        while True:
+            reply = await self._pass(method, request, deadline_ms, try_ms)
+            if reply is not None:
                 return reply
-            self._try_last(address)
+            if self._clock.now_ms() >= deadline_ms:
+                break
+            await self._clock.sleep_ms(RETRY_PAUSE_MS)
         raise errors.Failure(
             errors.ControlUnavailable(
                 "no control replica answered", retry_after_ms=1_000
             )
         )
 
+    async def _pass(self, method, request, deadline_ms, try_ms):
+        """Ask each replica once; a hint is followed at once."""
+        waiting = list(self._addresses)
+        tried = set()
+        while waiting:
+            address = waiting.pop(0)
+            if address in tried or self._clock.now_ms() >= deadline_ms:
+                continue
+            tried.add(address)
+            reply = await self._try(address, method, request, try_ms)
+            if reply is None:
+                continue
+            if not reply.not_leader:
+                self._try_first(address)
+                return reply
+            if reply.leader_hint is not None:
+                waiting.insert(0, reply.leader_hint)
+        return None
+
+    async def _try(self, address, method, request, timeout_ms):
+        call = rpc.caller(self._channel(address), method)
+        try:
+            reply = await call(request, timeout=timeout_ms / 1000.0)
+        except grpc.aio.AioRpcError as error:
+            _log.debug("replica failed", address=address, why=error.code())
+            self._try_last(address)
+            return None
+        if getattr(reply, "unknown", False):
+            return None
+        return reply
+
+    def _try_first(self, address: str) -> None:
+        if address in self._addresses:
+            self._addresses.remove(address)
+        self._addresses.insert(0, address)
+
     def _try_last(self, address: str) -> None:
-        self._addresses.remove(address)
-        self._addresses.append(address)
+        if address in self._addresses:
+            self._addresses.remove(address)
+            self._addresses.append(address)
 
     def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channel_by_address.get(address)
--- a/src/oriolejunction/peers/control_service.py
+++ b/src/oriolejunction/peers/control_service.py
@@ -11,6 +11,8 @@
 from oriolejunction.peers import rpc
 
 APPLIED_POLL_MS = 20
+AWAIT_LIMIT_MS = 1_000
+AUDIT_PAGE_ENTRIES = 500
 
 
 class ControlService:
@@ -25,9 +27,8 @@
         self._instance_id = instance_id
         self._replica = replica
         self._clock = clock
-        self._leases = lease_table.new_table(
-            clock.now_ms(), replica.state.history.revision
-        )
+        self._leases_term: int | None = None
+        self._leases = lease_table.new_table(0.0, ids.NO_REVISION)
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve on a gRPC server."""
@@ -39,36 +40,79 @@
                 methods.STATUS: self._status,
                 methods.AUDIT: self._audit,
                 methods.IN_FORCE: self._in_force,
+                methods.AWAIT_IN_FORCE: self._await_in_force,
             },
         )
 
+    async def _confirm(self) -> None:
+        """Confirm leadership and start the leases of a new term.
+
+        Only a confirmed replica knows whether a former leader may have
+        granted leases.
+        """
+        await self._replica.confirm()
+        term = self._replica.leader_term
+        if term is not None and term != self._leases_term:
+            self._leases_term = term
+            self._leases = lease_table.new_table(
+                self._clock.now_ms(), self._replica.state.history.revision
+            )
+
     async def _propose(
         self, request: messages.ProposeRequest
     ) -> messages.ProposeReply:
         try:
+            if self._replica.leader_term != self._leases_term:
+                await self._confirm()
             result = await self._replica.propose(request.command)
         except replicas.NotLeader as error:
             return messages.ProposeReply(
                 not_leader=True, leader_hint=error.hint
             )
-        if isinstance(result, messages.ChangeAccepted):
-            await self._wait_in_force(result.revision)
-        return messages.ProposeReply(result=result)
-
-    async def _wait_in_force(self, revision: ids.Revision) -> None:
-        while not lease_table.in_force_everywhere(
-            self._leases, revision, self._clock.now_ms()
-        ):
+        except replicas.OutcomeUnknown:
+            return messages.ProposeReply(unknown=True)
+        if not isinstance(result, messages.ChangeAccepted):
+            return messages.ProposeReply(result=result)
+        in_force = await self._wait_in_force(result.revision)
+        return messages.ProposeReply(result=result, in_force=in_force)
+
+    async def _await_in_force(
+        self, request: messages.AwaitInForceRequest
+    ) -> messages.AwaitInForceReply:
+        try:
+            await self._confirm()
+        except replicas.NotLeader as error:
+            return messages.AwaitInForceReply(
+                False, not_leader=True, leader_hint=error.hint
+            )
+        return messages.AwaitInForceReply(
+            await self._wait_in_force(request.revision)
+        )
+
+    async def _wait_in_force(self, revision: ids.Revision) -> bool:
+        term = self._leases_term
+        give_up_ms = self._clock.now_ms() + AWAIT_LIMIT_MS
+        while self._replica.leader_term == term:
+            now_ms = self._clock.now_ms()
+            if lease_table.in_force_everywhere(self._leases, revision, now_ms):
+                return True
+            if now_ms >= give_up_ms:
+                return False
             await self._clock.sleep_ms(APPLIED_POLL_MS)
+        return False
 
     async def _renew(
         self, request: messages.RenewRequest
     ) -> messages.RenewReply:
         try:
-            await self._replica.confirm()
-        except replicas.NotLeader:
+            await self._confirm()
+        except replicas.NotLeader as error:
             return messages.RenewReply(
-                ids.NO_REVISION, None, lease_ms=0, not_leader=True
+                ids.NO_REVISION,
+                None,
+                lease_ms=0,
+                not_leader=True,
+                leader_hint=error.hint,
             )
         history = self._replica.state.history
         now_ms = self._clock.now_ms()
@@ -88,10 +132,14 @@
         self, request: messages.StatusRequest
     ) -> messages.StatusReply:
         try:
-            await self._replica.confirm()
-        except replicas.NotLeader:
+            await self._confirm()
+        except replicas.NotLeader as error:
             return messages.StatusReply(
-                ids.NO_REVISION, self._instance_id, (), not_leader=True
+                ids.NO_REVISION,
+                self._instance_id,
+                (),
+                not_leader=True,
+                leader_hint=error.hint,
             )
         return messages.StatusReply(
             revision=self._replica.state.history.revision,
@@ -103,20 +151,26 @@
         self, request: messages.AuditRequest
     ) -> messages.AuditReply:
         try:
-            await self._replica.confirm()
-        except replicas.NotLeader:
-            return messages.AuditReply((), not_leader=True)
-        trail = self._replica.state.history.audit
-        return messages.AuditReply(tuple(trail[request.start :]))
+            await self._confirm()
+        except replicas.NotLeader as error:
+            return messages.AuditReply(
+                (), not_leader=True, leader_hint=error.hint
+            )
+        return messages.AuditReply(
+            await self._replica.audit(request.start, AUDIT_PAGE_ENTRIES)
+        )
 
     async def _in_force(
         self, request: messages.InForceRequest
     ) -> messages.InForceReply:
         try:
-            await self._replica.confirm()
-        except replicas.NotLeader:
+            await self._confirm()
+        except replicas.NotLeader as error:
             return messages.InForceReply(
-                ids.NO_REVISION, None, not_leader=True
+                ids.NO_REVISION,
+                None,
+                not_leader=True,
+                leader_hint=error.hint,
             )
         history = self._replica.state.history
         return messages.InForceReply(history.revision, history.content)
--- a/src/oriolejunction/peers/methods.py
+++ b/src/oriolejunction/peers/methods.py
@@ -18,3 +18,9 @@
 IN_FORCE = rpc.Method(
     "Control", "InForce", messages.InForceRequest, messages.InForceReply
 )
+AWAIT_IN_FORCE = rpc.Method(
+    "Control",
+    "AwaitInForce",
+    messages.AwaitInForceRequest,
+    messages.AwaitInForceReply,
+)
--- /dev/null
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -0,0 +1,135 @@
+"""Forms the group at its first start, joins it later, and has it repaired.
+
+Only the first of the listed replicas creates a group, and only after every
+listed replica has said that its disk is empty. A replica whose disk was
+wiped therefore finds a group, or waits; it never starts an empty one while
+a former member can answer or is silent.
+"""
+
+import asyncio
+
+import grpc
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import identity as identities
+from oriolejunction.consensus import raft_messages
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import types
+from oriolejunction.peers import raft_methods
+from oriolejunction.peers import raft_transport
+
+STEP_MS = 200
+CALL_TIMEOUT_S = 0.5
+ADRIFT_AFTER_MS = 2_000.0
+_log = structlog.get_logger(__name__)
+
+
+class Formation:
+    """Keeps one replica in its group."""
+
+    def __init__(
+        self,
+        replica: raft_replica.RaftReplica,
+        transport: raft_transport.RaftTransport,
+        clock: clocks.Clock,
+        addresses: list[str],
+    ) -> None:
+        self._replica = replica
+        self._transport = transport
+        self._clock = clock
+        self._addresses = addresses
+
+    async def run(self) -> None:
+        """Form, join and repair for as long as the instance lives."""
+        while True:
+            if self._replica.group is None:
+                await self._find_group()
+            elif self._replica.is_adrift(ADRIFT_AFTER_MS):
+                await self._join(self._addresses)
+            if self._replica.leader_address() is None:
+                await self._complete_formation()
+            self._replica.repair()
+            await self._clock.sleep_ms(STEP_MS)
+
+    async def _find_group(self) -> None:
+        introductions = await self._introductions()
+        known = [i for i in introductions if i and i.group]
+        if known:
+            await self._join(i.member.address for i in known)
+        elif all(introductions) and self._is_first():
+            await self._form([i.member for i in introductions])
+
+    def _is_first(self) -> bool:
+        return self._addresses[0] == self._replica.member.address
+
+    async def _introductions(
+        self,
+    ) -> list[raft_messages.Introduction | None]:
+        return await asyncio.gather(
+            *(self._introduction(address) for address in self._addresses)
+        )
+
+    async def _introduction(
+        self, address: str
+    ) -> raft_messages.Introduction | None:
+        if address == self._replica.member.address:
+            return raft_messages.Introduction(
+                self._replica.member, self._replica.group
+            )
+        return await self._call(
+            address, raft_methods.HELLO, raft_messages.Hello()
+        )
+
+    async def _form(self, members: list[types.Member]) -> None:
+        group = identities.new_group()
+        membership = types.Membership(
+            tuple(members), voter_target=len(members)
+        )
+        _log.warning("forming a group", voters=[m.instance for m in members])
+        self._replica.form(group, membership)
+        await self._complete_formation()
+        self._replica.campaign_soon()
+
+    async def _complete_formation(self) -> None:
+        """Tell the first voters that are still empty of their group.
+
+        Their identities are in the membership, so that a disk wiped since
+        does not take part.
+        """
+        membership = self._replica.initial_membership()
+        if membership is None:
+            return
+        request = raft_messages.Form(self._replica.group, membership)
+        await asyncio.gather(
+            *(
+                self._call(member.address, raft_methods.FORM, request)
+                for member in membership.voters
+                if member.replica != self._replica.member.replica
+            )
+        )
+
+    async def _join(self, addresses) -> None:
+        request = raft_messages.Join(self._replica.member)
+        tried = set()
+        waiting = list(addresses)
+        while waiting:
+            address = waiting.pop()
+            if address in tried or address == self._replica.member.address:
+                continue
+            tried.add(address)
+            reply = await self._call(address, raft_methods.JOIN, request)
+            if reply is None:
+                continue
+            if reply.leader_address is not None:
+                waiting.append(reply.leader_address)
+            if reply.accepted:
+                self._replica.enter_as_learner(reply.group)
+                return
+
+    async def _call(self, address: str, method, request):
+        call = self._transport.caller(address, method)
+        try:
+            return await call(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError:
+            return None
--- /dev/null
+++ b/src/oriolejunction/peers/raft_service.py
@@ -0,0 +1,96 @@
+"""gRPC service between control replicas."""
+
+import grpc
+
+from oriolejunction.consensus import raft_messages
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import replica as replicas
+from oriolejunction.consensus import wire
+from oriolejunction.peers import raft_methods
+from oriolejunction.peers import raft_transport
+from oriolejunction.peers import rpc
+
+AUDIT_PAGE_ENTRIES = 256
+
+
+class RaftService:
+    """Feed one replica from the network."""
+
+    def __init__(
+        self,
+        replica: raft_replica.RaftReplica,
+        transport: raft_transport.RaftTransport,
+    ) -> None:
+        self._replica = replica
+        self._transport = transport
+
+    def add_to(self, server: grpc.aio.Server) -> None:
+        """Serve on a gRPC server."""
+        rpc.add_methods(
+            server,
+            {
+                raft_methods.DELIVER: self._deliver,
+                raft_methods.HELLO: self._hello,
+                raft_methods.FORM: self._form,
+                raft_methods.JOIN: self._join,
+                raft_methods.FETCH_AUDIT: self._fetch_audit,
+            },
+        )
+
+    async def _deliver(
+        self, request: raft_messages.Deliver
+    ) -> raft_messages.Delivered:
+        if request.group == self._replica.group:
+            self._transport.learn(request)
+            await self._fetch_trail(request)
+            self._replica.deliver(request.messages)
+        return raft_messages.Delivered()
+
+    async def _fetch_trail(self, request: raft_messages.Deliver) -> None:
+        """Fetch the trail that a snapshot leaves out, before it counts."""
+        needed = max(
+            (
+                self._replica.trail_length(message.snapshot)
+                for message in request.messages
+                if isinstance(message, wire.InstallSnapshot)
+            ),
+            default=0,
+        )
+        call = self._transport.caller(
+            request.address, raft_methods.FETCH_AUDIT
+        )
+        while self._replica.trail_end < needed:
+            page = await call(
+                raft_messages.FetchAudit(self._replica.trail_end),
+                timeout=raft_transport.DELIVER_TIMEOUT_S,
+            )
+            if not page.entries:
+                return
+            self._replica.add_trail(page.entries)
+
+    async def _hello(
+        self, request: raft_messages.Hello
+    ) -> raft_messages.Introduction:
+        return raft_messages.Introduction(
+            self._replica.member, self._replica.group
+        )
+
+    async def _form(self, request: raft_messages.Form) -> raft_messages.Formed:
+        return raft_messages.Formed(
+            self._replica.form(request.group, request.membership)
+        )
+
+    async def _join(
+        self, request: raft_messages.Join
+    ) -> raft_messages.JoinReply:
+        try:
+            accepted = self._replica.add_learner(request.member)
+        except replicas.NotLeader as error:
+            return raft_messages.JoinReply(False, leader_address=error.hint)
+        return raft_messages.JoinReply(accepted, self._replica.group)
+
+    async def _fetch_audit(
+        self, request: raft_messages.FetchAudit
+    ) -> raft_messages.AuditPage:
+        entries = await self._replica.audit(request.start, AUDIT_PAGE_ENTRIES)
+        return raft_messages.AuditPage(entries)
--- /dev/null
+++ b/src/oriolejunction/peers/raft_transport.py
@@ -0,0 +1,100 @@
+"""Sends the log's messages to other replicas over gRPC, in batches."""
+
+import asyncio
+import collections
+
+import grpc
+
+from oriolejunction.consensus import raft_messages
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
+from oriolejunction.peers import raft_methods
+from oriolejunction.peers import rpc
+
+QUEUE_LIMIT = 512
+DELIVER_TIMEOUT_S = 1.0
+
+
+class RaftTransport:
+    """One queue and one sender for each address; a full queue drops."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._address_by_replica: dict[types.ReplicaId, str] = {}
+        self._queue_by_address: dict[str, _Queue] = {}
+        self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+
+    def learn(self, received: raft_messages.Deliver) -> None:
+        """Remember where the senders of messages listen now."""
+        for message in received.messages:
+            self._address_by_replica[message.sender] = received.address
+
+    def send(
+        self, group: types.GroupId, message: wire.Message, address: str | None
+    ) -> None:
+        """Queue a message to where its receiver was last heard."""
+        address = self._address_by_replica.get(message.to, address)
+        if address is None:
+            return
+        queue = self._queue_by_address.get(address)
+        if queue is None:
+            queue = _Queue(self, address)
+            self._queue_by_address[address] = queue
+        queue.put(group, message)
+
+    def caller(self, address: str, method: rpc.Method):
+        """Return a function that calls a method at an address."""
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(
+                address, options=rpc.CHANNEL_OPTIONS
+            )
+            self._channel_by_address[address] = channel
+        return rpc.caller(channel, method)
+
+    async def deliver(
+        self, address: str, group: types.GroupId, batch: list[wire.Message]
+    ) -> None:
+        """Send one batch; what fails is lost."""
+        call = self.caller(address, raft_methods.DELIVER)
+        try:
+            await call(
+                raft_messages.Deliver(group, self._address, tuple(batch)),
+                timeout=DELIVER_TIMEOUT_S,
+            )
+        except grpc.aio.AioRpcError:
+            return
+
+    async def close(self) -> None:
+        """Stop the senders and close the channels."""
+        for queue in self._queue_by_address.values():
+            await queue.close()
+        for channel in self._channel_by_address.values():
+            await channel.close()
+
+
+class _Queue:
+    def __init__(self, transport: RaftTransport, address: str) -> None:
+        self._transport = transport
+        self._address = address
+        self._waiting = collections.deque(maxlen=QUEUE_LIMIT)
+        self._wake = asyncio.Event()
+        self._task = asyncio.create_task(self._run())
+
+    def put(self, group: types.GroupId, message: wire.Message) -> None:
+        self._waiting.append((group, message))
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._waiting:
+                group = self._waiting[0][0]
+                batch = [message for _, message in self._waiting]
+                self._waiting.clear()
+                await self._transport.deliver(self._address, group, batch)
+
+    async def close(self) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -11,7 +11,8 @@
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
-from oriolejunction.consensus import single
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import types
 from oriolejunction.controllers import generation_runner
 from oriolejunction.controllers import routing
 from oriolejunction.http import callers
@@ -23,6 +24,9 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import raft_formation
+from oriolejunction.peers import raft_service
+from oriolejunction.peers import raft_transport
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -46,7 +50,7 @@
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
-        self._replica: single.SingleReplica | None = None
+        self._replica: raft_replica.RaftReplica | None = None
 
     async def start(self) -> None:
         """Open the listeners and begin to serve."""
@@ -85,6 +89,8 @@
         await self.clock.sleep_ms(self.settings.drain_delay_ms)
         while self._requests_in_flight:
             await self.clock.sleep_ms(DRAIN_POLL_MS)
+        if self._replica is not None:
+            await self._replica.hand_over()
 
     async def stop(self) -> None:
         """Close everything at once."""
@@ -98,6 +104,7 @@
             await self._server.stop(None)
         if self._replica is not None:
             await self._replica.close()
+            await self._raft_transport.close()
         self._write_state(states.InstanceState.STOPPED)
 
     async def _start_peer_listener(self, instance_id: ids.InstanceId) -> None:
@@ -110,10 +117,35 @@
     def _add_replica(self, instance_id: ids.InstanceId) -> None:
         data_dir = pathlib.Path(self.settings.data_dir)
         data_dir.mkdir(parents=True, exist_ok=True)
-        self._replica = single.SingleReplica(data_dir)
+        transport = raft_transport.RaftTransport(self.settings.peer_listen)
+        self._replica = raft_replica.RaftReplica(
+            data_dir,
+            self._replica_member,
+            transport,
+            self.clock,
+            random.Random(),
+        )
+        raft_service.RaftService(self._replica, transport).add_to(self._server)
         control_service.ControlService(
             instance_id, self._replica, self.clock
         ).add_to(self._server)
+        formation = raft_formation.Formation(
+            self._replica,
+            transport,
+            self.clock,
+            list(self.settings.control_address_by_id().values()),
+        )
+        self._replica.start()
+        self._tasks.append(asyncio.create_task(formation.run()))
+        self._raft_transport = transport
+
+    def _replica_member(self, replica: types.ReplicaId) -> types.Member:
+        return types.Member(
+            replica,
+            self.settings.instance_id,
+            self.settings.zone,
+            self.settings.peer_listen,
+        )
 
     def _caller_parts(self, instance_id: ids.InstanceId):
         rng = random.Random(instance_id)
--- /dev/null
+++ b/tests/consensus/test_raft_replica.py
@@ -0,0 +1,178 @@
+"""Replicas on real disks, with a network of function calls."""
+
+import asyncio
+import contextlib
+import random
+import shutil
+
+import pytest
+
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import core_state
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import replica as replicas
+from oriolejunction.consensus import types
+from oriolejunction import ids
+from oriolejunction import messages
+
+TIMING = core_state.Timing(20.0, 120.0, 240.0)
+GROUP = types.GroupId("group")
+
+
+class Group:
+    """Replicas that deliver to each other at once, unless cut off."""
+
+    def __init__(self, root):
+        self.root = root
+        self.replica_by_name = {}
+        self.cut_off = set()
+
+    def send(self, group, message, address):
+        sender = self._named(message.sender)
+        replica = self._named(message.to)
+        if replica is None or sender is None:
+            return
+        if {sender.member.address, replica.member.address} & self.cut_off:
+            return
+        asyncio.get_running_loop().call_soon(replica.deliver, (message,))
+
+    def _named(self, replica_id):
+        for replica in self.replica_by_name.values():
+            if replica.member.replica == replica_id:
+                return replica
+        return None
+
+    def open(self, name):
+        folder = self.root / name
+        folder.mkdir(exist_ok=True)
+        replica = raft_replica.RaftReplica(
+            folder,
+            lambda replica: types.Member(replica, name, f"zone-{name}", name),
+            self,
+            clocks.SystemClock(),
+            random.Random(name),
+            TIMING,
+        )
+        self.replica_by_name[name] = replica
+        replica.start()
+        return replica
+
+    async def close(self, name):
+        await self.replica_by_name.pop(name).close()
+
+    async def leader(self):
+        async with asyncio.timeout(20):
+            while True:
+                for replica in list(self.replica_by_name.values()):
+                    if replica.member.address in self.cut_off:
+                        continue
+                    with contextlib.suppress(replicas.NotLeader):
+                        await replica.confirm()
+                        return replica
+                await asyncio.sleep(0.01)
+
+    async def commit(self, key):
+        async with asyncio.timeout(20):
+            while True:
+                leader = await self.leader()
+                with contextlib.suppress(
+                    replicas.NotLeader, replicas.OutcomeUnknown
+                ):
+                    return await leader.propose(claim(key))
+
+    async def keys(self):
+        leader = await self.leader()
+        return {key[2] for key in leader.state.ledger.entry_by_key}
+
+
+def claim(key):
+    return messages.ClaimCall(
+        workspace=ids.WorkspaceId("hakata"),
+        service=ids.ServiceName("order-desk"),
+        key=ids.IdempotencyKey(key),
+        body_digest="digest",
+        owner=ids.InstanceId("instance-0"),
+        claim_id=key,
+        at_ms=0,
+    )
+
+
+@pytest.fixture
+async def group(tmp_path):
+    running = Group(tmp_path)
+    for name in "abc":
+        running.open(name)
+    membership = types.Membership(
+        tuple(r.member for r in running.replica_by_name.values()),
+        voter_target=3,
+    )
+    for replica in running.replica_by_name.values():
+        replica.form(GROUP, membership)
+    yield running
+    for name in list(running.replica_by_name):
+        await running.close(name)
+
+
+async def test_commits_survive_restart_of_all(group):
+    for number in range(20):
+        await group.commit(f"key-{number}")
+    for name in "abc":
+        await group.close(name)
+    for name in "abc":
+        group.open(name)
+    assert await group.keys() == {f"key-{number}" for number in range(20)}
+
+
+async def test_leader_cut_off_refuses_reads_and_loses_no_commit(group):
+    await group.commit("before")
+    former = await group.leader()
+    group.cut_off.add(former.member.address)
+    await group.commit("after")
+    with pytest.raises(replicas.NotLeader):
+        async with asyncio.timeout(5):
+            await former.confirm()
+    group.cut_off.clear()
+    assert await group.keys() == {"before", "after"}
+
+
+async def test_leadership_is_handed_over(group):
+    await group.commit("before")
+    former = await group.leader()
+    await former.hand_over()
+    assert former.leader_term is None
+    assert await group.leader() is not former
+
+
+async def test_wiped_replica_is_replaced_then_second_is_lost(group):
+    await group.commit("before")
+    leader = await group.leader()
+    lost = next(n for n in "abc" if n != leader.member.address)
+    old_id = group.replica_by_name[lost].member.replica
+    await group.close(lost)
+    shutil.rmtree(group.root / lost)
+    fresh = group.open(lost)
+    assert fresh.member.replica != old_id
+    fresh.enter_as_learner(GROUP)
+    async with asyncio.timeout(20):
+        while fresh.member.replica not in leader.membership.voter_ids():
+            with contextlib.suppress(replicas.NotLeader):
+                leader.add_learner(fresh.member)
+                leader.repair()
+            await asyncio.sleep(0.02)
+        while len(leader.membership.voters) > 3:
+            leader.repair()
+            await asyncio.sleep(0.02)
+    assert old_id not in leader.membership.member_ids()
+    await group.commit("between")
+    second = next(n for n in "abc" if n not in (lost, leader.member.address))
+    await group.close(second)
+    await group.commit("after")
+    assert await group.keys() == {"before", "between", "after"}
+
+
+async def test_wiped_disk_does_not_enter_the_group_it_was_in(group):
+    membership = (await group.leader()).initial_membership()
+    await group.close("a")
+    shutil.rmtree(group.root / "a")
+    fresh = group.open("a")
+    assert fresh.form(GROUP, membership) is None
