--- a/src/oriolejunction/consensus/applier.py
+++ b/src/oriolejunction/consensus/applier.py
@@ -9,15 +9,25 @@
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import types
 from oriolejunction.controllers import control_state
+from oriolejunction import errors
 from oriolejunction import invariants
 from oriolejunction import messages
 
+
+class SnapshotBody(msgspec.Struct, frozen=True):
+    """The state in a snapshot; it stands on a trail of that length."""
+
+    trail_length: int
+    state: bytes
+
+
 _decoder = msgspec.msgpack.Decoder(messages.Command)
+_body_decoder = msgspec.msgpack.Decoder(SnapshotBody)
 
 
 def trail_length(snapshot: types.Snapshot) -> int:
     """Return how many entries of the trail a snapshot stands on."""
-    return 0
+    return _body_decoder.decode(snapshot.body).trail_length
 
 
 class Applier:
@@ -48,7 +58,7 @@
         self._tell_applied()
 
     def _append_trail(self) -> None:
-        self.trail.append_missing(self.state.history.audit)
+        self.trail.append_missing(control_state.drain_audit(self.state))
 
     def _tell_result(
         self, entry: types.Entry, result: messages.CommandResult | None
@@ -68,8 +78,29 @@
         self._waiting = [w for w in self._waiting if w[0] > self.index]
 
     def install(self, snapshot: types.Snapshot) -> None:
-        """Replace the state by that of a snapshot."""
-        raise NotImplementedError
+        """Replace the state by that of a snapshot.
+
+        Raise `Failure` with `CorruptLog` where the trail before it is
+        not whole.
+        """
+        body = _body_decoder.decode(snapshot.body)
+        if self.trail.last_number < body.trail_length:
+            raise errors.Failure(
+                errors.CorruptLog(
+                    f"the trail ends at {self.trail.last_number}, but the"
+                    f" snapshot stands on {body.trail_length} entries"
+                )
+            )
+        self.state = control_state.load(body.state)
+        self.index = snapshot.index
+        self._tell_applied()
+
+    def body(self) -> bytes:
+        """Return the state for a snapshot at `index`."""
+        body = SnapshotBody(
+            self.state.history.audit_count, control_state.dump(self.state)
+        )
+        return msgspec.msgpack.encode(body)
 
     async def result_of(self, index: int, term: int) -> messages.CommandResult:
         """Return the result of a command proposed at a place in the log."""
--- a/src/oriolejunction/consensus/log.py
+++ b/src/oriolejunction/consensus/log.py
@@ -77,6 +77,10 @@
             chosen.append(entry)
         return tuple(chosen)
 
+    def after(self, index: int) -> tuple[types.Entry, ...]:
+        """Return all entries after `index`."""
+        return tuple(self._entries[index - self.base_index :])
+
     def append(self, entries: collections.abc.Iterable[types.Entry]) -> None:
         """Add entries at the end."""
         for entry in entries:
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import random
 import typing
@@ -30,6 +31,15 @@
 _log = structlog.get_logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class LogLimits:
+    """When a snapshot is taken, and how many entries are kept before it."""
+
+    entries: int = 4_096
+    bytes: int = 32 << 20
+    kept: int = 512
+
+
 class Transport(typing.Protocol):
     """Sends messages to replicas; may lose, delay or repeat them."""
 
@@ -50,7 +60,9 @@
         clock: clocks.Clock,
         rng: random.Random,
         timing: core_state.Timing = core_state.Timing(),
+        limits: LogLimits = LogLimits(),
     ) -> None:
+        self._limits = limits
         self._folder = folder
         self._transport = transport
         self._clock = clock
@@ -366,7 +378,43 @@
             self._applier.apply(state.log.entry(following))
 
     async def _compact(self, core: cores.Core) -> None:
-        """Write a snapshot where the log has grown long."""
+        """Write a snapshot where the log has grown long.
+
+        The trail is synced before the entries that produced it go.
+        """
+        state = core.state
+        index = self._applier.index
+        if not self._is_log_long(index) or state.output.writes:
+            return
+        base_index = max(state.log.base_index, index - self._limits.kept)
+        core.compact(base_index)
+        snapshot, base = self._snapshot_at(index, base_index)
+        hard_state = types.HardState(state.term, state.vote)
+        kept = state.log.after(base_index)
+        await asyncio.to_thread(self._applier.trail.sync)
+        await asyncio.to_thread(
+            self._storage.compact, snapshot, base, hard_state, kept
+        )
+
+    def _is_log_long(self, index: int) -> bool:
+        entries = index - self._core.state.log.base_index
+        return (
+            entries >= self._limits.entries
+            or self._storage.segment_bytes >= self._limits.bytes
+            and entries > self._limits.kept
+        )
+
+    def _snapshot_at(
+        self, index: int, base_index: int
+    ) -> tuple[types.Snapshot, storages.Base]:
+        log = self._core.state.log
+        place, membership = log.membership_at(index)
+        snapshot = types.Snapshot(
+            index, log.term_at(index), membership, place, self._applier.body()
+        )
+        place, membership = log.membership_at(base_index)
+        base = storages.Base(base_index, log.base_term, membership, place)
+        return snapshot, base
 
     def _send(self, outgoing: list[wire.Message]) -> None:
         for message in outgoing:
--- a/src/oriolejunction/peers/control_client.py
+++ b/src/oriolejunction/peers/control_client.py
@@ -9,6 +9,7 @@
 from oriolejunction import messages
 from oriolejunction.peers import methods
 from oriolejunction.peers import rpc
+from oriolejunction.peers import transport as transports
 
 TRY_TIMEOUT_MS = 1_000
 PROPOSE_TRY_TIMEOUT_MS = 2_500
@@ -28,8 +29,10 @@
     def __init__(
         self,
         address_by_id: dict[ids.InstanceId, str],
+        transport: transports.PeerTransport = transports.PLAIN,
         clock: clocks.Clock = clocks.SystemClock(),
     ) -> None:
+        self._transport = transport
         self._addresses = list(address_by_id.values())
         self._clock = clock
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -166,8 +169,6 @@
     def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(
-                address, options=rpc.CHANNEL_OPTIONS
-            )
+            channel = self._transport.channel(address)
             self._channel_by_address[address] = channel
         return channel
--- a/src/oriolejunction/peers/raft_transport.py
+++ b/src/oriolejunction/peers/raft_transport.py
@@ -10,6 +10,7 @@
 from oriolejunction.consensus import wire
 from oriolejunction.peers import raft_methods
 from oriolejunction.peers import rpc
+from oriolejunction.peers import transport as transports
 
 QUEUE_LIMIT = 512
 DELIVER_TIMEOUT_S = 1.0
@@ -18,8 +19,13 @@
 class RaftTransport:
     """One queue and one sender for each address; a full queue drops."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        transport: transports.PeerTransport = transports.PLAIN,
+    ) -> None:
         self._address = address
+        self._transport = transport
         self._address_by_replica: dict[types.ReplicaId, str] = {}
         self._queue_by_address: dict[str, _Queue] = {}
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -46,9 +52,7 @@
         """Return a function that calls a method at an address."""
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(
-                address, options=rpc.CHANNEL_OPTIONS
-            )
+            channel = self._transport.channel(address)
             self._channel_by_address[address] = channel
         return rpc.caller(channel, method)
 
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -14,6 +14,7 @@
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
 from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import journal_replica
 from oriolejunction.controllers import routing
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
@@ -24,9 +25,12 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import journal_client
+from oriolejunction.peers import journal_service
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
+from oriolejunction.peers import transport as transports
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -45,12 +49,16 @@
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._requests_in_flight = 0
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
         self._replica: raft_replica.RaftReplica | None = None
+        self._journal_service = journal_service.JournalService(
+            journal_replica.JournalReplica(), clock
+        )
 
     async def start(self) -> None:
         """Open the listeners and begin to serve."""
@@ -58,10 +66,19 @@
         instance_id = ids.InstanceId(settings.instance_id)
         await self._start_peer_listener(instance_id)
         self._control = control_client.ControlClient(
-            settings.control_address_by_id()
+            settings.control_address_by_id(), self._transport
         )
         self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
+        self._journals = journal_client.JournalClient(
+            instance_id,
+            ids.ZoneId(settings.zone),
+            self.clock,
+            self.blackboard,
+            self.telemetry,
+            self._journal_service,
+            self._transport.channel,
+        )
         watch = configuration_watch.ConfigurationWatch(
             instance_id,
             ids.ZoneId(settings.zone),
@@ -71,6 +88,7 @@
             settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
+        self._tasks.append(asyncio.create_task(self._journal_service.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
         caller_app.middlewares.append(self._count_in_flight)
         await self._listen(caller_app, settings.caller_listen)
@@ -98,26 +116,38 @@
             await runner.cleanup()
         for task in self._tasks:
             await configuration_watch.stop_task(task)
-        for client in (self._engines, self._services, self._control):
+        for client in (
+            self._journals,
+            self._engines,
+            self._services,
+            self._control,
+        ):
             await client.close()
-        if self._server is not None:
-            await self._server.stop(None)
+        await self.stop_peer_listener()
         if self._replica is not None:
             await self._replica.close()
             await self._raft_transport.close()
         self._write_state(states.InstanceState.STOPPED)
 
+    async def stop_peer_listener(self) -> None:
+        """Answer the other instances no more."""
+        if self._server is not None:
+            await self._server.stop(None)
+
     async def _start_peer_listener(self, instance_id: ids.InstanceId) -> None:
         self._server = grpc.aio.server()
         if self.settings.data_dir is not None:
             self._add_replica(instance_id)
-        self._server.add_insecure_port(self.settings.peer_listen)
+        self._journal_service.add_to(self._server)
+        self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
 
     def _add_replica(self, instance_id: ids.InstanceId) -> None:
         data_dir = pathlib.Path(self.settings.data_dir)
         data_dir.mkdir(parents=True, exist_ok=True)
-        transport = raft_transport.RaftTransport(self.settings.peer_listen)
+        transport = raft_transport.RaftTransport(
+            self.settings.peer_listen, self._transport
+        )
         self._replica = raft_replica.RaftReplica(
             data_dir,
             self._replica_member,
@@ -158,10 +188,13 @@
                 engines=self._engines,
                 choose_engine=routing.random_choice(self.blackboard, rng),
                 telemetry=self.telemetry,
+                clock=self.clock,
+                attempt_losses=self.blackboard.attempt_losses,
             ),
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
             ),
+            journals=self._journals,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
         )
--- a/tests/consensus/test_raft_replica.py
+++ b/tests/consensus/test_raft_replica.py
@@ -52,6 +52,7 @@
             clocks.SystemClock(),
             random.Random(name),
             TIMING,
+            raft_replica.LogLimits(entries=10, kept=3),
         )
         self.replica_by_name[name] = replica
         replica.start()
--- a/tests/controllers/test_generation.py
+++ b/tests/controllers/test_generation.py
@@ -6,7 +6,7 @@
 from oriolejunction.controllers import generation as generations
 from oriolejunction import engine_protocol
 from oriolejunction.standin import chain
-from oriolejunction.standin import engine as standin_engine
+from oriolejunction.standin import engine_stream
 from oriolejunction import states
 
 PROMPT = "p [[length=40]]"
@@ -29,11 +29,11 @@
 
 
 def _events(request):
-    stream = standin_engine.open_stream(request)
+    stream = engine_stream.open_stream(request)
     while not stream.finished:
-        standin_engine.step(stream)
+        engine_stream.step(stream)
     for raw in stream.event_by_position:
-        yield standin_engine.decode_event(raw)
+        yield engine_stream.decode_event(raw)
 
 
 def _complete_text(stop=()):
@@ -92,3 +92,17 @@
     stop = whole[start : start + length] or "x"
     expected = whole[: whole.index(stop)] if stop in whole else whole
     assert _complete_text((stop,)) == expected
+
+
+@hypothesis.given(strategies.integers(0, 40), strategies.integers(1, 9))
+def test_restored_generation_goes_on_after_delivered_tokens(held, attempts):
+    whole = _generation()
+    for event in _events(whole.begin_attempt()):
+        whole.commit(event)
+    generation = _generation()
+    generation.restore(whole.delivered_ids[:held], attempts)
+    request = generation.begin_attempt()
+    assert request.attempt == attempts + 1
+    for event in _events(request):
+        generation.commit(event)
+    assert generation.delivered_ids == whole.delivered_ids
