Soak real processes that are killed, paused and stopped

Cause: an instance stopped inside one process still says goodbye; one that is killed or paused does not.

Change: bench soak-processes runs six instances, three with a disk, and stand-in engines as processes, with kills, pauses, planned stops and engine faults under the traffic of bench soak.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,266 @@
+"""Process part of the soak: instances are killed, paused and stopped.
+
+Entry instances and control replicas are real processes; the engines and
+the plain service are stand-in processes that survive, but fail in every
+way of the stand-in.
+"""
+
+import asyncio
+import collections
+import contextlib
+import pathlib
+import random
+import tempfile
+
+import aiohttp
+
+from bench import processes
+from oriolejunction.bench import mixed_traffic
+from oriolejunction.bench import result
+from oriolejunction.bench import soak as local_soak
+from oriolejunction import clock as clocks
+from oriolejunction import errors
+from oriolejunction import local_deployment
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import states
+
+ZONES = local_deployment.ZONES * 2
+REPLICAS = 3
+ENGINES = 6
+STREAMS = 16
+FAULT_PAUSE_S = (0.5, 2.0)
+DOWN_S = (0.5, 6.0)
+STOPPING_S = 20.0
+
+
+class ProcessDeployment:
+    """Real processes of one deployment on loopback."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.serves = processes.serve_processes(
+            folder, ZONES, REPLICAS, extra=("--drain-delay-ms=300",)
+        )
+        host = local_deployment.HOST
+        ports = local_deployment.free_ports(ENGINES + 1)
+        self.engine_urls = [f"http://{host}:{port}" for port in ports[1:]]
+        self.service_url = f"http://{host}:{ports[0]}"
+        self.standins = [
+            processes.ManagedProcess(
+                f"engine-{number}",
+                (
+                    "engine",
+                    f"--listen={host}:{port}",
+                    f"--name=engine-{number}",
+                ),
+                folder / f"engine-{number}.log",
+            )
+            for number, port in enumerate(ports[1:])
+        ]
+        self.standins.append(
+            processes.ManagedProcess(
+                "service",
+                ("service", f"--listen={host}:{ports[0]}"),
+                folder / "service.log",
+            )
+        )
+
+    async def start(self) -> None:
+        """Start all processes with the sample configuration in force."""
+        for process in self.standins:
+            await process.start()
+        for serve in self.serves:
+            await serve.managed.start()
+        urls = [serve.caller_url for serve in self.serves]
+        await processes.until_live(urls)
+        client = operator_client.OperatorClient(
+            self.serves[0].operator_url, processes.TOKEN
+        )
+        text = answer_files.dump(answer_files.without_keys(self.answers()))
+        async with asyncio.timeout(processes.START_TIMEOUT_S):
+            draft = await _until_done(lambda: client.submit(text))
+            await _until_done(lambda: client.accept(draft["draft_id"]))
+        await processes.until_ready(urls)
+
+    async def stop(self) -> None:
+        """Kill all processes."""
+        await processes.stop_all(serve.managed for serve in self.serves)
+        await processes.stop_all(self.standins)
+
+    def answers(self) -> answer_files.Answers:
+        """Return the answers that describe this deployment."""
+        return answer_files.Answers(
+            measure=states.Measure.LATENCY,
+            zones=local_deployment.ZONES,
+            models=(
+                answer_files.ModelAnswer(
+                    local_deployment.MODEL, local_deployment.MODEL_VERSION
+                ),
+            ),
+            engines=tuple(
+                answer_files.EngineAnswer(
+                    f"engine-{number}",
+                    url,
+                    local_deployment.ZONES[number % 3],
+                    local_deployment.MODEL,
+                )
+                for number, url in enumerate(self.engine_urls)
+            ),
+            services=(
+                answer_files.ServiceAnswer(
+                    local_deployment.SERVICE,
+                    (self.service_url,),
+                    never_twice=("POST /orders",),
+                ),
+            ),
+            workspaces=tuple(
+                answer_files.WorkspaceAnswer(name, key)
+                for name, key in local_deployment.KEY_BY_WORKSPACE.items()
+            ),
+        )
+
+    def addresses(self) -> local_deployment.Addresses:
+        """Return the addresses for the traffic."""
+        return local_deployment.Addresses(
+            callers_urls=tuple(s.caller_url for s in self.serves),
+            operators_urls=tuple(s.operator_url for s in self.serves),
+            engine_urls=tuple(self.engine_urls),
+            service_urls=(self.service_url,),
+            workspace_keys=dict(local_deployment.KEY_BY_WORKSPACE),
+            models=(local_deployment.MODEL,),
+            operator_token=processes.TOKEN,
+        )
+
+
+async def _until_done(order):
+    while True:
+        try:
+            return await order()
+        except errors.Failure:
+            await asyncio.sleep(processes.READY_POLL_S)
+
+
+class ProcessFaults:
+    """Kill, pause and stop instances, one or two at a time."""
+
+    def __init__(
+        self, deployment: ProcessDeployment, rng: random.Random
+    ) -> None:
+        self.count_by_kind: collections.Counter[str] = collections.Counter()
+        self.exit_statuses: list[int] = []
+        self._deployment = deployment
+        self._rng = rng
+        self._busy: set[int] = set()
+
+    async def run(self, until: asyncio.Event) -> None:
+        """Provoke faults until an event is set."""
+        async with asyncio.TaskGroup() as group:
+            while not until.is_set():
+                await asyncio.sleep(self._rng.uniform(*FAULT_PAUSE_S))
+                if self._rng.random() < 0.5:
+                    group.create_task(self._engine_fault())
+                elif len(self._busy) < 2:
+                    group.create_task(self._instance_fault())
+
+    async def _engine_fault(self) -> None:
+        fault = {
+            "kind": self._rng.choice(local_soak.ENGINE_FAULTS),
+            "duration_ms": self._rng.randint(*local_soak.FAULT_DURATION_MS),
+        }
+        self.count_by_kind[f"engine {fault['kind']}"] += 1
+        url = self._rng.choice(self._deployment.engine_urls) + "/fault"
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with aiohttp.ClientSession() as session:
+                await session.post(url, json=fault)
+
+    async def _instance_fault(self) -> None:
+        free = set(range(len(ZONES))) - self._busy
+        number = self._rng.choice(sorted(free))
+        managed = self._deployment.serves[number].managed
+        kind = self._rng.choice(("kill", "pause", "stop"))
+        self.count_by_kind[f"instance {kind}"] += 1
+        self._busy.add(number)
+        try:
+            match kind:
+                case "kill":
+                    await managed.kill()
+                case "pause":
+                    managed.pause()
+                case "stop":
+                    self.exit_statuses.append(await managed.terminate())
+            await asyncio.sleep(self._rng.uniform(*DOWN_S))
+            if kind == "pause":
+                managed.resume()
+            else:
+                await managed.start()
+        finally:
+            self._busy.discard(number)
+
+
+async def run(options: result.BenchOptions) -> result.BenchResult:
+    """Run the process part of the soak for `options.seconds`."""
+    with tempfile.TemporaryDirectory() as name:
+        deployment = ProcessDeployment(pathlib.Path(name))
+        try:
+            await deployment.start()
+            return await _soak(options, deployment, pathlib.Path(name))
+        finally:
+            await deployment.stop()
+
+
+async def _soak(
+    options: result.BenchOptions,
+    deployment: ProcessDeployment,
+    folder: pathlib.Path,
+) -> result.BenchResult:
+    faults = ProcessFaults(deployment, random.Random(options.seed))
+    traffic = mixed_traffic.MixedTraffic(
+        deployment.addresses(),
+        deployment.answers(),
+        options.seed,
+        clocks.SystemClock(),
+    )
+    over = asyncio.Event()
+    async with asyncio.TaskGroup() as group:
+        group.create_task(traffic.run(over, STREAMS))
+        group.create_task(faults.run(over))
+        await asyncio.sleep(options.seconds)
+        over.set()
+    runs_by_key = await _service_counts(deployment.service_url)
+    found = mixed_traffic.violations(traffic.tally, runs_by_key)
+    found += _asserted(folder)
+    tally = traffic.tally
+    figures = {
+        "seconds": options.seconds,
+        "faults": dict(faults.count_by_kind),
+        "exit_statuses": sorted(set(faults.exit_statuses)),
+        "answers_by_end": dict(tally.ends),
+        "error_codes": dict(tally.error_codes),
+        "tokens_checked": tally.tokens,
+        "resends": tally.resends,
+        "orders": len(tally.orders),
+        "orders_answered": sum(o.answered for o in tally.orders),
+        "orders_run": sum(runs_by_key[o.key] for o in tally.orders),
+        "changes_accepted": len(tally.accepted),
+        "changes_refused": tally.conflicts,
+        "found": found[:10],
+    }
+    return result.BenchResult(
+        "soak-processes", options.seed, figures, len(found)
+    )
+
+
+async def _service_counts(url: str) -> collections.Counter[str]:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url + "/counts") as response:
+            return collections.Counter(await response.json())
+
+
+def _asserted(folder: pathlib.Path) -> list[str]:
+    """Return the lines in which a process logged a violated invariant."""
+    return [
+        line
+        for path in folder.glob("instance-*.log")
+        for line in path.read_text(errors="replace").splitlines()
+        if '"invariant violated"' in line
+    ]
--- a/src/oriolejunction/bench/report.py
+++ b/src/oriolejunction/bench/report.py
@@ -20,6 +20,7 @@
     "fencing": "Orders to engines from two executors",
     "capacity": "Control cost against size, and the target's budgets",
     "soak": "Long randomised run",
+    "soak-processes": "Long randomised run of real processes",
     "raft": "Randomised run of the replicated log",
 }
 ORDER = tuple(TITLE_BY_NAME)
