--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -70,13 +70,17 @@
 class EngineReport:
     """Last load report of an engine and when it was taken.
 
-    `tokens_per_s` is the decode speed of one stream.
+    `tokens_per_s` is the decode speed of one stream. A limit of 0 is not
+    known.
     """
 
     running: int
     waiting: int
     tokens_per_s: float
     taken_at_ms: float
+    max_running: int = 0
+    kv_tokens: int = 0
+    kv_limit_tokens: int = 0
 
 
 class Blackboard:
--- /dev/null
+++ b/src/oriolejunction/controllers/dispatcher.py
@@ -0,0 +1,223 @@
+"""Give each attempt an engine, or wait a bounded time for one.
+
+Continuations go before new work, and only a few at a time to each engine,
+so that the loss of a zone does not bury the engines that are left. Struck
+requests are kept apart by the quarantine.
+"""
+
+import dataclasses
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction import configuration
+from oriolejunction.controllers import dispatches as dispatch_state
+from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers import prefix_caches
+from oriolejunction.controllers import quarantine as quarantines
+from oriolejunction.controllers import retry_budget
+from oriolejunction.controllers import route_request
+from oriolejunction.controllers import routing
+from oriolejunction import errors
+from oriolejunction import ids
+from oriolejunction import prefix_blocks
+
+POLL_MS = 20
+NEW_WAIT_MS = 600
+CONTINUATION_WAIT_MS = 2_000
+ISOLATION_WAIT_MS = 2_000
+PACED_PREFILLS = 4
+RETRY_AFTER_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class DispatcherParts:
+    """What the dispatcher reads and notes."""
+
+    clock: clocks.Clock
+    blackboard: blackboards.Blackboard
+    membership: memberships.Membership
+    dispatches: dispatch_state.Dispatches
+    caches: prefix_caches.PrefixCaches
+    quarantine: quarantines.Quarantine
+    retries: retry_budget.RetryBudget
+    pick: routing.Pick
+
+
+class Dispatcher:
+    """Choose engines for the attempts of one instance."""
+
+    def __init__(self, parts: DispatcherParts) -> None:
+        self._parts = parts
+        self._engine_by_id: dict[ids.EngineId, configuration.Engine] = {}
+        self.waiting_continuations = 0
+
+    async def choose(
+        self, route: route_request.RouteRequest
+    ) -> configuration.Engine | None:
+        """Return the engine of an attempt, or none that could be had.
+
+        Raise `Failure` with `RequestQuarantined`, or where the request ran
+        already with `GenerationQuarantined`.
+        """
+        if not self._parts.retries.allow(route):
+            return None
+        self.waiting_continuations += route.continuation
+        try:
+            engine = await self._wait_for_engine(route)
+        finally:
+            self.waiting_continuations -= route.continuation
+        if engine is not None:
+            self._note(route, engine)
+        return engine
+
+    async def _wait_for_engine(
+        self, route: route_request.RouteRequest
+    ) -> configuration.Engine | None:
+        clock = self._parts.clock
+        started_ms = clock.now_ms()
+        while True:
+            self.require_not_refused(route)
+            waited_ms = clock.now_ms() - started_ms
+            engines = self._open_to(route, waited_ms)
+            if engines:
+                return self._pick(route, engines)
+            if waited_ms >= self._longest_wait_ms(route):
+                return None
+            await clock.sleep_ms(POLL_MS)
+
+    def require_not_refused(self, route: route_request.RouteRequest) -> None:
+        """Raise `Failure` where the request is in quarantine."""
+        left_ms = self._parts.quarantine.refused_for_ms(route.fingerprint)
+        if left_ms <= 0:
+            return
+        message = "the request crashed engines and is not run for a while"
+        if route.continuation:
+            raise errors.Failure(
+                errors.GenerationQuarantined(message, int(left_ms) + 1)
+            )
+        raise errors.Failure(
+            errors.RequestQuarantined(message, int(left_ms) + 1)
+        )
+
+    def _longest_wait_ms(self, route: route_request.RouteRequest) -> float:
+        quarantine = self._parts.quarantine
+        if quarantine.last_strike(route.fingerprint) is not None:
+            return ISOLATION_WAIT_MS + quarantine.judged_in_ms(
+                route.fingerprint
+            )
+        return CONTINUATION_WAIT_MS if route.continuation else NEW_WAIT_MS
+
+    def _open_to(
+        self, route: route_request.RouteRequest, waited_ms: float
+    ) -> list[configuration.Engine]:
+        parts = self._parts
+        parts.membership.refresh()
+        engines = routing.candidates(parts.blackboard, route)
+        if parts.quarantine.judged_in_ms(route.fingerprint) > 0:
+            return []
+        if parts.quarantine.must_isolate(route.fingerprint):
+            return self._apart(route, engines)
+        engines = [
+            engine
+            for engine in engines
+            if not parts.quarantine.isolates(
+                engine.engine_id, route.fingerprint
+            )
+        ]
+        if route.continuation:
+            return self._paced(engines, waited_ms)
+        return self._with_room(route, engines)
+
+    def _apart(
+        self,
+        route: route_request.RouteRequest,
+        engines: list[configuration.Engine],
+    ) -> list[configuration.Engine]:
+        """Return engines without suspects, in another zone if there are.
+
+        The losses of one request then do not look like that of a zone.
+        """
+        quarantine = self._parts.quarantine
+        apart = [
+            engine
+            for engine in engines
+            if not quarantine.suspects_on(engine.engine_id, route.fingerprint)
+        ]
+        zone = quarantine.last_strike(route.fingerprint).zone
+        elsewhere = [engine for engine in apart if engine.zone != zone]
+        return elsewhere or apart
+
+    def _paced(
+        self, engines: list[configuration.Engine], waited_ms: float
+    ) -> list[configuration.Engine]:
+        if waited_ms >= CONTINUATION_WAIT_MS / 2:
+            return engines
+        dispatches = self._parts.dispatches
+        return [
+            engine
+            for engine in engines
+            if dispatches.prefilling(engine.engine_id) < PACED_PREFILLS
+        ]
+
+    def _with_room(
+        self,
+        route: route_request.RouteRequest,
+        engines: list[configuration.Engine],
+    ) -> list[configuration.Engine]:
+        needed = prefix_blocks.token_estimate(route.prompt) + route.delivered
+        roomy = [
+            engine
+            for engine in engines
+            if self.kv_left(engine.engine_id) >= needed
+        ]
+        return roomy
+
+    def kv_left(self, engine_id: ids.EngineId) -> float:
+        """Return the tokens of memory that an engine probably has left."""
+        parts = self._parts
+        report = parts.blackboard.engine_report_by_id.read().get(engine_id)
+        if report is None or not report.kv_limit_tokens:
+            return float("inf")
+        own = parts.dispatches.kv_tokens(engine_id)
+        return report.kv_limit_tokens - max(own, report.kv_tokens)
+
+    def _pick(
+        self,
+        route: route_request.RouteRequest,
+        engines: list[configuration.Engine],
+    ) -> configuration.Engine:
+        if self._parts.quarantine.last_strike(route.fingerprint) is None:
+            return self._parts.pick(route, engines)
+        fewest = min(self._suspects(route, engine) for engine in engines)
+        quiet = [e for e in engines if self._suspects(route, e) == fewest]
+        return self._parts.pick(route, quiet)
+
+    def _suspects(
+        self,
+        route: route_request.RouteRequest,
+        engine: configuration.Engine,
+    ) -> int:
+        return self._parts.quarantine.suspects_on(
+            engine.engine_id, route.fingerprint
+        )
+
+    def _note(
+        self,
+        route: route_request.RouteRequest,
+        engine: configuration.Engine,
+    ) -> None:
+        parts = self._parts
+        placement = route_request.Placement(route.generation, engine.engine_id)
+        blocks = prefix_blocks.block_hashes(
+            route.version, route.adapter, route.prompt
+        )
+        tokens = prefix_blocks.token_estimate(route.prompt) + route.delivered
+        cached = prefix_blocks.BLOCK_TOKENS * parts.caches.cached_blocks(
+            engine.engine_id, blocks
+        )
+        prefill = max(1, tokens - int(cached))
+        parts.dispatches.begin(placement, tokens, prefill)
+        parts.caches.dispatched(engine.engine_id, blocks)
+        parts.quarantine.dispatched(
+            placement, route.fingerprint, route.delivered
+        )
--- /dev/null
+++ b/src/oriolejunction/controllers/membership.py
@@ -0,0 +1,188 @@
+"""Which engines may be given new work.
+
+Leaving, from any source, sticks for an incarnation of an engine. Live
+needs both the platform's list and a fresh report. A restart is a new
+incarnation, which the lagging list has to call live again.
+"""
+
+import dataclasses
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction import engine_protocol
+from oriolejunction import ids
+from oriolejunction import invariants
+from oriolejunction import states
+
+FRESH_REPORT_MS = 2_500
+SUSPICION_MS = 1_000
+LEAVING_GRACE_MS = 3_000
+MAX_PAST_INCARNATIONS = 16
+_WRITER = "membership"
+
+
+@dataclasses.dataclass
+class EngineRecord:
+    """What is known of one engine; times on this instance's clock.
+
+    `leaving_at_ms` holds for the present incarnation only. `listed` is
+    true until a platform's list says otherwise.
+    """
+
+    incarnation: ids.Incarnation | None = None
+    past_incarnations: tuple[ids.Incarnation, ...] = ()
+    seen_at_ms: float | None = None
+    leaving_at_ms: float | None = None
+    suspected_until_ms: float = 0.0
+    listed: bool = True
+
+
+class Membership:
+    """Fold all observations of engines into one state for each."""
+
+    def __init__(
+        self, blackboard: blackboards.Blackboard, clock: clocks.Clock
+    ) -> None:
+        self._clock = clock
+        self._write_states = blackboard.engine_state_by_id.own(_WRITER)
+        self._write_reports = blackboard.engine_report_by_id.own(_WRITER)
+        self._record_by_id: dict[ids.EngineId, EngineRecord] = {}
+        self._report_by_id: dict[ids.EngineId, blackboards.EngineReport] = {}
+
+    def keep_only(self, engine_ids: frozenset[ids.EngineId]) -> None:
+        """Forget engines that are no longer configured."""
+        for engine_id in self._record_by_id.keys() - engine_ids:
+            del self._record_by_id[engine_id]
+            self._report_by_id.pop(engine_id, None)
+        self.refresh()
+
+    def observe_list(
+        self, state_by_id: dict[ids.EngineId, states.ListedState]
+    ) -> None:
+        """Take in the platform's list, which lags.
+
+        An engine that is missing from it gets no new work.
+        """
+        for engine_id in state_by_id:
+            self._record(engine_id)
+        for engine_id, record in self._record_by_id.items():
+            listed = state_by_id.get(engine_id)
+            record.listed = listed is states.ListedState.LIVE
+            if listed is states.ListedState.LEAVING:
+                self._mark_leaving(record)
+        self.refresh()
+
+    def observe_report(
+        self, report: engine_protocol.LoadReport, sent_at_ms: float
+    ) -> None:
+        """Take in a load report that was asked for at `sent_at_ms`."""
+        record = self._record(report.engine_id)
+        incarnation = ids.Incarnation(report.incarnation)
+        if incarnation in record.past_incarnations:
+            return
+        if incarnation != record.incarnation:
+            _begin_incarnation(record, incarnation)
+        record.seen_at_ms = sent_at_ms
+        if report.leaving:
+            self._mark_leaving(record)
+        self._report_by_id[report.engine_id] = blackboards.EngineReport(
+            running=report.running,
+            waiting=report.waiting,
+            tokens_per_s=report.tokens_per_s,
+            taken_at_ms=sent_at_ms - report.age_ms,
+            max_running=report.max_running,
+            kv_tokens=report.kv_tokens,
+            kv_limit_tokens=report.kv_limit_tokens,
+        )
+        self._write_reports(dict(self._report_by_id))
+        self.refresh()
+
+    def observe_leaving(
+        self,
+        engine_id: ids.EngineId,
+        incarnation: ids.Incarnation | None = None,
+    ) -> None:
+        """Take in a refusal by the engine or the word of a peer.
+
+        A peer names the incarnation; another one than the present is only
+        noted as past where it is not known here.
+        """
+        record = self._record(engine_id)
+        if incarnation not in (None, record.incarnation):
+            if record.incarnation is not None:
+                return
+            _begin_incarnation(record, incarnation)
+        self._mark_leaving(record)
+        self.refresh()
+
+    def suspect(self, engine_id: ids.EngineId) -> None:
+        """Give an engine no work for a short time after a loss."""
+        record = self._record(engine_id)
+        record.suspected_until_ms = self._clock.now_ms() + SUSPICION_MS
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Write the state of each engine as of now."""
+        self._write_states(
+            {
+                engine_id: self._state(record)
+                for engine_id, record in self._record_by_id.items()
+            }
+        )
+
+    def state(self, engine_id: ids.EngineId) -> states.EngineState:
+        """Return the state of an engine as of now."""
+        record = self._record_by_id.get(engine_id)
+        if record is None:
+            return states.EngineState.SUSPECTED
+        return self._state(record)
+
+    def leaving(self) -> dict[ids.EngineId, ids.Incarnation]:
+        """Return the incarnations that are leaving, to be told to peers."""
+        return {
+            engine_id: record.incarnation
+            for engine_id, record in self._record_by_id.items()
+            if record.leaving_at_ms is not None
+            and record.incarnation is not None
+        }
+
+    def require_may_dispatch(self, engine_id: ids.EngineId) -> None:
+        """Assert that an engine about to get work is not leaving."""
+        record = self._record(engine_id)
+        leaving_at_ms = record.leaving_at_ms
+        if leaving_at_ms is not None:
+            invariants.require_no_work_when_leaving(
+                engine_id,
+                self._clock.now_ms() - leaving_at_ms,
+                LEAVING_GRACE_MS,
+            )
+
+    def _record(self, engine_id: ids.EngineId) -> EngineRecord:
+        return self._record_by_id.setdefault(engine_id, EngineRecord())
+
+    def _mark_leaving(self, record: EngineRecord) -> None:
+        if record.leaving_at_ms is None:
+            record.leaving_at_ms = self._clock.now_ms()
+
+    def _state(self, record: EngineRecord) -> states.EngineState:
+        if record.leaving_at_ms is not None:
+            return states.EngineState.LEAVING
+        now_ms = self._clock.now_ms()
+        fresh = (
+            record.seen_at_ms is not None
+            and now_ms - record.seen_at_ms <= FRESH_REPORT_MS
+        )
+        if fresh and record.listed and now_ms >= record.suspected_until_ms:
+            return states.EngineState.LIVE
+        return states.EngineState.SUSPECTED
+
+
+def _begin_incarnation(
+    record: EngineRecord, incarnation: ids.Incarnation
+) -> None:
+    if record.incarnation is not None:
+        past = (*record.past_incarnations, record.incarnation)
+        record.past_incarnations = past[-MAX_PAST_INCARNATIONS:]
+        record.leaving_at_ms = None
+        record.suspected_until_ms = 0.0
+    record.incarnation = incarnation
--- /dev/null
+++ b/src/oriolejunction/controllers/retry_budget.py
@@ -0,0 +1,42 @@
+"""Budget of further attempts, so that retries cannot multiply load.
+
+The first continuation of a generation is always allowed: it is what keeps
+an answer whole, and is paced instead. Each later attempt spends from a
+budget that first attempts refill.
+"""
+
+import collections
+
+from oriolejunction.controllers import route_request
+from oriolejunction import ids
+
+REFILL_PER_GENERATION = 0.1
+MAX_BUDGET = 50.0
+FREE_ATTEMPTS = 2
+
+
+class RetryBudget:
+    """Count the attempts of each generation and spend for later ones."""
+
+    def __init__(self) -> None:
+        self._budget = MAX_BUDGET
+        self._attempts: collections.Counter[ids.GenerationId]
+        self._attempts = collections.Counter()
+
+    def allow(self, route: route_request.RouteRequest) -> bool:
+        """Return whether a generation may have another attempt."""
+        attempts = self._attempts[route.generation]
+        if attempts == 0:
+            self._budget = min(
+                MAX_BUDGET, self._budget + REFILL_PER_GENERATION
+            )
+        if attempts >= FREE_ATTEMPTS:
+            if self._budget < 1.0:
+                return False
+            self._budget -= 1.0
+        self._attempts[route.generation] = attempts + 1
+        return True
+
+    def forget(self, generation: ids.GenerationId) -> None:
+        """Forget a generation that ended."""
+        self._attempts.pop(generation, None)
--- a/src/oriolejunction/controllers/route_request.py
+++ b/src/oriolejunction/controllers/route_request.py
@@ -31,6 +31,14 @@
     delivered: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """One attempt of a generation at an engine."""
+
+    generation: ids.GenerationId
+    engine_id: ids.EngineId
+
+
 ChooseEngine = collections.abc.Callable[
     [RouteRequest],
     collections.abc.Awaitable[configuration.Engine | None],
--- a/src/oriolejunction/engine_protocol.py
+++ b/src/oriolejunction/engine_protocol.py
@@ -53,7 +53,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Load of an engine; `tokens_per_s` is the speed of one stream."""
+    """Load of an engine; `tokens_per_s` is the speed of one stream.
+
+    `age_ms` tells how long ago the load was taken. A limit of 0 is not
+    known.
+    """
 
     engine_id: ids.EngineId
     incarnation: str
@@ -61,6 +65,25 @@
     waiting: int
     tokens_per_s: float
     leaving: bool = False
+    age_ms: float = 0.0
+    max_running: int = 0
+    kv_tokens: int = 0
+    kv_limit_tokens: int = 0
+
+
+class CacheEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Blocks of prompt prefixes that an engine stored or dropped."""
+
+    number: int
+    stored: tuple[int, ...] = ()
+    dropped: tuple[int, ...] = ()
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Cache events after a number; a missing number is a gap."""
+
+    incarnation: str
+    events: tuple[CacheEvent, ...] = ()
 
 
 class Fault(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -104,6 +104,39 @@
     code = "no_engine"
 
 
+class Overloaded(NotRunError):
+    """The predicted wait is longer than the deadline allows."""
+
+    code = "overloaded"
+
+
+class InstanceFull(NotRunError):
+    """The instance runs as many requests as its size allows."""
+
+    code = "instance_full"
+
+
+class WorkspaceLimit(NotRunError):
+    """The workspace is above a limit of its own."""
+
+    code = "workspace_limit"
+    status = http.HTTPStatus.TOO_MANY_REQUESTS
+
+
+class RequestQuarantined(NotRunError):
+    """The request crashed engines before and is not run for a while."""
+
+    code = "request_quarantined"
+    status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class GenerationQuarantined(ServingError):
+    """The request ran and crashed engines; discard the part received."""
+
+    code = "request_quarantined"
+    status = http.HTTPStatus.BAD_GATEWAY
+
+
 class ControlUnavailable(NotRunError):
     """No majority of control replicas answered before anything ran."""
 
--- /dev/null
+++ b/src/oriolejunction/http/tracked_engines.py
@@ -0,0 +1,66 @@
+"""Engine port that notes what each attempt does, for the controllers."""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+from oriolejunction import configuration
+from oriolejunction.controllers import dispatches as dispatch_state
+from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers import quarantine as quarantines
+from oriolejunction.controllers import route_request
+from oriolejunction import engine_protocol
+from oriolejunction import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class TrackedEngines:
+    """Pass attempts through to `engines`, noting progress and end."""
+
+    engines: generation_runner.EnginePort
+    membership: memberships.Membership
+    dispatches: dispatch_state.Dispatches
+    quarantine: quarantines.Quarantine
+
+    async def generate(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+    ) -> collections.abc.AsyncGenerator[
+        list[engine_protocol.EngineEvent], None
+    ]:
+        """Yield the events of an attempt as they arrive, in batches."""
+        self.membership.require_may_dispatch(engine.engine_id)
+        placement = route_request.Placement(
+            request.generation, engine.engine_id
+        )
+        stream = self.engines.generate(engine, request)
+        async with contextlib.aclosing(stream):
+            try:
+                async for events in stream:
+                    self._note(placement, events)
+                    yield events
+            finally:
+                self.dispatches.end(placement)
+
+    def _note(
+        self,
+        placement: route_request.Placement,
+        events: list[engine_protocol.EngineEvent],
+    ) -> None:
+        tokens = sum(len(event.ids) for event in events)
+        last = events[-1]
+        self.dispatches.progressed(placement, tokens)
+        self.quarantine.progressed(placement, last.offset + len(last.ids))
+        if last.finish_reason is not None:
+            self.quarantine.finished(placement, whole=True)
+
+    async def cancel(
+        self,
+        engine: configuration.Engine,
+        generation: ids.GenerationId,
+        attempt: ids.AttemptNumber,
+    ) -> None:
+        """Cancel an attempt in the background."""
+        await self.engines.cancel(engine, generation, attempt)
--- a/src/oriolejunction/invariants.py
+++ b/src/oriolejunction/invariants.py
@@ -59,3 +59,20 @@
 def require_single_dispatch(key: str, already_dispatched: bool) -> None:
     """Require that a never-twice call is dispatched at most once."""
     require("call_runs_at_most_once", not already_dispatched, key=key)
+
+
+def require_no_work_when_leaving(
+    engine_id: str, since_ms: float, grace_ms: float
+) -> None:
+    """Require that a leaving engine gets no new work after the grace."""
+    require(
+        "no_work_on_leaving_engine",
+        since_ms <= grace_ms,
+        engine=engine_id,
+        since_ms=since_ms,
+    )
+
+
+def require_not_run(never_dispatched: bool, workspace: str) -> None:
+    """Require that a request told as `not_run` was given to no engine."""
+    require("not_run_is_true", never_dispatched, workspace=workspace)
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -232,3 +232,53 @@
     revision: ids.Revision
     configuration: configuration.Configuration | None
     not_leader: bool = False
+
+
+class LeavingEngine(Message, frozen=True):
+    """An incarnation of an engine that is leaving."""
+
+    engine_id: ids.EngineId
+    incarnation: ids.Incarnation
+
+
+class StrikeRecord(Message, frozen=True):
+    """A request ran on an engine when it was lost, `age_ms` ago."""
+
+    fingerprint: ids.Fingerprint
+    engine_id: ids.EngineId
+    zone: ids.ZoneId
+    age_ms: float
+    offset: int
+    suspect: bool
+
+
+class TimedFingerprint(Message, frozen=True):
+    """A request with a duration in ms: time left, or age."""
+
+    fingerprint: ids.Fingerprint
+    duration_ms: float
+
+
+class IsolatedRequest(Message, frozen=True):
+    """A struck request that has an engine to itself."""
+
+    fingerprint: ids.Fingerprint
+    engine_id: ids.EngineId
+
+
+class GossipRequest(Message, frozen=True):
+    """What an instance knows of engines and of requests that crash them.
+
+    Times are durations, because clocks of two instances are never compared.
+    """
+
+    sender: ids.InstanceId
+    leaving: tuple[LeavingEngine, ...] = ()
+    strikes: tuple[StrikeRecord, ...] = ()
+    refused: tuple[TimedFingerprint, ...] = ()
+    cleared: tuple[TimedFingerprint, ...] = ()
+    isolated: tuple[IsolatedRequest, ...] = ()
+
+
+class GossipReply(Message, frozen=True):
+    """The gossip was taken in."""
--- /dev/null
+++ b/src/oriolejunction/peers/gossip_messages.py
@@ -0,0 +1,121 @@
+"""Gossip between instances on engines and on requests that crash them."""
+
+import collections
+
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers import quarantine as quarantines
+from oriolejunction import ids
+from oriolejunction import messages
+
+MAX_ENTRIES = 256
+
+
+class Gossip:
+    """Write what this instance knows, and take in what peers know."""
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        clock: clocks.Clock,
+        membership: memberships.Membership,
+        quarantine: quarantines.Quarantine,
+    ) -> None:
+        self._instance_id = instance_id
+        self._clock = clock
+        self._membership = membership
+        self._quarantine = quarantine
+
+    def request(self) -> messages.GossipRequest:
+        """Return all that is known, the latest of each kind."""
+        now_ms = self._clock.now_ms()
+        quarantine = self._quarantine
+        leaving = self._membership.leaving()
+        isolated = quarantine.isolated()
+        return messages.GossipRequest(
+            sender=self._instance_id,
+            leaving=tuple(
+                messages.LeavingEngine(engine_id, incarnation)
+                for engine_id, incarnation in leaving.items()
+            ),
+            strikes=tuple(
+                _strike_record(strike, now_ms)
+                for strike in quarantine.strikes()[-MAX_ENTRIES:]
+            ),
+            refused=tuple(
+                messages.TimedFingerprint(fingerprint, until_ms - now_ms)
+                for fingerprint, until_ms in quarantine.refused().items()
+            )[-MAX_ENTRIES:],
+            cleared=tuple(
+                messages.TimedFingerprint(fingerprint, now_ms - at_ms)
+                for fingerprint, at_ms in quarantine.cleared().items()
+            )[-MAX_ENTRIES:],
+            isolated=tuple(
+                messages.IsolatedRequest(fingerprint, engine_id)
+                for engine_id, found in isolated.items()
+                for fingerprint in sorted(found)
+            )[-MAX_ENTRIES:],
+        )
+
+    def take_in(self, request: messages.GossipRequest) -> None:
+        """Fold what a peer told into membership and quarantine."""
+        now_ms = self._clock.now_ms()
+        for leaving in request.leaving[:MAX_ENTRIES]:
+            self._membership.observe_leaving(
+                leaving.engine_id, leaving.incarnation
+            )
+        for record in request.strikes[:MAX_ENTRIES]:
+            self._quarantine.add(_strike(record, now_ms))
+        isolated = collections.defaultdict(set)
+        for entry in request.isolated[:MAX_ENTRIES]:
+            isolated[entry.engine_id].add(entry.fingerprint)
+        self._quarantine.observe_peer(
+            request.sender,
+            {engine: frozenset(found) for engine, found in isolated.items()},
+            {
+                entry.fingerprint: now_ms
+                + min(entry.duration_ms, quarantines.QUARANTINE_MS)
+                for entry in request.refused[:MAX_ENTRIES]
+            },
+            {
+                entry.fingerprint: now_ms - entry.duration_ms
+                for entry in request.cleared[:MAX_ENTRIES]
+            },
+        )
+
+
+def is_empty(request: messages.GossipRequest) -> bool:
+    """Return whether there is nothing to tell."""
+    return not (
+        request.leaving
+        or request.strikes
+        or request.refused
+        or request.cleared
+        or request.isolated
+    )
+
+
+def _strike_record(
+    strike: quarantines.Strike, now_ms: float
+) -> messages.StrikeRecord:
+    return messages.StrikeRecord(
+        fingerprint=strike.fingerprint,
+        engine_id=strike.engine_id,
+        zone=strike.zone,
+        age_ms=now_ms - strike.at_ms,
+        offset=strike.offset,
+        suspect=strike.suspect,
+    )
+
+
+def _strike(
+    record: messages.StrikeRecord, now_ms: float
+) -> quarantines.Strike:
+    return quarantines.Strike(
+        fingerprint=record.fingerprint,
+        engine_id=record.engine_id,
+        zone=record.zone,
+        at_ms=now_ms - record.age_ms,
+        offset=record.offset,
+        suspect=record.suspect,
+    )
--- /dev/null
+++ b/src/oriolejunction/peers/gossip_shell.py
@@ -0,0 +1,102 @@
+"""Sending and receiving of gossip over gRPC, at a bounded rate."""
+
+import asyncio
+import random
+
+import grpc
+import structlog
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction.peers import gossip_messages
+from oriolejunction.peers import methods
+from oriolejunction.peers import rpc
+from oriolejunction.peers import transport as transports
+
+INTERVAL_MS = 200
+FANOUT = 8
+CALL_TIMEOUT_S = 0.5
+_log = structlog.get_logger(__name__)
+
+
+class GossipShell:
+    """Tell a few peers what is known; they tell others in turn."""
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        clock: clocks.Clock,
+        blackboard: blackboards.Blackboard,
+        gossip: gossip_messages.Gossip,
+        transport: transports.PeerTransport,
+    ) -> None:
+        self._instance_id = instance_id
+        self._clock = clock
+        self._blackboard = blackboard
+        self._gossip = gossip
+        self._transport = transport
+        self._rng = random.Random(instance_id)
+        self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self._told_something = False
+
+    def add_to(self, server: grpc.aio.Server) -> None:
+        """Serve on a gRPC server."""
+        rpc.add_methods(server, {methods.GOSSIP: self._take_in})
+
+    async def run(self) -> None:
+        """Tell peers for as long as the instance lives."""
+        while True:
+            await self.tell()
+            await self._clock.sleep_ms(INTERVAL_MS)
+
+    async def tell(self) -> None:
+        """Tell some peers once.
+
+        An empty message is sent once after others, to end an isolation.
+        """
+        request = self._gossip.request()
+        empty = gossip_messages.is_empty(request)
+        if empty and not self._told_something:
+            return
+        self._told_something = not empty
+        peers = [
+            peer.peer_address
+            for peer in self._blackboard.instance_by_id.read().values()
+            if peer.instance != self._instance_id
+        ]
+        self._forget_channels(frozenset(peers))
+        chosen = self._rng.sample(peers, min(FANOUT, len(peers)))
+        await asyncio.gather(*(self._tell(a, request) for a in chosen))
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channel_by_address.values():
+            await channel.close()
+
+    async def _tell(
+        self, address: str, request: messages.GossipRequest
+    ) -> None:
+        call = rpc.caller(self._channel(address), methods.GOSSIP)
+        try:
+            await call(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            _log.debug("peer not told", address=address, why=error.code())
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = self._transport.channel(address)
+            self._channel_by_address[address] = channel
+        return channel
+
+    def _forget_channels(self, peers: frozenset[str]) -> None:
+        for address in self._channel_by_address.keys() - peers:
+            del self._channel_by_address[address]
+
+    async def _take_in(
+        self, request: messages.GossipRequest
+    ) -> messages.GossipReply:
+        self._gossip.take_in(request)
+        return messages.GossipReply()
--- a/src/oriolejunction/peers/methods.py
+++ b/src/oriolejunction/peers/methods.py
@@ -18,3 +18,6 @@
 IN_FORCE = rpc.Method(
     "Control", "InForce", messages.InForceRequest, messages.InForceReply
 )
+GOSSIP = rpc.Method(
+    "Gossip", "Tell", messages.GossipRequest, messages.GossipReply
+)
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -43,6 +43,13 @@
     LEAVING = "leaving"
 
 
+class ListedState(enum.Enum):
+    """What the platform's list says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
 class InstanceState(enum.Enum):
     """The life of one entry instance."""
 
