Route, admit and quarantine by what is known of engines

Cause: work went to any engine at random, without limits.

Change: the controllers of membership, routing, admission and quarantine are wired in; load reports and cache events are polled, instances tell each other leaving engines and strikes.

--- a/src/oriolejunction/controllers/admission.py
+++ b/src/oriolejunction/controllers/admission.py
@@ -94,6 +94,7 @@
         self._capacity = capacity
         self._queue: fair_queue.FairQueue[Ticket] = fair_queue.FairQueue()
         self._queued: set[Ticket] = set()
+        self.running = 0
         self._open_by_workspace: collections.Counter[ids.WorkspaceId]
         self._open_by_workspace = collections.Counter()
         self._bucket_by_workspace: dict[
@@ -121,12 +122,30 @@
             return expression.Error(refusal)
         return expression.Ok(self._queue_up(request))
 
+    def begin_call(
+        self, workspace: configuration.Workspace
+    ) -> expression.Result[configuration.Workspace, errors.NotRunError]:
+        """Count a call to a plain service or refuse it at once."""
+        capacity = self._capacity()
+        refusal = self._above_instance_limit(
+            capacity
+        ) or self._above_workspace_limit(workspace, capacity)
+        if refusal is not None:
+            return expression.Error(refusal)
+        self._open_by_workspace[workspace.workspace_id] += 1
+        return expression.Ok(workspace)
+
+    def end_call(self, workspace: configuration.Workspace) -> None:
+        """Note the end of a call to a plain service."""
+        self._open_by_workspace[workspace.workspace_id] -= 1
+
     def next(self) -> Ticket | None:
         """Take the next ticket in fair order to give it to an engine."""
         ticket = self._queue.pop()
         if ticket is not None:
             self._queued.discard(ticket)
             ticket.state = TicketState.RUNNING
+            self.running += 1
         return ticket
 
     def overdue(self) -> list[Ticket]:
@@ -158,6 +177,7 @@
         if ticket.state is not TicketState.RUNNING:
             return
         ticket.state = TicketState.ENDED
+        self.running -= 1
         workspace_id = ticket.workspace_id
         former = self._answer_tokens.get(workspace_id, DEFAULT_ANSWER_TOKENS)
         self._answer_tokens[workspace_id] = former + ANSWER_SMOOTHING * (
@@ -260,11 +280,13 @@
     def _predicted_wait_ms(
         self, request: AdmissionRequest, capacity: Capacity
     ) -> float:
+        if capacity.tokens_per_s <= 0:
+            return 0.0
         workspace = request.workspace
         ahead = self._queue.tokens_ahead(
             workspace.workspace_id, max(1, workspace.share)
         )
-        return ahead / max(1.0, capacity.tokens_per_s) * 1000.0
+        return ahead / capacity.tokens_per_s * 1000.0
 
 
 def _longest_wait_ms(request: AdmissionRequest) -> float:
--- /dev/null
+++ b/src/oriolejunction/controllers/engine_losses.py
@@ -0,0 +1,43 @@
+"""Turn lost attempts into suspicion of engines and strikes of requests."""
+
+import collections.abc
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers import quarantine as quarantines
+from oriolejunction.controllers import route_request
+from oriolejunction import ids
+from oriolejunction import states
+
+_BROKEN = frozenset(
+    {
+        states.LossCause.DISCONNECTED,
+        states.LossCause.ENDED_EARLY,
+        states.LossCause.SILENT,
+    }
+)
+
+
+def subscribe(
+    blackboard: blackboards.Blackboard,
+    membership: memberships.Membership,
+    quarantine: quarantines.Quarantine,
+    zone_of: collections.abc.Callable[[ids.EngineId], ids.ZoneId],
+) -> None:
+    """Take in each lost attempt that the runner publishes.
+
+    An attempt that never reached its engine gives no strike, nor does one
+    that the engine refused or answered wrongly: it did not crash it.
+    """
+
+    def observe(loss: blackboards.AttemptLoss) -> None:
+        placement = route_request.Placement(loss.generation, loss.engine_id)
+        broken = loss.cause in _BROKEN
+        if broken:
+            quarantine.lost(placement, zone_of(loss.engine_id))
+        else:
+            quarantine.finished(placement, whole=False)
+        if loss.engine_wide or broken:
+            membership.suspect(loss.engine_id)
+
+    blackboard.attempt_losses.subscribe(observe)
--- a/src/oriolejunction/controllers/fair_queue.py
+++ b/src/oriolejunction/controllers/fair_queue.py
@@ -95,9 +95,7 @@
         if flow is not None:
             flow.finish_tag += (actual - expected) / flow.weight
 
-    def tokens_ahead(
-        self, workspace: ids.WorkspaceId, weight: float
-    ) -> float:
+    def tokens_ahead(self, workspace: ids.WorkspaceId, weight: float) -> float:
         """Return the tokens that go before a new request.
 
         Its own workspace's wait, scaled up by the shares of the others
--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -4,12 +4,13 @@
 A request is a suspect on an engine until it delivered more tokens than at
 its last loss. A struck request runs where no other suspect runs, so that
 a second loss names it; it is then refused for a bounded time. Losses of
-many engines of a zone at once, or of most of them, give no strikes. A loss is judged only after a window
-in which peers tell their own strikes.
+many engines of a zone at once, or of most of them, give no strikes. A loss
+is judged only after a window in which peers tell their own strikes.
 """
 
 import collections.abc
 import dataclasses
+import enum
 import itertools
 
 from oriolejunction import clock as clocks
@@ -26,6 +27,13 @@
 MAX_STRIKES_OF_ONE = 8
 
 
+class QuarantinePolicy(enum.Enum):
+    """Whether requests get strikes; without is the baseline of a bench."""
+
+    ISOLATE = "isolate"
+    NONE = "none"
+
+
 @dataclasses.dataclass
 class Run:
     """One attempt at work; proven once `offset` reached `proven_at`.
@@ -33,7 +41,7 @@
     An isolated run has its engine to itself among suspects.
     """
 
-    fingerprint: ids.Fingerprint
+    fingerprint: ids.RequestFingerprint
     engine_id: ids.EngineId
     offset: int
     proven_at: int
@@ -52,7 +60,7 @@
     `suspect` tells whether it was not proven there.
     """
 
-    fingerprint: ids.Fingerprint
+    fingerprint: ids.RequestFingerprint
     engine_id: ids.EngineId
     zone: ids.ZoneId
     at_ms: float
@@ -67,23 +75,26 @@
         self,
         clock: clocks.Clock,
         engines_in_zone: collections.abc.Callable[[ids.ZoneId], int],
+        policy: QuarantinePolicy = QuarantinePolicy.ISOLATE,
     ) -> None:
+        self._policy = policy
         self._clock = clock
         self._engines_in_zone = engines_in_zone
         self._run_by_placement: dict[route_request.Placement, Run] = {}
         self._strikes_by_fingerprint: dict[
-            ids.Fingerprint, tuple[Strike, ...]
+            ids.RequestFingerprint, tuple[Strike, ...]
         ] = {}
-        self._refused_until_ms: dict[ids.Fingerprint, float] = {}
+        self._refused_until_ms: dict[ids.RequestFingerprint, float] = {}
         self._peer_isolated: dict[
-            ids.InstanceId, dict[ids.EngineId, frozenset[ids.Fingerprint]]
+            ids.InstanceId,
+            dict[ids.EngineId, frozenset[ids.RequestFingerprint]],
         ] = {}
-        self._cleared_at_ms: dict[ids.Fingerprint, float] = {}
+        self._cleared_at_ms: dict[ids.RequestFingerprint, float] = {}
 
     def dispatched(
         self,
         placement: route_request.Placement,
-        fingerprint: ids.Fingerprint,
+        fingerprint: ids.RequestFingerprint,
         offset: int,
     ) -> None:
         """Note that an attempt goes to an engine at a token offset."""
@@ -117,12 +128,18 @@
         if run is not None and whole:
             self._clear(run.fingerprint)
 
+    def forget(self, generation: ids.GenerationId) -> None:
+        """Drop all attempts of a generation that ended."""
+        for placement in list(self._run_by_placement):
+            if placement.generation == generation:
+                del self._run_by_placement[placement]
+
     def lost(
         self, placement: route_request.Placement, zone: ids.ZoneId
     ) -> Strike | None:
         """Give the request of an attempt lost with its engine a strike."""
         run = self._run_by_placement.pop(placement, None)
-        if run is None:
+        if run is None or self._policy is QuarantinePolicy.NONE:
             return None
         strike = Strike(
             run.fingerprint,
@@ -154,18 +171,20 @@
         self._forget()
         return tuple(self._all_strikes())
 
-    def cleared(self) -> dict[ids.Fingerprint, float]:
+    def cleared(self) -> dict[ids.RequestFingerprint, float]:
         """Return when requests were cleared, to be told to peers."""
         return dict(self._cleared_at_ms)
 
-    def refused(self) -> dict[ids.Fingerprint, float]:
+    def refused(self) -> dict[ids.RequestFingerprint, float]:
         """Return until when requests are refused, to be told to peers."""
         self._forget()
         return dict(self._refused_until_ms)
 
-    def isolated(self) -> dict[ids.EngineId, frozenset[ids.Fingerprint]]:
+    def isolated(
+        self,
+    ) -> dict[ids.EngineId, frozenset[ids.RequestFingerprint]]:
         """Return own requests that have an engine to themselves."""
-        by_engine: dict[ids.EngineId, set[ids.Fingerprint]] = {}
+        by_engine: dict[ids.EngineId, set[ids.RequestFingerprint]] = {}
         for run in self._run_by_placement.values():
             if run.suspect and run.isolated:
                 by_engine.setdefault(run.engine_id, set()).add(run.fingerprint)
@@ -174,9 +193,9 @@
     def observe_peer(
         self,
         instance: ids.InstanceId,
-        isolated: dict[ids.EngineId, frozenset[ids.Fingerprint]],
-        refused_until_ms: dict[ids.Fingerprint, float],
-        cleared_at_ms: dict[ids.Fingerprint, float],
+        isolated: dict[ids.EngineId, frozenset[ids.RequestFingerprint]],
+        refused_until_ms: dict[ids.RequestFingerprint, float],
+        cleared_at_ms: dict[ids.RequestFingerprint, float],
     ) -> None:
         """Take in what a peer isolates, refuses and has cleared."""
         self._peer_isolated[instance] = isolated
@@ -186,12 +205,14 @@
         for fingerprint, at_ms in cleared_at_ms.items():
             self._clear(fingerprint, at_ms)
 
-    def last_strike(self, fingerprint: ids.Fingerprint) -> Strike | None:
+    def last_strike(
+        self, fingerprint: ids.RequestFingerprint
+    ) -> Strike | None:
         """Return the last strike of a request that counts."""
         strikes = self._live_strikes(fingerprint)
         return strikes[-1] if strikes else None
 
-    def must_isolate(self, fingerprint: ids.Fingerprint) -> bool:
+    def must_isolate(self, fingerprint: ids.RequestFingerprint) -> bool:
         """Return whether a request has to run apart from other suspects.
 
         One that was proven on the lost engine may run anywhere: it is
@@ -200,13 +221,13 @@
         strike = self.last_strike(fingerprint)
         return strike is not None and strike.suspect
 
-    def refused_for_ms(self, fingerprint: ids.Fingerprint) -> float:
+    def refused_for_ms(self, fingerprint: ids.RequestFingerprint) -> float:
         """Return for how long a request is refused; 0 if it may run."""
         self._judge(fingerprint)
         until_ms = self._refused_until_ms.get(fingerprint, 0.0)
         return max(0.0, until_ms - self._clock.now_ms())
 
-    def judged_in_ms(self, fingerprint: ids.Fingerprint) -> float:
+    def judged_in_ms(self, fingerprint: ids.RequestFingerprint) -> float:
         """Return how long to wait before a twice struck request may run."""
         strikes = self._live_strikes(fingerprint)
         if len(strikes) < 2:
@@ -215,7 +236,7 @@
         return max(0.0, due_ms - self._clock.now_ms())
 
     def suspects_on(
-        self, engine_id: ids.EngineId, but: ids.Fingerprint
+        self, engine_id: ids.EngineId, but: ids.RequestFingerprint
     ) -> int:
         """Count the suspects on an engine, those of peers included."""
         found = {
@@ -227,14 +248,16 @@
             found |= by_engine.get(engine_id, frozenset())
         return len(found - {but})
 
-    def isolates(self, engine_id: ids.EngineId, but: ids.Fingerprint) -> bool:
+    def isolates(
+        self, engine_id: ids.EngineId, but: ids.RequestFingerprint
+    ) -> bool:
         """Return whether another request has an engine to itself."""
         found = set(self.isolated().get(engine_id, frozenset()))
         for by_engine in self._peer_isolated.values():
             found |= by_engine.get(engine_id, frozenset())
         return bool(found - {but})
 
-    def _judge(self, fingerprint: ids.Fingerprint) -> None:
+    def _judge(self, fingerprint: ids.RequestFingerprint) -> None:
         strikes = self._live_strikes(fingerprint)
         if len(strikes) < 2 or self.judged_in_ms(fingerprint) > 0:
             return
@@ -257,7 +280,9 @@
             self._strikes_by_fingerprint.values()
         )
 
-    def _live_strikes(self, fingerprint: ids.Fingerprint) -> list[Strike]:
+    def _live_strikes(
+        self, fingerprint: ids.RequestFingerprint
+    ) -> list[Strike]:
         now_ms = self._clock.now_ms()
         found = [
             strike
@@ -279,7 +304,7 @@
         return in_zone >= many or len(near) >= MANY_OF_ALL
 
     def _clear(
-        self, fingerprint: ids.Fingerprint, at_ms: float | None = None
+        self, fingerprint: ids.RequestFingerprint, at_ms: float | None = None
     ) -> None:
         at_ms = self._clock.now_ms() if at_ms is None else at_ms
         known = self._strikes_by_fingerprint.get(fingerprint, ())
--- a/src/oriolejunction/controllers/route_request.py
+++ b/src/oriolejunction/controllers/route_request.py
@@ -3,10 +3,9 @@
 import collections.abc
 import dataclasses
 
-import xxhash
-
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import request_fingerprint
 from oriolejunction import ids
 
 
@@ -27,7 +26,7 @@
     prompt: str
     excluded: frozenset[ids.EngineId]
     continuation: bool
-    fingerprint: ids.Fingerprint
+    fingerprint: ids.RequestFingerprint
     delivered: int
 
 
@@ -45,23 +44,6 @@
 ]
 
 
-def fingerprint_of(
-    request: generations.GenerationRequest,
-) -> ids.Fingerprint:
-    """Return the digest by which a resend of a request is recognised."""
-    digest = xxhash.xxh3_128()
-    for part in (
-        request.workspace,
-        request.model,
-        request.adapter,
-        request.prompt,
-        repr((request.max_tokens, request.sampling, request.stop)),
-    ):
-        digest.update(part.encode("utf-8", "surrogatepass"))
-        digest.update(b"\0")
-    return ids.Fingerprint(digest.hexdigest())
-
-
 def route_of(
     generation: generations.Generation,
     excluded: frozenset[ids.EngineId],
@@ -78,6 +60,6 @@
         prompt=request.prompt,
         excluded=excluded,
         continuation=continuation,
-        fingerprint=fingerprint_of(request),
+        fingerprint=request_fingerprint.of(request),
         delivered=len(generation.delivered_ids),
     )
--- a/src/oriolejunction/http/admission_gate.py
+++ b/src/oriolejunction/http/admission_gate.py
@@ -4,10 +4,12 @@
 import collections.abc
 import contextlib
 import dataclasses
+import typing
 
 import expression
 
 from oriolejunction import clock as clocks
+from oriolejunction import configuration
 from oriolejunction.controllers import admission as admissions
 from oriolejunction.controllers import dispatcher as dispatchers
 from oriolejunction.controllers import generation as generations
@@ -16,6 +18,11 @@
 
 PUMP_INTERVAL_MS = 20
 
+Granted = typing.TypeVar("Granted")
+Deliveries = collections.abc.AsyncGenerator[
+    tuple[generations.Delivery, ...], None
+]
+
 
 @dataclasses.dataclass(frozen=True)
 class GateParts:
@@ -87,6 +94,35 @@
             self._parts.admission.end(ticket, len(generation.delivered_ids))
             self._parts.forget(generation)
 
+    async def run_admitted(
+        self,
+        generation: generations.Generation,
+        request: admissions.AdmissionRequest,
+        deliveries: Deliveries,
+    ) -> Deliveries:
+        """Yield the deliveries of a generation once it is admitted."""
+        async with self.admitted(generation, request):
+            async with contextlib.aclosing(deliveries):
+                async for batch in deliveries:
+                    yield batch
+
+    @contextlib.contextmanager
+    def service_call(
+        self, workspace: configuration.Workspace
+    ) -> collections.abc.Iterator[None]:
+        """Hold a place for a call to a plain service.
+
+        Raise `Failure` with a `NotRunError` above a limit.
+        """
+        if self._parts.policy is admissions.AdmissionPolicy.NONE:
+            yield
+            return
+        _or_raise(self._parts.admission.begin_call(workspace))
+        try:
+            yield
+        finally:
+            self._parts.admission.end_call(workspace)
+
     async def _pass(self, ticket: admissions.Ticket) -> None:
         passed = asyncio.get_running_loop().create_future()
         self._passed_by_ticket[ticket] = passed
@@ -105,8 +141,8 @@
 
 
 def _or_raise(
-    result: expression.Result[admissions.Ticket, errors.NotRunError],
-) -> admissions.Ticket:
+    result: expression.Result[Granted, errors.NotRunError],
+) -> Granted:
     if result.is_error():
         raise errors.Failure(result.error)
     return result.ok
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -13,6 +13,8 @@
 from oriolejunction.controllers import generation as generations
 from oriolejunction.controllers import generation_runner
 from oriolejunction import errors
+from oriolejunction.http import admission_gate
+from oriolejunction.http import deadlines
 from oriolejunction.http import openai_answers
 from oriolejunction.http import openai_requests
 from oriolejunction.http import replies
@@ -35,6 +37,7 @@
     telemetry: metrics.Telemetry
     runner: generation_runner.RunnerParts
     services: service_calls.ServiceCalls
+    gate: admission_gate.AdmissionGate
     new_generation_id: collections.abc.Callable[[], ids.GenerationId]
     max_body_bytes: int
 
@@ -115,7 +118,11 @@
         writer = openai_answers.AnswerWriter(
             generation.generation_id, parts.instance_id, body.model, chat
         )
-        deliveries = generation_runner.run(generation, parts.runner)
+        deliveries = parts.gate.run_admitted(
+            generation,
+            deadlines.admission_request(request, workspace, generation),
+            generation_runner.run(generation, parts.runner),
+        )
         if body.stream:
             usage = bool(
                 body.stream_options and body.stream_options.include_usage
@@ -186,9 +193,11 @@
             raise errors.Failure(
                 errors.UnknownService(f"there is no service {name!r}")
             )
-        answer = await self._parts.services.call(
-            service, workspace.workspace_id, await _service_call(request)
-        )
+        call = await _service_call(request)
+        with self._parts.gate.service_call(workspace):
+            answer = await self._parts.services.call(
+                service, workspace.workspace_id, call
+            )
         return web.Response(
             status=answer.status,
             body=answer.body,
--- /dev/null
+++ b/src/oriolejunction/http/deadlines.py
@@ -0,0 +1,53 @@
+"""Deadline of a request and what admission needs to know of it.
+
+A caller says in `X-Request-Timeout-Ms` how long it waits for the first
+token.
+"""
+
+from aiohttp import web
+
+from oriolejunction import configuration
+from oriolejunction.controllers import admission as admissions
+from oriolejunction.controllers import generation as generations
+from oriolejunction import errors
+from oriolejunction import prefix_blocks
+
+HEADER = "X-Request-Timeout-Ms"
+DEFAULT_DEADLINE_MS = 30_000
+MAX_DEADLINE_MS = 3_600_000
+
+
+def deadline_ms(request: web.Request) -> float:
+    """Return the deadline or raise `Failure` with `MalformedRequest`."""
+    raw = request.headers.get(HEADER)
+    if raw is None:
+        return DEFAULT_DEADLINE_MS
+    if not (raw.isascii() and raw.isdigit() and len(raw) <= 7):
+        raise _malformed()
+    value = int(raw)
+    if not 0 < value <= MAX_DEADLINE_MS:
+        raise _malformed()
+    return value
+
+
+def admission_request(
+    request: web.Request,
+    workspace: configuration.Workspace,
+    generation: generations.Generation,
+) -> admissions.AdmissionRequest:
+    """Return what admission needs to know of a generation."""
+    asked = generation.request
+    return admissions.AdmissionRequest(
+        workspace=workspace,
+        tokens=prefix_blocks.token_estimate(asked.prompt),
+        max_tokens=asked.max_tokens,
+        deadline_ms=deadline_ms(request),
+    )
+
+
+def _malformed() -> errors.Failure:
+    return errors.Failure(
+        errors.MalformedRequest(
+            f"{HEADER} must be a number of 1 to {MAX_DEADLINE_MS}"
+        )
+    )
--- /dev/null
+++ b/src/oriolejunction/http/platform_list.py
@@ -0,0 +1,75 @@
+"""Client of the platform's list of live and leaving instances."""
+
+import aiohttp
+import msgspec
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import membership as memberships
+from oriolejunction import ids
+from oriolejunction import states
+
+POLL_INTERVAL_MS = 1_000
+REQUEST_TIMEOUT_S = 1.0
+_log = structlog.get_logger(__name__)
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One entry of the platform's list."""
+
+    name: ids.EngineId
+    state: states.ListedState
+
+
+_decode = msgspec.json.Decoder(list[ListedInstance]).decode
+
+
+class PlatformList:
+    """Poll the list; without one the configured engines count as listed.
+
+    Where the list cannot be had, the last one stays in use.
+    """
+
+    def __init__(
+        self,
+        url: str | None,
+        clock: clocks.Clock,
+        membership: memberships.Membership,
+    ) -> None:
+        self._url = url
+        self._clock = clock
+        self._membership = membership
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> None:
+        """Poll for as long as the instance lives."""
+        if self._url is None:
+            return
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        )
+        while True:
+            await self._poll()
+            await self._clock.sleep_ms(POLL_INTERVAL_MS)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _poll(self) -> None:
+        try:
+            async with self._session.get(self._url) as response:
+                response.raise_for_status()
+                listed = _decode(await response.read())
+        except (
+            aiohttp.ClientError,
+            msgspec.DecodeError,
+            OSError,
+            TimeoutError,
+        ) as error:
+            _log.warning("no platform list", why=repr(error))
+            return
+        self._membership.observe_list(
+            {entry.name: entry.state for entry in listed}
+        )
--- a/src/oriolejunction/ids.py
+++ b/src/oriolejunction/ids.py
@@ -5,7 +5,6 @@
 AttemptNumber = typing.NewType("AttemptNumber", int)
 DraftId = typing.NewType("DraftId", str)
 EngineId = typing.NewType("EngineId", str)
-Fingerprint = typing.NewType("Fingerprint", str)
 GenerationId = typing.NewType("GenerationId", str)
 IdempotencyKey = typing.NewType("IdempotencyKey", str)
 Incarnation = typing.NewType("Incarnation", str)
--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -13,6 +13,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import serving
 from oriolejunction import settings as instance_settings
 from oriolejunction.standin import engine as standin_engine
 from oriolejunction.standin import service as standin_service
@@ -54,6 +55,7 @@
     key_by_workspace: dict[str, str] = dataclasses.field(
         default_factory=lambda: dict(KEY_BY_WORKSPACE)
     )
+    serving_options: serving.ServingOptions = serving.ServingOptions()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -168,7 +170,9 @@
             data_dir=str(self._data_root / "0") if number == 0 else None,
             drain_delay_ms=100,
         )
-        instance = wiring.Instance(settings, clocks.SystemClock())
+        instance = wiring.Instance(
+            settings, clocks.SystemClock(), self.options.serving_options
+        )
         await instance.start()
         self.instances.append(instance)
 
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -244,7 +244,7 @@
 class StrikeRecord(Message, frozen=True):
     """A request ran on an engine when it was lost, `age_ms` ago."""
 
-    fingerprint: ids.Fingerprint
+    fingerprint: ids.RequestFingerprint
     engine_id: ids.EngineId
     zone: ids.ZoneId
     age_ms: float
@@ -255,14 +255,14 @@
 class TimedFingerprint(Message, frozen=True):
     """A request with a duration in ms: time left, or age."""
 
-    fingerprint: ids.Fingerprint
+    fingerprint: ids.RequestFingerprint
     duration_ms: float
 
 
 class IsolatedRequest(Message, frozen=True):
     """A struck request that has an engine to itself."""
 
-    fingerprint: ids.Fingerprint
+    fingerprint: ids.RequestFingerprint
     engine_id: ids.EngineId
 
 
--- /dev/null
+++ b/src/oriolejunction/serving.py
@@ -0,0 +1,135 @@
+"""The parts of an instance that choose engines and admit requests.
+
+`wiring.py` builds them once; they share one membership, one table of
+dispatches and one quarantine.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import admission as admissions
+from oriolejunction.controllers import dispatcher as dispatchers
+from oriolejunction.controllers import dispatches as dispatch_state
+from oriolejunction.controllers import engine_losses
+from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers import prefix_caches
+from oriolejunction.controllers import quarantine as quarantines
+from oriolejunction.controllers import retry_budget
+from oriolejunction.controllers import routing
+from oriolejunction.controllers import serving_capacity
+from oriolejunction.http import admission_gate
+from oriolejunction.http import load_reports
+from oriolejunction.http import platform_list
+from oriolejunction.http import tracked_engines
+from oriolejunction import ids
+from oriolejunction.peers import gossip_messages
+from oriolejunction.peers import gossip_shell
+from oriolejunction.peers import transport as transports
+
+
+@dataclasses.dataclass(frozen=True)
+class ServingOptions:
+    """How to route and admit; other than the defaults in benches only."""
+
+    routing_policy: routing.RoutingPolicy = routing.RoutingPolicy.SCORED
+    admission_policy: admissions.AdmissionPolicy = (
+        admissions.AdmissionPolicy.FAIR
+    )
+    quarantine_policy: quarantines.QuarantinePolicy = (
+        quarantines.QuarantinePolicy.ISOLATE
+    )
+    max_requests: int = 4_096
+    platform_list_url: str | None = None
+
+
+class Serving:
+    """Membership, routing, admission and quarantine of one instance."""
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        clock: clocks.Clock,
+        blackboard: blackboards.Blackboard,
+        engines: generation_runner.EnginePort,
+        transport: transports.PeerTransport,
+        options: ServingOptions,
+    ) -> None:
+        self.membership = memberships.Membership(blackboard, clock)
+        self.dispatches = dispatch_state.Dispatches(clock)
+        self.caches = prefix_caches.PrefixCaches(clock)
+        self._retries = retry_budget.RetryBudget()
+        state = routing.RoutingState(blackboard, self.dispatches, self.caches)
+        capacity = serving_capacity.ServingCapacity(
+            state, options.max_requests
+        )
+        self.quarantine = quarantines.Quarantine(
+            clock, capacity.engines_in_zone, options.quarantine_policy
+        )
+        self.dispatcher = dispatchers.Dispatcher(
+            dispatchers.DispatcherParts(
+                clock=clock,
+                blackboard=blackboard,
+                membership=self.membership,
+                dispatches=self.dispatches,
+                caches=self.caches,
+                quarantine=self.quarantine,
+                retries=self._retries,
+                pick=routing.picker(
+                    options.routing_policy, state, random.Random(instance_id)
+                ),
+            )
+        )
+        self.admission = admissions.Admission(clock, capacity.capacity)
+        self.gate = admission_gate.AdmissionGate(
+            admission_gate.GateParts(
+                clock=clock,
+                admission=self.admission,
+                dispatcher=self.dispatcher,
+                room=lambda: capacity.room(self.admission.running),
+                forget=self._forget,
+                policy=options.admission_policy,
+            )
+        )
+        self.engines = tracked_engines.TrackedEngines(
+            engines, self.membership, self.dispatches, self.quarantine
+        )
+        self.gossip = gossip_shell.GossipShell(
+            instance_id,
+            clock,
+            blackboard,
+            gossip_messages.Gossip(
+                instance_id, clock, self.membership, self.quarantine
+            ),
+            transport,
+        )
+        engine_losses.subscribe(
+            blackboard, self.membership, self.quarantine, capacity.zone_of
+        )
+        self._reports = load_reports.LoadReports(
+            load_reports.ReportParts(
+                clock, blackboard, self.membership, self.caches
+            )
+        )
+        self._list = platform_list.PlatformList(
+            options.platform_list_url, clock, self.membership
+        )
+
+    def start(self) -> list[asyncio.Task]:
+        """Start the polls, the gate and the gossip."""
+        runs = (self._reports, self._list, self.gate, self.gossip)
+        return [asyncio.create_task(part.run()) for part in runs]
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for part in (self._reports, self._list, self.gossip):
+            await part.close()
+
+    def _forget(self, generation: generations.Generation) -> None:
+        self.dispatches.forget(generation.generation_id)
+        self.quarantine.forget(generation.generation_id)
+        self._retries.forget(generation.generation_id)
--- a/src/oriolejunction/settings.py
+++ b/src/oriolejunction/settings.py
@@ -39,6 +39,8 @@
     operator_token: typing.Annotated[str, msgspec.Meta(min_length=8)]
     data_dir: str | None = None
     max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
+    max_requests: typing.Annotated[int, msgspec.Meta(ge=1)] = 4_096
+    platform_list_url: str | None = None
     drain_delay_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 3_000
     peer_tls_certificate: str | None = None
     peer_tls_key: str | None = None
--- /dev/null
+++ b/src/oriolejunction/standin/platform.py
@@ -0,0 +1,45 @@
+"""Stand-in of the platform's lagging list of live and leaving instances."""
+
+import time
+
+from aiohttp import web
+import msgspec
+
+from oriolejunction.http import platform_list
+from oriolejunction import ids
+from oriolejunction import states
+
+
+class StandinPlatform:
+    """Answer with the list as it was `lag_ms` ago."""
+
+    def __init__(self, names: list[ids.EngineId], lag_ms: float) -> None:
+        self._lag_ms = lag_ms
+        self._changes_by_name: dict[
+            ids.EngineId, list[tuple[float, states.ListedState]]
+        ] = {name: [(0.0, states.ListedState.LIVE)] for name in names}
+
+    def mark(self, name: ids.EngineId, state: states.ListedState) -> None:
+        """Change the state of an instance; the list shows it later."""
+        self._changes_by_name.setdefault(name, []).append((_now_ms(), state))
+
+    def application(self) -> web.Application:
+        """Return the HTTP application of the platform."""
+        app = web.Application()
+        app.add_routes([web.get("/instances", self._instances)])
+        return app
+
+    async def _instances(self, request: web.Request) -> web.Response:
+        until_ms = _now_ms() - self._lag_ms
+        listed = []
+        for name, changes in self._changes_by_name.items():
+            shown = [state for at_ms, state in changes if at_ms <= until_ms]
+            if shown:
+                listed.append(platform_list.ListedInstance(name, shown[-1]))
+        return web.Response(
+            body=msgspec.json.encode(listed), content_type="application/json"
+        )
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000.0
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import pathlib
-import random
 import uuid
 
 from aiohttp import web
@@ -13,7 +12,6 @@
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import single
 from oriolejunction.controllers import generation_runner
-from oriolejunction.controllers import routing
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
 from oriolejunction.http import operators
@@ -24,6 +22,7 @@
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
 from oriolejunction.peers import transport as transports
+from oriolejunction import serving
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -36,8 +35,15 @@
     """One running process of the system."""
 
     def __init__(
-        self, settings: instance_settings.Settings, clock: clocks.Clock
+        self,
+        settings: instance_settings.Settings,
+        clock: clocks.Clock,
+        serving_options: serving.ServingOptions | None = None,
     ) -> None:
+        self._serving_options = serving_options or serving.ServingOptions(
+            max_requests=settings.max_requests,
+            platform_list_url=settings.platform_list_url,
+        )
         self.settings = settings
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
@@ -54,11 +60,19 @@
         """Open the listeners and begin to serve."""
         settings = self.settings
         instance_id = ids.InstanceId(settings.instance_id)
+        self._engines = engine_client.EngineClient()
+        self.serving = serving.Serving(
+            instance_id,
+            self.clock,
+            self.blackboard,
+            self._engines,
+            self._transport,
+            self._serving_options,
+        )
         await self._start_peer_listener(instance_id)
         self._control = control_client.ControlClient(
             settings.control_address_by_id(), self._transport
         )
-        self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
         watch = configuration_watch.ConfigurationWatch(
             instance_id,
@@ -69,6 +83,7 @@
             settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
+        self._tasks.extend(self.serving.start())
         caller_app = callers.application(self._caller_parts(instance_id))
         caller_app.middlewares.append(self._count_in_flight)
         await self._listen(caller_app, settings.caller_listen)
@@ -94,6 +109,7 @@
             await runner.cleanup()
         for task in self._tasks:
             await configuration_watch.stop_task(task)
+        await self.serving.close()
         for client in (self._engines, self._services, self._control):
             await client.close()
         if self._server is not None:
@@ -106,6 +122,7 @@
         self._server = grpc.aio.server()
         if self.settings.data_dir is not None:
             self._add_replica(instance_id)
+        self.serving.gossip.add_to(self._server)
         self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
 
@@ -118,15 +135,14 @@
         ).add_to(self._server)
 
     def _caller_parts(self, instance_id: ids.InstanceId):
-        rng = random.Random(instance_id)
         return callers.CallerParts(
             instance_id=instance_id,
             clock=self.clock,
             blackboard=self.blackboard,
             telemetry=self.telemetry,
             runner=generation_runner.RunnerParts(
-                engines=self._engines,
-                choose_engine=routing.random_choice(self.blackboard, rng),
+                engines=self.serving.engines,
+                choose_engine=self.serving.dispatcher.choose,
                 telemetry=self.telemetry,
                 clock=self.clock,
                 attempt_losses=self.blackboard.attempt_losses,
@@ -134,6 +150,7 @@
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
             ),
+            gate=self.serving.gate,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
         )
