--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -41,7 +41,7 @@
     An isolated run has its engine to itself among suspects.
     """
 
-    fingerprint: ids.RequestFingerprint
+    fingerprint: ids.Fingerprint
     engine_id: ids.EngineId
     offset: int
     proven_at: int
@@ -60,7 +60,7 @@
     `suspect` tells whether it was not proven there.
     """
 
-    fingerprint: ids.RequestFingerprint
+    fingerprint: ids.Fingerprint
     engine_id: ids.EngineId
     zone: ids.ZoneId
     at_ms: float
@@ -82,19 +82,19 @@
         self._engines_in_zone = engines_in_zone
         self._run_by_placement: dict[route_request.Placement, Run] = {}
         self._strikes_by_fingerprint: dict[
-            ids.RequestFingerprint, tuple[Strike, ...]
+            ids.Fingerprint, tuple[Strike, ...]
         ] = {}
-        self._refused_until_ms: dict[ids.RequestFingerprint, float] = {}
+        self._refused_until_ms: dict[ids.Fingerprint, float] = {}
         self._peer_isolated: dict[
             ids.InstanceId,
-            dict[ids.EngineId, frozenset[ids.RequestFingerprint]],
+            dict[ids.EngineId, frozenset[ids.Fingerprint]],
         ] = {}
-        self._cleared_at_ms: dict[ids.RequestFingerprint, float] = {}
+        self._cleared_at_ms: dict[ids.Fingerprint, float] = {}
 
     def dispatched(
         self,
         placement: route_request.Placement,
-        fingerprint: ids.RequestFingerprint,
+        fingerprint: ids.Fingerprint,
         offset: int,
     ) -> None:
         """Note that an attempt goes to an engine at a token offset."""
@@ -171,20 +171,20 @@
         self._forget()
         return tuple(self._all_strikes())
 
-    def cleared(self) -> dict[ids.RequestFingerprint, float]:
+    def cleared(self) -> dict[ids.Fingerprint, float]:
         """Return when requests were cleared, to be told to peers."""
         return dict(self._cleared_at_ms)
 
-    def refused(self) -> dict[ids.RequestFingerprint, float]:
+    def refused(self) -> dict[ids.Fingerprint, float]:
         """Return until when requests are refused, to be told to peers."""
         self._forget()
         return dict(self._refused_until_ms)
 
     def isolated(
         self,
-    ) -> dict[ids.EngineId, frozenset[ids.RequestFingerprint]]:
+    ) -> dict[ids.EngineId, frozenset[ids.Fingerprint]]:
         """Return own requests that have an engine to themselves."""
-        by_engine: dict[ids.EngineId, set[ids.RequestFingerprint]] = {}
+        by_engine: dict[ids.EngineId, set[ids.Fingerprint]] = {}
         for run in self._run_by_placement.values():
             if run.suspect and run.isolated:
                 by_engine.setdefault(run.engine_id, set()).add(run.fingerprint)
@@ -193,9 +193,9 @@
     def observe_peer(
         self,
         instance: ids.InstanceId,
-        isolated: dict[ids.EngineId, frozenset[ids.RequestFingerprint]],
-        refused_until_ms: dict[ids.RequestFingerprint, float],
-        cleared_at_ms: dict[ids.RequestFingerprint, float],
+        isolated: dict[ids.EngineId, frozenset[ids.Fingerprint]],
+        refused_until_ms: dict[ids.Fingerprint, float],
+        cleared_at_ms: dict[ids.Fingerprint, float],
     ) -> None:
         """Take in what a peer isolates, refuses and has cleared."""
         self._peer_isolated[instance] = isolated
@@ -205,14 +205,12 @@
         for fingerprint, at_ms in cleared_at_ms.items():
             self._clear(fingerprint, at_ms)
 
-    def last_strike(
-        self, fingerprint: ids.RequestFingerprint
-    ) -> Strike | None:
+    def last_strike(self, fingerprint: ids.Fingerprint) -> Strike | None:
         """Return the last strike of a request that counts."""
         strikes = self._live_strikes(fingerprint)
         return strikes[-1] if strikes else None
 
-    def must_isolate(self, fingerprint: ids.RequestFingerprint) -> bool:
+    def must_isolate(self, fingerprint: ids.Fingerprint) -> bool:
         """Return whether a request has to run apart from other suspects.
 
         One that was proven on the lost engine may run anywhere: it is
@@ -221,13 +219,13 @@
         strike = self.last_strike(fingerprint)
         return strike is not None and strike.suspect
 
-    def refused_for_ms(self, fingerprint: ids.RequestFingerprint) -> float:
+    def refused_for_ms(self, fingerprint: ids.Fingerprint) -> float:
         """Return for how long a request is refused; 0 if it may run."""
         self._judge(fingerprint)
         until_ms = self._refused_until_ms.get(fingerprint, 0.0)
         return max(0.0, until_ms - self._clock.now_ms())
 
-    def judged_in_ms(self, fingerprint: ids.RequestFingerprint) -> float:
+    def judged_in_ms(self, fingerprint: ids.Fingerprint) -> float:
         """Return how long to wait before a twice struck request may run."""
         strikes = self._live_strikes(fingerprint)
         if len(strikes) < 2:
@@ -236,7 +234,7 @@
         return max(0.0, due_ms - self._clock.now_ms())
 
     def suspects_on(
-        self, engine_id: ids.EngineId, but: ids.RequestFingerprint
+        self, engine_id: ids.EngineId, but: ids.Fingerprint
     ) -> int:
         """Count the suspects on an engine, those of peers included."""
         found = {
@@ -248,16 +246,14 @@
             found |= by_engine.get(engine_id, frozenset())
         return len(found - {but})
 
-    def isolates(
-        self, engine_id: ids.EngineId, but: ids.RequestFingerprint
-    ) -> bool:
+    def isolates(self, engine_id: ids.EngineId, but: ids.Fingerprint) -> bool:
         """Return whether another request has an engine to itself."""
         found = set(self.isolated().get(engine_id, frozenset()))
         for by_engine in self._peer_isolated.values():
             found |= by_engine.get(engine_id, frozenset())
         return bool(found - {but})
 
-    def _judge(self, fingerprint: ids.RequestFingerprint) -> None:
+    def _judge(self, fingerprint: ids.Fingerprint) -> None:
         strikes = self._live_strikes(fingerprint)
         if len(strikes) < 2 or self.judged_in_ms(fingerprint) > 0:
             return
@@ -280,9 +276,7 @@
             self._strikes_by_fingerprint.values()
         )
 
-    def _live_strikes(
-        self, fingerprint: ids.RequestFingerprint
-    ) -> list[Strike]:
+    def _live_strikes(self, fingerprint: ids.Fingerprint) -> list[Strike]:
         now_ms = self._clock.now_ms()
         found = [
             strike
@@ -304,7 +298,7 @@
         return in_zone >= many or len(near) >= MANY_OF_ALL
 
     def _clear(
-        self, fingerprint: ids.RequestFingerprint, at_ms: float | None = None
+        self, fingerprint: ids.Fingerprint, at_ms: float | None = None
     ) -> None:
         at_ms = self._clock.now_ms() if at_ms is None else at_ms
         known = self._strikes_by_fingerprint.get(fingerprint, ())
--- a/src/oriolejunction/controllers/route_request.py
+++ b/src/oriolejunction/controllers/route_request.py
@@ -3,9 +3,10 @@
 import collections.abc
 import dataclasses
 
+import xxhash
+
 from oriolejunction import configuration
 from oriolejunction.controllers import generation as generations
-from oriolejunction.controllers import request_fingerprint
 from oriolejunction import ids
 
 
@@ -14,8 +15,9 @@
     """One attempt in search of an engine.
 
     `excluded` holds the engines that this generation must not use again,
-    `continuation` is true once an engine worked on it, and `delivered`
-    counts the tokens that the engine gets as a forced prefix.
+    `continuation` is true once an engine worked on it, for this instance or
+    for the one that it took the answer over from, and `delivered` counts
+    the tokens that the engine gets as a forced prefix.
     """
 
     generation: ids.GenerationId
@@ -26,7 +28,7 @@
     prompt: str
     excluded: frozenset[ids.EngineId]
     continuation: bool
-    fingerprint: ids.RequestFingerprint
+    fingerprint: ids.Fingerprint
     delivered: int
 
 
@@ -44,6 +46,23 @@
 ]
 
 
+def fingerprint_of(
+    request: generations.GenerationRequest,
+) -> ids.Fingerprint:
+    """Return the digest by which a resend of a request is recognised."""
+    digest = xxhash.xxh3_128()
+    for part in (
+        request.workspace,
+        request.model,
+        request.adapter,
+        request.prompt,
+        repr((request.max_tokens, request.sampling, request.stop)),
+    ):
+        digest.update(part.encode("utf-8", "surrogatepass"))
+        digest.update(b"\0")
+    return ids.Fingerprint(digest.hexdigest())
+
+
 def route_of(
     generation: generations.Generation,
     excluded: frozenset[ids.EngineId],
@@ -59,7 +78,7 @@
         adapter=request.adapter,
         prompt=request.prompt,
         excluded=excluded,
-        continuation=continuation,
-        fingerprint=request_fingerprint.of(request),
+        continuation=continuation or bool(generation.delivered_ids),
+        fingerprint=fingerprint_of(request),
         delivered=len(generation.delivered_ids),
     )
--- a/src/oriolejunction/http/admission_gate.py
+++ b/src/oriolejunction/http/admission_gate.py
@@ -80,10 +80,8 @@
             route_request.route_of(generation, frozenset(), False)
         )
         if self._parts.policy is admissions.AdmissionPolicy.NONE:
-            try:
+            async with self._unqueued(generation):
                 yield
-            finally:
-                self._parts.forget(generation)
             return
         ticket = _or_raise(self._parts.admission.offer(request))
         try:
@@ -100,12 +98,30 @@
         request: admissions.AdmissionRequest,
         deliveries: Deliveries,
     ) -> Deliveries:
-        """Yield the deliveries of a generation once it is admitted."""
-        async with self.admitted(generation, request):
+        """Yield the deliveries of a generation once it is admitted.
+
+        An answer taken over from another instance has run already: it waits
+        for nothing and is never told as `not_run`.
+        """
+        entry = (
+            self._unqueued(generation)
+            if generation.delivered_ids
+            else self.admitted(generation, request)
+        )
+        async with entry:
             async with contextlib.aclosing(deliveries):
                 async for batch in deliveries:
                     yield batch
 
+    @contextlib.asynccontextmanager
+    async def _unqueued(
+        self, generation: generations.Generation
+    ) -> collections.abc.AsyncIterator[None]:
+        try:
+            yield
+        finally:
+            self._parts.forget(generation)
+
     @contextlib.contextmanager
     def service_call(
         self, workspace: configuration.Workspace
--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -26,6 +26,7 @@
 MODEL_VERSION = "1"
 SERVICE = "order-desk"
 ENGINE_COUNT = 5
+STANDIN_SHUTDOWN_S = 0.1
 KEY_BY_WORKSPACE = {"hakata": "hakata-key", "aso": "aso-key"}
 
 
@@ -177,7 +178,9 @@
         self.instances.append(instance)
 
     async def _serve(self, app: web.Application) -> str:
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=STANDIN_SHUTDOWN_S
+        )
         await runner.setup()
         site = web.TCPSite(runner, HOST, 0)
         await site.start()
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -12,6 +12,8 @@
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import single
 from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import journal_replica
+from oriolejunction.controllers import planned_stop
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
 from oriolejunction.http import operators
@@ -21,13 +23,15 @@
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import control_client
 from oriolejunction.peers import control_service
+from oriolejunction.peers import journal_client
+from oriolejunction.peers import journal_service
 from oriolejunction.peers import transport as transports
 from oriolejunction import serving
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
-DRAIN_POLL_MS = 50
+STOP_TIMEOUT_S = 0.1
 _log = structlog.get_logger(__name__)
 
 
@@ -50,11 +54,19 @@
         self.telemetry = metrics.Telemetry()
         self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
-        self._requests_in_flight = 0
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
         self._replica: single.SingleReplica | None = None
+        self._journal_service = journal_service.JournalService(
+            journal_replica.JournalReplica(), clock
+        )
+        self._planned_stop = planned_stop.PlannedStop(
+            clock,
+            self._write_state,
+            settings.drain_delay_ms,
+            self._journal_service.active_count,
+        )
 
     async def start(self) -> None:
         """Open the listeners and begin to serve."""
@@ -74,6 +86,15 @@
             settings.control_address_by_id(), self._transport
         )
         self._services = service_client.ServiceClient()
+        self._journals = journal_client.JournalClient(
+            instance_id,
+            ids.ZoneId(settings.zone),
+            self.clock,
+            self.blackboard,
+            self.telemetry,
+            self._journal_service,
+            self._transport.channel,
+        )
         watch = configuration_watch.ConfigurationWatch(
             instance_id,
             ids.ZoneId(settings.zone),
@@ -84,6 +105,7 @@
         )
         self._tasks.append(asyncio.create_task(watch.run()))
         self._tasks.extend(self.serving.start())
+        self._tasks.append(asyncio.create_task(self._journal_service.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
         caller_app.middlewares.append(self._count_in_flight)
         await self._listen(caller_app, settings.caller_listen)
@@ -97,11 +119,8 @@
         _log.info("instance started", instance=instance_id)
 
     async def drain(self) -> None:
-        """Refuse new requests, then wait until all others are finished."""
-        self._write_state(states.InstanceState.DRAINING)
-        await self.clock.sleep_ms(self.settings.drain_delay_ms)
-        while self._requests_in_flight:
-            await self.clock.sleep_ms(DRAIN_POLL_MS)
+        """Leave without cutting off a request; return when it may stop."""
+        await self._planned_stop.run()
 
     async def stop(self) -> None:
         """Close everything at once."""
@@ -110,19 +129,29 @@
         for task in self._tasks:
             await configuration_watch.stop_task(task)
         await self.serving.close()
-        for client in (self._engines, self._services, self._control):
+        for client in (
+            self._journals,
+            self._engines,
+            self._services,
+            self._control,
+        ):
             await client.close()
-        if self._server is not None:
-            await self._server.stop(None)
+        await self.stop_peer_listener()
         if self._replica is not None:
             await self._replica.close()
         self._write_state(states.InstanceState.STOPPED)
 
+    async def stop_peer_listener(self) -> None:
+        """Answer the other instances no more."""
+        if self._server is not None:
+            await self._server.stop(None)
+
     async def _start_peer_listener(self, instance_id: ids.InstanceId) -> None:
         self._server = grpc.aio.server()
         if self.settings.data_dir is not None:
             self._add_replica(instance_id)
         self.serving.gossip.add_to(self._server)
+        self._journal_service.add_to(self._server)
         self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
 
@@ -151,21 +180,24 @@
                 instance_id, self.clock, self._services, self._control
             ),
             gate=self.serving.gate,
+            journals=self._journals,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
         )
 
     @web.middleware
     async def _count_in_flight(self, request, handler):
-        self._requests_in_flight += 1
-        try:
+        with self._planned_stop.request():
             return await handler(request)
-        finally:
-            self._requests_in_flight -= 1
 
     async def _listen(self, app: web.Application, address: str) -> None:
         host, port = instance_settings.split_address(address)
-        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
         await runner.setup()
         await web.TCPSite(runner, host, port).start()
         self._runners.append(runner)
