--- a/src/oriolejunction/controllers/dispatcher.py
+++ b/src/oriolejunction/controllers/dispatcher.py
@@ -59,7 +59,7 @@
         Raise `Failure` with `RequestQuarantined`, or where the request ran
         already with `GenerationQuarantined`.
         """
-        if not self._parts.retries.allow(route):
+        if not self._parts.retries.allows(route):
             return None
         self.waiting_continuations += route.continuation
         try:
@@ -83,8 +83,22 @@
                 return self._pick(route, engines)
             if waited_ms >= self._longest_wait_ms(route):
                 return None
+            if self._only_excluded_are_live(route):
+                return None
             await clock.sleep_ms(POLL_MS)
 
+    def _only_excluded_are_live(
+        self, route: route_request.RouteRequest
+    ) -> bool:
+        """Return whether waiting cannot help, but other engines could."""
+        if not route.excluded:
+            return False
+        blackboard = self._parts.blackboard
+        anywhere = dataclasses.replace(route, excluded=frozenset())
+        return bool(
+            routing.candidates(blackboard, anywhere)
+        ) and not routing.candidates(blackboard, route)
+
     def require_not_refused(self, route: route_request.RouteRequest) -> None:
         """Raise `Failure` where the request is in quarantine."""
         left_ms = self._parts.quarantine.refused_for_ms(route.fingerprint)
@@ -207,6 +221,7 @@
         engine: configuration.Engine,
     ) -> None:
         parts = self._parts
+        parts.retries.spend(route)
         placement = route_request.Placement(route.generation, engine.engine_id)
         blocks = prefix_blocks.block_hashes(
             route.version, route.adapter, route.prompt
--- a/src/oriolejunction/controllers/retry_budget.py
+++ b/src/oriolejunction/controllers/retry_budget.py
@@ -23,19 +23,21 @@
         self._attempts: collections.Counter[ids.GenerationId]
         self._attempts = collections.Counter()
 
-    def allow(self, route: route_request.RouteRequest) -> bool:
+    def allows(self, route: route_request.RouteRequest) -> bool:
         """Return whether a generation may have another attempt."""
         attempts = self._attempts[route.generation]
+        return attempts < FREE_ATTEMPTS or self._budget >= 1.0
+
+    def spend(self, route: route_request.RouteRequest) -> None:
+        """Note an attempt that was given an engine."""
+        attempts = self._attempts[route.generation]
         if attempts == 0:
             self._budget = min(
                 MAX_BUDGET, self._budget + REFILL_PER_GENERATION
             )
         if attempts >= FREE_ATTEMPTS:
-            if self._budget < 1.0:
-                return False
             self._budget -= 1.0
         self._attempts[route.generation] = attempts + 1
-        return True
 
     def forget(self, generation: ids.GenerationId) -> None:
         """Forget a generation that ended."""
--- a/src/oriolejunction/http/tracked_engines.py
+++ b/src/oriolejunction/http/tracked_engines.py
@@ -6,19 +6,23 @@
 
 from oriolejunction import configuration
 from oriolejunction.controllers import dispatches as dispatch_state
-from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import generation_attempt
 from oriolejunction.controllers import membership as memberships
 from oriolejunction.controllers import quarantine as quarantines
 from oriolejunction.controllers import route_request
 from oriolejunction import engine_protocol
 from oriolejunction import ids
 
+Events = collections.abc.AsyncGenerator[
+    list[engine_protocol.EngineEvent], None
+]
+
 
 @dataclasses.dataclass(frozen=True)
 class TrackedEngines:
     """Pass attempts through to `engines`, noting progress and end."""
 
-    engines: generation_runner.EnginePort
+    engines: generation_attempt.EnginePort
     membership: memberships.Membership
     dispatches: dispatch_state.Dispatches
     quarantine: quarantines.Quarantine
@@ -27,9 +31,7 @@
         self,
         engine: configuration.Engine,
         request: engine_protocol.GenerateRequest,
-    ) -> collections.abc.AsyncGenerator[
-        list[engine_protocol.EngineEvent], None
-    ]:
+    ) -> Events:
         """Yield the events of an attempt as they arrive, in batches."""
         self.membership.require_may_dispatch(engine.engine_id)
         placement = route_request.Placement(
@@ -44,6 +46,22 @@
             finally:
                 self.dispatches.end(placement)
 
+    async def resume(
+        self,
+        engine: configuration.Engine,
+        request: engine_protocol.GenerateRequest,
+        offset: int,
+    ) -> Events:
+        """Go on with an attempt's stream; it is no new work."""
+        placement = route_request.Placement(
+            request.generation, engine.engine_id
+        )
+        stream = self.engines.resume(engine, request, offset)
+        async with contextlib.aclosing(stream):
+            async for events in stream:
+                self._note(placement, events)
+                yield events
+
     def _note(
         self,
         placement: route_request.Placement,
--- a/src/oriolejunction/peers/methods.py
+++ b/src/oriolejunction/peers/methods.py
@@ -21,3 +21,9 @@
 GOSSIP = rpc.Method(
     "Gossip", "Tell", messages.GossipRequest, messages.GossipReply
 )
+AWAIT_IN_FORCE = rpc.Method(
+    "Control",
+    "AwaitInForce",
+    messages.AwaitInForceRequest,
+    messages.AwaitInForceReply,
+)
--- a/src/oriolejunction/serving.py
+++ b/src/oriolejunction/serving.py
@@ -15,7 +15,7 @@
 from oriolejunction.controllers import dispatches as dispatch_state
 from oriolejunction.controllers import engine_losses
 from oriolejunction.controllers import generation as generations
-from oriolejunction.controllers import generation_runner
+from oriolejunction.controllers import generation_attempt
 from oriolejunction.controllers import membership as memberships
 from oriolejunction.controllers import prefix_caches
 from oriolejunction.controllers import quarantine as quarantines
@@ -55,7 +55,7 @@
         instance_id: ids.InstanceId,
         clock: clocks.Clock,
         blackboard: blackboards.Blackboard,
-        engines: generation_runner.EnginePort,
+        engines: generation_attempt.EnginePort,
         transport: transports.PeerTransport,
         options: ServingOptions,
     ) -> None:
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import uuid
 
 from aiohttp import web
@@ -10,10 +11,13 @@
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
-from oriolejunction.consensus import single
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import types
 from oriolejunction.controllers import generation_runner
 from oriolejunction.controllers import journal_replica
+from oriolejunction.controllers import loss_policy
 from oriolejunction.controllers import planned_stop
+from oriolejunction.controllers import suspicion
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
 from oriolejunction.http import operators
@@ -25,6 +29,9 @@
 from oriolejunction.peers import control_service
 from oriolejunction.peers import journal_client
 from oriolejunction.peers import journal_service
+from oriolejunction.peers import raft_formation
+from oriolejunction.peers import raft_service
+from oriolejunction.peers import raft_transport
 from oriolejunction.peers import transport as transports
 from oriolejunction import serving
 from oriolejunction import settings as instance_settings
@@ -52,12 +59,13 @@
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self.loss_policy = loss_policy.PolicyChoice(self.blackboard)
         self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
-        self._replica: single.SingleReplica | None = None
+        self._replica: raft_replica.RaftReplica | None = None
         self._journal_service = journal_service.JournalService(
             journal_replica.JournalReplica(), clock
         )
@@ -121,6 +129,8 @@
     async def drain(self) -> None:
         """Leave without cutting off a request; return when it may stop."""
         await self._planned_stop.run()
+        if self._replica is not None:
+            await self._replica.hand_over()
 
     async def stop(self) -> None:
         """Close everything at once."""
@@ -139,6 +149,7 @@
         await self.stop_peer_listener()
         if self._replica is not None:
             await self._replica.close()
+            await self._raft_transport.close()
         self._write_state(states.InstanceState.STOPPED)
 
     async def stop_peer_listener(self) -> None:
@@ -158,10 +169,37 @@
     def _add_replica(self, instance_id: ids.InstanceId) -> None:
         data_dir = pathlib.Path(self.settings.data_dir)
         data_dir.mkdir(parents=True, exist_ok=True)
-        self._replica = single.SingleReplica(data_dir)
+        transport = raft_transport.RaftTransport(
+            self.settings.peer_listen, self._transport
+        )
+        self._replica = raft_replica.RaftReplica(
+            data_dir,
+            self._replica_member,
+            transport,
+            self.clock,
+            random.Random(),
+        )
+        raft_service.RaftService(self._replica, transport).add_to(self._server)
         control_service.ControlService(
             instance_id, self._replica, self.clock
         ).add_to(self._server)
+        formation = raft_formation.Formation(
+            self._replica,
+            transport,
+            self.clock,
+            list(self.settings.control_address_by_id().values()),
+        )
+        self._replica.start()
+        self._tasks.append(asyncio.create_task(formation.run()))
+        self._raft_transport = transport
+
+    def _replica_member(self, replica: types.ReplicaId) -> types.Member:
+        return types.Member(
+            replica,
+            self.settings.instance_id,
+            self.settings.zone,
+            self.settings.peer_listen,
+        )
 
     def _caller_parts(self, instance_id: ids.InstanceId):
         return callers.CallerParts(
@@ -175,6 +213,8 @@
                 telemetry=self.telemetry,
                 clock=self.clock,
                 attempt_losses=self.blackboard.attempt_losses,
+                suspicion=suspicion.Suspicion(),
+                policy=self.loss_policy.current,
             ),
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
