--- a/src/oriolejunction/controllers/route_request.py
+++ b/src/oriolejunction/controllers/route_request.py
@@ -15,8 +15,9 @@
     """One attempt in search of an engine.
 
     `excluded` holds the engines that this generation must not use again,
-    `continuation` is true once an engine worked on it, and `delivered`
-    counts the tokens that the engine gets as a forced prefix.
+    `continuation` is true once an engine worked on it, for this instance or
+    for the one that it took the answer over from, and `delivered` counts
+    the tokens that the engine gets as a forced prefix.
     """
 
     generation: ids.GenerationId
@@ -31,6 +32,14 @@
     delivered: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """One attempt of a generation at an engine."""
+
+    generation: ids.GenerationId
+    engine_id: ids.EngineId
+
+
 ChooseEngine = collections.abc.Callable[
     [RouteRequest],
     collections.abc.Awaitable[configuration.Engine | None],
@@ -69,7 +78,7 @@
         adapter=request.adapter,
         prompt=request.prompt,
         excluded=excluded,
-        continuation=continuation,
+        continuation=continuation or bool(generation.delivered_ids),
         fingerprint=fingerprint_of(request),
         delivered=len(generation.delivered_ids),
     )
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -17,8 +17,10 @@
 from oriolejunction.controllers import journal_owner
 from oriolejunction.controllers import ledger
 from oriolejunction import errors
+from oriolejunction.http import admission_gate
 from oriolejunction.http import answer_stream
 from oriolejunction.http import call_messages
+from oriolejunction.http import deadlines
 from oriolejunction.http import never_twice_calls
 from oriolejunction.http import openai_answers
 from oriolejunction.http import openai_requests
@@ -45,6 +47,7 @@
     telemetry: metrics.Telemetry
     runner: generation_runner.RunnerParts
     services: service_calls.ServiceCalls
+    gate: admission_gate.AdmissionGate
     journals: journal_client.JournalClient
     new_generation_id: collections.abc.Callable[[], ids.GenerationId]
     max_body_bytes: int
@@ -127,7 +130,11 @@
         writer = openai_answers.AnswerWriter(
             generation.generation_id, body.model, chat
         )
-        deliveries = generation_runner.run(generation, parts.runner)
+        deliveries = parts.gate.run_admitted(
+            generation,
+            deadlines.admission_request(request, workspace, generation),
+            generation_runner.run(generation, parts.runner),
+        )
         if body.stream:
             usage = bool(
                 body.stream_options and body.stream_options.include_usage
@@ -202,9 +209,11 @@
             raise errors.Failure(
                 errors.UnknownService(f"there is no service {name!r}")
             )
-        answer = await self._parts.services.call(
-            service, workspace.workspace_id, await _service_call(request)
-        )
+        call = await _service_call(request)
+        with self._parts.gate.service_call(workspace):
+            answer = await self._parts.services.call(
+                service, workspace.workspace_id, call
+            )
         return web.Response(
             status=answer.status,
             body=answer.body,
