--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -1,12 +1,14 @@
 """The benches that run real processes, by name."""
 
 from bench import capacity
+from bench import ledger
 from bench import soak
 from oriolejunction.bench import catalogue as shipped
 from oriolejunction import errors
 
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
+    "ledger": ledger.run,
     "soak-processes": soak.run,
 }
 
--- /dev/null
+++ b/bench/ledger.py
@@ -0,0 +1,295 @@
+"""Never-twice calls through real processes that are killed at random.
+
+Six instances, three of them control replicas, and one stand-in service.
+The first part measures claims without faults at several numbers of callers,
+which sets how many claims a synced write of the log shares. The second
+kills and pauses instances while callers resend, and compares what they were
+told with what the service ran.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+import tempfile
+import time
+
+import aiohttp
+
+from bench import processes
+from oriolejunction.bench import result
+from oriolejunction import errors
+from oriolejunction import local_deployment
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import states
+
+ZONES = local_deployment.ZONES * 2
+REPLICAS = 3
+CALLERS = (1, 8, 32)
+MEASURE_S = 3.0
+FAULT_CALLERS = 16
+FAULT_PAUSE_S = (0.3, 1.2)
+DOWN_S = (0.3, 2.0)
+SETTLE_S = 6.0
+CALL_TIMEOUT_S = 3.0
+MAX_SENDS = 4
+RESEND_PAUSE_S = (0.0, 0.4)
+ORDERS = "/orders"
+REPEATABLE = "/flavours"
+WORKSPACE, KEY = next(iter(local_deployment.KEY_BY_WORKSPACE.items()))
+
+
+@dataclasses.dataclass
+class Order:
+    """One order of a caller: what it was told, send by send.
+
+    `not_run_at_end` is true where the last that it heard was `not_run`.
+    """
+
+    key: str
+    outcomes: list[str] = dataclasses.field(default_factory=list)
+
+    @property
+    def not_run_at_end(self) -> bool:
+        """Return whether the caller may conclude that it never ran."""
+        return bool(self.outcomes) and self.outcomes[-1] == "not_run"
+
+
+class LedgerDeployment:
+    """The processes of the bench."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        host = local_deployment.HOST
+        (port,) = local_deployment.free_ports(1)
+        self.service_url = f"http://{host}:{port}"
+        self.serves = processes.serve_processes(folder, ZONES, REPLICAS)
+        self._folder = folder
+        self._service = processes.ManagedProcess(
+            "service",
+            ("service", f"--listen={host}:{port}"),
+            folder / "service.log",
+        )
+
+    async def start(self) -> None:
+        """Start everything with a configuration in force."""
+        await self._service.start()
+        for serve in self.serves:
+            await serve.managed.start()
+        urls = [serve.caller_url for serve in self.serves]
+        await processes.until_live(urls)
+        client = operator_client.OperatorClient(
+            self.serves[0].operator_url, processes.TOKEN
+        )
+        text = answer_files.dump(self._answers())
+        async with asyncio.timeout(processes.START_TIMEOUT_S):
+            draft = await _until_done(lambda: client.submit(text))
+            await _until_done(lambda: client.accept(draft["draft_id"]))
+        await processes.until_ready(urls)
+
+    async def stop(self) -> None:
+        """Kill everything."""
+        await processes.stop_all(serve.managed for serve in self.serves)
+        await processes.stop_all([self._service])
+
+    async def runs_by_key(self) -> dict[str, int]:
+        """Return the service's own count."""
+        async with aiohttp.ClientSession() as session:
+            async with session.get(self.service_url + "/counts") as reply:
+                return await reply.json()
+
+    def asserted(self) -> int:
+        """Return how many violated invariants the instances logged."""
+        return sum(
+            path.read_text(errors="replace").count("invariant violated")
+            for path in self._folder.glob("instance-*.log")
+        )
+
+    def _answers(self) -> answer_files.Answers:
+        return answer_files.Answers(
+            measure=states.Measure.LATENCY,
+            zones=local_deployment.ZONES,
+            services=(
+                answer_files.ServiceAnswer(
+                    local_deployment.SERVICE,
+                    (self.service_url,),
+                    never_twice=("POST /orders",),
+                ),
+            ),
+            workspaces=(answer_files.WorkspaceAnswer(WORKSPACE, KEY),),
+        )
+
+
+async def _until_done(order):
+    while True:
+        try:
+            return await order()
+        except errors.Failure:
+            await asyncio.sleep(processes.READY_POLL_S)
+
+
+class Callers:
+    """Callers that place orders and send them again until they know."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        urls: list[str],
+        rng: random.Random,
+    ) -> None:
+        self.orders: list[Order] = []
+        self._session = session
+        self._urls = urls
+        self._rng = rng
+
+    async def place(self, path: str = ORDERS) -> Order:
+        """Place one order, through another instance at each resend."""
+        order = Order(f"order-{self._rng.getrandbits(64):016x}")
+        if path == ORDERS:
+            self.orders.append(order)
+        for _ in range(MAX_SENDS):
+            outcome = await self._send(order.key, path)
+            order.outcomes.append(outcome)
+            if outcome == "answered":
+                break
+            await asyncio.sleep(self._rng.uniform(*RESEND_PAUSE_S))
+        return order
+
+    async def _send(self, key: str, path: str) -> str:
+        url = self._rng.choice(self._urls)
+        try:
+            async with self._session.post(
+                f"{url}/services/{local_deployment.SERVICE}{path}",
+                data=key.encode(),
+                headers={
+                    "Authorization": f"Bearer {KEY}",
+                    "Idempotency-Key": key,
+                },
+            ) as response:
+                body = await response.json()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return "no answer"
+        if "error" in body:
+            return body["error"]["outcome"]
+        return "answered"
+
+    async def until(self, end: asyncio.Event) -> None:
+        """Place orders one after another until an event is set."""
+        while not end.is_set():
+            await self.place()
+
+
+async def run(options: result.BenchOptions) -> result.BenchResult:
+    """Measure claims, then kill instances for `options.seconds`."""
+    with tempfile.TemporaryDirectory() as name:
+        deployment = LedgerDeployment(pathlib.Path(name))
+        try:
+            await deployment.start()
+            return await _measure(deployment, options)
+        finally:
+            await deployment.stop()
+
+
+async def _measure(
+    deployment: LedgerDeployment, options: result.BenchOptions
+) -> result.BenchResult:
+    rng = random.Random(options.seed)
+    urls = [serve.caller_url for serve in deployment.serves]
+    figures: dict[str, object] = {}
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    async with aiohttp.ClientSession(
+        timeout=timeout,
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+    ) as session:
+        callers = Callers(session, urls, rng)
+        for count in CALLERS:
+            figures |= await _speed(callers, count)
+        kills = await _faults(deployment, callers, rng, options.seconds)
+    runs = await deployment.runs_by_key()
+    orders = callers.orders
+    ends = collections.Counter(order.outcomes[-1] for order in orders)
+    double = sum(runs.get(order.key, 0) > 1 for order in orders)
+    false_not_run = sum(
+        order.not_run_at_end and runs.get(order.key, 0) > 0 for order in orders
+    )
+    lost = sum(
+        "answered" in order.outcomes and not runs.get(order.key)
+        for order in orders
+    )
+    asserted = deployment.asserted()
+    figures |= {
+        "faults": dict(kills),
+        "orders": len(orders),
+        "last_heard": dict(ends),
+        "double_runs": double,
+        "false_not_run": false_not_run,
+        "answered_but_not_run": lost,
+        "invariants_violated": asserted,
+    }
+    return result.BenchResult(
+        "ledger",
+        options.seed,
+        figures,
+        double + false_not_run + lost + asserted,
+    )
+
+
+async def _speed(callers: Callers, count: int) -> dict[str, object]:
+    """Compare calls with a claim to the same calls without one."""
+    p95_by_path = {}
+    rate = 0.0
+    for path in (REPEATABLE, ORDERS):
+        latencies = result.Latencies()
+        end_s = time.monotonic() + MEASURE_S
+
+        async def one_caller():
+            while time.monotonic() < end_s:
+                start_s = time.monotonic()
+                await callers.place(path)
+                latencies.record((time.monotonic() - start_s) * 1000.0)
+
+        await asyncio.gather(*(one_caller() for _ in range(count)))
+        p95_by_path[path] = latencies.at_ms(95)
+        rate = latencies.count / MEASURE_S
+    added = p95_by_path[ORDERS] - p95_by_path[REPEATABLE]
+    return {
+        f"claims_per_s_{count}_callers": round(rate, 1),
+        f"added_p95_ms_{count}_callers": round(added, 2),
+    }
+
+
+async def _faults(
+    deployment: LedgerDeployment,
+    callers: Callers,
+    rng: random.Random,
+    seconds: float,
+) -> collections.Counter[str]:
+    count_by_kind: collections.Counter[str] = collections.Counter()
+    end = asyncio.Event()
+    over_s = time.monotonic() + seconds
+    async with asyncio.TaskGroup() as group:
+        for _ in range(FAULT_CALLERS):
+            group.create_task(callers.until(end))
+        while time.monotonic() < over_s:
+            await asyncio.sleep(rng.uniform(*FAULT_PAUSE_S))
+            kind = rng.choice(("kill", "pause"))
+            count_by_kind[kind] += 1
+            managed = rng.choice(deployment.serves).managed
+            await _fault(managed, kind, rng.uniform(*DOWN_S))
+        await asyncio.sleep(SETTLE_S)
+        end.set()
+    return count_by_kind
+
+
+async def _fault(
+    managed: processes.ManagedProcess, kind: str, down_s: float
+) -> None:
+    if kind == "kill":
+        await managed.kill()
+        await asyncio.sleep(down_s)
+        await managed.start()
+        return
+    managed.pause()
+    await asyncio.sleep(down_s)
+    managed.resume()
--- a/src/oriolejunction/controllers/configuration_history.py
+++ b/src/oriolejunction/controllers/configuration_history.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import typing
 
 from oriolejunction import configuration
 from oriolejunction import ids
@@ -9,7 +10,12 @@
 from oriolejunction import messages
 from oriolejunction import states
 
+MAX_DRAFTS = 200
+MAX_REMEMBERED = 1_000
+MAX_CONTENTS = 2
+
 Change = messages.SubmitDraft | messages.AcceptDraft | messages.WithdrawChange
+Key = typing.TypeVar("Key")
 
 
 @dataclasses.dataclass
@@ -17,7 +23,7 @@
     """What the committed changes add up to.
 
     `audit` holds the entries not drained yet, `audit_count` how many there
-    ever were.
+    ever were. All else is bounded: what is forgotten is refused.
     """
 
     revision: ids.Revision = ids.NO_REVISION
@@ -27,12 +33,21 @@
     draft_by_id: dict[ids.DraftId, messages.SubmitDraft] = dataclasses.field(
         default_factory=dict
     )
-    result_by_operation: dict[ids.OperationId, messages.CommandResult] = (
+    accepted_by_draft: dict[ids.DraftId, messages.ChangeAccepted] = (
+        dataclasses.field(default_factory=dict)
+    )
+    withdrawn_by_draft: dict[ids.DraftId, messages.ChangeAccepted] = (
+        dataclasses.field(default_factory=dict)
+    )
+    result_by_operation: dict[ids.OperationId, messages.ChangeAccepted] = (
         dataclasses.field(default_factory=dict)
     )
     winner_by_base: dict[ids.Revision, ids.Revision] = dataclasses.field(
         default_factory=dict
     )
+    operator_by_revision: dict[ids.Revision, str] = dataclasses.field(
+        default_factory=dict
+    )
     audit_count: int = 0
     audit: list[messages.AuditEntry] = dataclasses.field(default_factory=list)
 
@@ -45,7 +60,12 @@
 def apply_change(
     history: ConfigurationHistory, change: Change
 ) -> messages.CommandResult:
-    """Apply a committed change; a resent one gets its first result."""
+    """Apply a committed change; a resent one gets its first result.
+
+    What puts a revision in force is remembered by its operation, drafts by
+    their id. A refusal changes nothing and is decided afresh.
+    """
+    before = history.revision
     known = history.result_by_operation.get(change.operation_id)
     if known is not None:
         return known
@@ -56,15 +76,23 @@
             result = _accept(history, change)
         case messages.WithdrawChange():
             result = _withdraw(history, change)
-    history.result_by_operation[change.operation_id] = result
+    if history.revision > before:
+        _remember(history.result_by_operation, change.operation_id, result)
     return result
 
 
 def _submit(
     history: ConfigurationHistory, change: messages.SubmitDraft
 ) -> messages.CommandResult:
-    history.draft_by_id[change.draft_id] = change
-    _record(history, change, states.ChangeAction.SUBMIT, change)
+    accepted = history.accepted_by_draft.get(change.draft_id)
+    if accepted is not None:
+        return _already_accepted(accepted)
+    if change.base_revision != history.revision:
+        return _conflict(history, change.draft_id, change.base_revision)
+    if change.draft_id not in history.draft_by_id:
+        history.withdrawn_by_draft.pop(change.draft_id, None)
+        _remember(history.draft_by_id, change.draft_id, change, MAX_DRAFTS)
+        _record(history, change, states.ChangeAction.SUBMIT, change)
     return messages.ChangeAccepted(
         change.draft_id, history.revision, change.differences
     )
@@ -73,53 +101,120 @@
 def _accept(
     history: ConfigurationHistory, change: messages.AcceptDraft
 ) -> messages.CommandResult:
+    accepted = history.accepted_by_draft.get(change.draft_id)
+    if accepted is not None:
+        return accepted
     draft = history.draft_by_id.get(change.draft_id)
     if draft is None:
         return messages.ChangeRefused(
             "unknown_draft", f"there is no draft {change.draft_id}"
         )
     if draft.base_revision != history.revision:
-        winner = history.winner_by_base.get(draft.base_revision)
-        return messages.ChangeRefused(
-            "revision_conflict",
-            f"draft {draft.draft_id} was made against revision"
-            f" {draft.base_revision}, but revision {winner} was accepted"
-            f" first and {history.revision} is in force; submit again",
-        )
-    _put_in_force(history, draft.configuration)
+        return _conflict(history, draft.draft_id, draft.base_revision)
+    del history.draft_by_id[draft.draft_id]
+    _put_in_force(history, draft.configuration, change.operator)
     _record(history, draft, states.ChangeAction.ACCEPT, change)
-    return messages.ChangeAccepted(
+    result = messages.ChangeAccepted(
         draft.draft_id, history.revision, draft.differences
     )
+    _remember(history.accepted_by_draft, draft.draft_id, result)
+    return result
 
 
 def _withdraw(
     history: ConfigurationHistory, change: messages.WithdrawChange
 ) -> messages.CommandResult:
-    draft = history.draft_by_id.pop(ids.DraftId(change.target), None)
+    draft_id = ids.DraftId(change.target)
+    if draft_id in history.withdrawn_by_draft:
+        return history.withdrawn_by_draft[draft_id]
+    draft = history.draft_by_id.pop(draft_id, None)
     if draft is not None:
-        _record(history, draft, states.ChangeAction.WITHDRAW, change)
-        return messages.ChangeAccepted(draft.draft_id, history.revision)
-    if change.target != str(history.revision) or history.revision < 2:
+        return _withdraw_draft(history, draft, change)
+    accepted = history.accepted_by_draft.get(draft_id)
+    target = str(accepted.revision) if accepted else change.target
+    if target != str(history.revision):
+        return _not_withdrawable(history, target)
+    before = history.content_by_revision.get(
+        ids.Revision(history.revision - 1)
+    )
+    if before is None:
         return messages.ChangeRefused(
-            "unknown_draft",
-            f"{change.target} is neither a draft nor the revision in force"
-            " with one before it",
+            "unknown_draft", f"there is no revision before {target}"
         )
-    before = history.content_by_revision[ids.Revision(history.revision - 1)]
-    _put_in_force(history, before)
+    _put_in_force(history, before, change.operator)
     _record(history, None, states.ChangeAction.WITHDRAW, change)
     return messages.ChangeAccepted(ids.DraftId(""), history.revision)
 
 
+def _withdraw_draft(
+    history: ConfigurationHistory,
+    draft: messages.SubmitDraft,
+    change: messages.WithdrawChange,
+) -> messages.ChangeAccepted:
+    _record(history, draft, states.ChangeAction.WITHDRAW, change)
+    result = messages.ChangeAccepted(draft.draft_id, history.revision)
+    _remember(history.withdrawn_by_draft, draft.draft_id, result)
+    return result
+
+
+def _not_withdrawable(
+    history: ConfigurationHistory, target: str
+) -> messages.ChangeRefused:
+    if target.isdecimal() and 0 < int(target) < history.revision:
+        return _conflict(
+            history, f"the withdrawal of {target}", ids.Revision(int(target))
+        )
+    return messages.ChangeRefused(
+        "unknown_draft",
+        f"{target} is neither a draft nor the revision in force",
+    )
+
+
+def _already_accepted(
+    accepted: messages.ChangeAccepted,
+) -> messages.ChangeRefused:
+    return messages.ChangeRefused(
+        "revision_conflict",
+        f"draft {accepted.draft_id} was accepted as revision"
+        f" {accepted.revision}; submit again",
+    )
+
+
+def _conflict(
+    history: ConfigurationHistory, what: str, base: ids.Revision
+) -> messages.ChangeRefused:
+    winner = history.winner_by_base.get(base)
+    by = history.operator_by_revision.get(winner, "another operator")
+    won = f"revision {winner} by {by}" if winner else "a later revision"
+    return messages.ChangeRefused(
+        "revision_conflict",
+        f"{what} was made against revision {base}, but {won} was accepted"
+        f" first and {history.revision} is in force; submit again",
+    )
+
+
 def _put_in_force(
-    history: ConfigurationHistory, content: configuration.Configuration
+    history: ConfigurationHistory,
+    content: configuration.Configuration,
+    operator: str,
 ) -> None:
     following = ids.Revision(history.revision + 1)
     invariants.require_rising_revision(history.revision, following)
-    history.winner_by_base[history.revision] = following
+    _remember(history.winner_by_base, history.revision, following)
+    _remember(history.operator_by_revision, following, operator)
     history.revision = following
-    history.content_by_revision[following] = content
+    _remember(history.content_by_revision, following, content, MAX_CONTENTS)
+
+
+def _remember(
+    value_by_key: dict[Key, typing.Any],
+    key: Key,
+    value: object,
+    limit: int = MAX_REMEMBERED,
+) -> None:
+    value_by_key[key] = value
+    while len(value_by_key) > limit:
+        del value_by_key[next(iter(value_by_key))]
 
 
 def _record(
@@ -129,6 +224,7 @@
     change: Change,
 ) -> None:
     answers = draft.answers_toml if draft else ""
+    submitted = action is states.ChangeAction.SUBMIT
     history.audit_count += 1
     history.audit.append(
         messages.AuditEntry(
@@ -140,5 +236,6 @@
             revision=history.revision,
             answers_digest=hashlib.sha256(answers.encode()).hexdigest(),
             differences=draft.differences if draft else (),
+            answers_toml=answers if submitted else "",
         )
     )
--- a/src/oriolejunction/controllers/control_state.py
+++ b/src/oriolejunction/controllers/control_state.py
@@ -6,6 +6,7 @@
 
 from oriolejunction.controllers import configuration_history
 from oriolejunction.controllers import ledger as ledgers
+from oriolejunction.controllers import orders as order_books
 from oriolejunction import errors
 from oriolejunction import messages
 
@@ -18,6 +19,9 @@
         default_factory=configuration_history.ConfigurationHistory
     )
     ledger: ledgers.Ledger = dataclasses.field(default_factory=ledgers.Ledger)
+    orders: order_books.OrderBook = dataclasses.field(
+        default_factory=order_books.OrderBook
+    )
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -40,6 +44,16 @@
             return ledgers.void(state.ledger, command)
         case messages.ResolveCall():
             return ledgers.resolve(state.ledger, command)
+        case (
+            messages.TakeExecutor()
+            | messages.RenewExecutor()
+            | messages.PlaceOrder()
+            | messages.RetryOrder()
+            | messages.ResolveOrder()
+        ):
+            return order_books.apply_order(
+                state.orders, command, state.history.content
+            )
         case _:
             return configuration_history.apply_change(state.history, command)
 
--- /dev/null
+++ b/src/oriolejunction/controllers/orders.py
@@ -0,0 +1,213 @@
+"""Orders to engines, as a deterministic state.
+
+The intent of an order is committed before it is sent, and its fence number
+only rises. An engine has one outstanding order at a time, so that the next
+executor finishes it before it may give another.
+"""
+
+import dataclasses
+
+from oriolejunction import configuration
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction import states
+
+EXECUTOR_LEASE_MS = 3_000
+ORDER_TIMEOUT_MS = 2_000
+CLOCK_RATE_MARGIN_MS = 300
+TAKE_OVER_WAIT_MS = EXECUTOR_LEASE_MS + ORDER_TIMEOUT_MS + CLOCK_RATE_MARGIN_MS
+STORE_WINDOW_MS = 60_000 + EXECUTOR_LEASE_MS + ORDER_TIMEOUT_MS
+
+OrderCommand = (
+    messages.TakeExecutor
+    | messages.RenewExecutor
+    | messages.PlaceOrder
+    | messages.RetryOrder
+    | messages.ResolveOrder
+)
+
+
+@dataclasses.dataclass
+class OrderBook:
+    """The executor, the outstanding orders and what the engines hold.
+
+    `load_at_ms` is on the executor's monotonic clock; a new executor counts
+    the loads before it as if all were made when it took over.
+    """
+
+    epoch: int = 0
+    executor: ids.InstanceId = ids.InstanceId("")
+    fence: int = 0
+    outstanding_by_engine: dict[ids.EngineId, messages.OrderIntent] = (
+        dataclasses.field(default_factory=dict)
+    )
+    engines_by_target: dict[messages.OrderTarget, list[ids.EngineId]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    load_at_ms: list[float] = dataclasses.field(default_factory=list)
+
+
+def apply_order(
+    book: OrderBook,
+    command: OrderCommand,
+    content: configuration.Configuration | None,
+) -> messages.OrderResult:
+    """Apply a committed command under the configuration in force."""
+    match command:
+        case messages.TakeExecutor():
+            return _take(book, command)
+        case messages.RenewExecutor():
+            return _result(book, command.epoch == book.epoch)
+        case messages.PlaceOrder():
+            return _place(book, command, content)
+        case messages.RetryOrder():
+            return _retry(book, command, content)
+        case messages.ResolveOrder():
+            return _resolve(book, command)
+
+
+def configured_targets(
+    content: configuration.Configuration | None,
+) -> frozenset[messages.OrderTarget]:
+    """Return every model version and adapter that is served."""
+    if content is None:
+        return frozenset()
+    return frozenset(
+        messages.OrderTarget(model.name, model.version, adapter)
+        for model in content.models
+        for adapter in ("", *model.adapters)
+    )
+
+
+def _result(
+    book: OrderBook,
+    accepted: bool,
+    refusal: states.OrderRefusal | None = None,
+    fence: int = 0,
+) -> messages.OrderResult:
+    if not accepted and refusal is None:
+        refusal = states.OrderRefusal.NOT_EXECUTOR
+    return messages.OrderResult(accepted, book.epoch, fence, refusal)
+
+
+def _take(
+    book: OrderBook, command: messages.TakeExecutor
+) -> messages.OrderResult:
+    if command.seen_epoch != book.epoch:
+        return _result(book, False)
+    book.epoch += 1
+    book.executor = command.owner
+    book.load_at_ms = [command.at_ms for _ in book.load_at_ms]
+    return _result(book, True)
+
+
+def _place(
+    book: OrderBook,
+    command: messages.PlaceOrder,
+    content: configuration.Configuration | None,
+) -> messages.OrderResult:
+    refusal = _refusal(book, command, content)
+    if refusal is not None:
+        return _result(book, False, refusal)
+    if command.action is states.OrderAction.LOAD:
+        book.load_at_ms.append(command.at_ms)
+    book.fence += 1
+    book.outstanding_by_engine[command.engine_id] = messages.OrderIntent(
+        fence=book.fence,
+        engine_id=command.engine_id,
+        action=command.action,
+        target=command.target,
+    )
+    return _result(book, True, fence=book.fence)
+
+
+def _refusal(
+    book: OrderBook,
+    command: messages.PlaceOrder,
+    content: configuration.Configuration | None,
+) -> states.OrderRefusal | None:
+    if command.epoch != book.epoch:
+        return states.OrderRefusal.NOT_EXECUTOR
+    if command.engine_id in book.outstanding_by_engine:
+        return states.OrderRefusal.OUTSTANDING
+    if command.action is states.OrderAction.LOAD:
+        if not _has_ticket(book, command.at_ms, content):
+            return states.OrderRefusal.STORE_LIMIT
+    if command.action is states.OrderAction.UNLOAD:
+        if _is_last_copy(book, command, content):
+            return states.OrderRefusal.LAST_COPY
+    return None
+
+
+def _has_ticket(
+    book: OrderBook,
+    at_ms: float,
+    content: configuration.Configuration | None,
+) -> bool:
+    since_ms = at_ms - STORE_WINDOW_MS
+    book.load_at_ms = [ms for ms in book.load_at_ms if ms > since_ms]
+    limit = content.weight_loads_per_minute if content else 0
+    return len(book.load_at_ms) < limit
+
+
+def _is_last_copy(
+    book: OrderBook,
+    command: messages.PlaceOrder,
+    content: configuration.Configuration | None,
+) -> bool:
+    if not (command.in_use or command.target in configured_targets(content)):
+        return False
+    others = set(book.engines_by_target.get(command.target, ()))
+    others.discard(command.engine_id)
+    unloading = {
+        intent.engine_id
+        for intent in book.outstanding_by_engine.values()
+        if intent.action is states.OrderAction.UNLOAD
+        and intent.target == command.target
+    }
+    return not others - unloading
+
+
+def _retry(
+    book: OrderBook,
+    command: messages.RetryOrder,
+    content: configuration.Configuration | None,
+) -> messages.OrderResult:
+    """Allow another sending of an outstanding order; a load costs again."""
+    if command.epoch != book.epoch:
+        return _result(book, False)
+    intent = book.outstanding_by_engine.get(command.engine_id)
+    if intent is None or intent.fence != command.fence:
+        return _result(book, False, states.OrderRefusal.RESOLVED)
+    if intent.action is states.OrderAction.LOAD:
+        if not _has_ticket(book, command.at_ms, content):
+            return _result(book, False, states.OrderRefusal.STORE_LIMIT)
+        book.load_at_ms.append(command.at_ms)
+    return _result(book, True, fence=intent.fence)
+
+
+def _resolve(
+    book: OrderBook, command: messages.ResolveOrder
+) -> messages.OrderResult:
+    if command.epoch != book.epoch:
+        return _result(book, False)
+    intent = book.outstanding_by_engine.get(command.engine_id)
+    if intent is not None and intent.fence == command.fence:
+        del book.outstanding_by_engine[command.engine_id]
+    _observe(book, command.engine_id, command.loaded)
+    return _result(book, True, fence=command.fence)
+
+
+def _observe(
+    book: OrderBook,
+    engine_id: ids.EngineId,
+    loaded: tuple[messages.OrderTarget, ...],
+) -> None:
+    for target in list(book.engines_by_target):
+        engines = book.engines_by_target[target]
+        if engine_id in engines:
+            engines.remove(engine_id)
+        if not engines:
+            del book.engines_by_target[target]
+    for target in loaded:
+        book.engines_by_target.setdefault(target, []).append(engine_id)
--- a/src/oriolejunction/engine_protocol.py
+++ b/src/oriolejunction/engine_protocol.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oriolejunction import ids
+from oriolejunction import messages
 from oriolejunction import states
 
 
@@ -86,6 +87,13 @@
     events: tuple[CacheEvent, ...] = ()
 
 
+class Holdings(msgspec.Struct, frozen=True):
+    """Models and adapters that an engine holds, and whether it is used."""
+
+    loaded: tuple[messages.OrderTarget, ...]
+    busy: bool = False
+
+
 class Fault(msgspec.Struct, frozen=True):
     """A fault to provoke in a stand-in engine."""
 
--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -264,6 +264,21 @@
     status = http.HTTPStatus.UNPROCESSABLE_ENTITY
 
 
+class ConfirmationNeeded(NotRunError):
+    """The answers weaken a safety answer; `message` lists the sentences."""
+
+    code = "confirmation_needed"
+    status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class ChangeUnconfirmed(ServingError):
+    """A change may have been committed, or is not in force everywhere."""
+
+    code = "change_unconfirmed"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class UnknownDraft(NotRunError):
     """No draft or revision has that id."""
 
--- a/src/oriolejunction/http/operators.py
+++ b/src/oriolejunction/http/operators.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oriolejunction import clock as clocks
+from oriolejunction import configuration
 from oriolejunction import errors
 from oriolejunction.http import replies
 from oriolejunction import ids
@@ -17,8 +18,10 @@
 from oriolejunction.questionnaire import checks
 from oriolejunction.questionnaire import differences
 from oriolejunction.questionnaire import generate
+from oriolejunction.questionnaire import weakenings
 
 MAX_ANSWERS_BYTES = 4 << 20
+_OPERATOR = web.RequestKey("operator", str)
 _error_by_code = {
     error.code: error
     for error in (errors.UnknownDraft, errors.RevisionConflict)
@@ -34,11 +37,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class OperatorParts:
-    """What the operators' listener needs of its instance."""
+    """What the operators' listener needs of its instance.
+
+    A token of `name_by_token` proves its operator's name; with the shared
+    `token` the name is what the client says.
+    """
 
     token: str
     clock: clocks.Clock
     control: control_client.ControlClient
+    name_by_token: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def application(parts: OperatorParts) -> web.Application:
@@ -46,9 +54,7 @@
 
     @web.middleware
     async def authorized(request, handler):
-        token = replies.bearer(request).encode()
-        if not hmac.compare_digest(token, parts.token.encode()):
-            raise errors.Failure(errors.NotAuthorized("wrong operator token"))
+        request[_OPERATOR] = _operator_of(request, parts)
         return await handler(request)
 
     app = web.Application(
@@ -77,11 +83,17 @@
         answers = checks.require_sound(answer_files.parse(text))
         in_force = await self._parts.control.in_force()
         content = generate.configuration_of(answers)
-        redacted = answer_files.dump(answer_files.without_keys(answers))
+        redacted = answer_files.dump(
+            msgspec.structs.replace(
+                answer_files.without_keys(answers),
+                confirmed=tuple(sorted(answers.confirmed)),
+            )
+        )
         digest = hashlib.sha256(
             f"{in_force.revision}\0{redacted}".encode()
         ).hexdigest()
-        draft_id = ids.DraftId("d-" + digest[:12])
+        draft_id = ids.DraftId(f"d-{in_force.revision}-{digest[:12]}")
+        _require_confirmed(answers, in_force, content)
         return await self._propose(
             messages.SubmitDraft(
                 operation_id=_operation("submit", draft_id),
@@ -92,7 +104,7 @@
                 differences=tuple(
                     differences.in_words(in_force.configuration, content)
                 ),
-                operator=request.headers.get("X-Operator", "operator"),
+                operator=request[_OPERATOR] or "operator",
                 at_ms=self._parts.clock.wall_ms(),
             )
         )
@@ -103,7 +115,7 @@
             messages.AcceptDraft(
                 operation_id=_operation("accept", body.target),
                 draft_id=ids.DraftId(body.target),
-                operator=body.operator,
+                operator=request[_OPERATOR] or body.operator,
                 at_ms=self._parts.clock.wall_ms(),
             )
         )
@@ -114,7 +126,7 @@
             messages.WithdrawChange(
                 operation_id=_operation("withdraw", body.target),
                 target=body.target,
-                operator=body.operator,
+                operator=request[_OPERATOR] or body.operator,
                 at_ms=self._parts.clock.wall_ms(),
             )
         )
@@ -126,13 +138,50 @@
         return _json(await self._parts.control.audit())
 
     async def _propose(self, command: messages.Command) -> web.Response:
-        result = await self._parts.control.propose(command)
+        try:
+            result = await self._parts.control.propose(command)
+        except errors.Failure as failure:
+            raise errors.Failure(
+                errors.ChangeUnconfirmed(
+                    "the order may have been carried out; send the same one"
+                    f" again: {failure.error.message}",
+                    retry_after_ms=1_000,
+                )
+            )
         if isinstance(result, messages.ChangeRefused):
             error = _error_by_code[result.code]
             raise errors.Failure(error(result.message))
         return _json(result)
 
 
+def _operator_of(request: web.Request, parts: OperatorParts) -> str:
+    given = replies.bearer(request).encode()
+    for token, name in parts.name_by_token.items():
+        if hmac.compare_digest(given, token.encode()):
+            return name
+    if hmac.compare_digest(given, parts.token.encode()):
+        return request.headers.get("X-Operator", "")
+    raise errors.Failure(errors.NotAuthorized("wrong operator token"))
+
+
+def _require_confirmed(
+    answers: answer_files.Answers,
+    in_force: messages.InForceReply,
+    content: configuration.Configuration,
+) -> None:
+    sentences = weakenings.in_words(
+        in_force.configuration, content, in_force.revision
+    )
+    missing = [line for line in sentences if line not in answers.confirmed]
+    if missing:
+        raise errors.Failure(
+            errors.ConfirmationNeeded(
+                "these changes weaken a safety answer; confirm each in"
+                " question 8, word for word:\n" + "\n".join(missing)
+            )
+        )
+
+
 def _operation(action: str, target: str) -> ids.OperationId:
     return ids.OperationId(f"{action}:{target}")
 
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -90,6 +90,74 @@
     at_ms: int
 
 
+class OrderTarget(msgspec.Struct, frozen=True):
+    """What an order is about; an empty adapter means the model itself.
+
+    An order that sets a role gives it in `role`.
+    """
+
+    model: ids.ModelName
+    version: ids.ModelVersion
+    adapter: str = ""
+    role: str = ""
+
+
+class OrderIntent(msgspec.Struct, frozen=True):
+    """An order that was committed and whose end is not known."""
+
+    fence: int
+    engine_id: ids.EngineId
+    action: states.OrderAction
+    target: OrderTarget
+
+
+class TakeExecutor(Message, frozen=True):
+    """Become the one executor if the epoch is still `seen_epoch`.
+
+    `at_ms` is on the monotonic clock of the new executor.
+    """
+
+    owner: ids.InstanceId
+    seen_epoch: int
+    at_ms: float
+
+
+class RenewExecutor(Message, frozen=True):
+    """Renew the executor's lease."""
+
+    owner: ids.InstanceId
+    epoch: int
+
+
+class PlaceOrder(Message, frozen=True):
+    """Commit the intent of an order; `in_use` guards what runs."""
+
+    epoch: int
+    engine_id: ids.EngineId
+    action: states.OrderAction
+    target: OrderTarget
+    in_use: bool
+    at_ms: float
+
+
+class RetryOrder(Message, frozen=True):
+    """Ask to send an outstanding order again."""
+
+    epoch: int
+    engine_id: ids.EngineId
+    fence: int
+    at_ms: float
+
+
+class ResolveOrder(Message, frozen=True):
+    """Record what an engine holds, and the end of an order if any."""
+
+    epoch: int
+    engine_id: ids.EngineId
+    fence: int
+    loaded: tuple[OrderTarget, ...]
+
+
 class StoredAnswer(Message, frozen=True):
     """The answer of a plain service, kept for resends."""
 
@@ -106,6 +174,11 @@
     | RecordCallOutcome
     | VoidCall
     | ResolveCall
+    | TakeExecutor
+    | RenewExecutor
+    | PlaceOrder
+    | RetryOrder
+    | ResolveOrder
 )
 
 
@@ -138,11 +211,22 @@
     refusal: states.KeyRefusal | None = None
 
 
+class OrderResult(Message, frozen=True):
+    """Whether an order's command was accepted, and under which fence."""
+
+    accepted: bool
+    epoch: int
+    fence: int = 0
+    refusal: states.OrderRefusal | None = None
+
+
 class Recorded(Message, frozen=True):
     """A command without a result of its own was applied."""
 
 
-CommandResult = ChangeAccepted | ChangeRefused | CallClaim | Recorded
+CommandResult = (
+    ChangeAccepted | ChangeRefused | CallClaim | OrderResult | Recorded
+)
 
 
 class ProposeRequest(Message, frozen=True):
@@ -262,6 +346,7 @@
     revision: ids.Revision
     answers_digest: str
     differences: tuple[str, ...]
+    answers_toml: str = ""
 
 
 class AuditReply(Message, frozen=True):
--- a/src/oriolejunction/questionnaire/answers.py
+++ b/src/oriolejunction/questionnaire/answers.py
@@ -1,5 +1,7 @@
 """The answers of a questionnaire and their file, in TOML."""
 
+import re
+
 import msgspec
 import tomli_w
 
@@ -57,6 +59,7 @@
     engines: tuple[EngineAnswer, ...] = ()
     services: tuple[ServiceAnswer, ...] = ()
     workspaces: tuple[WorkspaceAnswer, ...] = ()
+    confirmed: tuple[str, ...] = ()
 
 
 def parse(text: str) -> Answers:
@@ -67,9 +70,18 @@
     try:
         return msgspec.toml.decode(text, type=Answers)
     except (msgspec.DecodeError, ValueError) as error:
-        raise errors.Failure(
-            errors.FaultyAnswers(f"the answers cannot be read: {error}")
-        )
+        raise errors.Failure(errors.FaultyAnswers(_fault(str(error))))
+
+
+def _fault(text: str) -> str:
+    """Return a decoding error as the fault of a question, where it is one."""
+    what, _, path = text.partition(" - at `$.")
+    field, entry = re.match(r"(\w*)(?:\[(\d+)\])?", path).groups()
+    if field not in Answers.__struct_fields__:
+        return f"the answers cannot be read: {text}"
+    number = Answers.__struct_fields__.index(field) + 1
+    where = f"entry {int(entry) + 1}: " if entry else ""
+    return f"question {number}: {where}{what}"
 
 
 def dump(answers: Answers) -> str:
--- a/src/oriolejunction/questionnaire/checks.py
+++ b/src/oriolejunction/questionnaire/checks.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import ipaddress
+import re
 
 import yarl
 
@@ -11,6 +12,7 @@
 from oriolejunction.questionnaire import answers as answer_files
 from oriolejunction.questionnaire import questions
 
+_NAME = re.compile(r"[\w.-]+")
 METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -68,14 +70,18 @@
     names = [model.name for model in answers.models]
     yield from _duplicates("models", names)
     served = {engine.model for engine in answers.engines}
-    for name in names:
-        if name not in served:
-            yield "models", f"no engine serves the model {name!r}"
+    for model in answers.models:
+        if model.name not in served:
+            yield "models", f"no engine serves the model {model.name!r}"
+        if not model.version:
+            yield "models", f"{model.name!r} has no version"
+        if len(set(model.adapters)) < len(model.adapters):
+            yield "models", f"{model.name!r} has an adapter twice"
 
 
 def _engines(answers: answer_files.Answers) -> Faults:
     yield from _duplicates("engines", [e.name for e in answers.engines])
-    yield from _duplicates("engines", [e.url for e in answers.engines])
+    yield from _repeated("engines", [e.url for e in answers.engines])
     models = {model.name for model in answers.models}
     for engine in answers.engines:
         if engine.zone not in answers.zones:
@@ -101,6 +107,11 @@
         for url in service.urls:
             if not _is_url(url):
                 yield "services", f"{service.name!r} has the address {url!r}"
+        if service.lookup and not _is_lookup(service.lookup):
+            yield "services", (
+                f"{service.name!r}: the look-up {service.lookup!r} should be"
+                " like '/orders/by-key/{key}'"
+            )
         for pattern in service.never_twice:
             method, _, path = pattern.partition(" ")
             if method not in METHODS or not path.startswith("/"):
@@ -128,11 +139,25 @@
 
 
 def _duplicates(field: str, names: collections.abc.Iterable[str]) -> Faults:
-    for name, count in collections.Counter(names).items():
+    yield from _repeated(field, names)
+    for name in dict.fromkeys(names):
         if not name:
             yield field, "a name is empty"
+        elif not _NAME.fullmatch(name):
+            yield field, (
+                f"the name {name!r} may only have letters, digits, '.', '-'"
+                " and '_'"
+            )
+
+
+def _repeated(field: str, values: collections.abc.Iterable[str]) -> Faults:
+    for value, count in collections.Counter(values).items():
         if count > 1:
-            yield field, f"{name!r} is given {count} times"
+            yield field, f"{value!r} is given {count} times"
+
+
+def _is_lookup(path: str) -> bool:
+    return path.startswith("/") and path.count("{key}") == 1
 
 
 def _is_url(text: str) -> bool:
--- a/src/oriolejunction/questionnaire/differences.py
+++ b/src/oriolejunction/questionnaire/differences.py
@@ -12,6 +12,15 @@
     "services": ("service", "name"),
     "workspaces": ("workspace", "workspace_id"),
 }
+_WORDS_BY_FIELD = {
+    "checks_fencing": "checking of fencing numbers",
+    "never_twice": "calls that never run twice",
+    "lookup_path": "look-up of a call",
+    "tokens_per_s": "limit of tokens a second",
+    "concurrent_requests": "limit of requests at once",
+    "url": "address",
+    "urls": "addresses",
+}
 _SECRET_FIELDS = frozenset({"key_digest"})
 
 
@@ -62,13 +71,22 @@
             if field in _SECRET_FIELDS:
                 yield f"{noun} {name} gets another key"
             else:
+                words = _WORDS_BY_FIELD.get(field, field)
                 yield (
-                    f"{noun} {name}: {field} changes from"
+                    f"{noun} {name}: {words} changes from"
                     f" {_shown(old)} to {_shown(new)}"
                 )
 
 
 def _shown(value: object) -> str:
+    if isinstance(value, configuration.CallPattern):
+        return f"{value.method} {value.path_prefix}"
+    if isinstance(value, tuple):
+        return ", ".join(map(_shown, value)) or "none"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if value is None:
+        return "none"
     plain = msgspec.to_builtins(value)
     if isinstance(plain, str):
         return plain
--- a/src/oriolejunction/questionnaire/fill.py
+++ b/src/oriolejunction/questionnaire/fill.py
@@ -78,7 +78,8 @@
         return default
     value: object = raw
     if str(field.type).startswith("tuple"):
-        value = [part.strip() for part in raw.split(",")]
+        separator = ";" if field.name == "confirmed" else ","
+        value = [part.strip() for part in raw.split(separator)]
     try:
         return msgspec.to_builtins(
             msgspec.convert(value, field.type, strict=False)
--- a/src/oriolejunction/questionnaire/questions.py
+++ b/src/oriolejunction/questionnaire/questions.py
@@ -54,5 +54,11 @@
         "Which workspaces are there, with which key, share and limits?",
         answers.WorkspaceAnswer,
     ),
+    Question(
+        8,
+        "confirmed",
+        "Which changes that weaken a safety answer do you confirm, in the"
+        " words in which submitting refused them?",
+    ),
 )
 number_by_field = {question.field: question.number for question in QUESTIONS}
--- a/src/oriolejunction/settings.py
+++ b/src/oriolejunction/settings.py
@@ -14,6 +14,7 @@
 from oriolejunction import errors
 from oriolejunction import ids
 
+MIN_TOKEN_LENGTH = 8
 ENVIRONMENT_PREFIX = "ORIOLEJUNCTION_"
 
 Name = typing.Annotated[
@@ -27,7 +28,8 @@
 
     `control_peers` lists the control replicas as ``ID=IP:PORT`` separated
     by commas. The three `peer_tls` files in PEM turn on mutual TLS between
-    the instances; they are given together or not at all.
+    the instances; they are given together or not at all. `operator_tokens`
+    gives operators tokens of their own, as ``NAME=TOKEN`` with commas.
     """
 
     instance_id: Name
@@ -37,6 +39,7 @@
     peer_listen: Address
     control_peers: str
     operator_token: typing.Annotated[str, msgspec.Meta(min_length=8)]
+    operator_tokens: str | None = None
     data_dir: str | None = None
     max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
     max_requests: typing.Annotated[int, msgspec.Meta(ge=1)] = 4_096
@@ -52,6 +55,12 @@
         pairs = (part.split("=", 1) for part in self.control_peers.split(","))
         return {ids.InstanceId(name): address for name, address in pairs}
 
+    def operator_name_by_token(self) -> dict[str, str]:
+        """Return the name that each operator's own token proves."""
+        pairs = (self.operator_tokens or "").split(",")
+        named = (pair.partition("=") for pair in pairs if pair)
+        return {token: name for name, _, token in named}
+
 
 def load(
     flags: collections.abc.Mapping[str, object],
@@ -95,6 +104,8 @@
     value = msgspec.convert(str(raw), field.type, strict=False)
     if field.name.endswith("_listen"):
         split_address(value)
+    if field.name == "operator_tokens":
+        _check_operator_tokens(value)
     if field.name == "control_peers":
         for part in value.split(","):
             name, separator, address = part.partition("=")
@@ -104,6 +115,16 @@
     return value
 
 
+def _check_operator_tokens(value: str) -> None:
+    for part in value.split(","):
+        name, _, token = part.partition("=")
+        if not name or len(token) < MIN_TOKEN_LENGTH:
+            raise ValueError(
+                "an entry is not NAME=TOKEN with a token of"
+                f" {MIN_TOKEN_LENGTH} characters up"
+            )
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP number and port of ``IP:PORT``.
 
--- /dev/null
+++ b/src/oriolejunction/standin/engine_orders.py
@@ -0,0 +1,72 @@
+"""Orders to a stand-in engine, with or without the fencing check."""
+
+from aiohttp import web
+import msgspec
+
+from oriolejunction import clock as clocks
+from oriolejunction import engine_protocol
+from oriolejunction import messages
+from oriolejunction import states
+
+_decode_intent = msgspec.json.Decoder(messages.OrderIntent).decode
+
+
+class EngineOrders:
+    """What an engine holds, and what it did that it should not have.
+
+    A contradiction is an order applied after one with a higher fence
+    number; `load_at_ms` tells when the weight store was read.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        checks_fencing: bool,
+        loaded: tuple[messages.OrderTarget, ...] = (),
+    ) -> None:
+        self._clock = clock
+        self._checks_fencing = checks_fencing
+        self.loaded = list(loaded)
+        self.highest_fence = 0
+        self.contradictions = 0
+        self.refused = 0
+        self.applied = 0
+        self.load_at_ms: list[float] = []
+
+    def apply(self, intent: messages.OrderIntent) -> bool:
+        """Carry out an order; return False where its fence is too old."""
+        if intent.fence < self.highest_fence:
+            if self._checks_fencing:
+                self.refused += 1
+                return False
+            self.contradictions += 1
+        self.highest_fence = max(self.highest_fence, intent.fence)
+        self.applied += 1
+        match intent.action:
+            case states.OrderAction.LOAD:
+                self.load_at_ms.append(self._clock.now_ms())
+                if intent.target not in self.loaded:
+                    self.loaded.append(intent.target)
+            case states.OrderAction.UNLOAD:
+                if intent.target in self.loaded:
+                    self.loaded.remove(intent.target)
+        return True
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes to add to an engine's application."""
+        return [
+            web.post("/orders", self._order),
+            web.get("/holdings", self._holdings),
+        ]
+
+    async def _order(self, request: web.Request) -> web.Response:
+        intent = _decode_intent(await request.read())
+        if not self.apply(intent):
+            return web.json_response({"error": "old fence"}, status=409)
+        return web.json_response({"fence": intent.fence})
+
+    async def _holdings(self, request: web.Request) -> web.Response:
+        held = engine_protocol.Holdings(tuple(self.loaded))
+        return web.Response(
+            body=msgspec.json.encode(held), content_type="application/json"
+        )
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -115,6 +115,24 @@
     NO_ROOM = "no_room"
 
 
+class OrderAction(enum.Enum):
+    """What an engine is ordered to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    SET_ROLE = "set_role"
+
+
+class OrderRefusal(enum.Enum):
+    """Why an order may not be given."""
+
+    NOT_EXECUTOR = "not_executor"
+    OUTSTANDING = "outstanding"
+    STORE_LIMIT = "store_limit"
+    LAST_COPY = "last_copy"
+    RESOLVED = "resolved"
+
+
 class ChangeAction(enum.Enum):
     """What an operator did to the configuration."""
 
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -122,7 +122,10 @@
         await self._listen(caller_app, settings.caller_listen)
         operator_app = operators.application(
             operators.OperatorParts(
-                settings.operator_token, self.clock, self._control
+                settings.operator_token,
+                self.clock,
+                self._control,
+                settings.operator_name_by_token(),
             )
         )
         await self._listen(operator_app, settings.operator_listen)
--- /dev/null
+++ b/tests/controllers/test_configuration_history.py
@@ -0,0 +1,205 @@
+"""Racing operators never lose, repeat or revert a change."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from oriolejunction.controllers import control_state
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import generate
+from oriolejunction import states
+
+OPERATORS = ("mika", "goro")
+
+
+def _content(number):
+    return generate.configuration_of(
+        answer_files.Answers(
+            measure=states.Measure.LATENCY,
+            zones=(f"zone-{number}",),
+            workspaces=(answer_files.WorkspaceAnswer("w", "key"),),
+        )
+    )
+
+
+def _submit(base, number, operator="mika"):
+    draft = ids.DraftId(f"d-{base}-{number}")
+    return messages.SubmitDraft(
+        operation_id=ids.OperationId(f"submit:{draft}"),
+        draft_id=draft,
+        base_revision=base,
+        configuration=_content(number),
+        answers_toml=f"zone-{number}",
+        differences=(),
+        operator=operator,
+        at_ms=1,
+    )
+
+
+def _accept(draft, operator="mika"):
+    return messages.AcceptDraft(
+        ids.OperationId(f"accept:{draft}"), ids.DraftId(draft), operator, 2
+    )
+
+
+def _withdraw(target, operator="mika"):
+    return messages.WithdrawChange(
+        ids.OperationId(f"withdraw:{target}"), str(target), operator, 3
+    )
+
+
+class HistoryMachine(stateful.RuleBasedStateMachine):
+    """Two operators, resends of any earlier command, and restarts."""
+
+    def __init__(self):
+        super().__init__()
+        self.state = control_state.ControlState()
+        self.sent = []
+        self.first_result_by_operation = {}
+        self.contents = [None]
+        self.trail = []
+
+    def _apply(self, command):
+        before = self.state.history.revision
+        result = control_state.apply(self.state, command)
+        after = self.state.history.revision
+        assert after in (before, before + 1)
+        if after > before:
+            assert isinstance(result, messages.ChangeAccepted)
+            assert result.revision == after
+            assert command.operation_id not in self.first_result_by_operation
+            self.first_result_by_operation[command.operation_id] = result
+            self.contents.append(self._expected(command))
+        elif command.operation_id in self.first_result_by_operation:
+            first = self.first_result_by_operation[command.operation_id]
+            assert result == first
+        self.trail += control_state.drain_audit(self.state)
+        self.sent.append(command)
+
+    def _expected(self, command):
+        if isinstance(command, messages.AcceptDraft):
+            number = int(command.draft_id.rpartition("-")[2])
+            return _content(number)
+        return self.contents[-2]
+
+    @stateful.rule(
+        number=strategies.integers(0, 3),
+        operator=strategies.sampled_from(OPERATORS),
+        behind=strategies.integers(0, 1),
+    )
+    def submit(self, number, operator, behind):
+        base = max(0, self.state.history.revision - behind)
+        self._apply(_submit(ids.Revision(base), number, operator))
+
+    @stateful.rule(
+        number=strategies.integers(0, 3),
+        operator=strategies.sampled_from(OPERATORS),
+        behind=strategies.integers(0, 1),
+    )
+    def accept(self, number, operator, behind):
+        base = max(0, self.state.history.revision - behind)
+        self._apply(_accept(f"d-{base}-{number}", operator))
+
+    @stateful.rule(
+        operator=strategies.sampled_from(OPERATORS),
+        behind=strategies.integers(0, 1),
+    )
+    def withdraw_revision(self, operator, behind):
+        revision = max(0, self.state.history.revision - behind)
+        self._apply(_withdraw(revision, operator))
+
+    @stateful.rule(number=strategies.integers(0, 3))
+    def withdraw_draft(self, number):
+        base = self.state.history.revision
+        self._apply(_withdraw(f"d-{base}-{number}"))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=strategies.data())
+    def resend(self, data):
+        self._apply(data.draw(strategies.sampled_from(self.sent)))
+
+    @stateful.rule()
+    def restart(self):
+        self.state = control_state.load(control_state.dump(self.state))
+
+    @stateful.invariant()
+    def content_is_what_the_changes_say(self):
+        assert self.state.history.content == self.contents[-1]
+
+    @stateful.invariant()
+    def trail_is_complete(self):
+        numbers = [entry.number for entry in self.trail]
+        assert numbers == list(range(1, len(self.trail) + 1))
+        revisions = [
+            entry.revision
+            for entry in self.trail
+            if entry.action is states.ChangeAction.ACCEPT
+            or (entry.action is states.ChangeAction.WITHDRAW)
+            and entry.draft_id == ""
+        ]
+        assert revisions == list(range(1, len(self.contents)))
+
+
+HistoryMachine.TestCase.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=40
+)
+TestHistory = HistoryMachine.TestCase
+
+
+def _state(*commands):
+    state = control_state.ControlState()
+    return state, [control_state.apply(state, c) for c in commands]
+
+
+def test_loser_is_told_who_won():
+    _, results = _state(
+        _submit(0, 1),
+        _submit(0, 2, "goro"),
+        _accept("d-0-2", "goro"),
+        _accept("d-0-1"),
+    )
+    assert isinstance(results[3], messages.ChangeRefused)
+    assert "revision 1 by goro" in results[3].message
+
+
+def test_withdrawn_draft_can_be_submitted_again():
+    _, results = _state(
+        _submit(0, 1),
+        _withdraw("d-0-1"),
+        _withdraw("d-0-1"),
+        _submit(0, 1),
+        _withdraw("d-0-1"),
+        _submit(0, 1),
+        _accept("d-0-1"),
+    )
+    assert all(isinstance(r, messages.ChangeAccepted) for r in results)
+    assert results[-1].revision == 1
+
+
+def test_withdrawing_brings_back_what_stood_before_under_a_new_number():
+    state, results = _state(
+        _submit(0, 1),
+        _accept("d-0-1"),
+        _submit(1, 2),
+        _accept("d-1-2"),
+        _withdraw("d-1-2"),
+        _withdraw("d-1-2"),
+    )
+    assert [result.revision for result in results[-2:]] == [3, 3]
+    assert state.history.content == _content(1)
+
+
+def test_first_revision_cannot_be_withdrawn():
+    state, results = _state(_submit(0, 1), _accept("d-0-1"), _withdraw(1))
+    assert isinstance(results[2], messages.ChangeRefused)
+    assert state.history.revision == 1
+
+
+def test_audit_tells_from_which_answers():
+    state, _ = _state(_submit(0, 1, "goro"), _accept("d-0-1"))
+    submitted, accepted = state.history.audit
+    assert submitted.answers_toml == "zone-1"
+    assert submitted.answers_digest == accepted.answers_digest
+    assert (submitted.operator, accepted.operator) == ("goro", "mika")
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,29 @@
+"""The sample questionnaires of both deployments are sound."""
+
+import pathlib
+
+import pytest
+
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import checks
+from oriolejunction.questionnaire import generate
+
+FOLDER = pathlib.Path(__file__).parents[1] / "examples"
+
+
+@pytest.mark.parametrize(
+    "name, zones, model, service, placing",
+    [
+        ("brewline", 3, "brew-assist", "order-desk", "POST /deliveries"),
+        ("gasrecupera", 4, "redactor", "registro", "POST /handovers"),
+    ],
+)
+def test_sample_is_sound(name, zones, model, service, placing):
+    answers = answer_files.parse((FOLDER / f"{name}.toml").read_text())
+    assert checks.faults_of(answers) == []
+    assert len(answers.zones) == zones
+    assert len(answers.workspaces) == 10
+    content = generate.configuration_of(answers)
+    assert len(content.engines_of(model)) == 12
+    patterns = content.service(service).never_twice
+    assert placing in {f"{p.method} {p.path_prefix}" for p in patterns}
