--- a/src/oriolejunction/bench/resilient_client.py
+++ b/src/oriolejunction/bench/resilient_client.py
@@ -40,6 +40,8 @@
     error_code: str | None = None
     sends: int = 0
     longest_gap_ms: float = 0.0
+    last_ms: float | None = None
+    url: str = ""
 
 
 @dataclasses.dataclass
@@ -78,9 +80,14 @@
         """Close all connections."""
         await self._session.close()
 
-    async def stream(self, body: dict[str, object]) -> Answer:
-        """Stream a completion until it ends, whatever instance is lost."""
-        answer = Answer()
+    async def stream(
+        self, body: dict[str, object], answer: Answer | None = None
+    ) -> Answer:
+        """Stream a completion until it ends, whatever instance is lost.
+
+        What is held of it can be watched in `answer`.
+        """
+        answer = answer or Answer()
         for _ in range(MAX_SENDS):
             answer.sends += 1
             try:
@@ -94,7 +101,8 @@
     async def _stream_once(
         self, body: dict[str, object], answer: Answer
     ) -> bool:
-        url = self._rng.choice(self._urls) + "/v1/completions"
+        answer.url = self._rng.choice(self._urls)
+        url = answer.url + "/v1/completions"
         headers = {}
         if answer.last_event_id is not None:
             headers["Last-Event-ID"] = answer.last_event_id
@@ -120,7 +128,7 @@
         self, content: aiohttp.StreamReader, answer: Answer
     ) -> bool:
         event_id = None
-        last_ms = self._clock.now_ms()
+        answer.last_ms = answer.last_ms or self._clock.now_ms()
         async for line in content:
             if line.startswith(b"id: "):
                 event_id = line[4:].decode().strip()
@@ -134,9 +142,9 @@
                 answer.text += _text(record)
                 answer.last_event_id = event_id or answer.last_event_id
                 now_ms = self._clock.now_ms()
-                gap_ms = now_ms - last_ms
+                gap_ms = now_ms - answer.last_ms
                 answer.longest_gap_ms = max(answer.longest_gap_ms, gap_ms)
-                last_ms = now_ms
+                answer.last_ms = now_ms
         return False
 
     async def order(self, path: str, record: OrderRecord) -> None:
--- /dev/null
+++ b/src/oriolejunction/bench/resume.py
@@ -0,0 +1,140 @@
+"""Resume latency and extra resources of each policy, on the same seeds."""
+
+import random
+
+from oriolejunction.bench import result
+from oriolejunction.bench import resume_rounds
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import loss_policy
+from oriolejunction import demonstration
+from oriolejunction import invariants
+from oriolejunction import local_deployment
+
+RESUME_BOUND_MS = 3_000.0
+SLOWDOWNS = (0.5, 0.5, 1.0, 1.0, 2.0, 4.0)
+POLICY_BY_NAME = {
+    "restart": loss_policy.RESTART,
+    "cold_continuation": loss_policy.FIXED,
+    "adaptive_continuation": loss_policy.ADAPTIVE,
+    "early_second_attempt": loss_policy.EARLY,
+    "thrift": loss_policy.THRIFT,
+}
+CHOSEN = ("early_second_attempt", "thrift")
+FAULTS = tuple(resume_rounds.RoundFault)
+
+
+async def run(options: result.BenchOptions) -> result.BenchResult:
+    """Run the same rounds under each policy."""
+    figures: dict[str, object] = {}
+    violations = 0
+    for name, policy in POLICY_BY_NAME.items():
+        figures[name], broken = await _figures_of(policy, options.seed)
+        violations += broken
+        if name in CHOSEN and _exceeds_bound(figures[name]):
+            violations += 1
+    return result.BenchResult(
+        "resume",
+        options.seed,
+        figures,
+        violations + invariants.violation_count(),
+    )
+
+
+def _exceeds_bound(figures: dict[str, object]) -> bool:
+    return figures["single_loss_p99_ms"] > RESUME_BOUND_MS
+
+
+def _deployment_options(seed: int) -> local_deployment.LocalOptions:
+    slowdowns = list(SLOWDOWNS)
+    random.Random(seed).shuffle(slowdowns)
+    zones = local_deployment.ZONES
+    return local_deployment.LocalOptions(
+        engines=tuple(
+            local_deployment.EngineOptions(
+                zones[number % len(zones)], slowdown=slowdown
+            )
+            for number, slowdown in enumerate(slowdowns)
+        )
+    )
+
+
+async def _figures_of(
+    policy: loss_policy.LossPolicy, seed: int
+) -> tuple[dict[str, object], int]:
+    async with local_deployment.running(
+        _deployment_options(seed)
+    ) as deployment:
+        await demonstration.accept_sample(deployment)
+        for instance in deployment.instances:
+            instance.loss_policy.override = policy
+        rounds = resume_rounds.Rounds(deployment, seed, clocks.SystemClock())
+        counters = _Counters(deployment)
+        for fault in FAULTS:
+            await rounds.run(fault)
+            counters.take_in()
+        await rounds.close()
+        return _figures(rounds.tally, counters), len(rounds.tally.broken)
+
+
+class _Counters:
+    """Totals of the counters, over restarts of the instances."""
+
+    def __init__(self, deployment: local_deployment.LocalDeployment) -> None:
+        self._deployment = deployment
+        self._value_by_source: dict[tuple[int, str], float] = {}
+
+    def take_in(self) -> None:
+        """Note the present values of all instances."""
+        for instance in self._deployment.instances:
+            telemetry = instance.telemetry
+            for name in (
+                "false_suspicions",
+                "second_attempts",
+                "reattached",
+                "journal_bytes",
+                "journal_tokens",
+            ):
+                counter = getattr(telemetry, name)
+                total = sum(counter.values.store.values())
+                self._value_by_source[id(telemetry), name] = total
+
+    def total(self, name: str) -> float:
+        """Return the sum over all instances."""
+        return sum(
+            value
+            for (_, counted), value in self._value_by_source.items()
+            if counted == name
+        )
+
+    def computed(self) -> int:
+        """Return the tokens that the engines computed."""
+        return sum(e.tokens_computed for e in self._deployment.engines)
+
+    def prefilled_again(self) -> int:
+        """Return the delivered tokens that engines took in as a prefix."""
+        return sum(e.tokens_prefilled_again for e in self._deployment.engines)
+
+
+def _figures(
+    tally: resume_rounds.RoundTally, counters: _Counters
+) -> dict[str, object]:
+    useful = tally.useful_tokens
+    journalled = counters.total("journal_tokens")
+    per_token = counters.total("journal_bytes") / max(1.0, journalled)
+    return {
+        **tally.resume.figures("resume"),
+        "resumed": tally.resume.count,
+        "single_loss_p99_ms": tally.single.at_ms(99),
+        "worst_ms_by_fault": tally.worst_ms_by_fault,
+        "extra_tokens_per_useful_token": round(
+            (counters.computed() - useful) / useful, 4
+        ),
+        "prefilled_again_per_useful_token": round(
+            counters.prefilled_again() / useful, 4
+        ),
+        "journal_bytes_per_token": round(per_token, 2) if journalled else None,
+        "false_suspicions": counters.total("false_suspicions"),
+        "second_attempts": counters.total("second_attempts"),
+        "reattached": counters.total("reattached"),
+        "broken": tally.broken[:5],
+    }
--- /dev/null
+++ b/src/oriolejunction/bench/resume_rounds.py
@@ -0,0 +1,210 @@
+"""Rounds of `bench resume`: many answers, and one fault in their midst."""
+
+import asyncio
+import dataclasses
+import enum
+import random
+
+from oriolejunction.bench import resilient_client
+from oriolejunction.bench import result
+from oriolejunction import clock as clocks
+from oriolejunction import engine_protocol
+from oriolejunction import local_deployment
+from oriolejunction.standin import chain
+from oriolejunction.standin import engine as standin_engine
+from oriolejunction import wiring
+
+STREAMS = 24
+TOKENS = (40, 80)
+BEFORE_FAULT_MS = (150, 350)
+PAUSE_MS = (300, 900)
+SETTLE_MS = 50
+ZONE = local_deployment.ZONES[0]
+
+
+class RoundFault(enum.Enum):
+    """What is lost in the middle of a round."""
+
+    DIE = "die"
+    RESET = "reset"
+    DROP = "drop"
+    PAUSE = "pause"
+    PAUSE_AGAIN = "pause_again"
+    ZONE = "zone"
+    ENTRY = "entry"
+    ENTRY_AND_ENGINE = "entry_and_engine"
+
+
+SINGLE_LOSSES = frozenset(RoundFault) - {
+    RoundFault.ZONE,
+    RoundFault.ENTRY_AND_ENGINE,
+}
+
+
+@dataclasses.dataclass
+class RoundTally:
+    """What the rounds of one policy showed."""
+
+    resume: result.Latencies = dataclasses.field(
+        default_factory=result.Latencies
+    )
+    single: result.Latencies = dataclasses.field(
+        default_factory=result.Latencies
+    )
+    worst_ms_by_fault: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    useful_tokens: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Stream:
+    """One answer of a round with what its caller asked for."""
+
+    prompt: str
+    length: int
+    answer: resilient_client.Answer
+
+    def generation(self) -> str:
+        """Return the id of the generation, as far as it is known."""
+        return (self.answer.last_event_id or "").partition(".")[0]
+
+
+class Rounds:
+    """Run rounds against one deployment."""
+
+    def __init__(
+        self,
+        deployment: local_deployment.LocalDeployment,
+        seed: int,
+        clock: clocks.Clock,
+    ) -> None:
+        self.tally = RoundTally()
+        self._deployment = deployment
+        self._clock = clock
+        self._rng = random.Random(seed)
+        key = next(iter(deployment.options.key_by_workspace.values()))
+        self._client = resilient_client.ResilientClient(
+            deployment.addresses.callers_urls,
+            key,
+            random.Random(seed),
+            clock,
+        )
+
+    async def close(self) -> None:
+        """Close the connections of the callers."""
+        await self._client.close()
+
+    async def run(self, fault: RoundFault) -> None:
+        """Stream answers, provoke a fault, and check all of them."""
+        streams = [self._stream(fault, n) for n in range(STREAMS)]
+        async with asyncio.TaskGroup() as group:
+            for stream in streams:
+                group.create_task(self._read(stream))
+            wait_ms = self._rng.uniform(*BEFORE_FAULT_MS)
+            await self._clock.sleep_ms(wait_ms)
+            affected = await self._provoke(fault, streams)
+            for stream in streams:
+                stream.answer.longest_gap_ms = 0.0
+        self._take_in(fault, streams, affected)
+        await self._recover()
+
+    def _stream(self, fault: RoundFault, number: int) -> Stream:
+        length = self._rng.randint(*TOKENS)
+        prompt = f"{fault.value} {number} [[length={length}]]"
+        return Stream(prompt, length, resilient_client.Answer())
+
+    async def _read(self, stream: Stream) -> None:
+        await self._client.stream(
+            {
+                "model": local_deployment.MODEL,
+                "prompt": stream.prompt,
+                "max_tokens": 2 * stream.length,
+            },
+            stream.answer,
+        )
+
+    async def _provoke(
+        self, fault: RoundFault, streams: list[Stream]
+    ) -> list[Stream]:
+        engines = self._engines_hit(fault)
+        hit = set().union(*(e.generations_running() for e in engines))
+        affected = [s for s in streams if s.generation() in hit]
+        for engine in engines:
+            engine.faults.apply(self._engine_fault(fault))
+        if fault in (RoundFault.ENTRY, RoundFault.ENTRY_AND_ENGINE):
+            url = await self._restart_entry()
+            affected += [
+                s
+                for s in streams
+                if s.answer.url == url
+                and s not in affected
+                and s.answer.end is resilient_client.AnswerEnd.GIVEN_UP
+            ]
+        return affected
+
+    def _engines_hit(
+        self, fault: RoundFault
+    ) -> list[standin_engine.StandinEngine]:
+        engines = self._deployment.engines
+        if fault is RoundFault.ENTRY:
+            return []
+        if fault is RoundFault.ZONE:
+            options = self._deployment.options.engines
+            return [e for e, o in zip(engines, options) if o.zone == ZONE]
+        return [max(engines, key=lambda e: len(e.generations_running()))]
+
+    def _engine_fault(self, fault: RoundFault) -> engine_protocol.Fault:
+        match fault:
+            case RoundFault.RESET | RoundFault.DROP:
+                return engine_protocol.Fault(fault.value)
+            case RoundFault.PAUSE | RoundFault.PAUSE_AGAIN:
+                pause_ms = self._rng.randint(*PAUSE_MS)
+                return engine_protocol.Fault("pause", duration_ms=pause_ms)
+            case _:
+                return engine_protocol.Fault("die")
+
+    async def _restart_entry(self) -> str:
+        number = self._rng.randrange(len(self._deployment.instances))
+        old = self._deployment.instances[number]
+        await old.stop()
+        following = wiring.Instance(old.settings, old.clock)
+        following.loss_policy.override = old.loss_policy.override
+        self._deployment.instances[number] = following
+        await following.start()
+        return self._deployment.addresses.callers_urls[number]
+
+    def _take_in(
+        self, fault: RoundFault, streams: list[Stream], affected: list[Stream]
+    ) -> None:
+        tally = self.tally
+        for stream in streams:
+            tally.useful_tokens += stream.length
+            verdict = chain.check_text(
+                stream.answer.text,
+                local_deployment.MODEL_VERSION,
+                "",
+                stream.prompt,
+            )
+            whole = verdict == chain.Verdict(True, stream.length)
+            if not whole:
+                end = stream.answer.end.value
+                tally.broken.append(f"{stream.prompt}: {verdict} {end}")
+        worst_ms = 0.0
+        for stream in affected:
+            gap_ms = stream.answer.longest_gap_ms
+            worst_ms = max(worst_ms, gap_ms)
+            tally.resume.record(gap_ms)
+            if fault in SINGLE_LOSSES:
+                tally.single.record(gap_ms)
+        before_ms = tally.worst_ms_by_fault.get(fault.value, 0.0)
+        tally.worst_ms_by_fault[fault.value] = max(
+            before_ms, round(worst_ms, 1)
+        )
+
+    async def _recover(self) -> None:
+        for engine in self._deployment.engines:
+            engine.faults.recover()
+        while any(e.generations_running() for e in self._deployment.engines):
+            await self._clock.sleep_ms(SETTLE_MS)
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -26,7 +26,7 @@
 
 MAX_ATTEMPTS = 12
 MIN_CHECK_MS = 10.0
-IDLE_CHECK_MS = 1_000.0
+MAX_CHECK_MS = 250.0
 LATE_TIMER_MS = 50.0
 LATE_TIMER_GRACE_MS = 100.0
 _log = structlog.get_logger(__name__)
@@ -159,7 +159,8 @@
             wait_ms = self._until_check_ms()
             if wait_ms <= 0:
                 self.inbox.tick()
-            wait_ms = max(wait_ms, MIN_CHECK_MS)
+            # The limits change while the timer sleeps.
+            wait_ms = min(max(wait_ms, MIN_CHECK_MS), MAX_CHECK_MS)
             due_ms = clock.now_ms() + wait_ms
             await clock.sleep_ms(wait_ms)
             # A timer that is late tells of a pause of this process; what
@@ -293,7 +294,7 @@
             for attempt in self._task_by_attempt
             if not attempt.waits_for_reader
         ]
-        return min(waits, default=IDLE_CHECK_MS)
+        return min(waits, default=MAX_CHECK_MS)
 
     def _suspect(self, attempt: generation_attempt.Attempt) -> None:
         attempt.suspected = True
--- a/src/oriolejunction/controllers/loss_policy.py
+++ b/src/oriolejunction/controllers/loss_policy.py
@@ -52,7 +52,7 @@
     resumption=Resumption.CONTINUE,
     suspect=None,
     suspect_first=None,
-    give_up=suspicion.SilenceBounds(16.0, 900.0, 1_500.0),
+    give_up=suspicion.SilenceBounds(16.0, 1_200.0, 1_800.0),
     give_up_first=suspicion.SilenceBounds(8.0, 900.0, 1_200.0),
 )
 ADAPTIVE = dataclasses.replace(
--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oriolejunction import engine_protocol
+from oriolejunction import ids
 from oriolejunction.standin import engine_faults
 from oriolejunction.standin import engine_stream
 
@@ -37,6 +38,7 @@
         self.tokens_computed = 0
         self.requests_run = 0
         self.reattached = 0
+        self.tokens_prefilled_again = 0
         self.faults = engine_faults.EngineFaults(
             self._running, self._forget_streams
         )
@@ -78,6 +80,10 @@
     def _unfinished(self) -> list[engine_stream.EngineStream]:
         return [s for s in self._stream_by_id.values() if s.running]
 
+    def generations_running(self) -> set[ids.GenerationId]:
+        """Return the generations that this engine works on."""
+        return {stream.request.generation for stream in self._unfinished()}
+
     def _running(self) -> list[engine_stream.EngineStream]:
         unfinished = self._unfinished()
         unfinished.sort(key=lambda stream: -stream.request.priority)
@@ -134,6 +140,7 @@
             return web.json_response({"error": "wrong model"}, status=409)
         stream = engine_stream.open_stream(body)
         self.requests_run += 1
+        self.tokens_prefilled_again += len(body.forced_ids)
         self._stream_by_id[f"{body.generation}.{body.attempt}"] = stream
         self._work.set()
         return await self._follow(request, stream, len(body.forced_ids))
@@ -173,9 +180,11 @@
                     break
                 stream.changed.clear()
                 await stream.changed.wait()
-            return response
+        except ConnectionResetError:
+            pass  # the client has gone, or a fault dropped the connection
         finally:
             self.faults.connections.discard(transport)
+        return response
 
     async def _cancel(self, request: web.Request) -> web.Response:
         stream = self._stream_by_id.get(request.match_info["stream_id"])
