Provoke unsafe boundaries and late timers in the tests

Cause: two changes to the code, made on trial, went unseen by the tests: a boundary inside a UTF-8 sequence beside a stop string, and a late timer.

--- a/tests/controllers/test_contention.py
+++ b/tests/controllers/test_contention.py
@@ -86,6 +86,9 @@
     def offer(self, event):
         commit = self.generation.commit(event)
         self.text += "".join(part.text for part in commit.deliveries)
+        held = self.generation.delivered_ids
+        if 0 < len(held) < LENGTH and not self.generation.finished:
+            assert not chain.is_split(held[-1])
         return commit.outcome is states.CommitOutcome.COMMITTED
 
     def finish(self):
--- a/tests/controllers/test_generation_runner.py
+++ b/tests/controllers/test_generation_runner.py
@@ -60,6 +60,10 @@
         async for events in self._follow(engine, stream, position):
             yield events
 
+    def offset_of(self, generation, attempt):
+        stream = self._stream_by_key.get((generation, attempt))
+        return stream.offset if stream else 0
+
     async def cancel(self, engine, generation, attempt):
         self.cancelled.append(attempt)
 
@@ -240,14 +244,16 @@
 
 
 async def test_pause_of_this_process_is_held_against_no_engine():
-    world = World({}, loss_policy.EARLY)
+    world = World({"e0": (20, STEP_MS)}, loss_policy.EARLY)
     task = asyncio.create_task(world._read())
+    pauses = [5_000]
     while not task.done():
         for _ in range(12):
             await asyncio.sleep(0)
-        paused = len(world.text) > 100 and world.clock.now_ms() < 5_000
-        world.clock.advance(5_000 if paused else STEP_MS)
+        at_pause = pauses and world.engines.offset_of("g", 1) == 20
+        world.clock.advance(pauses.pop() if at_pause else STEP_MS)
     assert chain.check_text(world.text, "1", "", PROMPT) == WHOLE
+    assert pauses == []
     assert world.counted("second_attempts") == 0
     assert world.losses == []
 
