--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -94,7 +94,6 @@
         self._lost: set[ids.EngineId] = set()
         self._begun = 0
         self._may_have_run = False
-        self._timer_late = False
         self._silence = silence.Silence(
             parts.suspicion, parts.clock, self._policy
         )
@@ -141,7 +140,7 @@
 
     def check_silence(self) -> None:
         """Give up or suspect the attempts that were silent too long."""
-        if self._timer_late or self._generation.finished:
+        if self._generation.finished:
             return
         for attempt in list(self._task_by_attempt):
             if attempt.waits_for_reader:
@@ -166,9 +165,7 @@
             # A timer that is late tells of a pause of this process; what
             # arrived meanwhile is read before any engine is suspected.
             if clock.now_ms() - due_ms > LATE_TIMER_MS:
-                self._timer_late = True
                 await clock.sleep_ms(LATE_TIMER_GRACE_MS)
-                self._timer_late = False
 
     async def close(self) -> None:
         """End what is still running."""
