--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -14,7 +14,9 @@
 from oriolejunction.controllers import generation_runner
 from oriolejunction.controllers import journal_owner
 from oriolejunction import errors
+from oriolejunction.http import admission_gate
 from oriolejunction.http import answer_stream
+from oriolejunction.http import deadlines
 from oriolejunction.http import openai_answers
 from oriolejunction.http import openai_requests
 from oriolejunction.http import replies
@@ -40,6 +42,7 @@
     telemetry: metrics.Telemetry
     runner: generation_runner.RunnerParts
     services: service_calls.ServiceCalls
+    gate: admission_gate.AdmissionGate
     journals: journal_client.JournalClient
     new_generation_id: collections.abc.Callable[[], ids.GenerationId]
     max_body_bytes: int
@@ -121,7 +124,11 @@
         writer = openai_answers.AnswerWriter(
             generation.generation_id, body.model, chat
         )
-        deliveries = generation_runner.run(generation, parts.runner)
+        deliveries = parts.gate.run_admitted(
+            generation,
+            deadlines.admission_request(request, workspace, generation),
+            generation_runner.run(generation, parts.runner),
+        )
         if body.stream:
             usage = bool(
                 body.stream_options and body.stream_options.include_usage
@@ -196,9 +203,11 @@
             raise errors.Failure(
                 errors.UnknownService(f"there is no service {name!r}")
             )
-        answer = await self._parts.services.call(
-            service, workspace.workspace_id, await _service_call(request)
-        )
+        call = await _service_call(request)
+        with self._parts.gate.service_call(workspace):
+            answer = await self._parts.services.call(
+                service, workspace.workspace_id, call
+            )
         return web.Response(
             status=answer.status,
             body=answer.body,
--- a/src/oriolejunction/peers/methods.py
+++ b/src/oriolejunction/peers/methods.py
@@ -18,6 +18,9 @@
 IN_FORCE = rpc.Method(
     "Control", "InForce", messages.InForceRequest, messages.InForceReply
 )
+GOSSIP = rpc.Method(
+    "Gossip", "Tell", messages.GossipRequest, messages.GossipReply
+)
 AWAIT_IN_FORCE = rpc.Method(
     "Control",
     "AwaitInForce",
