--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -4,6 +4,7 @@
 
 from oriolejunction.bench import fencing
 from oriolejunction.bench import result
+from oriolejunction.bench import resume
 from oriolejunction.bench import soak
 from oriolejunction import errors
 
@@ -20,6 +21,7 @@
 
 BENCH_BY_NAME: dict[str, Bench] = {
     "fencing": fencing.fencing,
+    "resume": resume.run,
     "soak": soak.run,
 }
 
