Give orders to engines from the control leader

Cause: an accepted configuration did not change what engines hold.

Change: the leader's instance is the executor; stand-in engines take orders, with or without the fencing check. The fencing bench pauses executors between a commit and its sending, and delays orders past the sender's patience.

Conclusion: roles are in the protocol and the order book, but no answer of the questionnaire sets one yet.

--- a/src/oriolejunction/bench/fencing.py
+++ b/src/oriolejunction/bench/fencing.py
@@ -31,6 +31,7 @@
 STORE_WINDOW_MS = 60_000.0
 LONG_DELAY_MS = 20_000.0
 PAUSE_CHANCE = 0.004
+SEND_PAUSE_CHANCE = 0.05
 PAUSE_MS = (500.0, 15_000.0)
 NEEDLESS_TAKEOVER_CHANCE = 0.01
 LOSS_CHANCE = 0.1
@@ -55,13 +56,15 @@
     )
 
 
-def _target(version: int) -> messages.OrderTarget:
+def target(version: int) -> messages.OrderTarget:
+    """Return the model in a version."""
     return messages.OrderTarget(
         ids.ModelName("m"), ids.ModelVersion(str(version))
     )
 
 
-def _content(version: int, checks: bool) -> configuration.Configuration:
+def content(version: int, checks: bool) -> configuration.Configuration:
+    """Return a configuration of one model on all engines."""
     return configuration.Configuration(
         measure=states.Measure.RESOURCES,
         zones=(ids.ZoneId("a"),),
@@ -96,7 +99,7 @@
             ids.OperationId(f"submit:{draft}"),
             draft,
             revision,
-            _content(version, checks),
+            content(version, checks),
             "",
             (),
             "bench",
@@ -162,8 +165,8 @@
     ) -> order_executor.EngineHoldings:
         """Return what an engine holds."""
         await self._step()
-        target = self._world.engine_by_id[engine.engine_id]
-        return order_executor.EngineHoldings(tuple(target.loaded))
+        holder = self._world.engine_by_id[engine.engine_id]
+        return order_executor.EngineHoldings(tuple(holder.loaded))
 
     async def send(
         self,
@@ -172,7 +175,7 @@
         may_send: collections.abc.Callable[[], bool],
     ) -> None:
         """Put an order on its way; its answer may get lost."""
-        await self._step()
+        await self._step(SEND_PAUSE_CHANCE)
         if not may_send():
             raise errors.Failure(order_executor.LeaseRanOut("paused"))
         world = self._world
@@ -190,17 +193,17 @@
                 )
 
     def _delay_ms(self, engine: configuration.Engine) -> float:
-        """Delay without bound only where the engine checks fencing."""
+        """Delay long after the sender gave up only where it is checked."""
         rng = self._world.rng
         if rng.random() < LOSS_CHANCE:
             if self._world.checks_by_id[engine.engine_id]:
                 return rng.uniform(0.0, LONG_DELAY_MS)
-            return rng.uniform(0.0, orders.ORDER_TIMEOUT_MS)
+            return rng.uniform(0.0, 2 * orders.ORDER_TIMEOUT_MS)
         return rng.uniform(0.0, 3 * STEP_MS)
 
-    async def _step(self) -> None:
+    async def _step(self, pause_chance: float = PAUSE_CHANCE) -> None:
         rng = self._world.rng
-        if rng.random() < PAUSE_CHANCE:
+        if rng.random() < pause_chance:
             self.pause(rng.uniform(*PAUSE_MS))
         await self._awake.wait()
 
@@ -235,7 +238,7 @@
 async def simulate(seed: int, checks: bool) -> World:
     """Run one simulation of half an hour."""
     clock = clocks.ManualClock(1_000.0)
-    first = _target(1)
+    first = target(1)
     names = [ids.EngineId(f"e{number}") for number in range(ENGINES)]
     world = World(
         rng=random.Random(f"{seed}-{checks}"),
--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -143,10 +143,15 @@
         model: str = local_deployment.MODEL,
         version: str = local_deployment.MODEL_VERSION,
         slowdown: float = 1.0,
+        checks_fencing: bool = False,
     ) -> None:
         """Run a stand-in engine."""
         options = standin_engine.EngineOptions(
-            name, model, str(version), slowdown
+            name,
+            model,
+            str(version),
+            slowdown,
+            checks_fencing=checks_fencing,
         )
         app = standin_engine.StandinEngine(options).application()
         asyncio.run(programs.serve(app, listen))
--- a/src/oriolejunction/controllers/order_executor.py
+++ b/src/oriolejunction/controllers/order_executor.py
@@ -22,6 +22,7 @@
 from oriolejunction import states
 
 PASS_INTERVAL_MS = 1_000
+NO_ORDERS_RECHECK_MS = 30_000
 _log = structlog.get_logger(__name__)
 
 
@@ -88,7 +89,7 @@
 
     def __init__(self, parts: ExecutorParts, epoch: int) -> None:
         self._parts = parts
-        self._epoch = epoch
+        self.epoch = epoch
         self._lease_until_ms = 0.0
         self._quiet_until_ms_by_engine: dict[ids.EngineId, float] = {}
         self._holdings_by_engine: dict[ids.EngineId, EngineHoldings] = {}
@@ -97,10 +98,12 @@
         """Return whether the lease has not run out."""
         return self._parts.clock.now_ms() < self._lease_until_ms
 
-    async def run(self) -> None:
+    async def run(
+        self, is_wanted: collections.abc.Callable[[], bool] = lambda: True
+    ) -> None:
         """Wait out the executor before, then work until replaced."""
         await self._parts.clock.sleep_ms(orders.TAKE_OVER_WAIT_MS)
-        while self._parts.book().epoch == self._epoch:
+        while is_wanted() and self._parts.book().epoch <= self.epoch:
             content = self._parts.content()
             if content is not None:
                 await self._pass(content)
@@ -112,7 +115,7 @@
         if self._lease_until_ms - now_ms > orders.EXECUTOR_LEASE_MS / 2:
             return True
         result = await self._parts.propose(
-            messages.RenewExecutor(self._parts.owner, self._epoch)
+            messages.RenewExecutor(self._parts.owner, self.epoch)
         )
         if result.accepted:
             self._lease_until_ms = now_ms + orders.EXECUTOR_LEASE_MS
@@ -148,6 +151,7 @@
             return
         held = await self._parts.engines.observe(engine)
         if held is None:
+            self._keep_quiet(engine, NO_ORDERS_RECHECK_MS)
             return
         if held != self._holdings_by_engine.get(engine.engine_id):
             await self._resolve(engine, 0, held)
@@ -157,7 +161,7 @@
         action, target = step
         placed = await self._parts.propose(
             messages.PlaceOrder(
-                epoch=self._epoch,
+                epoch=self.epoch,
                 engine_id=engine.engine_id,
                 action=action,
                 target=target,
@@ -181,7 +185,7 @@
             return
         allowed = await self._parts.propose(
             messages.RetryOrder(
-                self._epoch,
+                self.epoch,
                 engine.engine_id,
                 intent.fence,
                 self._parts.clock.now_ms(),
@@ -196,16 +200,18 @@
         try:
             await self._parts.engines.send(engine, intent, self.may_send)
         except errors.Failure:
-            self._keep_quiet(engine)
+            self._keep_quiet(engine, orders.ORDER_TIMEOUT_MS)
             raise
         held = await self._parts.engines.observe(engine)
         if held is not None:
             await self._resolve(engine, intent.fence, held)
 
-    def _keep_quiet(self, engine: configuration.Engine) -> None:
-        """Let a copy of the order that is still on its way arrive first."""
+    def _keep_quiet(
+        self, engine: configuration.Engine, duration_ms: float
+    ) -> None:
+        """Wait, so that a copy of an order on its way arrives first."""
         self._quiet_until_ms_by_engine[engine.engine_id] = (
-            self._parts.clock.now_ms() + orders.ORDER_TIMEOUT_MS
+            self._parts.clock.now_ms() + duration_ms
         )
 
     async def _resolve(
@@ -213,7 +219,7 @@
     ) -> None:
         resolved = await self._parts.propose(
             messages.ResolveOrder(
-                self._epoch, engine.engine_id, fence, held.loaded
+                self.epoch, engine.engine_id, fence, held.loaded
             )
         )
         if resolved.accepted:
--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -7,9 +7,12 @@
 from aiohttp import web
 import msgspec
 
+from oriolejunction import clock as clocks
 from oriolejunction import engine_protocol
 from oriolejunction import ids
+from oriolejunction import messages
 from oriolejunction.standin import engine_faults
+from oriolejunction.standin import engine_orders
 from oriolejunction.standin import engine_stream
 
 STEP_BASE_MS = 5.0
@@ -28,6 +31,7 @@
     version: str
     slowdown: float = 1.0
     max_running: int = 32
+    checks_fencing: bool = False
 
 
 class StandinEngine:
@@ -42,6 +46,12 @@
         self.faults = engine_faults.EngineFaults(
             self._running, self._forget_streams
         )
+        self.orders = engine_orders.EngineOrders(
+            clocks.SystemClock(),
+            options.checks_fencing,
+            (messages.OrderTarget(options.model, options.version),),
+            lambda: bool(self._running()),
+        )
         self._incarnation = secrets.token_hex(4)
         self._stream_by_id: dict[str, engine_stream.EngineStream] = {}
         self._work = asyncio.Event()
@@ -58,6 +68,7 @@
                 web.get("/load", self._load),
                 web.get("/counts", self._counts),
                 web.post("/fault", self._fault),
+                *self.orders.routes(),
             ]
         )
         app.on_startup.append(self._start)
@@ -132,11 +143,7 @@
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         await self.faults.until_responsive()
         body = _decode_request(await request.read())
-        wrong = (
-            body.model != self.options.model
-            or body.version != self.options.version
-        )
-        if wrong:
+        if not self.orders.holds(body.model, body.version):
             return web.json_response({"error": "wrong model"}, status=409)
         stream = engine_stream.open_stream(body)
         self.requests_run += 1
--- a/src/oriolejunction/standin/engine_orders.py
+++ b/src/oriolejunction/standin/engine_orders.py
@@ -1,5 +1,7 @@
 """Orders to a stand-in engine, with or without the fencing check."""
 
+import collections.abc
+
 from aiohttp import web
 import msgspec
 
@@ -23,7 +25,9 @@
         clock: clocks.Clock,
         checks_fencing: bool,
         loaded: tuple[messages.OrderTarget, ...] = (),
+        is_busy: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_busy = is_busy
         self._clock = clock
         self._checks_fencing = checks_fencing
         self.loaded = list(loaded)
@@ -32,6 +36,14 @@
         self.refused = 0
         self.applied = 0
         self.load_at_ms: list[float] = []
+        self.role = ""
+
+    def holds(self, model: str, version: str) -> bool:
+        """Return whether a model is loaded in a version."""
+        return any(
+            (target.model, target.version) == (model, version)
+            for target in self.loaded
+        )
 
     def apply(self, intent: messages.OrderIntent) -> bool:
         """Carry out an order; return False where its fence is too old."""
@@ -50,6 +62,8 @@
             case states.OrderAction.UNLOAD:
                 if intent.target in self.loaded:
                     self.loaded.remove(intent.target)
+            case states.OrderAction.SET_ROLE:
+                self.role = intent.target.role
         return True
 
     def routes(self) -> list[web.RouteDef]:
@@ -66,7 +80,7 @@
         return web.json_response({"fence": intent.fence})
 
     async def _holdings(self, request: web.Request) -> web.Response:
-        held = engine_protocol.Holdings(tuple(self.loaded))
+        held = engine_protocol.Holdings(tuple(self.loaded), self._is_busy())
         return web.Response(
             body=msgspec.json.encode(held), content_type="application/json"
         )
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -16,11 +16,13 @@
 from oriolejunction.controllers import generation_runner
 from oriolejunction.controllers import journal_replica
 from oriolejunction.controllers import loss_policy
+from oriolejunction.controllers import order_executor
 from oriolejunction.controllers import planned_stop
 from oriolejunction.controllers import suspicion
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
 from oriolejunction.http import operators
+from oriolejunction.http import order_client
 from oriolejunction.http import service_calls
 from oriolejunction.http import service_client
 from oriolejunction import ids
@@ -29,6 +31,7 @@
 from oriolejunction.peers import control_service
 from oriolejunction.peers import journal_client
 from oriolejunction.peers import journal_service
+from oriolejunction.peers import order_duty
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
@@ -115,6 +118,11 @@
             settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
+        self._orders = order_client.OrderClient()
+        if self._replica is not None:
+            self._tasks.append(
+                asyncio.create_task(self._order_duty(instance_id).run())
+            )
         self._tasks.extend(self.serving.start())
         self._tasks.append(asyncio.create_task(self._journal_service.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
@@ -152,6 +160,7 @@
             self._journals,
             self._engines,
             self._services,
+            self._orders,
             self._control,
         ):
             await client.close()
@@ -202,6 +211,20 @@
         self._tasks.append(asyncio.create_task(formation.run()))
         self._raft_transport = transport
 
+    def _order_duty(self, instance_id: ids.InstanceId) -> order_duty.OrderDuty:
+        replica = self._replica
+        return order_duty.OrderDuty(
+            replica,
+            order_executor.ExecutorParts(
+                owner=instance_id,
+                clock=self.clock,
+                propose=self._control.propose,
+                engines=self._orders,
+                content=lambda: replica.state.history.content,
+                book=lambda: replica.state.orders,
+            ),
+        )
+
     def _replica_member(self, replica: types.ReplicaId) -> types.Member:
         return types.Member(
             replica,
