End stand-in connections when a local deployment stops

Cause: the stand-ins' listeners waited up to 60 s for open streams; a test run took 72 s instead of 12 s where a losing attempt was still connected. Ruled out: the instances, whose listeners already stop within 100 ms.

Change: the same stop timeout for the stand-ins.

--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -21,6 +21,7 @@
 from oriolejunction import wiring
 
 HOST = "127.0.0.1"
+STOP_TIMEOUT_S = 0.1
 ZONES = ("fukuoka", "kumamoto", "kagoshima")
 MODEL = "brew-assist"
 MODEL_VERSION = "1"
