--- a/src/oriolejunction/http/never_twice_calls.py
+++ b/src/oriolejunction/http/never_twice_calls.py
@@ -23,7 +23,7 @@
 CLAIM_WAIT_MS = 4_000
 RECORD_WAIT_MS = 1_000
 RECORD_RETRY_MS = 500
-RECORD_ATTEMPTS = 240
+RECORD_ATTEMPTS = 12
 REMEMBERED_DISPATCHES = 10_000
 _log = structlog.get_logger(__name__)
 
--- /dev/null
+++ b/tests/controllers/test_racing_operators.py
@@ -0,0 +1,72 @@
+"""Scenarios of operators who race each other."""
+
+import pytest
+import pytest_bdd as bdd
+
+from oriolejunction.controllers import control_state
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction.questionnaire import generate
+from oriolejunction import states
+
+bdd.scenarios("racing_operators.feature")
+
+
+@pytest.fixture
+def state():
+    return control_state.ControlState()
+
+
+@pytest.fixture
+def results():
+    return []
+
+
+def _submit(operator):
+    content = generate.configuration_of(
+        answer_files.Answers(states.Measure.LATENCY, (operator,))
+    )
+    return messages.SubmitDraft(
+        operation_id=ids.OperationId(f"submit:d-{operator}"),
+        draft_id=ids.DraftId(f"d-{operator}"),
+        base_revision=ids.NO_REVISION,
+        configuration=content,
+        answers_toml="",
+        differences=(),
+        operator=operator,
+        at_ms=0,
+    )
+
+
+@bdd.given("mika and goro each submitted a draft against revision 0")
+def _(state):
+    for operator in ("mika", "goro"):
+        control_state.apply(state, _submit(operator))
+
+
+@bdd.when(bdd.parsers.re(r"(?P<operator>\w+) accepts (his|her) draft"))
+def _(state, results, operator):
+    command = messages.AcceptDraft(
+        ids.OperationId(f"accept:d-{operator}"),
+        ids.DraftId(f"d-{operator}"),
+        operator,
+        1,
+    )
+    results.append(control_state.apply(state, command))
+
+
+@bdd.then("mika is told that revision 1 by goro was accepted first")
+def _(results):
+    assert isinstance(results[-1], messages.ChangeRefused)
+    assert "revision 1 by goro was accepted first" in results[-1].message
+
+
+@bdd.then("both answers name revision 1")
+def _(results):
+    assert [result.revision for result in results] == [1, 1]
+
+
+@bdd.then("revision 1 is in force")
+def _(state):
+    assert state.history.revision == 1
