Show the loss of an engine as a readable scenario

Cause: no test showed each fault of a stand-in engine from the caller's end.

Change: a feature with seven scenarios; the stand-in crosses a lone stream with one of another request, where it repeated an event before.

--- a/src/oriolejunction/standin/engine_faults.py
+++ b/src/oriolejunction/standin/engine_faults.py
@@ -8,7 +8,10 @@
 import collections.abc
 import enum
 
+import msgspec
+
 from oriolejunction import engine_protocol
+from oriolejunction import ids
 from oriolejunction.standin import engine_stream
 
 
@@ -135,10 +138,23 @@
                 _append(stream, last_by_stream[number])
             case FaultKind.SKIP:
                 stream.skips += 1
+            case FaultKind.CROSS if len(streams) == 1:
+                _append(stream, [_event_of_another(stream)])
             case FaultKind.CROSS:
                 _append(stream, last_by_stream[number - 1])
 
 
+def _event_of_another(stream: engine_stream.EngineStream) -> bytes:
+    request = msgspec.structs.replace(
+        stream.request,
+        generation=ids.GenerationId("another"),
+        prompt=stream.request.prompt + " another",
+    )
+    other = engine_stream.open_stream(request)
+    engine_stream.step(other)
+    return other.event_by_position[0]
+
+
 def _append(stream: engine_stream.EngineStream, events: list[bytes]) -> None:
     for event in events:
         stream.emit(stream.offset, event)
--- /dev/null
+++ b/tests/http/engine_loss.feature
@@ -0,0 +1,26 @@
+Feature: An engine is lost in the middle of an answer
+
+  Scenario Outline: The answer goes on whole on another engine
+    Given a deployment that weighs <measure> more
+    And an answer of 90 tokens is being streamed
+    When its engine is lost by "<fault>" after 20 tokens
+    Then the caller holds each of the 90 tokens once
+    And one attempt was lost with the cause "<cause>"
+    And the second engine was given the tokens already delivered
+
+    Examples:
+      | measure   | fault    | cause        |
+      | latency   | die      | silent       |
+      | resources | die      | silent       |
+      | resources | reset    | disconnected |
+      | latency   | skip     | gap          |
+      | latency   | cross    | foreign      |
+      | resources | truncate | ended_early  |
+
+  Scenario: The stream of a living engine is resumed
+    Given a deployment that weighs latency more
+    And an answer of 90 tokens is being streamed
+    When its engine is lost by "drop" after 20 tokens
+    Then the caller holds each of the 90 tokens once
+    And no attempt was lost
+    And 90 tokens were computed
--- /dev/null
+++ b/tests/http/test_engine_loss.py
@@ -0,0 +1,130 @@
+"""An engine is lost in the middle of an answer, as a caller sees it."""
+
+import asyncio
+import random
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from oriolejunction.bench import resilient_client
+from oriolejunction import clock as clocks
+from oriolejunction import demonstration
+from oriolejunction import engine_protocol
+from oriolejunction import local_deployment
+from oriolejunction.standin import chain
+from oriolejunction import states
+
+PROMPT = "Which flavours keep longest? [[length={}]]"
+
+pytest_bdd.scenarios("engine_loss.feature")
+
+
+class Scene:
+    """One deployment with one caller, in an event loop of its own."""
+
+    def __init__(self, measure):
+        self.runner = asyncio.Runner()
+        options = local_deployment.LocalOptions(measure=measure)
+        self._context = local_deployment.running(options)
+        self.deployment = self.runner.run(self._context.__aenter__())
+        self.runner.run(demonstration.accept_sample(self.deployment))
+        self.losses = []
+        for instance in self.deployment.instances:
+            instance.blackboard.attempt_losses.subscribe(self.losses.append)
+        self.answer = resilient_client.Answer()
+
+    def close(self):
+        self.runner.run(self._context.__aexit__(None, None, None))
+        self.runner.close()
+
+    async def read(self, prompt, fault, tokens):
+        client = resilient_client.ResilientClient(
+            self.deployment.addresses.callers_urls,
+            local_deployment.KEY_BY_WORKSPACE["hakata"],
+            random.Random(1),
+            clocks.SystemClock(),
+        )
+        body = {
+            "model": local_deployment.MODEL,
+            "prompt": prompt,
+            "max_tokens": 500,
+        }
+        reading = asyncio.create_task(client.stream(body, self.answer))
+        while self.answer.text.count(chain.SEPARATOR) < tokens:
+            await asyncio.sleep(0.002)
+        (busy,) = (
+            e for e in self.deployment.engines if e.generations_running()
+        )
+        busy.faults.apply(engine_protocol.Fault(fault))
+        await reading
+        await client.close()
+
+
+@pytest.fixture
+def scenes():
+    """Close the deployments of a scenario."""
+    opened = []
+    yield opened
+    for scene in opened:
+        scene.close()
+
+
+@pytest_bdd.given(
+    parsers.parse("a deployment that weighs {measure} more"),
+    target_fixture="scene",
+)
+def _deployment(measure, scenes):
+    scene = Scene(states.Measure(measure))
+    scenes.append(scene)
+    return scene
+
+
+@pytest_bdd.given(
+    parsers.parse("an answer of {length:d} tokens is being streamed"),
+    target_fixture="prompt",
+)
+def _prompt(length):
+    return PROMPT.format(length)
+
+
+@pytest_bdd.when(
+    parsers.parse('its engine is lost by "{fault}" after {tokens:d} tokens')
+)
+def _lose(scene, prompt, fault, tokens):
+    scene.runner.run(scene.read(prompt, fault, tokens))
+
+
+@pytest_bdd.then(
+    parsers.parse("the caller holds each of the {length:d} tokens once")
+)
+def _whole(scene, prompt, length):
+    version = local_deployment.MODEL_VERSION
+    verdict = chain.check_text(scene.answer.text, version, "", prompt)
+    assert verdict == chain.Verdict(True, length)
+
+
+@pytest_bdd.then(
+    parsers.parse('one attempt was lost with the cause "{cause}"')
+)
+def _lost(scene, cause):
+    assert [loss.cause.value for loss in scene.losses] == [cause]
+
+
+@pytest_bdd.then("no attempt was lost")
+def _none_lost(scene):
+    assert scene.losses == []
+
+
+@pytest_bdd.then("the second engine was given the tokens already delivered")
+def _continued(scene):
+    engines = scene.deployment.engines
+    assert sum(e.requests_run for e in engines) == 2
+    assert sum(e.tokens_prefilled_again for e in engines) >= 20
+
+
+@pytest_bdd.then(parsers.parse("{tokens:d} tokens were computed"))
+def _computed(scene, tokens):
+    engines = scene.deployment.engines
+    assert sum(e.tokens_computed for e in engines) == tokens
+    assert sum(e.reattached for e in engines) == 1
