Derive the seed of a continuation and mark the answer

Cause: a seeded request drew its first tokens' numbers again after a loss.

Change: a continuation gets a seed derived from the seed and the offset; the answer is marked X-Seed: best-effort from the start. A silent stand-in engine handles a cancel only when it is back, as a paused process does.

--- a/src/oriolejunction/bench/resume.py
+++ b/src/oriolejunction/bench/resume.py
@@ -69,6 +69,7 @@
             instance.loss_policy.override = policy
         rounds = resume_rounds.Rounds(deployment, seed, clocks.SystemClock())
         counters = _Counters(deployment)
+        await rounds.until_engines_live()
         for fault in FAULTS:
             await rounds.run(fault)
             counters.take_in()
@@ -126,6 +127,7 @@
         "resumed": tally.resume.count,
         "single_loss_p99_ms": tally.single.at_ms(99),
         "worst_ms_by_fault": tally.worst_ms_by_fault,
+        "extra_tokens_by_fault": tally.extra_tokens_by_fault,
         "extra_tokens_per_useful_token": round(
             (counters.computed() - useful) / useful, 4
         ),
--- a/src/oriolejunction/bench/resume_rounds.py
+++ b/src/oriolejunction/bench/resume_rounds.py
@@ -12,6 +12,7 @@
 from oriolejunction import local_deployment
 from oriolejunction.standin import chain
 from oriolejunction.standin import engine as standin_engine
+from oriolejunction import states
 from oriolejunction import wiring
 
 STREAMS = 24
@@ -19,6 +20,8 @@
 BEFORE_FAULT_MS = (150, 350)
 PAUSE_MS = (300, 900)
 SETTLE_MS = 50
+POLL_MS = 5
+LIVE = states.EngineState.LIVE
 ZONE = local_deployment.ZONES[0]
 
 
@@ -54,6 +57,9 @@
     worst_ms_by_fault: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    extra_tokens_by_fault: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     useful_tokens: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
 
@@ -99,16 +105,36 @@
     async def run(self, fault: RoundFault) -> None:
         """Stream answers, provoke a fault, and check all of them."""
         streams = [self._stream(fault, n) for n in range(STREAMS)]
+        computed = self._computed()
         async with asyncio.TaskGroup() as group:
             for stream in streams:
                 group.create_task(self._read(stream))
             wait_ms = self._rng.uniform(*BEFORE_FAULT_MS)
             await self._clock.sleep_ms(wait_ms)
+            await self._until_running(streams)
             affected = await self._provoke(fault, streams)
             for stream in streams:
                 stream.answer.longest_gap_ms = 0.0
         self._take_in(fault, streams, affected)
         await self._recover()
+        useful = sum(stream.length for stream in streams)
+        extra = self._computed() - computed - useful
+        self.tally.extra_tokens_by_fault[fault.value] = extra
+
+    async def until_engines_live(self) -> None:
+        """Wait until each instance knows that all engines are live."""
+        for instance in self._deployment.instances:
+            cell = instance.blackboard.engine_state_by_id
+            count = len(self._deployment.engines)
+            while list(cell.read().values()).count(LIVE) < count:
+                await self._clock.sleep_ms(SETTLE_MS)
+
+    async def _until_running(self, streams: list[Stream]) -> None:
+        while sum(bool(s.generation()) for s in streams) < STREAMS // 2:
+            await self._clock.sleep_ms(POLL_MS)
+
+    def _computed(self) -> int:
+        return sum(e.tokens_computed for e in self._deployment.engines)
 
     def _stream(self, fault: RoundFault, number: int) -> Stream:
         length = self._rng.randint(*TOKENS)
@@ -191,6 +217,8 @@
             if not whole:
                 end = stream.answer.end.value
                 tally.broken.append(f"{stream.prompt}: {verdict} {end}")
+        if not affected:
+            tally.broken.append(f"{fault.value}: no answer was hit")
         worst_ms = 0.0
         for stream in affected:
             gap_ms = stream.answer.longest_gap_ms
--- a/src/oriolejunction/controllers/generation.py
+++ b/src/oriolejunction/controllers/generation.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 
+from oriolejunction.controllers import sampling
 from oriolejunction.controllers import stop_strings
 from oriolejunction import engine_protocol
 from oriolejunction import ids
@@ -182,7 +183,9 @@
             adapter=self.request.adapter,
             prompt=self.request.prompt,
             max_tokens=self.request.max_tokens,
-            sampling=self.request.sampling,
+            sampling=sampling.continued(
+                self.request.sampling, len(forced_ids)
+            ),
             forced_ids=forced_ids,
             priority=CONTINUATION_PRIORITY if forced_ids else 0,
         )
--- a/src/oriolejunction/http/answer_stream.py
+++ b/src/oriolejunction/http/answer_stream.py
@@ -38,6 +38,7 @@
                 "Content-Type": "text/event-stream",
                 "Cache-Control": "no-cache",
             }
+            | openai_answers.marks(answer.generation)
         )
 
     async def run(
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -144,6 +144,7 @@
         return web.Response(
             body=writer.whole(generation, text),
             content_type="application/json",
+            headers=openai_answers.marks(generation),
         )
 
     async def _answer(
--- a/src/oriolejunction/http/openai_answers.py
+++ b/src/oriolejunction/http/openai_answers.py
@@ -6,10 +6,12 @@
 import orjson
 
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers import sampling
 from oriolejunction import errors
 from oriolejunction import ids
 
 DONE = b"data: [DONE]\n\n"
+SEED_HEADER = "X-Seed"
 
 
 class AnswerWriter:
@@ -121,6 +123,13 @@
     }
 
 
+def marks(generation: generations.Generation) -> dict[str, str]:
+    """Return headers that mark what a loss may change in an answer."""
+    if sampling.is_seed_best_effort(generation.request.sampling):
+        return {SEED_HEADER: "best-effort"}
+    return {}
+
+
 def error_body(error: errors.ServingError) -> bytes:
     """Return the JSON body of a failure, typed and with its outcome."""
     return orjson.dumps({"error": error_record(error)})
--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -187,6 +187,7 @@
         return response
 
     async def _cancel(self, request: web.Request) -> web.Response:
+        await self.faults.until_responsive()
         stream = self._stream_by_id.get(request.match_info["stream_id"])
         if stream is not None:
             stream.cancelled = True
--- a/src/oriolejunction/standin/engine_stream.py
+++ b/src/oriolejunction/standin/engine_stream.py
@@ -12,6 +12,7 @@
 from oriolejunction.standin import chain
 from oriolejunction import states
 
+NONCE_BITS = 64
 _encode = msgspec.json.Encoder().encode
 _decode_event = msgspec.json.Decoder(engine_protocol.EngineEvent).decode
 
@@ -73,13 +74,12 @@
     length = natural_length(request.prompt, state)
     for token in request.forced_ids:
         state = chain.following_state(state, token)
-    sampled = request.sampling.temperature > 0
     offset = len(request.forced_ids)
     return EngineStream(
         request=request,
         natural_length=length,
         state=state,
-        nonce=secrets.randbits(64) if sampled else None,
+        nonce=_nonce(request.sampling),
         previous=request.forced_ids[-1] if offset else None,
         decoder=codecs.getincrementaldecoder("utf-8")("replace"),
         offset=offset,
@@ -87,6 +87,14 @@
     )
 
 
+def _nonce(sampling: engine_protocol.Sampling) -> int | None:
+    if sampling.temperature <= 0:
+        return None
+    if sampling.seed is not None:
+        return sampling.seed % (1 << NONCE_BITS)
+    return secrets.randbits(NONCE_BITS)
+
+
 def step(stream: EngineStream) -> None:
     """Generate one token, or finish the stream."""
     request = stream.request
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -108,3 +108,21 @@
     )
     assert cut.choices[0].text == text[: text.index(stop)]
     assert cut.choices[0].finish_reason == "stop"
+
+
+@pytest.mark.parametrize(
+    "temperature, mark", [(1.0, "best-effort"), (0.0, None)]
+)
+@pytest.mark.parametrize("stream", [True, False])
+async def test_seed_of_a_sampled_answer_is_marked(
+    deployment, temperature, mark, stream
+):
+    raw = await _client(deployment).completions.with_raw_response.create(
+        model=local_deployment.MODEL,
+        prompt=PROMPT,
+        max_tokens=4,
+        temperature=temperature,
+        seed=7,
+        stream=stream,
+    )
+    assert raw.headers.get("X-Seed") == mark
