Tell the extra tokens of engine losses apart

Cause: after the death of an entry instance engines compute the orphaned streams to their end, whatever the policy; this hid what policies cost.

Change: bench resume gives the extra tokens where no entry instance is lost as a figure of its own, beside the total.

--- a/src/oriolejunction/bench/resume.py
+++ b/src/oriolejunction/bench/resume.py
@@ -119,7 +119,7 @@
 def _figures(
     tally: resume_rounds.RoundTally, counters: _Counters
 ) -> dict[str, object]:
-    useful = tally.useful_tokens
+    useful = tally.useful_tokens()
     journalled = counters.total("journal_tokens")
     per_token = counters.total("journal_bytes") / max(1.0, journalled)
     return {
@@ -131,6 +131,9 @@
         "extra_tokens_per_useful_token": round(
             (counters.computed() - useful) / useful, 4
         ),
+        "engine_loss_extra_tokens_per_useful_token": round(
+            tally.engine_loss_extra(), 4
+        ),
         "prefilled_again_per_useful_token": round(
             counters.prefilled_again() / useful, 4
         ),
--- a/src/oriolejunction/bench/resume_rounds.py
+++ b/src/oriolejunction/bench/resume_rounds.py
@@ -44,6 +44,9 @@
 }
 
 
+ENTRY_LOSSES = frozenset({RoundFault.ENTRY, RoundFault.ENTRY_AND_ENGINE})
+
+
 @dataclasses.dataclass
 class RoundTally:
     """What the rounds of one policy showed."""
@@ -60,9 +63,21 @@
     extra_tokens_by_fault: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
-    useful_tokens: int = 0
+    useful_tokens_by_fault: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     broken: list[str] = dataclasses.field(default_factory=list)
 
+    def useful_tokens(self) -> int:
+        """Return the tokens that callers got."""
+        return sum(self.useful_tokens_by_fault.values())
+
+    def engine_loss_extra(self) -> float:
+        """Return extra tokens per useful one where no entry was lost."""
+        names = [f.value for f in RoundFault if f not in ENTRY_LOSSES]
+        extra = sum(self.extra_tokens_by_fault[name] for name in names)
+        return extra / sum(self.useful_tokens_by_fault[name] for name in names)
+
 
 @dataclasses.dataclass
 class Stream:
@@ -120,6 +135,7 @@
         useful = sum(stream.length for stream in streams)
         extra = self._computed() - computed - useful
         self.tally.extra_tokens_by_fault[fault.value] = extra
+        self.tally.useful_tokens_by_fault[fault.value] = useful
 
     async def until_engines_live(self) -> None:
         """Wait until each instance knows that all engines are live."""
@@ -159,7 +175,7 @@
         affected = [s for s in streams if s.generation() in hit]
         for engine in engines:
             engine.faults.apply(self._engine_fault(fault))
-        if fault in (RoundFault.ENTRY, RoundFault.ENTRY_AND_ENGINE):
+        if fault in ENTRY_LOSSES:
             url = await self._restart_entry()
             affected += [
                 s
@@ -206,7 +222,6 @@
     ) -> None:
         tally = self.tally
         for stream in streams:
-            tally.useful_tokens += stream.length
             verdict = chain.check_text(
                 stream.answer.text,
                 local_deployment.MODEL_VERSION,
