--- a/src/oriolejunction/standin/engine_orders.py
+++ b/src/oriolejunction/standin/engine_orders.py
@@ -29,7 +29,7 @@
     ) -> None:
         self._is_busy = is_busy
         self._clock = clock
-        self._checks_fencing = checks_fencing
+        self.checks_fencing = checks_fencing
         self.loaded = list(loaded)
         self.highest_fence = 0
         self.contradictions = 0
@@ -48,7 +48,7 @@
     def apply(self, intent: messages.OrderIntent) -> bool:
         """Carry out an order; return False where its fence is too old."""
         if intent.fence < self.highest_fence:
-            if self._checks_fencing:
+            if self.checks_fencing:
                 self.refused += 1
                 return False
             self.contradictions += 1
