Measure the throughput of one serve process

Cause: the target is 16,000 tokens/s a process at p95 added delay of 2 ms. Change: bench throughput with token sources, load generators and a bare relay as processes of their own.

--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -1,11 +1,13 @@
 """The benches that run real processes, by name."""
 
 from bench import capacity
+from bench import throughput
 from oriolejunction.bench import catalogue as shipped
 from oriolejunction import errors
 
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
+    "throughput": throughput.run,
 }
 
 
--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,202 @@
+"""Tokens per second and added delay of one ``serve`` process.
+
+The process under test journals at a second one. Token sources and load
+generators are processes of their own. A bare relay carries the same events
+in the same run. Each is loaded twice: with more than it can carry, for its
+throughput, and with the target rate, for the delay since the source sent a
+token, which bounds the delay added between tokens from above.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import sys
+import tempfile
+
+import msgspec
+import psutil
+
+from bench import processes
+from bench import token_load
+from oriolejunction.bench import result
+from oriolejunction import local_deployment
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import states
+
+TARGET_TOKENS_PER_S = 16_000
+MAX_DELAY_P95_MS = 2.0
+MIN_SHARE_OF_RELAY = 0.5
+SATURATING_TOKENS_PER_S = 64_000
+LIGHT_TOKENS_PER_S = 4_000
+STREAMS = 400
+SOURCES = 2
+LOADS = 2
+MAX_SECONDS = 8.0
+ZONES = ("a", "b")
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What all load generators saw together, and the CPU used meanwhile."""
+
+    tokens_per_s: float
+    delay_p50_ms: float
+    delay_p95_ms: float
+    delay_p99_ms: float
+    refused: int
+    cpu_share: float
+
+
+@dataclasses.dataclass
+class Stage:
+    """The processes of one offered rate."""
+
+    folder: pathlib.Path
+    tokens_per_s: float
+    stack: contextlib.AsyncExitStack
+
+    async def python(self, *arguments: str) -> asyncio.subprocess.Process:
+        """Start a module of the bench and end it with the stage."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        self.stack.push_async_callback(_end, process)
+        return process
+
+    async def sources(self) -> list[str]:
+        """Start the token sources and return their URLs."""
+        urls = []
+        for port in local_deployment.free_ports(SOURCES):
+            rate = self.tokens_per_s / STREAMS
+            await self.python("bench.token_source", str(port), str(rate))
+            urls.append(f"http://{local_deployment.HOST}:{port}")
+        return urls
+
+    async def load(self, url: str, pid: int, seconds: float) -> Load:
+        """Load `url` and watch the process that serves it."""
+        process = psutil.Process(pid)
+        loads = [
+            await self.python(
+                "bench.token_load",
+                url + "/v1/completions",
+                str(STREAMS // LOADS),
+                str(seconds),
+            )
+            for _ in range(LOADS)
+        ]
+        await asyncio.sleep(token_load.SETTLE_S + token_load.OPENING_S + 1.0)
+        process.cpu_percent()
+        await asyncio.sleep(seconds / 2)
+        cpu_share = process.cpu_percent() / 100.0
+        outputs = [(await load.communicate())[0] for load in loads]
+        reports = [
+            msgspec.json.decode(output, type=token_load.LoadReport)
+            for output in outputs
+        ]
+        return _together(reports, cpu_share)
+
+
+def _together(reports: list[token_load.LoadReport], cpu_share: float) -> Load:
+    return Load(
+        tokens_per_s=round(sum(r.tokens / r.seconds for r in reports)),
+        delay_p50_ms=max(r.delay_p50_ms for r in reports),
+        delay_p95_ms=max(r.delay_p95_ms for r in reports),
+        delay_p99_ms=max(r.delay_p99_ms for r in reports),
+        refused=sum(r.refused for r in reports),
+        cpu_share=round(cpu_share, 2),
+    )
+
+
+async def _end(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+async def _serve(stage: Stage, source_urls: list[str], seconds: float) -> Load:
+    instances = processes.serve_processes(stage.folder, ZONES, replicas=1)
+    managed = [instance.managed for instance in instances]
+    stage.stack.push_async_callback(processes.stop_all, managed)
+    for process in managed:
+        await process.start()
+    urls = [instance.caller_url for instance in instances]
+    await processes.until_live(urls)
+    client = operator_client.OperatorClient(
+        instances[0].operator_url, processes.TOKEN
+    )
+    answers = answer_files.without_keys(_answers(source_urls))
+    draft = await client.submit(answer_files.dump(answers))
+    await client.accept(draft["draft_id"])
+    await processes.until_ready(urls)
+    pid = instances[1].managed.process.pid
+    return await stage.load(urls[1], pid, seconds)
+
+
+def _answers(source_urls: list[str]) -> answer_files.Answers:
+    return answer_files.Answers(
+        measure=states.Measure.LATENCY,
+        zones=ZONES,
+        models=(answer_files.ModelAnswer(local_deployment.MODEL, "1"),),
+        engines=tuple(
+            answer_files.EngineAnswer(
+                f"source-{number}", url, ZONES[0], local_deployment.MODEL
+            )
+            for number, url in enumerate(source_urls)
+        ),
+        workspaces=tuple(
+            answer_files.WorkspaceAnswer(name, key)
+            for name, key in local_deployment.KEY_BY_WORKSPACE.items()
+        ),
+    )
+
+
+async def _relay(stage: Stage, source_urls: list[str], seconds: float) -> Load:
+    (port,) = local_deployment.free_ports(1)
+    process = await stage.python("bench.bare_relay", str(port), *source_urls)
+    await asyncio.sleep(1.5)
+    url = f"http://{local_deployment.HOST}:{port}"
+    return await stage.load(url, process.pid, seconds)
+
+
+async def _measured(carrier, tokens_per_s: float, seconds: float) -> Load:
+    async with contextlib.AsyncExitStack() as stack:
+        folder = stack.enter_context(
+            tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
+        )
+        stage = Stage(pathlib.Path(folder), tokens_per_s, stack)
+        urls = await stage.sources()
+        await asyncio.sleep(1.0)
+        return await carrier(stage, urls, seconds)
+
+
+async def run(options: result.BenchOptions) -> result.BenchResult:
+    """Measure ``serve`` and the bare relay one after the other."""
+    seconds = min(options.seconds, MAX_SECONDS)
+    full = await _measured(_serve, SATURATING_TOKENS_PER_S, seconds)
+    relay = await _measured(_relay, SATURATING_TOKENS_PER_S, seconds)
+    target = await _measured(_serve, TARGET_TOKENS_PER_S, seconds)
+    light = await _measured(_serve, LIGHT_TOKENS_PER_S, seconds)
+    share = full.tokens_per_s / max(1.0, relay.tokens_per_s)
+    figures = {
+        "tokens_per_s": full.tokens_per_s,
+        "cpu_share": full.cpu_share,
+        "relay_tokens_per_s": relay.tokens_per_s,
+        "relay_cpu_share": relay.cpu_share,
+        "share_of_bare_relay": round(share, 3),
+        "added_p95_ms": target.delay_p95_ms,
+        "at_target": dataclasses.asdict(target),
+        "at_light_load": dataclasses.asdict(light),
+        "streams": STREAMS,
+        "meets_tokens_per_s": full.tokens_per_s >= TARGET_TOKENS_PER_S,
+        "meets_added_p95": target.delay_p95_ms <= MAX_DELAY_P95_MS,
+        "meets_share_of_relay": share >= MIN_SHARE_OF_RELAY,
+    }
+    refused = full.refused + relay.refused + target.refused + light.refused
+    return result.BenchResult("throughput", options.seed, figures, refused)
--- /dev/null
+++ b/bench/token_load.py
@@ -0,0 +1,124 @@
+"""Load generator, as a process of its own.
+
+Run as ``python -m bench.token_load URL STREAMS SECONDS``. Opens streams,
+lets them settle, then counts the tokens of `SECONDS` and their delays since
+the source sent them; prints one line of JSON.
+"""
+
+import asyncio
+import re
+import sys
+import time
+import urllib.parse
+
+import msgspec
+
+from oriolejunction.bench import result
+from oriolejunction import local_deployment
+
+SETTLE_S = 3.0
+MAX_TOKENS = 100_000
+OPENING_S = 1.0
+_STAMP = re.compile(rb'"T(\d+) "')
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What one load generator saw; delays in ms."""
+
+    tokens: int
+    seconds: float
+    delay_p50_ms: float
+    delay_p95_ms: float
+    delay_p99_ms: float
+    refused: int
+
+
+class Tally:
+    """Tokens and delays of the interval that counts."""
+
+    def __init__(self) -> None:
+        self.counting = False
+        self.tokens = 0
+        self.refused = 0
+        self.delays = result.Latencies()
+
+    def take(self, data: bytes) -> None:
+        """Count the events in received bytes."""
+        stamps = _STAMP.findall(data)
+        if not self.counting:
+            return
+        self.tokens += len(stamps)
+        now_us = time.monotonic_ns() // 1000
+        for stamp in stamps:
+            self.delays.record((now_us - int(stamp)) / 1000.0)
+
+
+class Reader(asyncio.Protocol):
+    """One streamed answer; an event cut by a read is not counted."""
+
+    def __init__(self, request: bytes, tally: Tally) -> None:
+        self._request = request
+        self._tally = tally
+        self._answered = False
+
+    def connection_made(self, transport) -> None:
+        """Send the request."""
+        transport.write(self._request)
+
+    def data_received(self, data: bytes) -> None:
+        """Count events, or a refusal."""
+        if not self._answered:
+            self._answered = True
+            if not data.startswith(b"HTTP/1.1 200"):
+                self._tally.refused += 1
+        self._tally.take(data)
+
+
+def _request(url: urllib.parse.SplitResult) -> bytes:
+    key = next(iter(local_deployment.KEY_BY_WORKSPACE.values()))
+    body = msgspec.json.encode(
+        {
+            "model": local_deployment.MODEL,
+            "prompt": "p",
+            "max_tokens": MAX_TOKENS,
+            "stream": True,
+        }
+    )
+    head = (
+        f"POST {url.path} HTTP/1.1\r\nHost: {url.netloc}\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def run(address: str, streams: int, seconds: float) -> LoadReport:
+    """Load one URL and return what was seen."""
+    url = urllib.parse.urlsplit(address)
+    tally = Tally()
+    loop = asyncio.get_running_loop()
+    for _ in range(streams):
+        await loop.create_connection(
+            lambda: Reader(_request(url), tally), url.hostname, url.port
+        )
+        await asyncio.sleep(OPENING_S / streams)
+    await asyncio.sleep(SETTLE_S)
+    tally.counting = True
+    start_s = time.monotonic()
+    await asyncio.sleep(seconds)
+    tally.counting = False
+    return LoadReport(
+        tokens=tally.tokens,
+        seconds=time.monotonic() - start_s,
+        delay_p50_ms=tally.delays.at_ms(50),
+        delay_p95_ms=tally.delays.at_ms(95),
+        delay_p99_ms=tally.delays.at_ms(99),
+        refused=tally.refused,
+    )
+
+
+if __name__ == "__main__":
+    report = asyncio.run(
+        run(sys.argv[1], int(sys.argv[2]), float(sys.argv[3]))
+    )
+    print(msgspec.json.encode(report).decode(), flush=True)
