--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -1,6 +1,7 @@
 """The benches that run real processes, by name."""
 
 from bench import capacity
+from bench import soak
 from bench import throughput
 from oriolejunction.bench import catalogue as shipped
 from oriolejunction import errors
@@ -8,6 +9,7 @@
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
     "throughput": throughput.run,
+    "soak-processes": soak.run,
 }
 
 
