Write acknowledged tokens without waking their streams

Cause: each token paid for a future, a wake-up of its task and aiohttp's writer; counting by label cost more than appending; one round trip a stream was under way at a time.

--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -219,6 +219,10 @@
 
     async def metrics(self, request: web.Request) -> web.Response:
         self._parts.telemetry.record_traffic(traffic.totals)
+        journals = self._parts.journals
+        self._parts.telemetry.record_journal(
+            journals.tokens, journals.bytes_sent
+        )
         content, headers = aioprometheus.render(
             self._parts.telemetry.registry,
             request.headers.getall("Accept", []),
--- a/src/oriolejunction/peers/journal_client.py
+++ b/src/oriolejunction/peers/journal_client.py
@@ -50,6 +50,8 @@
         self._telemetry = telemetry
         self._local = local
         self._open_channel = open_channel
+        self.tokens = 0
+        self.bytes_sent = 0
         self._rng = random.Random(instance_id)
         self._sender_by_address: dict[str, journal_sender.JournalSender] = {}
         self._lost_until_ms_by_id: dict[ids.InstanceId, float] = {}
@@ -68,6 +70,28 @@
             generation_id, request, self._instance_id
         )
 
+    def append_soon(
+        self,
+        journal: journal_owner.OwnedJournal,
+        deliveries: journal_owner.Deliveries,
+        finish: journal_messages.JournalFinish | None,
+        done: journal_sender.Done,
+    ) -> bool:
+        """Send deliveries to the journal's replica and return at once.
+
+        Return false, with nothing done, where the generation must first be
+        journalled whole by `append`.
+        """
+        if journal.replica is None or self._should_move(journal):
+            return False
+        sender = self._sender(journal.replica)
+        if sender is None:
+            return False
+        records = journal.extend(deliveries, finish)
+        self.tokens += sum([len(part.ids) for part in deliveries])
+        sender.submit(records, done)
+        return True
+
     async def append(
         self,
         journal: journal_owner.OwnedJournal,
@@ -80,15 +104,21 @@
         generation over.
         """
         records = journal.extend(deliveries, finish)
-        self._telemetry.journal_tokens.add(
-            {}, sum(len(part.ids) for part in deliveries)
-        )
+        self.tokens += sum([len(part.ids) for part in deliveries])
         if journal.replica is None or self._should_move(journal):
             await self._protect(journal)
             return
         if not await self._submitted(journal, journal.replica, records):
-            journal.retry_at_ms = 0.0
-            await self._protect(journal)
+            await self.move(journal)
+
+    async def move(self, journal: journal_owner.OwnedJournal) -> None:
+        """Journal a generation whole at another instance at once.
+
+        Raise `Failure` with `OwnerFenced` where another instance took the
+        generation over.
+        """
+        journal.retry_at_ms = 0.0
+        await self._protect(journal)
 
     async def close(self) -> None:
         """Give up what is pending and close all channels."""
@@ -100,8 +130,7 @@
         """Let the replica drop a journal that cannot be gone on with."""
         sender = self._sender(journal.replica)
         if sender is not None:
-            done = sender.submit((journal.closing(),))
-            done.add_done_callback(asyncio.Future.exception)
+            sender.submit((journal.closing(),), lambda refusal: None)
 
     async def take_over(
         self,
@@ -121,6 +150,8 @@
                 generation_id, request, offset, self._instance_id
             ),
         )
+        outcome = reply.refusal.value if reply.refusal else "taken"
+        self._telemetry.takeovers.inc({"outcome": outcome})
         if reply.content is None:
             raise _refused(reply.refusal)
         journal = journal_owner.OwnedJournal(
@@ -220,10 +251,11 @@
         if sender is None:
             return False
         end = journal.tokens.end
-        try:
-            refusal = await sender.submit(records)
-        except errors.Failure as failure:
-            self._note_lost(replica, failure)
+        answered = asyncio.get_running_loop().create_future()
+        sender.submit(records, _setter_of(answered))
+        refusal = await answered
+        if isinstance(refusal, journal_sender.ReplicaLost):
+            self.note_lost(replica, refusal)
             return False
         if refusal is states.JournalRefusal.FENCED:
             raise errors.Failure(
@@ -236,16 +268,18 @@
         journal.acknowledge(end)
         return True
 
-    def _note_lost(
-        self, replica: ids.InstanceId, failure: errors.Failure
+    def _count_bytes(self, size: int) -> None:
+        self.bytes_sent += size
+
+    def note_lost(
+        self, replica: ids.InstanceId, lost: journal_sender.ReplicaLost
     ) -> None:
+        """Avoid a replica that did not acknowledge for a while."""
         self._telemetry.journal_replicas_lost.inc({})
         self._lost_until_ms_by_id[replica] = (
             self._clock.now_ms() + LOST_REPLICA_MS
         )
-        _log.warning(
-            "journal replica lost", replica=replica, why=failure.error.message
-        )
+        _log.warning("journal replica lost", replica=replica, why=lost.message)
 
     def _note_leaving(self, peer_by_id) -> None:
         leaving = {
@@ -272,10 +306,18 @@
             write=rpc.encoded_caller(channel, journal_methods.WRITE),
             take_over=rpc.caller(channel, journal_methods.TAKE_OVER),
             clock=self._clock,
-            count_bytes=self._telemetry.journal_bytes.add,
+            count_bytes=self._count_bytes,
         )
 
 
+def _setter_of(answered: asyncio.Future) -> journal_sender.Done:
+    def done(refusal) -> None:
+        if not answered.done():
+            answered.set_result(refusal)
+
+    return done
+
+
 def _refused(refusal: states.JournalRefusal) -> errors.Failure:
     match refusal:
         case states.JournalRefusal.OTHER_REQUEST:
--- a/src/oriolejunction/peers/journal_sender.py
+++ b/src/oriolejunction/peers/journal_sender.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
 import grpc
@@ -14,10 +15,11 @@
 from oriolejunction import clock as clocks
 from oriolejunction import errors
 from oriolejunction import journal_messages
+from oriolejunction import states
 
 BATCH_WINDOW_MS = 2.0
 BATCH_TIMEOUT_MS = 600
-MAX_BATCH_RECORDS = 4_000
+MAX_BATCH_SUBMISSIONS = 2_000
 
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -29,7 +31,7 @@
 TakeOver = collections.abc.Callable[
     ..., collections.abc.Awaitable[journal_messages.JournalTakeOverReply]
 ]
-CountBytes = collections.abc.Callable[[dict[str, str], int], None]
+CountBytes = collections.abc.Callable[[int], None]
 
 
 class ReplicaLost(errors.ServingError):
@@ -38,12 +40,17 @@
     code = "journal_replica_lost"
 
 
-@dataclasses.dataclass(frozen=True)
+Done = collections.abc.Callable[
+    [states.JournalRefusal | ReplicaLost | None], None
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class Submission:
     """Records of one generation that wait for their acknowledgement."""
 
     records: tuple[journal_messages.JournalRecord, ...]
-    done: asyncio.Future
+    done: Done
 
 
 class JournalSender:
@@ -66,17 +73,14 @@
         self._task: asyncio.Task | None = None
 
     def submit(
-        self, records: tuple[journal_messages.JournalRecord, ...]
-    ) -> asyncio.Future:
-        """Return a future of the refusal of these records, or none.
-
-        It fails with `Failure` of `ReplicaLost` where none came in time.
-        """
-        done = asyncio.get_running_loop().create_future()
+        self,
+        records: tuple[journal_messages.JournalRecord, ...],
+        done: Done,
+    ) -> None:
+        """Send records and call `done` with why they failed, or with none."""
         self._pending.append(Submission(records, done))
         if self._task is None:
             self._task = asyncio.create_task(self._run())
-        return done
 
     async def close(self) -> None:
         """Give up what is pending and close the channel."""
@@ -93,10 +97,8 @@
             self._task = None
 
     def _take(self) -> list[Submission]:
-        taken, size = [], 0
-        while self._pending and size < MAX_BATCH_RECORDS:
-            taken.append(self._pending.pop(0))
-            size += len(taken[-1].records)
+        taken = self._pending[:MAX_BATCH_SUBMISSIONS]
+        del self._pending[:MAX_BATCH_SUBMISSIONS]
         return taken
 
     async def _send(self, submissions: list[Submission]) -> None:
@@ -109,7 +111,7 @@
                 )
             )
         )
-        self._count_bytes({}, len(batch))
+        self._count_bytes(len(batch))
         try:
             reply = await self._write(batch, timeout=BATCH_TIMEOUT_MS / 1000.0)
         except grpc.aio.AioRpcError as error:
@@ -124,13 +126,14 @@
         }
         for submission in submissions:
             first = submission.records[0]
-            if not submission.done.done():
-                submission.done.set_result(
-                    refusal_by_key.get((first.generation, first.owner))
-                )
+            refusal = None
+            if refusal_by_key:
+                refusal = refusal_by_key.get((first.generation, first.owner))
+            # A violated invariant of one stream must not stop the others.
+            with contextlib.suppress(errors.Failure):
+                submission.done(refusal)
 
 
 def _fail(submissions: list[Submission], why: str) -> None:
     for submission in submissions:
-        if not submission.done.done():
-            submission.done.set_exception(errors.Failure(ReplicaLost(why)))
+        submission.done(ReplicaLost(why))
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -27,11 +27,10 @@
         self.extra_tokens = self._counter(
             "oj_extra_tokens_total", "Tokens computed more than once."
         )
-        self.journal_bytes = self._counter(
-            "oj_journal_bytes_total", "Bytes sent to journal replicas."
-        )
-        self.journal_tokens = self._counter(
-            "oj_journal_tokens_total", "Tokens given to the journal."
+        self.journal_sent = aioprometheus.Gauge(
+            "oj_journal_sent",
+            "Tokens given to the journal and bytes sent for them.",
+            registry=self.registry,
         )
         self.journal_replicas_lost = self._counter(
             "oj_journal_replicas_lost_total",
@@ -62,6 +61,11 @@
             registry=self.registry,
         )
 
+    def record_journal(self, tokens: int, bytes_sent: int) -> None:
+        """Publish what was journalled at other instances so far."""
+        self.journal_sent.set({"kind": "tokens"}, tokens)
+        self.journal_sent.set({"kind": "bytes"}, bytes_sent)
+
     def record_traffic(self, totals: traffic.Traffic) -> None:
         """Publish the totals exchanged with peers."""
         for kind, value in dataclasses.asdict(totals).items():
