Test the log's core by a state machine under all faults

Cause: nothing drove the core through loss, crashes and wiped disks.

Change: fakes for disk and network in the bench, a hypothesis state machine with checks after each step, and bench raft, a long seeded run of the same.

--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction.bench import raft
 from oriolejunction.bench import result
 from oriolejunction.bench import soak
 from oriolejunction import errors
@@ -18,6 +19,7 @@
 
 
 BENCH_BY_NAME: dict[str, Bench] = {
+    "raft": raft.run,
     "soak": soak.run,
 }
 
--- /dev/null
+++ b/src/oriolejunction/bench/raft_group.py
@@ -0,0 +1,307 @@
+"""A group of cores on fake disks and a fake network, with its checks."""
+
+import dataclasses
+import random
+
+from oriolejunction.bench import raft_node
+from oriolejunction.consensus import membership as memberships
+from oriolejunction.consensus import repair
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
+from oriolejunction import invariants
+
+NAMES = ("fukuoka", "kumamoto", "kagoshima")
+ROUND_MS = 20.0
+MAX_MESSAGES = 400
+
+
+@dataclasses.dataclass
+class Counts:
+    """What a run went through."""
+
+    steps: int = 0
+    elections: int = 0
+    commits: int = 0
+    reads: int = 0
+    crashes: int = 0
+    wipes: int = 0
+    membership_changes: int = 0
+
+
+class Group:
+    """Nodes, messages under way and what is known to be committed."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0.0
+        self.counts = Counts()
+        self.messages: list[wire.Message] = []
+        self.cut_off: set[str] = set()
+        self.node_by_name = {
+            name: raft_node.Node(name, random.Random(f"{seed}-{name}"))
+            for name in NAMES
+        }
+        self._leader_by_term: dict[int, types.ReplicaId] = {}
+        self._committed: dict[int, types.Entry] = {}
+        self._commit_term: dict[int, int] = {}
+        self._commit = 1
+        self._values = 0
+        self._tokens = 0
+        self._form()
+
+    def _form(self) -> None:
+        voters = tuple(node.member for node in self.nodes())
+        first = types.Entry(
+            1, 1, membership=types.Membership(voters, voter_target=len(voters))
+        )
+        self._committed[1] = first
+        self._commit_term[1] = 1
+        for node in self.nodes():
+            node.disk.synced += [
+                types.HardState(1, None),
+                types.AppendEntries((first,)),
+            ]
+            node.start(self.now_ms)
+
+    def nodes(self) -> list[raft_node.Node]:
+        """Return all nodes, running or not."""
+        return list(self.node_by_name.values())
+
+    def running(self) -> list[raft_node.Node]:
+        """Return the nodes that run and are not paused."""
+        return [node for node in self.nodes() if node.is_running]
+
+    def leaders(self) -> list[raft_node.Node]:
+        """Return the running nodes that think that they lead."""
+        return [n for n in self.running() if n.core.state.is_leader()]
+
+    # One step each.
+
+    def advance(self, duration_ms: float) -> None:
+        """Move time on at all running nodes."""
+        self.now_ms += duration_ms
+        for node in self.running():
+            node.core.tick(self.now_ms)
+            self._after(node)
+
+    def deliver(self, place: int, repeat: bool = False) -> None:
+        """Deliver one message under way, in any order; maybe keep it."""
+        if not self.messages:
+            return
+        place %= len(self.messages)
+        message = self.messages[place]
+        if not repeat:
+            del self.messages[place]
+        node = self._node_of(message.to)
+        if node is None or not node.is_running:
+            return
+        if {node.name, message.sender.split(".")[0]} & self.cut_off:
+            return
+        node.core.step(message)
+        self._after(node)
+
+    def lose(self, place: int) -> None:
+        """Lose one message under way."""
+        if self.messages:
+            del self.messages[place % len(self.messages)]
+
+    def sync(self, node: raft_node.Node) -> None:
+        """Complete a node's write."""
+        if node.is_running:
+            node.sync()
+            self._after(node)
+
+    def propose(self, node: raft_node.Node) -> None:
+        """Ask a node to commit a new value."""
+        if node.is_running:
+            self._values += 1
+            node.core.propose(self._values.to_bytes(4, "big"))
+            self._after(node)
+
+    def read(self, node: raft_node.Node) -> None:
+        """Ask a node for a linearizable read."""
+        if node.is_running:
+            self._tokens += 1
+            node.reads[self._tokens] = raft_node.PendingRead(
+                self._tokens, self._commit
+            )
+            node.core.read(self._tokens)
+            self._after(node)
+
+    def crash(self, node: raft_node.Node, batch_survives: bool) -> None:
+        """End a process; its unsynced batch may be lost."""
+        if node.core is not None:
+            self.counts.crashes += 1
+            node.crash(batch_survives)
+
+    def restart(self, node: raft_node.Node) -> None:
+        """Start a process that has ended, or go on with a paused one."""
+        if node.core is None:
+            node.start(self.now_ms)
+        node.is_paused = False
+
+    def pause(self, node: raft_node.Node) -> None:
+        """Stop a process without its noticing."""
+        node.is_paused = node.core is not None
+
+    def wipe(self, node: raft_node.Node) -> None:
+        """Lose a disk, where the group was whole before.
+
+        A group survives the loss of a minority; the loss after it may come
+        as soon as a committed membership holds no lost identity.
+        """
+        if self.is_whole():
+            self.counts.wipes += 1
+            node.crash(False)
+            node.wipe()
+            node.start(self.now_ms)
+
+    def is_whole(self) -> bool:
+        """Return whether no voter of the committed membership is lost."""
+        membership = max(
+            (e for e in self._committed.values() if e.membership),
+            key=lambda entry: entry.index,
+        ).membership
+        return len(membership.voters) == len(NAMES) and all(
+            self._node_of(replica) for replica in membership.voter_ids()
+        )
+
+    def transfer(self, node: raft_node.Node, target: raft_node.Node) -> None:
+        """Ask a node to hand leadership over."""
+        if node.is_running and node is not target:
+            node.core.transfer(target.replica)
+            self._after(node)
+
+    def compact(self, node: raft_node.Node) -> None:
+        """Have a node write a snapshot."""
+        if node.is_running:
+            node.compact()
+
+    def mend(self) -> None:
+        """Let lost replicas join and the leaders repair the membership."""
+        for leader in self.leaders():
+            state = leader.core.state
+            change = repair.next_change(state)
+            for node in self.running():
+                if state.log.membership.member(node.replica) is None:
+                    change = change or memberships.with_learner(
+                        state.log.membership, node.member
+                    )
+            if change is not None and leader.core.propose_membership(change):
+                self.counts.membership_changes += 1
+            self._after(leader)
+
+    def run(self, duration_ms: float, loss: float = 0.0) -> None:
+        """Let the group work for a while, losing a share of messages."""
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.advance(ROUND_MS)
+            for node in self.running():
+                self.sync(node)
+            for _ in range(len(self.messages)):
+                if self.rng.random() < loss:
+                    self.lose(0)
+                self.deliver(0)
+            for node in self.running():
+                self.sync(node)
+            self.mend()
+
+    # What follows each step.
+
+    def _node_of(self, replica: types.ReplicaId) -> raft_node.Node | None:
+        node = self.node_by_name[replica.split(".")[0]]
+        return node if node.replica == replica else None
+
+    def _after(self, node: raft_node.Node) -> None:
+        self.counts.steps += 1
+        self._check_leader(node)
+        node.turn()
+        self.messages += node.outgoing
+        node.outgoing = []
+        del self.messages[:-MAX_MESSAGES]
+        self._check_reads(node)
+        self._check_commits(node)
+
+    def _check_leader(self, node: raft_node.Node) -> None:
+        state = node.core.state
+        if not state.is_leader():
+            return
+        known = self._leader_by_term.get(state.term)
+        if known is None:
+            self.counts.elections += 1
+            self._leader_by_term[state.term] = node.replica
+            self._check_completeness(node)
+        else:
+            invariants.require(
+                "one_leader_per_term",
+                known == node.replica,
+                term=state.term,
+                leaders=(known, node.replica),
+            )
+
+    def _check_completeness(self, node: raft_node.Node) -> None:
+        state = node.core.state
+        for index, entry in self._committed.items():
+            if self._commit_term[index] >= state.term:
+                continue
+            invariants.require(
+                "leader_has_all_committed_entries",
+                index <= state.log.base_index
+                or state.log.term_at(index) == entry.term,
+                term=state.term,
+                index=index,
+            )
+
+    def _check_reads(self, node: raft_node.Node) -> None:
+        for pending, index in node.read_results:
+            if index is not None:
+                self.counts.reads += 1
+                invariants.require(
+                    "reads_are_linearizable",
+                    index >= pending.floor,
+                    floor=pending.floor,
+                    index=index,
+                )
+        node.read_results.clear()
+
+    def _check_commits(self, node: raft_node.Node) -> None:
+        state = node.core.state
+        if node.applied < state.log.base_index <= state.commit:
+            node.applied = state.log.base_index
+        while node.applied < state.commit:
+            node.applied += 1
+            entry = state.log.entry(node.applied)
+            known = self._committed.get(entry.index)
+            if known is None:
+                self.counts.commits += 1
+                self._committed[entry.index] = entry
+                self._commit_term[entry.index] = state.term
+                self._commit = max(self._commit, entry.index)
+            invariants.require(
+                "committed_entry_never_lost",
+                known is None or known == entry,
+                index=entry.index,
+                known=known,
+                entry=entry,
+            )
+
+    def check_log_matching(self) -> None:
+        """Require that logs that agree at an index agree before it."""
+        logs = [n.core.state.log for n in self.nodes() if n.core is not None]
+        for place, one in enumerate(logs):
+            for other in logs[place + 1 :]:
+                _check_matching(one, other)
+
+
+def _check_matching(one, other) -> None:
+    index = min(one.last_index, other.last_index)
+    start = max(one.base_index, other.base_index)
+    while index > start and one.term_at(index) != other.term_at(index):
+        index -= 1
+    while index > start:
+        invariants.require(
+            "logs_match",
+            one.entry(index) == other.entry(index),
+            index=index,
+        )
+        index -= 1
--- /dev/null
+++ b/tests/consensus/test_core.py
@@ -0,0 +1,215 @@
+"""State machine over the log's core: every fault in any order."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from oriolejunction.bench import raft_group
+from oriolejunction.consensus import membership as memberships
+
+MIN_STEPS = 300_000
+MIN_ELECTIONS = 150
+NODES = strategies.sampled_from(raft_group.NAMES)
+PLACES = strategies.integers(0, raft_group.MAX_MESSAGES - 1)
+DURATIONS_MS = strategies.sampled_from((1.0, 20.0, 150.0, 800.0))
+_totals = raft_group.Counts()
+
+
+class GroupMachine(stateful.RuleBasedStateMachine):
+    """Rules do one thing; the group checks itself after each."""
+
+    @stateful.initialize(seed=strategies.integers(0, 1_000))
+    def start(self, seed):
+        self.group = raft_group.Group(seed)
+        self.group.run(2_000.0)
+
+    def node(self, name):
+        return self.group.node_by_name[name]
+
+    @stateful.rule(duration_ms=DURATIONS_MS)
+    def advance(self, duration_ms):
+        self.group.advance(duration_ms)
+
+    @stateful.rule(
+        duration_ms=strategies.sampled_from((60.0, 400.0, 2_000.0)),
+        loss=strategies.sampled_from((0.0, 0.1, 0.4)),
+    )
+    def work(self, duration_ms, loss):
+        self.group.run(duration_ms, loss)
+
+    @stateful.rule(place=PLACES, repeat=strategies.booleans())
+    def deliver(self, place, repeat):
+        self.group.deliver(place, repeat)
+
+    @stateful.rule(places=strategies.lists(PLACES, max_size=20))
+    def deliver_many_in_any_order(self, places):
+        for place in places:
+            self.group.deliver(place)
+
+    @stateful.rule(places=strategies.lists(PLACES, max_size=10))
+    def lose(self, places):
+        for place in places:
+            self.group.lose(place)
+
+    @stateful.rule(name=NODES)
+    def sync(self, name):
+        self.group.sync(self.node(name))
+
+    @stateful.rule(name=NODES)
+    def propose(self, name):
+        self.group.propose(self.node(name))
+
+    @stateful.rule()
+    def propose_everywhere(self):
+        for node in self.group.nodes():
+            self.group.propose(node)
+
+    @stateful.rule(name=NODES)
+    def read(self, name):
+        self.group.read(self.node(name))
+
+    @stateful.rule(duration_ms=DURATIONS_MS)
+    def propose_and_read_at_leaders(self, duration_ms):
+        for leader in self.group.leaders():
+            self.group.propose(leader)
+            self.group.read(leader)
+        self.group.run(duration_ms)
+
+    @stateful.rule(batch_survives=strategies.booleans())
+    def crash_leaders(self, batch_survives):
+        for leader in self.group.leaders():
+            self.group.crash(leader, batch_survives)
+
+    @stateful.rule(name=NODES, batch_survives=strategies.booleans())
+    def crash(self, name, batch_survives):
+        self.group.crash(self.node(name), batch_survives)
+
+    @stateful.rule(name=NODES)
+    def restart(self, name):
+        self.group.restart(self.node(name))
+
+    @stateful.rule()
+    def restart_all(self):
+        for node in self.group.nodes():
+            self.group.restart(node)
+
+    @stateful.rule(name=NODES)
+    def pause(self, name):
+        self.group.pause(self.node(name))
+
+    @stateful.rule(name=NODES)
+    def cut_off(self, name):
+        self.group.cut_off = {name}
+
+    @stateful.rule()
+    def rejoin(self):
+        self.group.cut_off = set()
+
+    @stateful.rule(name=NODES)
+    def compact(self, name):
+        self.group.compact(self.node(name))
+
+    @stateful.rule(name=NODES, heir=NODES)
+    def transfer(self, name, heir):
+        self.group.transfer(self.node(name), self.node(heir))
+
+    @stateful.rule(first=NODES, second=NODES)
+    def lose_second_disk_right_after_repair(self, first, second):
+        group = self.group
+        group.cut_off = set()
+        self.restart_all()
+        group.wipe(self.node(first))
+        for _ in range(100):
+            group.run(100.0)
+            if group.is_whole():
+                break
+        if first != second:
+            group.wipe(self.node(second))
+
+    @stateful.invariant()
+    def logs_match(self):
+        if hasattr(self, "group"):
+            self.group.check_log_matching()
+
+    def teardown(self):
+        if not hasattr(self, "group"):
+            return
+        counts = self.group.counts
+        _totals.steps += counts.steps
+        _totals.elections += counts.elections
+        _totals.commits += counts.commits
+        _totals.reads += counts.reads
+        _totals.wipes += counts.wipes
+
+
+def test_group_keeps_its_promises_under_all_faults():
+    stateful.run_state_machine_as_test(
+        GroupMachine,
+        settings=hypothesis.settings(
+            max_examples=100, stateful_step_count=60, deadline=None
+        ),
+    )
+    print(_totals)
+    assert _totals.steps >= MIN_STEPS
+    assert _totals.elections >= MIN_ELECTIONS
+    assert _totals.commits and _totals.reads and _totals.wipes
+
+
+def test_group_works_again_after_all_faults_end():
+    group = raft_group.Group(7)
+    group.run(2_000.0)
+    for node in group.nodes():
+        group.crash(node, False)
+    group.run(1_000.0)
+    for node in group.nodes():
+        group.restart(node)
+    group.run(4_000.0)
+    leader = group.leaders()[0]
+    commits = group.counts.commits
+    group.propose(leader)
+    group.read(leader)
+    group.run(500.0)
+    assert group.counts.commits > commits
+    assert group.counts.reads == 1
+
+
+def test_paused_voter_is_not_replaced():
+    group = raft_group.Group(3)
+    group.run(2_000.0)
+    paused = next(n for n in group.nodes() if n not in group.leaders())
+    group.pause(paused)
+    group.run(30_000.0)
+    group.restart(paused)
+    group.run(1_000.0)
+    membership = group.leaders()[0].core.state.log.membership
+    assert paused.replica in membership.voter_ids()
+    assert group.counts.membership_changes == 0
+
+
+def test_removed_replica_is_told_and_comes_back_as_learner():
+    group = raft_group.Group(5)
+    group.run(2_000.0)
+    leader = group.leaders()[0]
+    removed = next(n for n in group.nodes() if n is not leader)
+    group.pause(removed)
+    others = leader.core.state.log.membership
+    group.run(5_000.0)
+    leader = group.leaders()[0]
+    assert leader.core.propose_membership(
+        memberships.without(others, removed.replica)
+    )
+    group.run(500.0)
+    term = leader.core.state.term
+    group.restart(removed)
+    assert removed.core.state.is_voter()
+    for _ in range(200):
+        group.advance(20.0)
+        for node in group.running():
+            group.sync(node)
+        for _ in range(len(group.messages)):
+            group.deliver(0)
+    assert removed.core.state.removed
+    assert leader.core.state.term == term
+    group.run(5_000.0)
+    membership = group.leaders()[0].core.state.log.membership
+    assert removed.replica in membership.voter_ids()
