--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -109,6 +109,11 @@
                 f" lease {row['lease_left_ms']} ms"
                 f"{' leaving' if row['leaving'] else ''}"
             )
+        for row in reply["replicas"]:
+            print(
+                f"  control replica {row['replica']} on {row['instance']}"
+                f" ({row['zone']}){'' if row['votes'] else ', learning'}"
+            )
 
     def audit(self, url: str | None = None, token: str | None = None) -> None:
         """Print the trail of changes, complete since the first."""
--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -13,6 +13,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import serving
 from oriolejunction import settings as instance_settings
 from oriolejunction.standin import engine as standin_engine
 from oriolejunction.standin import service as standin_service
@@ -25,6 +26,7 @@
 MODEL_VERSION = "1"
 SERVICE = "order-desk"
 ENGINE_COUNT = 5
+STANDIN_SHUTDOWN_S = 0.1
 REPLICAS = 3
 KEY_BY_WORKSPACE = {"hakata": "hakata-key", "aso": "aso-key"}
 
@@ -55,6 +57,7 @@
     key_by_workspace: dict[str, str] = dataclasses.field(
         default_factory=lambda: dict(KEY_BY_WORKSPACE)
     )
+    serving_options: serving.ServingOptions = serving.ServingOptions()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,12 +179,16 @@
             ),
             drain_delay_ms=100,
         )
-        instance = wiring.Instance(settings, clocks.SystemClock())
+        instance = wiring.Instance(
+            settings, clocks.SystemClock(), self.options.serving_options
+        )
         await instance.start()
         self.instances.append(instance)
 
     async def _serve(self, app: web.Application) -> str:
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=STANDIN_SHUTDOWN_S
+        )
         await runner.setup()
         site = web.TCPSite(runner, HOST, 0)
         await site.start()
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -15,8 +15,9 @@
 from oriolejunction.consensus import types
 from oriolejunction.controllers import generation_runner
 from oriolejunction.controllers import journal_replica
+from oriolejunction.controllers import loss_policy
 from oriolejunction.controllers import planned_stop
-from oriolejunction.controllers import routing
+from oriolejunction.controllers import suspicion
 from oriolejunction.http import callers
 from oriolejunction.http import engine_client
 from oriolejunction.http import operators
@@ -32,6 +33,7 @@
 from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
 from oriolejunction.peers import transport as transports
+from oriolejunction import serving
 from oriolejunction import settings as instance_settings
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
@@ -44,12 +46,20 @@
     """One running process of the system."""
 
     def __init__(
-        self, settings: instance_settings.Settings, clock: clocks.Clock
+        self,
+        settings: instance_settings.Settings,
+        clock: clocks.Clock,
+        serving_options: serving.ServingOptions | None = None,
     ) -> None:
+        self._serving_options = serving_options or serving.ServingOptions(
+            max_requests=settings.max_requests,
+            platform_list_url=settings.platform_list_url,
+        )
         self.settings = settings
         self.clock = clock
         self.blackboard = blackboards.Blackboard()
         self.telemetry = metrics.Telemetry()
+        self.loss_policy = loss_policy.PolicyChoice(self.blackboard)
         self._transport = transports.from_settings(settings)
         self._write_state = self.blackboard.instance_state.own("wiring")
         self._tasks: list[asyncio.Task] = []
@@ -70,11 +80,19 @@
         """Open the listeners and begin to serve."""
         settings = self.settings
         instance_id = ids.InstanceId(settings.instance_id)
+        self._engines = engine_client.EngineClient()
+        self.serving = serving.Serving(
+            instance_id,
+            self.clock,
+            self.blackboard,
+            self._engines,
+            self._transport,
+            self._serving_options,
+        )
         await self._start_peer_listener(instance_id)
         self._control = control_client.ControlClient(
             settings.control_address_by_id(), self._transport
         )
-        self._engines = engine_client.EngineClient()
         self._services = service_client.ServiceClient()
         self._journals = journal_client.JournalClient(
             instance_id,
@@ -94,6 +112,7 @@
             settings.peer_listen,
         )
         self._tasks.append(asyncio.create_task(watch.run()))
+        self._tasks.extend(self.serving.start())
         self._tasks.append(asyncio.create_task(self._journal_service.run()))
         caller_app = callers.application(self._caller_parts(instance_id))
         caller_app.middlewares.append(self._count_in_flight)
@@ -119,6 +138,7 @@
             await runner.cleanup()
         for task in self._tasks:
             await configuration_watch.stop_task(task)
+        await self.serving.close()
         for client in (
             self._journals,
             self._engines,
@@ -141,6 +161,7 @@
         self._server = grpc.aio.server()
         if self.settings.data_dir is not None:
             self._add_replica(instance_id)
+        self.serving.gossip.add_to(self._server)
         self._journal_service.add_to(self._server)
         self._transport.listen(self._server, self.settings.peer_listen)
         await self._server.start()
@@ -181,22 +202,24 @@
         )
 
     def _caller_parts(self, instance_id: ids.InstanceId):
-        rng = random.Random(instance_id)
         return callers.CallerParts(
             instance_id=instance_id,
             clock=self.clock,
             blackboard=self.blackboard,
             telemetry=self.telemetry,
             runner=generation_runner.RunnerParts(
-                engines=self._engines,
-                choose_engine=routing.random_choice(self.blackboard, rng),
+                engines=self.serving.engines,
+                choose_engine=self.serving.dispatcher.choose,
                 telemetry=self.telemetry,
                 clock=self.clock,
                 attempt_losses=self.blackboard.attempt_losses,
+                suspicion=suspicion.Suspicion(),
+                policy=self.loss_policy.current,
             ),
             services=service_calls.ServiceCalls(
                 instance_id, self.clock, self._services, self._control
             ),
+            gate=self.serving.gate,
             journals=self._journals,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -1,11 +1,20 @@
 """State machine over the log's core: every fault in any order."""
 
+import random
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
+from oriolejunction.bench import raft
 from oriolejunction.bench import raft_group
+from oriolejunction.consensus import core as cores
+from oriolejunction.consensus import election
+from oriolejunction.consensus import log as logs
 from oriolejunction.consensus import membership as memberships
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
 
 MIN_STEPS = 300_000
 MIN_ELECTIONS = 150
@@ -213,3 +222,40 @@
     group.run(5_000.0)
     membership = group.leaders()[0].core.state.log.membership
     assert removed.replica in membership.voter_ids()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_seeded_run_keeps_its_promises(seed):
+    group = raft_group.Group(seed)
+    rng = random.Random(seed)
+    for _ in range(15_000):
+        raft.act(group, rng)
+    group.check_log_matching()
+    assert group.counts.commits > 50
+
+
+def test_entry_of_former_term_is_not_committed_by_counting():
+    members = tuple(
+        types.Member(types.ReplicaId(name), name, name, name) for name in "abc"
+    )
+    log = logs.Log(
+        types.Membership(members, voter_target=3),
+        entries=(types.Entry(1, 1), types.Entry(2, 2)),
+    )
+    core = cores.Core(
+        types.ReplicaId("a"),
+        log,
+        types.HardState(3, None),
+        0,
+        0.0,
+        random.Random(1),
+    )
+    election.campaign(core.state)
+    core.step(wire.VoteReply("b", "a", 4, True, False))
+    assert core.state.is_leader()
+    core.take_output()
+    core.synced(3, 4)
+    core.step(wire.AppendReply("b", "a", 4, True, 2, 1))
+    assert core.state.commit == 0
+    core.step(wire.AppendReply("b", "a", 4, True, 3, 1))
+    assert core.state.commit == 3
