--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction.bench import fencing
 from oriolejunction.bench import raft
 from oriolejunction.bench import result
 from oriolejunction.bench import resume
@@ -20,6 +21,7 @@
 
 
 BENCH_BY_NAME: dict[str, Bench] = {
+    "fencing": fencing.fencing,
     "raft": raft.run,
     "resume": resume.run,
     "soak": soak.run,
