--- a/src/oriolejunction/bench/resume.py
+++ b/src/oriolejunction/bench/resume.py
@@ -69,6 +69,7 @@
             instance.loss_policy.override = policy
         rounds = resume_rounds.Rounds(deployment, seed, clocks.SystemClock())
         counters = _Counters(deployment)
+        await rounds.until_engines_live()
         for fault in FAULTS:
             await rounds.run(fault)
             counters.take_in()
@@ -118,7 +119,7 @@
 def _figures(
     tally: resume_rounds.RoundTally, counters: _Counters
 ) -> dict[str, object]:
-    useful = tally.useful_tokens
+    useful = tally.useful_tokens()
     journalled = counters.total("journal_tokens")
     per_token = counters.total("journal_bytes") / max(1.0, journalled)
     return {
@@ -126,9 +127,13 @@
         "resumed": tally.resume.count,
         "single_loss_p99_ms": tally.single.at_ms(99),
         "worst_ms_by_fault": tally.worst_ms_by_fault,
+        "extra_tokens_by_fault": tally.extra_tokens_by_fault,
         "extra_tokens_per_useful_token": round(
             (counters.computed() - useful) / useful, 4
         ),
+        "engine_loss_extra_tokens_per_useful_token": round(
+            tally.engine_loss_extra(), 4
+        ),
         "prefilled_again_per_useful_token": round(
             counters.prefilled_again() / useful, 4
         ),
