--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,111 @@
+"""What a crash leaves on disk, and what damage is refused."""
+
+import pytest
+
+from oriolejunction.consensus import audit_file
+from oriolejunction.consensus import storage as storages
+from oriolejunction.consensus import types
+from oriolejunction import errors
+from oriolejunction import ids
+from oriolejunction import messages
+from oriolejunction import states
+
+
+def _entry(index):
+    return types.Entry(index, 1, f"command-{index}".encode())
+
+
+def _written(folder, count):
+    storage = storages.Storage.create(folder)
+    storage.write([types.HardState(1, types.ReplicaId("a"))])
+    for index in range(1, count + 1):
+        storage.write([types.AppendEntries((_entry(index),))])
+    storage.close()
+    return next(folder.glob("wal-*.log"))
+
+
+@pytest.mark.parametrize("cut", range(1, 40, 5))
+def test_torn_tail_is_cut_off(tmp_path, cut):
+    path = _written(tmp_path, 5)
+    path.write_bytes(path.read_bytes()[:-cut])
+    storage = storages.Storage.load(tmp_path)
+    last = storage.log.last_index
+    assert 3 <= last <= 4
+    storage.write([types.AppendEntries((_entry(last + 1),))])
+    storage.close()
+    assert storages.Storage.load(tmp_path).log.last_index == last + 1
+
+
+@pytest.mark.parametrize("place", [0.3, 0.5, 0.7])
+def test_corrupted_middle_is_refused(tmp_path, place):
+    path = _written(tmp_path, 30)
+    data = bytearray(path.read_bytes())
+    data[int(len(data) * place)] ^= 0x40
+    path.write_bytes(data)
+    with pytest.raises(errors.Failure) as caught:
+        storages.Storage.load(tmp_path)
+    assert isinstance(caught.value.error, errors.CorruptLog)
+
+
+def test_missing_log_is_refused(tmp_path):
+    with pytest.raises(errors.Failure) as caught:
+        storages.Storage.load(tmp_path)
+    assert isinstance(caught.value.error, errors.CorruptLog)
+
+
+def test_term_vote_and_truncation_survive(tmp_path):
+    storage = storages.Storage.create(tmp_path)
+    storage.write(
+        [
+            types.HardState(3, types.ReplicaId("b")),
+            types.AppendEntries((_entry(1), _entry(2))),
+            types.TruncateLog(2),
+        ]
+    )
+    storage.close()
+    again = storages.Storage.load(tmp_path)
+    assert again.hard_state == types.HardState(3, types.ReplicaId("b"))
+    assert again.log.last_index == 1
+
+
+def test_installed_snapshot_survives(tmp_path):
+    storage = storages.Storage.create(tmp_path)
+    snapshot = types.Snapshot(9, 2, types.Membership(()), 1, b"state")
+    storage.write([types.HardState(2, None), snapshot])
+    storage.write([types.AppendEntries((types.Entry(10, 2, b"next"),))])
+    storage.close()
+    again = storages.Storage.load(tmp_path)
+    assert again.snapshot == snapshot
+    assert (again.log.base_index, again.log.last_index) == (9, 10)
+
+
+def _change(number):
+    return messages.AuditEntry(
+        number=number,
+        at_ms=number,
+        operator="operator",
+        action=states.ChangeAction.SUBMIT,
+        draft_id=ids.DraftId(f"d-{number}"),
+        revision=ids.Revision(0),
+        answers_digest="",
+        differences=(),
+    )
+
+
+def test_trail_is_read_in_pages_and_survives(tmp_path):
+    trail = audit_file.AuditFile(tmp_path)
+    trail.append_missing([_change(n) for n in range(1, 201)])
+    trail.close()
+    trail = audit_file.AuditFile(tmp_path)
+    trail.append_missing([_change(n) for n in range(150, 251)])
+    entries = []
+    while page := trail.read(len(entries), 70):
+        entries.extend(page)
+    assert [entry.number for entry in entries] == list(range(1, 251))
+
+
+def test_gap_in_trail_is_refused(tmp_path):
+    trail = audit_file.AuditFile(tmp_path)
+    trail.append_missing([_change(1)])
+    with pytest.raises(errors.Failure):
+        trail.append_missing([_change(3)])
