--- a/src/oriolejunction/peers/journal_client.py
+++ b/src/oriolejunction/peers/journal_client.py
@@ -14,6 +14,7 @@
 from oriolejunction import errors
 from oriolejunction import ids
 from oriolejunction import journal_messages
+from oriolejunction import messages
 from oriolejunction.peers import journal_methods
 from oriolejunction.peers import journal_sender
 from oriolejunction.peers import journal_service
@@ -55,9 +56,10 @@
         self._rng = random.Random(instance_id)
         self._sender_by_address: dict[str, journal_sender.JournalSender] = {}
         self._lost_until_ms_by_id: dict[ids.InstanceId, float] = {}
+        self._closing: set[asyncio.Task] = set()
         self._leaving: frozenset[ids.InstanceId] = frozenset()
         self._subscription = blackboard.instance_by_id.changes().subscribe(
-            self._note_leaving
+            self._note_peers
         )
 
     def new_journal(
@@ -281,11 +283,19 @@
         )
         _log.warning("journal replica lost", replica=replica, why=lost.message)
 
-    def _note_leaving(self, peer_by_id) -> None:
-        leaving = {
-            peer.instance for peer in peer_by_id.values() if peer.leaving
-        }
-        self._leaving = frozenset(leaving)
+    def _note_peers(
+        self, peer_by_id: dict[ids.InstanceId, messages.PeerInstance]
+    ) -> None:
+        peers = peer_by_id.values()
+        self._leaving = frozenset(
+            peer.instance for peer in peers if peer.leaving
+        )
+        addresses = {peer.peer_address for peer in peers}
+        for address in self._sender_by_address.keys() - addresses:
+            sender = self._sender_by_address.pop(address)
+            closing = asyncio.create_task(sender.close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def _sender(
         self, replica: ids.InstanceId | None
--- a/src/oriolejunction/peers/journal_sender.py
+++ b/src/oriolejunction/peers/journal_sender.py
@@ -86,6 +86,7 @@
         """Give up what is pending and close the channel."""
         if self._task is not None:
             self._task.cancel()
+        _fail(self._take_all(), "replica left")
         await self._channel.close()
 
     async def _run(self) -> None:
@@ -96,6 +97,10 @@
         finally:
             self._task = None
 
+    def _take_all(self) -> list[Submission]:
+        taken, self._pending = self._pending, []
+        return taken
+
     def _take(self) -> list[Submission]:
         taken = self._pending[:MAX_BATCH_SUBMISSIONS]
         del self._pending[:MAX_BATCH_SUBMISSIONS]
@@ -117,6 +122,9 @@
         except grpc.aio.AioRpcError as error:
             _fail(submissions, str(error.code()))
             return
+        except grpc.aio.UsageError as error:
+            _fail(submissions, repr(error))
+            return
         except asyncio.CancelledError:
             _fail(submissions, "instance stops")
             raise
--- /dev/null
+++ b/tests/peers/test_journal_sender.py
@@ -0,0 +1,124 @@
+"""Batches to a journal replica, and what becomes of their records."""
+
+import asyncio
+
+import grpc
+import msgspec
+
+from oriolejunction import clock as clocks
+from oriolejunction import journal_messages
+from oriolejunction.peers import journal_sender
+from oriolejunction import states
+
+_decode = msgspec.msgpack.Decoder(journal_messages.JournalBatch).decode
+
+
+class Replica:
+    """Takes batches; answers when told to."""
+
+    def __init__(self):
+        self.batches = []
+        self.answers = asyncio.Queue()
+
+    async def write(self, data, timeout):
+        self.batches.append(_decode(data).records)
+        answer = await self.answers.get()
+        if isinstance(answer, Exception):
+            raise answer
+        return journal_messages.JournalBatchReply(answer)
+
+    async def close(self):
+        """Stand in for the channel."""
+
+
+def _sender(replica, clock):
+    return journal_sender.JournalSender(
+        replica, replica.write, None, clock, lambda size: None
+    )
+
+
+def _append(offset, generation="g", owner=1):
+    return journal_messages.JournalAppend(
+        generation, owner, offset, (offset,), "x"
+    )
+
+
+async def _turn(clock):
+    for _ in range(5):
+        await asyncio.sleep(0)
+    clock.advance(journal_sender.BATCH_WINDOW_MS)
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def test_one_batch_is_under_way_and_records_keep_their_order():
+    clock, replica, done = clocks.ManualClock(), Replica(), []
+    sender = _sender(replica, clock)
+    sender.submit((_append(0),), done.append)
+    sender.submit((_append(0, "h"),), done.append)
+    await _turn(clock)
+    sender.submit((_append(1),), done.append)
+    sender.submit((_append(2),), done.append)
+    await _turn(clock)
+    assert [len(batch) for batch in replica.batches] == [2]
+    assert done == []
+    replica.answers.put_nowait(())
+    await _turn(clock)
+    assert done == [None, None]
+    assert [record.offset for record in replica.batches[1]] == [1, 2]
+    await sender.close()
+
+
+async def test_refusal_reaches_only_its_generation_and_owner():
+    clock, replica, done = clocks.ManualClock(), Replica(), {}
+    sender = _sender(replica, clock)
+    for owner in (1, 2):
+        for generation in "gh":
+            sender.submit(
+                (_append(0, generation, owner),),
+                lambda refusal, key=(generation, owner): done.update(
+                    {key: refusal}
+                ),
+            )
+    refused = journal_messages.JournalRefused(
+        "g", 1, states.JournalRefusal.FENCED
+    )
+    replica.answers.put_nowait((refused,))
+    await _turn(clock)
+    fenced = states.JournalRefusal.FENCED
+    assert done == {
+        ("g", 1): fenced,
+        ("h", 1): None,
+        ("g", 2): None,
+        ("h", 2): None,
+    }
+    await sender.close()
+
+
+async def test_lost_replica_fails_its_batch_and_the_next_one_goes_out():
+    clock, replica, done = clocks.ManualClock(), Replica(), []
+    sender = _sender(replica, clock)
+    sender.submit((_append(0),), done.append)
+    await _turn(clock)
+    sender.submit((_append(0, "h"),), done.append)
+    replica.answers.put_nowait(grpc.aio.UsageError("channel is closed"))
+    await _turn(clock)
+    assert isinstance(done[0], journal_sender.ReplicaLost)
+    replica.answers.put_nowait(())
+    await _turn(clock)
+    assert done[1:] == [None]
+    await sender.close()
+
+
+async def test_closing_fails_what_is_under_way_and_what_waits():
+    clock, replica, done = clocks.ManualClock(), Replica(), []
+    sender = _sender(replica, clock)
+    sender.submit((_append(0),), done.append)
+    await _turn(clock)
+    sender.submit((_append(1),), done.append)
+    await sender.close()
+    await asyncio.sleep(0)
+    assert [type(refusal) for refusal in done] == [
+        journal_sender.ReplicaLost,
+        journal_sender.ReplicaLost,
+    ]
