--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -22,6 +22,7 @@
 from oriolejunction.consensus import types
 from oriolejunction.consensus import wire
 from oriolejunction.controllers import control_state
+from oriolejunction import ids
 from oriolejunction import messages
 
 TICK_MS = 20
@@ -207,6 +208,19 @@
             raise replicas.NotLeader(self.leader_address())
         await self._applier.applied(index)
 
+    def members(self) -> tuple[messages.ReplicaStatus, ...]:
+        """Return the replicas of the group as known here."""
+        latest = self.membership
+        return tuple(
+            messages.ReplicaStatus(
+                instance=ids.InstanceId(member.instance),
+                zone=ids.ZoneId(member.zone),
+                replica=member.replica,
+                votes=member in latest.voters,
+            )
+            for member in latest.members()
+        )
+
     async def audit(
         self, start: int, limit: int
     ) -> tuple[messages.AuditEntry, ...]:
