Let the token sources of the bench tell their room

Cause: admission counts 32 streams an engine where none is told, and refused 331 to 336 of the 400 streams of bench throughput. Change: the sources report max_running of 1,000 and what they run.

--- a/bench/token_source.py
+++ b/bench/token_source.py
@@ -16,6 +16,8 @@
 from oriolejunction import local_deployment
 
 TICK_S = 0.001
+MAX_STREAMS = 1_000
+STREAM_TOKENS_PER_S = 1_000.0
 HIGH_WATER_BYTES = 1 << 20
 _decode = msgspec.json.Decoder(engine_protocol.GenerateRequest).decode
 _encode = msgspec.json.Encoder().encode
@@ -95,7 +97,14 @@
             )
             self._streams.add(self._stream)
             return
-        report = engine_protocol.LoadReport("source", "1", 0, 0, 1_000.0)
+        report = engine_protocol.LoadReport(
+            engine_id="source",
+            incarnation="1",
+            running=len(self._streams),
+            waiting=0,
+            tokens_per_s=STREAM_TOKENS_PER_S,
+            max_running=MAX_STREAMS,
+        )
         reply = _encode(report) if head.startswith(b"GET") else b"{}"
         self._transport.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
