--- a/bench/lease_load.py
+++ b/bench/lease_load.py
@@ -6,6 +6,7 @@
 import grpc
 
 from oriolejunction import ids
+from oriolejunction import local_deployment
 from oriolejunction import messages
 from oriolejunction.peers import configuration_watch
 from oriolejunction.peers import methods
@@ -48,16 +49,21 @@
         interval_s = configuration_watch.RENEW_INTERVAL_MS / 1000.0
         await asyncio.sleep(interval_s * (number % 16) / 16)
         applied = ids.NO_REVISION
+        known_peers = 0
         while True:
             request = messages.RenewRequest(
                 instance=ids.InstanceId(f"holder-{number}"),
                 zone=ids.ZoneId(f"zone-{number % 17}"),
                 incarnation="bench",
                 applied=applied,
+                peer_address=f"{local_deployment.HOST}:{number + 1}",
+                known_peers=known_peers,
             )
             try:
                 reply = await renew(request, timeout=RENEW_TIMEOUT_S)
                 applied = reply.revision
+                if reply.peers is not None:
+                    known_peers = reply.peers_digest
                 self.renewals += 1
             except grpc.aio.AioRpcError:
                 self.failures += 1
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -29,7 +29,6 @@
 from oriolejunction.http import service_calls
 from oriolejunction import ids
 from oriolejunction.peers import journal_client
-from oriolejunction.peers import traffic
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
@@ -242,7 +241,7 @@
         return web.json_response({"live": True})
 
     async def metrics(self, request: web.Request) -> web.Response:
-        self._parts.telemetry.record_traffic(traffic.totals)
+        self._parts.telemetry.record_process()
         content, headers = aioprometheus.render(
             self._parts.telemetry.registry,
             request.headers.getall("Accept", []),
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -4,6 +4,7 @@
 
 import aioprometheus
 
+from oriolejunction import invariants
 from oriolejunction.peers import traffic
 
 
@@ -61,6 +62,17 @@
             "Bytes and messages exchanged with peers by this process.",
             registry=self.registry,
         )
+        self.invariants_violated = aioprometheus.Gauge(
+            "oj_invariants_violated",
+            "Assertions of the program that failed, by name.",
+            registry=self.registry,
+        )
+
+    def record_process(self) -> None:
+        """Publish what is counted for the process as a whole."""
+        self.record_traffic(traffic.totals)
+        for name, count in invariants.violations_by_name.items():
+            self.invariants_violated.set({"invariant": name}, count)
 
     def record_traffic(self, totals: traffic.Traffic) -> None:
         """Publish the totals exchanged with peers."""
--- /dev/null
+++ b/tests/test_operator_pages.py
@@ -0,0 +1,114 @@
+"""The commands on the operators' pages are run as they stand there."""
+
+import asyncio
+import os
+import pathlib
+import re
+import shlex
+import sys
+
+import pytest
+
+from oriolejunction import invariants
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import telemetry
+
+ROOT = pathlib.Path(__file__).parent.parent
+COMMAND = re.compile(r"(?:`|^    )(oriolejunction [^`\n]+)", re.MULTILINE)
+PROGRAMS = frozenset({"local", "demo", "bench", "engine", "service"})
+EMPTY_LINES = b"\n" * 400
+TIMEOUT_S = 60.0
+
+
+def commands_of(page):
+    found = COMMAND.findall(page.read_text())
+    return [each for each in found if each.split()[1] not in PROGRAMS]
+
+
+PAGES = [
+    page
+    for page in sorted((ROOT / "docs" / "operators").glob("*.md"))
+    if commands_of(page)
+]
+
+
+class Shell:
+    """Run commands against a deployment, as an operator would."""
+
+    def __init__(self, deployment, folder):
+        addresses = deployment.addresses
+        self._folder = folder
+        self._environment = {
+            "PYTHONPATH": str(ROOT / "src"),
+            "PATH": os.environ["PATH"],
+            "ORIOLEJUNCTION_OPERATOR_URL": addresses.operators_urls[0],
+            "ORIOLEJUNCTION_OPERATOR_TOKEN": addresses.operator_token,
+        }
+        answers = answer_files.dump(deployment.sample_answers())
+        (folder / "answers.toml").write_text(answers)
+        (folder / "examples").symlink_to(ROOT / "examples")
+        self._draft = "no-draft"
+        self._revision = "0"
+
+    async def run(self, command):
+        """Return exit status and output; remember draft and revision."""
+        words = [self._filled_in(word) for word in shlex.split(command)[1:]]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "oriolejunction",
+            *words,
+            cwd=self._folder,
+            env=self._environment,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        async with asyncio.timeout(TIMEOUT_S):
+            output, _ = await process.communicate(EMPTY_LINES)
+        self._remember(output.decode())
+        return process.returncode, output.decode()
+
+    def _filled_in(self, word):
+        if word == "DRAFT" or word.startswith("d-"):
+            return self._draft
+        return self._revision if word in ("REVISION", "N") else word
+
+    def _remember(self, output):
+        if found := re.search(r"draft (d-\S+)", output):
+            self._draft = found[1]
+        if found := re.search(r"revision (\d+)", output):
+            self._revision = found[1]
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.stem)
+async def test_commands_on_page(page, deployment, tmp_path):
+    shell = Shell(deployment, tmp_path)
+    for command in commands_of(page):
+        status, output = await shell.run(command)
+        if command.split()[1] == "serve":
+            assert "--instance-id / ORIOLEJUNCTION_INSTANCE_ID" in output
+        else:
+            assert status == 0, f"{command}: {output}"
+
+
+def test_every_metric_is_on_its_page():
+    page = (ROOT / "docs" / "operators" / "metrics.md").read_text()
+    metrics = telemetry.Telemetry().registry.get_all()
+    missing = [m.name for m in metrics if f"`{m.name}`" not in page]
+    assert missing == []
+
+
+def test_every_invariant_is_on_its_page():
+    page = (ROOT / "docs" / "INVARIANTS.md").read_text()
+    functions = [
+        name for name in vars(invariants) if name.startswith("require_")
+    ]
+    missing = [name for name in functions if f"`{name}`" not in page]
+    assert missing == []
+
+
+def test_links_between_pages_lead_somewhere():
+    for page in (ROOT / "docs").rglob("*.md"):
+        for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+            assert (page.parent / target).exists(), f"{page}: {target}"
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -6,9 +6,11 @@
 import orjson
 import pytest
 
+from oriolejunction.consensus import segments
 from oriolejunction import errors
 from oriolejunction.http import engine_client
 from oriolejunction.http import openai_requests
+from oriolejunction.http import resumption
 from oriolejunction import messages
 from oriolejunction.peers import methods
 from oriolejunction.questionnaire import answers as answer_files
@@ -119,3 +121,48 @@
     except msgspec.DecodeError:
         return
     assert isinstance(message, messages.Message)
+
+
+@hypothesis.given(strategies.lists(strategies.binary(min_size=1)))
+def test_log_segment_gives_back_its_records(bodies):
+    data = b"".join(map(segments.frame, bodies))
+    assert segments.read_frames(data, "log") == (bodies, len(data))
+
+
+@hypothesis.given(
+    strategies.lists(strategies.binary(min_size=1, max_size=40), min_size=1),
+    strategies.data(),
+)
+def test_torn_tail_of_log_segment_is_cut_off(bodies, data):
+    whole = b"".join(map(segments.frame, bodies))
+    last = len(segments.frame(bodies[-1]))
+    kept = len(whole) - data.draw(strategies.integers(1, last))
+    found, end = segments.read_frames(whole[:kept], "log")
+    assert found == bodies[:-1]
+    assert end == len(whole) - last
+
+
+@hypothesis.given(
+    strategies.lists(strategies.binary(min_size=1, max_size=40), min_size=2),
+    strategies.data(),
+)
+def test_damaged_middle_of_log_segment_is_refused(bodies, data):
+    whole = bytearray(b"".join(map(segments.frame, bodies)))
+    first = len(segments.frame(bodies[0]))
+    position = data.draw(strategies.integers(0, first - 1))
+    whole[position] ^= data.draw(strategies.integers(1, 255))
+    with pytest.raises(errors.Failure) as caught:
+        segments.read_frames(bytes(whole), "log")
+    assert isinstance(caught.value.error, errors.CorruptLog)
+
+
+@hypothesis.given(strategies.text(max_size=80))
+def test_event_id_of_any_text(text):
+    try:
+        event_id = resumption.parse_event_id(text)
+    except errors.Failure as failure:
+        assert isinstance(
+            failure.error, (errors.ResumeRefused, errors.GenerationLost)
+        )
+    else:
+        assert event_id.offset >= 0
