--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -3,11 +3,13 @@
 from bench import capacity
 from bench import ledger
 from bench import soak
+from bench import throughput
 from oriolejunction.bench import catalogue as shipped
 from oriolejunction import errors
 
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
+    "throughput": throughput.run,
     "ledger": ledger.run,
     "soak-processes": soak.run,
 }
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -319,14 +319,24 @@
     leaving: bool
 
 
+class ReplicaStatus(Message, frozen=True):
+    """One control replica; a lost disk came back with a new id."""
+
+    instance: ids.InstanceId
+    zone: ids.ZoneId
+    replica: str
+    votes: bool
+
+
 class StatusReply(Message, frozen=True):
-    """The current revision and each lease-holder."""
+    """The current revision, each lease-holder and the control replicas."""
 
     revision: ids.Revision
     leader: ids.InstanceId
     instances: tuple[InstanceStatus, ...]
     not_leader: bool = False
     leader_hint: str | None = None
+    replicas: tuple[ReplicaStatus, ...] = ()
 
 
 class AuditRequest(Message, frozen=True):
