--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -1,6 +1,7 @@
 """The benches that run real processes, by name."""
 
 from bench import capacity
+from bench import config
 from bench import ledger
 from bench import soak
 from oriolejunction.bench import catalogue as shipped
@@ -8,6 +9,7 @@
 
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
+    "config": config.run,
     "ledger": ledger.run,
     "soak-processes": soak.run,
 }
--- /dev/null
+++ b/bench/config.py
@@ -0,0 +1,370 @@
+"""Bench ``config``: when an accepted revision is in force everywhere.
+
+Seven instances, three of them control replicas. The revision in force is
+asked of each instance itself.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import shutil
+import tempfile
+import time
+
+import aiohttp
+
+from bench import processes
+from oriolejunction.bench import result
+from oriolejunction import errors
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
+from oriolejunction import states
+
+INSTANCES = 7
+REPLICAS = 3
+ZONES = ("fukuoka", "kumamoto", "kagoshima")
+BOUND_MS = 6_000.0
+POLL_S = 0.02
+POLL_TIMEOUT_S = 0.5
+GIVE_UP_S = 20.0
+QUIET_CHANGES = 20
+FAULT_ROUNDS = 3
+MANY_CHANGES = 500
+
+
+@dataclasses.dataclass
+class Seen:
+    """What the run has seen; any of the counts is a violation."""
+
+    acknowledged: dict[int, str] = dataclasses.field(default_factory=dict)
+    revision_by_url: dict[str, int] = dataclasses.field(default_factory=dict)
+    reverts: int = 0
+    unfinished: int = 0
+
+    def observe(self, url: str, revision: int) -> None:
+        """Take in the revision in force at an instance."""
+        if revision < self.revision_by_url.get(url, 0):
+            self.reverts += 1
+        self.revision_by_url[url] = revision
+
+
+class Deployment:
+    """The processes, and changes made and observed from outside."""
+
+    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+        zones = [ZONES[n % len(ZONES)] for n in range(INSTANCES)]
+        self.instances = processes.serve_processes(
+            folder, zones, REPLICAS, ("--drain-delay-ms=100",)
+        )
+        self.rng = random.Random(seed)
+        self.seen = Seen()
+        self.latencies_by_case: dict[str, result.Latencies] = {}
+        self.latencies = result.Latencies()
+        self._changes = 0
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
+        )
+
+    async def start(self) -> None:
+        """Start all instances and put a first revision in force."""
+        for instance in self.instances:
+            await instance.managed.start()
+        await processes.until_live(i.caller_url for i in self.instances)
+        await self.change("first")
+        await processes.until_ready(i.caller_url for i in self.instances)
+
+    async def close(self) -> None:
+        """Kill what runs."""
+        await self._session.close()
+        await processes.stop_all(i.managed for i in self.instances)
+
+    def operator(self, instance) -> operator_client.OperatorClient:
+        """Return a client of an instance's operators' listener."""
+        return operator_client.OperatorClient(
+            instance.operator_url, processes.TOKEN
+        )
+
+    def answers(self) -> str:
+        """Return answers that differ from all before."""
+        self._changes += 1
+        answers = answer_files.Answers(
+            measure=states.Measure.LATENCY,
+            zones=ZONES,
+            models=(answer_files.ModelAnswer("brew-assist", "1"),),
+            engines=(
+                answer_files.EngineAnswer(
+                    "engine-0", "http://127.0.0.1:9", ZONES[0], "brew-assist"
+                ),
+            ),
+            workspaces=(
+                answer_files.WorkspaceAnswer(
+                    "hakata", "hakata-key", tokens_per_s=self._changes
+                ),
+            ),
+        )
+        return answer_files.dump(answer_files.without_keys(answers))
+
+    async def insist(self, call):
+        """Repeat an idempotent order until it is answered."""
+        deadline_s = time.monotonic() + GIVE_UP_S
+        while True:
+            try:
+                return await call()
+            except errors.Failure:
+                if time.monotonic() > deadline_s:
+                    raise
+                await asyncio.sleep(0.1)
+
+    async def draft(self, instance) -> str:
+        """Submit new answers and return the draft's id."""
+        text = self.answers()
+        client = self.operator(instance)
+        return (await self.insist(lambda: client.submit(text)))["draft_id"]
+
+    async def change(self, case: str, excluded=(), before=None) -> None:
+        """Accept a new revision; record when it is in force everywhere."""
+        entry = self.rng.choice(
+            [i for i in self.instances if i not in excluded]
+        )
+        draft = await self.draft(entry)
+        if before is not None:
+            await before()
+        started_s = time.monotonic()
+        client = self.operator(entry)
+        accepting = asyncio.create_task(
+            self.insist(lambda: client.accept(draft))
+        )
+        expected = max(self.seen.acknowledged, default=0) + 1
+        try:
+            async with asyncio.timeout(GIVE_UP_S):
+                await asyncio.gather(
+                    *(
+                        self.until_in_force(instance, expected)
+                        for instance in self.instances
+                        if instance not in excluded
+                    )
+                )
+                elapsed_ms = (time.monotonic() - started_s) * 1000.0
+                revision = (await accepting)["revision"]
+        except TimeoutError:
+            accepting.cancel()
+            self.seen.unfinished += 1
+            return
+        self.seen.acknowledged[revision] = draft
+        answered_ms = (time.monotonic() - started_s) * 1000.0
+        self.record(case, elapsed_ms)
+        self.record(f"{case}_answered", answered_ms)
+        if case != "first":
+            self.latencies.record(max(elapsed_ms, answered_ms))
+
+    def record(self, case: str, elapsed_ms: float) -> None:
+        """Add a duration to a case."""
+        self.latencies_by_case.setdefault(case, result.Latencies()).record(
+            elapsed_ms
+        )
+
+    async def until_in_force(self, instance, revision: int) -> None:
+        """Wait until an instance itself says that it applies a revision."""
+        while await self.revision_at(instance) < revision:
+            await asyncio.sleep(POLL_S)
+
+    async def revision_at(self, instance) -> int:
+        """Return the revision that an instance serves under, 0 for none."""
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self._session.get(
+                instance.caller_url + "/ready"
+            ) as response:
+                if response.status == 200:
+                    revision = (await response.json())["revision"]
+                    self.seen.observe(instance.caller_url, revision)
+                    return revision
+        return 0
+
+    async def status(self) -> dict:
+        """Return the status from any instance that answers."""
+        while True:
+            for instance in self.instances:
+                with contextlib.suppress(errors.Failure):
+                    return await self.operator(instance).status()
+            await asyncio.sleep(0.1)
+
+    async def leader(self):
+        """Return the control leader's instance."""
+        name = (await self.status())["leader"]
+        return next(i for i in self.instances if i.managed.name == name)
+
+    async def restart(self, instance) -> None:
+        """Start an instance again and wait until it is ready."""
+        await instance.managed.start()
+        await processes.until_ready([instance.caller_url])
+
+    async def until_repaired(self, lost: set[str]) -> None:
+        """Wait until the voters are as many as before, none of them lost."""
+        async with asyncio.timeout(GIVE_UP_S):
+            while True:
+                rows = (await self.status())["replicas"]
+                voters = {r["replica"] for r in rows if r["votes"]}
+                if len(voters) == REPLICAS and not voters & lost:
+                    return
+                await asyncio.sleep(0.1)
+
+
+async def quiet(deployment: Deployment) -> None:
+    """Change while nothing fails."""
+    for _ in range(QUIET_CHANGES):
+        await deployment.change("quiet")
+
+
+async def leader_killed(deployment: Deployment) -> None:
+    """Kill the control leader as the order is given."""
+    for _ in range(FAULT_ROUNDS):
+        leader = await deployment.leader()
+        await deployment.change(
+            "leader_killed", (leader,), leader.managed.kill
+        )
+        await deployment.restart(leader)
+
+
+async def instance_paused(deployment: Deployment) -> None:
+    """Pause an instance as the order is given, the leader among them."""
+    leader = await deployment.leader()
+    others = [i for i in deployment.instances if i is not leader]
+    for paused in (deployment.rng.choice(others), leader):
+
+        async def pause(instance=paused) -> None:
+            instance.managed.pause()
+
+        await deployment.change("instance_paused", (paused,), pause)
+        paused.managed.resume()
+        await processes.until_ready([paused.caller_url])
+
+
+async def voters_lost(deployment: Deployment) -> None:
+    """Lose a voter's disk, await the repair, then lose a second voter."""
+    leader = await deployment.leader()
+    replicas = deployment.instances[:REPLICAS]
+    first, second = [i for i in replicas if i is not leader]
+    await _lose_disk(deployment, first)
+    await deployment.change("voter_lost", (first,))
+    await _return_empty(deployment, first)
+    await _lose_disk(deployment, second)
+    await deployment.change("second_voter_lost", (second,))
+    await _return_empty(deployment, second)
+    await deployment.change("repaired")
+
+
+async def _lose_disk(deployment: Deployment, instance) -> None:
+    await instance.managed.kill()
+    shutil.rmtree(instance.data_dir)
+
+
+async def _return_empty(deployment: Deployment, instance) -> None:
+    rows = (await deployment.status())["replicas"]
+    name = instance.managed.name
+    lost = {r["replica"] for r in rows if r["instance"] == name}
+    started_s = time.monotonic()
+    await deployment.restart(instance)
+    await deployment.until_repaired(lost)
+    deployment.record("repair", (time.monotonic() - started_s) * 1000.0)
+
+
+async def many_changes(deployment: Deployment) -> None:
+    """Accept many revisions one after the other, without a pause."""
+    accepting = []
+    for _ in range(MANY_CHANGES):
+        client = deployment.operator(
+            deployment.rng.choice(deployment.instances)
+        )
+        expected = max(deployment.seen.acknowledged) + 1
+        reply = {"revision": -1}
+        while reply["revision"] != expected - 1:
+            text = deployment.answers()
+            reply = await deployment.insist(lambda: client.submit(text))
+        draft = reply["draft_id"]
+        deployment.seen.acknowledged[expected] = draft
+        accepting.append(
+            asyncio.create_task(_accept(deployment, client, draft, expected))
+        )
+    deployment.seen.unfinished += sum(await asyncio.gather(*accepting))
+
+
+async def _accept(deployment, client, draft: str, expected: int) -> int:
+    try:
+        reply = await deployment.insist(lambda: client.accept(draft))
+    except errors.Failure:
+        return 1
+    return int(reply["revision"] != expected)
+
+
+async def restart_all(deployment: Deployment) -> int:
+    """Kill and start all; return how many changes are not in the trail."""
+    for instance in deployment.instances:
+        await instance.managed.kill()
+    for instance in deployment.instances:
+        await instance.managed.start()
+    await processes.until_ready(i.caller_url for i in deployment.instances)
+    acknowledged = deployment.seen.acknowledged
+    await asyncio.gather(
+        *(
+            deployment.until_in_force(instance, max(acknowledged))
+            for instance in deployment.instances
+        )
+    )
+    trail = await deployment.operator(deployment.instances[-1]).audit()
+    entries = trail["entries"]
+    accepted = {
+        entry["revision"]: entry["draft_id"]
+        for entry in entries
+        if entry["action"] == states.ChangeAction.ACCEPT.value
+    }
+    gaps = sum(
+        entry["number"] != place
+        for place, entry in enumerate(entries, start=1)
+    )
+    return gaps + sum(
+        accepted.get(revision) != draft
+        for revision, draft in acknowledged.items()
+    )
+
+
+async def run(options: result.BenchOptions) -> result.BenchResult:
+    """Run all cases once."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(pathlib.Path(folder), options.seed)
+        try:
+            await deployment.start()
+            for case in (
+                quiet,
+                leader_killed,
+                instance_paused,
+                voters_lost,
+                many_changes,
+            ):
+                await case(deployment)
+            forgotten = await restart_all(deployment)
+        finally:
+            await deployment.close()
+    return _result(options, deployment, forgotten)
+
+
+def _result(options, deployment: Deployment, forgotten: int):
+    seen = deployment.seen
+    latencies = deployment.latencies
+    figures = latencies.figures("in_force") | {
+        "changes": len(seen.acknowledged),
+        "reverts": seen.reverts,
+        "forgotten": forgotten,
+        "unfinished": seen.unfinished,
+    }
+    for case, measured in deployment.latencies_by_case.items():
+        figures[f"{case}_p50_ms"] = measured.at_ms(50)
+        figures[f"{case}_max_ms"] = measured.at_ms(100)
+    late = int(latencies.at_ms(100) > BOUND_MS)
+    return result.BenchResult(
+        "config",
+        options.seed,
+        figures,
+        seen.reverts + forgotten + seen.unfinished + late,
+    )
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -237,7 +237,8 @@
             raise errors.Failure(
                 errors.NotReady("instance is leaving", retry_after_ms=500)
             )
-        return web.json_response({"ready": True})
+        current = self._parts.blackboard.in_force.read()
+        return web.json_response({"ready": True, "revision": current.revision})
 
     async def live(self, request: web.Request) -> web.Response:
         return web.json_response({"live": True})
--- a/src/oriolejunction/peers/control_service.py
+++ b/src/oriolejunction/peers/control_service.py
@@ -71,7 +71,9 @@
             )
         except replicas.OutcomeUnknown:
             return messages.ProposeReply(unknown=True)
-        if not isinstance(result, messages.ChangeAccepted):
+        is_accepted = isinstance(result, messages.ChangeAccepted)
+        is_draft = isinstance(request.command, messages.SubmitDraft)
+        if is_draft or not is_accepted:
             return messages.ProposeReply(result=result)
         in_force = await self._wait_in_force(result.revision)
         return messages.ProposeReply(result=result, in_force=in_force)
