--- /dev/null
+++ b/tests/consensus/test_membership.py
@@ -0,0 +1,100 @@
+"""Which membership changes a leader may propose, and when."""
+
+import random
+
+from oriolejunction.consensus import core as cores
+from oriolejunction.consensus import election
+from oriolejunction.consensus import log as logs
+from oriolejunction.consensus import membership as memberships
+from oriolejunction.consensus import repair
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
+
+
+def _member(name, instance=None):
+    return types.Member(types.ReplicaId(name), instance or name, name, name)
+
+
+START = types.Membership(tuple(map(_member, "abc")), voter_target=3)
+
+
+def _leader():
+    core = cores.Core(
+        types.ReplicaId("a"),
+        logs.Log(START),
+        types.HardState(0, None),
+        0,
+        0.0,
+        random.Random(1),
+    )
+    election.campaign(core.state)
+    core.step(wire.VoteReply("b", "a", 1, True, False))
+    core.take_output()
+    return core
+
+
+def _commit_all(core):
+    last = core.state.log.last_index
+    core.take_output()
+    core.synced(last, 1)
+    core.step(wire.AppendReply("b", "a", 1, True, last, core.state.round))
+    assert core.state.commit == last
+
+
+def test_change_waits_for_entry_of_own_term():
+    core = _leader()
+    change = memberships.with_learner(START, _member("d"))
+    assert not core.propose_membership(change)
+    _commit_all(core)
+    assert core.propose_membership(change)
+
+
+def test_change_waits_for_change_before():
+    core = _leader()
+    _commit_all(core)
+    first = memberships.with_learner(START, _member("d"))
+    second = memberships.with_learner(first, _member("e"))
+    assert core.propose_membership(first)
+    assert not core.propose_membership(second)
+    _commit_all(core)
+    assert core.propose_membership(second)
+
+
+def test_two_voters_are_not_changed_at_once():
+    core = _leader()
+    _commit_all(core)
+    swapped = types.Membership(tuple(map(_member, "abd")), voter_target=3)
+    assert not core.propose_membership(swapped)
+
+
+def _repaired(core, membership):
+    assert core.propose_membership(membership)
+    _commit_all(core)
+
+
+def test_lost_disk_is_replaced_learner_first():
+    core = _leader()
+    _commit_all(core)
+    returned = _member("c2", instance="c")
+    _repaired(core, memberships.with_learner(START, returned))
+    last = core.state.log.last_index
+    now_ms = 0.0
+    while now_ms <= repair.REPLACED_AFTER_MS:
+        assert repair.next_change(core.state) is None
+        now_ms += 600.0
+        core.tick(now_ms)
+        for name in ("b", "c2"):
+            core.step(wire.AppendReply(name, "a", 1, True, last, 1))
+    promoted = repair.next_change(core.state)
+    assert promoted.voter_ids() == {"a", "b", "c", "c2"}
+    assert core.propose_membership(promoted)
+    following = repair.next_change(core.state)
+    assert following.voter_ids() == {"a", "b", "c2"}
+
+
+def test_new_leader_drops_no_voter_that_it_has_not_heard():
+    wide = types.Membership(tuple(map(_member, "abcd")), voter_target=3)
+    core = _leader()
+    _commit_all(core)
+    assert core.propose_membership(wide)
+    assert repair.next_change(core.state) is None
--- /dev/null
+++ b/tests/peers/test_raft_formation.py
@@ -0,0 +1,122 @@
+"""A group is formed only where all listed disks are empty."""
+
+import random
+
+import grpc
+import pytest
+
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import types
+from oriolejunction.peers import raft_formation
+from oriolejunction.peers import raft_methods
+from oriolejunction.peers import raft_service
+
+NAMES = ("a", "b", "c")
+
+
+class Network:
+    """Calls the services of other replicas; the silent raise."""
+
+    def __init__(self, root):
+        self.root = root
+        self.replica_by_name = {}
+        self.silent = set()
+
+    def send(self, group, message, address):
+        """Lose all messages of the log."""
+
+    def open(self, name):
+        folder = self.root / name
+        folder.mkdir()
+        self.replica_by_name[name] = raft_replica.RaftReplica(
+            folder,
+            lambda replica: types.Member(replica, name, name, name),
+            self,
+            clocks.ManualClock(),
+            random.Random(1),
+        )
+
+    def formation(self, name):
+        return raft_formation.Formation(
+            self.replica_by_name[name], self, clocks.ManualClock(), NAMES
+        )
+
+    def caller(self, address, method):
+        async def call(request, timeout):
+            replica = self.replica_by_name.get(address)
+            if replica is None or address in self.silent:
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.UNAVAILABLE, None, None
+                )
+            service = raft_service.RaftService(replica, self)
+            handler = {
+                raft_methods.HELLO: service._hello,
+                raft_methods.FORM: service._form,
+                raft_methods.JOIN: service._join,
+            }[method]
+            return await handler(request)
+
+        return call
+
+    def groups(self):
+        return [r.group for r in self.replica_by_name.values()]
+
+
+@pytest.fixture
+async def network(tmp_path):
+    fake = Network(tmp_path)
+    for name in NAMES:
+        fake.open(name)
+    yield fake
+    for replica in fake.replica_by_name.values():
+        await replica.close()
+
+
+async def test_first_forms_one_group_of_all(network):
+    for name in ("c", "b"):
+        await network.formation(name)._find_group()
+    assert network.groups() == [None, None, None]
+    await network.formation("a")._find_group()
+    assert len(set(network.groups())) == 1
+    assert network.groups()[0] is not None
+
+
+async def test_no_group_while_a_listed_replica_is_silent(network):
+    network.silent.add("c")
+    await network.formation("a")._find_group()
+    assert network.groups() == [None, None, None]
+
+
+async def test_two_wiped_disks_form_no_group_beside_a_member(network):
+    replica = network.replica_by_name["c"]
+    replica.form(
+        types.GroupId("old"),
+        types.Membership((replica.member,), voter_target=3),
+    )
+    for name in ("a", "b"):
+        await network.formation(name)._find_group()
+    assert network.groups() == [None, None, "old"]
+
+
+async def test_half_formed_group_is_completed_by_identity(network):
+    replicas = network.replica_by_name
+    members = tuple(r.member for r in replicas.values())
+    membership = types.Membership(members, voter_target=3)
+    replicas["b"].form(types.GroupId("new"), membership)
+    await network.formation("b")._complete_formation()
+    assert network.groups() == ["new", "new", "new"]
+
+
+async def test_wiped_disk_is_not_taken_into_half_formed_group(network):
+    replicas = network.replica_by_name
+    members = (
+        replicas["a"].member,
+        replicas["b"].member,
+        types.Member(types.ReplicaId("lost"), "c", "c", "c"),
+    )
+    replicas["a"].form(
+        types.GroupId("new"), types.Membership(members, voter_target=3)
+    )
+    await network.formation("a")._complete_formation()
+    assert network.groups() == ["new", "new", None]
