--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -4,12 +4,14 @@
 from bench import config
 from bench import ledger
 from bench import soak
+from bench import throughput
 from oriolejunction.bench import catalogue as shipped
 from oriolejunction import errors
 
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
     "config": config.run,
+    "throughput": throughput.run,
     "ledger": ledger.run,
     "soak-processes": soak.run,
 }
--- a/src/oriolejunction/peers/journal_client.py
+++ b/src/oriolejunction/peers/journal_client.py
@@ -14,6 +14,7 @@
 from oriolejunction import errors
 from oriolejunction import ids
 from oriolejunction import journal_messages
+from oriolejunction import messages
 from oriolejunction.peers import journal_methods
 from oriolejunction.peers import journal_sender
 from oriolejunction.peers import journal_service
@@ -50,12 +51,15 @@
         self._telemetry = telemetry
         self._local = local
         self._open_channel = open_channel
+        self.tokens = 0
+        self.bytes_sent = 0
         self._rng = random.Random(instance_id)
         self._sender_by_address: dict[str, journal_sender.JournalSender] = {}
         self._lost_until_ms_by_id: dict[ids.InstanceId, float] = {}
+        self._closing: set[asyncio.Task] = set()
         self._leaving: frozenset[ids.InstanceId] = frozenset()
         self._subscription = blackboard.instance_by_id.changes().subscribe(
-            self._note_leaving
+            self._note_peers
         )
 
     def new_journal(
@@ -68,6 +72,28 @@
             generation_id, request, self._instance_id
         )
 
+    def append_soon(
+        self,
+        journal: journal_owner.OwnedJournal,
+        deliveries: journal_owner.Deliveries,
+        finish: journal_messages.JournalFinish | None,
+        done: journal_sender.Done,
+    ) -> bool:
+        """Send deliveries to the journal's replica and return at once.
+
+        Return false, with nothing done, where the generation must first be
+        journalled whole by `append`.
+        """
+        if journal.replica is None or self._should_move(journal):
+            return False
+        sender = self._sender(journal.replica)
+        if sender is None:
+            return False
+        records = journal.extend(deliveries, finish)
+        self.tokens += sum([len(part.ids) for part in deliveries])
+        sender.submit(records, done)
+        return True
+
     async def append(
         self,
         journal: journal_owner.OwnedJournal,
@@ -80,15 +106,21 @@
         generation over.
         """
         records = journal.extend(deliveries, finish)
-        self._telemetry.journal_tokens.add(
-            {}, sum(len(part.ids) for part in deliveries)
-        )
+        self.tokens += sum([len(part.ids) for part in deliveries])
         if journal.replica is None or self._should_move(journal):
             await self._protect(journal)
             return
         if not await self._submitted(journal, journal.replica, records):
-            journal.retry_at_ms = 0.0
-            await self._protect(journal)
+            await self.move(journal)
+
+    async def move(self, journal: journal_owner.OwnedJournal) -> None:
+        """Journal a generation whole at another instance at once.
+
+        Raise `Failure` with `OwnerFenced` where another instance took the
+        generation over.
+        """
+        journal.retry_at_ms = 0.0
+        await self._protect(journal)
 
     async def close(self) -> None:
         """Give up what is pending and close all channels."""
@@ -100,8 +132,7 @@
         """Let the replica drop a journal that cannot be gone on with."""
         sender = self._sender(journal.replica)
         if sender is not None:
-            done = sender.submit((journal.closing(),))
-            done.add_done_callback(asyncio.Future.exception)
+            sender.submit((journal.closing(),), lambda refusal: None)
 
     async def take_over(
         self,
@@ -121,6 +152,8 @@
                 generation_id, request, offset, self._instance_id
             ),
         )
+        outcome = reply.refusal.value if reply.refusal else "taken"
+        self._telemetry.takeovers.inc({"outcome": outcome})
         if reply.content is None:
             raise _refused(reply.refusal)
         journal = journal_owner.OwnedJournal(
@@ -220,10 +253,11 @@
         if sender is None:
             return False
         end = journal.tokens.end
-        try:
-            refusal = await sender.submit(records)
-        except errors.Failure as failure:
-            self._note_lost(replica, failure)
+        answered = asyncio.get_running_loop().create_future()
+        sender.submit(records, _setter_of(answered))
+        refusal = await answered
+        if isinstance(refusal, journal_sender.ReplicaLost):
+            self.note_lost(replica, refusal)
             return False
         if refusal is states.JournalRefusal.FENCED:
             raise errors.Failure(
@@ -236,22 +270,32 @@
         journal.acknowledge(end)
         return True
 
-    def _note_lost(
-        self, replica: ids.InstanceId, failure: errors.Failure
+    def _count_bytes(self, size: int) -> None:
+        self.bytes_sent += size
+
+    def note_lost(
+        self, replica: ids.InstanceId, lost: journal_sender.ReplicaLost
     ) -> None:
+        """Avoid a replica that did not acknowledge for a while."""
         self._telemetry.journal_replicas_lost.inc({})
         self._lost_until_ms_by_id[replica] = (
             self._clock.now_ms() + LOST_REPLICA_MS
         )
-        _log.warning(
-            "journal replica lost", replica=replica, why=failure.error.message
-        )
+        _log.warning("journal replica lost", replica=replica, why=lost.message)
 
-    def _note_leaving(self, peer_by_id) -> None:
-        leaving = {
-            peer.instance for peer in peer_by_id.values() if peer.leaving
-        }
-        self._leaving = frozenset(leaving)
+    def _note_peers(
+        self, peer_by_id: dict[ids.InstanceId, messages.PeerInstance]
+    ) -> None:
+        peers = peer_by_id.values()
+        self._leaving = frozenset(
+            peer.instance for peer in peers if peer.leaving
+        )
+        addresses = {peer.peer_address for peer in peers}
+        for address in self._sender_by_address.keys() - addresses:
+            sender = self._sender_by_address.pop(address)
+            closing = asyncio.create_task(sender.close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def _sender(
         self, replica: ids.InstanceId | None
@@ -272,10 +316,18 @@
             write=rpc.encoded_caller(channel, journal_methods.WRITE),
             take_over=rpc.caller(channel, journal_methods.TAKE_OVER),
             clock=self._clock,
-            count_bytes=self._telemetry.journal_bytes.add,
+            count_bytes=self._count_bytes,
         )
 
 
+def _setter_of(answered: asyncio.Future) -> journal_sender.Done:
+    def done(refusal) -> None:
+        if not answered.done():
+            answered.set_result(refusal)
+
+    return done
+
+
 def _refused(refusal: states.JournalRefusal) -> errors.Failure:
     match refusal:
         case states.JournalRefusal.OTHER_REQUEST:
