--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -29,7 +29,6 @@
 from oriolejunction.http import service_calls
 from oriolejunction import ids
 from oriolejunction.peers import journal_client
-from oriolejunction.peers import traffic
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
@@ -237,13 +236,14 @@
             raise errors.Failure(
                 errors.NotReady("instance is leaving", retry_after_ms=500)
             )
-        return web.json_response({"ready": True})
+        current = self._parts.blackboard.in_force.read()
+        return web.json_response({"ready": True, "revision": current.revision})
 
     async def live(self, request: web.Request) -> web.Response:
         return web.json_response({"live": True})
 
     async def metrics(self, request: web.Request) -> web.Response:
-        self._parts.telemetry.record_traffic(traffic.totals)
+        self._parts.telemetry.record_process()
         journals = self._parts.journals
         self._parts.telemetry.record_journal(
             journals.tokens, journals.bytes_sent
