--- a/src/oriolejunction/bench/resume_rounds.py
+++ b/src/oriolejunction/bench/resume_rounds.py
@@ -230,8 +230,7 @@
             )
             whole = verdict == chain.Verdict(True, stream.length)
             if not whole:
-                end = stream.answer.end.value
-                tally.broken.append(f"{stream.prompt}: {verdict} {end}")
+                tally.broken.append(_description(stream, verdict))
         if not affected:
             tally.broken.append(f"{fault.value}: no answer was hit")
         worst_ms = 0.0
@@ -251,3 +250,12 @@
             engine.faults.recover()
         while any(e.generations_running() for e in self._deployment.engines):
             await self._clock.sleep_ms(SETTLE_MS)
+
+
+def _description(stream: Stream, verdict: chain.Verdict) -> str:
+    answer = stream.answer
+    return (
+        f"{stream.prompt}: {verdict.tokens} tokens, wrong at"
+        f" {verdict.wrong_at}, {answer.end.value} {answer.error_code},"
+        f" sends {answer.sends}, last event {answer.last_event_id}"
+    )
