Measure routing, admission and quarantine

Cause: the policies had no figures, and innocent requests were refused: a crashed engine drops connections, which gave strikes to requests that it never ran.

Change: benches routing, admission and poison against plain baselines; the stand-in engine has prefill, a bounded prefix cache with late and gappy events, memory, lagging reports and counts by prompt. A request sent to an engine that was lost before gets no strike; a failed poll or a peer's strike suspects the engine. Properties of each controller.

--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -2,7 +2,10 @@
 
 import collections.abc
 
+from oriolejunction.bench import admission
+from oriolejunction.bench import poison
 from oriolejunction.bench import result
+from oriolejunction.bench import routing
 from oriolejunction.bench import soak
 from oriolejunction import errors
 
@@ -18,6 +21,9 @@
 
 
 BENCH_BY_NAME: dict[str, Bench] = {
+    "admission": admission.run,
+    "poison": poison.run,
+    "routing": routing.run,
     "soak": soak.run,
 }
 
--- a/src/oriolejunction/controllers/membership.py
+++ b/src/oriolejunction/controllers/membership.py
@@ -115,10 +115,14 @@
         self._mark_leaving(record)
         self.refresh()
 
-    def suspect(self, engine_id: ids.EngineId) -> None:
+    def suspect(
+        self, engine_id: ids.EngineId, duration_ms: float = SUSPICION_MS
+    ) -> None:
         """Give an engine no work for a short time after a loss."""
         record = self._record(engine_id)
-        record.suspected_until_ms = self._clock.now_ms() + SUSPICION_MS
+        record.suspected_until_ms = max(
+            record.suspected_until_ms, self._clock.now_ms() + duration_ms
+        )
         self.refresh()
 
     def refresh(self) -> None:
--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -46,6 +46,7 @@
     offset: int
     proven_at: int
     isolated: bool
+    dispatched_at_ms: float
 
     @property
     def suspect(self) -> bool:
@@ -64,6 +65,7 @@
     engine_id: ids.EngineId
     zone: ids.ZoneId
     at_ms: float
+    dispatched_at_ms: float
     offset: int
     suspect: bool
 
@@ -107,6 +109,7 @@
             offset=offset,
             proven_at=max(offset, struck_at) + PROVEN_TOKENS,
             isolated=self.must_isolate(fingerprint),
+            dispatched_at_ms=self._clock.now_ms(),
         )
 
     def progressed(
@@ -146,6 +149,7 @@
             run.engine_id,
             zone,
             self._clock.now_ms(),
+            run.dispatched_at_ms,
             run.offset,
             run.suspect,
         )
@@ -283,9 +287,22 @@
             for strike in self._strikes_by_fingerprint.get(fingerprint, ())
             if now_ms - strike.at_ms < STRIKE_LIFE_MS
             and not self._one_of_many(strike)
+            and not self._was_down(strike)
         ]
         return sorted(found, key=lambda strike: strike.at_ms)
 
+    def _was_down(self, strike: Strike) -> bool:
+        """Return whether the engine was lost before it got the request.
+
+        It takes a while until all instances know of a loss.
+        """
+        return any(
+            other.engine_id == strike.engine_id
+            and other.at_ms < strike.dispatched_at_ms
+            and 0.0 < strike.at_ms - other.at_ms <= LOSS_WINDOW_MS
+            for other in self._all_strikes()
+        )
+
     def _one_of_many(self, strike: Strike) -> bool:
         near = {
             other.engine_id: other.zone
--- a/src/oriolejunction/http/load_reports.py
+++ b/src/oriolejunction/http/load_reports.py
@@ -85,6 +85,7 @@
             OSError,
             TimeoutError,
         ) as error:
+            self._parts.membership.suspect(engine.engine_id)
             _log.debug("no report", engine=engine.engine_id, why=repr(error))
 
     async def _poll_load(self, engine: configuration.Engine) -> None:
--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -38,6 +38,9 @@
     zone: str
     slowdown: float = 1.0
     max_running: int = 32
+    report_lag_ms: float = 0.0
+    prefill_ms_per_token: float = 0.02
+    cache_blocks: int = 512
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,6 +155,9 @@
                 MODEL_VERSION,
                 slowdown=options.slowdown,
                 max_running=options.max_running,
+                report_lag_ms=options.report_lag_ms,
+                prefill_ms_per_token=options.prefill_ms_per_token,
+                cache_blocks=options.cache_blocks,
             )
         )
         self.engines.append(engine)
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -270,6 +270,7 @@
     engine_id: ids.EngineId
     zone: ids.ZoneId
     age_ms: float
+    dispatched_age_ms: float
     offset: int
     suspect: bool
 
--- a/src/oriolejunction/peers/gossip_messages.py
+++ b/src/oriolejunction/peers/gossip_messages.py
@@ -66,6 +66,11 @@
             )
         for record in request.strikes[:MAX_ENTRIES]:
             self._quarantine.add(_strike(record, now_ms))
+            if record.age_ms < memberships.SUSPICION_MS:
+                self._membership.suspect(
+                    record.engine_id,
+                    memberships.SUSPICION_MS - record.age_ms,
+                )
         isolated = collections.defaultdict(set)
         for entry in request.isolated[:MAX_ENTRIES]:
             isolated[entry.engine_id].add(entry.fingerprint)
@@ -103,6 +108,7 @@
         engine_id=strike.engine_id,
         zone=strike.zone,
         age_ms=now_ms - strike.at_ms,
+        dispatched_age_ms=now_ms - strike.dispatched_at_ms,
         offset=strike.offset,
         suspect=strike.suspect,
     )
@@ -116,6 +122,7 @@
         engine_id=record.engine_id,
         zone=record.zone,
         at_ms=now_ms - record.age_ms,
+        dispatched_at_ms=now_ms - record.dispatched_age_ms,
         offset=record.offset,
         suspect=record.suspect,
     )
--- a/src/oriolejunction/standin/engine_faults.py
+++ b/src/oriolejunction/standin/engine_faults.py
@@ -9,6 +9,7 @@
 import enum
 
 from oriolejunction import engine_protocol
+from oriolejunction.standin import engine_load
 from oriolejunction.standin import engine_stream
 
 
@@ -46,7 +47,7 @@
     ) -> None:
         self.crashed = False
         self.crashes = 0
-        self.leaving = False
+        self.leaving_since_ms: float | None = None
         self.truncations = 0
         self.restart_after_ms_by_marker: dict[str, int] = {}
         self.connections: set[asyncio.Transport] = set()
@@ -55,6 +56,11 @@
         self._running = running
         self._forget_streams = forget_streams
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the engine is leaving."""
+        return self.leaving_since_ms is not None
+
     async def until_responsive(self) -> None:
         """Wait while the engine is silent."""
         await self._responsive.wait()
@@ -80,7 +86,7 @@
                 marker = fault.marker
                 self.restart_after_ms_by_marker[marker] = fault.duration_ms
             case FaultKind.LEAVE:
-                self.leaving = True
+                self.leaving_since_ms = engine_load.now_ms()
             case FaultKind.RECOVER:
                 self.recover()
 
--- /dev/null
+++ b/src/oriolejunction/standin/engine_load.py
@@ -0,0 +1,118 @@
+"""Prefill, memory and lagging load reports of a stand-in engine."""
+
+import collections
+import collections.abc
+import time
+
+import msgspec
+
+from oriolejunction import engine_protocol
+from oriolejunction import ids
+from oriolejunction import prefix_blocks
+from oriolejunction.standin import engine_stream
+from oriolejunction.standin import prefix_cache
+
+REPORT_STEP_MS = 50.0
+MAX_REPORTS = 512
+
+
+class PrefillQueue:
+    """Compute prompts one after the other, but for what is cached."""
+
+    def __init__(
+        self, ms_per_token: float, cache: prefix_cache.PrefixCache
+    ) -> None:
+        self._ms_per_token = ms_per_token
+        self._cache = cache
+        self._free_at_ms = 0.0
+        self._ready_at_ms: dict[ids.GenerationId, float] = {}
+
+    def add(self, request: engine_protocol.GenerateRequest) -> None:
+        """Queue the prompt and forced tokens of a request."""
+        blocks = prefix_blocks.block_hashes(
+            request.version, request.adapter, request.prompt
+        )
+        cached = self._cache.use(blocks) * prefix_blocks.BLOCK_TOKENS
+        tokens = prefix_blocks.token_estimate(request.prompt)
+        computed = max(1, tokens + len(request.forced_ids) - cached)
+        begin_ms = max(now_ms(), self._free_at_ms)
+        self._free_at_ms = begin_ms + computed * self._ms_per_token
+        self._ready_at_ms[request.generation] = self._free_at_ms
+
+    def ready(
+        self, streams: list[engine_stream.EngineStream]
+    ) -> list[engine_stream.EngineStream]:
+        """Return the streams whose prompt is computed."""
+        now = now_ms()
+        return [
+            stream
+            for stream in streams
+            if self._ready_at_ms.get(stream.request.generation, 0.0) <= now
+        ]
+
+    def forget(self, stream: engine_stream.EngineStream) -> None:
+        """Forget a stream that ended."""
+        self._ready_at_ms.pop(stream.request.generation, None)
+
+
+class LaggingReports:
+    """Load reports that are shown `lag_ms` late."""
+
+    def __init__(self, lag_ms: float) -> None:
+        self._lag_ms = lag_ms
+        self._reports: collections.deque[
+            tuple[float, engine_protocol.LoadReport]
+        ] = collections.deque(maxlen=MAX_REPORTS)
+
+    def take(self, report: engine_protocol.LoadReport) -> None:
+        """Note the load as it is now."""
+        self._reports.append((now_ms(), report))
+
+    def shown(
+        self, present: engine_protocol.LoadReport
+    ) -> engine_protocol.LoadReport:
+        """Return the last report that is old enough, with its age."""
+        if not self._lag_ms:
+            return present
+        now = now_ms()
+        old = [
+            (at_ms, report)
+            for at_ms, report in self._reports
+            if at_ms <= now - self._lag_ms
+        ]
+        if not old:
+            at_ms, report = now, msgspec.structs.replace(
+                present, running=0, waiting=0, leaving=False
+            )
+        else:
+            at_ms, report = old[-1]
+        return msgspec.structs.replace(
+            report, incarnation=present.incarnation, age_ms=now - at_ms
+        )
+
+
+def kv_tokens(stream: engine_stream.EngineStream) -> int:
+    """Return the tokens that a stream holds in memory."""
+    prompt = prefix_blocks.token_estimate(stream.request.prompt)
+    return prompt + stream.offset
+
+
+def fitting(
+    streams: collections.abc.Iterable[engine_stream.EngineStream],
+    max_running: int,
+    kv_limit_tokens: int,
+) -> list[engine_stream.EngineStream]:
+    """Return the first streams that fit slots and memory."""
+    chosen: list[engine_stream.EngineStream] = []
+    used = 0
+    for stream in streams:
+        used += kv_tokens(stream)
+        if len(chosen) >= max_running or used > kv_limit_tokens:
+            break
+        chosen.append(stream)
+    return chosen
+
+
+def now_ms() -> float:
+    """Return monotonic milliseconds."""
+    return time.monotonic() * 1000.0
--- /dev/null
+++ b/tests/controllers/test_admission.py
@@ -0,0 +1,103 @@
+"""Limits, deadlines and proofs that refused requests did not run."""
+
+import hypothesis
+from hypothesis import strategies
+
+from oriolejunction import clock as clocks
+from oriolejunction import configuration
+from oriolejunction.controllers import admission as admissions
+from oriolejunction import errors
+
+
+def _admission(tokens_per_s=1_000.0, max_requests=1_000, instances=1):
+    clock = clocks.ManualClock()
+    capacity = admissions.Capacity(tokens_per_s, instances, max_requests)
+    return admissions.Admission(clock, lambda: capacity), clock
+
+
+def _request(deadline_ms=30_000.0, name="w", tokens=10, **limits):
+    workspace = configuration.Workspace(name, "digest", **limits)
+    return admissions.AdmissionRequest(workspace, tokens, 100, deadline_ms)
+
+
+def _error(result):
+    return type(result.error) if result.is_error() else None
+
+
+def test_wait_beyond_the_deadline_is_refused_at_once():
+    admission, _ = _admission(tokens_per_s=100.0)
+    assert admission.offer(_request(1_000.0)).is_ok()
+    assert _error(admission.offer(_request(1_000.0))) is errors.Overloaded
+    assert admission.offer(_request(30_000.0)).is_ok()
+
+
+def test_wrong_prediction_is_refused_long_before_the_deadline():
+    admission, clock = _admission()
+    ticket = admission.offer(_request(1_000.0)).ok
+    clock.advance(499)
+    assert admission.overdue() == []
+    clock.advance(1)
+    assert admission.overdue() == [ticket]
+    assert admission.next() is None
+
+
+def test_limits_of_workspace_and_instance():
+    admission, clock = _admission(max_requests=3)
+    limited = _request(name="a", concurrent_requests=1)
+    assert admission.offer(limited).is_ok()
+    assert _error(admission.offer(limited)) is errors.WorkspaceLimit
+    slow = _request(name="b", tokens_per_s=100, tokens=200)
+    assert admission.offer(slow).is_ok()
+    refused = admission.offer(slow)
+    assert _error(refused) is errors.WorkspaceLimit
+    clock.advance(refused.error.retry_after_ms)
+    assert admission.offer(slow).is_ok()
+    assert _error(admission.offer(_request())) is errors.InstanceFull
+
+
+def test_calls_of_services_count_for_their_workspace():
+    admission, _ = _admission()
+    workspace = _request(concurrent_requests=1).workspace
+    assert admission.begin_call(workspace).is_ok()
+    assert _error(admission.begin_call(workspace)) is errors.WorkspaceLimit
+    admission.end_call(workspace)
+    assert admission.begin_call(workspace).is_ok()
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["offer", "next", "wait", "end"]),
+        strategies.sampled_from("abc"),
+    ),
+    max_size=80,
+)
+
+
+@hypothesis.given(_STEPS)
+def test_queue_never_idles_and_refused_tickets_never_ran(steps):
+    admission, clock = _admission(tokens_per_s=500.0)
+    queued, running, refused = [], [], []
+    for step, name in steps:
+        match step:
+            case "offer":
+                result = admission.offer(_request(2_000.0, name))
+                if result.is_ok():
+                    queued.append(result.ok)
+            case "next":
+                ticket = admission.next()
+                assert (ticket is None) == (not queued)
+                if ticket is not None:
+                    queued.remove(ticket)
+                    running.append(ticket)
+            case "wait":
+                clock.advance(300)
+                for ticket in admission.overdue():
+                    queued.remove(ticket)
+                    refused.append(ticket)
+            case "end" if running:
+                admission.end(running.pop(), 40)
+    assert admission.queued == len(queued)
+    assert admission.running == len(running)
+    assert not set(refused) & set(running)
+    for ticket in refused:
+        assert ticket.state is admissions.TicketState.REFUSED
--- /dev/null
+++ b/tests/controllers/test_fair_queue.py
@@ -0,0 +1,78 @@
+"""Shares are fair, nobody starves and the queue never idles."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from oriolejunction.controllers import fair_queue
+
+_COSTS = strategies.floats(1.0, 100.0)
+_OFFERS = strategies.lists(
+    strategies.tuples(strategies.sampled_from("abc"), _COSTS), max_size=60
+)
+
+
+@hypothesis.given(_OFFERS)
+def test_every_request_is_popped_once_in_order_of_its_workspace(offers):
+    queue = fair_queue.FairQueue()
+    for number, (workspace, cost) in enumerate(offers):
+        queue.push(workspace, 1.0, cost, (workspace, number))
+    popped = []
+    while len(queue):
+        popped.append(queue.pop())
+    assert queue.pop() is None
+    assert sorted(popped, key=lambda item: item[1]) == [
+        (workspace, number) for number, (workspace, _) in enumerate(offers)
+    ]
+    for name in "abc":
+        own = [number for workspace, number in popped if workspace == name]
+        assert own == sorted(own)
+
+
+@hypothesis.given(
+    strategies.lists(_COSTS, min_size=30, max_size=30),
+    strategies.lists(_COSTS, min_size=30, max_size=30),
+    strategies.integers(1, 4),
+)
+def test_backlogged_workspaces_get_their_weighted_shares(
+    first, second, weight
+):
+    queue = fair_queue.FairQueue()
+    for cost in first:
+        queue.push("a", float(weight), cost, ("a", cost))
+    for cost in second:
+        queue.push("b", 1.0, cost, ("b", cost))
+    served = collections.Counter()
+    left = {"a": 30, "b": 30}
+    while left["a"] and left["b"]:
+        workspace, cost = queue.pop()
+        served[workspace] += cost
+        left[workspace] -= 1
+        gap = abs(served["a"] / weight - served["b"])
+        assert gap <= 100.0 / weight + 100.0
+
+
+@hypothesis.given(strategies.integers(1, 200), _COSTS)
+def test_modest_workspace_waits_for_one_request_at_most(backlog, cost):
+    queue = fair_queue.FairQueue()
+    for _ in range(backlog):
+        queue.push("greedy", 1.0, cost, "greedy")
+    queue.pop()
+    queue.push("modest", 1.0, cost, "modest")
+    served = [queue.pop() for _ in range(min(2, len(queue)))]
+    assert "modest" in served
+
+
+@hypothesis.given(_OFFERS, strategies.integers(0, 59))
+def test_removed_request_is_not_popped(offers, index):
+    queue = fair_queue.FairQueue()
+    items = [object() for _ in offers]
+    for (workspace, cost), item in zip(offers, items):
+        queue.push(workspace, 1.0, cost, item)
+    if index < len(items):
+        queue.remove(offers[index][0], items[index])
+    popped = [queue.pop() for _ in range(len(queue))]
+    expected = len(items) - (index < len(items))
+    assert len(popped) == expected and None not in popped
+    assert index >= len(items) or items[index] not in popped
