--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -5,6 +5,7 @@
 from oriolejunction.bench import admission
 from oriolejunction.bench import poison
 from oriolejunction.bench import result
+from oriolejunction.bench import resume
 from oriolejunction.bench import routing
 from oriolejunction.bench import soak
 from oriolejunction import errors
@@ -23,6 +24,7 @@
 BENCH_BY_NAME: dict[str, Bench] = {
     "admission": admission.run,
     "poison": poison.run,
+    "resume": resume.run,
     "routing": routing.run,
     "soak": soak.run,
 }
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -26,7 +26,7 @@
 
 MAX_ATTEMPTS = 12
 MIN_CHECK_MS = 10.0
-IDLE_CHECK_MS = 1_000.0
+MAX_CHECK_MS = 250.0
 LATE_TIMER_MS = 50.0
 LATE_TIMER_GRACE_MS = 100.0
 _log = structlog.get_logger(__name__)
@@ -94,7 +94,6 @@
         self._lost: set[ids.EngineId] = set()
         self._begun = 0
         self._may_have_run = False
-        self._timer_late = False
         self._silence = silence.Silence(
             parts.suspicion, parts.clock, self._policy
         )
@@ -141,7 +140,7 @@
 
     def check_silence(self) -> None:
         """Give up or suspect the attempts that were silent too long."""
-        if self._timer_late or self._generation.finished:
+        if self._generation.finished:
             return
         for attempt in list(self._task_by_attempt):
             if attempt.waits_for_reader:
@@ -159,15 +158,14 @@
             wait_ms = self._until_check_ms()
             if wait_ms <= 0:
                 self.inbox.tick()
-            wait_ms = max(wait_ms, MIN_CHECK_MS)
+            # The limits change while the timer sleeps.
+            wait_ms = min(max(wait_ms, MIN_CHECK_MS), MAX_CHECK_MS)
             due_ms = clock.now_ms() + wait_ms
             await clock.sleep_ms(wait_ms)
             # A timer that is late tells of a pause of this process; what
             # arrived meanwhile is read before any engine is suspected.
             if clock.now_ms() - due_ms > LATE_TIMER_MS:
-                self._timer_late = True
                 await clock.sleep_ms(LATE_TIMER_GRACE_MS)
-                self._timer_late = False
 
     async def close(self) -> None:
         """End what is still running."""
@@ -293,7 +291,7 @@
             for attempt in self._task_by_attempt
             if not attempt.waits_for_reader
         ]
-        return min(waits, default=IDLE_CHECK_MS)
+        return min(waits, default=MAX_CHECK_MS)
 
     def _suspect(self, attempt: generation_attempt.Attempt) -> None:
         attempt.suspected = True
