--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from oriolejunction.bench import admission
+from oriolejunction.bench import fencing
 from oriolejunction.bench import poison
 from oriolejunction.bench import result
 from oriolejunction.bench import resume
@@ -23,6 +24,7 @@
 
 BENCH_BY_NAME: dict[str, Bench] = {
     "admission": admission.run,
+    "fencing": fencing.fencing,
     "poison": poison.run,
     "resume": resume.run,
     "routing": routing.run,
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -64,11 +64,100 @@
     service: ids.ServiceName
     key: ids.IdempotencyKey
     claim_id: str
+    owner: ids.InstanceId
     state: states.CallState
     answer: "StoredAnswer | None"
     at_ms: int
 
 
+class VoidCall(Message, frozen=True):
+    """Bar a key for good if it was never claimed."""
+
+    workspace: ids.WorkspaceId
+    service: ids.ServiceName
+    key: ids.IdempotencyKey
+    owner: ids.InstanceId
+    at_ms: int
+
+
+class ResolveCall(Message, frozen=True):
+    """Store what the service's own look-up tells of an unknown call."""
+
+    workspace: ids.WorkspaceId
+    service: ids.ServiceName
+    key: ids.IdempotencyKey
+    answer: "StoredAnswer"
+    at_ms: int
+
+
+class OrderTarget(msgspec.Struct, frozen=True):
+    """What an order is about; an empty adapter means the model itself.
+
+    An order that sets a role gives it in `role`.
+    """
+
+    model: ids.ModelName
+    version: ids.ModelVersion
+    adapter: str = ""
+    role: str = ""
+
+
+class OrderIntent(msgspec.Struct, frozen=True):
+    """An order that was committed and whose end is not known."""
+
+    fence: int
+    engine_id: ids.EngineId
+    action: states.OrderAction
+    target: OrderTarget
+
+
+class TakeExecutor(Message, frozen=True):
+    """Become the one executor if the epoch is still `seen_epoch`.
+
+    `at_ms` is on the monotonic clock of the new executor.
+    """
+
+    owner: ids.InstanceId
+    seen_epoch: int
+    at_ms: float
+
+
+class RenewExecutor(Message, frozen=True):
+    """Renew the executor's lease."""
+
+    owner: ids.InstanceId
+    epoch: int
+
+
+class PlaceOrder(Message, frozen=True):
+    """Commit the intent of an order; `in_use` guards what runs."""
+
+    epoch: int
+    engine_id: ids.EngineId
+    action: states.OrderAction
+    target: OrderTarget
+    in_use: bool
+    at_ms: float
+
+
+class RetryOrder(Message, frozen=True):
+    """Ask to send an outstanding order again."""
+
+    epoch: int
+    engine_id: ids.EngineId
+    fence: int
+    at_ms: float
+
+
+class ResolveOrder(Message, frozen=True):
+    """Record what an engine holds, and the end of an order if any."""
+
+    epoch: int
+    engine_id: ids.EngineId
+    fence: int
+    loaded: tuple[OrderTarget, ...]
+
+
 class StoredAnswer(Message, frozen=True):
     """The answer of a plain service, kept for resends."""
 
@@ -78,7 +167,18 @@
 
 
 Command = (
-    SubmitDraft | AcceptDraft | WithdrawChange | ClaimCall | RecordCallOutcome
+    SubmitDraft
+    | AcceptDraft
+    | WithdrawChange
+    | ClaimCall
+    | RecordCallOutcome
+    | VoidCall
+    | ResolveCall
+    | TakeExecutor
+    | RenewExecutor
+    | PlaceOrder
+    | RetryOrder
+    | ResolveOrder
 )
 
 
@@ -98,22 +198,35 @@
 
 
 class CallClaim(Message, frozen=True):
-    """Result of a claim: the state of the call and who holds it.
+    """Result of a claim or void: where the call stands.
 
-    `granted` is true only for the claim that may dispatch.
+    `granted` is true only for the claim that may dispatch. `refusal` tells
+    why a key that is not in the ledger cannot enter it.
     """
 
     granted: bool
     state: states.CallState
     body_matches: bool
     answer: StoredAnswer | None = None
+    refusal: states.KeyRefusal | None = None
+
+
+class OrderResult(Message, frozen=True):
+    """Whether an order's command was accepted, and under which fence."""
+
+    accepted: bool
+    epoch: int
+    fence: int = 0
+    refusal: states.OrderRefusal | None = None
 
 
 class Recorded(Message, frozen=True):
     """A command without a result of its own was applied."""
 
 
-CommandResult = ChangeAccepted | ChangeRefused | CallClaim | Recorded
+CommandResult = (
+    ChangeAccepted | ChangeRefused | CallClaim | OrderResult | Recorded
+)
 
 
 class ProposeRequest(Message, frozen=True):
@@ -233,6 +346,7 @@
     revision: ids.Revision
     answers_digest: str
     differences: tuple[str, ...]
+    answers_toml: str = ""
 
 
 class AuditReply(Message, frozen=True):
--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -8,10 +8,13 @@
 from aiohttp import web
 import msgspec
 
+from oriolejunction import clock as clocks
 from oriolejunction import engine_protocol
 from oriolejunction import ids
+from oriolejunction import messages
 from oriolejunction.standin import engine_faults
 from oriolejunction.standin import engine_load
+from oriolejunction.standin import engine_orders
 from oriolejunction.standin import engine_stream
 from oriolejunction.standin import prefix_cache
 
@@ -41,6 +44,7 @@
     report_lag_ms: float = 0.0
     cache_lag_ms: float = 500.0
     cache_event_loss: float = 0.1
+    checks_fencing: bool = False
 
 
 class StandinEngine:
@@ -56,6 +60,12 @@
         self.faults = engine_faults.EngineFaults(
             self._running, self._forget_streams
         )
+        self.orders = engine_orders.EngineOrders(
+            clocks.SystemClock(),
+            options.checks_fencing,
+            (messages.OrderTarget(options.model, options.version),),
+            lambda: bool(self._running()),
+        )
         self._incarnation = secrets.token_hex(4)
         self._stream_by_id: dict[str, engine_stream.EngineStream] = {}
         self._cache = prefix_cache.PrefixCache(
@@ -84,6 +94,7 @@
                 web.get("/cache_events", self._cache_events),
                 web.get("/counts", self._counts),
                 web.post("/fault", self._fault),
+                *self.orders.routes(),
             ]
         )
         app.on_startup.append(self._start)
@@ -164,11 +175,7 @@
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         await self.faults.until_responsive()
         body = _decode_request(await request.read())
-        wrong = (
-            body.model != self.options.model
-            or body.version != self.options.version
-        )
-        if wrong:
+        if not self.orders.holds(body.model, body.version):
             return web.json_response({"error": "wrong model"}, status=409)
         stream = engine_stream.open_stream(body)
         self.requests_run += 1
