Take an engine's own word that it is leaving

Cause: an engine that refuses new work was asked again after each report.

Change: a refusal with the leaving header is a loss cause of its own that marks the engine as leaving.

Conclusion: leaving is known from the list, reports, refusals and peers.

--- a/src/oriolejunction/controllers/engine_losses.py
+++ b/src/oriolejunction/controllers/engine_losses.py
@@ -16,6 +16,7 @@
         states.LossCause.SILENT,
     }
 )
+_SUSPICIOUS = _BROKEN | {states.LossCause.REFUSED}
 
 
 def subscribe(
@@ -37,7 +38,9 @@
             quarantine.lost(placement, zone_of(loss.engine_id))
         else:
             quarantine.finished(placement, whole=False)
-        if loss.engine_wide or broken:
+        if loss.cause is states.LossCause.LEAVING:
+            membership.observe_leaving(loss.engine_id)
+        elif loss.cause in _SUSPICIOUS or loss.engine_wide:
             membership.suspect(loss.engine_id)
 
     blackboard.attempt_losses.subscribe(observe)
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -39,7 +39,11 @@
     states.CommitOutcome.FOREIGN: states.LossCause.FOREIGN,
     states.CommitOutcome.DIVERGED: states.LossCause.DIVERGED,
 }
-_PROVES_NOT_RUN = (states.LossCause.NOT_REACHED, states.LossCause.REFUSED)
+_PROVES_NOT_RUN = (
+    states.LossCause.NOT_REACHED,
+    states.LossCause.REFUSED,
+    states.LossCause.LEAVING,
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/oriolejunction/engine_protocol.py
+++ b/src/oriolejunction/engine_protocol.py
@@ -11,6 +11,8 @@
 from oriolejunction import messages
 from oriolejunction import states
 
+LEAVING_HEADER = "X-Engine-Leaving"
+
 
 class Sampling(msgspec.Struct, frozen=True):
     """Sampling parameters, pinned for a generation."""
--- a/src/oriolejunction/http/engine_client.py
+++ b/src/oriolejunction/http/engine_client.py
@@ -131,10 +131,15 @@
     try:
         async with opening as response:
             if response.status != 200:
+                leaving = engine_protocol.LEAVING_HEADER in response.headers
                 raise errors.Failure(
                     errors.AttemptLost(
                         f"status {response.status}",
-                        cause=states.LossCause.REFUSED,
+                        cause=(
+                            states.LossCause.LEAVING
+                            if leaving
+                            else states.LossCause.REFUSED
+                        ),
                     )
                 )
             rest = b""
--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -177,6 +177,10 @@
         body = _decode_request(await request.read())
         if not self.orders.holds(body.model, body.version):
             return web.json_response({"error": "wrong model"}, status=409)
+        if self.faults.refuses_when_leaving and self.faults.leaving:
+            return web.Response(
+                status=503, headers={engine_protocol.LEAVING_HEADER: "1"}
+            )
         stream = engine_stream.open_stream(body)
         self.requests_run += 1
         self.runs_by_prompt[body.prompt] += 1
--- a/src/oriolejunction/standin/engine_faults.py
+++ b/src/oriolejunction/standin/engine_faults.py
@@ -12,6 +12,8 @@
 from oriolejunction.standin import engine_load
 from oriolejunction.standin import engine_stream
 
+REFUSE = "refuse"
+
 
 class FaultKind(enum.Enum):
     """What can be provoked with ``POST /fault``.
@@ -19,6 +21,7 @@
     `PAUSE`, and `DIE` or `CRASH` with a duration, end by themselves after
     `duration_ms`. `POISON` makes the engine crash on each request whose
     prompt holds `marker`; it is back after `duration_ms`, 0 for never.
+    `LEAVE` with the marker ``refuse`` also refuses new work.
     """
 
     DIE = "die"
@@ -48,6 +51,7 @@
         self.crashed = False
         self.crashes = 0
         self.leaving_since_ms: float | None = None
+        self.refuses_when_leaving = False
         self.truncations = 0
         self.restart_after_ms_by_marker: dict[str, int] = {}
         self.connections: set[asyncio.Transport] = set()
@@ -87,6 +91,7 @@
                 self.restart_after_ms_by_marker[marker] = fault.duration_ms
             case FaultKind.LEAVE:
                 self.leaving_since_ms = engine_load.now_ms()
+                self.refuses_when_leaving = fault.marker == REFUSE
             case FaultKind.RECOVER:
                 self.recover()
 
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -40,7 +40,8 @@
 class LossCause(enum.Enum):
     """How an engine lost its attempt at a generation.
 
-    `REFUSED` is an answer other than 200, `FOREIGN` an event of another
+    `REFUSED` is an answer other than 200, `LEAVING` one that says that the
+    engine takes no new work, `FOREIGN` an event of another
     generation or attempt.
     """
 
@@ -48,6 +49,7 @@
     DISCONNECTED = "disconnected"
     NOT_REACHED = "not_reached"
     REFUSED = "refused"
+    LEAVING = "leaving"
     ENDED_EARLY = "ended_early"
     MALFORMED = "malformed"
     GAP = "gap"
--- /dev/null
+++ b/tests/peers/test_gossip.py
@@ -0,0 +1,46 @@
+"""What one instance learns, its peers know soon."""
+
+import asyncio
+
+import msgspec
+
+from oriolejunction.controllers import route_request
+from oriolejunction import messages
+
+
+async def _until(condition):
+    for _ in range(100):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("peers were not told")
+
+
+async def test_leaving_and_strikes_reach_all_instances(deployment):
+    first, *others = [i.serving for i in deployment.instances]
+    await _until(lambda: first.membership.state("engine-0").value == "live")
+    first.membership.observe_leaving("engine-0")
+    for engine_id in ("engine-1", "engine-2"):
+        placement = _placement(engine_id)
+        first.quarantine.dispatched(placement, "f", 0)
+        first.quarantine.lost(placement, engine_id)
+    await _until(
+        lambda: all(
+            o.membership.state("engine-0").value == "leaving" for o in others
+        )
+    )
+    await _until(lambda: all(o.quarantine.last_strike("f") for o in others))
+
+
+def _placement(engine_id):
+    return route_request.Placement("g", engine_id)
+
+
+def test_gossip_survives_its_encoding():
+    request = messages.GossipRequest(
+        "i",
+        strikes=(messages.StrikeRecord("f", "e", "z", 1.0, 2.0, 3, True),),
+        isolated=(messages.IsolatedRequest("f", "e"),),
+    )
+    data = msgspec.msgpack.encode(request)
+    assert msgspec.msgpack.decode(data, type=messages.GossipRequest) == request
