--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -5,6 +5,7 @@
 from oriolejunction.bench import admission
 from oriolejunction.bench import fencing
 from oriolejunction.bench import poison
+from oriolejunction.bench import raft
 from oriolejunction.bench import result
 from oriolejunction.bench import resume
 from oriolejunction.bench import routing
@@ -26,6 +27,7 @@
     "admission": admission.run,
     "fencing": fencing.fencing,
     "poison": poison.run,
+    "raft": raft.run,
     "resume": resume.run,
     "routing": routing.run,
     "soak": soak.run,
--- a/src/oriolejunction/consensus/replica.py
+++ b/src/oriolejunction/consensus/replica.py
@@ -44,6 +44,9 @@
         Raise `NotLeader` where no majority confirms it.
         """
 
+    def members(self) -> tuple[messages.ReplicaStatus, ...]:
+        """Return the replicas of the group as known here."""
+
     async def audit(
         self, start: int, limit: int
     ) -> tuple[messages.AuditEntry, ...]:
