--- a/src/oriolejunction/standin/engine_faults.py
+++ b/src/oriolejunction/standin/engine_faults.py
@@ -12,8 +12,11 @@
 
 from oriolejunction import engine_protocol
 from oriolejunction import ids
+from oriolejunction.standin import engine_load
 from oriolejunction.standin import engine_stream
 
+REFUSE = "refuse"
+
 
 class FaultKind(enum.Enum):
     """What can be provoked with ``POST /fault``.
@@ -21,6 +24,7 @@
     `PAUSE`, and `DIE` or `CRASH` with a duration, end by themselves after
     `duration_ms`. `POISON` makes the engine crash on each request whose
     prompt holds `marker`; it is back after `duration_ms`, 0 for never.
+    `LEAVE` with the marker ``refuse`` also refuses new work.
     """
 
     DIE = "die"
@@ -49,7 +53,8 @@
     ) -> None:
         self.crashed = False
         self.crashes = 0
-        self.leaving = False
+        self.leaving_since_ms: float | None = None
+        self.refuses_when_leaving = False
         self.truncations = 0
         self.restart_after_ms_by_marker: dict[str, int] = {}
         self.connections: set[asyncio.Transport] = set()
@@ -58,6 +63,11 @@
         self._running = running
         self._forget_streams = forget_streams
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the engine is leaving."""
+        return self.leaving_since_ms is not None
+
     async def until_responsive(self) -> None:
         """Wait while the engine is silent."""
         await self._responsive.wait()
@@ -83,7 +93,8 @@
                 marker = fault.marker
                 self.restart_after_ms_by_marker[marker] = fault.duration_ms
             case FaultKind.LEAVE:
-                self.leaving = True
+                self.leaving_since_ms = engine_load.now_ms()
+                self.refuses_when_leaving = fault.marker == REFUSE
             case FaultKind.RECOVER:
                 self.recover()
 
