--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -2,10 +2,13 @@
 
 import collections.abc
 
+from oriolejunction.bench import admission
 from oriolejunction.bench import fencing
+from oriolejunction.bench import poison
 from oriolejunction.bench import raft
 from oriolejunction.bench import result
 from oriolejunction.bench import resume
+from oriolejunction.bench import routing
 from oriolejunction.bench import soak
 from oriolejunction import errors
 
@@ -21,9 +24,12 @@
 
 
 BENCH_BY_NAME: dict[str, Bench] = {
+    "admission": admission.run,
     "fencing": fencing.fencing,
+    "poison": poison.run,
     "raft": raft.run,
     "resume": resume.run,
+    "routing": routing.run,
     "soak": soak.run,
 }
 
