Keep journals reachable through a change of the control leader

Cause: a new leader told the instances only those peers that had renewed with it so far; a restarted instance served before it knew any peer.

Change: a leader tells no peers while leases of a former leader may run; an instance is not ready before it knows its peers; a replica without a lease is awaited for 5 s, then given up.

--- a/src/oriolejunction/controllers/lease_table.py
+++ b/src/oriolejunction/controllers/lease_table.py
@@ -81,8 +81,14 @@
     table.holder_by_instance[request.instance] = holder
 
 
-def live_peers(table: LeaseTable, now_ms: float) -> Peers:
-    """Return the lease-holders, computed anew only after a change."""
+def live_peers(table: LeaseTable, now_ms: float) -> Peers | None:
+    """Return the lease-holders, computed anew only after a change.
+
+    Return None while a former leader's leases may still run: instances that
+    have not renewed here yet would be missing, though they live.
+    """
+    if now_ms < table.unknown_until_ms:
+        return None
     if now_ms < table.peers.until_ms:
         return table.peers
     live = [
--- a/src/oriolejunction/http/callers.py
+++ b/src/oriolejunction/http/callers.py
@@ -77,14 +77,16 @@
 def in_force(parts: CallerParts) -> configuration.Configuration:
     """Return the configuration to serve under.
 
-    Raise `Failure` with `NotReady` without a lease or while draining. A
-    leaving instance still serves what the balancer sends.
+    Raise `Failure` with `NotReady` without a lease, before the other
+    instances are known, or while draining. A leaving instance still serves
+    what the balancer sends.
     """
     board = parts.blackboard
     current = board.in_force.read()
     ready = (
         board.instance_state.read() in _TAKES_REQUESTS
         and current is not None
+        and bool(board.instance_by_id.read())
         and board.lease.read().until_ms > parts.clock.now_ms()
     )
     if not ready:
--- a/src/oriolejunction/peers/control_service.py
+++ b/src/oriolejunction/peers/control_service.py
@@ -120,14 +120,14 @@
         now_ms = self._clock.now_ms()
         lease_table.renew(self._leases, request, now_ms)
         peers = lease_table.live_peers(self._leases, now_ms)
-        known = request.known_peers == peers.digest
+        known = peers is None or request.known_peers == peers.digest
         behind = request.applied < history.revision
         return messages.RenewReply(
             revision=history.revision,
             configuration=history.content if behind else None,
             lease_ms=lease_table.LEASE_MS,
             peers=None if known else peers.instances,
-            peers_digest=peers.digest,
+            peers_digest=request.known_peers if known else peers.digest,
         )
 
     async def _status(
--- a/src/oriolejunction/peers/journal_client.py
+++ b/src/oriolejunction/peers/journal_client.py
@@ -26,6 +26,8 @@
 MAX_REPLICAS_TRIED = 3
 RETRY_MS = 1_000
 LOST_REPLICA_MS = 3_000
+ABSENT_REPLICA_MS = 5_000
+MAX_ABSENT_REPLICAS = 256
 _log = structlog.get_logger(__name__)
 
 OpenChannel = collections.abc.Callable[[str], grpc.aio.Channel]
@@ -58,6 +60,7 @@
         self._lost_until_ms_by_id: dict[ids.InstanceId, float] = {}
         self._closing: set[asyncio.Task] = set()
         self._leaving: frozenset[ids.InstanceId] = frozenset()
+        self._absent_since_ms_by_id: dict[ids.InstanceId, float] = {}
         self._subscription = blackboard.instance_by_id.changes().subscribe(
             self._note_peers
         )
@@ -180,11 +183,7 @@
             return await self._local.take_over(request)
         sender = self._sender(replica)
         if sender is None:
-            raise errors.Failure(
-                errors.GenerationLost(
-                    "its journal is lost; discard the part received"
-                )
-            )
+            raise self._absent(replica)
         try:
             return await sender.take_over(
                 request, timeout=TAKE_OVER_TIMEOUT_MS / 1000.0
@@ -197,6 +196,29 @@
                 )
             )
 
+    def _absent(self, replica: ids.InstanceId) -> errors.Failure:
+        """Return what to tell of a replica that holds no lease now.
+
+        A paused or cut-off replica comes back with its journals, so that
+        the generation is given up only after a bounded time.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = self._absent_since_ms_by_id.setdefault(replica, now_ms)
+        if len(self._absent_since_ms_by_id) > MAX_ABSENT_REPLICAS:
+            oldest = next(iter(self._absent_since_ms_by_id))
+            del self._absent_since_ms_by_id[oldest]
+        if now_ms - since_ms < ABSENT_REPLICA_MS:
+            return errors.Failure(
+                errors.JournalUnavailable(
+                    "its journal cannot be reached", retry_after_ms=500
+                )
+            )
+        return errors.Failure(
+            errors.GenerationLost(
+                "its journal is lost; discard the part received"
+            )
+        )
+
     async def _protect(self, journal: journal_owner.OwnedJournal) -> None:
         """Journal a generation whole at another instance, if there is one."""
         now_ms = self._clock.now_ms()
@@ -287,6 +309,8 @@
         self, peer_by_id: dict[ids.InstanceId, messages.PeerInstance]
     ) -> None:
         peers = peer_by_id.values()
+        for present in peer_by_id.keys() & self._absent_since_ms_by_id.keys():
+            del self._absent_since_ms_by_id[present]
         self._leaving = frozenset(
             peer.instance for peer in peers if peer.leaving
         )
--- a/tests/peers/test_configuration_watch.py
+++ b/tests/peers/test_configuration_watch.py
@@ -44,3 +44,12 @@
     end_ms = lease_table.LEASE_MS + lease_table.CLOCK_RATE_MARGIN_MS
     left = lease_table.live_peers(table, end_ms).instances
     assert [peer.instance for peer in left] == ["2"]
+
+
+def test_new_leader_tells_no_peers_while_former_leases_may_run():
+    table = lease_table.new_table(0, 7)
+    lease_table.renew(table, _request("1"), 0)
+    end_ms = lease_table.LEASE_MS + lease_table.CLOCK_RATE_MARGIN_MS
+    assert lease_table.live_peers(table, end_ms - 1) is None
+    lease_table.renew(table, _request("1"), end_ms - 1)
+    assert len(lease_table.live_peers(table, end_ms).instances) == 1
