--- a/src/oriolejunction/bench/resume.py
+++ b/src/oriolejunction/bench/resume.py
@@ -92,12 +92,17 @@
                 "false_suspicions",
                 "second_attempts",
                 "reattached",
-                "journal_bytes",
-                "journal_tokens",
             ):
                 counter = getattr(telemetry, name)
                 total = sum(counter.values.store.values())
                 self._value_by_source[id(telemetry), name] = total
+            journals = instance.journals
+            self._value_by_source[id(telemetry), "journal_tokens"] = (
+                journals.tokens
+            )
+            self._value_by_source[id(telemetry), "journal_bytes"] = (
+                journals.bytes_sent
+            )
 
     def total(self, name: str) -> float:
         """Return the sum over all instances."""
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -100,7 +100,7 @@
         self._service_calls = service_calls.ServiceCalls(
             instance_id, self.clock, self._services, self._control
         )
-        self._journals = journal_client.JournalClient(
+        self.journals = journal_client.JournalClient(
             instance_id,
             ids.ZoneId(settings.zone),
             self.clock,
@@ -157,7 +157,7 @@
         await self._service_calls.close()
         await self.serving.close()
         for client in (
-            self._journals,
+            self.journals,
             self._engines,
             self._services,
             self._orders,
@@ -250,7 +250,7 @@
             ),
             services=self._service_calls,
             gate=self.serving.gate,
-            journals=self._journals,
+            journals=self.journals,
             new_generation_id=lambda: ids.GenerationId(uuid.uuid4().hex),
             max_body_bytes=self.settings.max_body_bytes,
         )
