Give each instance its part of an engine's places

Change: an instance may always use its part of an engine's places, and borrows only its part of what the last report shows free beyond.

--- a/src/oriolejunction/controllers/dispatcher.py
+++ b/src/oriolejunction/controllers/dispatcher.py
@@ -5,6 +5,7 @@
 requests are kept apart by the quarantine.
 """
 
+import collections.abc
 import dataclasses
 
 from oriolejunction import blackboard as blackboards
@@ -31,7 +32,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class DispatcherParts:
-    """What the dispatcher reads and notes."""
+    """What the dispatcher reads and notes.
+
+    `room_on` tells how many more new requests an engine may be given.
+    """
 
     clock: clocks.Clock
     blackboard: blackboards.Blackboard
@@ -41,6 +45,7 @@
     quarantine: quarantines.Quarantine
     retries: retry_budget.RetryBudget
     pick: routing.Pick
+    room_on: collections.abc.Callable[[ids.EngineId], int]
 
 
 class Dispatcher:
@@ -184,7 +189,8 @@
             for engine in engines
             if self.kv_left(engine.engine_id) >= needed
         ]
-        return roomy
+        free = [e for e in roomy if self._parts.room_on(e.engine_id) > 0]
+        return free or roomy
 
     def kv_left(self, engine_id: ids.EngineId) -> float:
         """Return the tokens of memory that an engine probably has left."""
--- a/src/oriolejunction/controllers/serving_capacity.py
+++ b/src/oriolejunction/controllers/serving_capacity.py
@@ -1,5 +1,7 @@
 """What this instance may count on: its part of all live engines."""
 
+import math
+
 from oriolejunction import configuration
 from oriolejunction.controllers import admission as admissions
 from oriolejunction.controllers import routing
@@ -36,17 +38,24 @@
         `running` counts the admitted requests, some of which wait for their
         engine still.
         """
-        free = sum(
-            max(
-                0,
-                self._slots(engine.engine_id)
-                - routing.load(self._state, engine.engine_id),
-            )
-            for engine in self._live()
-        )
+        free = sum(self.room_on(engine.engine_id) for engine in self._live())
         between = max(0, running - self._state.dispatches.total_open())
         return max(0, free - between)
 
+    def room_on(self, engine_id: ids.EngineId) -> int:
+        """Return how many more requests this instance may give an engine.
+
+        All instances read the same lagging reports. Each has its part of an
+        engine's places whatever the last report says, and borrows its part
+        of what a report shows free beyond that.
+        """
+        slots = self._slots(engine_id)
+        instances = max(1, len(self._state.blackboard.instance_by_id.read()))
+        part = math.ceil(slots / instances)
+        own = self._state.dispatches.open_count(engine_id)
+        free = slots - routing.load(self._state, engine_id)
+        return max(0, part - own, int(free // instances))
+
     def engines_in_zone(self, zone: ids.ZoneId) -> int:
         """Return the number of configured engines in a zone."""
         return sum(engine.zone == zone for engine in self._engines())
--- a/src/oriolejunction/serving.py
+++ b/src/oriolejunction/serving.py
@@ -79,6 +79,12 @@
                 caches=self.caches,
                 quarantine=self.quarantine,
                 retries=self._retries,
+                room_on=(
+                    capacity.room_on
+                    if options.admission_policy
+                    is admissions.AdmissionPolicy.FAIR
+                    else lambda engine_id: 1
+                ),
                 pick=routing.picker(
                     options.routing_policy, state, random.Random(instance_id)
                 ),
