Assert one generation for each answer; split the gossip messages off

Change: the commit point asserts it where tokens are appended; messages of gossip have a module of their own.

--- a/src/oriolejunction/controllers/generation.py
+++ b/src/oriolejunction/controllers/generation.py
@@ -156,6 +156,9 @@
         if event.ids or event.finish_reason is not None:
             self._settle_owner(event.attempt)
         if event.ids:
+            invariants.require_one_generation(
+                self.generation_id, event.generation
+            )
             self._next_offset += len(event.ids)
             delivery = Delivery(event.offset, event.ids, event.text)
             self._held.append(_Held(delivery, event.safe))
--- /dev/null
+++ b/src/oriolejunction/gossip_wire.py
@@ -0,0 +1,55 @@
+"""Typed messages of the gossip between instances."""
+
+from oriolejunction import ids
+from oriolejunction import messages
+
+
+class LeavingEngine(messages.Message, frozen=True):
+    """An incarnation of an engine that is leaving."""
+
+    engine_id: ids.EngineId
+    incarnation: ids.Incarnation
+
+
+class StrikeRecord(messages.Message, frozen=True):
+    """A request ran on an engine when it was lost, `age_ms` ago."""
+
+    fingerprint: ids.Fingerprint
+    engine_id: ids.EngineId
+    zone: ids.ZoneId
+    age_ms: float
+    dispatched_age_ms: float
+    offset: int
+    suspect: bool
+
+
+class TimedFingerprint(messages.Message, frozen=True):
+    """A request with a duration in ms: time left, or age."""
+
+    fingerprint: ids.Fingerprint
+    duration_ms: float
+
+
+class IsolatedRequest(messages.Message, frozen=True):
+    """A struck request that has an engine to itself."""
+
+    fingerprint: ids.Fingerprint
+    engine_id: ids.EngineId
+
+
+class GossipRequest(messages.Message, frozen=True):
+    """What an instance knows of engines and of requests that crash them.
+
+    Times are durations, because clocks of two instances are never compared.
+    """
+
+    sender: ids.InstanceId
+    leaving: tuple[LeavingEngine, ...] = ()
+    strikes: tuple[StrikeRecord, ...] = ()
+    refused: tuple[TimedFingerprint, ...] = ()
+    cleared: tuple[TimedFingerprint, ...] = ()
+    isolated: tuple[IsolatedRequest, ...] = ()
+
+
+class GossipReply(messages.Message, frozen=True):
+    """The gossip was taken in."""
--- a/src/oriolejunction/peers/gossip_messages.py
+++ b/src/oriolejunction/peers/gossip_messages.py
@@ -5,8 +5,8 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import membership as memberships
 from oriolejunction.controllers import quarantine as quarantines
+from oriolejunction import gossip_wire
 from oriolejunction import ids
-from oriolejunction import messages
 
 MAX_ENTRIES = 256
 
@@ -26,16 +26,16 @@
         self._membership = membership
         self._quarantine = quarantine
 
-    def request(self) -> messages.GossipRequest:
+    def request(self) -> gossip_wire.GossipRequest:
         """Return all that is known, the latest of each kind."""
         now_ms = self._clock.now_ms()
         quarantine = self._quarantine
         leaving = self._membership.leaving()
         isolated = quarantine.isolated()
-        return messages.GossipRequest(
+        return gossip_wire.GossipRequest(
             sender=self._instance_id,
             leaving=tuple(
-                messages.LeavingEngine(engine_id, incarnation)
+                gossip_wire.LeavingEngine(engine_id, incarnation)
                 for engine_id, incarnation in leaving.items()
             ),
             strikes=tuple(
@@ -43,21 +43,21 @@
                 for strike in quarantine.strikes()[-MAX_ENTRIES:]
             ),
             refused=tuple(
-                messages.TimedFingerprint(fingerprint, until_ms - now_ms)
+                gossip_wire.TimedFingerprint(fingerprint, until_ms - now_ms)
                 for fingerprint, until_ms in quarantine.refused().items()
             )[-MAX_ENTRIES:],
             cleared=tuple(
-                messages.TimedFingerprint(fingerprint, now_ms - at_ms)
+                gossip_wire.TimedFingerprint(fingerprint, now_ms - at_ms)
                 for fingerprint, at_ms in quarantine.cleared().items()
             )[-MAX_ENTRIES:],
             isolated=tuple(
-                messages.IsolatedRequest(fingerprint, engine_id)
+                gossip_wire.IsolatedRequest(fingerprint, engine_id)
                 for engine_id, found in isolated.items()
                 for fingerprint in sorted(found)
             )[-MAX_ENTRIES:],
         )
 
-    def take_in(self, request: messages.GossipRequest) -> None:
+    def take_in(self, request: gossip_wire.GossipRequest) -> None:
         """Fold what a peer told into membership and quarantine."""
         now_ms = self._clock.now_ms()
         for leaving in request.leaving[:MAX_ENTRIES]:
@@ -89,7 +89,7 @@
         )
 
 
-def is_empty(request: messages.GossipRequest) -> bool:
+def is_empty(request: gossip_wire.GossipRequest) -> bool:
     """Return whether there is nothing to tell."""
     return not (
         request.leaving
@@ -102,8 +102,8 @@
 
 def _strike_record(
     strike: quarantines.Strike, now_ms: float
-) -> messages.StrikeRecord:
-    return messages.StrikeRecord(
+) -> gossip_wire.StrikeRecord:
+    return gossip_wire.StrikeRecord(
         fingerprint=strike.fingerprint,
         engine_id=strike.engine_id,
         zone=strike.zone,
@@ -115,7 +115,7 @@
 
 
 def _strike(
-    record: messages.StrikeRecord, now_ms: float
+    record: gossip_wire.StrikeRecord, now_ms: float
 ) -> quarantines.Strike:
     return quarantines.Strike(
         fingerprint=record.fingerprint,
--- a/src/oriolejunction/peers/gossip_shell.py
+++ b/src/oriolejunction/peers/gossip_shell.py
@@ -8,8 +8,8 @@
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
+from oriolejunction import gossip_wire
 from oriolejunction import ids
-from oriolejunction import messages
 from oriolejunction.peers import gossip_messages
 from oriolejunction.peers import methods
 from oriolejunction.peers import rpc
@@ -76,7 +76,7 @@
             await channel.close()
 
     async def _tell(
-        self, address: str, request: messages.GossipRequest
+        self, address: str, request: gossip_wire.GossipRequest
     ) -> None:
         call = rpc.caller(self._channel(address), methods.GOSSIP)
         try:
@@ -96,7 +96,7 @@
             del self._channel_by_address[address]
 
     async def _take_in(
-        self, request: messages.GossipRequest
-    ) -> messages.GossipReply:
+        self, request: gossip_wire.GossipRequest
+    ) -> gossip_wire.GossipReply:
         self._gossip.take_in(request)
-        return messages.GossipReply()
+        return gossip_wire.GossipReply()
--- a/src/oriolejunction/peers/methods.py
+++ b/src/oriolejunction/peers/methods.py
@@ -1,5 +1,6 @@
 """The methods that the system's processes serve to each other."""
 
+from oriolejunction import gossip_wire
 from oriolejunction import messages
 from oriolejunction.peers import rpc
 
@@ -19,7 +20,7 @@
     "Control", "InForce", messages.InForceRequest, messages.InForceReply
 )
 GOSSIP = rpc.Method(
-    "Gossip", "Tell", messages.GossipRequest, messages.GossipReply
+    "Gossip", "Tell", gossip_wire.GossipRequest, gossip_wire.GossipReply
 )
 AWAIT_IN_FORCE = rpc.Method(
     "Control",
--- a/tests/peers/test_gossip.py
+++ b/tests/peers/test_gossip.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from oriolejunction.controllers import route_request
-from oriolejunction import messages
+from oriolejunction import gossip_wire
 
 
 async def _until(condition):
@@ -37,10 +37,12 @@
 
 
 def test_gossip_survives_its_encoding():
-    request = messages.GossipRequest(
+    request = gossip_wire.GossipRequest(
         "i",
-        strikes=(messages.StrikeRecord("f", "e", "z", 1.0, 2.0, 3, True),),
-        isolated=(messages.IsolatedRequest("f", "e"),),
+        strikes=(gossip_wire.StrikeRecord("f", "e", "z", 1.0, 2.0, 3, True),),
+        isolated=(gossip_wire.IsolatedRequest("f", "e"),),
     )
     data = msgspec.msgpack.encode(request)
-    assert msgspec.msgpack.decode(data, type=messages.GossipRequest) == request
+    assert (
+        msgspec.msgpack.decode(data, type=gossip_wire.GossipRequest) == request
+    )
