Tell which errors innocent requests got in bench poison

Cause: one run beside the test suite had 4 of 103 innocent requests failed without saying how.

Change: the figures hold the error codes.

--- a/src/oriolejunction/bench/poison.py
+++ b/src/oriolejunction/bench/poison.py
@@ -89,6 +89,7 @@
         "innocent_requests": len(innocent),
         "innocent_quarantined": codes[QUARANTINED],
         "innocent_failed": sum(codes.values()) - codes[QUARANTINED],
+        "innocent_codes": dict(codes),
         "false_not_run": false_refusals,
         "broken_answers": broken,
     }
