Start the processes of benches in one place

Cause: the ledger bench and the process soak each had their own start with a configuration, count of runs and search of logs.

Change: one set of functions in bench/processes.py serves both.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -19,9 +19,7 @@
 
 from bench import processes
 from oriolejunction.bench import result
-from oriolejunction import errors
 from oriolejunction import local_deployment
-from oriolejunction import operator_client
 from oriolejunction.questionnaire import answers as answer_files
 from oriolejunction import states
 
@@ -77,36 +75,20 @@
     async def start(self) -> None:
         """Start everything with a configuration in force."""
         await self._service.start()
-        for serve in self.serves:
-            await serve.managed.start()
-        urls = [serve.caller_url for serve in self.serves]
-        await processes.until_live(urls)
-        client = operator_client.OperatorClient(
-            self.serves[0].operator_url, processes.TOKEN
-        )
-        text = answer_files.dump(self._answers())
-        async with asyncio.timeout(processes.START_TIMEOUT_S):
-            draft = await _until_done(lambda: client.submit(text))
-            await _until_done(lambda: client.accept(draft["draft_id"]))
-        await processes.until_ready(urls)
+        await processes.start_with(self.serves, self._answers())
 
     async def stop(self) -> None:
         """Kill everything."""
         await processes.stop_all(serve.managed for serve in self.serves)
         await processes.stop_all([self._service])
 
-    async def runs_by_key(self) -> dict[str, int]:
+    async def runs_by_key(self) -> collections.Counter[str]:
         """Return the service's own count."""
-        async with aiohttp.ClientSession() as session:
-            async with session.get(self.service_url + "/counts") as reply:
-                return await reply.json()
+        return await processes.service_counts(self.service_url)
 
     def asserted(self) -> int:
         """Return how many violated invariants the instances logged."""
-        return sum(
-            path.read_text(errors="replace").count("invariant violated")
-            for path in self._folder.glob("instance-*.log")
-        )
+        return len(processes.violated_invariants(self._folder))
 
     def _answers(self) -> answer_files.Answers:
         return answer_files.Answers(
@@ -123,14 +105,6 @@
         )
 
 
-async def _until_done(order):
-    while True:
-        try:
-            return await order()
-        except errors.Failure:
-            await asyncio.sleep(processes.READY_POLL_S)
-
-
 class Callers:
     """Callers that place orders and send them again until they know."""
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """Real ``serve`` and stand-in processes on loopback, for benches."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -8,10 +9,14 @@
 import pathlib
 import signal
 import sys
+import typing
 
 import aiohttp
 
+from oriolejunction import errors
 from oriolejunction import local_deployment
+from oriolejunction import operator_client
+from oriolejunction.questionnaire import answers as answer_files
 
 READY_POLL_S = 0.05
 START_TIMEOUT_S = 20.0
@@ -148,6 +153,53 @@
         await asyncio.sleep(READY_POLL_S)
 
 
+async def start_with(
+    serves: collections.abc.Sequence[ServeProcess],
+    answers: answer_files.Answers,
+) -> None:
+    """Start instances and put the configuration of answers in force."""
+    for serve in serves:
+        await serve.managed.start()
+    urls = [serve.caller_url for serve in serves]
+    await until_live(urls)
+    client = operator_client.OperatorClient(serves[0].operator_url, TOKEN)
+    text = answer_files.dump(answer_files.without_keys(answers))
+    async with asyncio.timeout(START_TIMEOUT_S):
+        draft = await _until_done(lambda: client.submit(text))
+        await _until_done(lambda: client.accept(draft["draft_id"]))
+    await until_ready(urls)
+
+
+async def _until_done(
+    order: collections.abc.Callable[
+        [], collections.abc.Awaitable[dict[str, typing.Any]]
+    ],
+) -> dict[str, typing.Any]:
+    """Send an idempotent order until it is carried out."""
+    while True:
+        try:
+            return await order()
+        except errors.Failure:
+            await asyncio.sleep(READY_POLL_S)
+
+
+async def service_counts(url: str) -> collections.Counter[str]:
+    """Return a stand-in service's own count of runs by key."""
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url + "/counts") as response:
+            return collections.Counter(await response.json())
+
+
+def violated_invariants(folder: pathlib.Path) -> list[str]:
+    """Return the lines in which an instance logged a violated invariant."""
+    return [
+        line
+        for path in folder.glob("instance-*.log")
+        for line in path.read_text(errors="replace").splitlines()
+        if "invariant violated" in line
+    ]
+
+
 async def stop_all(
     processes: collections.abc.Iterable[ManagedProcess],
 ) -> None:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -19,9 +19,7 @@
 from oriolejunction.bench import result
 from oriolejunction.bench import soak as local_soak
 from oriolejunction import clock as clocks
-from oriolejunction import errors
 from oriolejunction import local_deployment
-from oriolejunction import operator_client
 from oriolejunction.questionnaire import answers as answer_files
 from oriolejunction import states
 
@@ -69,18 +67,7 @@
         """Start all processes with the sample configuration in force."""
         for process in self.standins:
             await process.start()
-        for serve in self.serves:
-            await serve.managed.start()
-        urls = [serve.caller_url for serve in self.serves]
-        await processes.until_live(urls)
-        client = operator_client.OperatorClient(
-            self.serves[0].operator_url, processes.TOKEN
-        )
-        text = answer_files.dump(answer_files.without_keys(self.answers()))
-        async with asyncio.timeout(processes.START_TIMEOUT_S):
-            draft = await _until_done(lambda: client.submit(text))
-            await _until_done(lambda: client.accept(draft["draft_id"]))
-        await processes.until_ready(urls)
+        await processes.start_with(self.serves, self.answers())
 
     async def stop(self) -> None:
         """Kill all processes."""
@@ -132,14 +119,6 @@
         )
 
 
-async def _until_done(order):
-    while True:
-        try:
-            return await order()
-        except errors.Failure:
-            await asyncio.sleep(processes.READY_POLL_S)
-
-
 class ProcessFaults:
     """Kill, pause and stop instances, one or two at a time."""
 
@@ -226,9 +205,9 @@
         group.create_task(faults.run(over))
         await asyncio.sleep(options.seconds)
         over.set()
-    runs_by_key = await _service_counts(deployment.service_url)
+    runs_by_key = await processes.service_counts(deployment.service_url)
     found = mixed_traffic.violations(traffic.tally, runs_by_key)
-    found += _asserted(folder)
+    found += processes.violated_invariants(folder)
     tally = traffic.tally
     figures = {
         "seconds": options.seconds,
@@ -248,19 +227,3 @@
     return result.BenchResult(
         "soak-processes", options.seed, figures, len(found)
     )
-
-
-async def _service_counts(url: str) -> collections.Counter[str]:
-    async with aiohttp.ClientSession() as session:
-        async with session.get(url + "/counts") as response:
-            return collections.Counter(await response.json())
-
-
-def _asserted(folder: pathlib.Path) -> list[str]:
-    """Return the lines in which a process logged a violated invariant."""
-    return [
-        line
-        for path in folder.glob("instance-*.log")
-        for line in path.read_text(errors="replace").splitlines()
-        if '"invariant violated"' in line
-    ]
