Wait for the control group when a demo or bench starts

Cause: the demo of the binary under strace exited 2 with 'no control replica answered': the three replicas form their group while the sample is already submitted. Ruled out: the group itself, which formed later in the same run.

Change: orders, idempotent as they are, are sent again for up to 30 s; demo and benches share the function.

Conclusion: a slow machine delays the demo and does not fail it.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,11 +9,10 @@
 import pathlib
 import signal
 import sys
-import typing
 
 import aiohttp
 
-from oriolejunction import errors
+from oriolejunction import clock as clocks
 from oriolejunction import local_deployment
 from oriolejunction import operator_client
 from oriolejunction.questionnaire import answers as answer_files
@@ -164,25 +163,16 @@
     await until_live(urls)
     client = operator_client.OperatorClient(serves[0].operator_url, TOKEN)
     text = answer_files.dump(answer_files.without_keys(answers))
-    async with asyncio.timeout(START_TIMEOUT_S):
-        draft = await _until_done(lambda: client.submit(text))
-        await _until_done(lambda: client.accept(draft["draft_id"]))
+    clock = clocks.SystemClock()
+    draft = await operator_client.until_carried_out(
+        lambda: client.submit(text), clock
+    )
+    await operator_client.until_carried_out(
+        lambda: client.accept(draft["draft_id"]), clock
+    )
     await until_ready(urls)
 
 
-async def _until_done(
-    order: collections.abc.Callable[
-        [], collections.abc.Awaitable[dict[str, typing.Any]]
-    ],
-) -> dict[str, typing.Any]:
-    """Send an idempotent order until it is carried out."""
-    while True:
-        try:
-            return await order()
-        except errors.Failure:
-            await asyncio.sleep(READY_POLL_S)
-
-
 async def service_counts(url: str) -> collections.Counter[str]:
     """Return a stand-in service's own count of runs by key."""
     async with aiohttp.ClientSession() as session:
--- a/src/oriolejunction/demonstration.py
+++ b/src/oriolejunction/demonstration.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from oriolejunction import clock as clocks
 from oriolejunction.http import event_text
 from oriolejunction import invariants
 from oriolejunction import local_deployment
@@ -84,8 +85,14 @@
         addresses.operators_urls[0], addresses.operator_token
     )
     answers = answer_files.without_keys(deployment.sample_answers())
-    draft = await client.submit(answer_files.dump(answers))
-    await client.accept(draft["draft_id"])
+    text = answer_files.dump(answers)
+    clock = clocks.SystemClock()
+    draft = await operator_client.until_carried_out(
+        lambda: client.submit(text), clock
+    )
+    await operator_client.until_carried_out(
+        lambda: client.accept(draft["draft_id"]), clock
+    )
     await local_deployment.until_ready(deployment)
 
 
--- a/src/oriolejunction/operator_client.py
+++ b/src/oriolejunction/operator_client.py
@@ -1,14 +1,18 @@
 """Client of the operators' listener, for the command line."""
 
+import collections.abc
 import getpass
 import json
 import typing
 
 import aiohttp
 
+from oriolejunction import clock as clocks
 from oriolejunction import errors
 
 TIMEOUT_S = 20.0
+START_TIMEOUT_MS = 30_000
+RESEND_PAUSE_MS = 50
 
 
 class OperatorError(errors.ServingError):
@@ -72,3 +76,26 @@
         if "error" in reply:
             raise errors.Failure(OperatorError(reply["error"]["message"]))
         return reply
+
+
+Order = collections.abc.Callable[
+    [], collections.abc.Awaitable[dict[str, typing.Any]]
+]
+
+
+async def until_carried_out(
+    order: Order, clock: clocks.Clock, timeout_ms: float = START_TIMEOUT_MS
+) -> dict[str, typing.Any]:
+    """Send an idempotent order again until it is carried out.
+
+    A group of control replicas that is being formed refuses for a while.
+    Raise the last `Failure` after `timeout_ms`.
+    """
+    give_up_ms = clock.now_ms() + timeout_ms
+    while True:
+        try:
+            return await order()
+        except errors.Failure:
+            if clock.now_ms() >= give_up_ms:
+                raise
+        await clock.sleep_ms(RESEND_PAUSE_MS)
