--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from oriolejunction import errors
 from oriolejunction import invariants
 from oriolejunction.questionnaire import answers as answer_files
 from oriolejunction import telemetry
@@ -99,6 +100,20 @@
     assert missing == []
 
 
+def test_every_error_is_on_a_page():
+    folder = ROOT / "docs" / "operators"
+    pages = "".join(page.read_text() for page in folder.glob("*.md"))
+    codes = {
+        value.code
+        for value in vars(errors).values()
+        if isinstance(value, type)
+        and issubclass(value, errors.ServingError)
+        and value.__subclasses__() == []
+    }
+    missing = [code for code in codes if f"`{code}`" not in pages]
+    assert missing == []
+
+
 def test_every_invariant_is_on_its_page():
     page = (ROOT / "docs" / "INVARIANTS.md").read_text()
     functions = [
