--- /dev/null
+++ b/src/oriolejunction/backends.py
@@ -0,0 +1,46 @@
+"""Backend servers as the platform lists them."""
+
+import dataclasses
+
+import msgspec
+
+from oriolejunction import ids
+
+
+class Backend(msgspec.Struct, frozen=True, array_like=True):
+    """One incarnation of a backend server; `address` is ``IP:PORT``."""
+
+    backend_id: ids.BackendId
+    service: ids.ServiceName
+    address: str
+    zone: ids.ZoneId
+    slots: int = 0
+    leaving: bool = False
+    cold_ms: float = 0.0
+
+
+class Listing(msgspec.Struct, frozen=True, array_like=True):
+    """The platform's list as one reader saw it.
+
+    A listing replaces those with a lower `(reader_term, number)`.
+    """
+
+    reader_term: int
+    number: int
+    backends: tuple[Backend, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class KnownBackends:
+    """The listing in use and when, in ms, the list was read for it."""
+
+    by_id: dict[ids.BackendId, Backend]
+    read_at_ms: float
+
+    def of_service(self, service: ids.ServiceName) -> list[Backend]:
+        """Return the backend servers of a service that take new work."""
+        return [
+            each
+            for each in self.by_id.values()
+            if each.service == service and not each.leaving
+        ]
--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -10,10 +10,13 @@
 import reactivex
 from reactivex import subject
 
+from oriolejunction import backends
 from oriolejunction import configuration
+from oriolejunction import fleet_sight
 from oriolejunction import ids
 from oriolejunction import invariants
 from oriolejunction import messages
+from oriolejunction import routing_table
 from oriolejunction import states
 
 Value = typing.TypeVar("Value")
@@ -112,4 +115,7 @@
         self.engine_report_by_id = Cell({})
         self.engine_state_by_id: Cell[dict[ids.EngineId, states.EngineState]]
         self.engine_state_by_id = Cell({})
+        self.table: Cell[routing_table.RoutingTable | None] = Cell(None)
+        self.backends = Cell(backends.KnownBackends({}, float("-inf")))
+        self.fleet = Cell(fleet_sight.FleetSight())
         self.attempt_losses: subject.Subject = subject.Subject()
--- a/src/oriolejunction/clock.py
+++ b/src/oriolejunction/clock.py
@@ -24,8 +24,11 @@
     """The clock of the operating system."""
 
     def now_ms(self) -> float:
-        """Return monotonic milliseconds."""
-        return time.monotonic() * 1000.0
+        """Return milliseconds since boot, the time suspended included.
+
+        A lease must run out while the machine is suspended.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch, for records only."""
--- a/src/oriolejunction/consensus/core_state.py
+++ b/src/oriolejunction/consensus/core_state.py
@@ -12,11 +12,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Timing:
-    """Intervals in ms; an election timeout is drawn from its range."""
+    """Intervals in ms; an election timeout is drawn from its range.
+
+    A voter silent for `lost_after_ms` gives its place to a learner that is
+    caught up; it is long where a paused replica should keep its vote.
+    """
 
     heartbeat_ms: float = 100.0
     election_min_ms: float = 700.0
     election_max_ms: float = 1_400.0
+    lost_after_ms: float = 60_000.0
 
 
 @dataclasses.dataclass
@@ -121,6 +126,17 @@
         voters = self.log.membership.voter_ids()
         return len(voters & replicas) >= self.quorum()
 
+    def hears_quorum(self, silence_ms: float) -> bool:
+        """Return whether a leader heard a majority within a time."""
+        oldest_ms = self.now_ms - silence_ms
+        return self.is_quorum(
+            {
+                replica
+                for replica, progress in self.progress_by_id.items()
+                if replica == self.self_id or progress.heard_ms >= oldest_ms
+            }
+        )
+
     def persist_hard_state(self) -> None:
         """Have term and vote written before any message that follows."""
         self.output.writes.append(types.HardState(self.term, self.vote))
--- a/src/oriolejunction/consensus/election.py
+++ b/src/oriolejunction/consensus/election.py
@@ -178,11 +178,5 @@
 
 def check_quorum(state: core_state.CoreState) -> None:
     """Step down where no majority was heard for an election timeout."""
-    oldest_ms = state.now_ms - state.timing.election_max_ms
-    heard = {
-        replica
-        for replica, progress in state.progress_by_id.items()
-        if replica == state.self_id or progress.heard_ms >= oldest_ms
-    }
-    if not state.is_quorum(heard):
+    if not state.hears_quorum(state.timing.election_max_ms):
         become_follower(state, state.term, None)
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -28,6 +28,7 @@
 TICK_MS = 20
 HAND_OVER_POLL_MS = 20
 HAND_OVER_LIMIT_MS = 2_000
+DISK_RETRY_MS = 500
 _encoder = msgspec.msgpack.Encoder()
 _log = structlog.get_logger(__name__)
 
@@ -148,8 +149,9 @@
     def _open(self, storage: storages.Storage) -> None:
         commit = 0
         if storage.snapshot is not None:
-            self._applier.install(storage.snapshot)
             commit = storage.snapshot.index
+            if commit > self._applier.index:
+                self._applier.install(storage.snapshot)
         self._storage = storage
         self._core = cores.Core(
             self.identity.replica,
@@ -168,6 +170,19 @@
         member = self.membership.member(self._core.state.leader)
         return member.address if member else None
 
+    def is_fresh(self, silence_ms: float) -> bool:
+        """Return whether this replica is in touch with a majority.
+
+        A follower is where the leader reached it a moment ago.
+        """
+        if self._core is None:
+            return False
+        state = self._core.state
+        state.now_ms = max(state.now_ms, self._clock.now_ms())
+        if state.is_leader():
+            return state.hears_quorum(silence_ms)
+        return state.now_ms - state.heard_leader_ms <= silence_ms
+
     def is_adrift(self, silence_ms: float) -> bool:
         """Return whether no leader reaches this replica, which has no vote.
 
@@ -337,18 +352,44 @@
             while True:
                 await self._wake.wait()
                 self._wake.clear()
-                if self._core is not None:
+                if self._core is None:
+                    continue
+                try:
                     await self._turn(self._core)
+                except OSError as error:
+                    await self._recover(error)
         except asyncio.CancelledError:
             raise
         except Exception:
-            # After a failed sync the disk's content is unknown, so that
-            # this replica must not acknowledge anything more.
             _log.exception("control replica stopped")
             self._core = None
             self._fail_waiting()
             raise
 
+    async def _recover(self, error: OSError) -> None:
+        """Take part again, as after a restart, once the disk can be written.
+
+        After a failed write or sync the disk's content is unknown, so that
+        this replica must acknowledge nothing before all it holds is
+        written and synced anew.
+        """
+        _log.error("disk lost", why=repr(error))
+        self._core = None
+        self._fail_waiting()
+        self._storage.close()
+        while self._core is None:
+            await self._clock.sleep_ms(DISK_RETRY_MS)
+            try:
+                storage = await asyncio.to_thread(
+                    storages.Storage.load, self._folder
+                )
+                await asyncio.to_thread(storage.rewrite)
+            except OSError as again:
+                _log.warning("disk still lost", why=repr(again))
+                continue
+            self._open(storage)
+        _log.warning("disk regained", index=self._core.state.log.last_index)
+
     async def _turn(self, core: cores.Core) -> None:
         core.tick(self._clock.now_ms())
         output = core.take_output()
--- a/src/oriolejunction/consensus/repair.py
+++ b/src/oriolejunction/consensus/repair.py
@@ -6,7 +6,6 @@
 from oriolejunction.consensus import membership as memberships
 from oriolejunction.consensus import types
 
-LOST_AFTER_MS = 60_000.0
 REPLACED_AFTER_MS = 3_000.0
 LEARNER_ALIVE_MS = 1_000.0
 MAX_LEARNERS = 4
@@ -56,23 +55,26 @@
             return None
         return memberships.without(current, spare.member.replica)
     candidate = _best_learner(learners, voters)
-    lost = [v for v in voters if is_lost(v, current)]
+    lost_ms = state.timing.lost_after_ms
+    lost = [v for v in voters if is_lost(v, current, lost_ms)]
     if candidate and (lost or len(voters) < current.voter_target):
         return memberships.with_promoted(current, candidate.member.replica)
     for view in learners:
-        if is_lost(view, current):
+        if is_lost(view, current, lost_ms):
             return memberships.without(current, view.member.replica)
     return None
 
 
-def is_lost(view: MemberView, current: types.Membership) -> bool:
+def is_lost(
+    view: MemberView, current: types.Membership, lost_after_ms: float
+) -> bool:
     """Return whether a member is to be replaced.
 
     A disk that came back with a new identity on the same instance proves
     the loss of the old one; a silent member alone may be paused or cut off.
     """
     replaced = _is_replaced(view.member, current)
-    limit_ms = REPLACED_AFTER_MS if replaced else LOST_AFTER_MS
+    limit_ms = REPLACED_AFTER_MS if replaced else lost_after_ms
     return view.silent_ms > limit_ms
 
 
--- a/src/oriolejunction/consensus/storage.py
+++ b/src/oriolejunction/consensus/storage.py
@@ -192,6 +192,18 @@
         self._save_snapshot(snapshot)
         self._start_segment((base, hard_state, types.AppendEntries(entries)))
 
+    def rewrite(self) -> None:
+        """Write all that is held to a new segment; raise `OSError`."""
+        log = self.log
+        place, membership = log.membership_at(log.base_index)
+        self._start_segment(
+            (
+                Base(log.base_index, log.base_term, membership, place),
+                self.hard_state,
+                types.AppendEntries(log.after(log.base_index)),
+            )
+        )
+
     def _start_segment(
         self, records: collections.abc.Sequence[_Stored]
     ) -> None:
--- /dev/null
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -0,0 +1,106 @@
+"""The backend servers of a service as one instance sees them now.
+
+Joins the platform's list, the work of this instance and of the others, the
+observed speeds and the suspicions into candidates for placement.
+"""
+
+import dataclasses
+import random
+
+from oriolejunction import backends
+from oriolejunction import blackboard as blackboards
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import engine_speeds
+from oriolejunction.controllers import placement
+from oriolejunction.controllers import run_table
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+from oriolejunction import routing_table
+
+# A call in flight counts as much as this share of failed answers.
+FAILURE_CALLS = 4.0
+CHANCE_CALLS = 0.2
+OTHER_ZONE_CALLS = 0.4
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendView:
+    """Everything that choices among backend servers are made from."""
+
+    blackboard: blackboards.Blackboard
+    runs: run_table.RunTable
+    speeds: engine_speeds.EngineSpeeds
+    health: backend_health.BackendHealth
+    zone: ids.ZoneId
+    rng: random.Random
+
+    def sound(
+        self,
+        service: ids.ServiceName,
+        excluded: frozenset[ids.BackendId] = frozenset(),
+    ) -> list[backends.Backend]:
+        """Return the backend servers of a service that may get work."""
+        told = self.blackboard.fleet.read().suspects
+        return [
+            each
+            for each in self.blackboard.backends.read().of_service(service)
+            if each.backend_id not in excluded
+            and not self.health.is_suspect(each.backend_id, told)
+        ]
+
+    def engines(
+        self,
+        service: routing_table.Service,
+        excluded: frozenset[ids.BackendId] = frozenset(),
+    ) -> list[placement.Candidate]:
+        """Return the engines of a service with all work known on them."""
+        own = self.runs.loads()
+        others = self.blackboard.fleet.read().load_by_id
+        return [
+            self._candidate(each, service.engine, own, others)
+            for each in self.sound(service.name, excluded)
+        ]
+
+    def _candidate(
+        self,
+        backend: backends.Backend,
+        traits: routing_table.EngineTraits,
+        own: dict[ids.BackendId, fm.BackendLoad],
+        others: dict[ids.BackendId, fm.BackendLoad],
+    ) -> placement.Candidate:
+        none = fm.BackendLoad(backend.backend_id, 0, 0, 0)
+        mine = own.get(backend.backend_id, none)
+        theirs = others.get(backend.backend_id, none)
+        return placement.Candidate(
+            backend=backend,
+            streams=mine.streams + theirs.streams,
+            kv_tokens=mine.kv_tokens + theirs.kv_tokens,
+            prefill_tokens=mine.prefill_tokens + theirs.prefill_tokens,
+            kv_limit=traits.kv_tokens,
+            slots=traits.slots,
+            event_ms=self.speeds.event_ms(backend.backend_id),
+            prefill_ms_per_k=self.speeds.prefill_ms_per_k(backend.backend_id),
+        )
+
+    def for_call(
+        self,
+        service: ids.ServiceName,
+        excluded: frozenset[ids.BackendId] = frozenset(),
+    ) -> backends.Backend | None:
+        """Return the backend server for a call to a plain service.
+
+        The one with the fewest own calls; one that failed of late, and one
+        in another zone, counts as having more.
+        """
+        return min(
+            self.sound(service, excluded), key=self._call_cost, default=None
+        )
+
+    def _call_cost(self, backend: backends.Backend) -> float:
+        backend_id = backend.backend_id
+        return (
+            self.runs.calls(backend_id)
+            + FAILURE_CALLS * self.health.failure_share(backend_id)
+            + OTHER_ZONE_CALLS * (backend.zone != self.zone)
+            + self.rng.uniform(0, CHANCE_CALLS)
+        )
--- a/src/oriolejunction/controllers/control_state.py
+++ b/src/oriolejunction/controllers/control_state.py
@@ -7,6 +7,7 @@
 from oriolejunction.controllers import configuration_history
 from oriolejunction.controllers import ledger as ledgers
 from oriolejunction.controllers import orders as order_books
+from oriolejunction.controllers import published_table
 from oriolejunction import errors
 from oriolejunction import messages
 
@@ -22,6 +23,9 @@
     orders: order_books.OrderBook = dataclasses.field(
         default_factory=order_books.OrderBook
     )
+    table: published_table.PublishedTable = dataclasses.field(
+        default_factory=published_table.PublishedTable
+    )
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -54,6 +58,8 @@
             return order_books.apply_order(
                 state.orders, command, state.history.content
             )
+        case messages.PublishTable():
+            return published_table.publish(state.table, command)
         case _:
             return configuration_history.apply_change(state.history, command)
 
--- /dev/null
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -0,0 +1,85 @@
+"""Requests that crash the engines which begin to run them.
+
+Load pattern: one request takes down each engine that starts it, and its
+caller sends it again to any instance. A crash counts against a request that
+had brought no event, unless engines of the zone were lost beside it; what
+all instances counted names it.
+"""
+
+import collections
+
+from oriolejunction import clock as clocks
+from oriolejunction import ids
+
+MAX_CRASHES = 3
+MEMORY_MS = 60_000.0
+# Engines of a zone lost within this time of each other crashed together.
+TOGETHER_MS = 1_200.0
+MAX_REMEMBERED = 1_000
+
+
+class CrashGuard:
+    """Counts crashes by request; `fingerprint` is its path and body."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._losses: collections.deque = collections.deque(maxlen=256)
+        self._crashes: dict[
+            ids.Fingerprint, list[tuple[ids.BackendId, ids.ZoneId, float]]
+        ] = {}
+        self.change_number = 0
+
+    def note_loss(self, backend_id: ids.BackendId, zone: ids.ZoneId) -> None:
+        """Note that an engine was lost, whatever ran on it."""
+        self._losses.append((backend_id, zone, self._clock.now_ms()))
+
+    def note_crash(
+        self,
+        fingerprint: ids.Fingerprint,
+        backend_id: ids.BackendId,
+        zone: ids.ZoneId,
+    ) -> None:
+        """Note that an engine was lost while it began a request."""
+        self.note_loss(backend_id, zone)
+        crashes = self._crashes.setdefault(fingerprint, [])
+        if any(known == backend_id for known, _, _ in crashes):
+            return
+        crashes.append((backend_id, zone, self._clock.now_ms()))
+        self.change_number += 1
+        if len(self._crashes) > MAX_REMEMBERED:
+            del self._crashes[next(iter(self._crashes))]
+
+    def crashes(self) -> dict[ids.Fingerprint, int]:
+        """Return the crashes that count, by request."""
+        oldest_ms = self._clock.now_ms() - MEMORY_MS
+        counted = {}
+        for fingerprint, crashes in self._crashes.items():
+            count = sum(
+                at_ms > oldest_ms
+                and not self._fell_together(backend_id, zone, at_ms)
+                for backend_id, zone, at_ms in crashes
+            )
+            if count:
+                counted[fingerprint] = count
+        return counted
+
+    def is_barred(
+        self,
+        fingerprint: ids.Fingerprint,
+        told: dict[ids.Fingerprint, int],
+    ) -> bool:
+        """Return whether a request has crashed too many engines."""
+        if fingerprint not in self._crashes and fingerprint not in told:
+            return False
+        own = self.crashes().get(fingerprint, 0)
+        return own + told.get(fingerprint, 0) >= MAX_CRASHES
+
+    def _fell_together(
+        self, backend_id: ids.BackendId, zone: ids.ZoneId, at_ms: float
+    ) -> bool:
+        return any(
+            other != backend_id
+            and other_zone == zone
+            and abs(other_ms - at_ms) <= TOGETHER_MS
+            for other, other_zone, other_ms in self._losses
+        )
--- /dev/null
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -0,0 +1,114 @@
+"""Observed speed of each engine: between events, and reading prompts.
+
+Load pattern: engines of one service differ by more than twice in speed, and
+an instance sees few of the streams, so that it takes in what others saw.
+"""
+
+import dataclasses
+import statistics
+
+from oriolejunction.controllers import suspicion
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+
+# Used before anything was observed: a mid-range engine.
+DEFAULT_EVENT_MS = 32.0
+DEFAULT_PREFILL_MS_PER_K = 130.0
+PREFILL_WEIGHT = 0.3
+# A prompt shorter than this tells little of the speed of reading.
+MIN_PREFILL_TOKENS = 1_000
+
+
+@dataclasses.dataclass
+class EngineSpeed:
+    """Gaps between events of an engine, and its ms per 1,000 tokens."""
+
+    gaps: suspicion.GapEstimate = dataclasses.field(
+        default_factory=suspicion.GapEstimate
+    )
+    prefill_ms_per_k: float | None = None
+
+
+class EngineSpeeds:
+    """Own observations, with the others' where there are none."""
+
+    def __init__(self) -> None:
+        self._own_by_id: dict[ids.BackendId, EngineSpeed] = {}
+        self._told_by_id: dict[ids.BackendId, fm.EngineSpeed] = {}
+
+    def add_gap(self, backend_id: ids.BackendId, gap_ms: float) -> None:
+        """Take in the time between two events of a stream."""
+        self._own(backend_id).gaps.add(gap_ms)
+
+    def add_prefill(
+        self, backend_id: ids.BackendId, tokens: int, took_ms: float
+    ) -> None:
+        """Take in the time to a first event with no other prompt ahead."""
+        if tokens < MIN_PREFILL_TOKENS:
+            return
+        own = self._own(backend_id)
+        seen = took_ms / tokens * 1_000
+        if own.prefill_ms_per_k is None:
+            own.prefill_ms_per_k = seen
+        else:
+            own.prefill_ms_per_k += PREFILL_WEIGHT * (
+                seen - own.prefill_ms_per_k
+            )
+
+    def take_told(
+        self, told_by_id: dict[ids.BackendId, fm.EngineSpeed]
+    ) -> None:
+        """Take in what the others observed."""
+        self._told_by_id = told_by_id
+
+    def gaps(self, backend_id: ids.BackendId) -> suspicion.GapEstimate:
+        """Return the own estimate of an engine's gaps."""
+        return self._own(backend_id).gaps
+
+    def event_ms(self, backend_id: ids.BackendId) -> float:
+        """Return the expected time between two events."""
+        own = self._own_by_id.get(backend_id)
+        if own is not None and own.gaps.samples >= suspicion.WARM_SAMPLES:
+            return own.gaps.mean_ms
+        told = self._told_by_id.get(backend_id)
+        if told is not None and told.event_ms > 0:
+            return told.event_ms
+        return self._median(
+            [s.event_ms for s in self._told_by_id.values()]
+        ) or (DEFAULT_EVENT_MS)
+
+    def prefill_ms_per_k(self, backend_id: ids.BackendId) -> float:
+        """Return the expected time to read a thousand prompt tokens."""
+        own = self._own_by_id.get(backend_id)
+        if own is not None and own.prefill_ms_per_k is not None:
+            return own.prefill_ms_per_k
+        told = self._told_by_id.get(backend_id)
+        if told is not None and told.prefill_ms_per_k > 0:
+            return told.prefill_ms_per_k
+        known = [s.prefill_ms_per_k for s in self._told_by_id.values()]
+        return self._median(known) or DEFAULT_PREFILL_MS_PER_K
+
+    def told(self) -> tuple[fm.EngineSpeed, ...]:
+        """Return the own observations, to be told to the others."""
+        return tuple(
+            fm.EngineSpeed(
+                backend_id,
+                round(speed.gaps.mean_ms, 1),
+                round(speed.prefill_ms_per_k or 0.0, 1),
+            )
+            for backend_id, speed in self._own_by_id.items()
+            if speed.gaps.samples >= suspicion.WARM_SAMPLES
+        )
+
+    def keep_only(self, listed: set[ids.BackendId]) -> None:
+        """Forget engines that are listed no more."""
+        for backend_id in set(self._own_by_id) - listed:
+            del self._own_by_id[backend_id]
+
+    def _own(self, backend_id: ids.BackendId) -> EngineSpeed:
+        return self._own_by_id.setdefault(backend_id, EngineSpeed())
+
+    @staticmethod
+    def _median(values: list[float]) -> float:
+        positive = [value for value in values if value > 0]
+        return statistics.median(positive) if positive else 0.0
--- /dev/null
+++ b/src/oriolejunction/controllers/event_answer.py
@@ -0,0 +1,51 @@
+"""The commit point of an answer made of numbered events.
+
+Whatever engine an event comes from, it is appended only by the attempt that
+owns the answer and only as the number that follows the last one.
+"""
+
+from oriolejunction.controllers import commit_point
+from oriolejunction import gateway_messages
+from oriolejunction import ids
+from oriolejunction import invariants
+from oriolejunction import states
+
+
+class EventAnswer:
+    """One answer; `last_event` is the number that the caller holds."""
+
+    def __init__(self, last_event: int = 0) -> None:
+        self.first_event = last_event
+        self.last_event = last_event
+        self.weights: int | None = None
+        self._point = commit_point.CommitPoint()
+
+    @property
+    def delivered(self) -> int:
+        """Return how many events this answer has brought so far."""
+        return self.last_event - self.first_event
+
+    def begin_attempt(self) -> ids.AttemptNumber:
+        """Make a new attempt the owner, which goes on after the last."""
+        attempt = self._point.new_attempt()
+        self._point.own(attempt, self.last_event + 1)
+        return attempt
+
+    def abandon(self, attempt: ids.AttemptNumber) -> None:
+        """Take from an attempt the right to append."""
+        self._point.abandon(attempt)
+
+    def commit(
+        self,
+        attempt: ids.AttemptNumber,
+        event: gateway_messages.NumberedEvent,
+    ) -> states.CommitOutcome:
+        """Append an event, or return why it may not be appended."""
+        outcome = self._point.place_outcome(attempt, event.number, 1)
+        if outcome is states.CommitOutcome.COMMITTED:
+            invariants.require_contiguous(self.last_event + 1, event.number)
+            self._point.advance(1)
+            self.last_event = event.number
+            if event.weights is not None:
+                self.weights = event.weights
+        return outcome
--- a/src/oriolejunction/controllers/generation.py
+++ b/src/oriolejunction/controllers/generation.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 
+from oriolejunction.controllers import commit_point
 from oriolejunction.controllers import sampling
 from oriolejunction.controllers import stop_strings
 from oriolejunction import engine_protocol
@@ -17,7 +18,7 @@
 from oriolejunction import invariants
 from oriolejunction import states
 
-NO_ATTEMPT = ids.AttemptNumber(0)
+NO_ATTEMPT = commit_point.NO_ATTEMPT
 CONTINUATION_PRIORITY = 1
 
 
@@ -74,11 +75,8 @@
         self.delivered_ids: list[int] = []
         self.finish_reason: states.FinishReason | None = None
         self.prompt_tokens = 0
-        self.owner = NO_ATTEMPT
-        self._last_attempt = NO_ATTEMPT
-        self._next_offset = 0
+        self._point = commit_point.CommitPoint()
         self._held: list[_Held] = []
-        self._base_by_contender: dict[ids.AttemptNumber, int] = {}
 
     def restore(
         self,
@@ -93,13 +91,18 @@
         """
         invariants.require(
             "restored_before_the_first_attempt",
-            self._last_attempt == NO_ATTEMPT and not self.delivered_ids,
+            self._point.last_attempt == NO_ATTEMPT and not self.delivered_ids,
             generation=self.generation_id,
         )
         self.delivered_ids.extend(delivered_ids)
-        self._last_attempt = last_attempt
+        self._point.last_attempt = last_attempt
         self.prompt_tokens = prompt_tokens
 
+    @property
+    def owner(self) -> ids.AttemptNumber:
+        """Return the attempt that may append at the next offset."""
+        return self._point.owner
+
     @property
     def finished(self) -> bool:
         """Return whether the answer is complete."""
@@ -114,27 +117,25 @@
         goes on after what was delivered, or computes it again where
         `from_start` is set.
         """
-        attempt = self._new_attempt()
-        self._base_by_contender.clear()
+        attempt = self._point.new_attempt()
+        self._point.drop_contenders()
         self._make_owner(attempt, len(self.delivered_ids))
         return self._request_of(attempt, from_start)
 
     def begin_contender(self) -> engine_protocol.GenerateRequest:
         """Return the request of a new attempt beside the others."""
-        attempt = self._new_attempt()
-        self._base_by_contender[attempt] = len(self.delivered_ids)
+        attempt = self._point.new_attempt()
+        self._point.contend(attempt, len(self.delivered_ids))
         return self._request_of(attempt, from_start=False)
 
     def abandon(self, attempt: ids.AttemptNumber) -> None:
         """Take from an attempt the right to append."""
-        self._base_by_contender.pop(attempt, None)
-        if attempt == self.owner:
-            self.owner = NO_ATTEMPT
+        if self._point.abandon(attempt):
             self._held.clear()
 
     def may_append(self, attempt: ids.AttemptNumber) -> bool:
         """Return whether an attempt owns or may still come to own."""
-        return attempt == self.owner or attempt in self._base_by_contender
+        return self._point.may_append(attempt)
 
     def complete_at_limit(self) -> bool:
         """Finish where all asked tokens are delivered; return if finished.
@@ -159,7 +160,7 @@
             invariants.require_one_generation(
                 self.generation_id, event.generation
             )
-            self._next_offset += len(event.ids)
+            self._point.advance(len(event.ids))
             delivery = Delivery(event.offset, event.ids, event.text)
             self._held.append(_Held(delivery, event.safe))
         if self.request.stop:
@@ -170,10 +171,6 @@
             return _COMMITTED
         return self._committed(self._release(len(self._held)))
 
-    def _new_attempt(self) -> ids.AttemptNumber:
-        self._last_attempt = ids.AttemptNumber(self._last_attempt + 1)
-        return self._last_attempt
-
     def _request_of(
         self, attempt: ids.AttemptNumber, from_start: bool
     ) -> engine_protocol.GenerateRequest:
@@ -195,15 +192,14 @@
 
     def _make_owner(self, attempt: ids.AttemptNumber, base: int) -> None:
         invariants.require_owner_goes_on(base, len(self.delivered_ids))
-        self.owner = attempt
+        self._point.own(attempt, base)
         self._held.clear()
-        self._next_offset = base
 
     def _settle_owner(self, attempt: ids.AttemptNumber) -> None:
         """Give the generation to the attempt that gave the next token."""
         if attempt != self.owner:
-            self._make_owner(attempt, self._base_by_contender[attempt])
-        self._base_by_contender.clear()
+            self._make_owner(attempt, self._point.base_of(attempt))
+        self._point.drop_contenders()
 
     def _refusal(
         self, event: engine_protocol.EngineEvent
@@ -212,22 +208,19 @@
             return states.CommitOutcome.FINISHED
         if event.generation != self.generation_id:
             return states.CommitOutcome.FOREIGN
-        if event.attempt == self.owner:
-            expected = self._next_offset
-        elif event.attempt in self._base_by_contender:
-            expected = self._base_by_contender[event.attempt]
-        else:
-            return states.CommitOutcome.NOT_OWNER
-        if event.offset == expected:
+        outcome = self._point.place_outcome(
+            event.attempt, event.offset, len(event.ids)
+        )
+        if outcome is states.CommitOutcome.COMMITTED:
             return None
-        return self._misplaced(event, expected)
+        if outcome is states.CommitOutcome.REPEATED:
+            return self._repeated(event)
+        return outcome
 
-    def _misplaced(
-        self, event: engine_protocol.EngineEvent, expected: int
+    def _repeated(
+        self, event: engine_protocol.EngineEvent
     ) -> states.CommitOutcome:
         end = event.offset + len(event.ids)
-        if event.offset > expected or end > expected:
-            return states.CommitOutcome.GAP
         known = self.delivered_ids[event.offset : end]
         if known != list(event.ids[: len(known)]):
             return states.CommitOutcome.DIVERGED
--- /dev/null
+++ b/src/oriolejunction/controllers/published_table.py
@@ -0,0 +1,41 @@
+"""The routing table in force, as a deterministic state.
+
+The highest version wins. The document is kept as the operator sent it, so
+that it is read back unchanged; its digest tells contents apart.
+"""
+
+import dataclasses
+
+from oriolejunction import invariants
+from oriolejunction import messages
+from oriolejunction import routing_table
+
+
+@dataclasses.dataclass
+class PublishedTable:
+    """The newest document committed so far."""
+
+    version: routing_table.TableVersion = routing_table.NO_TABLE
+    document: bytes = b""
+    digest: str = ""
+
+
+def publish(
+    held: PublishedTable, command: messages.PublishTable
+) -> messages.TablePublished | messages.TableRefused:
+    """Put a document in force where its version is the highest.
+
+    An older version changes nothing and is acknowledged: a later change
+    has overtaken it. Other content under the version held is refused.
+    """
+    if command.version > held.version:
+        invariants.require_rising_revision(held.version, command.version)
+        held.version = command.version
+        held.document = command.document
+        held.digest = command.digest
+    elif command.version == held.version and command.digest != held.digest:
+        return messages.TableRefused(
+            held.version,
+            f"version {held.version} is in force with other content",
+        )
+    return messages.TablePublished(held.version)
--- /dev/null
+++ b/src/oriolejunction/controllers/resend_budget.py
@@ -0,0 +1,59 @@
+"""This instance's part of the budget of arrivals beyond the first.
+
+Load pattern: when many requests fail at once, sending each again multiplies
+the load. In any window a service may get `ratio` times its requests and
+`extra` arrivals more, over all instances; each takes its part of both.
+"""
+
+import collections
+import dataclasses
+
+from oriolejunction import clock as clocks
+from oriolejunction import ids
+
+# Kept back, since instances count requests and windows apart.
+SAFETY_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class BudgetTerms:
+    """The budget of the whole deployment; `window_ms` slides."""
+
+    ratio: float
+    extra: float
+    window_ms: float
+
+
+class ResendBudget:
+    """Counts requests and further arrivals by service."""
+
+    def __init__(self, clock: clocks.Clock, terms: BudgetTerms) -> None:
+        self._clock = clock
+        self._terms = terms
+        self._requests: dict[ids.ServiceName, collections.deque[float]]
+        self._requests = collections.defaultdict(collections.deque)
+        self._resends: dict[ids.ServiceName, collections.deque[float]]
+        self._resends = collections.defaultdict(collections.deque)
+
+    def count_request(self, service: ids.ServiceName) -> None:
+        """Count the first arrival of a request."""
+        self._recent(self._requests[service]).append(self._clock.now_ms())
+
+    def allows(self, service: ids.ServiceName, entries: int) -> bool:
+        """Return whether one more arrival fits into this part."""
+        requests = len(self._recent(self._requests[service]))
+        resends = len(self._recent(self._resends[service]))
+        limit = self._terms.ratio * requests + self._terms.extra / entries
+        return resends + 1 <= SAFETY_SHARE * limit
+
+    def spend(self, service: ids.ServiceName) -> None:
+        """Count a further arrival."""
+        self._recent(self._resends[service]).append(self._clock.now_ms())
+
+    def _recent(
+        self, times_ms: collections.deque[float]
+    ) -> collections.deque[float]:
+        oldest_ms = self._clock.now_ms() - self._terms.window_ms
+        while times_ms and times_ms[0] < oldest_ms:
+            times_ms.popleft()
+        return times_ms
--- /dev/null
+++ b/src/oriolejunction/controllers/run_table.py
@@ -0,0 +1,71 @@
+"""Own work on each backend server, as told to the other instances."""
+
+import collections
+import dataclasses
+
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+
+
+@dataclasses.dataclass
+class Run:
+    """A stream on an engine, or the copy of its memory on another."""
+
+    backend_id: ids.BackendId
+    kv_tokens: int
+    prefill_tokens: int
+    copy: bool = False
+
+
+class RunTable:
+    """Runs of this instance, with their sums by backend server."""
+
+    def __init__(self) -> None:
+        self._run_by_key: dict[int, Run] = {}
+        self._calls: collections.Counter[ids.BackendId]
+        self._calls = collections.Counter()
+        self._last_key = 0
+        self.change_number = 0
+
+    def begin(self, run: Run) -> int:
+        """Add a run and return its key."""
+        self._last_key += 1
+        self._run_by_key[self._last_key] = run
+        self.change_number += 1
+        return self._last_key
+
+    def prefilled(self, key: int) -> None:
+        """Note that an engine has read a run's prompt."""
+        run = self._run_by_key.get(key)
+        if run is not None and run.prefill_tokens:
+            run.prefill_tokens = 0
+            self.change_number += 1
+
+    def end(self, key: int | None) -> None:
+        """Remove a run that ended or was given up."""
+        if key is not None and self._run_by_key.pop(key, None) is not None:
+            self.change_number += 1
+
+    def begin_call(self, backend_id: ids.BackendId) -> None:
+        """Count a call to a plain service."""
+        self._calls[backend_id] += 1
+
+    def end_call(self, backend_id: ids.BackendId) -> None:
+        """Count the end of a call to a plain service."""
+        self._calls[backend_id] -= 1
+        if not self._calls[backend_id]:
+            del self._calls[backend_id]
+
+    def calls(self, backend_id: ids.BackendId) -> int:
+        """Return how many calls are open on a backend server."""
+        return self._calls[backend_id]
+
+    def loads(self) -> dict[ids.BackendId, fm.BackendLoad]:
+        """Return the sums of the own streams."""
+        sums: dict[ids.BackendId, list[int]] = {}
+        for run in self._run_by_key.values():
+            total = sums.setdefault(run.backend_id, [0, 0, 0])
+            total[0] += not run.copy
+            total[1] += run.kv_tokens
+            total[2] += run.prefill_tokens
+        return {key: fm.BackendLoad(key, *sums[key]) for key in sums}
--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -309,3 +309,58 @@
     """An invariant of the program does not hold."""
 
     code = "invariant_violated"
+
+
+class UnfitTable(NotRunError):
+    """A routing table cannot be read or put in force."""
+
+    code = "unfit_table"
+    status = http.HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class TableConflict(NotRunError):
+    """Other content is in force under the version."""
+
+    code = "table_conflict"
+    status = http.HTTPStatus.CONFLICT
+
+
+class ListUnavailable(ServingError):
+    """The platform's list of backend servers could not be read whole."""
+
+    code = "list_unavailable"
+
+
+class NoTable(NotRunError):
+    """This instance knows no routing table yet."""
+
+    code = "no_table"
+
+
+class UnknownRoute(NotRunError):
+    """No route leads to the host and path."""
+
+    code = "unknown_route"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class NoCapacity(NotRunError):
+    """No backend server can take the request in time."""
+
+    code = "no_capacity"
+
+
+class AnswerUnknown(ServingError):
+    """A backend server was sent the request; whether it ran is unknown."""
+
+    code = "answer_unknown"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.BAD_GATEWAY
+
+
+class AnswerTimedOut(ServingError):
+    """The caller's deadline or the route's timeout was reached."""
+
+    code = "answer_timed_out"
+    outcome = states.Outcome.UNKNOWN
+    status = http.HTTPStatus.GATEWAY_TIMEOUT
--- /dev/null
+++ b/src/oriolejunction/fleet_messages.py
@@ -0,0 +1,138 @@
+"""What entry instances and control replicas tell each other.
+
+An entry instance sends its own share of the load to a control replica,
+which hands it on, and is answered with what all others hold. It grows with
+the backend servers in use, not with the square of the instances.
+"""
+
+import msgspec
+
+from oriolejunction import backends
+from oriolejunction import ids
+from oriolejunction import routing_table
+
+
+class BackendLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Work on a backend server: streams, their memory, prompts unread."""
+
+    backend_id: ids.BackendId
+    streams: int
+    kv_tokens: int
+    prefill_tokens: int
+
+
+class EngineSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """Observed ms for an event and for a thousand prompt tokens."""
+
+    backend_id: ids.BackendId
+    event_ms: float
+    prefill_ms_per_k: float
+
+
+class CrashNote(msgspec.Struct, frozen=True, array_like=True):
+    """A request was the only one to run on engines that crashed."""
+
+    fingerprint: ids.Fingerprint
+    crashes: int
+
+
+class EntryShare(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry instance does and believes.
+
+    `boot` names the incarnation, `number` rises with each change in it.
+    `suspects` are backend servers that it found lost by itself.
+    """
+
+    instance: ids.InstanceId
+    boot: str
+    number: int
+    loads: tuple[BackendLoad, ...] = ()
+    suspects: tuple[ids.BackendId, ...] = ()
+    crashes: tuple[CrashNote, ...] = ()
+    speeds: tuple[EngineSpeed, ...] = ()
+
+
+class AgedListing(msgspec.Struct, frozen=True, array_like=True):
+    """The platform's list, and how long ago it was read."""
+
+    age_ms: float
+    digest: str
+    backends: tuple[backends.Backend, ...] | None
+
+
+class Told(msgspec.Struct, frozen=True):
+    """The receiver took it in."""
+
+
+class Share(msgspec.Struct, frozen=True):
+    """An entry instance's share, to the control replica it watches."""
+
+    share: EntryShare
+
+
+class Relay(msgspec.Struct, frozen=True):
+    """Shares that one control replica hands on to another."""
+
+    shares: tuple[EntryShare, ...]
+    listing: AgedListing | None = None
+
+
+class Watch(msgspec.Struct, frozen=True):
+    """Ask for what changed; held back until something did.
+
+    `seen` is the change number of the last reply of this replica.
+    """
+
+    instance: ids.InstanceId
+    table_version: routing_table.TableVersion
+    listing_digest: str
+    seen: int
+
+
+class Sight(msgspec.Struct, frozen=True):
+    """What a control replica knows.
+
+    `fresh` tells that the leader reached it a moment ago. `loads` are the
+    sums over the other entry instances, of which there are `entries` with
+    the one that asked. `replicas` are the control replicas' peer addresses
+    and availability zones.
+    """
+
+    fresh: bool
+    seen: int
+    table_version: routing_table.TableVersion
+    document: bytes | None = None
+    listing: AgedListing | None = None
+    loads: tuple[BackendLoad, ...] = ()
+    suspects: tuple[ids.BackendId, ...] = ()
+    crashes: tuple[CrashNote, ...] = ()
+    speeds: tuple[EngineSpeed, ...] = ()
+    entries: int = 1
+    replicas: tuple[tuple[str, str], ...] = ()
+
+
+class PublishRequest(msgspec.Struct, frozen=True):
+    """Ask the leader to put a document in force."""
+
+    version: routing_table.TableVersion
+    document: bytes
+    digest: str
+
+
+class PublishReply(msgspec.Struct, frozen=True):
+    """`refusal` is why it was refused; `unknown` without a clear end."""
+
+    done: bool = False
+    refusal: str | None = None
+    unknown: bool = False
+
+
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Ask the leader for the newest document."""
+
+
+class ReadReply(msgspec.Struct, frozen=True):
+    """The document, None where the receiver cannot be sure of it."""
+
+    version: routing_table.TableVersion
+    document: bytes | None
--- /dev/null
+++ b/src/oriolejunction/fleet_wiring.py
@@ -0,0 +1,400 @@
+"""The composition root of the nodes of a deployment.
+
+An entry instance serves a deployment's own routes; a control replica keeps
+what must survive. Only this module knows the adapter of the platform.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import functools
+import pathlib
+import random
+import secrets
+
+from aiohttp import web
+import grpc
+import structlog
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import core_state
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import types
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import backend_view
+from oriolejunction.controllers import crash_guard
+from oriolejunction.controllers import engine_speeds
+from oriolejunction.controllers import fleet_hub
+from oriolejunction.controllers import planned_stop
+from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers import run_table
+from oriolejunction import errors
+from oriolejunction import fleet_messages as fm
+from oriolejunction.http import engine_pool
+from oriolejunction.http import gateway
+from oriolejunction.http import gateway_parts
+from oriolejunction.http import readiness
+from oriolejunction import ids
+from oriolejunction import node_settings
+from oriolejunction.peers import channels
+from oriolejunction.peers import fleet_service
+from oriolejunction.peers import fleet_watch
+from oriolejunction.peers import list_reader
+from oriolejunction.peers import listing_store
+from oriolejunction.peers import raft_formation
+from oriolejunction.peers import raft_service
+from oriolejunction.peers import raft_transport
+from oriolejunction.peers import rpc
+from oriolejunction.peers import transport as transports
+from oriolejunction.platform import backend_list
+from oriolejunction.platform import gateway_dialect
+from oriolejunction.platform import operator_calls
+from oriolejunction import settings as addresses
+from oriolejunction import states
+from oriolejunction import telemetry
+
+# The balancer notices within two of its checks, one a second.
+LEAVE_DELAY_MS = 2_500.0
+# What is left of the grace when the last answers are closed.
+GRACE_MARGIN_MS = 400.0
+SHARE_CHECK_MS = 10.0
+SETTINGS_CHECK_MS = 1_000.0
+LISTEN_BACKLOG = 1_024
+# A removed machine must not count once its successor has had 4 s.
+CONTROL_TIMING = core_state.Timing(lost_after_ms=2_500.0)
+# Documents of many routes reach 100 KB.
+LOG_LIMITS = raft_replica.LogLimits(entries=1_024, bytes=8 << 20, kept=32)
+_log = structlog.get_logger(__name__)
+
+
+class _SettingsFile:
+    """The settings of a node, read anew when their file changes."""
+
+    def __init__(self, path: pathlib.Path, kind: type) -> None:
+        self._path = path
+        self._kind = kind
+        self._seen = self._stamp()
+        self.current = node_settings.load(path, kind)
+
+    def _stamp(self) -> tuple[float, int]:
+        found = self._path.stat()
+        return found.st_mtime, found.st_size
+
+    def reload(self) -> None:
+        """Read the file; a faulty one leaves the settings as they are."""
+        try:
+            self._seen = self._stamp()
+            self.current = node_settings.load(self._path, self._kind)
+        except (OSError, errors.Failure) as error:
+            _log.error("settings not reloaded", why=str(error))
+            return
+        _log.info("settings reloaded", seeds=self.current.control_seeds)
+
+    async def follow(self, clock: clocks.Clock) -> None:
+        """Reload whenever the file changes."""
+        while True:
+            await clock.sleep_ms(SETTINGS_CHECK_MS)
+            try:
+                changed = self._stamp() != self._seen
+            except OSError as error:
+                _log.warning("settings file not found", why=str(error))
+                continue
+            if changed:
+                self.reload()
+
+
+class _Node:
+    """What entry instances and control replicas have in common."""
+
+    def __init__(self, path: pathlib.Path, kind: type) -> None:
+        self.file = _SettingsFile(path, kind)
+        self.clock = clocks.SystemClock()
+        self.rng = random.Random()
+        self.listing = listing_store.ListingStore(self.clock)
+        self._tasks: list[asyncio.Task] = []
+        self._runners: list[web.BaseRunner] = []
+
+    def spawn(self, work: collections.abc.Coroutine) -> None:
+        """Run something for as long as the node lives."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(_log_end)
+        self._tasks.append(task)
+
+    async def listen(self, runner: web.BaseRunner, address: str) -> None:
+        """Serve at ``IP:PORT``."""
+        host, port = addresses.split_address(address)
+        await runner.setup()
+        site = web.TCPSite(
+            runner, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+        )
+        await site.start()
+        self._runners.append(runner)
+
+    async def close(self) -> None:
+        """Close the listeners and end the tasks."""
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _log_end(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("task ended", why=repr(task.exception()))
+
+
+class EntryNode(_Node):
+    """An entry instance of a deployment."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        super().__init__(path, node_settings.EntrySettings)
+        settings = self.file.current
+        self._board = blackboards.Blackboard()
+        self._write_state = self._board.instance_state.own("fleet_wiring")
+        self._boot = secrets.token_hex(6)
+        self._share_number = 0
+        self._told_numbers: tuple[int, ...] = ()
+        self._stop = planned_stop.PlannedStop(
+            self.clock, self._write_state, LEAVE_DELAY_MS, lambda: 0
+        )
+        zone = ids.ZoneId(settings.zone)
+        runs = run_table.RunTable()
+        speeds = engine_speeds.EngineSpeeds()
+        health = backend_health.BackendHealth(self.clock)
+        self._parts = gateway_parts.GatewayParts(
+            clock=self.clock,
+            blackboard=self._board,
+            dialect=gateway_dialect.DIALECT,
+            pool=engine_pool.EnginePool(self.clock),
+            view=backend_view.BackendView(
+                self._board, runs, speeds, health, zone, self.rng
+            ),
+            runs=runs,
+            speeds=speeds,
+            health=health,
+            budget=resend_budget.ResendBudget(
+                self.clock,
+                resend_budget.BudgetTerms(
+                    settings.retry_ratio,
+                    settings.retry_extra,
+                    settings.retry_window_ms,
+                ),
+            ),
+            guard=crash_guard.CrashGuard(self.clock),
+            telemetry=telemetry.GatewayTelemetry(),
+        )
+
+    async def start(self) -> None:
+        """Open the listeners and begin to watch the control replicas."""
+        settings = self.file.current
+        self._channels = channels.Channels()
+        self._watch = fleet_watch.FleetWatch(
+            fleet_watch.WatchParts(
+                instance=ids.InstanceId(settings.instance_id),
+                zone=ids.ZoneId(settings.zone),
+                clock=self.clock,
+                blackboard=self._board,
+                listing=self.listing,
+                seeds=lambda: self.file.current.seed_addresses(),
+                share=self._share,
+                read_table=gateway_dialect.DIALECT.read_table,
+                caller=self._channels.caller,
+                rng=self.rng,
+            )
+        )
+        self._board.backends.changes().subscribe(self._forget_unlisted)
+        self._board.fleet.changes().subscribe(
+            lambda sight: self._parts.speeds.take_told(sight.speed_by_id)
+        )
+        self.spawn(self._watch.run())
+        self.spawn(self._watch.run_shares())
+        self.spawn(self._notice_share_changes())
+        self.spawn(self.file.follow(self.clock))
+        self.spawn(
+            list_reader.ListReader(
+                self.clock,
+                self.listing,
+                functools.partial(
+                    backend_list.fetch, address=settings.list_address
+                ),
+                lambda: False,
+                self._watch.publish_listing,
+                self.rng,
+            ).run()
+        )
+        entry = gateway.Gateway(
+            self._parts, self._stop.request, lambda: not self._is_staying()
+        )
+        await self.listen(entry.runner(), settings.caller_listen)
+        await self.listen(
+            web.AppRunner(
+                readiness.application(self._is_ready), access_log=None
+            ),
+            settings.ready_listen,
+        )
+        self._write_state(states.InstanceState.READY)
+        _log.info("entry instance started", listen=settings.caller_listen)
+
+    async def drain(self) -> None:
+        """Finish what runs, as far as the grace allows."""
+        limit_ms = self.file.current.grace_ms - GRACE_MARGIN_MS
+        _log.info("entry instance leaving", in_flight=self._stop.in_flight)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_ms / 1e3):
+                await self._stop.run()
+        _log.info("entry instance stopped", in_flight=self._stop.in_flight)
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        await super().close()
+        self._parts.pool.close()
+        await self._channels.close()
+
+    def _is_staying(self) -> bool:
+        return self._board.instance_state.read() in (
+            states.InstanceState.STARTING,
+            states.InstanceState.READY,
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            self._board.instance_state.read() is states.InstanceState.READY
+            and self._board.table.read() is not None
+            and bool(self._board.backends.read().by_id)
+        )
+
+    def _share(self) -> fm.EntryShare:
+        self._share_number += 1
+        return fm.EntryShare(
+            instance=ids.InstanceId(self.file.current.instance_id),
+            boot=self._boot,
+            number=self._share_number,
+            loads=tuple(self._parts.runs.loads().values()),
+            suspects=self._parts.health.suspects(),
+            crashes=tuple(
+                fm.CrashNote(fingerprint, count)
+                for fingerprint, count in self._parts.guard.crashes().items()
+            ),
+            speeds=self._parts.speeds.told(),
+        )
+
+    async def _notice_share_changes(self) -> None:
+        while True:
+            await self.clock.sleep_ms(SHARE_CHECK_MS)
+            numbers = (
+                self._parts.runs.change_number,
+                self._parts.health.change_number,
+                self._parts.guard.change_number,
+            )
+            if numbers != self._told_numbers:
+                self._told_numbers = numbers
+                self._watch.note_share()
+
+    def _forget_unlisted(self, known) -> None:
+        if not known.by_id:
+            return
+        listed = set(known.by_id)
+        self._parts.health.keep_only(listed)
+        self._parts.speeds.keep_only(listed)
+        self._parts.pool.keep_only({b.address for b in known.by_id.values()})
+
+
+class ControlNode(_Node):
+    """A control replica of a deployment."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        super().__init__(path, node_settings.ControlSettings)
+
+    async def start(self) -> None:
+        """Open the listeners and form or join the group."""
+        settings = self.file.current
+        data_dir = pathlib.Path(settings.data_dir)
+        data_dir.mkdir(parents=True, exist_ok=True)
+        self._transport = raft_transport.RaftTransport(settings.peer_listen)
+        self._replica = raft_replica.RaftReplica(
+            data_dir,
+            lambda replica: types.Member(
+                replica,
+                settings.instance_id,
+                settings.zone,
+                settings.peer_listen,
+            ),
+            self._transport,
+            self.clock,
+            self.rng,
+            CONTROL_TIMING,
+            LOG_LIMITS,
+        )
+        self._service = fleet_service.FleetService(
+            fleet_service.FleetParts(
+                replica=self._replica,
+                clock=self.clock,
+                hub=fleet_hub.FleetHub(self.clock),
+                listing=self.listing,
+                caller=self._transport.caller,
+            )
+        )
+        self._server = grpc.aio.server(options=rpc.SERVER_OPTIONS)
+        raft_service.RaftService(self._replica, self._transport).add_to(
+            self._server
+        )
+        self._service.add_to(self._server)
+        transports.PLAIN.listen(self._server, settings.peer_listen)
+        await self._server.start()
+        self._replica.start()
+        self.spawn(self._formation(settings).run())
+        self.spawn(self._service.run())
+        self.spawn(self.file.follow(self.clock))
+        self.spawn(self._list_reader(settings).run())
+        await self.listen(
+            web.AppRunner(
+                operator_calls.application(self._service), access_log=None
+            ),
+            settings.operator_listen,
+        )
+        _log.info(
+            "control replica started",
+            replica=self._replica.member.replica,
+            listen=settings.operator_listen,
+        )
+
+    def _formation(
+        self, settings: node_settings.ControlSettings
+    ) -> raft_formation.Formation:
+        return raft_formation.Formation(
+            self._replica,
+            self._transport,
+            self.clock,
+            lambda: self.file.current.seed_addresses(),
+            may_form=settings.first_start,
+            voter_target=settings.voter_target,
+        )
+
+    def _list_reader(
+        self, settings: node_settings.ControlSettings
+    ) -> list_reader.ListReader:
+        return list_reader.ListReader(
+            self.clock,
+            self.listing,
+            functools.partial(
+                backend_list.fetch, address=settings.list_address
+            ),
+            lambda: self._replica.leader_term is not None,
+            self._service.note_change,
+            self.rng,
+        )
+
+    async def drain(self) -> None:
+        """Hand leadership over, so that no election is waited for."""
+        _log.info("control replica leaving")
+        await self._replica.hand_over()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        await super().close()
+        await self._service.close()
+        await self._server.stop(None)
+        await self._replica.close()
+        await self._transport.close()
--- /dev/null
+++ b/src/oriolejunction/http/engine_pool.py
@@ -0,0 +1,62 @@
+"""Idle connections to backend servers, by address."""
+
+import collections
+
+from oriolejunction import clock as clocks
+from oriolejunction.http import engine_wire
+
+MAX_IDLE = 8
+
+
+class EnginePool:
+    """Lends connections; the one used last is lent first."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._idle_by_address: dict[
+            str, collections.deque[engine_wire.WireConnection]
+        ] = collections.defaultdict(collections.deque)
+
+    async def lend(
+        self, address: str, timeout_ms: float, max_idle_ms: float
+    ) -> engine_wire.WireConnection:
+        """Return a connection that was idle for a bounded time, or new.
+
+        Raise `NotReached` where none can be opened in time.
+        """
+        idle = self._idle_by_address[address]
+        now_ms = self._clock.now_ms()
+        while idle:
+            connection = idle.pop()
+            limit_ms = min(connection.idle_limit_ms, max_idle_ms)
+            if not connection.usable:
+                continue
+            if now_ms - connection.idle_since_ms < limit_ms:
+                return connection
+            connection.close()
+        return await engine_wire.connect(address, timeout_ms)
+
+    def give_back(self, connection: engine_wire.WireConnection) -> None:
+        """Keep a connection whose answer ended cleanly; close any other."""
+        idle = self._idle_by_address[connection.address]
+        if not connection.usable or len(idle) >= MAX_IDLE:
+            connection.close()
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        idle.append(connection)
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address that was lost."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the connections to addresses that are listed no more."""
+        for address in list(self._idle_by_address):
+            if address not in addresses:
+                self.drop(address)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            self.drop(address)
--- /dev/null
+++ b/src/oriolejunction/http/engine_wire.py
@@ -0,0 +1,220 @@
+"""HTTP/1.1 to backend servers, one request at a time on a connection.
+
+The framing is h11's; the state kept here tells what an HTTP client hides:
+whether a byte of a request was sent, whether an answer ended cleanly or was
+reset, and whether stray bytes make a connection unfit for reuse.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+
+import h11
+
+MAX_HEAD_BYTES = 65_536
+# Silence of a peer's machine after which the kernel gives a connection up.
+USER_TIMEOUT_MS = 1_500
+# Connections idle for longer than this part of the peer's own limit may
+# be closed by the peer while a request is on its way.
+IDLE_SHARE = 0.5
+# Used where the peer tells no limit of its own.
+DEFAULT_IDLE_MS = 2_000.0
+
+
+class NotReached(Exception):
+    """No connection could be had: no byte of the request was sent."""
+
+
+class ConnectionBroken(Exception):
+    """The connection ended or sent bytes that are no answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Status line and headers of an answer; names in lower case."""
+
+    status: int
+    reason: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class WireConnection(asyncio.Protocol):
+    """One connection to a backend server."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle_since_ms = 0.0
+        self.idle_limit_ms = DEFAULT_IDLE_MS
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future | None = None
+        self._arrived: collections.deque = collections.deque()
+        self._broken: str | None = None
+        self._busy = False
+        self._keeps = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport; called by asyncio."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; those that no request waits for break it."""
+        if not self._busy:
+            self._fail("bytes that no request waits for")
+            return
+        self._h11.receive_data(data)
+        self._pump()
+
+    def eof_received(self) -> bool:
+        """Take a clean end, which may end an answer without a length."""
+        if self._busy and self._broken is None:
+            self._h11.receive_data(b"")
+            self._pump()
+        self._fail("closed by the peer")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note a reset, which never completes an answer."""
+        self._fail(repr(exc) if exc else "closed by the peer")
+
+    @property
+    def usable(self) -> bool:
+        """Return whether a request may be sent on it now."""
+        return self._broken is None and not self._busy
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Hand a whole request to the transport."""
+        if not self.usable:
+            raise NotReached(self._broken or "busy")
+        self._busy = True
+        out = self._h11.send(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        if body:
+            out += self._h11.send(h11.Data(body))
+        out += self._h11.send(h11.EndOfMessage())
+        self._transport.write(out)
+
+    async def head(self) -> Head:
+        """Return the head of the answer; raise `ConnectionBroken`."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                self._note_keep_alive(event)
+                return Head(
+                    event.status_code, event.reason, tuple(event.headers)
+                )
+
+    async def data(self) -> bytes | None:
+        """Return a piece of the body, None at its clean end."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                self._end_cycle()
+                return None
+
+    def close(self) -> None:
+        """Close at once; the peer stops its work."""
+        self._fail("closed here")
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _end_cycle(self) -> None:
+        trailing, _ = self._h11.trailing_data
+        clean = (
+            self._keeps
+            and self._broken is None
+            and not trailing
+            and not self._arrived
+            and self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+        )
+        if not clean:
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._busy = False
+
+    def _note_keep_alive(self, response: h11.Response) -> None:
+        for name, value in response.headers:
+            if name == b"connection" and b"close" in value.lower():
+                self._keeps = False
+            if name == b"keep-alive":
+                for part in value.split(b","):
+                    key, _, number = part.strip().partition(b"=")
+                    if key.lower() == b"timeout" and number.isdigit():
+                        self.idle_limit_ms = IDLE_SHARE * 1e3 * int(number)
+
+    def _pump(self) -> None:
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    break
+                if isinstance(event, h11.ConnectionClosed):
+                    break
+                self._arrived.append(event)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+        except h11.RemoteProtocolError as error:
+            self._fail(f"no HTTP answer: {error}")
+            return
+        self._wake()
+
+    def _fail(self, why: str) -> None:
+        if self._broken is None:
+            self._broken = why
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _next(self):
+        while not self._arrived:
+            if self._broken is not None:
+                raise ConnectionBroken(self._broken)
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        return self._arrived.popleft()
+
+
+async def connect(address: str, timeout_ms: float) -> WireConnection:
+    """Open a connection; raise `NotReached`."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1e3):
+            _, connection = await loop.create_connection(
+                lambda: WireConnection(address), host, int(port)
+            )
+    except (OSError, TimeoutError) as error:
+        raise NotReached(repr(error))
+    return connection
--- /dev/null
+++ b/src/oriolejunction/http/gateway.py
@@ -0,0 +1,184 @@
+"""The listener that callers reach a deployment's routes through."""
+
+import collections.abc
+import contextlib
+
+from aiohttp import web
+import structlog
+
+from oriolejunction import errors
+from oriolejunction import gateway_messages
+from oriolejunction.http import gateway_call
+from oriolejunction.http import gateway_parts
+from oriolejunction.http import gateway_stream
+from oriolejunction.http import replies
+from oriolejunction import routing_table
+from oriolejunction import states
+
+# Callers reuse connections that were idle for up to their limit; closing
+# them later than that crosses no request.
+KEEP_ALIVE_S = 120.0
+MAX_HEADER_BYTES = 65_536
+MAX_HEADERS = 256
+DEFAULT_TIMEOUT_MS = 60_000.0
+BARRED_RETRY_MS = 60_000
+_log = structlog.get_logger(__name__)
+
+Count = collections.abc.Callable[[], contextlib.AbstractContextManager]
+
+
+class Gateway:
+    """Reads a request, finds its route and workspace, and relays it."""
+
+    def __init__(
+        self,
+        parts: gateway_parts.GatewayParts,
+        count: Count,
+        is_leaving: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._parts = parts
+        self._count = count
+        self._is_leaving = is_leaving
+
+    def runner(self) -> web.ServerRunner:
+        """Return the server to be set up on a listener."""
+        return web.ServerRunner(
+            web.Server(
+                self._handle,
+                access_log=None,
+                handler_cancellation=True,
+                keepalive_timeout=KEEP_ALIVE_S,
+                max_line_size=MAX_HEADER_BYTES,
+                max_field_size=MAX_HEADER_BYTES,
+                max_headers=MAX_HEADERS,
+                auto_decompress=False,
+            ),
+            shutdown_timeout=0.1,
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        with self._count():
+            try:
+                response = await self._serve(request)
+            except errors.Failure as failure:
+                self._log_failure(request, failure.error)
+                response = replies.error_response(
+                    failure.error, whole_seconds=False
+                )
+            if self._is_leaving() and not response.prepared:
+                response.force_close()
+            return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        now_ms = self._parts.clock.now_ms()
+        table = self._parts.blackboard.table.read()
+        if table is None:
+            raise errors.Failure(
+                errors.NoTable(
+                    "no configuration has reached this instance yet",
+                    retry_after_ms=gateway_parts.RETRY_AFTER_MS,
+                )
+            )
+        body = await self._body(request, table.limits.body_bytes)
+        read = self._parts.dialect.read_request(
+            request.method, request.raw_path, request.raw_headers, body, now_ms
+        )
+        admitted = self._admit(table, read, request)
+        if admitted.route.kind is states.RequestKind.STREAM:
+            return await gateway_stream.StreamRelay(
+                self._parts, admitted
+            ).run()
+        return await gateway_call.CallRelay(self._parts, admitted).run()
+
+    async def _body(self, request: web.BaseRequest, limit: int) -> bytes:
+        pieces = []
+        size = 0
+        async for piece in request.content.iter_any():
+            size += len(piece)
+            if size > limit:
+                raise errors.Failure(
+                    errors.RequestTooLarge(f"more than {limit} bytes")
+                )
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _admit(
+        self,
+        table: routing_table.RoutingTable,
+        read: gateway_messages.CallerRequest,
+        request: web.BaseRequest,
+    ) -> gateway_parts.Admitted:
+        route = table.route(read.host, read.path)
+        if route is None:
+            raise errors.Failure(
+                errors.UnknownRoute(
+                    f"no route of version {table.version} leads to"
+                    f" {read.host}{read.path}"
+                )
+            )
+        workspace = self._workspace(table, route, read)
+        service = table.service_by_name[
+            route.pick_service(self._parts.view.rng)
+        ]
+        timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
+        deadline_ms = read.received_ms + timeout_ms
+        if read.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, read.deadline_ms)
+        rank = route.rank
+        if workspace is not None and workspace.rank is not None:
+            rank = workspace.rank
+        admitted = gateway_parts.Admitted(
+            request=read,
+            route=route,
+            service=service,
+            workspace=workspace.name if workspace else None,
+            rank=rank,
+            deadline_ms=deadline_ms,
+            web=request,
+        )
+        self._refuse_barred(admitted)
+        return admitted
+
+    def _workspace(
+        self,
+        table: routing_table.RoutingTable,
+        route: routing_table.Route,
+        read: gateway_messages.CallerRequest,
+    ) -> routing_table.Workspace | None:
+        if not route.needs_key:
+            return None
+        workspace = table.workspace_by_key.get(read.key or "")
+        if workspace is None:
+            raise errors.Failure(
+                errors.UnknownWorkspace(
+                    f"the key belongs to no workspace of version"
+                    f" {table.version}"
+                )
+            )
+        return workspace
+
+    def _refuse_barred(self, admitted: gateway_parts.Admitted) -> None:
+        told = self._parts.blackboard.fleet.read().crashes_by_request
+        if self._parts.guard.is_barred(admitted.fingerprint, told):
+            raise errors.Failure(
+                errors.NoCapacity(
+                    "the request crashed the engines that began to run it",
+                    retry_after_ms=BARRED_RETRY_MS,
+                )
+            )
+
+    def _log_failure(
+        self, request: web.BaseRequest, error: errors.ServingError
+    ) -> None:
+        self._parts.telemetry.answers.inc(
+            {"outcome": error.outcome.value, "reason": error.code}
+        )
+        _log.info(
+            "request failed",
+            path=request.raw_path,
+            code=error.code,
+            outcome=error.outcome.value,
+            status=int(error.status),
+            why=error.message,
+            retry_after_ms=error.retry_after_ms,
+        )
--- /dev/null
+++ b/src/oriolejunction/http/gateway_parts.py
@@ -0,0 +1,191 @@
+"""What the gateway's shells share: one request on its way, and the parts."""
+
+import dataclasses
+import hashlib
+
+from aiohttp import web
+import multidict
+import structlog
+
+from oriolejunction import backends
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import backend_view
+from oriolejunction.controllers import crash_guard
+from oriolejunction.controllers import engine_speeds
+from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers import run_table
+from oriolejunction import errors
+from oriolejunction import gateway_messages
+from oriolejunction.http import engine_pool
+from oriolejunction.http import engine_wire
+from oriolejunction import ids
+from oriolejunction import routing_table
+from oriolejunction import telemetry
+
+# A zone's engines are back, and listed, in about this time.
+RETRY_AFTER_MS = 1_000
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayParts:
+    """The state and the clients that requests are served with."""
+
+    clock: clocks.Clock
+    blackboard: blackboards.Blackboard
+    dialect: gateway_messages.Dialect
+    pool: engine_pool.EnginePool
+    view: backend_view.BackendView
+    runs: run_table.RunTable
+    speeds: engine_speeds.EngineSpeeds
+    health: backend_health.BackendHealth
+    budget: resend_budget.ResendBudget
+    guard: crash_guard.CrashGuard
+    telemetry: telemetry.GatewayTelemetry
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """A request that a route and a workspace were found for.
+
+    `deadline_ms` is the caller's or that of the route's timeout, whichever
+    comes first, on this process's clock.
+    """
+
+    request: gateway_messages.CallerRequest
+    route: routing_table.Route
+    service: routing_table.Service
+    workspace: ids.WorkspaceId | None
+    rank: int
+    deadline_ms: float
+    web: web.Request
+
+    @property
+    def fingerprint(self) -> ids.Fingerprint:
+        """Return what a request has in common with its repetitions."""
+        digest = hashlib.sha256()
+        for part in (
+            (self.workspace or "").encode(),
+            self.request.target.encode(),
+            self.request.body,
+        ):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return ids.Fingerprint(digest.hexdigest()[:16])
+
+
+class Attempts:
+    """What one request has spent.
+
+    `ran` counts the servers that were sent the request and did not say
+    that they have not run it.
+    """
+
+    def __init__(self, parts: GatewayParts, admitted: Admitted) -> None:
+        self._parts = parts
+        self._admitted = admitted
+        self.sent = 0
+        self.ran = 0
+        self.excluded: set[ids.BackendId] = set()
+
+    @property
+    def left_ms(self) -> float:
+        """Return the time until the request's deadline."""
+        return self._admitted.deadline_ms - self._parts.clock.now_ms()
+
+    def allowed(self) -> bool:
+        """Return whether the request may go to one more server."""
+        if self.ran >= self._admitted.route.max_attempts:
+            return False
+        if not self.sent:
+            return True
+        entries = self._parts.blackboard.fleet.read().entries
+        return self._parts.budget.allows(self._admitted.service.name, entries)
+
+    def count_sent(self) -> None:
+        """Count an arrival at a server."""
+        service = self._admitted.service.name
+        if self.sent:
+            self._parts.budget.spend(service)
+        else:
+            self._parts.budget.count_request(service)
+        self.sent += 1
+        self.ran += 1
+
+    def count_not_run(self) -> None:
+        """Take back a run that the server says did not happen."""
+        self.ran -= 1
+
+    def failure(self, message: str) -> errors.ServingError:
+        """Return what the caller may conclude when no answer is to come."""
+        if self.left_ms <= 0:
+            if self.ran:
+                return errors.AnswerTimedOut(message)
+            return errors.NoCapacity(message)
+        if self.ran:
+            return errors.AnswerUnknown(message)
+        return errors.NoCapacity(message, retry_after_ms=RETRY_AFTER_MS)
+
+
+def log_decision(admitted: Admitted, decision: str, **inputs: object) -> None:
+    """Write the line of a decision that touches a request."""
+    _log.info(
+        decision,
+        request=admitted.request.request_id,
+        route=admitted.route.name,
+        **inputs,
+    )
+
+
+async def open_and_send(
+    parts: GatewayParts,
+    admitted: Admitted,
+    dispatch: gateway_messages.Dispatch,
+    attempts: Attempts,
+    connect_ms: float,
+    max_idle_ms: float,
+) -> engine_wire.WireConnection:
+    """Send a request to a backend server.
+
+    Raise `NotReached` where no byte of it was sent.
+    """
+    connection = await parts.pool.lend(
+        dispatch.backend.address, connect_ms, max_idle_ms
+    )
+    connection.send(
+        admitted.request.method,
+        admitted.request.target,
+        parts.dialect.dispatch_headers(admitted.request, dispatch),
+        admitted.request.body,
+    )
+    attempts.count_sent()
+    return connection
+
+
+def note_lost(
+    parts: GatewayParts, backend: backends.Backend, why: str
+) -> None:
+    """Hold a backend server for lost and close what leads to it."""
+    _log.warning(
+        "backend server lost",
+        backend=backend.backend_id,
+        address=backend.address,
+        zone=backend.zone,
+        why=why,
+    )
+    parts.health.lost(backend.backend_id)
+    parts.guard.note_loss(backend.backend_id, backend.zone)
+    parts.pool.drop(backend.address)
+
+
+def engine_answer(
+    head: gateway_messages.AnswerHead, body: bytes
+) -> web.Response:
+    """Return a backend server's answer to the caller, unchanged."""
+    headers = multidict.CIMultiDict(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
+    return web.Response(status=head.status, headers=headers, body=body)
--- /dev/null
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -0,0 +1,469 @@
+"""Relays one streamed answer, across the engines that it takes.
+
+The caller sees a single answer: the head of the first engine, then each
+event once and in order, whichever engine it comes from. While an engine
+works, its run's memory is copied to an engine of another availability zone,
+so that the answer goes on there without reading the prompt again.
+"""
+
+import asyncio
+import dataclasses
+import enum
+
+from aiohttp import web
+import multidict
+
+from oriolejunction import backends
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import event_answer
+from oriolejunction.controllers import placement
+from oriolejunction.controllers import run_table
+from oriolejunction.controllers import stalls
+from oriolejunction import errors
+from oriolejunction import gateway_messages
+from oriolejunction.http import engine_wire
+from oriolejunction.http import gateway_parts
+from oriolejunction import states
+
+# A machine of the same region answers a connection within a few ms.
+CONNECT_MS = 250.0
+# A connection idle for longer may lead to an engine that is gone.
+MAX_IDLE_MS = 1_000.0
+PLACE_POLL_MS = 25.0
+# Part of the goal that a new stream waits for an engine with room.
+WAIT_SHARE = 0.6
+# A stream that has begun waits this long for an engine to go on at.
+RESUME_WAIT_MS = 4_000.0
+# Streams that go on are admitted before new ones, whose urgency is 5.
+RESUMED_URGENCY = 2
+# Prompt tokens that a copy may lack when its run is lost.
+COPY_LACKS_TOKENS = 200
+MAX_EVENT_BYTES = 1 << 20
+
+
+class _Ended(enum.Enum):
+    COMPLETE = "complete"
+    LOST = "lost"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Plan:
+    """Where an attempt runs, where its copy goes and what it starts from."""
+
+    candidate: placement.Candidate
+    copy: backends.Backend | None
+    copy_from: gateway_messages.CopySource | None
+    idle_engine: bool
+
+    @property
+    def backend(self) -> backends.Backend:
+        return self.candidate.backend
+
+
+class _EngineSilent(Exception):
+    """An engine brought nothing for too long."""
+
+
+class _DeadlineReached(Exception):
+    """The caller's deadline or the route's timeout was reached."""
+
+
+class StreamRelay:
+    """One streamed answer on its way to a caller."""
+
+    def __init__(
+        self,
+        parts: gateway_parts.GatewayParts,
+        admitted: gateway_parts.Admitted,
+    ) -> None:
+        self._parts = parts
+        self._admitted = admitted
+        self._attempts = gateway_parts.Attempts(parts, admitted)
+        self._answer = event_answer.EventAnswer(admitted.request.last_event)
+        self._response: web.StreamResponse | None = None
+        self._copy: backends.Backend | None = None
+        self._last_event_ms: float | None = None
+        self._failure: tuple[gateway_messages.AnswerHead, bytes] | None = None
+
+    async def run(self) -> web.StreamResponse:
+        """Serve the answer; raise `Failure` where none has begun."""
+        while True:
+            plan = await self._plan()
+            if plan is None:
+                return self._give_up()
+            ended = await self._attempt(plan)
+            if ended is _Ended.COMPLETE:
+                await self._response.write_eof()
+                return self._response
+
+    async def _plan(self) -> _Plan | None:
+        """Wait for an engine with room; None where it is not to be had."""
+        clock = self._parts.clock
+        began = self._response is not None
+        goal_ms = self._admitted.route.goal_ms
+        wait_ms = RESUME_WAIT_MS if began else WAIT_SHARE * goal_ms
+        until_ms = clock.now_ms() + min(wait_ms, self._attempts.left_ms)
+        while self._attempts.allowed() and self._attempts.left_ms > 0:
+            plan = self._plan_now()
+            if plan is not None:
+                return plan
+            if clock.now_ms() + PLACE_POLL_MS > until_ms:
+                return None
+            await clock.sleep_ms(PLACE_POLL_MS)
+        return None
+
+    def _plan_now(self) -> _Plan | None:
+        view = self._parts.view
+        excluded = frozenset(self._attempts.excluded)
+        candidates = view.engines(self._admitted.service, excluded)
+        need = self._need()
+        chosen, source = self._holder_of_copy(candidates), None
+        if chosen is not None:
+            source = gateway_messages.CopySource(
+                chosen.backend.address, self._admitted.request.request_id
+            )
+        else:
+            chosen = placement.choose_engine(candidates, need, view.rng)
+        if chosen is None:
+            return None
+        copy = None
+        if self._admitted.service.engine.keeps_copies:
+            copy = placement.choose_copy(
+                candidates, need, chosen.backend, view.rng
+            )
+        return _Plan(
+            chosen,
+            copy and copy.backend,
+            source,
+            idle_engine=not chosen.prefill_tokens,
+        )
+
+    def _holder_of_copy(
+        self, candidates: list[placement.Candidate]
+    ) -> placement.Candidate | None:
+        if self._copy is None:
+            return None
+        for candidate in candidates:
+            if candidate.backend.backend_id == self._copy.backend_id:
+                return candidate
+        self._copy = None
+        return None
+
+    def _need(self) -> placement.Need:
+        request = self._admitted.request
+        per_event = self._admitted.service.engine.tokens_per_event
+        read = request.prompt_tokens + self._answer.last_event * per_event
+        return placement.Need(
+            prompt_tokens=read,
+            kv_tokens=request.prompt_tokens + request.max_output_tokens,
+            zone=self._parts.view.zone,
+        )
+
+    async def _attempt(self, plan: _Plan) -> _Ended:
+        need = self._need()
+        runs = self._parts.runs
+        unread = need.prompt_tokens
+        if plan.copy_from is not None:
+            unread = COPY_LACKS_TOKENS
+        key = runs.begin(
+            run_table.Run(plan.backend.backend_id, need.kv_tokens, unread)
+        )
+        copy_key = None
+        if plan.copy is not None:
+            copy_key = runs.begin(
+                run_table.Run(
+                    plan.copy.backend_id, need.kv_tokens, 0, copy=True
+                )
+            )
+        gateway_parts.log_decision(
+            self._admitted,
+            "stream placed",
+            backend=plan.backend.backend_id,
+            zone=plan.backend.zone,
+            copy=plan.copy and plan.copy.backend_id,
+            from_copy=plan.copy_from is not None,
+            after_event=self._answer.last_event,
+            streams=plan.candidate.streams,
+            prefill=plan.candidate.prefill_tokens,
+        )
+        attempt = self._answer.begin_attempt()
+        try:
+            return await self._run_on(plan, attempt, key, unread)
+        finally:
+            self._answer.abandon(attempt)
+            runs.end(key)
+            runs.end(copy_key)
+
+    async def _run_on(self, plan: _Plan, attempt, key, unread) -> _Ended:
+        try:
+            connection = await gateway_parts.open_and_send(
+                self._parts,
+                self._admitted,
+                self._dispatch(plan),
+                self._attempts,
+                CONNECT_MS,
+                MAX_IDLE_MS,
+            )
+        except engine_wire.NotReached as error:
+            return self._lost(plan, f"not reached: {error}", attempt)
+        try:
+            return await self._read_answer(
+                plan, connection, attempt, key, unread
+            )
+        except engine_wire.ConnectionBroken as error:
+            connection.close()
+            return self._lost(plan, str(error), attempt)
+        except _EngineSilent as error:
+            connection.close()
+            return self._lost(plan, str(error), attempt)
+        except _DeadlineReached:
+            return _Ended.LOST
+        finally:
+            # Closing stops the engine's work; after a clean end the
+            # connection has been given back and is no longer this run's.
+            if not connection.usable:
+                connection.close()
+
+    def _dispatch(self, plan: _Plan) -> gateway_messages.Dispatch:
+        began = self._answer.last_event > 0 or plan.copy_from is not None
+        return gateway_messages.Dispatch(
+            backend=plan.backend,
+            left_ms=self._attempts.left_ms,
+            workspace=self._admitted.workspace,
+            last_event=self._answer.last_event,
+            weights=self._answer.weights,
+            copy_to=plan.copy and plan.copy.address,
+            copy_from=plan.copy_from,
+            urgency=RESUMED_URGENCY if began else None,
+        )
+
+    async def _read_answer(
+        self,
+        plan: _Plan,
+        connection: engine_wire.WireConnection,
+        attempt,
+        key: int,
+        unread: int,
+    ) -> _Ended:
+        clock = self._parts.clock
+        sent_ms = clock.now_ms()
+        expected_ms = placement.first_event_ms(plan.candidate, unread)
+        limits = stalls.before_first(expected_ms)
+        head = self._parts.dialect.read_head(
+            await self._patiently(connection.head, plan, limits),
+            self._admitted.request,
+        )
+        refused = await self._refused(plan, connection, head)
+        if refused is not None:
+            return refused
+        self._parts.health.answered(plan.backend.backend_id)
+        self._copy = plan.copy
+        if self._answer.weights is None:
+            self._answer.weights = head.weights
+        await self._begin(head)
+        rest = b""
+        first = True
+        last_ms = sent_ms
+        while True:
+            piece = await self._patiently(connection.data, plan, limits)
+            if piece is None:
+                break
+            *blocks, rest = (rest + piece).split(b"\n\n")
+            if len(rest) > MAX_EVENT_BYTES:
+                raise engine_wire.ConnectionBroken("event too large")
+            if not blocks:
+                continue
+            now_ms = clock.now_ms()
+            if first:
+                self._note_first(plan, key, unread, now_ms - sent_ms)
+                first = False
+            else:
+                self._parts.speeds.add_gap(
+                    plan.backend.backend_id, now_ms - last_ms
+                )
+            last_ms = now_ms
+            await self._deliver(plan, attempt, blocks)
+            limits = stalls.between_events(
+                self._parts.speeds.gaps(plan.backend.backend_id),
+                self._admitted.route.max_pause_ms,
+            )
+        if rest.strip():
+            raise engine_wire.ConnectionBroken("ended within an event")
+        self._parts.pool.give_back(connection)
+        return _Ended.COMPLETE
+
+    def _note_first(
+        self, plan: _Plan, key: int, unread: int, took_ms: float
+    ) -> None:
+        self._parts.runs.prefilled(key)
+        if plan.idle_engine and plan.copy_from is None:
+            self._parts.speeds.add_prefill(
+                plan.backend.backend_id, unread, took_ms
+            )
+
+    async def _deliver(
+        self, plan: _Plan, attempt, blocks: list[bytes]
+    ) -> None:
+        out = []
+        for block in blocks:
+            event = self._parts.dialect.read_event(block)
+            if event is None:
+                continue
+            outcome = self._answer.commit(attempt, event)
+            if outcome is states.CommitOutcome.COMMITTED:
+                out.append(event.data + b"\n\n")
+            elif outcome is not states.CommitOutcome.REPEATED:
+                raise engine_wire.ConnectionBroken(
+                    f"event {event.number} after {self._answer.last_event}"
+                )
+        if out:
+            self._note_resumed()
+            await self._response.write(b"".join(out))
+
+    def _note_resumed(self) -> None:
+        now_ms = self._parts.clock.now_ms()
+        telemetry = self._parts.telemetry
+        labels = {"service": self._admitted.service.name}
+        if self._last_event_ms is None:
+            took_ms = now_ms - self._admitted.request.received_ms
+            telemetry.first_ms.observe(labels, took_ms)
+        elif self._attempts.sent > 1:
+            telemetry.resume_ms.observe(labels, now_ms - self._last_event_ms)
+        self._last_event_ms = now_ms
+
+    async def _begin(self, head: gateway_messages.AnswerHead) -> None:
+        """Send the head of the first engine that answers."""
+        if self._response is not None:
+            return
+        headers = multidict.CIMultiDict(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers
+        )
+        response = web.StreamResponse(status=head.status, headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(self._admitted.web)
+        self._response = response
+
+    async def _refused(
+        self,
+        plan: _Plan,
+        connection: engine_wire.WireConnection,
+        head: gateway_messages.AnswerHead,
+    ) -> _Ended | None:
+        """Return how an attempt ended without a stream, None with one."""
+        if head.not_run:
+            self._attempts.count_not_run()
+            self._not_run(plan, head)
+            connection.close()
+            return _Ended.REFUSED
+        if not head.own or (head.success and not head.signed):
+            raise engine_wire.ConnectionBroken("answer of another request")
+        if head.success:
+            return None
+        body = await whole_body(connection)
+        self._parts.pool.give_back(connection)
+        self._parts.health.outcome(plan.backend.backend_id, failed=True)
+        self._attempts.excluded.add(plan.backend.backend_id)
+        self._copy = None
+        self._failure = (head, body)
+        return _Ended.LOST
+
+    def _not_run(self, plan: _Plan, head: gateway_messages.AnswerHead) -> None:
+        gateway_parts.log_decision(
+            self._admitted,
+            "engine did not run it",
+            backend=plan.backend.backend_id,
+            status=head.status,
+            from_copy=plan.copy_from is not None,
+        )
+        if plan.copy_from is not None:
+            # The copy is gone, which says nothing against the engine.
+            self._copy = None
+            return
+        self._attempts.excluded.add(plan.backend.backend_id)
+        if head.status == 421:
+            self._parts.health.lost(
+                plan.backend.backend_id, backend_health.REPLACED_MS
+            )
+
+    async def _patiently(self, read, plan: _Plan, limits: stalls.StallLimits):
+        """Wait for the next piece, testing an engine that is silent.
+
+        Raise `_EngineSilent` where it fails the test or is left.
+        """
+        clock = self._parts.clock
+        since_ms = clock.now_ms()
+        test_ms = limits.test_ms
+        while True:
+            silent_ms = clock.now_ms() - since_ms
+            wait_ms = min(test_ms, limits.leave_ms) - silent_ms
+            wait_ms = max(0.0, min(wait_ms, self._attempts.left_ms))
+            try:
+                async with asyncio.timeout(wait_ms / 1e3):
+                    return await read()
+            except TimeoutError:
+                silent_ms = clock.now_ms() - since_ms
+            if self._attempts.left_ms <= 0:
+                raise _DeadlineReached
+            if silent_ms >= limits.leave_ms:
+                raise _EngineSilent(f"silent for {silent_ms:.0f} ms")
+            if not await self._is_reachable(plan.backend):
+                raise _EngineSilent(
+                    f"silent for {silent_ms:.0f} ms and not reached"
+                )
+            test_ms = clock.now_ms() - since_ms + stalls.RETEST_MS
+
+    async def _is_reachable(self, backend: backends.Backend) -> bool:
+        """Return whether an engine's machine takes a new connection."""
+        try:
+            connection = await engine_wire.connect(
+                backend.address, stalls.TEST_TIMEOUT_MS
+            )
+        except engine_wire.NotReached:
+            return False
+        self._parts.pool.give_back(connection)
+        return True
+
+    def _lost(self, plan: _Plan, why: str, attempt) -> _Ended:
+        gateway_parts.log_decision(
+            self._admitted,
+            "attempt lost",
+            backend=plan.backend.backend_id,
+            why=why,
+            delivered=self._answer.last_event,
+            copy=self._copy and self._copy.backend_id,
+        )
+        gateway_parts.note_lost(self._parts, plan.backend, why)
+        self._attempts.excluded.add(plan.backend.backend_id)
+        return _Ended.LOST
+
+    def _give_up(self) -> web.StreamResponse:
+        """End an answer that cannot go on, at once."""
+        gateway_parts.log_decision(
+            self._admitted,
+            "stream given up",
+            sent=self._attempts.sent,
+            ran=self._attempts.ran,
+            delivered=self._answer.last_event,
+            left_ms=round(self._attempts.left_ms),
+        )
+        if self._response is not None:
+            # Without the last chunk the answer cannot look complete.
+            transport = self._admitted.web.transport
+            if transport is not None:
+                transport.close()
+            return self._response
+        if self._failure is not None:
+            return gateway_parts.engine_answer(*self._failure)
+        raise errors.Failure(
+            self._attempts.failure("no engine could answer in time")
+        )
+
+
+async def whole_body(connection: engine_wire.WireConnection) -> bytes:
+    """Return the rest of an answer; raise `ConnectionBroken`."""
+    pieces = []
+    while (piece := await connection.data()) is not None:
+        pieces.append(piece)
+    return b"".join(pieces)
--- a/src/oriolejunction/http/replies.py
+++ b/src/oriolejunction/http/replies.py
@@ -13,11 +13,19 @@
 ]
 
 
-def error_response(error: errors.ServingError) -> web.Response:
-    """Return the JSON reply of a failure."""
+def error_response(
+    error: errors.ServingError, whole_seconds: bool = True
+) -> web.Response:
+    """Return the JSON reply of a failure.
+
+    HTTP knows `Retry-After` in whole seconds; callers that take fractions
+    get them.
+    """
     headers = {}
     if error.retry_after_ms is not None:
-        seconds = math.ceil(error.retry_after_ms / 1000)
+        seconds = error.retry_after_ms / 1000
+        if whole_seconds:
+            seconds = math.ceil(seconds)
         headers["Retry-After"] = str(seconds)
     return web.Response(
         status=error.status,
--- a/src/oriolejunction/ids.py
+++ b/src/oriolejunction/ids.py
@@ -3,6 +3,7 @@
 import typing
 
 AttemptNumber = typing.NewType("AttemptNumber", int)
+BackendId = typing.NewType("BackendId", str)
 DraftId = typing.NewType("DraftId", str)
 EngineId = typing.NewType("EngineId", str)
 Fingerprint = typing.NewType("Fingerprint", str)
@@ -15,6 +16,7 @@
 ModelVersion = typing.NewType("ModelVersion", str)
 OperationId = typing.NewType("OperationId", str)
 OwnerNumber = typing.NewType("OwnerNumber", int)
+RequestId = typing.NewType("RequestId", str)
 Revision = typing.NewType("Revision", int)
 ServiceName = typing.NewType("ServiceName", str)
 Term = typing.NewType("Term", int)
--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -7,6 +7,7 @@
 
 from oriolejunction import configuration
 from oriolejunction import ids
+from oriolejunction import routing_table
 from oriolejunction import states
 
 
@@ -158,6 +159,14 @@
     loaded: tuple[OrderTarget, ...]
 
 
+class PublishTable(Message, frozen=True):
+    """Put a routing table in force; the document is the operator's."""
+
+    version: routing_table.TableVersion
+    document: bytes
+    digest: str
+
+
 class StoredAnswer(Message, frozen=True):
     """The answer of a plain service, kept for resends."""
 
@@ -179,6 +188,7 @@
     | PlaceOrder
     | RetryOrder
     | ResolveOrder
+    | PublishTable
 )
 
 
@@ -224,8 +234,27 @@
     """A command without a result of its own was applied."""
 
 
+class TablePublished(Message, frozen=True):
+    """A routing table is committed; `version` is the one in force now."""
+
+    version: routing_table.TableVersion
+
+
+class TableRefused(Message, frozen=True):
+    """A routing table was refused; `version` is the one in force."""
+
+    version: routing_table.TableVersion
+    reason: str
+
+
 CommandResult = (
-    ChangeAccepted | ChangeRefused | CallClaim | OrderResult | Recorded
+    ChangeAccepted
+    | ChangeRefused
+    | CallClaim
+    | OrderResult
+    | Recorded
+    | TablePublished
+    | TableRefused
 )
 
 
--- /dev/null
+++ b/src/oriolejunction/node_logs.py
@@ -0,0 +1,72 @@
+"""Structured JSON logs on standard output that never block.
+
+A line is written at once or not at all: where a stuck reader leaves no room,
+lines are dropped and counted, and the count follows with the next line.
+"""
+
+import logging
+import os
+
+import structlog
+
+# Writes of up to this size to a pipe are never split.
+MAX_LINE_BYTES = 4_096
+
+
+class LineWriter:
+    """Writes lines to a descriptor that must not block."""
+
+    def __init__(self, descriptor: int) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._unreported = 0
+        self.dropped = 0
+
+    def msg(self, line: str) -> None:
+        """Write one line, or count it as dropped."""
+        if self._unreported:
+            notice = (
+                f'{{"event":"log lines dropped","count":{self._unreported}}}'
+            )
+            if not self._write(notice):
+                self._drop()
+                return
+            self._unreported = 0
+        if not self._write(line):
+            self._drop()
+
+    # structlog's names for the levels.
+    debug = info = warning = error = critical = exception = msg
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self._unreported += 1
+
+    def _write(self, line: str) -> bool:
+        data = line.encode("utf-8", "replace")[: MAX_LINE_BYTES - 1] + b"\n"
+        try:
+            return os.write(self._descriptor, data) == len(data)
+        except OSError:
+            # A full or closed pipe: the line is counted, not waited for.
+            return False
+
+
+def configure(level: str, descriptor: int = 1, **fields: object) -> LineWriter:
+    """Log JSON lines at `level` and above, each with `fields`."""
+    writer = LineWriter(descriptor)
+    structlog.contextvars.bind_contextvars(**fields)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            getattr(logging, level.upper())
+        ),
+        logger_factory=lambda *_: writer,
+        cache_logger_on_first_use=True,
+    )
+    return writer
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections.abc
 
 import grpc
 import structlog
@@ -33,12 +34,25 @@
         replica: raft_replica.RaftReplica,
         transport: raft_transport.RaftTransport,
         clock: clocks.Clock,
-        addresses: list[str],
+        addresses: collections.abc.Callable[[], list[str]],
+        may_form: bool = True,
+        voter_target: int | None = None,
     ) -> None:
+        """Look for the group at `addresses`, which may change.
+
+        Without `may_form` the group exists somewhere, and is only joined.
+        `voter_target` is by default the number of first voters.
+        """
         self._replica = replica
         self._transport = transport
         self._clock = clock
-        self._addresses = addresses
+        self._addresses_now = addresses
+        self._may_form = may_form
+        self._voter_target = voter_target
+
+    @property
+    def _addresses(self) -> list[str]:
+        return self._addresses_now()
 
     async def run(self) -> None:
         """Form, join and repair for as long as the instance lives."""
@@ -46,7 +60,7 @@
             if self._replica.group is None:
                 await self._find_group()
             elif self._replica.is_adrift(ADRIFT_AFTER_MS):
-                await self._join(self._addresses)
+                await self._join(self._known_addresses())
             if self._replica.leader_address() is None:
                 await self._complete_formation()
             self._replica.repair()
@@ -60,8 +74,15 @@
         elif all(introductions) and self._is_first():
             await self._form([i.member for i in introductions])
 
+    def _known_addresses(self) -> list[str]:
+        members = self._replica.membership.members()
+        return [*(m.address for m in members), *self._addresses]
+
     def _is_first(self) -> bool:
-        return self._addresses[0] == self._replica.member.address
+        return (
+            self._may_form
+            and self._addresses[0] == self._replica.member.address
+        )
 
     async def _introductions(
         self,
@@ -84,7 +105,7 @@
     async def _form(self, members: list[types.Member]) -> None:
         group = identities.new_group()
         membership = types.Membership(
-            tuple(members), voter_target=len(members)
+            tuple(members), voter_target=self._voter_target or len(members)
         )
         _log.warning("forming a group", voters=[m.instance for m in members])
         self._replica.form(group, membership)
--- a/src/oriolejunction/peers/raft_transport.py
+++ b/src/oriolejunction/peers/raft_transport.py
@@ -8,6 +8,7 @@
 from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import types
 from oriolejunction.consensus import wire
+from oriolejunction.peers import channels
 from oriolejunction.peers import raft_methods
 from oriolejunction.peers import rpc
 from oriolejunction.peers import transport as transports
@@ -25,10 +26,9 @@
         transport: transports.PeerTransport = transports.PLAIN,
     ) -> None:
         self._address = address
-        self._transport = transport
+        self._channels = channels.Channels(transport)
         self._address_by_replica: dict[types.ReplicaId, str] = {}
         self._queue_by_address: dict[str, _Queue] = {}
-        self._channel_by_address: dict[str, grpc.aio.Channel] = {}
 
     def learn(self, received: raft_messages.Deliver) -> None:
         """Remember where the senders of messages listen now."""
@@ -50,11 +50,7 @@
 
     def caller(self, address: str, method: rpc.Method):
         """Return a function that calls a method at an address."""
-        channel = self._channel_by_address.get(address)
-        if channel is None:
-            channel = self._transport.channel(address)
-            self._channel_by_address[address] = channel
-        return rpc.caller(channel, method)
+        return self._channels.caller(address, method)
 
     async def deliver(
         self, address: str, group: types.GroupId, batch: list[wire.Message]
@@ -73,8 +69,7 @@
         """Stop the senders and close the channels."""
         for queue in self._queue_by_address.values():
             await queue.close()
-        for channel in self._channel_by_address.values():
-            await channel.close()
+        await self._channels.close()
 
 
 class _Queue:
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -15,15 +15,34 @@
 Request = typing.TypeVar("Request")
 Reply = typing.TypeVar("Reply")
 
+# A connection that shows no sign of life for this long is opened anew.
+KEEPALIVE_MS = 1_000
+KEEPALIVE_TIMEOUT_MS = 700
+# Time for a connection to be established to a machine that may be gone.
+CONNECT_TIMEOUT_MS = 500
+
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
     ("grpc.max_receive_message_length", 64 << 20),
     ("grpc.max_send_message_length", 64 << 20),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.http2.max_pings_without_data", 0),
     ("grpc.max_reconnect_backoff_ms", 1_000),
     ("grpc.use_local_subchannel_pool", 1),
 )
 
+SERVER_OPTIONS = (
+    ("grpc.max_receive_message_length", 64 << 20),
+    ("grpc.max_send_message_length", 64 << 20),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+    ("grpc.http2.max_ping_strikes", 0),
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Method(typing.Generic[Request, Reply]):
--- /dev/null
+++ b/src/oriolejunction/platform/backend_list.py
@@ -0,0 +1,136 @@
+"""The platform's list of backend servers.
+
+An entry may come from another writer: one that cannot be read names no
+backend server, and the others hold.
+"""
+
+import aiohttp
+import msgspec
+import structlog
+
+from oriolejunction import backends
+from oriolejunction import errors
+from oriolejunction import ids
+
+CALL_TIMEOUT_S = 1.0
+MAX_PAGES = 200
+_LEAVING_BY_STATE = {"ready": False, "draining": True}
+_log = structlog.get_logger(__name__)
+
+
+class _Entry(msgspec.Struct):
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 0
+    cold_remaining_ms: float = msgspec.field(
+        name="coldRemainingMs", default=0.0
+    )
+
+
+class _Page(msgspec.Struct):
+    instances: list[msgspec.Raw]
+    # Token of the following page, None on the last one.
+    next: str | None = None
+
+
+_decode_page = msgspec.json.Decoder(_Page).decode
+_decode_entry = msgspec.json.Decoder(_Entry).decode
+
+
+async def fetch(
+    session: aiohttp.ClientSession, address: str
+) -> tuple[backends.Backend, ...]:
+    """Return the whole list; raise `Failure` with `ListUnavailable`."""
+    found: list[backends.Backend] = []
+    token = None
+    try:
+        for _ in range(MAX_PAGES):
+            page = await _page(session, address, token)
+            found += read_entries(page.instances)
+            token = page.next
+            if token is None:
+                return tuple(found)
+    except (
+        aiohttp.ClientError,
+        msgspec.DecodeError,
+        OSError,
+        TimeoutError,
+    ) as error:
+        raise errors.Failure(errors.ListUnavailable(repr(error)))
+    raise errors.Failure(errors.ListUnavailable("the pages do not end"))
+
+
+async def _page(
+    session: aiohttp.ClientSession, address: str, token: str | None
+) -> _Page:
+    params = {"pageToken": token} if token else {}
+    async with session.get(
+        f"http://{address}/instances",
+        params=params,
+        timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+    ) as response:
+        if response.status != 200:
+            raise errors.Failure(
+                errors.ListUnavailable(f"status {response.status}")
+            )
+        return read_page(await response.read())
+
+
+def read_page(data: bytes) -> _Page:
+    """Return a page; raise `msgspec.DecodeError`.
+
+    Bytes that are no text stand in one entry and must not hide the others.
+    """
+    try:
+        return _decode_page(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return _decode_page(data.decode("utf-8", "replace").encode())
+
+
+def read_entries(
+    entries: list[msgspec.Raw],
+) -> list[backends.Backend]:
+    """Return the backend servers that the readable entries name."""
+    found = []
+    for entry in entries:
+        backend = _backend(entry)
+        if backend is not None:
+            found.append(backend)
+    return found
+
+
+def _backend(raw: msgspec.Raw) -> backends.Backend | None:
+    try:
+        entry = _decode_entry(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        _log.warning("unreadable entry in the list", why=str(error))
+        return None
+    leaving = _LEAVING_BY_STATE.get(entry.state)
+    host, _, port = entry.address.rpartition(":")
+    readable = "\ufffd" not in entry.id + entry.service + entry.zone
+    if (
+        leaving is None
+        or not readable
+        or not entry.id
+        or not host
+        or not port.isdigit()
+    ):
+        _log.warning(
+            "entry names no usable backend server",
+            id=entry.id,
+            state=entry.state,
+            address=entry.address,
+        )
+        return None
+    return backends.Backend(
+        backend_id=ids.BackendId(entry.id),
+        service=ids.ServiceName(entry.service),
+        address=entry.address,
+        zone=ids.ZoneId(entry.zone),
+        slots=entry.slots,
+        leaving=leaving,
+        cold_ms=entry.cold_remaining_ms,
+    )
--- /dev/null
+++ b/src/oriolejunction/routing_table.py
@@ -0,0 +1,173 @@
+"""Routes, services and workspaces as an operator publishes them at once.
+
+A routing table is published whole under a version. The control group keeps
+the operator's document; each process reads it into these types.
+"""
+
+import collections
+import dataclasses
+import functools
+import random
+import typing
+
+from oriolejunction import ids
+from oriolejunction import states
+
+TableVersion = typing.NewType("TableVersion", int)
+NO_TABLE = TableVersion(-1)
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightedService:
+    """One of the services that share a route, by weight."""
+
+    service: ids.ServiceName
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """What may be asked under a path prefix of a host, and how.
+
+    `goal_ms` is the time to the whole answer, for streams to the first
+    event; `max_pause_ms` the longest pause between events that is still
+    on time. Rank 0 goes first.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: states.RequestKind
+    services: tuple[WeightedService, ...]
+    timeout_ms: float
+    goal_ms: float
+    rank: int
+    max_attempts: int
+    needs_key: bool = True
+    resumable: bool = False
+    max_pause_ms: float | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        if self.kind is states.RequestKind.STREAM:
+            return self.resumable
+        return self.kind is states.RequestKind.IDEMPOTENT
+
+    def pick_service(self, rng: random.Random) -> ids.ServiceName:
+        """Return a service, drawn by weight."""
+        if len(self.services) == 1:
+            return self.services[0].service
+        weights = [each.weight for each in self.services]
+        return rng.choices(self.services, weights)[0].service
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineTraits:
+    """What the engines of a service can do and hold."""
+
+    slots: int
+    kv_tokens: int
+    tokens_per_event: int = 1
+    keeps_copies: bool = False
+    copy_life_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """Backend servers of one kind; `engine` is None for plain services."""
+
+    name: ids.ServiceName
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A workspace with its keys; its rank goes before that of a route."""
+
+    name: ids.WorkspaceId
+    keys: tuple[str, ...]
+    rank: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """Bounds of what a caller may send, in bytes and ms."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingTable:
+    """Everything that one version puts in force."""
+
+    version: TableVersion
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    workspaces: tuple[Workspace, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+    @functools.cached_property
+    def service_by_name(self) -> dict[ids.ServiceName, Service]:
+        """Return the services by name."""
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def workspace_by_key(self) -> dict[str, Workspace]:
+        """Return the workspaces by each of their keys."""
+        return {key: each for each in self.workspaces for key in each.keys}
+
+    @functools.cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        """Return the routes of each host, the longest prefix first."""
+        by_host = collections.defaultdict(list)
+        for route in self.routes:
+            by_host[route.host].append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        return dict(by_host)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def faults(table: RoutingTable) -> list[str]:
+    """Return what makes a table unfit to be put in force."""
+    found = []
+    known = set(table.service_by_name)
+    places = collections.Counter((r.host, r.prefix) for r in table.routes)
+    found += [
+        f"routes share host {host!r} and prefix {prefix!r}"
+        for (host, prefix), count in places.items()
+        if count > 1
+    ]
+    for route in table.routes:
+        found += _route_faults(route, known)
+    owners = collections.Counter(k for w in table.workspaces for k in w.keys)
+    found += ["workspaces share a key"] * any(
+        count > 1 for count in owners.values()
+    )
+    return found
+
+
+def _route_faults(route: Route, known: set[ids.ServiceName]) -> list[str]:
+    found = [
+        f"route {route.name}: service {each.service!r} is not known"
+        for each in route.services
+        if each.service not in known
+    ]
+    if any(each.weight < 0 for each in route.services) or not sum(
+        each.weight for each in route.services
+    ):
+        found.append(f"route {route.name}: the weights add up to nothing")
+    if route.timeout_ms <= 0:
+        found.append(f"route {route.name}: the timeout is not above 0")
+    return found
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -11,6 +11,14 @@
     FAILED = "failed"
 
 
+class RequestKind(enum.Enum):
+    """What a route's requests are, and so what may be repeated."""
+
+    STREAM = "stream"
+    IDEMPOTENT = "idempotent"
+    NEVER_TWICE = "never_twice"
+
+
 class Measure(enum.Enum):
     """The measure that a deployment weighs more."""
 
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -7,6 +7,21 @@
 from oriolejunction import invariants
 from oriolejunction.peers import traffic
 
+LATENCY_BUCKETS_MS = [
+    10.0,
+    30.0,
+    100.0,
+    200.0,
+    500.0,
+    700.0,
+    1_000.0,
+    2_000.0,
+    4_500.0,
+    10_000.0,
+    25_000.0,
+    float("inf"),
+]
+
 
 class Telemetry:
     """Counters and gauges with their registry."""
@@ -85,3 +100,37 @@
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
+
+
+class GatewayTelemetry:
+    """What a deployment's own routes are counted by."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.answers = aioprometheus.Counter(
+            "oj_answers_total",
+            "Answers to callers, by kind, outcome and reason.",
+            registry=self.registry,
+        )
+        self.attempts = aioprometheus.Counter(
+            "oj_attempts_total",
+            "Dispatches to backend servers, by service and outcome.",
+            registry=self.registry,
+        )
+        self.first_ms = aioprometheus.Histogram(
+            "oj_first_piece_ms",
+            "Time to the answer, for streams to the first event.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_MS,
+        )
+        self.resume_ms = aioprometheus.Histogram(
+            "oj_resume_ms",
+            "Time from an engine's last event to the next one elsewhere.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_MS,
+        )
+        self.log_lines_dropped = aioprometheus.Gauge(
+            "oj_log_lines_dropped",
+            "Log lines that standard output did not take.",
+            registry=self.registry,
+        )
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -205,7 +205,7 @@
             self._replica,
             transport,
             self.clock,
-            list(self.settings.control_address_by_id().values()),
+            lambda: list(self.settings.control_address_by_id().values()),
         )
         self._replica.start()
         self._tasks.append(asyncio.create_task(formation.run()))
