--- /dev/null
+++ b/tests/controllers/test_backend_health.py
@@ -0,0 +1,55 @@
+"""Suspicions: own and told, and how they pass."""
+
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import backend_health
+from oriolejunction import ids
+
+ENGINE = ids.BackendId("e1")
+NOBODY = frozenset()
+TOLD = frozenset([ENGINE])
+
+
+def test_lost_engine_is_avoided_for_a_while():
+    clock = clocks.ManualClock(1_000.0)
+    health = backend_health.BackendHealth(clock)
+    health.lost(ENGINE)
+    assert health.is_suspect(ENGINE, NOBODY)
+    assert health.suspects() == (ENGINE,)
+    clock.advance(backend_health.SUSPECT_MS + 1)
+    assert not health.is_suspect(ENGINE, NOBODY)
+    assert health.suspects() == ()
+
+
+def test_told_suspicion_yields_to_an_own_answer():
+    clock = clocks.ManualClock(1_000.0)
+    health = backend_health.BackendHealth(clock)
+    assert health.is_suspect(ENGINE, TOLD)
+    health.answered(ENGINE)
+    assert not health.is_suspect(ENGINE, TOLD)
+    clock.advance(backend_health.OWN_EVIDENCE_MS + 1)
+    assert health.is_suspect(ENGINE, TOLD)
+
+
+def test_answer_ends_the_own_suspicion():
+    health = backend_health.BackendHealth(clocks.ManualClock(1_000.0))
+    health.lost(ENGINE)
+    health.answered(ENGINE)
+    assert not health.is_suspect(ENGINE, NOBODY)
+
+
+def test_share_of_failures_fades():
+    """Load: an engine that fails part of its calls, its health good."""
+    clock = clocks.ManualClock(1_000.0)
+    health = backend_health.BackendHealth(clock)
+    for failed in (True, False, True, True):
+        health.outcome(ENGINE, failed)
+    assert health.failure_share(ENGINE) > 0.4
+    clock.advance(backend_health.FAILURE_WINDOW_MS)
+    assert health.failure_share(ENGINE) == 0.0
+
+
+def test_unlisted_engines_are_forgotten():
+    health = backend_health.BackendHealth(clocks.ManualClock(1_000.0))
+    health.lost(ENGINE)
+    health.keep_only(set())
+    assert not health.is_suspect(ENGINE, NOBODY)
--- /dev/null
+++ b/tests/controllers/test_event_answer.py
@@ -0,0 +1,52 @@
+"""Numbered events are appended once, in order, by the owning attempt."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from oriolejunction.controllers import event_answer
+from oriolejunction import gateway_messages
+from oriolejunction import states
+
+STEPS = st.lists(
+    st.one_of(
+        st.just("attempt"),
+        st.tuples(st.integers(0, 3), st.integers(1, 12)),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(st.integers(0, 5), STEPS)
+def test_no_event_is_missing_repeated_or_of_a_former_attempt(held, steps):
+    answer = event_answer.EventAnswer(held)
+    attempts = [answer.begin_attempt()]
+    delivered = []
+    for step in steps:
+        if step == "attempt":
+            attempts.append(answer.begin_attempt())
+            continue
+        back, number = step
+        attempt = attempts[-1 - back % len(attempts)]
+        event = gateway_messages.NumberedEvent(number, b"")
+        outcome = answer.commit(attempt, event)
+        if outcome is states.CommitOutcome.COMMITTED:
+            assert attempt == attempts[-1]
+            delivered.append(number)
+    first = held + 1
+    assert delivered == list(range(first, first + len(delivered)))
+    assert answer.last_event == held + len(delivered)
+
+
+def test_abandoned_attempt_appends_nothing():
+    answer = event_answer.EventAnswer()
+    attempt = answer.begin_attempt()
+    answer.abandon(attempt)
+    event = gateway_messages.NumberedEvent(1, b"")
+    assert answer.commit(attempt, event) is states.CommitOutcome.NOT_OWNER
+
+
+def test_weights_follow_the_events():
+    answer = event_answer.EventAnswer()
+    attempt = answer.begin_attempt()
+    answer.commit(attempt, gateway_messages.NumberedEvent(1, b"", weights=4))
+    assert answer.weights == 4
--- /dev/null
+++ b/tests/controllers/test_placement.py
@@ -0,0 +1,158 @@
+"""Placement under the loads that it answers, replayed without engines."""
+
+import random
+
+import pytest
+
+from oriolejunction import backends
+from oriolejunction.controllers import placement
+from oriolejunction import ids
+
+ZONES = ("z0", "z1", "z2")
+PROMPT = 8_200
+KV = 9_300
+KV_LIMIT = 88_000
+
+
+class Fleet:
+    """Twelve engines; prompts are read one after the other."""
+
+    def __init__(self, speeds=(0.7, 0.7, 1.7, 1.0)):
+        self.engines = []
+        for number in range(12):
+            self.engines.append(
+                {
+                    "id": f"e{number}",
+                    "zone": ZONES[number % 3],
+                    "speed": speeds[number // 3],
+                    "prefill": 0,
+                    "streams": 0,
+                    "kv": 0,
+                    "up": True,
+                }
+            )
+
+    def candidates(self, lag=None):
+        return [
+            placement.Candidate(
+                backend=backends.Backend(
+                    ids.BackendId(e["id"]),
+                    ids.ServiceName("llm"),
+                    e["id"],
+                    ids.ZoneId(e["zone"]),
+                ),
+                streams=e["streams"],
+                kv_tokens=e["kv"],
+                prefill_tokens=e["prefill"],
+                kv_limit=KV_LIMIT,
+                slots=24,
+                event_ms=32 * e["speed"],
+                prefill_ms_per_k=125 * e["speed"],
+            )
+            for e in (lag or self.engines)
+            if e["up"]
+        ]
+
+    def begin(self, backend_id, prompt=PROMPT):
+        engine = self.by_id(backend_id)
+        engine["prefill"] += prompt
+        engine["streams"] += 1
+        engine["kv"] += KV
+
+    def by_id(self, backend_id):
+        return next(e for e in self.engines if e["id"] == backend_id)
+
+
+NEED = placement.Need(PROMPT, KV, ids.ZoneId("z0"))
+
+
+def test_prompts_that_come_together_get_engines_of_their_own():
+    """Load: a burst of as many prompts as there are fast engines."""
+    fleet = Fleet()
+    rng = random.Random(1)
+    for _ in range(6):
+        chosen = placement.choose_engine(fleet.candidates(), NEED, rng)
+        fleet.begin(chosen.backend.backend_id)
+    assert max(e["streams"] for e in fleet.engines) == 1
+
+
+def test_wave_after_a_zone_loss_is_spread_over_the_survivors():
+    """Load: eight streams lost with a zone, all placed at once."""
+    fleet = Fleet()
+    for engine in fleet.engines:
+        engine["streams"], engine["kv"] = 2, 2 * KV
+        engine["up"] = engine["zone"] != "z1"
+    rng = random.Random(1)
+    for _ in range(8):
+        chosen = placement.choose_engine(fleet.candidates(), NEED, rng)
+        assert chosen.backend.zone != "z1"
+        fleet.begin(chosen.backend.backend_id, prompt=200)
+    assert max(e["streams"] for e in fleet.engines if e["up"]) <= 4
+
+
+def test_engine_without_memory_gets_nothing():
+    """Load: nine streams fill an engine long before its slots do."""
+    fleet = Fleet()
+    for engine in fleet.engines:
+        engine["streams"], engine["kv"] = 9, 9 * KV
+    rng = random.Random(1)
+    assert placement.choose_engine(fleet.candidates(), NEED, rng) is None
+    fleet.engines[4]["kv"] -= 2 * KV
+    chosen = placement.choose_engine(fleet.candidates(), NEED, rng)
+    assert chosen.backend.backend_id == "e4"
+
+
+@pytest.mark.parametrize("zone", ZONES)
+def test_copy_stands_in_another_zone(zone):
+    fleet = Fleet()
+    rng = random.Random(1)
+    runs_on = next(e for e in fleet.candidates() if e.backend.zone == zone)
+    for _ in range(30):
+        copy = placement.choose_copy(
+            fleet.candidates(), NEED, runs_on.backend, rng
+        )
+        assert copy.backend.zone != zone
+
+
+def test_copy_goes_where_memory_is_free():
+    fleet = Fleet()
+    for engine in fleet.engines:
+        engine["kv"] = 9 * KV
+    fleet.engines[5]["kv"] = 0
+    rng = random.Random(1)
+    runs_on = fleet.candidates()[0]
+    copy = placement.choose_copy(
+        fleet.candidates(), NEED, runs_on.backend, rng
+    )
+    assert copy.backend.backend_id == "e5"
+
+
+def mean_wait_ms(choose, seed):
+    """Play prompts at 4 a second; each engine reads one after the other."""
+    rng = random.Random(seed)
+    fleet = Fleet()
+    free_at = {e["id"]: 0.0 for e in fleet.engines}
+    now, waits = 0.0, []
+    for _ in range(400):
+        now += rng.expovariate(4.0) * 1e3
+        for e in fleet.engines:
+            left_ms = max(0.0, free_at[e["id"]] - now)
+            e["prefill"] = int(left_ms / (0.125 * e["speed"]))
+        chosen = choose(fleet.candidates(), rng)
+        engine = fleet.by_id(chosen.backend.backend_id)
+        start = max(now, free_at[engine["id"]])
+        free_at[engine["id"]] = start + PROMPT * 0.125 * engine["speed"]
+        waits.append(free_at[engine["id"]] - now)
+    return sum(waits) / len(waits)
+
+
+def test_known_prompts_beat_a_random_engine():
+    def scored(found, rng):
+        return placement.choose_engine(found, NEED, rng)
+
+    def drawn(found, rng):
+        return rng.choice(found)
+
+    for seed in range(5):
+        ratio = mean_wait_ms(scored, seed) / mean_wait_ms(drawn, seed)
+        assert ratio < 0.75
--- /dev/null
+++ b/tests/controllers/test_stalls.py
@@ -0,0 +1,48 @@
+"""Silence: tested early, left late, and never past the longest pause."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from oriolejunction.controllers import stalls
+from oriolejunction.controllers import suspicion
+
+PAUSE_MS = 700.0
+
+
+def estimate(gaps):
+    found = suspicion.GapEstimate()
+    for gap in gaps:
+        found.add(gap)
+    return found
+
+
+@hypothesis.given(st.lists(st.floats(1, 400), max_size=40))
+def test_test_comes_before_leaving(gaps):
+    limits = stalls.between_events(estimate(gaps), PAUSE_MS)
+    assert limits.test_ms < limits.leave_ms
+    assert limits.test_ms <= stalls.MAX_TEST_MS
+
+
+def test_dark_engine_is_found_well_within_the_longest_pause():
+    """Load: an engine at 32 ms an event goes dark."""
+    rng = random.Random(1)
+    gaps = [rng.gauss(32, 4) for _ in range(60)]
+    limits = stalls.between_events(estimate(gaps), PAUSE_MS)
+    assert limits.test_ms + stalls.TEST_TIMEOUT_MS < 0.5 * PAUSE_MS
+
+
+def test_engine_slowed_by_a_neighbours_prompt_is_not_left():
+    """Load: gaps grow from 32 to 230 ms while a prompt is read beside."""
+    found = estimate([32.0] * 40)
+    for _ in range(30):
+        limits = stalls.between_events(found, PAUSE_MS)
+        assert limits.leave_ms > 230.0
+        found.add(230.0)
+
+
+def test_first_event_is_given_time_for_its_prompt():
+    limits = stalls.before_first(1_700.0)
+    assert limits.leave_ms > 2 * 1_700.0
+    assert limits.test_ms < 1_700.0
--- /dev/null
+++ b/tests/http/test_gateway_call.py
@@ -0,0 +1,227 @@
+"""Calls to plain services: repeated where allowed, otherwise run once."""
+
+import asyncio
+import json
+
+import pytest
+
+from oriolejunction import backends
+from oriolejunction import ids
+from tests.platform import gateway_rig
+
+
+async def answer(arrival):
+    """Answer with success."""
+    arrival.answer()
+
+
+async def fail(arrival):
+    """Answer with a failure of the server's own."""
+    arrival.answer(b"broken", "500 Internal Server Error")
+
+
+async def refuse(arrival):
+    """Say that the call was not run."""
+    arrival.refuse()
+
+
+async def reset(arrival):
+    """Read the call and break off."""
+    arrival.reset()
+
+
+async def hang(arrival):
+    """Bring nothing."""
+    await asyncio.sleep(30)
+
+
+async def unsigned(arrival):
+    """Answer with a success that bears no signature."""
+    arrival.writer.write(
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: "
+        + arrival.headers["attempt-id"].encode()
+        + b"\r\nContent-Length: 2\r\n\r\nno"
+    )
+
+
+async def read(request):
+    async with request as response:
+        return response.status, await response.read()
+
+
+def runs(rig):
+    return sum(
+        len(engine.arrivals)
+        for engine in rig.engines_by_service[gateway_rig.DESK]
+    )
+
+
+@pytest.mark.parametrize("first", [fail, refuse, reset, unsigned, hang])
+async def test_safe_call_goes_to_a_second_server(first):
+    seen = []
+
+    async def behave(arrival):
+        seen.append(arrival)
+        await (first if len(seen) == 1 else answer)(arrival)
+
+    async with gateway_rig.running(desk=[behave, behave]) as rig:
+        assert await read(rig.ask("/look/1")) == (200, b"whole")
+    assert len(seen) == 2
+
+
+async def test_safe_call_that_fails_everywhere_gets_the_servers_answer():
+    async with gateway_rig.running(desk=[fail, fail, fail]) as rig:
+        status, body = await read(rig.ask("/look/1"))
+        assert (status, body) == (500, b"broken")
+        assert runs(rig) == 2
+
+
+@pytest.mark.parametrize(
+    ("behave", "status"),
+    [(answer, 200), (fail, 500), (reset, 502), (unsigned, 502), (hang, 504)],
+)
+async def test_never_twice_call_is_run_once_whatever_happens(behave, status):
+    async with gateway_rig.running(desk=[behave, behave, behave]) as rig:
+        got, _ = await read(rig.ask("/order/1", Deadline_Ms="600"))
+        assert got == status
+        assert runs(rig) == 1
+
+
+async def test_never_twice_call_goes_on_where_it_was_not_run():
+    seen = []
+
+    async def behave(arrival):
+        seen.append(arrival)
+        await (refuse if len(seen) == 1 else answer)(arrival)
+
+    async with gateway_rig.running(desk=[behave, behave]) as rig:
+        assert await read(rig.ask("/order/1")) == (200, b"whole")
+
+
+async def test_not_run_is_said_where_all_servers_refused():
+    async with gateway_rig.running(desk=[refuse, refuse]) as rig:
+        async with rig.ask("/order/1") as response:
+            assert response.status == 503
+            assert "Retry-After" in response.headers
+            error = (await response.json())["error"]
+    assert error["outcome"] == "not_run"
+
+
+async def test_server_that_cannot_be_reached_costs_no_run():
+    async with gateway_rig.running(desk=[answer]) as rig:
+        listed = dict(rig.board.backends.read().by_id)
+        listed["gone"] = backends.Backend(
+            ids.BackendId("gone"),
+            gateway_rig.DESK,
+            gateway_rig.GONE,
+            ids.ZoneId("z0"),
+        )
+        rig.list(listed)
+        for number in range(6):
+            got = await read(rig.ask("/order/1", f"a{number}"))
+            assert got == (200, b"whole")
+
+
+@pytest.mark.parametrize("extra", [b"stray", b"HTTP/1.1 200 OK\r\n\r\n"])
+async def test_connection_with_stray_bytes_is_not_used_again(extra):
+    async def behave(arrival):
+        arrival.answer()
+        arrival.writer.write(extra)
+
+    async with gateway_rig.running(desk=[behave]) as rig:
+        for number in range(3):
+            got = await read(rig.ask("/order/1", f"a{number}"))
+            assert got == (200, b"whole")
+        writers = {
+            arrival.writer
+            for arrival in rig.engines_by_service[gateway_rig.DESK][0].arrivals
+        }
+    assert len(writers) == 3
+
+
+async def test_late_second_answer_is_not_taken_for_the_next_one():
+    async def behave(arrival):
+        arrival.answer(b"answer of " + arrival.headers["attempt-id"].encode())
+        await arrival.writer.drain()
+        await asyncio.sleep(0.02)
+        arrival.answer(b"late copy")
+
+    async with gateway_rig.running(desk=[behave]) as rig:
+        for name in ("a1", "a2", "a3"):
+            status, body = await read(rig.ask("/order/1", name))
+            assert body == b"answer of " + name.encode()
+            await asyncio.sleep(0.05)
+
+
+async def test_answer_without_length_is_whole_only_after_a_clean_end():
+    async def unframed(arrival):
+        arrival.writer.write(arrival.head() + b"to the end")
+        arrival.writer.close()
+
+    async def cut(arrival):
+        arrival.writer.write(arrival.head() + b"to the")
+        await arrival.writer.drain()
+        await asyncio.sleep(0.02)
+        arrival.reset()
+
+    async with gateway_rig.running(desk=[unframed]) as rig:
+        assert await read(rig.ask("/order/1")) == (200, b"to the end")
+    async with gateway_rig.running(desk=[cut]) as rig:
+        status, body = await read(rig.ask("/order/1"))
+        assert status == 502
+        assert b"to the" not in body
+
+
+async def test_answer_before_a_long_body_is_read_leaves_no_stray_bytes():
+    """The server answers early and reads the rest of the body later."""
+    async with gateway_rig.running(desk=[answer]) as rig:
+        engine = rig.engines_by_service[gateway_rig.DESK][0]
+        body = b"x" * 300_000
+
+        async def ask(name):
+            async with rig.session.post(
+                f"http://127.0.0.1:{rig.port}/order/1",
+                headers={
+                    "Host": gateway_rig.HOST,
+                    "Attempt-Id": name,
+                    "X-Api-Key": gateway_rig.KEY,
+                    "Deadline-Ms": "2000",
+                },
+                data=body,
+            ) as response:
+                return await response.read()
+
+        assert await ask("a1") == b"whole"
+        assert await ask("a2") == b"whole"
+        assert [a.body for a in engine.arrivals] == [body, body]
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/nowhere/1", gateway_rig.KEY, 404),
+        ("/order/1", "wrong", 401),
+        ("/order/1", "", 401),
+    ],
+)
+async def test_unknown_route_and_key_reach_no_server(path, key, status):
+    async with gateway_rig.running(desk=[answer]) as rig:
+        got, _ = await read(rig.ask(path, X_Api_Key=key))
+        assert got == status
+        assert runs(rig) == 0
+
+
+async def test_instance_without_a_table_says_not_run():
+    async with gateway_rig.running(desk=[answer]) as rig:
+        rig._write_table(None)
+        status, body = await read(rig.ask("/order/1"))
+    assert status == 503
+    assert json.loads(body)["error"]["outcome"] == "not_run"
+
+
+async def test_leaving_instance_closes_connections_after_answers():
+    async with gateway_rig.running(desk=[answer]) as rig:
+        rig.leaving = True
+        async with rig.ask("/order/1") as response:
+            assert response.status == 200
+            assert response.headers["Connection"] == "close"
--- a/tests/peers/test_raft_formation.py
+++ b/tests/peers/test_raft_formation.py
@@ -39,7 +39,10 @@
 
     def formation(self, name):
         return raft_formation.Formation(
-            self.replica_by_name[name], self, clocks.ManualClock(), NAMES
+            self.replica_by_name[name],
+            self,
+            clocks.ManualClock(),
+            lambda: NAMES,
         )
 
     def caller(self, address, method):
--- /dev/null
+++ b/tests/platform/gateway_rig.py
@@ -0,0 +1,309 @@
+"""A gateway on loopback before engines that do what a test says."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import random
+import socket
+import struct
+
+import aiohttp
+from aiohttp import web
+
+from oriolejunction import backends
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import backend_view
+from oriolejunction.controllers import crash_guard
+from oriolejunction.controllers import engine_speeds
+from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers import run_table
+from oriolejunction.http import engine_pool
+from oriolejunction.http import gateway
+from oriolejunction.http import gateway_parts
+from oriolejunction import ids
+from oriolejunction.platform import gateway_dialect
+from oriolejunction import routing_table
+from oriolejunction import states
+from oriolejunction import telemetry
+
+HOST = "shop.example"
+KEY = "key-of-brewer"
+LLM = ids.ServiceName("llm")
+DESK = ids.ServiceName("desk")
+SIGNATURE = b"Response-Signature: s1\r\n"
+GONE = "127.0.0.1:1"
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request as an engine read it, with the connection it came on."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def head(self, status: str = "200 OK", extra: bytes = b"") -> bytes:
+        """Return a signed head that bears the request's id."""
+        request_id = self.headers["attempt-id"].encode()
+        return (
+            b"HTTP/1.1 "
+            + status.encode()
+            + b"\r\nAttempt-Id: "
+            + request_id
+            + b"\r\n"
+            + SIGNATURE
+            + extra
+            + b"\r\n"
+        )
+
+    def answer(self, body: bytes = b"whole", status: str = "200 OK") -> None:
+        """Write a whole answer with its length."""
+        length = b"Content-Length: %d\r\n" % len(body)
+        self.writer.write(self.head(status, length) + body)
+
+    def refuse(self) -> None:
+        """Say that the request was not run."""
+        self.writer.write(
+            b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+    def begin(self) -> None:
+        """Write the head of a stream."""
+        self.writer.write(self.head(extra=b"Transfer-Encoding: chunked\r\n"))
+
+    def events(self, numbers: collections.abc.Iterable[int]) -> None:
+        """Write events of a stream."""
+        for number in numbers:
+            self.chunk(b"id: %d\ndata: piece%d\n\n" % (number, number))
+
+    def chunk(self, data: bytes) -> None:
+        """Write one chunk."""
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def end(self) -> None:
+        """Write the last chunk."""
+        self.writer.write(b"0\r\n\r\n")
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        sock = self.writer.get_extra_info("socket")
+        linger_none = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_none)
+        self.writer.transport.abort()
+
+
+Behaviour = collections.abc.Callable[
+    [Arrival], collections.abc.Awaitable[None]
+]
+
+
+class Engine:
+    """A backend server whose answers a test scripts."""
+
+    def __init__(self, name: str, behave: Behaviour) -> None:
+        self.name = name
+        self.behave = behave
+        self.arrivals: list[Arrival] = []
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(
+            self._connected, "127.0.0.1", 0
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def _connected(self, reader, writer) -> None:
+        self._tasks.add(asyncio.current_task())
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                arrival = await read_request(reader, writer)
+                self.arrivals.append(arrival)
+                await self.behave(arrival)
+                await writer.drain()
+
+    async def close(self) -> None:
+        """Stop at once."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+async def read_request(reader, writer) -> Arrival:
+    """Read one request with a length."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.rstrip().split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Arrival(method, target, headers, body, reader, writer)
+
+
+def table(version: int = 1, **changes) -> routing_table.RoutingTable:
+    """Return a table with a stream, a safe and a never-twice route."""
+
+    def route(prefix: str, kind: states.RequestKind, service, **more):
+        return routing_table.Route(
+            name=prefix.strip("/"),
+            host=HOST,
+            prefix=prefix,
+            kind=kind,
+            services=(routing_table.WeightedService(service, 1.0),),
+            timeout_ms=more.pop("timeout_ms", 3_000.0),
+            goal_ms=more.pop("goal_ms", 600.0),
+            rank=1,
+            max_attempts=more.pop("max_attempts", 5),
+            **more,
+        )
+
+    fields = {
+        "version": routing_table.TableVersion(version),
+        "routes": (
+            route(
+                "/brief/",
+                states.RequestKind.STREAM,
+                LLM,
+                resumable=True,
+                max_pause_ms=700.0,
+            ),
+            route(
+                "/look/", states.RequestKind.IDEMPOTENT, DESK, max_attempts=2
+            ),
+            route(
+                "/order/", states.RequestKind.NEVER_TWICE, DESK, max_attempts=1
+            ),
+        ),
+        "services": (
+            routing_table.Service(
+                LLM,
+                200,
+                routing_table.EngineTraits(24, 88_000, 8, True, 4_000.0),
+            ),
+            routing_table.Service(DESK, 100),
+        ),
+        "workspaces": (
+            routing_table.Workspace(ids.WorkspaceId("brewer"), (KEY,)),
+        ),
+    }
+    return routing_table.RoutingTable(**{**fields, **changes})
+
+
+class Rig:
+    """A gateway, its engines and a caller's session."""
+
+    def __init__(self, engines_by_service: dict, table_in_force) -> None:
+        self.board = blackboards.Blackboard()
+        self.clock = clocks.SystemClock()
+        self.engines_by_service = engines_by_service
+        self._write_table = self.board.table.own("rig")
+        self._write_backends = self.board.backends.own("rig")
+        self.write_fleet = self.board.fleet.own("rig")
+        self._write_table(table_in_force)
+        runs = run_table.RunTable()
+        speeds = engine_speeds.EngineSpeeds()
+        health = backend_health.BackendHealth(self.clock)
+        rng = random.Random(1)
+        self.parts = gateway_parts.GatewayParts(
+            clock=self.clock,
+            blackboard=self.board,
+            dialect=gateway_dialect.DIALECT,
+            pool=engine_pool.EnginePool(self.clock),
+            view=backend_view.BackendView(
+                self.board, runs, speeds, health, ids.ZoneId("z0"), rng
+            ),
+            runs=runs,
+            speeds=speeds,
+            health=health,
+            budget=resend_budget.ResendBudget(
+                self.clock, resend_budget.BudgetTerms(0.8, 150.0, 10_000.0)
+            ),
+            guard=crash_guard.CrashGuard(self.clock),
+            telemetry=telemetry.GatewayTelemetry(),
+        )
+        self.leaving = False
+
+    async def start(self) -> None:
+        """Start the engines and the gateway."""
+        listed = {}
+        for service, engines in self.engines_by_service.items():
+            for place, engine in enumerate(engines):
+                await engine.start()
+                listed[engine.name] = backends.Backend(
+                    ids.BackendId(engine.name),
+                    service,
+                    engine.address,
+                    ids.ZoneId(f"z{place}"),
+                )
+        self.list(listed)
+        served = gateway.Gateway(
+            self.parts, contextlib.nullcontext, lambda: self.leaving
+        )
+        self.runner = served.runner()
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+        self.session = aiohttp.ClientSession()
+
+    def list(self, by_id: dict) -> None:
+        """Put backend servers on the blackboard."""
+        self._write_backends(
+            backends.KnownBackends(by_id, self.clock.now_ms())
+        )
+
+    def ask(self, path: str, request_id: str = "a1", **headers):
+        """Return the request of a caller, to be awaited."""
+        method = "GET" if path.startswith("/look/") else "POST"
+        all_headers = {
+            "Host": HOST,
+            "Attempt-Id": request_id,
+            "Deadline-Ms": "2500",
+            "X-Api-Key": KEY,
+            "Model": "m",
+            "Token-Counts": "800,80",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        return self.session.request(
+            method,
+            f"http://127.0.0.1:{self.port}{path}",
+            headers=all_headers,
+            data=b"prompt" if method == "POST" else None,
+        )
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await self.session.close()
+        await self.runner.cleanup()
+        self.parts.pool.close()
+        for engines in self.engines_by_service.values():
+            for engine in engines:
+                await engine.close()
+
+
+@contextlib.asynccontextmanager
+async def running(llm=(), desk=(), in_force=None):
+    """Run a gateway before engines with the given behaviours."""
+    rig = Rig(
+        {
+            LLM: [Engine(f"llm-{n}", each) for n, each in enumerate(llm)],
+            DESK: [Engine(f"desk-{n}", each) for n, each in enumerate(desk)],
+        },
+        in_force or table(),
+    )
+    await rig.start()
+    try:
+        yield rig
+    finally:
+        await rig.close()
--- /dev/null
+++ b/tests/platform/test_gateway_dialect.py
@@ -0,0 +1,155 @@
+"""Requests, dispatches and answers in the platform's manner."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from oriolejunction import backends
+from oriolejunction import errors
+from oriolejunction import gateway_messages
+from oriolejunction.http import engine_wire
+from oriolejunction import ids
+from oriolejunction.platform import gateway_dialect
+
+BACKEND = backends.Backend(
+    ids.BackendId("i-7"),
+    ids.ServiceName("llm"),
+    "10.0.0.1:80",
+    ids.ZoneId("z"),
+)
+HEADERS = (
+    (b"Host", b"Ficu95.example:80"),
+    (b"Attempt-Id", b"9c41"),
+    (b"Last-Event-Id", b"12"),
+    (b"Model", b"m"),
+    (b"Token-Counts", b"1460,80"),
+    (b"Prompt-Prefix", b"5c1e:800,91bd:410"),
+    (b"Deadline-Ms", b"2500"),
+    (b"X-Api-Key", b"k"),
+    (b"Connection", b"keep-alive, X-Mine"),
+    (b"X-Mine", b"1"),
+    (b"X-Other", b"2"),
+)
+
+
+def request(headers=HEADERS):
+    return gateway_dialect.read_request(
+        "POST", "/a/b?c=1", headers, b"body", 1_000.0
+    )
+
+
+def test_request_is_read_once_into_typed_fields():
+    read = request()
+    assert read.request_id == "9c41"
+    assert read.host == "ficu95.example"
+    assert read.path == "/a/b"
+    assert read.deadline_ms == 3_500.0
+    assert (read.prompt_tokens, read.max_output_tokens) == (1460, 80)
+    assert (read.last_event, read.key) == (12, "k")
+    assert read.subject == "91bd:410"
+
+
+def test_dispatch_passes_on_what_is_the_clients_and_sets_the_rest():
+    written = dict(
+        gateway_dialect.dispatch_headers(
+            request(),
+            gateway_messages.Dispatch(
+                backend=BACKEND,
+                left_ms=900.7,
+                workspace=ids.WorkspaceId("w"),
+                last_event=14,
+                copy_to="10.0.0.2:80",
+                copy_from=gateway_messages.CopySource(
+                    "10.0.0.3:80", ids.RequestId("9c41")
+                ),
+                weights=3,
+                urgency=2,
+            ),
+        )
+    )
+    assert written[b"Deadline-Ms"] == b"900"
+    assert written[b"Expected-Instance"] == b"i-7"
+    assert written[b"Tenant"] == b"w"
+    assert written[b"Last-Event-Id"] == b"14"
+    assert written[b"Kv-Backup"] == b"10.0.0.2:80"
+    assert written[b"Kv-From"] == b"10.0.0.3:80/9c41"
+    assert written[b"Expected-Version"] == b"3"
+    assert written[b"Request-Priority"] == b"2"
+    assert written[b"Content-Length"] == b"4"
+    assert written[b"X-Other"] == b"2"
+    assert b"X-Api-Key" not in written
+    assert b"X-Mine" not in written
+
+
+@pytest.mark.parametrize("name", sorted(gateway_dialect.OWN_HEADERS))
+def test_headers_that_are_the_systems_are_never_the_clients(name):
+    forged = request((*HEADERS, (name.title(), b"7")))
+    assert name not in {key.lower() for key, _ in forged.headers}
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"Deadline-Ms", b"soon"),
+        (b"Deadline-Ms", b"-5"),
+        (b"Deadline-Ms", b"nan"),
+        (b"Token-Counts", b"many"),
+        (b"Last-Event-Id", b"x"),
+    ],
+)
+def test_malformed_numbers_are_refused(name, value):
+    kept = tuple(pair for pair in HEADERS if pair[0] != name)
+    with pytest.raises(errors.Failure) as failure:
+        request((*kept, (name, value)))
+    assert isinstance(failure.value.error, errors.MalformedRequest)
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([name for name, _ in HEADERS]),
+            st.binary(max_size=12),
+        ),
+        max_size=6,
+    )
+)
+def test_any_headers_are_read_or_refused(headers):
+    try:
+        request(tuple(headers))
+    except errors.Failure as failure:
+        assert isinstance(failure.error, errors.MalformedRequest)
+
+
+def head(status, *headers):
+    return gateway_dialect.read_head(
+        engine_wire.Head(status, b"", headers), request()
+    )
+
+
+def test_head_tells_whose_answer_it_is_and_whether_it_ran():
+    own = head(200, (b"attempt-id", b"9c41"), (b"response-signature", b"s"))
+    assert (own.own, own.signed, own.success, own.not_run) == (
+        True,
+        True,
+        True,
+        False,
+    )
+    assert not head(200, (b"attempt-id", b"other")).own
+    assert head(503, (b"not-executed", b"1")).not_run
+    assert head(421).not_run
+    assert not head(503).not_run
+    load = head(200, (b"instance-load", b"3,0,8")).load
+    assert load == gateway_messages.ServerLoad(3, 0, 8)
+    assert head(200, (b"instance-load", b"3,x,8")).load is None
+
+
+def test_event_is_numbered_by_its_id():
+    event = gateway_dialect.read_event(b"weight-versions: 4\nid: 9\ndata: x")
+    assert (event.number, event.weights) == (9, 4)
+    assert gateway_dialect.read_event(b": comment") is None
+
+
+@hypothesis.given(st.binary(max_size=60))
+def test_any_block_is_an_event_or_none(block):
+    event = gateway_dialect.read_event(block)
+    assert event is None or event.number >= 0
--- /dev/null
+++ b/tests/platform/test_wire_names.py
@@ -0,0 +1,67 @@
+"""The platform's names stay in its folder, and decisions out of it."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parents[2] / "src" / "oriolejunction"
+FOLDER = SOURCE / "platform"
+WIRE_NAMES = re.compile(
+    r"attempt-id|response-signature|not-executed|instance-load|kv-backup"
+    r"|kv-from|kv-fetch|kv-move|token-counts|prompt-prefix|deadline-ms"
+    r"|expected-instance|expected-version|weight-versions|x-api-key"
+    r"|instance-id:|cache-retention|pin-ms|length-hint"
+    r"|pathprefix|targetlatencyms|maxattempts|trafficsplit|targetgapms"
+    r"|kvcachetokens|handlettls|apikeys|coldremainingms|pagetoken"
+    r"|configuration\.replace|configuration\.read|/v1/report"
+    r"|seednodes|listenaddresses|cloudapi|internalportrange",
+    re.IGNORECASE,
+)
+DECIDING = ("controllers", "blackboard", "clock", "random", "asyncio", "time")
+
+
+def modules():
+    return [
+        path
+        for path in sorted(SOURCE.rglob("*.py"))
+        if FOLDER not in path.parents
+    ]
+
+
+@pytest.mark.parametrize("path", modules(), ids=lambda path: path.stem)
+def test_no_other_module_holds_a_name_of_the_wire(path):
+    found = WIRE_NAMES.findall(path.read_text())
+    assert found == []
+
+
+def test_only_the_composition_root_imports_the_folder():
+    importers = [
+        path.relative_to(SOURCE).as_posix()
+        for path in modules()
+        if "oriolejunction.platform" in path.read_text()
+    ]
+    assert importers == ["fleet_wiring.py"]
+
+
+@pytest.mark.parametrize(
+    "path", sorted(FOLDER.glob("*.py")), ids=lambda path: path.stem
+)
+def test_folder_takes_nothing_that_decides(path):
+    imported = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            imported |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            imported |= {f"{node.module}.{a.name}" for a in node.names}
+    assert [
+        name for name in imported if set(name.split(".")) & set(DECIDING)
+    ] == []
+
+
+def test_folder_stays_small():
+    lines = sum(
+        len(path.read_text().splitlines()) for path in FOLDER.glob("*.py")
+    )
+    assert lines < 900
--- /dev/null
+++ b/tests/test_routing_table.py
@@ -0,0 +1,67 @@
+"""Routes are found by host and longest prefix."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from oriolejunction import routing_table
+from tests.platform import gateway_rig
+
+PREFIXES = st.lists(
+    st.lists(st.sampled_from("ab"), max_size=3).map(
+        lambda parts: "/" + "".join(f"{part}/" for part in parts)
+    ),
+    unique=True,
+    max_size=6,
+)
+PATHS = st.lists(st.sampled_from("ab"), max_size=4).map(
+    lambda parts: "/" + "/".join(parts)
+)
+
+
+def with_prefixes(prefixes):
+    base = gateway_rig.table()
+    first = base.routes[0]
+    routes = tuple(
+        type(first)(**{**vars(first), "name": p, "prefix": p})
+        for p in prefixes
+    )
+    return gateway_rig.table(routes=routes)
+
+
+@hypothesis.given(PREFIXES, PATHS)
+def test_longest_prefix_goes_first(prefixes, path):
+    found = with_prefixes(prefixes).route(gateway_rig.HOST, path)
+    fitting = [p for p in prefixes if path.startswith(p)]
+    expected = max(fitting, key=len) if fitting else None
+    assert (found and found.prefix) == expected
+
+
+def test_other_host_has_no_route():
+    assert gateway_rig.table().route("other", "/brief/1") is None
+
+
+def test_services_are_drawn_by_weight():
+    route = gateway_rig.table().routes[0]
+    split = type(route)(
+        **{
+            **vars(route),
+            "services": (
+                routing_table.WeightedService("a", 90.0),
+                routing_table.WeightedService("b", 10.0),
+                routing_table.WeightedService("c", 0.0),
+            ),
+        }
+    )
+    rng = random.Random(1)
+    drawn = [split.pick_service(rng) for _ in range(2_000)]
+    assert 130 < drawn.count("b") < 270
+    assert "c" not in drawn
+
+
+def test_faults_are_told_by_route():
+    table = with_prefixes(["/a/", "/b/"])
+    assert routing_table.faults(table) == []
+    doubled = gateway_rig.table(routes=(table.routes[0],) * 2)
+    assert routing_table.faults(doubled)
