Begin nothing on a leaving instance that it cannot end

The balancer falls back to instances that are not ready where few are left.

Change: a leaving instance refuses as not run, to be retried at once elsewhere, what is not expected to end before it stops; after the balancer has had its time it closes idle connections.

Ruled out: aiohttp's own pre_shutdown leaves an idle connection open with nobody to answer on it; a test shows the connections closed.

--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -73,9 +73,7 @@
         told = self._told_by_id.get(backend_id)
         if told is not None and told.event_ms > 0:
             return told.event_ms
-        return self._median(
-            [s.event_ms for s in self._told_by_id.values()]
-        ) or (DEFAULT_EVENT_MS)
+        return self.typical_event_ms()
 
     def prefill_ms_per_k(self, backend_id: ids.BackendId) -> float:
         """Return the expected time to read a thousand prompt tokens."""
@@ -85,8 +83,17 @@
         told = self._told_by_id.get(backend_id)
         if told is not None and told.prefill_ms_per_k > 0:
             return told.prefill_ms_per_k
+        return self.typical_prefill_ms_per_k()
+
+    def typical_event_ms(self) -> float:
+        """Return the median of what the others observed."""
+        known = [s.event_ms for s in self._told_by_id.values()]
+        return _median(known) or DEFAULT_EVENT_MS
+
+    def typical_prefill_ms_per_k(self) -> float:
+        """Return the median of what the others observed."""
         known = [s.prefill_ms_per_k for s in self._told_by_id.values()]
-        return self._median(known) or DEFAULT_PREFILL_MS_PER_K
+        return _median(known) or DEFAULT_PREFILL_MS_PER_K
 
     def told(self) -> tuple[fm.EngineSpeed, ...]:
         """Return the own observations, to be told to the others."""
@@ -108,7 +115,8 @@
     def _own(self, backend_id: ids.BackendId) -> EngineSpeed:
         return self._own_by_id.setdefault(backend_id, EngineSpeed())
 
-    @staticmethod
-    def _median(values: list[float]) -> float:
-        positive = [value for value in values if value > 0]
-        return statistics.median(positive) if positive else 0.0
+
+def _median(values: list[float]) -> float:
+    """Return the median of the values that are known, else 0."""
+    positive = [value for value in values if value > 0]
+    return statistics.median(positive) if positive else 0.0
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -156,6 +156,7 @@
         self._boot = secrets.token_hex(6)
         self._share_number = 0
         self._told_numbers: tuple[int, ...] = ()
+        self._stops_at_ms: float | None = None
         self._stop = planned_stop.PlannedStop(
             self.clock, self._write_state, LEAVE_DELAY_MS, lambda: 0
         )
@@ -224,10 +225,10 @@
                 self.rng,
             ).run()
         )
-        entry = gateway.Gateway(
-            self._parts, self._stop.request, lambda: not self._is_staying()
+        self._gateway = gateway.Gateway(
+            self._parts, self._stop.request, self._left_ms
         )
-        await self.listen(entry.runner(), settings.caller_listen)
+        await self.listen(self._gateway.runner(), settings.caller_listen)
         await self.listen(
             web.AppRunner(
                 readiness.application(self._is_ready), access_log=None
@@ -240,6 +241,8 @@
     async def drain(self) -> None:
         """Finish what runs, as far as the grace allows."""
         limit_ms = self.file.current.grace_ms - GRACE_MARGIN_MS
+        self._stops_at_ms = self.clock.now_ms() + limit_ms
+        self.spawn(self._close_idle())
         _log.info("entry instance leaving", in_flight=self._stop.in_flight)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_ms / 1e3):
@@ -252,11 +255,15 @@
         self._parts.pool.close()
         await self._channels.close()
 
-    def _is_staying(self) -> bool:
-        return self._board.instance_state.read() in (
-            states.InstanceState.STARTING,
-            states.InstanceState.READY,
-        )
+    async def _close_idle(self) -> None:
+        """Have callers with kept connections come back elsewhere."""
+        await self.clock.sleep_ms(LEAVE_DELAY_MS)
+        self._gateway.close_idle()
+
+    def _left_ms(self) -> float | None:
+        if self._stops_at_ms is None:
+            return None
+        return self._stops_at_ms - self.clock.now_ms()
 
     def _is_ready(self) -> bool:
         return (
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import structlog
 
+from oriolejunction.controllers import leaving
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import gateway_call
@@ -22,6 +23,8 @@
 MAX_HEADERS = 256
 DEFAULT_TIMEOUT_MS = 60_000.0
 BARRED_RETRY_MS = 60_000
+# Any other instance will do.
+LEAVING_RETRY_MS = 20
 _log = structlog.get_logger(__name__)
 
 Count = collections.abc.Callable[[], contextlib.AbstractContextManager]
@@ -34,29 +37,45 @@
         self,
         parts: gateway_parts.GatewayParts,
         count: Count,
-        is_leaving: collections.abc.Callable[[], bool],
+        left_ms: collections.abc.Callable[[], float | None],
     ) -> None:
+        """Serve; `left_ms` is the time to the stop, None while it stays."""
         self._parts = parts
         self._count = count
-        self._is_leaving = is_leaving
+        self._left_ms = left_ms
+        self._server: web.Server | None = None
+        self._busy: set[web.RequestHandler] = set()
 
     def runner(self) -> web.ServerRunner:
         """Return the server to be set up on a listener."""
-        return web.ServerRunner(
-            web.Server(
-                self._handle,
-                access_log=None,
-                handler_cancellation=True,
-                keepalive_timeout=KEEP_ALIVE_S,
-                max_line_size=MAX_HEADER_BYTES,
-                max_field_size=MAX_HEADER_BYTES,
-                max_headers=MAX_HEADERS,
-                auto_decompress=False,
-            ),
-            shutdown_timeout=0.1,
+        self._server = web.Server(
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
+            auto_decompress=False,
         )
+        return web.ServerRunner(self._server, shutdown_timeout=0.1)
+
+    def close_idle(self) -> None:
+        """Close idle connections now, and others after their answer."""
+        for connection in self._server.connections if self._server else ():
+            if connection in self._busy:
+                connection.close()
+            else:
+                connection.force_close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._busy.add(request.protocol)
+        try:
+            return await self._answer(request)
+        finally:
+            self._busy.discard(request.protocol)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         with self._count():
             try:
                 response = await self._serve(request)
@@ -65,7 +84,7 @@
                 response = replies.error_response(
                     failure.error, whole_seconds=False
                 )
-            if self._is_leaving() and not response.prepared:
+            if self._left_ms() is not None and not response.prepared:
                 response.force_close()
             return response
 
@@ -137,6 +156,7 @@
             web=request,
         )
         self._refuse_barred(admitted)
+        self._refuse_leaving(admitted)
         return admitted
 
     def _workspace(
@@ -167,6 +187,30 @@
                 )
             )
 
+    def _refuse_leaving(self, admitted: gateway_parts.Admitted) -> None:
+        left_ms = self._left_ms()
+        if leaving.may_begin(self._expected_ms(admitted), left_ms):
+            return
+        raise errors.Failure(
+            errors.NotReady(
+                f"this instance stops in {left_ms:.0f} ms",
+                retry_after_ms=LEAVING_RETRY_MS,
+            )
+        )
+
+    def _expected_ms(self, admitted: gateway_parts.Admitted) -> float:
+        engine = admitted.service.engine
+        if engine is None:
+            return leaving.call_ms(admitted.route.goal_ms)
+        request = admitted.request
+        speeds = self._parts.speeds
+        return leaving.stream_ms(
+            request.prompt_tokens,
+            request.max_output_tokens / engine.tokens_per_event,
+            speeds.typical_prefill_ms_per_k(),
+            speeds.typical_event_ms(),
+        )
+
     def _log_failure(
         self, request: web.BaseRequest, error: errors.ServingError
     ) -> None:
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -221,7 +221,38 @@
 
 async def test_leaving_instance_closes_connections_after_answers():
     async with gateway_rig.running(desk=[answer]) as rig:
-        rig.leaving = True
+        rig.left_ms = 5_000.0
         async with rig.ask("/order/1") as response:
             assert response.status == 200
             assert response.headers["Connection"] == "close"
+
+
+async def test_leaving_instance_begins_only_what_it_can_end():
+    """Load: the balancer still sends requests late in the grace."""
+    async with gateway_rig.running(llm=[answer], desk=[answer]) as rig:
+        rig.left_ms = 2_000.0
+        async with rig.ask("/order/1") as response:
+            assert response.status == 200
+        rig.left_ms = 100.0
+        for path in ("/order/1", "/brief/1"):
+            async with rig.ask(path) as response:
+                assert response.status == 503
+                assert float(response.headers["Retry-After"]) < 0.1
+                error = (await response.json())["error"]
+                assert error["outcome"] == "not_run"
+        assert not rig.engines_by_service[gateway_rig.LLM][0].arrivals
+
+
+async def test_leaving_instance_closes_idle_connections():
+    async with gateway_rig.running(desk=[answer]) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        request = (
+            "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            f"Attempt-Id: a1\r\nX-Api-Key: {gateway_rig.KEY}\r\n\r\n"
+        )
+        writer.write(request.encode())
+        await reader.readuntil(b"whole")
+        await asyncio.sleep(0.05)
+        rig.gateway.close_idle()
+        assert await asyncio.wait_for(reader.read(), 1.0) == b""
+        writer.close()
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -232,7 +232,7 @@
             guard=crash_guard.CrashGuard(self.clock),
             telemetry=telemetry.GatewayTelemetry(),
         )
-        self.leaving = False
+        self.left_ms = None
 
     async def start(self) -> None:
         """Start the engines and the gateway."""
@@ -247,10 +247,10 @@
                     ids.ZoneId(f"z{place}"),
                 )
         self.list(listed)
-        served = gateway.Gateway(
-            self.parts, contextlib.nullcontext, lambda: self.leaving
+        self.gateway = gateway.Gateway(
+            self.parts, contextlib.nullcontext, lambda: self.left_ms
         )
-        self.runner = served.runner()
+        self.runner = self.gateway.runner()
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await site.start()
