Serve sooner after all instances were restarted

Ruled out: shorter timeouts for all elections; slow disks and frozen leaders would cause needless ones.

--- a/src/oriolejunction/consensus/core_state.py
+++ b/src/oriolejunction/consensus/core_state.py
@@ -14,13 +14,17 @@
 class Timing:
     """Intervals in ms; an election timeout is drawn from its range.
 
-    A voter silent for `lost_after_ms` gives its place to a learner that is
+    Until a replica has heard a leader since its start, its timeout is at
+    most `first_election_ms`: after all were stopped nobody leads, and a
+    pre-vote disturbs no leader that is alive. A voter silent for
+    `lost_after_ms` gives its place to a learner that is
     caught up; it is long where a paused replica should keep its vote.
     """
 
     heartbeat_ms: float = 100.0
     election_min_ms: float = 700.0
     election_max_ms: float = 1_400.0
+    first_election_ms: float = 1_400.0
     lost_after_ms: float = 60_000.0
 
 
--- a/src/oriolejunction/consensus/election.py
+++ b/src/oriolejunction/consensus/election.py
@@ -9,8 +9,12 @@
 def reset_timer(state: core_state.CoreState) -> None:
     """Draw the next election timeout."""
     timing = state.timing
+    shortest_ms, longest_ms = timing.election_min_ms, timing.election_max_ms
+    if state.heard_leader_ms == core_state.NEVER_MS:
+        longest_ms = min(longest_ms, timing.first_election_ms)
+        shortest_ms = min(shortest_ms, longest_ms / 3)
     state.election_due_ms = state.now_ms + state.rng.uniform(
-        timing.election_min_ms, timing.election_max_ms
+        shortest_ms, longest_ms
     )
 
 
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -62,7 +62,9 @@
 SETTINGS_CHECK_MS = 1_000.0
 LISTEN_BACKLOG = 1_024
 # A removed machine must not count once its successor has had 4 s.
-CONTROL_TIMING = core_state.Timing(lost_after_ms=2_500.0)
+CONTROL_TIMING = core_state.Timing(
+    first_election_ms=300.0, lost_after_ms=2_500.0
+)
 # Documents of many routes reach 100 KB.
 LOG_LIMITS = raft_replica.LogLimits(entries=1_024, bytes=8 << 20, kept=32)
 _log = structlog.get_logger(__name__)
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -23,6 +23,10 @@
 MAX_HEADERS = 256
 DEFAULT_TIMEOUT_MS = 60_000.0
 BARRED_RETRY_MS = 60_000
+# After a restart of all, the control group is back within about this time;
+# most callers wait a second, of which a third is kept for the answer.
+TABLE_WAIT_MS = 600.0
+TABLE_POLL_MS = 20.0
 # Any other instance will do.
 LEAVING_RETRY_MS = 20
 _log = structlog.get_logger(__name__)
@@ -90,7 +94,7 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         now_ms = self._parts.clock.now_ms()
-        table = self._parts.blackboard.table.read()
+        table = await self._table(now_ms)
         if table is None:
             raise errors.Failure(
                 errors.NoTable(
@@ -109,6 +113,18 @@
             ).run()
         return await gateway_call.CallRelay(self._parts, admitted).run()
 
+    async def _table(
+        self, received_ms: float
+    ) -> routing_table.RoutingTable | None:
+        """Return the table in force, soon after a start once it is had."""
+        clock = self._parts.clock
+        while True:
+            table = self._parts.blackboard.table.read()
+            waited_ms = clock.now_ms() - received_ms
+            if table is not None or waited_ms >= TABLE_WAIT_MS:
+                return table
+            await clock.sleep_ms(TABLE_POLL_MS)
+
     async def _body(self, request: web.BaseRequest, limit: int) -> bytes:
         pieces = []
         size = 0
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -20,6 +20,8 @@
 KEEPALIVE_TIMEOUT_MS = 700
 # Time for a connection to be established to a machine that may be gone.
 CONNECT_TIMEOUT_MS = 500
+# A peer that was restarted is to be reached soon after it listens.
+MAX_BACKOFF_MS = 300
 
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
@@ -30,7 +32,7 @@
     ("grpc.keepalive_time_ms", KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.http2.max_pings_without_data", 0),
-    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.max_reconnect_backoff_ms", MAX_BACKOFF_MS),
     ("grpc.use_local_subchannel_pool", 1),
 )
 
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -10,6 +10,7 @@
 from oriolejunction.bench import raft
 from oriolejunction.bench import raft_group
 from oriolejunction.consensus import core as cores
+from oriolejunction.consensus import core_state
 from oriolejunction.consensus import election
 from oriolejunction.consensus import log as logs
 from oriolejunction.consensus import membership as memberships
@@ -259,3 +260,28 @@
     assert core.state.commit == 0
     core.step(wire.AppendReply("b", "a", 4, True, 3, 1))
     assert core.state.commit == 3
+
+
+def test_first_election_after_a_start_comes_early():
+    """Nobody leads after all were stopped; a pre-vote disturbs no leader."""
+    timing = core_state.Timing(first_election_ms=300.0)
+    member = types.Member(types.ReplicaId("a"), "a", "z", "a:1")
+    others = [
+        types.Member(types.ReplicaId(name), name, "z", f"{name}:1")
+        for name in "bc"
+    ]
+    log = logs.Log(types.Membership((member, *others), voter_target=3))
+    for seed in range(20):
+        core = cores.Core(
+            member.replica,
+            log,
+            types.HardState(3, None),
+            0,
+            1_000.0,
+            random.Random(seed),
+            timing,
+        )
+        assert 1_100.0 <= core.state.election_due_ms <= 1_300.0
+        core.state.heard_leader_ms = 1_050.0
+        election.reset_timer(core.state)
+        assert core.state.election_due_ms >= 1_700.0
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -256,3 +256,14 @@
         rig.gateway.close_idle()
         assert await asyncio.wait_for(reader.read(), 1.0) == b""
         writer.close()
+
+
+async def test_request_at_a_start_waits_for_the_table():
+    """Load: callers come while the control group is being elected."""
+    async with gateway_rig.running(desk=[answer]) as rig:
+        table = rig.board.table.read()
+        rig._write_table(None)
+        asked = asyncio.create_task(read(rig.ask("/order/1")))
+        await asyncio.sleep(0.2)
+        rig._write_table(table)
+        assert await asked == (200, b"whole")
