--- a/src/oriolejunction/controllers/backend_health.py
+++ b/src/oriolejunction/controllers/backend_health.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 
 from oriolejunction import clock as clocks
 from oriolejunction import ids
@@ -28,7 +29,7 @@
         self._suspected_until_ms: dict[ids.BackendId, float] = {}
         self._answered_at_ms: dict[ids.BackendId, float] = {}
         self._failing: dict[ids.BackendId, tuple[float, float]] = {}
-        self.change_number = 0
+        self.on_change: collections.abc.Callable[[], None] = _nobody
 
     def lost(
         self, backend_id: ids.BackendId, for_ms: float = SUSPECT_MS
@@ -37,13 +38,13 @@
         until_ms = self._clock.now_ms() + for_ms
         held = self._suspected_until_ms.get(backend_id, 0.0)
         self._suspected_until_ms[backend_id] = max(held, until_ms)
-        self.change_number += 1
+        self.on_change()
 
     def answered(self, backend_id: ids.BackendId) -> None:
         """Note that a backend server has answered or is connected to."""
         self._answered_at_ms[backend_id] = self._clock.now_ms()
         if self._suspected_until_ms.pop(backend_id, None) is not None:
-            self.change_number += 1
+            self.on_change()
 
     def outcome(self, backend_id: ids.BackendId, failed: bool) -> None:
         """Take in whether an answer was a failure of the server's own."""
@@ -63,7 +64,7 @@
         for backend_id, until_ms in list(self._suspected_until_ms.items()):
             if until_ms <= now_ms:
                 del self._suspected_until_ms[backend_id]
-                self.change_number += 1
+                self.on_change()
         return tuple(sorted(self._suspected_until_ms))
 
     def is_suspect(
@@ -88,3 +89,7 @@
         for table in tables:
             for backend_id in set(table) - listed:
                 del table[backend_id]
+
+
+def _nobody() -> None:
+    """Stand in for a listener to changes."""
--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -82,6 +82,11 @@
             prefill_ms_per_k=self.speeds.prefill_ms_per_k(backend.backend_id),
         )
 
+    def prefill_of_others(self, backend_id: ids.BackendId) -> int:
+        """Return the prompt tokens that others have unread on an engine."""
+        load = self.blackboard.fleet.read().load_by_id.get(backend_id)
+        return load.prefill_tokens if load is not None else 0
+
     def for_call(
         self,
         service: ids.ServiceName,
--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 
 from oriolejunction import clock as clocks
 from oriolejunction import ids
@@ -27,7 +28,7 @@
         self._crashes: dict[
             ids.Fingerprint, list[tuple[ids.BackendId, ids.ZoneId, float]]
         ] = {}
-        self.change_number = 0
+        self.on_change: collections.abc.Callable[[], None] = _nobody
 
     def note_loss(self, backend_id: ids.BackendId, zone: ids.ZoneId) -> None:
         """Note that an engine was lost, whatever ran on it."""
@@ -45,7 +46,7 @@
         if any(known == backend_id for known, _, _ in crashes):
             return
         crashes.append((backend_id, zone, self._clock.now_ms()))
-        self.change_number += 1
+        self.on_change()
         if len(self._crashes) > MAX_REMEMBERED:
             del self._crashes[next(iter(self._crashes))]
 
@@ -83,3 +84,7 @@
             and abs(other_ms - at_ms) <= TOGETHER_MS
             for other, other_zone, other_ms in self._losses
         )
+
+
+def _nobody() -> None:
+    """Stand in for a listener to changes."""
--- a/src/oriolejunction/controllers/placement.py
+++ b/src/oriolejunction/controllers/placement.py
@@ -22,8 +22,9 @@
 SECOND_PREFILL_MS = 800.0
 # Other zones cost bytes between them.
 OTHER_ZONE_MS = 60.0
-# Differences below this are a matter of chance, not of load.
-CHANCE_MS = 30.0
+# Instances that choose in the same moment do not know of each other yet;
+# chance among engines that differ by less keeps them apart.
+CHANCE_MS = 150.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/oriolejunction/controllers/run_table.py
+++ b/src/oriolejunction/controllers/run_table.py
@@ -1,6 +1,7 @@
 """Own work on each backend server, as told to the other instances."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from oriolejunction import fleet_messages as fm
@@ -25,13 +26,13 @@
         self._calls: collections.Counter[ids.BackendId]
         self._calls = collections.Counter()
         self._last_key = 0
-        self.change_number = 0
+        self.on_change: collections.abc.Callable[[], None] = _nobody
 
     def begin(self, run: Run) -> int:
         """Add a run and return its key."""
         self._last_key += 1
         self._run_by_key[self._last_key] = run
-        self.change_number += 1
+        self.on_change()
         return self._last_key
 
     def prefilled(self, key: int) -> None:
@@ -39,12 +40,12 @@
         run = self._run_by_key.get(key)
         if run is not None and run.prefill_tokens:
             run.prefill_tokens = 0
-            self.change_number += 1
+            self.on_change()
 
     def end(self, key: int | None) -> None:
         """Remove a run that ended or was given up."""
         if key is not None and self._run_by_key.pop(key, None) is not None:
-            self.change_number += 1
+            self.on_change()
 
     def begin_call(self, backend_id: ids.BackendId) -> None:
         """Count a call to a plain service."""
@@ -69,3 +70,7 @@
             total[1] += run.kv_tokens
             total[2] += run.prefill_tokens
         return {key: fm.BackendLoad(key, *sums[key]) for key in sums}
+
+
+def _nobody() -> None:
+    """Stand in for a listener to changes."""
--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -19,7 +19,8 @@
 # A stream whose prompt is being read is tested this often.
 FIRST_TEST_MS = 250.0
 # The answer to a test is a packet of the peer's kernel.
-TEST_TIMEOUT_MS = 110.0
+TEST_TIMEOUT_MS = 60.0
+TEST_TRIES = 2
 LEAVE_DEVIATIONS = 10.0
 # Part of the longest pause after which going on elsewhere is still in time.
 LEAVE_SHARE = 0.75
@@ -27,8 +28,12 @@
 MAX_LEAVE_MS = 2_500.0
 # A first event later than this multiple of the expected time is not due to
 # the engine's load.
-FIRST_MULTIPLE = 2.5
-FIRST_EXTRA_MS = 1_200.0
+FIRST_MULTIPLE = 1.4
+FIRST_EXTRA_MS = 500.0
+# An engine is not left while another one could still meet the goal, at
+# this multiple of its expected time and with this much to spare.
+ELSEWHERE_MULTIPLE = 1.5
+ELSEWHERE_SPARE_MS = 400.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,8 +59,20 @@
     )
 
 
-def before_first(expected_ms: float) -> StallLimits:
-    """Return the limits of a stream that waits for its first event."""
+def before_first(
+    expected_ms: float, goal_left_ms: float, elsewhere_ms: float
+) -> StallLimits:
+    """Return the limits of a stream that waits for its first event.
+
+    Load pattern: the answer of a request that runs is lost, while the
+    engine takes connections. Leaving it reads the prompt again, so it is
+    left as late as another engine, in `elsewhere_ms`, meets the goal.
+    """
+    latest_ms = goal_left_ms - ELSEWHERE_MULTIPLE * elsewhere_ms
     return StallLimits(
-        FIRST_TEST_MS, FIRST_MULTIPLE * expected_ms + FIRST_EXTRA_MS
+        FIRST_TEST_MS,
+        max(
+            FIRST_MULTIPLE * expected_ms + FIRST_EXTRA_MS,
+            latest_ms - ELSEWHERE_SPARE_MS,
+        ),
     )
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -21,6 +21,7 @@
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
+from oriolejunction.controllers import answer_lengths
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import backend_view
 from oriolejunction.controllers import crash_guard
@@ -58,7 +59,6 @@
 LEAVE_DELAY_MS = 2_500.0
 # What is left of the grace when the last answers are closed.
 GRACE_MARGIN_MS = 400.0
-SHARE_CHECK_MS = 10.0
 SETTINGS_CHECK_MS = 1_000.0
 LISTEN_BACKLOG = 1_024
 # A removed machine must not count once its successor has had 4 s.
@@ -157,7 +157,6 @@
         self._write_state = self._board.instance_state.own("fleet_wiring")
         self._boot = secrets.token_hex(6)
         self._share_number = 0
-        self._told_numbers: tuple[int, ...] = ()
         self._stops_at_ms: float | None = None
         self._stop = planned_stop.PlannedStop(
             self.clock, self._write_state, LEAVE_DELAY_MS, lambda: 0
@@ -186,6 +185,7 @@
                 ),
             ),
             guard=crash_guard.CrashGuard(self.clock),
+            lengths=answer_lengths.AnswerLengths(),
             telemetry=telemetry.GatewayTelemetry(),
         )
 
@@ -211,9 +211,10 @@
         self._board.fleet.changes().subscribe(
             lambda sight: self._parts.speeds.take_told(sight.speed_by_id)
         )
+        for part in (self._parts.runs, self._parts.health, self._parts.guard):
+            part.on_change = self._watch.note_share
         self.spawn(self._watch.run())
         self.spawn(self._watch.run_shares())
-        self.spawn(self._notice_share_changes())
         self.spawn(self.file.follow(self.clock))
         self.spawn(
             list_reader.ListReader(
@@ -289,18 +290,6 @@
             speeds=self._parts.speeds.told(),
         )
 
-    async def _notice_share_changes(self) -> None:
-        while True:
-            await self.clock.sleep_ms(SHARE_CHECK_MS)
-            numbers = (
-                self._parts.runs.change_number,
-                self._parts.health.change_number,
-                self._parts.guard.change_number,
-            )
-            if numbers != self._told_numbers:
-                self._told_numbers = numbers
-                self._watch.note_share()
-
     def _forget_unlisted(self, known) -> None:
         if not known.by_id:
             return
--- a/src/oriolejunction/http/engine_pool.py
+++ b/src/oriolejunction/http/engine_pool.py
@@ -18,7 +18,11 @@
         ] = collections.defaultdict(collections.deque)
 
     async def lend(
-        self, address: str, timeout_ms: float, max_idle_ms: float
+        self,
+        address: str,
+        timeout_ms: float,
+        tries: int,
+        max_idle_ms: float,
     ) -> engine_wire.WireConnection:
         """Return a connection that was idle for a bounded time, or new.
 
@@ -34,7 +38,7 @@
             if now_ms - connection.idle_since_ms < limit_ms:
                 return connection
             connection.close()
-        return await engine_wire.connect(address, timeout_ms)
+        return await engine_wire.connect(address, timeout_ms, tries)
 
     def give_back(self, connection: engine_wire.WireConnection) -> None:
         """Keep a connection whose answer ended cleanly; close any other."""
--- a/src/oriolejunction/http/engine_wire.py
+++ b/src/oriolejunction/http/engine_wire.py
@@ -206,15 +206,30 @@
         return self._arrived.popleft()
 
 
-async def connect(address: str, timeout_ms: float) -> WireConnection:
-    """Open a connection; raise `NotReached`."""
+async def connect(
+    address: str, timeout_ms: float, tries: int = 1
+) -> WireConnection:
+    """Open a connection; raise `NotReached` once each try has failed.
+
+    The kernel sends a lost opening packet again only after a second. A
+    refusal is the peer's own word and is not tried again.
+    """
+    for left in reversed(range(tries)):
+        try:
+            return await _connect_once(address, timeout_ms)
+        except ConnectionRefusedError as error:
+            raise NotReached(repr(error))
+        except (OSError, TimeoutError) as error:
+            if not left:
+                raise NotReached(repr(error))
+    raise NotReached("no try was allowed")
+
+
+async def _connect_once(address: str, timeout_ms: float) -> WireConnection:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_ms / 1e3):
-            _, connection = await loop.create_connection(
-                lambda: WireConnection(address), host, int(port)
-            )
-    except (OSError, TimeoutError) as error:
-        raise NotReached(repr(error))
+    async with asyncio.timeout(timeout_ms / 1e3):
+        _, connection = await loop.create_connection(
+            lambda: WireConnection(address), host, int(port)
+        )
     return connection
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 import structlog
 
-from oriolejunction.controllers import leaving
+from oriolejunction.controllers import in_time
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import gateway_call
@@ -173,6 +173,7 @@
         )
         self._refuse_barred(admitted)
         self._refuse_leaving(admitted)
+        self._refuse_hopeless(admitted)
         return admitted
 
     def _workspace(
@@ -205,7 +206,7 @@
 
     def _refuse_leaving(self, admitted: gateway_parts.Admitted) -> None:
         left_ms = self._left_ms()
-        if leaving.may_begin(self._expected_ms(admitted), left_ms):
+        if in_time.may_begin(self._expected_ms(admitted), left_ms):
             return
         raise errors.Failure(
             errors.NotReady(
@@ -214,17 +215,37 @@
             )
         )
 
+    def _refuse_hopeless(self, admitted: gateway_parts.Admitted) -> None:
+        if admitted.service.engine is None:
+            return
+        left_ms = admitted.deadline_ms - self._parts.clock.now_ms()
+        read_ms = in_time.stream_ms(
+            admitted.request.prompt_tokens,
+            0.0,
+            self._parts.speeds.typical_prefill_ms_per_k(),
+            self._parts.speeds.typical_event_ms(),
+        )
+        if in_time.can_end(read_ms, left_ms):
+            return
+        raise errors.Failure(
+            errors.NoCapacity(
+                f"reading the prompt takes {read_ms:.0f} ms,"
+                f" the deadline is in {left_ms:.0f} ms"
+            )
+        )
+
     def _expected_ms(self, admitted: gateway_parts.Admitted) -> float:
         engine = admitted.service.engine
         if engine is None:
-            return leaving.call_ms(admitted.route.goal_ms)
+            return in_time.call_ms(admitted.route.goal_ms)
         request = admitted.request
-        speeds = self._parts.speeds
-        return leaving.stream_ms(
+        most = request.max_output_tokens / engine.tokens_per_event
+        events = self._parts.lengths.expected(admitted.route.name, most)
+        return in_time.stream_ms(
             request.prompt_tokens,
-            request.max_output_tokens / engine.tokens_per_event,
-            speeds.typical_prefill_ms_per_k(),
-            speeds.typical_event_ms(),
+            max(0.0, events - request.last_event),
+            self._parts.speeds.typical_prefill_ms_per_k(),
+            self._parts.speeds.typical_event_ms(),
         )
 
     def _log_failure(
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -18,7 +18,9 @@
 from oriolejunction.http import gateway_parts
 from oriolejunction.http import gateway_stream
 
-CONNECT_MS = 200.0
+# Tries cover the loss of single packets, within the goal of a call.
+CONNECT_MS = 50.0
+CONNECT_TRIES = 3
 # A connection idle for longer may lead to a server that is gone, which a
 # call that must not run twice would not survive.
 SAFE_IDLE_MS = 4_000.0
@@ -157,6 +159,7 @@
                 dispatch,
                 self._attempts,
                 CONNECT_MS,
+                CONNECT_TRIES,
                 idle_ms,
             )
             head = parts.dialect.read_head(
--- a/src/oriolejunction/http/gateway_parts.py
+++ b/src/oriolejunction/http/gateway_parts.py
@@ -10,6 +10,7 @@
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import answer_lengths
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import backend_view
 from oriolejunction.controllers import crash_guard
@@ -43,6 +44,7 @@
     health: backend_health.BackendHealth
     budget: resend_budget.ResendBudget
     guard: crash_guard.CrashGuard
+    lengths: answer_lengths.AnswerLengths
     telemetry: telemetry.GatewayTelemetry
 
 
@@ -145,6 +147,7 @@
     dispatch: gateway_messages.Dispatch,
     attempts: Attempts,
     connect_ms: float,
+    connect_tries: int,
     max_idle_ms: float,
 ) -> engine_wire.WireConnection:
     """Send a request to a backend server.
@@ -152,7 +155,7 @@
     Raise `NotReached` where no byte of it was sent.
     """
     connection = await parts.pool.lend(
-        dispatch.backend.address, connect_ms, max_idle_ms
+        dispatch.backend.address, connect_ms, connect_tries, max_idle_ms
     )
     connection.send(
         admitted.request.method,
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import enum
+import functools
 
 from aiohttp import web
 import multidict
@@ -25,8 +27,10 @@
 from oriolejunction.http import gateway_parts
 from oriolejunction import states
 
-# A machine of the same region answers a connection within a few ms.
-CONNECT_MS = 250.0
+# A machine of the same region answers a connection within a few ms; the
+# tries cover the loss of single packets.
+CONNECT_MS = 90.0
+CONNECT_TRIES = 3
 # A connection idle for longer may lead to an engine that is gone.
 MAX_IDLE_MS = 1_000.0
 PLACE_POLL_MS = 25.0
@@ -41,6 +45,9 @@
 MAX_EVENT_BYTES = 1 << 20
 
 
+_Limits = collections.abc.Callable[[], stalls.StallLimits]
+
+
 class _Ended(enum.Enum):
     COMPLETE = "complete"
     LOST = "lost"
@@ -188,6 +195,7 @@
             prefill=plan.candidate.prefill_tokens,
         )
         attempt = self._answer.begin_attempt()
+        self._copy = None
         try:
             return await self._run_on(plan, attempt, key, unread)
         finally:
@@ -203,6 +211,7 @@
                 self._dispatch(plan),
                 self._attempts,
                 CONNECT_MS,
+                CONNECT_TRIES,
                 MAX_IDLE_MS,
             )
         except engine_wire.NotReached as error:
@@ -248,8 +257,12 @@
     ) -> _Ended:
         clock = self._parts.clock
         sent_ms = clock.now_ms()
-        expected_ms = placement.first_event_ms(plan.candidate, unread)
-        limits = stalls.before_first(expected_ms)
+        limits = self._first_limits(plan, unread)
+        events_limits = functools.partial(
+            stalls.between_events,
+            self._parts.speeds.gaps(plan.backend.backend_id),
+            self._admitted.route.max_pause_ms,
+        )
         head = self._parts.dialect.read_head(
             await self._patiently(connection.head, plan, limits),
             self._admitted.request,
@@ -258,7 +271,6 @@
         if refused is not None:
             return refused
         self._parts.health.answered(plan.backend.backend_id)
-        self._copy = plan.copy
         if self._answer.weights is None:
             self._answer.weights = head.weights
         await self._begin(head)
@@ -276,6 +288,8 @@
                 continue
             now_ms = clock.now_ms()
             if first:
+                # A copy is begun with the first event, not with the prompt.
+                self._copy = plan.copy
                 self._note_first(plan, key, unread, now_ms - sent_ms)
                 first = False
             else:
@@ -284,15 +298,54 @@
                 )
             last_ms = now_ms
             await self._deliver(plan, attempt, blocks)
-            limits = stalls.between_events(
-                self._parts.speeds.gaps(plan.backend.backend_id),
-                self._admitted.route.max_pause_ms,
-            )
+            limits = events_limits
         if rest.strip():
             raise engine_wire.ConnectionBroken("ended within an event")
         self._parts.pool.give_back(connection)
+        self._parts.lengths.add(
+            self._admitted.route.name, self._answer.last_event
+        )
+        gateway_parts.log_decision(
+            self._admitted,
+            "stream complete",
+            backend=plan.backend.backend_id,
+            events=self._answer.delivered,
+            prompt_tokens=self._admitted.request.prompt_tokens,
+            attempts=self._attempts.sent,
+            took_ms=round(clock.now_ms() - self._admitted.request.received_ms),
+        )
         return _Ended.COMPLETE
 
+    def _first_limits(self, plan: _Plan, unread: int) -> _Limits:
+        """Return the limits before the first event, as known at each test.
+
+        Other instances may have sent their prompts to the same engine in
+        the same moment; the hub tells of them a little later.
+        """
+        goal_ms = 0.0
+        if self._last_event_ms is None:
+            received_ms = self._admitted.request.received_ms
+            goal_ms = received_ms + self._admitted.route.goal_ms
+        sent_ms = self._parts.clock.now_ms()
+        backend_id = plan.backend.backend_id
+        most_ahead = plan.candidate.prefill_tokens
+
+        def limits() -> stalls.StallLimits:
+            nonlocal most_ahead
+            ahead = self._parts.view.prefill_of_others(backend_id)
+            most_ahead = max(most_ahead, ahead)
+            speeds = self._parts.speeds
+            elsewhere = self._admitted.request.prompt_tokens / 1_000
+            return stalls.before_first(
+                (most_ahead + unread)
+                / 1_000
+                * speeds.prefill_ms_per_k(backend_id),
+                goal_ms - sent_ms,
+                elsewhere * speeds.typical_prefill_ms_per_k(),
+            )
+
+        return limits
+
     def _note_first(
         self, plan: _Plan, key: int, unread: int, took_ms: float
     ) -> None:
@@ -377,9 +430,9 @@
             status=head.status,
             from_copy=plan.copy_from is not None,
         )
+        self._copy = None
         if plan.copy_from is not None:
             # The copy is gone, which says nothing against the engine.
-            self._copy = None
             return
         self._attempts.excluded.add(plan.backend.backend_id)
         if head.status == 421:
@@ -387,17 +440,17 @@
                 plan.backend.backend_id, backend_health.REPLACED_MS
             )
 
-    async def _patiently(self, read, plan: _Plan, limits: stalls.StallLimits):
+    async def _patiently(self, read, plan: _Plan, limits: _Limits):
         """Wait for the next piece, testing an engine that is silent.
 
         Raise `_EngineSilent` where it fails the test or is left.
         """
         clock = self._parts.clock
         since_ms = clock.now_ms()
-        test_ms = limits.test_ms
+        test_ms = limits().test_ms
         while True:
             silent_ms = clock.now_ms() - since_ms
-            wait_ms = min(test_ms, limits.leave_ms) - silent_ms
+            wait_ms = min(test_ms, limits().leave_ms) - silent_ms
             wait_ms = max(0.0, min(wait_ms, self._attempts.left_ms))
             try:
                 async with asyncio.timeout(wait_ms / 1e3):
@@ -406,7 +459,7 @@
                 silent_ms = clock.now_ms() - since_ms
             if self._attempts.left_ms <= 0:
                 raise _DeadlineReached
-            if silent_ms >= limits.leave_ms:
+            if silent_ms >= limits().leave_ms:
                 raise _EngineSilent(f"silent for {silent_ms:.0f} ms")
             if not await self._is_reachable(plan.backend):
                 raise _EngineSilent(
@@ -418,7 +471,7 @@
         """Return whether an engine's machine takes a new connection."""
         try:
             connection = await engine_wire.connect(
-                backend.address, stalls.TEST_TIMEOUT_MS
+                backend.address, stalls.TEST_TIMEOUT_MS, stalls.TEST_TRIES
             )
         except engine_wire.NotReached:
             return False
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -19,9 +19,10 @@
 
 # A watch is answered at least this often, so that silence means a loss.
 WATCH_HOLD_MS = 400.0
-# Changes that come close together are told together.
-WATCH_GAP_MS = 40.0
-RELAY_GAP_MS = 40.0
+# Changes that come close together are told together: the more watch, the
+# longer the gap, so that the messages of a replica stay bounded.
+MIN_GAP_MS = 5.0
+GAP_MS_PER_ENTRY = 0.5
 RELAY_IDLE_MS = 500.0
 RELAY_TIMEOUT_S = 0.5
 # Five heartbeats of the leader.
@@ -74,13 +75,16 @@
         """Hand shares and the list on to the other control replicas."""
         known_version = None
         while True:
-            await self._parts.clock.sleep_ms(RELAY_GAP_MS)
+            await self._parts.clock.sleep_ms(self._gap_ms())
             version = self._replica.state.table.version
             if version != known_version:
                 known_version = version
                 self.note_change()
             self._queue_relays()
 
+    def _gap_ms(self) -> float:
+        return max(MIN_GAP_MS, GAP_MS_PER_ENTRY * self._parts.hub.entries())
+
     def _queue_relays(self) -> None:
         """Give each other replica a sender of its own, and its news."""
         news = {s.instance: s for s in self._parts.hub.take_direct()}
@@ -107,7 +111,7 @@
         clock = self._parts.clock
         digest_sent, idle_since_ms = "", clock.now_ms()
         while True:
-            await clock.sleep_ms(RELAY_GAP_MS)
+            await clock.sleep_ms(self._gap_ms())
             pending = self._pending[address]
             is_reader = self._replica.leader_term is not None
             listing = self._parts.listing.aged(digest_sent)
@@ -152,7 +156,7 @@
     async def _watch(self, request: fm.Watch) -> fm.Sight:
         clock = self._parts.clock
         until_ms = clock.now_ms() + WATCH_HOLD_MS
-        await clock.sleep_ms(WATCH_GAP_MS)
+        await clock.sleep_ms(self._gap_ms())
         while not self._has_news(request):
             left_ms = until_ms - clock.now_ms()
             if left_ms <= 0:
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -29,7 +29,7 @@
 # A replica answers a watch within 400 ms; the rest is for the network.
 WATCH_TIMEOUT_S = 0.7
 SHARE_TIMEOUT_S = 0.4
-SHARE_GAP_MS = 25.0
+SHARE_GAP_MS = 5.0
 SHARE_IDLE_MS = 1_000.0
 RETRY_PAUSE_MS = 50.0
 # A replica that failed is passed over for a while.
--- /dev/null
+++ b/tests/controllers/test_in_time.py
@@ -0,0 +1,31 @@
+"""What is begun, by the time that it takes and the time that is left."""
+
+from oriolejunction.controllers import answer_lengths
+from oriolejunction.controllers import in_time
+
+
+def test_leaving_instance_begins_only_what_ends_before_it():
+    """Load: streams of 5.5 s come through a grace of 7.6 s."""
+    stream_ms = in_time.stream_ms(8_200, 140, 125.0, 32.0)
+    assert 5_000 < stream_ms < 6_000
+    assert in_time.may_begin(stream_ms, None)
+    assert in_time.may_begin(stream_ms, 7_600)
+    assert not in_time.may_begin(stream_ms, 6_000)
+    assert in_time.may_begin(in_time.call_ms(150.0), 1_000)
+
+
+def test_prompt_that_cannot_be_read_by_the_deadline_is_not_begun():
+    read_ms = in_time.stream_ms(8_200, 0, 125.0, 32.0)
+    assert in_time.can_end(read_ms, 1_500)
+    assert not in_time.can_end(read_ms, 900)
+
+
+def test_lengths_are_learned_from_whole_answers():
+    """Load: callers allow 190 events; answers take about 140."""
+    lengths = answer_lengths.AnswerLengths()
+    assert 120 < lengths.expected("r", 190) < 160
+    for events in (150, 130, 140) * 20:
+        lengths.add("r", events)
+    assert 135 < lengths.expected("r", 190) < 145
+    assert lengths.expected("r", 20) == 20
+    assert lengths.expected("other", 100) == 75
--- a/tests/http/test_gateway_stream.py
+++ b/tests/http/test_gateway_stream.py
@@ -253,3 +253,57 @@
         rig.write_fleet(type(held)(load_by_id={busy.backend_id: busy}))
         await read(rig.ask("/brief/1"))
         assert [name for name, _ in arrivals(rig)] == ["llm-1"]
+
+
+async def test_stream_lost_while_its_prompt_is_read_is_read_elsewhere():
+    """Load: an engine crashes before the first event of a long prompt.
+
+    No copy is asked for: engines begin one with the first event.
+    """
+    began = []
+
+    async def behave(arrival):
+        if began:
+            await whole(arrival)
+            return
+        began.append(arrival)
+        arrival.reset()
+
+    async with gateway_rig.running(llm=[behave, behave]) as rig:
+        assert await read(rig.ask("/brief/1")) == (200, WHOLE)
+        assert len(arrivals(rig)) == 2
+        assert not [a for _, a in arrivals(rig) if "kv-from" in a.headers]
+
+
+async def test_prompt_that_cannot_be_read_in_time_is_refused_at_once():
+    """Load: callers come back with the last of their 25 s."""
+    async with gateway_rig.running(llm=[whole]) as rig:
+        async with rig.ask(
+            "/brief/1", Token_Counts="8000,1520", Deadline_Ms="700"
+        ) as response:
+            assert response.status == 503
+            assert (await response.json())["error"]["outcome"] == "not_run"
+        assert not arrivals(rig)
+        status, _ = await read(
+            rig.ask("/brief/1", Token_Counts="8000,1520", Deadline_Ms="1500")
+        )
+        assert status == 200
+
+
+async def test_engine_with_prompts_of_others_is_not_left_early():
+    """Load: two instances choose one engine within a few ms."""
+
+    async def late(arrival):
+        await asyncio.sleep(1.3)
+        await whole(arrival)
+
+    async with gateway_rig.running(llm=[late, late]) as rig:
+        asked = asyncio.create_task(read(rig.ask("/brief/1")))
+        await asyncio.sleep(0.1)
+        busy = fm.BackendLoad(
+            ids.BackendId(arrivals(rig)[0][0]), 1, 9_000, 8_000
+        )
+        held = rig.board.fleet.read()
+        rig.write_fleet(type(held)(load_by_id={busy.backend_id: busy}))
+        assert await asked == (200, WHOLE)
+        assert len(arrivals(rig)) == 1
--- /dev/null
+++ b/tests/peers/test_listing_store.py
@@ -0,0 +1,53 @@
+"""The list that was read last is held, whoever read it."""
+
+from oriolejunction import backends
+from oriolejunction import clock as clocks
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+from oriolejunction.peers import listing_store
+
+
+def backend(name, **changes):
+    return backends.Backend(
+        ids.BackendId(name),
+        ids.ServiceName("llm"),
+        f"{name}:1",
+        ids.ZoneId("z"),
+        **changes,
+    )
+
+
+def test_list_read_later_wins():
+    clock = clocks.ManualClock(10_000.0)
+    store = listing_store.ListingStore(clock)
+    assert store.put_read((backend("a"),))
+    older = fm.AgedListing(500.0, "other", (backend("b"),))
+    assert not store.put_told(older)
+    clock.advance(1_000.0)
+    newer = fm.AgedListing(200.0, "other", (backend("b"),))
+    assert store.put_told(newer)
+    assert [b.backend_id for b in store.backends] == ["b"]
+    assert store.age_ms == 200.0
+
+
+def test_unchanged_list_is_told_by_its_digest_and_stays_fresh():
+    clock = clocks.ManualClock(10_000.0)
+    reader = listing_store.ListingStore(clock)
+    other = listing_store.ListingStore(clock)
+    reader.put_read((backend("a"),))
+    assert other.put_told(reader.aged(other.digest))
+    clock.advance(500.0)
+    reader.put_read((backend("a", cold_ms=20.0),))
+    told = reader.aged(other.digest)
+    assert told.backends is None
+    assert not other.put_told(told)
+    assert other.age_ms == 0.0
+
+
+def test_digest_of_another_list_brings_nothing():
+    clock = clocks.ManualClock(10_000.0)
+    store = listing_store.ListingStore(clock)
+    store.put_read((backend("a"),))
+    clock.advance(500.0)
+    store.put_told(fm.AgedListing(0.0, "unknown", None))
+    assert store.age_ms == 500.0
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -14,6 +14,7 @@
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import answer_lengths
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import backend_view
 from oriolejunction.controllers import crash_guard
@@ -230,6 +231,7 @@
                 self.clock, resend_budget.BudgetTerms(0.8, 150.0, 10_000.0)
             ),
             guard=crash_guard.CrashGuard(self.clock),
+            lengths=answer_lengths.AnswerLengths(),
             telemetry=telemetry.GatewayTelemetry(),
         )
         self.left_ms = None
--- /dev/null
+++ b/tests/test_fleet_nodes.py
@@ -0,0 +1,248 @@
+"""Control replicas and an entry instance of a deployment, on loopback.
+
+Each node has an address of its own in 127/8, since all listen at one port.
+"""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from oriolejunction import fleet_wiring
+from tests.platform import gateway_rig
+from tests.platform import test_configuration_document
+
+PEER_PORT = 17_200
+CONTROL_PORT = 17_201
+ENTRY_PORT = 17_202
+READY_PORT = 17_203
+LIST_PORT = 17_204
+SEEDS = ["127.0.7.1", "127.0.7.2", "127.0.7.3"]
+ENTRY = "127.0.7.9"
+
+
+def settings(tmp_path, name, **fields):
+    path = tmp_path / f"{name}.json"
+    content = {
+        "instance_id": name,
+        "zone": "z",
+        "peer_port": PEER_PORT,
+        "control_seeds": [f"{ip}:{CONTROL_PORT}" for ip in SEEDS],
+        "list_address": f"127.0.7.8:{LIST_PORT}",
+        **fields,
+    }
+    path.write_text(json.dumps(content))
+    return path
+
+
+def control(tmp_path, number, first_start=True):
+    ip = SEEDS[number]
+    return fleet_wiring.ControlNode(
+        settings(
+            tmp_path,
+            f"core-{number}",
+            ip=ip,
+            operator_listen=f"{ip}:{CONTROL_PORT}",
+            data_dir=str(tmp_path / f"disk-{number}"),
+            first_start=first_start,
+            losses_borne=1,
+        )
+    )
+
+
+def entry(tmp_path):
+    return fleet_wiring.EntryNode(
+        settings(
+            tmp_path,
+            "entry",
+            ip=ENTRY,
+            caller_listen=f"{ENTRY}:{ENTRY_PORT}",
+            ready_listen=f"{ENTRY}:{READY_PORT}",
+            grace_ms=6_000,
+        )
+    )
+
+
+class Fleet:
+    """Three control replicas, an entry instance, an engine and a list."""
+
+    def __init__(self, tmp_path):
+        self.tmp_path = tmp_path
+        self.control_by_number = {}
+        self.engine = gateway_rig.Engine("i-1", self._whole)
+        self.session = None
+
+    async def _whole(self, arrival):
+        arrival.begin()
+        arrival.events(range(1, 7))
+        arrival.end()
+
+    async def start(self):
+        await self.engine.start()
+        app = web.Application()
+        app.router.add_get("/instances", self._list)
+        self.list_runner = web.AppRunner(app)
+        await self.list_runner.setup()
+        await web.TCPSite(self.list_runner, "127.0.7.8", LIST_PORT).start()
+        for number in range(3):
+            await self.start_control(number)
+        self.entry = entry(self.tmp_path)
+        await self.entry.start()
+        self.session = aiohttp.ClientSession()
+
+    async def _list(self, request):
+        return web.json_response(
+            {
+                "instances": [
+                    {
+                        "id": "i-1",
+                        "service": "llm",
+                        "address": self.engine.address,
+                        "zone": "z",
+                        "state": "ready",
+                        "slots": 8,
+                    }
+                ],
+                "next": None,
+            }
+        )
+
+    async def start_control(self, number, first_start=True):
+        node = control(self.tmp_path, number, first_start)
+        await node.start()
+        self.control_by_number[number] = node
+
+    async def stop_control(self, number):
+        await self.control_by_number.pop(number).close()
+
+    async def close(self):
+        await self.session.close()
+        await self.entry.close()
+        for node in self.control_by_number.values():
+            await node.close()
+        await self.list_runner.cleanup()
+        await self.engine.close()
+
+    async def publish(self, content, number=0):
+        url = f"http://{SEEDS[number]}:{CONTROL_PORT}/v1/Configuration.Replace"
+        async with self.session.post(url, json=content) as response:
+            return response.status
+
+    async def read(self, number=0):
+        url = f"http://{SEEDS[number]}:{CONTROL_PORT}/v1/Configuration.Read"
+        async with self.session.get(url) as response:
+            return response.status, await response.json()
+
+    async def ask(self, path="/pufi/1", key="k1"):
+        async with self.session.post(
+            f"http://{ENTRY}:{ENTRY_PORT}{path}",
+            headers={
+                "Host": "ficu95.example",
+                "Attempt-Id": "a1",
+                "X-Api-Key": key,
+                "Deadline-Ms": "4000",
+                "Token-Counts": "100,48",
+            },
+        ) as response:
+            return response.status, await response.read()
+
+    async def until(self, check, limit_s=8.0):
+        """Repeat a check until it holds."""
+        async with asyncio.timeout(limit_s):
+            while not await check():
+                await asyncio.sleep(0.05)
+
+    async def until_published(self, content):
+        async def published():
+            return await self.publish(content) == 200
+
+        await self.until(published)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    running = Fleet(tmp_path)
+    await running.start()
+    yield running
+    await running.close()
+
+
+document = test_configuration_document.document
+
+
+async def test_published_table_is_in_force_and_read_back(fleet):
+    content = document(version=7)
+    await fleet.until_published(content)
+
+    async def served():
+        return (await fleet.ask())[0] == 200
+
+    await fleet.until(served, 2.0)
+    for number in range(3):
+        assert await fleet.read(number) == (200, content)
+    assert (await fleet.ask(key="unknown"))[0] == 401
+
+
+async def test_later_versions_win_and_conflicts_are_told(fleet):
+    content = document(version=7)
+    await fleet.until_published(content)
+    other = document(version=7, limits=None)
+    assert await fleet.publish(other, 1) == 409
+    assert await fleet.publish(document(version=3), 2) == 200
+    assert await fleet.publish(content, 2) == 200
+    assert await fleet.publish({"version": 9}, 1) == 422
+    assert await fleet.read(1) == (200, content)
+
+
+async def test_acknowledged_table_survives_any_one_disk(fleet):
+    content = document(version=7)
+    await fleet.until_published(content)
+    for number in range(3):
+        await fleet.stop_control(number)
+        disk = fleet.tmp_path / f"disk-{number}"
+        for path in disk.iterdir():
+            path.unlink()
+        await fleet.start_control(number, first_start=False)
+
+        async def has_three_voters():
+            nodes = list(fleet.control_by_number.values())
+            members = [node._replica.membership for node in nodes]
+            ids = {node._replica.member.replica for node in nodes}
+            return all(m.voter_ids() == ids for m in members)
+
+        await fleet.until(has_three_voters, 15.0)
+
+    async def read_back():
+        return await fleet.read(2) == (200, content)
+
+    await fleet.until(read_back)
+
+
+async def test_minority_serves_no_read_and_acknowledges_nothing(fleet):
+    await fleet.until_published(document(version=7))
+    await fleet.stop_control(1)
+    await fleet.stop_control(2)
+    await asyncio.sleep(1.6)
+    assert (await fleet.read(0))[0] == 503
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(3.0):
+            assert await fleet.publish(document(version=8)) == 503
+    assert (await fleet.ask())[0] == 200
+
+
+async def test_all_restarted_serve_the_same_table_again(fleet):
+    content = document(version=7)
+    await fleet.until_published(content)
+    for number in range(3):
+        await fleet.stop_control(number)
+    for number in range(3):
+        await fleet.start_control(number, first_start=False)
+
+    async def read_back():
+        return (await fleet.read(0))[0] == 200
+
+    await fleet.until(read_back)
+    assert await fleet.read(0) == (200, content)
