Show metrics and beliefs of nodes; tell the story of a request

Cause: on-call engineers had logs of single processes and no view of what a node believes.

Result: tests of the story, of the status and of the metrics pass.

--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -17,6 +17,7 @@
 from oriolejunction import errors
 from oriolejunction import local_deployment
 from oriolejunction import logs
+from oriolejunction import node_settings
 from oriolejunction import operator_client
 from oriolejunction.questionnaire import answers as answer_files
 from oriolejunction.questionnaire import checks
@@ -25,6 +26,7 @@
 from oriolejunction.standin import engine as standin_engine
 from oriolejunction.standin import programs
 from oriolejunction.standin import service as standin_service
+from oriolejunction import story
 from oriolejunction import wiring
 
 
@@ -55,11 +57,29 @@
             print(f"  {line}")
 
 
+class SettingsFiles:
+    """Check settings files of nodes."""
+
+    def check(self, file: str, role: str = "entry") -> None:
+        """Check FILE as the settings of an entry or a control node."""
+        kinds = {
+            "entry": node_settings.EntrySettings,
+            "control": node_settings.ControlSettings,
+        }
+        if role not in kinds:
+            raise errors.Failure(
+                errors.BadSettings(f"--role is entry or control, not {role}")
+            )
+        node_settings.load(pathlib.Path(file), kinds[role])
+        print(f"{file}: no faults")
+
+
 class Commands:
     """Serving system for long generations on engines that fail."""
 
     def __init__(self) -> None:
         self.questionnaire = Questionnaire()
+        self.settings = SettingsFiles()
 
     def serve(self, **flags: object) -> None:
         """Run one process of the system until SIGINT or SIGTERM."""
@@ -121,6 +141,19 @@
         for entry in reply["entries"]:
             print(orjson.dumps(entry).decode())
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell the story of REQUEST from the logs in FILES."""
+        lines = [
+            line
+            for file in files
+            for line in pathlib.Path(file).read_text().splitlines()
+        ]
+        found = story.steps(str(request), lines)
+        if not found:
+            print(f"{request}: no line names it", file=sys.stderr)
+            sys.exit(1)
+        print(story.tell(found))
+
     def bench(
         self,
         name: str,
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -13,6 +13,7 @@
 import secrets
 
 from aiohttp import web
+import aioprometheus
 import grpc
 import structlog
 
@@ -35,6 +36,7 @@
 from oriolejunction.http import engine_pool
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_parts
+from oriolejunction.http import node_status
 from oriolejunction.http import readiness
 from oriolejunction import ids
 from oriolejunction import node_settings
@@ -133,6 +135,15 @@
         await site.start()
         self._runners.append(runner)
 
+    async def show(
+        self, registry: aioprometheus.Registry, status: node_status.Status
+    ) -> None:
+        """Serve metrics and status where the settings give an address."""
+        address = self.file.current.metrics_listen
+        if address is not None:
+            app = node_status.application(registry, status)
+            await self.listen(web.AppRunner(app, access_log=None), address)
+
     async def close(self) -> None:
         """Close the listeners and end the tasks."""
         for runner in self._runners:
@@ -238,6 +249,7 @@
             ),
             settings.ready_listen,
         )
+        await self.show(self._parts.telemetry.registry, self._status)
         self._write_state(states.InstanceState.READY)
         _log.info("entry instance started", listen=settings.caller_listen)
 
@@ -268,6 +280,26 @@
             return None
         return self._stops_at_ms - self.clock.now_ms()
 
+    def _status(self) -> dict[str, object]:
+        now_ms = self.clock.now_ms()
+        table = self._board.table.read()
+        known = self._board.backends.read()
+        fleet = self._board.fleet.read()
+        return {
+            "instance": self.file.current.instance_id,
+            "state": self._board.instance_state.read().value,
+            "ready": self._is_ready(),
+            "in_flight": self._stop.in_flight,
+            "table_version": table and table.version,
+            "backends": sorted(known.by_id),
+            "list_age_ms": node_status.rounded_age(now_ms - known.read_at_ms),
+            "others_age_ms": node_status.rounded_age(now_ms - fleet.at_ms),
+            "entries": fleet.entries,
+            "suspects": self._parts.health.suspects(),
+            "suspects_told": sorted(fleet.suspects),
+            "loads": list(self._parts.runs.loads().values()),
+        }
+
     def _is_ready(self) -> bool:
         return (
             self._board.instance_state.read() is states.InstanceState.READY
@@ -352,12 +384,25 @@
             ),
             settings.operator_listen,
         )
+        await self.show(aioprometheus.Registry(), self._status)
         _log.info(
             "control replica started",
             replica=self._replica.member.replica,
             listen=settings.operator_listen,
         )
 
+    def _status(self) -> dict[str, object]:
+        return {
+            "instance": self.file.current.instance_id,
+            "replica": self._replica.member.replica,
+            "group": self._replica.group,
+            "leader_term": self._replica.leader_term,
+            "leader": self._replica.leader_address(),
+            "table_version": self._replica.state.table.version,
+            "list_age_ms": node_status.rounded_age(self.listing.age_ms),
+            "members": self._replica.members(),
+        }
+
     def _formation(
         self, settings: node_settings.ControlSettings
     ) -> raft_formation.Formation:
--- /dev/null
+++ b/src/oriolejunction/http/node_status.py
@@ -0,0 +1,40 @@
+"""Metrics and beliefs of one node, for those who run it."""
+
+import collections.abc
+import math
+
+from aiohttp import web
+import aioprometheus
+import msgspec
+
+Status = collections.abc.Callable[[], dict[str, object]]
+
+
+def rounded_age(age_ms: float) -> int | None:
+    """Return an age in whole ms, None for what was never had."""
+    return round(age_ms) if math.isfinite(age_ms) else None
+
+
+def application(
+    registry: aioprometheus.Registry, status: Status
+) -> web.Application:
+    """Return an application with ``/metrics`` and ``/status``.
+
+    The status tells what the node believes, and in ms how old that is.
+    """
+
+    async def answer_metrics(request: web.Request) -> web.Response:
+        accepts = request.headers.getall("Accept", [])
+        content, headers = aioprometheus.render(registry, accepts)
+        return web.Response(body=content, headers=headers)
+
+    async def answer_status(request: web.Request) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(status()),
+            content_type="application/json",
+        )
+
+    app = web.Application()
+    app.router.add_get("/metrics", answer_metrics)
+    app.router.add_get("/status", answer_status)
+    return app
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -20,6 +20,7 @@
 ENTRY_PORT = 17_202
 READY_PORT = 17_203
 LIST_PORT = 17_204
+STATUS_PORT = 17_205
 SEEDS = ["127.0.7.1", "127.0.7.2", "127.0.7.3"]
 ENTRY = "127.0.7.9"
 
@@ -32,6 +33,7 @@
         "peer_port": PEER_PORT,
         "control_seeds": [f"{ip}:{CONTROL_PORT}" for ip in SEEDS],
         "list_address": f"127.0.7.8:{LIST_PORT}",
+        "metrics_listen": f"{fields['ip']}:{STATUS_PORT}",
         **fields,
     }
     path.write_text(json.dumps(content))
@@ -246,3 +248,21 @@
 
     await fleet.until(read_back)
     assert await fleet.read(0) == (200, content)
+
+
+async def test_nodes_tell_metrics_and_what_they_believe(fleet):
+    await fleet.until_published(document(version=7))
+
+    async def served():
+        return (await fleet.ask())[0] == 200
+
+    await fleet.until(served)
+    for ip in (ENTRY, SEEDS[0]):
+        url = f"http://{ip}:{STATUS_PORT}"
+        async with fleet.session.get(f"{url}/status") as response:
+            status = await response.json()
+        assert status["table_version"] == 7
+        assert status["list_age_ms"] < 3_000
+        async with fleet.session.get(f"{url}/metrics") as response:
+            text = await response.text()
+        assert ("oj_first_piece_ms" in text) == (ip == ENTRY)
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,26 @@
+"""The story of one request is told in order, from several logs."""
+
+from oriolejunction import story
+
+LINES = [
+    '  2.5 b {"event":"stream complete","request":"r1","instance":"b",'
+    '"timestamp":"2026-01-01T00:00:02Z","events":140}',
+    "no log line with r1 {",
+    '{"event":"stream placed","request":"r1","instance":"a",'
+    '"timestamp":"2026-01-01T00:00:01Z","backend":"e1"}',
+    '{"event":"stream placed","request":"r2","instance":"a",'
+    '"timestamp":"2026-01-01T00:00:00Z","backend":"r1"}',
+]
+
+
+def test_steps_are_of_one_request_and_in_order():
+    found = story.steps("r1", LINES)
+    assert [step.event for step in found] == [
+        "stream placed",
+        "stream complete",
+    ]
+    assert "backend=e1" in story.tell(found)
+
+
+def test_unknown_request_has_no_steps():
+    assert story.steps("r3", LINES) == []
