Tell a crash from a lost answer; bar requests that crash engines

Change: a broken answer is judged beside the request by a new connection; only a server that takes none is lost, and its request noted as its last where it had brought nothing.

Ruled out: counting each reset; a much-asked path on a service that resets answers would be barred.

--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -185,6 +185,9 @@
                 why=str(error),
             )
             parts.health.outcome(backend.backend_id, failed=True)
+            gateway_parts.judge_break(
+                parts, self._admitted, backend, str(error), began=False
+            )
         finally:
             parts.runs.end_call(backend.backend_id)
             if connection is not None and not connection.usable:
--- a/src/oriolejunction/http/gateway_parts.py
+++ b/src/oriolejunction/http/gateway_parts.py
@@ -1,5 +1,6 @@
 """What the gateway's shells share: one request on its way, and the parts."""
 
+import asyncio
 import dataclasses
 import hashlib
 
@@ -17,6 +18,7 @@
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import resend_budget
 from oriolejunction.controllers import run_table
+from oriolejunction.controllers import stalls
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import engine_pool
@@ -46,6 +48,7 @@
     guard: crash_guard.CrashGuard
     lengths: answer_lengths.AnswerLengths
     telemetry: telemetry.GatewayTelemetry
+    background: set[asyncio.Task] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,7 +106,12 @@
             return False
         if not self.sent:
             return True
-        entries = self._parts.blackboard.fleet.read().entries
+        fleet = self._parts.blackboard.fleet.read()
+        if self._parts.guard.is_barred(
+            self._admitted.fingerprint, fleet.crashes_by_request
+        ):
+            return False
+        entries = fleet.entries
         return self._parts.budget.allows(self._admitted.service.name, entries)
 
     def count_sent(self) -> None:
@@ -183,6 +191,46 @@
     parts.pool.drop(backend.address)
 
 
+def judge_break(
+    parts: GatewayParts,
+    admitted: Admitted,
+    backend: backends.Backend,
+    why: str,
+    began: bool,
+) -> None:
+    """Find out, beside the request, whether a broken answer was a crash.
+
+    A server that takes a new connection lost an answer and no more. One
+    that does not is lost, and the request is noted as its last where it
+    had brought nothing yet.
+    """
+
+    async def judge() -> None:
+        if await is_reachable(parts, backend):
+            return
+        note_lost(parts, backend, why)
+        if not began:
+            parts.guard.note_crash(
+                admitted.fingerprint, backend.backend_id, backend.zone
+            )
+
+    task = asyncio.create_task(judge())
+    parts.background.add(task)
+    task.add_done_callback(parts.background.discard)
+
+
+async def is_reachable(parts: GatewayParts, backend: backends.Backend) -> bool:
+    """Return whether a server's machine takes a new connection."""
+    try:
+        connection = await engine_wire.connect(
+            backend.address, stalls.TEST_TIMEOUT_MS, stalls.TEST_TRIES
+        )
+    except engine_wire.NotReached:
+        return False
+    parts.pool.give_back(connection)
+    return True
+
+
 def engine_answer(
     head: gateway_messages.AnswerHead, body: bytes
 ) -> web.Response:
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -215,17 +215,24 @@
                 MAX_IDLE_MS,
             )
         except engine_wire.NotReached as error:
-            return self._lost(plan, f"not reached: {error}", attempt)
+            why = f"not reached: {error}"
+            gateway_parts.note_lost(self._parts, plan.backend, why)
+            return self._lost(plan, why)
+        held = self._answer.last_event
         try:
             return await self._read_answer(
                 plan, connection, attempt, key, unread
             )
-        except engine_wire.ConnectionBroken as error:
+        except (engine_wire.ConnectionBroken, _EngineSilent) as error:
             connection.close()
-            return self._lost(plan, str(error), attempt)
-        except _EngineSilent as error:
-            connection.close()
-            return self._lost(plan, str(error), attempt)
+            gateway_parts.judge_break(
+                self._parts,
+                self._admitted,
+                plan.backend,
+                str(error),
+                began=self._answer.last_event > held,
+            )
+            return self._lost(plan, str(error))
         except _DeadlineReached:
             return _Ended.LOST
         finally:
@@ -461,24 +468,13 @@
                 raise _DeadlineReached
             if silent_ms >= limits().leave_ms:
                 raise _EngineSilent(f"silent for {silent_ms:.0f} ms")
-            if not await self._is_reachable(plan.backend):
+            if not await gateway_parts.is_reachable(self._parts, plan.backend):
                 raise _EngineSilent(
                     f"silent for {silent_ms:.0f} ms and not reached"
                 )
             test_ms = clock.now_ms() - since_ms + stalls.RETEST_MS
 
-    async def _is_reachable(self, backend: backends.Backend) -> bool:
-        """Return whether an engine's machine takes a new connection."""
-        try:
-            connection = await engine_wire.connect(
-                backend.address, stalls.TEST_TIMEOUT_MS, stalls.TEST_TRIES
-            )
-        except engine_wire.NotReached:
-            return False
-        self._parts.pool.give_back(connection)
-        return True
-
-    def _lost(self, plan: _Plan, why: str, attempt) -> _Ended:
+    def _lost(self, plan: _Plan, why: str) -> _Ended:
         gateway_parts.log_decision(
             self._admitted,
             "attempt lost",
@@ -487,7 +483,6 @@
             delivered=self._answer.last_event,
             copy=self._copy and self._copy.backend_id,
         )
-        gateway_parts.note_lost(self._parts, plan.backend, why)
         self._attempts.excluded.add(plan.backend.backend_id)
         return _Ended.LOST
 
--- a/tests/http/test_gateway_stream.py
+++ b/tests/http/test_gateway_stream.py
@@ -307,3 +307,45 @@
         rig.write_fleet(type(held)(load_by_id={busy.backend_id: busy}))
         assert await asked == (200, WHOLE)
         assert len(arrivals(rig)) == 1
+
+
+async def test_engine_that_lost_an_answer_is_not_held_for_lost():
+    """Load: engines reset part of the answers and go on working."""
+    seen = []
+
+    async def behave(arrival):
+        seen.append(arrival)
+        if len(seen) == 1:
+            arrival.reset()
+        else:
+            await whole(arrival)
+
+    async with gateway_rig.running(llm=[behave, behave]) as rig:
+        assert await read(rig.ask("/brief/1")) == (200, WHOLE)
+        await asyncio.gather(*rig.parts.background)
+        assert rig.parts.health.suspects() == ()
+
+
+async def test_request_that_crashes_its_engines_is_barred():
+    """Load: each engine that begins a request is gone a moment later."""
+    async with gateway_rig.running(llm=[whole] * 4) as rig:
+
+        def crashes(engine):
+            async def behave(arrival):
+                engine._server.close()
+                arrival.reset()
+
+            return behave
+
+        engines = rig.engines_by_service[gateway_rig.LLM]
+        for engine in engines:
+            engine.behave = crashes(engine)
+        status, _ = await read(rig.ask("/brief/1"))
+        await asyncio.gather(*rig.parts.background)
+        assert status in (502, 503, 504)
+        assert len(arrivals(rig)) <= 4
+        async with rig.ask("/brief/1", "a2") as response:
+            assert response.status == 503
+            assert "crashed" in (await response.json())["error"]["message"]
+        async with rig.ask("/brief/other", "a3") as response:
+            assert "crashed" not in await response.text()
