Avoid the neighbours of lost engines; keep engines where no other is in time

Change: engines of a zone of which 40 in 100 are lost cost a second more in placement and keep no copies; before the first event an engine is left early only while another one meets the goal.

Ruled out: excluding such zones; their survivors are wanted when all else is full.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -55,9 +55,15 @@
     ) -> list[placement.Candidate]:
         """Return the engines of a service with all work known on them."""
         own = self.runs.loads()
-        others = self.blackboard.fleet.read().load_by_id
+        fleet = self.blackboard.fleet.read()
+        falling = placement.falling_zones(
+            self.blackboard.backends.read().of_service(service.name),
+            fleet.suspects | set(self.health.suspects()),
+        )
         return [
-            self._candidate(each, service.engine, own, others)
+            self._candidate(
+                each, service.engine, own, fleet.load_by_id, falling
+            )
             for each in self.sound(service.name, excluded)
         ]
 
@@ -67,6 +73,7 @@
         traits: routing_table.EngineTraits,
         own: dict[ids.BackendId, fm.BackendLoad],
         others: dict[ids.BackendId, fm.BackendLoad],
+        falling: frozenset[ids.ZoneId],
     ) -> placement.Candidate:
         none = fm.BackendLoad(backend.backend_id, 0, 0, 0)
         mine = own.get(backend.backend_id, none)
@@ -80,6 +87,7 @@
             slots=traits.slots,
             event_ms=self.speeds.event_ms(backend.backend_id),
             prefill_ms_per_k=self.speeds.prefill_ms_per_k(backend.backend_id),
+            zone_falling=backend.zone in falling,
         )
 
     def prefill_of_others(self, backend_id: ids.BackendId) -> int:
--- a/src/oriolejunction/controllers/placement.py
+++ b/src/oriolejunction/controllers/placement.py
@@ -6,6 +6,7 @@
 every few seconds, and their streams come to the survivors at once.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import random
@@ -20,6 +21,11 @@
 DISTURBED_EVENTS = 4.0
 # Two prompts at once push the gaps of an engine's streams over the bound.
 SECOND_PREFILL_MS = 800.0
+# Engines of a zone crash together: one whose neighbours were lost is likely
+# lost too, and to find that out takes a few tries to connect.
+FALLING_ZONE_MS = 1_000.0
+# Part of a zone's engines whose loss says something of the others.
+FALLING_SHARE = 0.4
 # Other zones cost bytes between them.
 OTHER_ZONE_MS = 60.0
 # Instances that choose in the same moment do not know of each other yet;
@@ -29,7 +35,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
-    """An engine with all work known on it, and its speed."""
+    """An engine with all work known on it, and its speed.
+
+    `zone_falling` tells that much of its zone was lost a moment ago.
+    """
 
     backend: backends.Backend
     streams: int
@@ -39,6 +48,7 @@
     slots: int
     event_ms: float
     prefill_ms_per_k: float
+    zone_falling: bool = False
 
     def has_room(self, kv_tokens: int) -> bool:
         """Return whether a stream of that size fits beside the others."""
@@ -56,6 +66,22 @@
     zone: ids.ZoneId
 
 
+def falling_zones(
+    listed: collections.abc.Iterable[backends.Backend],
+    lost: collections.abc.Container[ids.BackendId],
+) -> frozenset[ids.ZoneId]:
+    """Return the zones of which much was lost; one engine is not much."""
+    all_in, lost_in = collections.Counter(), collections.Counter()
+    for backend in listed:
+        all_in[backend.zone] += 1
+        lost_in[backend.zone] += backend.backend_id in lost
+    return frozenset(
+        zone
+        for zone, count in lost_in.items()
+        if count >= 2 and count >= FALLING_SHARE * all_in[zone]
+    )
+
+
 def first_event_ms(candidate: Candidate, prompt_tokens: int) -> float:
     """Return the expected time until a new stream's first event."""
     tokens = candidate.prefill_tokens + prompt_tokens
@@ -70,6 +96,8 @@
         score += SECOND_PREFILL_MS
     if candidate.backend.zone != need.zone:
         score += OTHER_ZONE_MS
+    if candidate.zone_falling:
+        score += FALLING_ZONE_MS
     return score + candidate.backend.cold_ms
 
 
@@ -101,7 +129,9 @@
     fitting = [
         c
         for c in candidates
-        if c.backend.zone != runs_on.zone and c.has_room(need.kv_tokens)
+        if c.backend.zone != runs_on.zone
+        and not c.zone_falling
+        and c.has_room(need.kv_tokens)
     ]
     if not fitting:
         return None
--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -30,6 +30,9 @@
 # the engine's load.
 FIRST_MULTIPLE = 1.4
 FIRST_EXTRA_MS = 500.0
+# Where no other engine would meet the goal, only a lost answer is left.
+LAST_MULTIPLE = 2.5
+LAST_EXTRA_MS = 1_500.0
 # An engine is not left while another one could still meet the goal, at
 # this multiple of its expected time and with this much to spare.
 ELSEWHERE_MULTIPLE = 1.5
@@ -69,10 +72,10 @@
     left as late as another engine, in `elsewhere_ms`, meets the goal.
     """
     latest_ms = goal_left_ms - ELSEWHERE_MULTIPLE * elsewhere_ms
-    return StallLimits(
-        FIRST_TEST_MS,
-        max(
-            FIRST_MULTIPLE * expected_ms + FIRST_EXTRA_MS,
-            latest_ms - ELSEWHERE_SPARE_MS,
-        ),
-    )
+    latest_ms -= ELSEWHERE_SPARE_MS
+    if latest_ms < expected_ms:
+        # The goal is met here or nowhere.
+        leave_ms = LAST_MULTIPLE * expected_ms + LAST_EXTRA_MS
+    else:
+        leave_ms = FIRST_MULTIPLE * expected_ms + FIRST_EXTRA_MS
+    return StallLimits(FIRST_TEST_MS, max(leave_ms, latest_ms))
--- a/tests/controllers/test_placement.py
+++ b/tests/controllers/test_placement.py
@@ -1,5 +1,6 @@
 """Placement under the loads that it answers, replayed without engines."""
 
+import dataclasses
 import random
 
 import pytest
@@ -156,3 +157,26 @@
     for seed in range(5):
         ratio = mean_wait_ms(scored, seed) / mean_wait_ms(drawn, seed)
         assert ratio < 0.75
+
+
+def test_neighbours_of_lost_engines_are_avoided():
+    """Load: two engines of a zone are known lost, the other two are not."""
+    fleet = Fleet()
+    listed = [c.backend for c in fleet.candidates()]
+    lost = {"e0", "e3"}
+    falling = placement.falling_zones(listed, lost)
+    assert falling == {"z0"}
+    assert placement.falling_zones(listed, {"e0", "e1", "e2"}) == frozenset()
+    found = [
+        dataclasses.replace(c, zone_falling=c.backend.zone in falling)
+        for c in fleet.candidates()
+        if c.backend.backend_id not in lost
+    ]
+    rng = random.Random(1)
+    for _ in range(30):
+        chosen = placement.choose_engine(found, NEED, rng)
+        assert chosen.backend.zone != "z0"
+        copy = placement.choose_copy(found, NEED, chosen.backend, rng)
+        assert copy.backend.zone not in ("z0", chosen.backend.zone)
+    alone = [c for c in found if c.zone_falling]
+    assert placement.choose_engine(alone, NEED, rng) is not None
--- a/tests/controllers/test_stalls.py
+++ b/tests/controllers/test_stalls.py
@@ -58,6 +58,12 @@
     assert late.leave_ms > 1.5 * 1_700.0
 
 
+def test_engine_is_kept_where_no_other_would_meet_the_goal():
+    """Load: a wave after a zone's crash; 1.9 s of the goal are gone."""
+    limits = stalls.before_first(1_360.0, 2_600.0, 1_100.0)
+    assert limits.leave_ms > 3_000.0
+
+
 def test_prompt_behind_another_one_is_not_left():
     """Load: two prompts reach an engine within a few ms of each other."""
     limits = stalls.before_first(400.0, 4_500.0, 400.0)
