Name the request in every line of its failure

Cause: refusals before a route was found, and late answers, could not be followed from the request's id. Change: the failure line bears the id and the table's version; complete streams tell their first event and longest pause, calls that were late, failed or repeated their attempts.

Result: story tests pass; no decision changed.

--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 
 from aiohttp import web
 import structlog
@@ -13,6 +14,7 @@
 from oriolejunction.http import gateway_parts
 from oriolejunction.http import gateway_stream
 from oriolejunction.http import replies
+from oriolejunction import ids
 from oriolejunction import routing_table
 from oriolejunction import states
 
@@ -34,6 +36,14 @@
 Count = collections.abc.Callable[[], contextlib.AbstractContextManager]
 
 
+@dataclasses.dataclass
+class _Received:
+    """What is known of a request so far, for the line of its failure."""
+
+    request_id: ids.RequestId | None = None
+    table_version: routing_table.TableVersion | None = None
+
+
 class Gateway:
     """Reads a request, finds its route and workspace, and relays it."""
 
@@ -81,10 +91,11 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         with self._count():
+            received = _Received()
             try:
-                response = await self._serve(request)
+                response = await self._serve(request, received)
             except errors.Failure as failure:
-                self._log_failure(request, failure.error)
+                self._log_failure(request, received, failure.error)
                 response = replies.error_response(
                     failure.error, whole_seconds=False
                 )
@@ -92,7 +103,9 @@
                 response.force_close()
             return response
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, request: web.BaseRequest, received: _Received
+    ) -> web.StreamResponse:
         now_ms = self._parts.clock.now_ms()
         table = await self._table(now_ms)
         if table is None:
@@ -106,6 +119,8 @@
         read = self._parts.dialect.read_request(
             request.method, request.raw_path, request.raw_headers, body, now_ms
         )
+        received.request_id = read.request_id
+        received.table_version = table.version
         admitted = self._admit(table, read, request)
         if admitted.route.kind is states.RequestKind.STREAM:
             return await gateway_stream.StreamRelay(
@@ -249,13 +264,18 @@
         )
 
     def _log_failure(
-        self, request: web.BaseRequest, error: errors.ServingError
+        self,
+        request: web.BaseRequest,
+        received: _Received,
+        error: errors.ServingError,
     ) -> None:
         self._parts.telemetry.answers.inc(
             {"outcome": error.outcome.value, "reason": error.code}
         )
         _log.info(
             "request failed",
+            request=received.request_id,
+            table_version=received.table_version,
             path=request.raw_path,
             code=error.code,
             outcome=error.outcome.value,
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -216,6 +216,16 @@
         self._parts.telemetry.first_ms.observe(
             {"service": self._admitted.service.name}, took_ms
         )
+        late = took_ms > self._admitted.route.goal_ms
+        if late or not answer.head.success or self._attempts.sent > 1:
+            gateway_parts.log_decision(
+                self._admitted,
+                "call answered",
+                status=answer.head.status,
+                attempts=self._attempts.sent,
+                took_ms=round(took_ms),
+                late=late,
+            )
 
     def _give_up(self) -> web.StreamResponse:
         gateway_parts.log_decision(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -91,6 +91,8 @@
         self._response: web.StreamResponse | None = None
         self._copy: backends.Backend | None = None
         self._last_event_ms: float | None = None
+        self._first_ms = 0.0
+        self._longest_pause_ms = 0.0
         self._failure: tuple[gateway_messages.AnswerHead, bytes] | None = None
 
     async def run(self) -> web.StreamResponse:
@@ -319,6 +321,8 @@
             events=self._answer.delivered,
             prompt_tokens=self._admitted.request.prompt_tokens,
             attempts=self._attempts.sent,
+            first_ms=round(self._first_ms),
+            longest_pause_ms=round(self._longest_pause_ms),
             took_ms=round(clock.now_ms() - self._admitted.request.received_ms),
         )
         return _Ended.COMPLETE
@@ -388,8 +392,12 @@
         if self._last_event_ms is None:
             took_ms = now_ms - self._admitted.request.received_ms
             telemetry.first_ms.observe(labels, took_ms)
+            self._first_ms = took_ms
         elif self._attempts.sent > 1:
             telemetry.resume_ms.observe(labels, now_ms - self._last_event_ms)
+        if self._last_event_ms is not None:
+            pause_ms = now_ms - self._last_event_ms
+            self._longest_pause_ms = max(self._longest_pause_ms, pause_ms)
         self._last_event_ms = now_ms
 
     async def _begin(self, head: gateway_messages.AnswerHead) -> None:
