--- /dev/null
+++ b/tests/consensus/test_disk_failure.py
@@ -0,0 +1,72 @@
+"""A control replica whose disk refuses writes for a while."""
+
+import asyncio
+import errno
+import random
+
+import pytest
+
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import raft_replica
+from oriolejunction.consensus import replica as replicas
+from oriolejunction.consensus import types
+from oriolejunction import messages
+from oriolejunction import routing_table
+
+
+class NoPeers:
+    """A transport for a group of one."""
+
+    def send(self, group, message, address):
+        """Drop the message."""
+
+
+def replica_in(folder):
+    return raft_replica.RaftReplica(
+        folder,
+        lambda replica: types.Member(replica, "a", "z", "127.0.0.1:1"),
+        NoPeers(),
+        clocks.SystemClock(),
+        random.Random(1),
+    )
+
+
+def publish(version):
+    return messages.PublishTable(
+        routing_table.TableVersion(version), b"doc", str(version)
+    )
+
+
+async def until(check):
+    async with asyncio.timeout(5):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+async def test_replica_takes_part_again_after_its_disk_failed(tmp_path):
+    """Load: a full disk refuses every write, then has room again."""
+    replica = replica_in(tmp_path)
+    replica.start()
+    membership = types.Membership((replica.member,), voter_target=1)
+    replica.form(types.GroupId("g"), membership)
+    await until(lambda: replica.leader_term is not None)
+    await replica.propose(publish(1))
+
+    def full(records):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    replica._storage.write = full
+    with pytest.raises((replicas.OutcomeUnknown, replicas.NotLeader)):
+        await asyncio.wait_for(replica.propose(publish(2)), 3)
+    await until(lambda: replica.leader_term is not None)
+    assert replica.state.table.version == 1
+    await replica.propose(publish(3))
+    assert replica.state.table.version == 3
+    await replica.close()
+
+    again = replica_in(tmp_path)
+    again.start()
+    await until(lambda: again.leader_term is not None)
+    await again.confirm()
+    assert again.state.table.version == 3
+    await again.close()
