Close the way in before an instance exits

A first fix, the listener closed first, left broken: a request read while its connection was being closed as idle was still passed on.

Change: the listener is closed, then idle connections, then the last answer is waited for; a request whose connection is closed is not served.

Ruled out: a longer delay, which only moves the moment.

Result: the new test of the closed connection fails without the change.

--- a/src/oriolejunction/controllers/planned_stop.py
+++ b/src/oriolejunction/controllers/planned_stop.py
@@ -9,6 +9,7 @@
 POLL_MS = 50
 HAND_OVER_MS = 5_000
 
+StopAccepting = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 WriteState = collections.abc.Callable[[states.InstanceState], None]
 
 
@@ -21,11 +22,14 @@
         write_state: WriteState,
         delay_ms: float,
         count_active_journals: collections.abc.Callable[[], int],
+        stop_accepting: StopAccepting | None = None,
     ) -> None:
+        """Stop after `delay_ms`; `stop_accepting` closes the way in."""
         self._clock = clock
         self._write_state = write_state
         self._delay_ms = delay_ms
         self._count_active_journals = count_active_journals
+        self._stop_accepting = stop_accepting
         self.in_flight = 0
 
     @contextlib.contextmanager
@@ -48,6 +52,9 @@
         self._write_state(states.InstanceState.LEAVING)
         await self._clock.sleep_ms(self._delay_ms)
         self._write_state(states.InstanceState.DRAINING)
+        if self._stop_accepting is not None:
+            # What came in after the last look would be cut off by the exit.
+            await self._stop_accepting()
         while self.in_flight:
             await self._clock.sleep_ms(POLL_MS)
         deadline_ms = self._clock.now_ms() + HAND_OVER_MS
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -125,7 +125,9 @@
         task.add_done_callback(_log_end)
         self._tasks.append(task)
 
-    async def listen(self, runner: web.BaseRunner, address: str) -> None:
+    async def listen(
+        self, runner: web.BaseRunner, address: str
+    ) -> web.TCPSite:
         """Serve at ``IP:PORT``."""
         host, port = addresses.split_address(address)
         await runner.setup()
@@ -134,6 +136,7 @@
         )
         await site.start()
         self._runners.append(runner)
+        return site
 
     async def show(
         self, registry: aioprometheus.Registry, status: node_status.Status
@@ -170,7 +173,11 @@
         self._share_number = 0
         self._stops_at_ms: float | None = None
         self._stop = planned_stop.PlannedStop(
-            self.clock, self._write_state, LEAVE_DELAY_MS, lambda: 0
+            self.clock,
+            self._write_state,
+            LEAVE_DELAY_MS,
+            lambda: 0,
+            self._stop_accepting,
         )
         zone = ids.ZoneId(settings.zone)
         runs = run_table.RunTable()
@@ -242,7 +249,9 @@
         self._gateway = gateway.Gateway(
             self._parts, self._stop.request, self._left_ms
         )
-        await self.listen(self._gateway.runner(), settings.caller_listen)
+        self._caller_site = await self.listen(
+            self._gateway.runner(), settings.caller_listen
+        )
         await self.listen(
             web.AppRunner(
                 readiness.application(self._is_ready), access_log=None
@@ -257,7 +266,6 @@
         """Finish what runs, as far as the grace allows."""
         limit_ms = self.file.current.grace_ms - GRACE_MARGIN_MS
         self._stops_at_ms = self.clock.now_ms() + limit_ms
-        self.spawn(self._close_idle())
         _log.info("entry instance leaving", in_flight=self._stop.in_flight)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_ms / 1e3):
@@ -270,9 +278,9 @@
         self._parts.pool.close()
         await self._channels.close()
 
-    async def _close_idle(self) -> None:
-        """Have callers with kept connections come back elsewhere."""
-        await self.clock.sleep_ms(LEAVE_DELAY_MS)
+    async def _stop_accepting(self) -> None:
+        """Have all callers come back elsewhere."""
+        await self._caller_site.stop()
         self._gateway.close_idle()
 
     def _left_ms(self) -> float | None:
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -83,6 +83,11 @@
                 connection.force_close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            # Closed as idle while the request was being read; an engine
+            # must not run what nobody can be told of.
+            return web.Response(status=503)
         self._busy.add(request.protocol)
         try:
             return await self._answer(request)
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -267,3 +267,27 @@
         await asyncio.sleep(0.2)
         rig._write_table(table)
         assert await asked == (200, b"whole")
+
+
+async def test_request_read_while_its_connection_is_closed_is_not_passed_on():
+    """Load: a call arrives in the moment in which idle ones are closed."""
+    async with gateway_rig.running(desk=[answer]) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        await asyncio.sleep(0.05)
+        (connection,) = rig.gateway._server.connections
+        received = connection.data_received
+
+        def receive_and_close(data):
+            received(data)
+            rig.gateway.close_idle()
+
+        connection.data_received = receive_and_close
+        request = (
+            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            f"Attempt-Id: a1\r\nX-Api-Key: {gateway_rig.KEY}\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
+        receive_and_close(request.encode())
+        await asyncio.sleep(0.1)
+        assert runs(rig) == 0
+        writer.close()
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -122,7 +122,8 @@
 
     async def close(self):
         await self.session.close()
-        await self.entry.close()
+        if self.entry is not None:
+            await self.entry.close()
         for node in self.control_by_number.values():
             await node.close()
         await self.list_runner.cleanup()
@@ -266,3 +267,47 @@
         async with fleet.session.get(f"{url}/metrics") as response:
             text = await response.text()
         assert ("oj_first_piece_ms" in text) == (ip == ENTRY)
+
+
+async def test_planned_stop_cuts_off_no_request(fleet):
+    """Load: calls come on new connections until nobody listens."""
+    await fleet.until_published(document(version=7))
+
+    async def served():
+        return (await fleet.ask())[0] == 200
+
+    await fleet.until(served)
+    fleet.engine.arrivals.clear()
+    answered = []
+
+    async def slow(arrival):
+        await asyncio.sleep(0.01)
+        await fleet._whole(arrival)
+
+    fleet.engine.behave = slow
+
+    async def stop():
+        leaving, fleet.entry = fleet.entry, None
+        await leaving.drain()
+        await leaving.close()
+
+    async def call():
+        try:
+            answered.append(await fleet.ask())
+        except aiohttp.ClientPayloadError:
+            answered.append((0, b"cut"))
+        except aiohttp.ClientError:
+            # Refused, or closed before the request was read.
+            pass
+
+    stopping = asyncio.create_task(stop())
+    calls = []
+    while not stopping.done():
+        calls.append(asyncio.create_task(call()))
+        await asyncio.sleep(0.012)
+    await stopping
+    await asyncio.gather(*calls)
+    whole = [status for status, _ in answered if status == 200]
+    assert len(whole) > 20
+    assert len(whole) == len(fleet.engine.arrivals)
+    assert (0, b"cut") not in answered
