--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -275,19 +275,13 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         await asyncio.sleep(0.05)
         (connection,) = rig.gateway._server.connections
-        received = connection.data_received
-
-        def receive_and_close(data):
-            received(data)
-            rig.gateway.close_idle()
-
-        connection.data_received = receive_and_close
         request = (
             "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
             f"Attempt-Id: a1\r\nX-Api-Key: {gateway_rig.KEY}\r\n"
             "Content-Length: 0\r\n\r\n"
         )
-        receive_and_close(request.encode())
+        connection.data_received(request.encode())
+        rig.gateway.close_idle()
         await asyncio.sleep(0.1)
         assert runs(rig) == 0
         writer.close()
