Install the command with make setup

Cause: `make setup` installed what the package needs, not the package, so that `oriolejunction` was no command, and tests that start `python -m oriolejunction` hung where PYTHONPATH was not exported. Ruled out: a wrapper script beside the Makefile, which would be a second list of entry points. The setup is run again where pyproject.toml changes.

--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,10 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.lock
+$(VENV)/.ready: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
 lock: pyproject.toml
