Tell entry instances only what changed, and wake on news

Changed: the hub keeps sums and the number of each sum's last change, and tells what changed since a watcher was told; relays and watches wait for news; the log wakes when a heartbeat or an election is due. Ruled out: a longer pause between replies, which would make placement blind for longer.

--- a/src/oriolejunction/consensus/core_state.py
+++ b/src/oriolejunction/consensus/core_state.py
@@ -121,6 +121,12 @@
         """Return whether the latest membership gives this replica a vote."""
         return self.self_id in self.log.membership.voter_ids()
 
+    def next_due_ms(self) -> float:
+        """Return when time alone is next to change anything."""
+        if self.is_leader():
+            return self.heartbeat_due_ms
+        return self.election_due_ms
+
     def quorum(self) -> int:
         """Return how many voters are a majority."""
         return len(self.log.membership.voters) // 2 + 1
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -25,7 +25,10 @@
 from oriolejunction import ids
 from oriolejunction import messages
 
-TICK_MS = 20
+# A heartbeat or an election is late by at most the first; what becomes due
+# earlier than it was, as in a new group, by at most the second.
+TICK_MS = 20.0
+MAX_TICK_MS = 100.0
 HAND_OVER_POLL_MS = 20
 HAND_OVER_LIMIT_MS = 2_000
 DISK_RETRY_MS = 500
@@ -78,6 +81,7 @@
         self._tokens = 0
         self._future_by_read: dict[int, asyncio.Future] = {}
         self._wake = asyncio.Event()
+        self.on_apply: typing.Callable[[], None] = _nobody
         self._tasks: list[asyncio.Task] = []
         if self.identity.group is not None:
             self._open(storages.Storage.load(folder))
@@ -131,6 +135,7 @@
         """Ask for votes at the next tick; a new group needs no wait."""
         if self._core is not None:
             self._core.state.election_due_ms = self._clock.now_ms()
+            self._wake.set()
 
     def enter_as_learner(self, group: types.GroupId) -> None:
         """Follow a group that has added this replica."""
@@ -344,9 +349,16 @@
 
     async def _keep_time(self) -> None:
         while True:
-            await self._clock.sleep_ms(TICK_MS)
+            await self._clock.sleep_ms(self._wait_ms())
             self._wake.set()
 
+    def _wait_ms(self) -> float:
+        """Return how long nothing is due, as far as known now."""
+        if self._core is None:
+            return MAX_TICK_MS
+        due_ms = self._core.state.next_due_ms() - self._clock.now_ms()
+        return min(max(due_ms, TICK_MS), MAX_TICK_MS)
+
     async def _run(self) -> None:
         try:
             while True:
@@ -406,7 +418,10 @@
                 future.set_result(result.index)
         if not core.state.is_leader():
             self._applier.fail_waiting()
+        applied = self._applier.index
         self._apply(core)
+        if self._applier.index != applied:
+            self.on_apply()
         await self._compact(core)
         if not core.state.output.is_empty():
             self._wake.set()
@@ -495,3 +510,7 @@
                 )
             ]
         )
+
+
+def _nobody() -> None:
+    """Stand in for a listener to applied entries."""
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -2,10 +2,14 @@
 
 Load pattern: many entry instances choose among the same engines within the
 same tenth of a second. Each learns the others' choices through the hub, so
-that two long prompts rarely meet on one engine.
+that two long prompts rarely meet on one engine. Each is told only what has
+changed since it was told last, so that what is sent grows with the work
+that begins and ends, not with instances times engines.
 """
 
 import collections
+import collections.abc
+import dataclasses
 
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
@@ -13,6 +17,80 @@
 
 # An entry instance tells its share at least once a second.
 SHARE_LIFE_MS = 3_000.0
+# Backend servers without work that are remembered, so that who watches
+# learns that the work ended; some hundred bytes each.
+MAX_ENDED = 512
+
+_Figures = tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class News:
+    """What the other entry instances do and found, up to change `seen`.
+
+    Loads and speeds are those that changed, or all there are where
+    `whole`; suspects and crashes are all there are.
+    """
+
+    seen: int
+    whole: bool
+    loads: tuple[fm.BackendLoad, ...] = ()
+    speeds: tuple[fm.EngineSpeed, ...] = ()
+    suspects: tuple[ids.BackendId, ...] = ()
+    crashes: tuple[fm.CrashNote, ...] = ()
+
+
+class _Sums:
+    """Sums by backend server, in the order of their last change."""
+
+    def __init__(self) -> None:
+        self._total_by_id: dict[ids.BackendId, list[int]] = {}
+        self._changed_by_id: dict[ids.BackendId, int] = {}
+        self._ended: set[ids.BackendId] = set()
+
+    def replace(
+        self,
+        before: dict[ids.BackendId, _Figures],
+        after: dict[ids.BackendId, _Figures],
+        number: int,
+    ) -> None:
+        """Count one instance's figures in place of its former ones."""
+        for key in before.keys() | after.keys():
+            was, now = before.get(key), after.get(key)
+            if was == now:
+                continue
+            figures = was or now
+            total = self._total_by_id.setdefault(key, [0] * len(figures))
+            for place in range(len(figures)):
+                total[place] += now[place] if now else 0
+                total[place] -= was[place] if was else 0
+            self._changed_by_id.pop(key, None)
+            self._changed_by_id[key] = number
+            if any(total):
+                self._ended.discard(key)
+            else:
+                self._ended.add(key)
+
+    def since(
+        self, number: int, own: dict[ids.BackendId, _Figures]
+    ) -> collections.abc.Iterator[tuple[ids.BackendId, list[int]]]:
+        """Yield the sums that changed after a change number, less `own`."""
+        for key, changed in reversed(self._changed_by_id.items()):
+            if changed <= number:
+                return
+            total = self._total_by_id[key]
+            mine = own.get(key, (0,) * len(total))
+            yield key, [a - b for a, b in zip(total, mine, strict=True)]
+
+    def drop_ended(self) -> bool:
+        """Forget what has ended once it is much; return whether it was."""
+        if len(self._ended) <= MAX_ENDED:
+            return False
+        for key in self._ended:
+            del self._total_by_id[key]
+            del self._changed_by_id[key]
+        self._ended.clear()
+        return True
 
 
 class FleetHub:
@@ -20,11 +98,25 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
+        # In the order in which the instances were heard.
         self._share_by_instance: dict[
             ids.InstanceId, tuple[fm.EntryShare, float]
         ] = {}
         self._direct: dict[ids.InstanceId, fm.EntryShare] = {}
-        self.change_number = 0
+        self._loads = _Sums()
+        self._speeds = _Sums()
+        self._suspects: collections.Counter[ids.BackendId]
+        self._suspects = collections.Counter()
+        self._crashes: collections.Counter[ids.Fingerprint]
+        self._crashes = collections.Counter()
+        self._whole_before = 0
+        self._change_number = 0
+
+    @property
+    def change_number(self) -> int:
+        """Return the number of the last change of any share."""
+        self._forget()
+        return self._change_number
 
     def put(self, share: fm.EntryShare, direct: bool) -> bool:
         """Take in a share; return whether it is news.
@@ -32,19 +124,21 @@
         `direct` shares come from the entry instance itself and are handed
         on to the other control replicas.
         """
-        held, _ = self._share_by_instance.get(share.instance, (None, 0.0))
+        self._forget()
+        held = self._held(share.instance)
         if held is not None and held.boot == share.boot:
             if share.number < held.number:
                 return False
+        self._share_by_instance.pop(share.instance, None)
         self._share_by_instance[share.instance] = (
             share,
             self._clock.now_ms(),
         )
         if direct:
             self._direct[share.instance] = share
-        if held == share:
+        if held is not None and _content(held) == _content(share):
             return False
-        self.change_number += 1
+        self._replace(held, share)
         return True
 
     def take_direct(self) -> tuple[fm.EntryShare, ...]:
@@ -58,72 +152,107 @@
         self._forget()
         return len(self._share_by_instance)
 
-    def loads_without(
-        self, instance: ids.InstanceId
-    ) -> tuple[fm.BackendLoad, ...]:
-        """Return the summed loads of all but one entry instance."""
-        sums: dict[ids.BackendId, list[int]] = {}
-        for share in self._others(instance):
-            for load in share.loads:
-                total = sums.setdefault(load.backend_id, [0, 0, 0])
-                total[0] += load.streams
-                total[1] += load.kv_tokens
-                total[2] += load.prefill_tokens
-        return tuple(fm.BackendLoad(key, *sums[key]) for key in sums)
-
-    def suspects_without(
-        self, instance: ids.InstanceId
-    ) -> tuple[ids.BackendId, ...]:
-        """Return the backend servers that others found lost."""
-        found = {
-            suspect
-            for share in self._others(instance)
-            for suspect in share.suspects
-        }
-        return tuple(sorted(found))
-
-    def crashes_without(
-        self, instance: ids.InstanceId
-    ) -> tuple[fm.CrashNote, ...]:
-        """Return the summed crashes that others saw, by request."""
-        sums: collections.Counter[ids.Fingerprint] = collections.Counter()
-        for share in self._others(instance):
-            for note in share.crashes:
-                sums[note.fingerprint] += note.crashes
-        return tuple(fm.CrashNote(key, count) for key, count in sums.items())
-
-    def speeds_without(
-        self, instance: ids.InstanceId
-    ) -> tuple[fm.EngineSpeed, ...]:
-        """Return the mean speeds that others observed."""
-        seen = collections.defaultdict(list)
-        for share in self._others(instance):
-            for speed in share.speeds:
-                seen[speed.backend_id].append(speed)
-        return tuple(
-            fm.EngineSpeed(
-                backend_id,
-                round(sum(s.event_ms for s in found) / len(found), 1),
-                round(sum(s.prefill_ms_per_k for s in found) / len(found), 1),
-            )
-            for backend_id, found in seen.items()
-        )
+    def news_for(self, instance: ids.InstanceId, seen: int) -> News:
+        """Return what changed since `seen` at all but one instance.
 
-    def _others(self, instance: ids.InstanceId) -> list[fm.EntryShare]:
+        A load or a speed of zeros tells that there is none any more.
+        """
         self._forget()
-        return [
-            share
-            for key, (share, _) in self._share_by_instance.items()
-            if key != instance
-        ]
+        if seen == self._change_number:
+            return News(seen, whole=False)
+        whole = not self._whole_before <= seen < self._change_number
+        since = 0 if whole else seen
+        own = self._held(instance)
+        return News(
+            seen=self._change_number,
+            whole=whole,
+            loads=tuple(
+                fm.BackendLoad(key, *figures)
+                for key, figures in self._loads.since(since, _loads(own))
+            ),
+            speeds=tuple(
+                fm.EngineSpeed(key, _mean(*sums[:2]), _mean(*sums[2:]))
+                for key, sums in self._speeds.since(since, _speeds(own))
+            ),
+            suspects=tuple(sorted(self._suspects - _suspects(own))),
+            crashes=tuple(
+                fm.CrashNote(fingerprint, count)
+                for fingerprint, count in (
+                    self._crashes - _crashes(own)
+                ).items()
+            ),
+        )
+
+    def _held(self, instance: ids.InstanceId) -> fm.EntryShare | None:
+        share, _ = self._share_by_instance.get(instance, (None, 0.0))
+        return share
+
+    def _replace(
+        self, before: fm.EntryShare | None, after: fm.EntryShare | None
+    ) -> None:
+        self._change_number += 1
+        number = self._change_number
+        self._loads.replace(_loads(before), _loads(after), number)
+        self._speeds.replace(_speeds(before), _speeds(after), number)
+        self._suspects = self._suspects - _suspects(before) + _suspects(after)
+        self._crashes = self._crashes - _crashes(before) + _crashes(after)
+        for sums in (self._loads, self._speeds):
+            if sums.drop_ended():
+                self._whole_before = number
 
     def _forget(self) -> None:
         oldest_ms = self._clock.now_ms() - SHARE_LIFE_MS
-        gone = [
-            key
-            for key, (_, heard_ms) in self._share_by_instance.items()
-            if heard_ms < oldest_ms
-        ]
-        for key in gone:
-            del self._share_by_instance[key]
-            self.change_number += 1
+        while self._share_by_instance:
+            instance = next(iter(self._share_by_instance))
+            share, heard_ms = self._share_by_instance[instance]
+            if heard_ms >= oldest_ms:
+                return
+            del self._share_by_instance[instance]
+            self._replace(share, None)
+
+
+def _content(share: fm.EntryShare) -> tuple:
+    """Return what a share tells, apart from its number."""
+    return share.boot, share.loads, share.suspects, share.crashes, share.speeds
+
+
+def _loads(share: fm.EntryShare | None) -> dict[ids.BackendId, _Figures]:
+    return {
+        load.backend_id: (load.streams, load.kv_tokens, load.prefill_tokens)
+        for load in (share.loads if share is not None else ())
+    }
+
+
+def _speeds(share: fm.EntryShare | None) -> dict[ids.BackendId, _Figures]:
+    """Return the speeds in tenths, each with a one where it is known."""
+    return {
+        speed.backend_id: (
+            round(speed.event_ms * 10),
+            int(speed.event_ms > 0),
+            round(speed.prefill_ms_per_k * 10),
+            int(speed.prefill_ms_per_k > 0),
+        )
+        for speed in (share.speeds if share is not None else ())
+    }
+
+
+def _suspects(
+    share: fm.EntryShare | None,
+) -> collections.Counter[ids.BackendId]:
+    return collections.Counter(share.suspects if share is not None else ())
+
+
+def _crashes(
+    share: fm.EntryShare | None,
+) -> collections.Counter[ids.Fingerprint]:
+    return collections.Counter(
+        {
+            note.fingerprint: note.crashes
+            for note in (share.crashes if share is not None else ())
+        }
+    )
+
+
+def _mean(tenths: int, count: int) -> float:
+    """Return a mean in whole units, 0 where nothing is known."""
+    return round(tenths / count / 10, 1) if count else 0.0
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -80,13 +80,15 @@
 class Watch(msgspec.Struct, frozen=True):
     """Ask for what changed; held back until something did.
 
-    `seen` is the change number of the last reply of this replica.
+    `seen` is the change number of the last reply of the replica's
+    incarnation `boot`.
     """
 
     instance: ids.InstanceId
     table_version: routing_table.TableVersion
     listing_digest: str
     seen: int
+    boot: str = ""
 
 
 class Sight(msgspec.Struct, frozen=True):
@@ -94,15 +96,20 @@
 
     `fresh` tells that the leader reached it a moment ago. `loads` are the
     sums over the other entry instances, of which there are `entries` with
-    the one that asked. `replicas` are the control replicas' peer addresses
-    and availability zones.
+    the one that asked. `loads` and `speeds` are those that changed since
+    the change number asked with, or all that there are where `whole`;
+    `suspects` and `crashes` are all there are, where `seen` has moved.
+    `replicas` are the control replicas' peer addresses and availability
+    zones.
     """
 
     fresh: bool
     seen: int
+    boot: str
     table_version: routing_table.TableVersion
     document: bytes | None = None
     listing: AgedListing | None = None
+    whole: bool = False
     loads: tuple[BackendLoad, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
     crashes: tuple[CrashNote, ...] = ()
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -367,6 +367,7 @@
         )
         self._service = fleet_service.FleetService(
             fleet_service.FleetParts(
+                boot=secrets.token_hex(6),
                 replica=self._replica,
                 clock=self.clock,
                 hub=fleet_hub.FleetHub(self.clock),
@@ -433,7 +434,7 @@
                 backend_list.fetch, address=settings.list_address
             ),
             lambda: self._replica.leader_term is not None,
-            self._service.note_change,
+            self._service.note_listing,
             self.rng,
         )
 
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
 import grpc
@@ -27,6 +28,8 @@
 RELAY_TIMEOUT_S = 0.5
 # Five heartbeats of the leader.
 FRESH_MS = 500.0
+# The change number that stands for having been told nothing.
+UNSEEN = -1
 PUBLISH_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 0.8
 _log = structlog.get_logger(__name__)
@@ -34,8 +37,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class FleetParts:
-    """What the service works on; `caller` returns a method at an address."""
+    """What the service works on.
 
+    `boot` names the incarnation; `caller` returns a method at an address.
+    """
+
+    boot: str
     replica: raft_replica.RaftReplica
     clock: clocks.Clock
     hub: fleet_hub.FleetHub
@@ -43,15 +50,25 @@
     caller: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
 
 
+@dataclasses.dataclass
+class _Relay:
+    """What one other control replica is still to be sent."""
+
+    task: asyncio.Task
+    has_news: asyncio.Event
+    shares: dict[str, fm.EntryShare] = dataclasses.field(default_factory=dict)
+
+
 class FleetService:
     """Watches of entry instances, relays between replicas, publishing."""
 
     def __init__(self, parts: FleetParts) -> None:
         self._parts = parts
         self._replica = parts.replica
+        self._replica.on_apply = self._note_applied
         self._changed = asyncio.Event()
-        self._relays: dict[str, asyncio.Task] = {}
-        self._pending: dict[str, dict[str, fm.EntryShare]] = {}
+        self._has_news = asyncio.Event()
+        self._relay_by_address: dict[str, _Relay] = {}
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve on a gRPC server."""
@@ -71,78 +88,90 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    def note_listing(self) -> None:
+        """Tell all that the platform's list was read anew."""
+        self.note_change()
+        for relay in self._relay_by_address.values():
+            relay.has_news.set()
+
+    def _note_applied(self) -> None:
+        self.note_change()
+        self._has_news.set()
+
     async def run(self) -> None:
-        """Hand shares and the list on to the other control replicas."""
-        known_version = None
+        """Hand shares on to the other control replicas."""
         while True:
+            await self._news_or_idle(self._has_news)
             await self._parts.clock.sleep_ms(self._gap_ms())
-            version = self._replica.state.table.version
-            if version != known_version:
-                known_version = version
-                self.note_change()
             self._queue_relays()
 
+    async def _news_or_idle(self, has_news: asyncio.Event) -> None:
+        """Wait for news; without any, time is up twice a second."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RELAY_IDLE_MS / 1e3):
+                await has_news.wait()
+        has_news.clear()
+
     def _gap_ms(self) -> float:
         return max(MIN_GAP_MS, GAP_MS_PER_ENTRY * self._parts.hub.entries())
 
     def _queue_relays(self) -> None:
         """Give each other replica a sender of its own, and its news."""
-        news = {s.instance: s for s in self._parts.hub.take_direct()}
         own = self._replica.member.address
         addresses = {
             member.address
             for member in self._replica.membership.members()
             if member.address != own
         }
-        for address in addresses - set(self._relays):
-            self._pending[address] = {}
-            self._relays[address] = asyncio.create_task(
-                self._send_relays(address)
+        for address in addresses - set(self._relay_by_address):
+            self._relay_by_address[address] = _Relay(
+                asyncio.create_task(self._send_relays(address)),
+                asyncio.Event(),
             )
-        for address in set(self._relays) - addresses:
-            self._relays.pop(address).cancel()
-            self._pending.pop(address)
-        for pending in self._pending.values():
-            pending.update(news)
+        for address in set(self._relay_by_address) - addresses:
+            self._relay_by_address.pop(address).task.cancel()
+        news = {s.instance: s for s in self._parts.hub.take_direct()}
+        if news:
+            for relay in self._relay_by_address.values():
+                relay.shares.update(news)
+                relay.has_news.set()
 
     async def _send_relays(self, address: str) -> None:
         """Send what is pending for one replica; a slow one delays no other."""
         call = self._parts.caller(address, fleet_methods.RELAY)
-        clock = self._parts.clock
-        digest_sent, idle_since_ms = "", clock.now_ms()
+        relay = self._relay_by_address[address]
+        digest_sent = ""
         while True:
-            await clock.sleep_ms(self._gap_ms())
-            pending = self._pending[address]
-            is_reader = self._replica.leader_term is not None
-            listing = self._parts.listing.aged(digest_sent)
-            urgent = bool(pending) or (
-                is_reader and listing and listing.digest != digest_sent
-            )
-            if not urgent and clock.now_ms() - idle_since_ms < RELAY_IDLE_MS:
+            await self._news_or_idle(relay.has_news)
+            await self._parts.clock.sleep_ms(self._gap_ms())
+            shares = tuple(relay.shares.values())
+            relay.shares.clear()
+            listing = None
+            if self._replica.leader_term is not None:
+                listing = self._parts.listing.aged(digest_sent)
+            if not shares and listing is None:
                 continue
-            idle_since_ms = clock.now_ms()
-            shares = tuple(pending.values())
-            pending.clear()
-            relay = fm.Relay(shares, listing if is_reader else None)
             try:
-                await call(relay, timeout=RELAY_TIMEOUT_S)
+                await call(fm.Relay(shares, listing), timeout=RELAY_TIMEOUT_S)
             except grpc.aio.AioRpcError as error:
                 # Entry instances tell their shares anew every second.
                 _log.debug("relay lost", to=address, code=error.code().name)
                 digest_sent = ""
                 continue
-            if relay.listing is not None:
-                digest_sent = relay.listing.digest
+            if listing is not None:
+                digest_sent = listing.digest
 
     async def close(self) -> None:
         """Stop the senders."""
-        for task in self._relays.values():
+        tasks = [relay.task for relay in self._relay_by_address.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._relays.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _share(self, request: fm.Share) -> fm.Told:
         if self._parts.hub.put(request.share, direct=True):
             self.note_change()
+            self._has_news.set()
         return fm.Told()
 
     async def _relay(self, request: fm.Relay) -> fm.Told:
@@ -157,7 +186,7 @@
         clock = self._parts.clock
         until_ms = clock.now_ms() + WATCH_HOLD_MS
         await clock.sleep_ms(self._gap_ms())
-        while not self._has_news(request):
+        while not self._is_news(request):
             left_ms = until_ms - clock.now_ms()
             if left_ms <= 0:
                 break
@@ -169,29 +198,34 @@
                 break
         return self._sight(request)
 
-    def _has_news(self, request: fm.Watch) -> bool:
+    def _is_news(self, request: fm.Watch) -> bool:
         return (
             self._replica.state.table.version > request.table_version
             or self._parts.listing.digest != request.listing_digest
             or self._parts.hub.change_number != request.seen
+            or self._parts.boot != request.boot
         )
 
     def _sight(self, request: fm.Watch) -> fm.Sight:
         hub = self._parts.hub
         table = self._replica.state.table
         known = table.version <= request.table_version
-        told = hub.change_number == request.seen
-        asker = request.instance
+        same_boot = request.boot == self._parts.boot
+        news = hub.news_for(
+            request.instance, request.seen if same_boot else UNSEEN
+        )
         return fm.Sight(
             fresh=self._replica.is_fresh(FRESH_MS),
-            seen=hub.change_number,
+            seen=news.seen,
+            boot=self._parts.boot,
             table_version=table.version,
             document=None if known else table.document,
             listing=self._parts.listing.aged(request.listing_digest),
-            loads=() if told else hub.loads_without(asker),
-            suspects=() if told else hub.suspects_without(asker),
-            crashes=() if told else hub.crashes_without(asker),
-            speeds=() if told else hub.speeds_without(asker),
+            whole=news.whole,
+            loads=news.loads,
+            suspects=news.suspects,
+            crashes=news.crashes,
+            speeds=news.speeds,
             entries=max(1, hub.entries()),
             replicas=tuple(
                 (member.address, member.zone)
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -66,6 +66,7 @@
         self._failed_at_ms: dict[str, float] = {}
         self._current: str | None = None
         self._seen = -1
+        self._boot = ""
         self._in_touch = False
         self._share_changed = asyncio.Event()
         board = parts.blackboard
@@ -149,6 +150,7 @@
             routing_table.NO_TABLE if table is None else table.version,
             self._parts.listing.digest,
             self._seen,
+            self._boot,
         )
         call = self._parts.caller(address, fleet_methods.WATCH)
         try:
@@ -157,7 +159,7 @@
             self._leave(address, error.code().name)
             await self._parts.clock.sleep_ms(RETRY_PAUSE_MS)
             return
-        self._take(sight, self._seen)
+        self._take(sight)
         if not sight.fresh:
             self._leave(address, "replica has lost touch with the leader")
             await self._parts.clock.sleep_ms(RETRY_PAUSE_MS)
@@ -174,7 +176,7 @@
         self._in_touch = False
         self._failed_at_ms[address] = now_ms
 
-    def _take(self, sight: fm.Sight, asked_seen: int) -> None:
+    def _take(self, sight: fm.Sight) -> None:
         if sight.replicas:
             self._zone_by_address = dict(sight.replicas)
         if sight.document is not None:
@@ -188,24 +190,13 @@
         self.publish_listing()
         held = self._parts.blackboard.fleet.read()
         now_ms = self._parts.clock.now_ms()
-        if sight.seen == asked_seen:
+        if sight.seen == self._seen and sight.boot == self._boot:
             self._write_fleet(
                 dataclasses.replace(held, at_ms=now_ms, entries=sight.entries)
             )
             return
-        self._seen = sight.seen
-        self._write_fleet(
-            fleet_sight.FleetSight(
-                load_by_id={each.backend_id: each for each in sight.loads},
-                suspects=frozenset(sight.suspects),
-                crashes_by_request={
-                    note.fingerprint: note.crashes for note in sight.crashes
-                },
-                speed_by_id={each.backend_id: each for each in sight.speeds},
-                entries=sight.entries,
-                at_ms=now_ms,
-            )
-        )
+        self._seen, self._boot = sight.seen, sight.boot
+        self._write_fleet(fleet_sight.updated(held, sight, now_ms))
 
     def _take_table(self, document: bytes) -> None:
         held = self._parts.blackboard.table.read()
