Let requests wait for room in a fair order

Cause: each stream that found no engine with room asked again every 25 ms by itself, so that chance decided who got what came free; rank was read and used nowhere, a workspace with many streams got most, and a long prompt could wait until it was too late while short ones took each bit of memory. Streams and calls each had a loop of their own for it. Changed: controllers/waiting.py decides who goes next (begun streams, rank, the workspace served least; who has waited half of its time is no longer held back, and shorter ones do not take what it waits for), on the product's own fair queue; http/waiting_room.py looks every 25 ms for all that wait and takes the place in the same step. A caller that leaves gives its place back. The request's fingerprint is taken once, a dead default timeout is gone. Ruled out: a line over all instances, which costs a round trip for each.

Also: the test of a request read while its connection is closed now fails without the fix of the exit (a former answer is still being sent, so that the end of the connection is told late), which was owed.

--- a/src/oriolejunction/controllers/fair_queue.py
+++ b/src/oriolejunction/controllers/fair_queue.py
@@ -77,6 +77,26 @@
             self._forget_idle()
         return waiting.item
 
+    def places(self) -> list[Waiting[Item]]:
+        """Return all that wait, in no order between workspaces."""
+        return [
+            waiting
+            for flow in self._flow_by_workspace.values()
+            for waiting in flow.waiting
+        ]
+
+    def take(self, workspace: ids.WorkspaceId, item: Item) -> None:
+        """Take out a request that is run, whoever was before it."""
+        flow = self._flow_by_workspace[workspace]
+        for waiting in flow.waiting:
+            if waiting.item is item:
+                flow.waiting.remove(waiting)
+                self._length -= 1
+                self._virtual_time = max(self._virtual_time, waiting.start_tag)
+                break
+        if not self._length:
+            self._forget_idle()
+
     def remove(self, workspace: ids.WorkspaceId, item: Item) -> None:
         """Take out a request that is not to be run."""
         flow = self._flow_by_workspace.get(workspace)
@@ -85,7 +105,9 @@
                 flow.waiting.remove(waiting)
                 flow.finish_tag -= waiting.cost / flow.weight
                 self._length -= 1
-                return
+                break
+        if not self._length:
+            self._forget_idle()
 
     def settle(
         self, workspace: ids.WorkspaceId, expected: float, actual: float
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -38,6 +38,7 @@
 from oriolejunction.http import gateway_parts
 from oriolejunction.http import node_status
 from oriolejunction.http import readiness
+from oriolejunction.http import waiting_room
 from oriolejunction import ids
 from oriolejunction import node_settings
 from oriolejunction.peers import channels
@@ -205,6 +206,7 @@
             guard=crash_guard.CrashGuard(self.clock),
             lengths=answer_lengths.AnswerLengths(),
             telemetry=telemetry.GatewayTelemetry(),
+            room=waiting_room.WaitingRoom(self.clock),
         )
 
     async def start(self) -> None:
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -23,7 +23,6 @@
 KEEP_ALIVE_S = 120.0
 MAX_HEADER_BYTES = 65_536
 MAX_HEADERS = 256
-DEFAULT_TIMEOUT_MS = 60_000.0
 BARRED_RETRY_MS = 60_000
 # After a restart of all, the control group is back within about this time;
 # most callers wait a second, of which a third is kept for the answer.
@@ -175,8 +174,7 @@
         service = table.service_by_name[
             route.pick_service(self._parts.view.rng)
         ]
-        timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
-        deadline_ms = read.received_ms + timeout_ms
+        deadline_ms = read.received_ms + route.timeout_ms
         if read.deadline_ms is not None:
             deadline_ms = min(deadline_ms, read.deadline_ms)
         rank = route.rank
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -17,6 +17,7 @@
 from oriolejunction.http import engine_wire
 from oriolejunction.http import gateway_parts
 from oriolejunction.http import gateway_stream
+from oriolejunction.http import waiting_room
 
 # Tries cover the loss of single packets, within the goal of a call.
 CONNECT_MS = 50.0
@@ -25,7 +26,6 @@
 # call that must not run twice would not survive.
 SAFE_IDLE_MS = 4_000.0
 NEVER_TWICE_IDLE_MS = 500.0
-PLACE_POLL_MS = 15.0
 # Part of the goal that a call waits for a server to be had.
 WAIT_SHARE = 0.5
 # Part of the goal after which a repeatable call is sent a second time.
@@ -122,17 +122,15 @@
         return asyncio.create_task(self._ask(backend))
 
     async def _wait_for_backend(self) -> backends.Backend | None:
-        clock = self._parts.clock
-        until_ms = clock.now_ms() + min(
-            WAIT_SHARE * self._admitted.route.goal_ms, self._attempts.left_ms
+        return await gateway_parts.wait_for_place(
+            self._parts,
+            self._admitted,
+            self._attempts,
+            WAIT_SHARE * self._admitted.route.goal_ms,
+            waiting_room.Bid(
+                self._choose, self._attempts.may_wait, lambda place: None
+            ),
         )
-        while True:
-            backend = self._choose()
-            if backend is not None:
-                return backend
-            if clock.now_ms() + PLACE_POLL_MS > until_ms:
-                return None
-            await clock.sleep_ms(PLACE_POLL_MS)
 
     def _choose(self) -> backends.Backend | None:
         """Return a server not asked yet, else any that takes work."""
--- a/src/oriolejunction/http/gateway_parts.py
+++ b/src/oriolejunction/http/gateway_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import hashlib
 
 from aiohttp import web
@@ -19,16 +20,20 @@
 from oriolejunction.controllers import resend_budget
 from oriolejunction.controllers import run_table
 from oriolejunction.controllers import stalls
+from oriolejunction.controllers import waiting
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import engine_pool
 from oriolejunction.http import engine_wire
+from oriolejunction.http import waiting_room
 from oriolejunction import ids
 from oriolejunction import routing_table
 from oriolejunction import telemetry
 
 # A zone's engines are back, and listed, in about this time.
 RETRY_AFTER_MS = 1_000
+# Waits from this length on are worth a line.
+WAIT_TOLD_MS = 20.0
 _log = structlog.get_logger(__name__)
 
 
@@ -48,6 +53,7 @@
     guard: crash_guard.CrashGuard
     lengths: answer_lengths.AnswerLengths
     telemetry: telemetry.GatewayTelemetry
+    room: waiting_room.WaitingRoom
     background: set[asyncio.Task] = dataclasses.field(default_factory=set)
 
 
@@ -67,7 +73,7 @@
     deadline_ms: float
     web: web.Request
 
-    @property
+    @functools.cached_property
     def fingerprint(self) -> ids.Fingerprint:
         """Return what a request has in common with its repetitions."""
         digest = hashlib.sha256()
@@ -114,6 +120,10 @@
         entries = fleet.entries
         return self._parts.budget.allows(self._admitted.service.name, entries)
 
+    def may_wait(self) -> bool:
+        """Return whether waiting for a server still makes sense."""
+        return self.left_ms > 0 and self.allowed()
+
     def count_sent(self) -> None:
         """Count an arrival at a server."""
         service = self._admitted.service.name
@@ -139,6 +149,42 @@
         return errors.NoCapacity(message, retry_after_ms=RETRY_AFTER_MS)
 
 
+async def wait_for_place(
+    parts: GatewayParts,
+    admitted: Admitted,
+    attempts: Attempts,
+    wait_ms: float,
+    bid: waiting_room.Bid,
+    tokens: int = 0,
+    began: bool = False,
+):
+    """Return what the bid got, None where nothing was had in time."""
+    now_ms = parts.clock.now_ms()
+    waiter = waiting.Waiter(
+        service=admitted.service.name,
+        workspace=admitted.workspace or waiting.NO_WORKSPACE,
+        began=began,
+        rank=admitted.rank,
+        tokens=tokens,
+        since_ms=now_ms,
+        until_ms=now_ms + min(wait_ms, attempts.left_ms),
+        choosy=bool(attempts.excluded),
+        item=bid,
+    )
+    place = await parts.room.wait(waiter)
+    waited_ms = parts.clock.now_ms() - now_ms
+    if place is None or waited_ms >= WAIT_TOLD_MS:
+        log_decision(
+            admitted,
+            "waited for a backend server",
+            placed=place is not None,
+            waited_ms=round(waited_ms),
+            rank=admitted.rank,
+            workspace=admitted.workspace,
+        )
+    return place
+
+
 def log_decision(admitted: Admitted, decision: str, **inputs: object) -> None:
     """Write the line of a decision that touches a request."""
     _log.info(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -25,6 +25,7 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import engine_wire
 from oriolejunction.http import gateway_parts
+from oriolejunction.http import waiting_room
 from oriolejunction import states
 
 # A machine of the same region answers a connection within a few ms; the
@@ -33,7 +34,6 @@
 CONNECT_TRIES = 3
 # A connection idle for longer may lead to an engine that is gone.
 MAX_IDLE_MS = 1_000.0
-PLACE_POLL_MS = 25.0
 # Part of the goal that a new stream waits for an engine with room.
 WAIT_SHARE = 0.6
 # A stream that has begun waits this long for an engine to go on at.
@@ -56,17 +56,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Plan:
-    """Where an attempt runs, where its copy goes and what it starts from."""
+    """Where an attempt runs, where its copy goes and what it starts from.
+
+    The keys are those of its runs, counted on both engines from now on;
+    `unread` is in prompt tokens.
+    """
 
     candidate: placement.Candidate
     copy: backends.Backend | None
     copy_from: gateway_messages.CopySource | None
-    idle_engine: bool
+    unread: int
+    run_key: int
+    copy_key: int | None
 
     @property
     def backend(self) -> backends.Backend:
         return self.candidate.backend
 
+    @property
+    def has_idle_engine(self) -> bool:
+        return not self.candidate.prefill_tokens
+
 
 class _EngineSilent(Exception):
     """An engine brought nothing for too long."""
@@ -108,46 +118,59 @@
 
     async def _plan(self) -> _Plan | None:
         """Wait for an engine with room; None where it is not to be had."""
-        clock = self._parts.clock
         began = self._response is not None
         goal_ms = self._admitted.route.goal_ms
-        wait_ms = RESUME_WAIT_MS if began else WAIT_SHARE * goal_ms
-        until_ms = clock.now_ms() + min(wait_ms, self._attempts.left_ms)
-        while self._attempts.allowed() and self._attempts.left_ms > 0:
-            plan = self._plan_now()
-            if plan is not None:
-                return plan
-            if clock.now_ms() + PLACE_POLL_MS > until_ms:
-                return None
-            await clock.sleep_ms(PLACE_POLL_MS)
-        return None
+        return await gateway_parts.wait_for_place(
+            self._parts,
+            self._admitted,
+            self._attempts,
+            RESUME_WAIT_MS if began else WAIT_SHARE * goal_ms,
+            waiting_room.Bid(
+                self._try_plan, self._attempts.may_wait, self._give_back
+            ),
+            tokens=self._need().kv_tokens,
+            began=began,
+        )
 
-    def _plan_now(self) -> _Plan | None:
+    def _try_plan(self) -> _Plan | None:
         view = self._parts.view
         excluded = frozenset(self._attempts.excluded)
         candidates = view.engines(self._admitted.service, excluded)
         need = self._need()
         chosen, source = self._holder_of_copy(candidates), None
+        unread = need.prompt_tokens
         if chosen is not None:
             source = gateway_messages.CopySource(
                 chosen.backend.address, self._admitted.request.request_id
             )
+            unread = COPY_LACKS_TOKENS
         else:
             chosen = placement.choose_engine(candidates, need, view.rng)
         if chosen is None:
             return None
-        copy = None
+        copy, copy_key = None, None
         if self._admitted.service.engine.keeps_copies:
             copy = placement.choose_copy(
                 candidates, need, chosen.backend, view.rng
             )
+        runs = self._parts.runs
+        run_key = runs.begin(
+            run_table.Run(chosen.backend.backend_id, need.kv_tokens, unread)
+        )
+        if copy is not None:
+            copy_key = runs.begin(
+                run_table.Run(
+                    copy.backend.backend_id, need.kv_tokens, 0, copy=True
+                )
+            )
         return _Plan(
-            chosen,
-            copy and copy.backend,
-            source,
-            idle_engine=not chosen.prefill_tokens,
+            chosen, copy and copy.backend, source, unread, run_key, copy_key
         )
 
+    def _give_back(self, plan: _Plan) -> None:
+        self._parts.runs.end(plan.run_key)
+        self._parts.runs.end(plan.copy_key)
+
     def _holder_of_copy(
         self, candidates: list[placement.Candidate]
     ) -> placement.Candidate | None:
@@ -170,21 +193,6 @@
         )
 
     async def _attempt(self, plan: _Plan) -> _Ended:
-        need = self._need()
-        runs = self._parts.runs
-        unread = need.prompt_tokens
-        if plan.copy_from is not None:
-            unread = COPY_LACKS_TOKENS
-        key = runs.begin(
-            run_table.Run(plan.backend.backend_id, need.kv_tokens, unread)
-        )
-        copy_key = None
-        if plan.copy is not None:
-            copy_key = runs.begin(
-                run_table.Run(
-                    plan.copy.backend_id, need.kv_tokens, 0, copy=True
-                )
-            )
         gateway_parts.log_decision(
             self._admitted,
             "stream placed",
@@ -199,13 +207,12 @@
         attempt = self._answer.begin_attempt()
         self._copy = None
         try:
-            return await self._run_on(plan, attempt, key, unread)
+            return await self._run_on(plan, attempt)
         finally:
             self._answer.abandon(attempt)
-            runs.end(key)
-            runs.end(copy_key)
+            self._give_back(plan)
 
-    async def _run_on(self, plan: _Plan, attempt, key, unread) -> _Ended:
+    async def _run_on(self, plan: _Plan, attempt) -> _Ended:
         try:
             connection = await gateway_parts.open_and_send(
                 self._parts,
@@ -222,9 +229,7 @@
             return self._lost(plan, why)
         held = self._answer.last_event
         try:
-            return await self._read_answer(
-                plan, connection, attempt, key, unread
-            )
+            return await self._read_answer(plan, connection, attempt)
         except (engine_wire.ConnectionBroken, _EngineSilent) as error:
             connection.close()
             gateway_parts.judge_break(
@@ -261,12 +266,10 @@
         plan: _Plan,
         connection: engine_wire.WireConnection,
         attempt,
-        key: int,
-        unread: int,
     ) -> _Ended:
         clock = self._parts.clock
         sent_ms = clock.now_ms()
-        limits = self._first_limits(plan, unread)
+        limits = self._first_limits(plan)
         events_limits = functools.partial(
             stalls.between_events,
             self._parts.speeds.gaps(plan.backend.backend_id),
@@ -299,7 +302,7 @@
             if first:
                 # A copy is begun with the first event, not with the prompt.
                 self._copy = plan.copy
-                self._note_first(plan, key, unread, now_ms - sent_ms)
+                self._note_first(plan, now_ms - sent_ms)
                 first = False
             else:
                 self._parts.speeds.add_gap(
@@ -327,7 +330,7 @@
         )
         return _Ended.COMPLETE
 
-    def _first_limits(self, plan: _Plan, unread: int) -> _Limits:
+    def _first_limits(self, plan: _Plan) -> _Limits:
         """Return the limits before the first event, as known at each test.
 
         Other instances may have sent their prompts to the same engine in
@@ -348,7 +351,7 @@
             speeds = self._parts.speeds
             elsewhere = self._admitted.request.prompt_tokens / 1_000
             return stalls.before_first(
-                (most_ahead + unread)
+                (most_ahead + plan.unread)
                 / 1_000
                 * speeds.prefill_ms_per_k(backend_id),
                 goal_ms - sent_ms,
@@ -357,13 +360,11 @@
 
         return limits
 
-    def _note_first(
-        self, plan: _Plan, key: int, unread: int, took_ms: float
-    ) -> None:
-        self._parts.runs.prefilled(key)
-        if plan.idle_engine and plan.copy_from is None:
+    def _note_first(self, plan: _Plan, took_ms: float) -> None:
+        self._parts.runs.prefilled(plan.run_key)
+        if plan.has_idle_engine and plan.copy_from is None:
             self._parts.speeds.add_prefill(
-                plan.backend.backend_id, unread, took_ms
+                plan.backend.backend_id, plan.unread, took_ms
             )
 
     async def _deliver(
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -270,18 +270,25 @@
 
 
 async def test_request_read_while_its_connection_is_closed_is_not_passed_on():
-    """Load: a call arrives in the moment in which idle ones are closed."""
+    """Load: a call arrives in the moment in which idle ones are closed.
+
+    A former answer is still being sent on the connection, so that its end
+    is not told at once.
+    """
     async with gateway_rig.running(desk=[answer]) as rig:
         reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
         await asyncio.sleep(0.05)
         (connection,) = rig.gateway._server.connections
+        transport = connection.transport
         request = (
             "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
             f"Attempt-Id: a1\r\nX-Api-Key: {gateway_rig.KEY}\r\n"
             "Content-Length: 0\r\n\r\n"
         )
+        transport.write(b" " * (32 << 20))
         connection.data_received(request.encode())
         rig.gateway.close_idle()
         await asyncio.sleep(0.1)
+        transport.abort()
         assert runs(rig) == 0
         writer.close()
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -24,6 +24,7 @@
 from oriolejunction.http import engine_pool
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_parts
+from oriolejunction.http import waiting_room
 from oriolejunction import ids
 from oriolejunction.platform import gateway_dialect
 from oriolejunction import routing_table
@@ -233,6 +234,7 @@
             guard=crash_guard.CrashGuard(self.clock),
             lengths=answer_lengths.AnswerLengths(),
             telemetry=telemetry.GatewayTelemetry(),
+            room=waiting_room.WaitingRoom(self.clock),
         )
         self.left_ms = None
 
