Feed the counters, and show what nodes believe

Cause: oj_answers_total counted refusals only, oj_attempts_total and oj_log_lines_dropped were declared and never fed, and what a node believes was to be had over HTTP only. Changed: every answer is counted by kind, outcome and reason; what was sent, refused as not run and lost, by service; dropped log lines on both roles. `oriolejunction nodes status ADDRESS...` shows a line for each node, those that do not answer, and table versions that differ. Ruled out: the existing `status`, which asks a leader of the product's own deployment and needs its token. Before: "answers" empty for a served request; after, the test of the nodes' metrics reads all three.

--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -17,6 +17,7 @@
 from oriolejunction import errors
 from oriolejunction import local_deployment
 from oriolejunction import logs
+from oriolejunction import node_client
 from oriolejunction import node_settings
 from oriolejunction import operator_client
 from oriolejunction.questionnaire import answers as answer_files
@@ -74,12 +75,24 @@
         print(f"{file}: no faults")
 
 
+class Nodes:
+    """Look at nodes of a deployment."""
+
+    def status(self, *addresses: str) -> None:
+        """Show what the nodes at these metrics ADDRESSES believe."""
+        told = asyncio.run(node_client.statuses(addresses))
+        print(node_client.table(told))
+        if any("error" in each for each in told.values()):
+            sys.exit(1)
+
+
 class Commands:
     """Serving system for long generations on engines that fail."""
 
     def __init__(self) -> None:
         self.questionnaire = Questionnaire()
         self.settings = SettingsFiles()
+        self.nodes = Nodes()
 
     def serve(self, **flags: object) -> None:
         """Run one process of the system until SIGINT or SIGTERM."""
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -117,6 +117,7 @@
         self.clock = clocks.SystemClock()
         self.rng = random.Random()
         self.listing = listing_store.ListingStore(self.clock)
+        self.lines_dropped: collections.abc.Callable[[], int] = lambda: 0
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.BaseRunner] = []
 
@@ -145,7 +146,9 @@
         """Serve metrics and status where the settings give an address."""
         address = self.file.current.metrics_listen
         if address is not None:
-            app = node_status.application(registry, status)
+            app = node_status.application(
+                registry, status, lambda: self.lines_dropped()
+            )
             await self.listen(web.AppRunner(app, access_log=None), address)
 
     async def close(self) -> None:
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -40,6 +40,7 @@
     """What is known of a request so far, for the line of its failure."""
 
     request_id: ids.RequestId | None = None
+    kind: states.RequestKind | None = None
     table_version: routing_table.TableVersion | None = None
 
 
@@ -98,6 +99,7 @@
             received = _Received()
             try:
                 response = await self._serve(request, received)
+                self._count_answer(received, "answered", str(response.status))
             except errors.Failure as failure:
                 self._log_failure(request, received, failure.error)
                 response = replies.error_response(
@@ -125,7 +127,7 @@
         )
         received.request_id = read.request_id
         received.table_version = table.version
-        admitted = self._admit(table, read, request)
+        admitted = self._admit(table, read, request, received)
         if admitted.route.kind is states.RequestKind.STREAM:
             return await gateway_stream.StreamRelay(
                 self._parts, admitted
@@ -161,6 +163,7 @@
         table: routing_table.RoutingTable,
         read: gateway_messages.CallerRequest,
         request: web.BaseRequest,
+        received: _Received,
     ) -> gateway_parts.Admitted:
         route = table.route(read.host, read.path)
         if route is None:
@@ -170,6 +173,7 @@
                     f" {read.host}{read.path}"
                 )
             )
+        received.kind = route.kind
         workspace = self._workspace(table, route, read)
         service = table.service_by_name[
             route.pick_service(self._parts.view.rng)
@@ -266,15 +270,21 @@
             self._parts.speeds.typical_event_ms(),
         )
 
+    def _count_answer(
+        self, received: _Received, outcome: str, reason: str
+    ) -> None:
+        kind = received.kind.value if received.kind is not None else "none"
+        self._parts.telemetry.answers.inc(
+            {"kind": kind, "outcome": outcome, "reason": reason}
+        )
+
     def _log_failure(
         self,
         request: web.BaseRequest,
         received: _Received,
         error: errors.ServingError,
     ) -> None:
-        self._parts.telemetry.answers.inc(
-            {"outcome": error.outcome.value, "reason": error.code}
-        )
+        self._count_answer(received, error.outcome.value, error.code)
         _log.info(
             "request failed",
             request=received.request_id,
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -176,6 +176,7 @@
         except engine_wire.NotReached as error:
             gateway_parts.note_lost(parts, backend, f"not reached: {error}")
         except engine_wire.ConnectionBroken as error:
+            self._attempts.count_lost()
             gateway_parts.log_decision(
                 self._admitted,
                 "call broken off",
--- a/src/oriolejunction/http/gateway_parts.py
+++ b/src/oriolejunction/http/gateway_parts.py
@@ -133,10 +133,22 @@
             self._parts.budget.count_request(service)
         self.sent += 1
         self.ran += 1
+        self._count("sent")
 
     def count_not_run(self) -> None:
         """Take back a run that the server says did not happen."""
         self.ran -= 1
+        self._count("not_run")
+
+    def count_lost(self) -> None:
+        """Count an answer that broke off or never came."""
+        self._count("lost")
+
+    def _count(self, event: str) -> None:
+        service = self._admitted.service.name
+        self._parts.telemetry.attempts.inc(
+            {"service": service, "event": event}
+        )
 
     def failure(self, message: str) -> errors.ServingError:
         """Return what the caller may conclude when no answer is to come."""
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -484,6 +484,7 @@
             test_ms = clock.now_ms() - since_ms + stalls.RETEST_MS
 
     def _lost(self, plan: _Plan, why: str) -> _Ended:
+        self._attempts.count_lost()
         gateway_parts.log_decision(
             self._admitted,
             "attempt lost",
--- a/src/oriolejunction/http/node_status.py
+++ b/src/oriolejunction/http/node_status.py
@@ -16,14 +16,23 @@
 
 
 def application(
-    registry: aioprometheus.Registry, status: Status
+    registry: aioprometheus.Registry,
+    status: Status,
+    lines_dropped: collections.abc.Callable[[], int],
 ) -> web.Application:
     """Return an application with ``/metrics`` and ``/status``.
 
     The status tells what the node believes, and in ms how old that is.
+    `lines_dropped` counts log lines that standard output did not take.
     """
+    dropped = aioprometheus.Gauge(
+        "oj_log_lines_dropped",
+        "Log lines that standard output did not take.",
+        registry=registry,
+    )
 
     async def answer_metrics(request: web.Request) -> web.Response:
+        dropped.set({}, lines_dropped())
         accepts = request.headers.getall("Accept", [])
         content, headers = aioprometheus.render(registry, accepts)
         return web.Response(body=content, headers=headers)
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -46,9 +46,10 @@
     node: fleet_wiring.EntryNode | fleet_wiring.ControlNode,
 ) -> None:
     settings = node.file.current
-    node_logs.configure(
+    lines = node_logs.configure(
         settings.log_level, instance=settings.instance_id, zone=settings.zone
     )
+    node.lines_dropped = lambda: lines.dropped
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -114,7 +114,7 @@
         )
         self.attempts = aioprometheus.Counter(
             "oj_attempts_total",
-            "Dispatches to backend servers, by service and outcome.",
+            "Requests sent to backend servers, by service and event.",
             registry=self.registry,
         )
         self.first_ms = aioprometheus.Histogram(
@@ -129,8 +129,3 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_MS,
         )
-        self.log_lines_dropped = aioprometheus.Gauge(
-            "oj_log_lines_dropped",
-            "Log lines that standard output did not take.",
-            registry=self.registry,
-        )
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -12,6 +12,7 @@
 import pytest
 
 from oriolejunction import fleet_wiring
+from oriolejunction import node_client
 from tests.platform import gateway_rig
 from tests.platform import test_configuration_document
 
@@ -267,6 +268,19 @@
         async with fleet.session.get(f"{url}/metrics") as response:
             text = await response.text()
         assert ("oj_first_piece_ms" in text) == (ip == ENTRY)
+        assert "oj_log_lines_dropped 0" in text
+        if ip == ENTRY:
+            answered = 'kind="stream",outcome="answered",reason="200"'
+            assert f"oj_answers_total{{{answered}}}" in text
+            sent = 'oj_attempts_total{event="sent",service="llm"}'
+            assert sent in text
+    addresses = (f"{ENTRY}:{STATUS_PORT}", f"{SEEDS[0]}:{STATUS_PORT}")
+    told = await node_client.statuses((*addresses, "127.0.0.1:1"))
+    table = node_client.table(told)
+    assert f"entry at {addresses[0]}: state=ready ready=True" in table
+    assert f"core-0 at {addresses[1]}" in table
+    assert "127.0.0.1:1: no answer" in table
+    assert "versions differ" not in table
 
 
 async def test_planned_stop_cuts_off_no_request(fleet):
