Reach the other control replicas from the start

Cause: since relays wait for news, a control replica made them at its first news or after half a second, so that a list read before was handed on late. Ruled out: handing the list on from the reader, which would be a second way to the replicas.

--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -101,9 +101,9 @@
     async def run(self) -> None:
         """Hand shares on to the other control replicas."""
         while True:
+            self._queue_relays()
             await self._news_or_idle(self._has_news)
             await self._parts.clock.sleep_ms(self._gap_ms())
-            self._queue_relays()
 
     async def _news_or_idle(self, has_news: asyncio.Event) -> None:
         """Wait for news; without any, time is up twice a second."""
