Split the control replica, the stream's relay and the nodes' root by job

Ruled out: a base class for the replica's parts, which would hide who holds what. The soak tells of a process that ended by itself in place of stopping with an error.

--- /dev/null
+++ b/src/oriolejunction/consensus/compaction.py
@@ -0,0 +1,71 @@
+"""Replaces the start of a long log by a snapshot."""
+
+import asyncio
+import dataclasses
+
+from oriolejunction.consensus import applier as appliers
+from oriolejunction.consensus import core as cores
+from oriolejunction.consensus import core_state
+from oriolejunction.consensus import storage as storages
+from oriolejunction.consensus import types
+
+
+@dataclasses.dataclass(frozen=True)
+class LogLimits:
+    """When a snapshot is taken, and how many entries are kept before it."""
+
+    entries: int = 4_096
+    bytes: int = 32 << 20
+    kept: int = 512
+
+
+async def compact(
+    core: cores.Core,
+    applier: appliers.Applier,
+    storage: storages.Storage,
+    limits: LogLimits,
+) -> None:
+    """Write a snapshot where the log has grown long.
+
+    The trail is synced before the entries that produced it go. Raise
+    `OSError` where the disk fails.
+    """
+    state = core.state
+    index = applier.index
+    is_long = _is_long(state, storage, index, limits)
+    if not is_long or state.output.writes:
+        return
+    base_index = max(state.log.base_index, index - limits.kept)
+    core.compact(base_index)
+    snapshot, base = _snapshot_at(state, index, base_index, applier.body())
+    hard_state = types.HardState(state.term, state.vote)
+    kept = state.log.after(base_index)
+    await asyncio.to_thread(applier.trail.sync)
+    await asyncio.to_thread(storage.compact, snapshot, base, hard_state, kept)
+
+
+def _is_long(
+    state: core_state.CoreState,
+    storage: storages.Storage,
+    index: int,
+    limits: LogLimits,
+) -> bool:
+    entries = index - state.log.base_index
+    return (
+        entries >= limits.entries
+        or storage.segment_bytes >= limits.bytes
+        and entries > limits.kept
+    )
+
+
+def _snapshot_at(
+    state: core_state.CoreState, index: int, base_index: int, body: bytes
+) -> tuple[types.Snapshot, storages.Base]:
+    log = state.log
+    place, membership = log.membership_at(index)
+    snapshot = types.Snapshot(
+        index, log.term_at(index), membership, place, body
+    )
+    place, membership = log.membership_at(base_index)
+    base = storages.Base(base_index, log.base_term, membership, place)
+    return snapshot, base
--- /dev/null
+++ b/src/oriolejunction/consensus/group_changes.py
@@ -0,0 +1,132 @@
+"""Who belongs to a control group, as one replica sees and changes it."""
+
+import collections.abc
+
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction.consensus import core as cores
+from oriolejunction.consensus import membership as memberships
+from oriolejunction.consensus import repair
+from oriolejunction.consensus import replica as replicas
+from oriolejunction.consensus import storage as storages
+from oriolejunction.consensus import types
+from oriolejunction import ids
+from oriolejunction import messages
+
+HAND_OVER_POLL_MS = 20
+HAND_OVER_LIMIT_MS = 2_000
+_log = structlog.get_logger(__name__)
+
+
+class GroupChanges:
+    """Members, learners, repair and the handing over of leadership.
+
+    `core` returns the replica's core, None while it has none; `wake` has
+    what was proposed written and sent.
+    """
+
+    def __init__(
+        self,
+        core: collections.abc.Callable[[], cores.Core | None],
+        wake: collections.abc.Callable[[], None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._core = core
+        self._wake = wake
+        self._clock = clock
+
+    @property
+    def membership(self) -> types.Membership:
+        """Return the latest membership known here."""
+        core = self._core()
+        if core is None:
+            return storages.EMPTY_MEMBERSHIP
+        return core.state.log.membership
+
+    def leader_address(self) -> str | None:
+        """Return where the leader listens, as far as known."""
+        core = self._core()
+        if core is None or core.state.leader is None:
+            return None
+        member = self.membership.member(core.state.leader)
+        return member.address if member else None
+
+    def members(self) -> tuple[messages.ReplicaStatus, ...]:
+        """Return the replicas of the group as known here."""
+        latest = self.membership
+        return tuple(
+            messages.ReplicaStatus(
+                instance=ids.InstanceId(member.instance),
+                zone=ids.ZoneId(member.zone),
+                replica=member.replica,
+                votes=member in latest.voters,
+            )
+            for member in latest.members()
+        )
+
+    def initial_membership(self) -> types.Membership | None:
+        """Return the first voters while the start of the log is held."""
+        core = self._core()
+        if core is None or core.state.log.base_index > 0:
+            return None
+        log = core.state.log
+        return log.entry(1).membership if log.last_index else None
+
+    def add_learner(self, member: types.Member) -> bool:
+        """As the leader, add a learner; return whether it is committed."""
+        core = self._leading_core()
+        if core is None:
+            raise replicas.NotLeader(self.leader_address())
+        state = core.state
+        _, committed = state.log.membership_at(state.commit)
+        if committed.member(member.replica) is not None:
+            return True
+        latest = state.log.membership
+        known = latest.member(member.replica) is not None
+        if not known and len(latest.learners) < repair.MAX_LEARNERS:
+            core.propose_membership(memberships.with_learner(latest, member))
+            self._wake()
+        return False
+
+    def repair(self) -> None:
+        """As the leader, propose the membership change that is due."""
+        core = self._leading_core()
+        if core is None:
+            return
+        change = repair.next_change(core.state)
+        if change is not None and core.propose_membership(change):
+            _log.warning(
+                "membership changes",
+                voters=[member.instance for member in change.voters],
+                learners=[member.instance for member in change.learners],
+            )
+            self._wake()
+
+    async def hand_over(self) -> None:
+        """Give leadership to the voter that is best caught up."""
+        deadline_ms = self._clock.now_ms() + HAND_OVER_LIMIT_MS
+        while (core := self._leading_core()) is not None:
+            target = _best_follower(core)
+            if target is None or self._clock.now_ms() > deadline_ms:
+                return
+            if core.state.transfer_to is None:
+                core.transfer(target)
+                self._wake()
+            await self._clock.sleep_ms(HAND_OVER_POLL_MS)
+
+    def _leading_core(self) -> cores.Core | None:
+        core = self._core()
+        if core is None or not core.state.is_leader():
+            return None
+        return core
+
+
+def _best_follower(core: cores.Core) -> types.ReplicaId | None:
+    state = core.state
+    others = state.log.membership.voter_ids() - {state.self_id}
+    return max(
+        sorted(others),
+        key=lambda replica: state.progress_by_id[replica].match,
+        default=None,
+    )
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import pathlib
 import random
 import typing
@@ -12,39 +11,27 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import applier
+from oriolejunction.consensus import compaction
 from oriolejunction.consensus import core as cores
 from oriolejunction.consensus import core_state
+from oriolejunction.consensus import group_changes
 from oriolejunction.consensus import identity as identities
-from oriolejunction.consensus import membership as memberships
-from oriolejunction.consensus import repair
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import storage as storages
 from oriolejunction.consensus import types
 from oriolejunction.consensus import wire
 from oriolejunction.controllers import control_state
-from oriolejunction import ids
 from oriolejunction import messages
 
 # A heartbeat or an election is late by at most the first; what becomes due
 # earlier than it was, as in a new group, by at most the second.
 TICK_MS = 20.0
 MAX_TICK_MS = 100.0
-HAND_OVER_POLL_MS = 20
-HAND_OVER_LIMIT_MS = 2_000
 DISK_RETRY_MS = 500
 _encoder = msgspec.msgpack.Encoder()
 _log = structlog.get_logger(__name__)
 
 
-@dataclasses.dataclass(frozen=True)
-class LogLimits:
-    """When a snapshot is taken, and how many entries are kept before it."""
-
-    entries: int = 4_096
-    bytes: int = 32 << 20
-    kept: int = 512
-
-
 class Transport(typing.Protocol):
     """Sends messages to replicas; may lose, delay or repeat them."""
 
@@ -65,7 +52,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         timing: core_state.Timing = core_state.Timing(),
-        limits: LogLimits = LogLimits(),
+        limits: compaction.LogLimits = compaction.LogLimits(),
     ) -> None:
         self._limits = limits
         self._folder = folder
@@ -81,6 +68,9 @@
         self._tokens = 0
         self._future_by_read: dict[int, asyncio.Future] = {}
         self._wake = asyncio.Event()
+        self.changes = group_changes.GroupChanges(
+            lambda: self._core, self._wake.set, clock
+        )
         self.on_apply: typing.Callable[[], None] = _nobody
         self._tasks: list[asyncio.Task] = []
         if self.identity.group is not None:
@@ -106,9 +96,7 @@
     @property
     def membership(self) -> types.Membership:
         """Return the latest membership known here."""
-        if self._core is None:
-            return storages.EMPTY_MEMBERSHIP
-        return self._core.state.log.membership
+        return self.changes.membership
 
     def start(self) -> None:
         """Begin to take part."""
@@ -170,10 +158,7 @@
 
     def leader_address(self) -> str | None:
         """Return where the leader listens, as far as known."""
-        if self._core is None or self._core.state.leader is None:
-            return None
-        member = self.membership.member(self._core.state.leader)
-        return member.address if member else None
+        return self.changes.leader_address()
 
     def is_fresh(self, silence_ms: float) -> bool:
         """Return whether this replica is in touch with a majority.
@@ -228,19 +213,6 @@
             raise replicas.NotLeader(self.leader_address())
         await self._applier.applied(index)
 
-    def members(self) -> tuple[messages.ReplicaStatus, ...]:
-        """Return the replicas of the group as known here."""
-        latest = self.membership
-        return tuple(
-            messages.ReplicaStatus(
-                instance=ids.InstanceId(member.instance),
-                zone=ids.ZoneId(member.zone),
-                replica=member.replica,
-                votes=member in latest.voters,
-            )
-            for member in latest.members()
-        )
-
     async def audit(
         self, start: int, limit: int
     ) -> tuple[messages.AuditEntry, ...]:
@@ -268,63 +240,6 @@
         """Append entries of the trail that another replica holds."""
         self._applier.trail.append_missing(entries)
 
-    def initial_membership(self) -> types.Membership | None:
-        """Return the first voters while the start of the log is held."""
-        if self._core is None or self._core.state.log.base_index > 0:
-            return None
-        log = self._core.state.log
-        return log.entry(1).membership if log.last_index else None
-
-    def add_learner(self, member: types.Member) -> bool:
-        """As the leader, add a learner; return whether it is committed."""
-        core = self._require_core()
-        state = core.state
-        if not state.is_leader():
-            raise replicas.NotLeader(self.leader_address())
-        _, committed = state.log.membership_at(state.commit)
-        if committed.member(member.replica) is not None:
-            return True
-        latest = state.log.membership
-        known = latest.member(member.replica) is not None
-        if not known and len(latest.learners) < repair.MAX_LEARNERS:
-            core.propose_membership(memberships.with_learner(latest, member))
-            self._wake.set()
-        return False
-
-    def repair(self) -> None:
-        """As the leader, propose the membership change that is due."""
-        if self.leader_term is None:
-            return
-        change = repair.next_change(self._core.state)
-        if change is not None and self._core.propose_membership(change):
-            _log.warning(
-                "membership changes",
-                voters=[member.instance for member in change.voters],
-                learners=[member.instance for member in change.learners],
-            )
-            self._wake.set()
-
-    async def hand_over(self) -> None:
-        """Give leadership to the voter that is best caught up."""
-        deadline_ms = self._clock.now_ms() + HAND_OVER_LIMIT_MS
-        while self.leader_term is not None:
-            target = self._best_follower()
-            if target is None or self._clock.now_ms() > deadline_ms:
-                return
-            if self._core.state.transfer_to is None:
-                self._core.transfer(target)
-                self._wake.set()
-            await self._clock.sleep_ms(HAND_OVER_POLL_MS)
-
-    def _best_follower(self) -> types.ReplicaId | None:
-        state = self._core.state
-        others = state.log.membership.voter_ids() - {state.self_id}
-        return max(
-            sorted(others),
-            key=lambda replica: state.progress_by_id[replica].match,
-            default=None,
-        )
-
     async def close(self) -> None:
         """Stop and close the files."""
         for task in self._tasks:
@@ -422,7 +337,9 @@
         self._apply(core)
         if self._applier.index != applied:
             self.on_apply()
-        await self._compact(core)
+        await compaction.compact(
+            core, self._applier, self._storage, self._limits
+        )
         if not core.state.output.is_empty():
             self._wake.set()
 
@@ -447,45 +364,6 @@
                 return
             self._applier.apply(state.log.entry(following))
 
-    async def _compact(self, core: cores.Core) -> None:
-        """Write a snapshot where the log has grown long.
-
-        The trail is synced before the entries that produced it go.
-        """
-        state = core.state
-        index = self._applier.index
-        if not self._is_log_long(index) or state.output.writes:
-            return
-        base_index = max(state.log.base_index, index - self._limits.kept)
-        core.compact(base_index)
-        snapshot, base = self._snapshot_at(index, base_index)
-        hard_state = types.HardState(state.term, state.vote)
-        kept = state.log.after(base_index)
-        await asyncio.to_thread(self._applier.trail.sync)
-        await asyncio.to_thread(
-            self._storage.compact, snapshot, base, hard_state, kept
-        )
-
-    def _is_log_long(self, index: int) -> bool:
-        entries = index - self._core.state.log.base_index
-        return (
-            entries >= self._limits.entries
-            or self._storage.segment_bytes >= self._limits.bytes
-            and entries > self._limits.kept
-        )
-
-    def _snapshot_at(
-        self, index: int, base_index: int
-    ) -> tuple[types.Snapshot, storages.Base]:
-        log = self._core.state.log
-        place, membership = log.membership_at(index)
-        snapshot = types.Snapshot(
-            index, log.term_at(index), membership, place, self._applier.body()
-        )
-        place, membership = log.membership_at(base_index)
-        base = storages.Base(base_index, log.base_term, membership, place)
-        return snapshot, base
-
     def _send(self, outgoing: list[wire.Message]) -> None:
         for message in outgoing:
             member = self.membership.member(message.to)
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -19,6 +19,7 @@
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
+from oriolejunction.consensus import compaction
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
@@ -31,7 +32,6 @@
 from oriolejunction.controllers import planned_stop
 from oriolejunction.controllers import resend_budget
 from oriolejunction.controllers import run_table
-from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import engine_pool
 from oriolejunction.http import gateway
@@ -55,6 +55,7 @@
 from oriolejunction.platform import gateway_dialect
 from oriolejunction.platform import operator_calls
 from oriolejunction import settings as addresses
+from oriolejunction import settings_file
 from oriolejunction import states
 from oriolejunction import telemetry
 
@@ -62,58 +63,21 @@
 LEAVE_DELAY_MS = 2_500.0
 # What is left of the grace when the last answers are closed.
 GRACE_MARGIN_MS = 400.0
-SETTINGS_CHECK_MS = 1_000.0
 LISTEN_BACKLOG = 1_024
 # A removed machine must not count once its successor has had 4 s.
 CONTROL_TIMING = core_state.Timing(
     first_election_ms=300.0, lost_after_ms=2_500.0
 )
 # Documents of many routes reach 100 KB.
-LOG_LIMITS = raft_replica.LogLimits(entries=1_024, bytes=8 << 20, kept=32)
+LOG_LIMITS = compaction.LogLimits(entries=1_024, bytes=8 << 20, kept=32)
 _log = structlog.get_logger(__name__)
 
 
-class _SettingsFile:
-    """The settings of a node, read anew when their file changes."""
-
-    def __init__(self, path: pathlib.Path, kind: type) -> None:
-        self._path = path
-        self._kind = kind
-        self._seen = self._stamp()
-        self.current = node_settings.load(path, kind)
-
-    def _stamp(self) -> tuple[float, int]:
-        found = self._path.stat()
-        return found.st_mtime, found.st_size
-
-    def reload(self) -> None:
-        """Read the file; a faulty one leaves the settings as they are."""
-        try:
-            self._seen = self._stamp()
-            self.current = node_settings.load(self._path, self._kind)
-        except (OSError, errors.Failure) as error:
-            _log.error("settings not reloaded", why=str(error))
-            return
-        _log.info("settings reloaded", seeds=self.current.control_seeds)
-
-    async def follow(self, clock: clocks.Clock) -> None:
-        """Reload whenever the file changes."""
-        while True:
-            await clock.sleep_ms(SETTINGS_CHECK_MS)
-            try:
-                changed = self._stamp() != self._seen
-            except OSError as error:
-                _log.warning("settings file not found", why=str(error))
-                continue
-            if changed:
-                self.reload()
-
-
 class _Node:
     """What entry instances and control replicas have in common."""
 
     def __init__(self, path: pathlib.Path, kind: type) -> None:
-        self.file = _SettingsFile(path, kind)
+        self.file = settings_file.SettingsFile(path, kind)
         self.clock = clocks.SystemClock()
         self.rng = random.Random()
         self.listing = listing_store.ListingStore(self.clock)
@@ -414,7 +378,7 @@
             "leader": self._replica.leader_address(),
             "table_version": self._replica.state.table.version,
             "list_age_ms": node_status.rounded_age(self.listing.age_ms),
-            "members": self._replica.members(),
+            "members": self._replica.changes.members(),
         }
 
     def _formation(
@@ -446,7 +410,7 @@
     async def drain(self) -> None:
         """Hand leadership over, so that no election is waited for."""
         _log.info("control replica leaving")
-        await self._replica.hand_over()
+        await self._replica.changes.hand_over()
 
     async def close(self) -> None:
         """Close everything at once."""
--- a/src/oriolejunction/http/engine_wire.py
+++ b/src/oriolejunction/http/engine_wire.py
@@ -233,3 +233,11 @@
             lambda: WireConnection(address), host, int(port)
         )
     return connection
+
+
+async def whole_body(connection: WireConnection) -> bytes:
+    """Return the rest of an answer; raise `ConnectionBroken`."""
+    pieces = []
+    while (piece := await connection.data()) is not None:
+        pieces.append(piece)
+    return b"".join(pieces)
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -16,7 +16,6 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import engine_wire
 from oriolejunction.http import gateway_parts
-from oriolejunction.http import gateway_stream
 from oriolejunction.http import waiting_room
 
 # Tries cover the loss of single packets, within the goal of a call.
@@ -168,7 +167,7 @@
                 return None
             if not head.own or (head.success and not head.signed):
                 raise engine_wire.ConnectionBroken("answer of another request")
-            body = await gateway_stream.whole_body(connection)
+            body = await engine_wire.whole_body(connection)
             parts.health.answered(backend.backend_id)
             parts.health.outcome(backend.backend_id, not head.success)
             parts.pool.give_back(connection)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -8,24 +8,20 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import enum
 import functools
 
 from aiohttp import web
 import multidict
 
-from oriolejunction import backends
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import event_answer
-from oriolejunction.controllers import placement
-from oriolejunction.controllers import run_table
 from oriolejunction.controllers import stalls
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import engine_wire
 from oriolejunction.http import gateway_parts
-from oriolejunction.http import waiting_room
+from oriolejunction.http import stream_plan
 from oriolejunction import states
 
 # A machine of the same region answers a connection within a few ms; the
@@ -34,14 +30,8 @@
 CONNECT_TRIES = 3
 # A connection idle for longer may lead to an engine that is gone.
 MAX_IDLE_MS = 1_000.0
-# Part of the goal that a new stream waits for an engine with room.
-WAIT_SHARE = 0.6
-# A stream that has begun waits this long for an engine to go on at.
-RESUME_WAIT_MS = 4_000.0
 # Streams that go on are admitted before new ones, whose urgency is 5.
 RESUMED_URGENCY = 2
-# Prompt tokens that a copy may lack when its run is lost.
-COPY_LACKS_TOKENS = 200
 MAX_EVENT_BYTES = 1 << 20
 
 
@@ -54,30 +44,6 @@
     REFUSED = "refused"
 
 
-@dataclasses.dataclass(frozen=True)
-class _Plan:
-    """Where an attempt runs, where its copy goes and what it starts from.
-
-    The keys are those of its runs, counted on both engines from now on;
-    `unread` is in prompt tokens.
-    """
-
-    candidate: placement.Candidate
-    copy: backends.Backend | None
-    copy_from: gateway_messages.CopySource | None
-    unread: int
-    run_key: int
-    copy_key: int | None
-
-    @property
-    def backend(self) -> backends.Backend:
-        return self.candidate.backend
-
-    @property
-    def has_idle_engine(self) -> bool:
-        return not self.candidate.prefill_tokens
-
-
 class _EngineSilent(Exception):
     """An engine brought nothing for too long."""
 
@@ -99,7 +65,9 @@
         self._attempts = gateway_parts.Attempts(parts, admitted)
         self._answer = event_answer.EventAnswer(admitted.request.last_event)
         self._response: web.StreamResponse | None = None
-        self._copy: backends.Backend | None = None
+        self._planner = stream_plan.StreamPlanner(
+            parts, admitted, self._attempts, self._answer
+        )
         self._last_event_ms: float | None = None
         self._first_ms = 0.0
         self._longest_pause_ms = 0.0
@@ -108,7 +76,8 @@
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` where none has begun."""
         while True:
-            plan = await self._plan()
+            began = self._response is not None
+            plan = await self._planner.plan(began)
             if plan is None:
                 return self._give_up()
             ended = await self._attempt(plan)
@@ -116,83 +85,7 @@
                 await self._response.write_eof()
                 return self._response
 
-    async def _plan(self) -> _Plan | None:
-        """Wait for an engine with room; None where it is not to be had."""
-        began = self._response is not None
-        goal_ms = self._admitted.route.goal_ms
-        return await gateway_parts.wait_for_place(
-            self._parts,
-            self._admitted,
-            self._attempts,
-            RESUME_WAIT_MS if began else WAIT_SHARE * goal_ms,
-            waiting_room.Bid(
-                self._try_plan, self._attempts.may_wait, self._give_back
-            ),
-            tokens=self._need().kv_tokens,
-            began=began,
-        )
-
-    def _try_plan(self) -> _Plan | None:
-        view = self._parts.view
-        excluded = frozenset(self._attempts.excluded)
-        candidates = view.engines(self._admitted.service, excluded)
-        need = self._need()
-        chosen, source = self._holder_of_copy(candidates), None
-        unread = need.prompt_tokens
-        if chosen is not None:
-            source = gateway_messages.CopySource(
-                chosen.backend.address, self._admitted.request.request_id
-            )
-            unread = COPY_LACKS_TOKENS
-        else:
-            chosen = placement.choose_engine(candidates, need, view.rng)
-        if chosen is None:
-            return None
-        copy, copy_key = None, None
-        if self._admitted.service.engine.keeps_copies:
-            copy = placement.choose_copy(
-                candidates, need, chosen.backend, view.rng
-            )
-        runs = self._parts.runs
-        run_key = runs.begin(
-            run_table.Run(chosen.backend.backend_id, need.kv_tokens, unread)
-        )
-        if copy is not None:
-            copy_key = runs.begin(
-                run_table.Run(
-                    copy.backend.backend_id, need.kv_tokens, 0, copy=True
-                )
-            )
-        return _Plan(
-            chosen, copy and copy.backend, source, unread, run_key, copy_key
-        )
-
-    def _give_back(self, plan: _Plan) -> None:
-        self._parts.runs.end(plan.run_key)
-        self._parts.runs.end(plan.copy_key)
-
-    def _holder_of_copy(
-        self, candidates: list[placement.Candidate]
-    ) -> placement.Candidate | None:
-        if self._copy is None:
-            return None
-        for candidate in candidates:
-            if candidate.backend.backend_id == self._copy.backend_id:
-                return candidate
-        self._copy = None
-        return None
-
-    def _need(self) -> placement.Need:
-        request = self._admitted.request
-        per_event = self._admitted.service.engine.tokens_per_event
-        read = request.prompt_tokens + self._answer.last_event * per_event
-        return placement.Need(
-            prompt_tokens=read,
-            kv_tokens=request.prompt_tokens + request.max_output_tokens,
-            zone=self._parts.view.zone,
-        )
-
-    async def _attempt(self, plan: _Plan) -> _Ended:
+    async def _attempt(self, plan: stream_plan.StreamPlan) -> _Ended:
         gateway_parts.log_decision(
             self._admitted,
             "stream placed",
@@ -205,14 +98,14 @@
             prefill=plan.candidate.prefill_tokens,
         )
         attempt = self._answer.begin_attempt()
-        self._copy = None
+        self._planner.copy = None
         try:
             return await self._run_on(plan, attempt)
         finally:
             self._answer.abandon(attempt)
-            self._give_back(plan)
+            self._planner.give_back(plan)
 
-    async def _run_on(self, plan: _Plan, attempt) -> _Ended:
+    async def _run_on(self, plan: stream_plan.StreamPlan, attempt) -> _Ended:
         try:
             connection = await gateway_parts.open_and_send(
                 self._parts,
@@ -248,7 +141,9 @@
             if not connection.usable:
                 connection.close()
 
-    def _dispatch(self, plan: _Plan) -> gateway_messages.Dispatch:
+    def _dispatch(
+        self, plan: stream_plan.StreamPlan
+    ) -> gateway_messages.Dispatch:
         began = self._answer.last_event > 0 or plan.copy_from is not None
         return gateway_messages.Dispatch(
             backend=plan.backend,
@@ -263,7 +158,7 @@
 
     async def _read_answer(
         self,
-        plan: _Plan,
+        plan: stream_plan.StreamPlan,
         connection: engine_wire.WireConnection,
         attempt,
     ) -> _Ended:
@@ -301,7 +196,7 @@
             now_ms = clock.now_ms()
             if first:
                 # A copy is begun with the first event, not with the prompt.
-                self._copy = plan.copy
+                self._planner.copy = plan.copy
                 self._note_first(plan, now_ms - sent_ms)
                 first = False
             else:
@@ -330,7 +225,7 @@
         )
         return _Ended.COMPLETE
 
-    def _first_limits(self, plan: _Plan) -> _Limits:
+    def _first_limits(self, plan: stream_plan.StreamPlan) -> _Limits:
         """Return the limits before the first event, as known at each test.
 
         Other instances may have sent their prompts to the same engine in
@@ -360,7 +255,9 @@
 
         return limits
 
-    def _note_first(self, plan: _Plan, took_ms: float) -> None:
+    def _note_first(
+        self, plan: stream_plan.StreamPlan, took_ms: float
+    ) -> None:
         self._parts.runs.prefilled(plan.run_key)
         if plan.has_idle_engine and plan.copy_from is None:
             self._parts.speeds.add_prefill(
@@ -368,7 +265,7 @@
             )
 
     async def _deliver(
-        self, plan: _Plan, attempt, blocks: list[bytes]
+        self, plan: stream_plan.StreamPlan, attempt, blocks: list[bytes]
     ) -> None:
         out = []
         for block in blocks:
@@ -416,7 +313,7 @@
 
     async def _refused(
         self,
-        plan: _Plan,
+        plan: stream_plan.StreamPlan,
         connection: engine_wire.WireConnection,
         head: gateway_messages.AnswerHead,
     ) -> _Ended | None:
@@ -430,15 +327,17 @@
             raise engine_wire.ConnectionBroken("answer of another request")
         if head.success:
             return None
-        body = await whole_body(connection)
+        body = await engine_wire.whole_body(connection)
         self._parts.pool.give_back(connection)
         self._parts.health.outcome(plan.backend.backend_id, failed=True)
         self._attempts.excluded.add(plan.backend.backend_id)
-        self._copy = None
+        self._planner.copy = None
         self._failure = (head, body)
         return _Ended.LOST
 
-    def _not_run(self, plan: _Plan, head: gateway_messages.AnswerHead) -> None:
+    def _not_run(
+        self, plan: stream_plan.StreamPlan, head: gateway_messages.AnswerHead
+    ) -> None:
         gateway_parts.log_decision(
             self._admitted,
             "engine did not run it",
@@ -446,7 +345,7 @@
             status=head.status,
             from_copy=plan.copy_from is not None,
         )
-        self._copy = None
+        self._planner.copy = None
         if plan.copy_from is not None:
             # The copy is gone, which says nothing against the engine.
             return
@@ -456,7 +355,9 @@
                 plan.backend.backend_id, backend_health.REPLACED_MS
             )
 
-    async def _patiently(self, read, plan: _Plan, limits: _Limits):
+    async def _patiently(
+        self, read, plan: stream_plan.StreamPlan, limits: _Limits
+    ):
         """Wait for the next piece, testing an engine that is silent.
 
         Raise `_EngineSilent` where it fails the test or is left.
@@ -483,7 +384,7 @@
                 )
             test_ms = clock.now_ms() - since_ms + stalls.RETEST_MS
 
-    def _lost(self, plan: _Plan, why: str) -> _Ended:
+    def _lost(self, plan: stream_plan.StreamPlan, why: str) -> _Ended:
         self._attempts.count_lost()
         gateway_parts.log_decision(
             self._admitted,
@@ -491,7 +392,7 @@
             backend=plan.backend.backend_id,
             why=why,
             delivered=self._answer.last_event,
-            copy=self._copy and self._copy.backend_id,
+            copy=self._planner.copy and self._planner.copy.backend_id,
         )
         self._attempts.excluded.add(plan.backend.backend_id)
         return _Ended.LOST
@@ -517,11 +418,3 @@
         raise errors.Failure(
             self._attempts.failure("no engine could answer in time")
         )
-
-
-async def whole_body(connection: engine_wire.WireConnection) -> bytes:
-    """Return the rest of an answer; raise `ConnectionBroken`."""
-    pieces = []
-    while (piece := await connection.data()) is not None:
-        pieces.append(piece)
-    return b"".join(pieces)
--- a/src/oriolejunction/peers/control_service.py
+++ b/src/oriolejunction/peers/control_service.py
@@ -147,7 +147,7 @@
             revision=self._replica.state.history.revision,
             leader=self._instance_id,
             instances=lease_table.statuses(self._leases, self._clock.now_ms()),
-            replicas=self._replica.members(),
+            replicas=self._replica.changes.members(),
         )
 
     async def _audit(
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -63,7 +63,7 @@
                 await self._join(self._known_addresses())
             if self._replica.leader_address() is None:
                 await self._complete_formation()
-            self._replica.repair()
+            self._replica.changes.repair()
             await self._clock.sleep_ms(STEP_MS)
 
     async def _find_group(self) -> None:
@@ -118,7 +118,7 @@
         Their identities are in the membership, so that a disk wiped since
         does not take part.
         """
-        membership = self._replica.initial_membership()
+        membership = self._replica.changes.initial_membership()
         if membership is None:
             return
         request = raft_messages.Form(self._replica.group, membership)
--- a/src/oriolejunction/peers/raft_service.py
+++ b/src/oriolejunction/peers/raft_service.py
@@ -84,7 +84,7 @@
         self, request: raft_messages.Join
     ) -> raft_messages.JoinReply:
         try:
-            accepted = self._replica.add_learner(request.member)
+            accepted = self._replica.changes.add_learner(request.member)
         except replicas.NotLeader as error:
             return raft_messages.JoinReply(False, leader_address=error.hint)
         return raft_messages.JoinReply(accepted, self._replica.group)
--- /dev/null
+++ b/src/oriolejunction/settings_file.py
@@ -0,0 +1,48 @@
+"""A node's settings file, read anew when it changes."""
+
+import pathlib
+
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction import errors
+from oriolejunction import node_settings
+
+SETTINGS_CHECK_MS = 1_000.0
+_log = structlog.get_logger(__name__)
+
+
+class SettingsFile:
+    """The settings of a node, read anew when their file changes."""
+
+    def __init__(self, path: pathlib.Path, kind: type) -> None:
+        self._path = path
+        self._kind = kind
+        self._seen = self._stamp()
+        self.current = node_settings.load(path, kind)
+
+    def _stamp(self) -> tuple[float, int]:
+        found = self._path.stat()
+        return found.st_mtime, found.st_size
+
+    def reload(self) -> None:
+        """Read the file; a faulty one leaves the settings as they are."""
+        try:
+            self._seen = self._stamp()
+            self.current = node_settings.load(self._path, self._kind)
+        except (OSError, errors.Failure) as error:
+            _log.error("settings not reloaded", why=str(error))
+            return
+        _log.info("settings reloaded", seeds=self.current.control_seeds)
+
+    async def follow(self, clock: clocks.Clock) -> None:
+        """Reload whenever the file changes."""
+        while True:
+            await clock.sleep_ms(SETTINGS_CHECK_MS)
+            try:
+                changed = self._stamp() != self._seen
+            except OSError as error:
+                _log.warning("settings file not found", why=str(error))
+                continue
+            if changed:
+                self.reload()
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -146,7 +146,7 @@
         while self._service_calls.pending:
             await self.clock.sleep_ms(planned_stop.POLL_MS)
         if self._replica is not None:
-            await self._replica.hand_over()
+            await self._replica.changes.hand_over()
 
     async def stop(self) -> None:
         """Close everything at once."""
--- a/tests/consensus/test_raft_replica.py
+++ b/tests/consensus/test_raft_replica.py
@@ -8,6 +8,7 @@
 import pytest
 
 from oriolejunction import clock as clocks
+from oriolejunction.consensus import compaction
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import replica as replicas
@@ -52,7 +53,7 @@
             clocks.SystemClock(),
             random.Random(name),
             TIMING,
-            raft_replica.LogLimits(entries=10, kept=3),
+            compaction.LogLimits(entries=10, kept=3),
         )
         self.replica_by_name[name] = replica
         replica.start()
@@ -139,7 +140,7 @@
 async def test_leadership_is_handed_over(group):
     await group.commit("before")
     former = await group.leader()
-    await former.hand_over()
+    await former.changes.hand_over()
     assert former.leader_term is None
     assert await group.leader() is not former
 
@@ -157,11 +158,11 @@
     async with asyncio.timeout(20):
         while fresh.member.replica not in leader.membership.voter_ids():
             with contextlib.suppress(replicas.NotLeader):
-                leader.add_learner(fresh.member)
-                leader.repair()
+                leader.changes.add_learner(fresh.member)
+                leader.changes.repair()
             await asyncio.sleep(0.02)
         while len(leader.membership.voters) > 3:
-            leader.repair()
+            leader.changes.repair()
             await asyncio.sleep(0.02)
     assert old_id not in leader.membership.member_ids()
     await group.commit("between")
@@ -172,7 +173,7 @@
 
 
 async def test_wiped_disk_does_not_enter_the_group_it_was_in(group):
-    membership = (await group.leader()).initial_membership()
+    membership = (await group.leader()).changes.initial_membership()
     await group.close("a")
     shutil.rmtree(group.root / "a")
     fresh = group.open("a")
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -136,7 +136,8 @@
 
     async def close(self) -> None:
         """Stop at once."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -125,6 +125,9 @@
         self.links: list[proxies.FaultProxy] = []
         self.unlisted: set[str] = set()
         self._listed: list[dict] = []
+        app = web.Application()
+        app.router.add_get("/instances", self._list)
+        self._list_runner = web.AppRunner(app, access_log=None)
 
     def _write(self, name: str, ip: str, **fields: object) -> pathlib.Path:
         path = self._folder / f"{name}.json"
@@ -190,9 +193,6 @@
                         "slots": 16,
                     }
                 )
-        app = web.Application()
-        app.router.add_get("/instances", self._list)
-        self._list_runner = web.AppRunner(app, access_log=None)
         await self._list_runner.setup()
         host, port = self._list_address.rsplit(":", 1)
         await web.TCPSite(self._list_runner, host, int(port)).start()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -66,6 +66,9 @@
                 await asyncio.gather(*background, return_exceptions=True)
                 await asyncio.gather(*self._tasks)
                 await self._check_versions()
+            for node in self._fleet.nodes:
+                if node.process.returncode is not None:
+                    self._ledger.broken.append(f"{node.name} ended by itself")
         finally:
             await self._fleet.close()
         for name, line in self._fleet.log_lines():
@@ -307,8 +310,10 @@
         await asyncio.sleep(2.5)
         for node in self._fleet.entries:
             url = f"http://{node.ip}:{fleets.STATUS_PORT}/status"
-            async with self._session.get(url) as response:
-                held = (await response.json())["table_version"]
+            held = None
+            with contextlib.suppress(aiohttp.ClientError):
+                async with self._session.get(url) as response:
+                    held = (await response.json())["table_version"]
             if held != version:
                 self._ledger.broken.append(
                     f"{node.name} has version {held}, not {version}"
