Leave no processes behind where a soak is ended

Cause: SIGTERM to a soak left its node processes running. Now it cancels the plays, which kill what they started.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -22,6 +23,10 @@
 
 
 async def _play_all(first, count, length_s, jobs, folder) -> int:
+    # Whoever ends the soak must not leave its processes behind.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     gate = asyncio.Semaphore(jobs)
 
     async def one(seed: int) -> bool:
