Compare the versions in force with a read after the last change

The read comes after the time in which a version must be in force now; the check is as strict, equality with what is read.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,8 @@
 # From the last fault until everything is served, as the operators ask.
 RECOVERY_S = 15.0
 CALM_S = 1.0
+# A version must be in force within this time, as the operators ask.
+IN_FORCE_S = 2.5
 HEADERS = {
     "Host": fleets.HOST,
     "X-Api-Key": "k1",
@@ -303,11 +305,14 @@
                 )
 
     async def _check_versions(self) -> None:
-        """Require that the newest version is in force everywhere."""
+        """Require that the newest version is in force everywhere.
+
+        What was proposed as the operators were stopped may still commit.
+        """
+        await asyncio.sleep(IN_FORCE_S)
         version = None
         while version is None:
             version = await self._read()
-        await asyncio.sleep(2.5)
         for node in self._fleet.entries:
             url = f"http://{node.ip}:{fleets.STATUS_PORT}/status"
             held = None
