Let no half-sent request hold a node's exit

Cause: operator, readiness and status listeners waited up to a minute (the library's default) for requests under way when a node closed, so that a request which is never sent whole held the exit past the grace. Before: test_half_a_request_holds_no_exit fails after 3 s; after, it passes in 1.1 s for both listeners.

--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -62,6 +62,9 @@
 
 # The balancer notices within two of its checks, one a second.
 LEAVE_DELAY_MS = 2_500.0
+# Requests of operators that are under way at the end of a stop get this
+# time; a request that is never sent whole must not hold the exit.
+CLOSE_TIMEOUT_S = 0.3
 # What is left of the grace when the last answers are closed.
 GRACE_MARGIN_MS = 400.0
 LISTEN_BACKLOG = 1_024
@@ -113,7 +116,7 @@
             app = node_status.application(
                 registry, status, lambda: self.lines_dropped()
             )
-            await self.listen(web.AppRunner(app, access_log=None), address)
+            await self.listen(_runner(app), address)
 
     async def close(self) -> None:
         """Close the listeners and end the tasks."""
@@ -124,6 +127,12 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+def _runner(app: web.Application) -> web.AppRunner:
+    return web.AppRunner(
+        app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+    )
+
+
 class EntryNode(_Node):
     """An entry instance of a deployment."""
 
@@ -217,9 +226,7 @@
             self._gateway.runner(), settings.caller_listen
         )
         await self.listen(
-            web.AppRunner(
-                readiness.application(self._is_ready), access_log=None
-            ),
+            _runner(readiness.application(self._is_ready)),
             settings.ready_listen,
         )
         await self.show(self._parts.telemetry.registry, self._status)
@@ -352,9 +359,7 @@
         self.spawn(functools.partial(self.file.follow, self.clock))
         self.spawn(self._list_reader(settings).run)
         await self.listen(
-            web.AppRunner(
-                operator_calls.application(self._service), access_log=None
-            ),
+            _runner(operator_calls.application(self._service)),
             settings.operator_listen,
         )
         await self.show(aioprometheus.Registry(), self._status)
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -325,3 +325,16 @@
     assert len(whole) > 20
     assert len(whole) == len(fleet.engine.arrivals)
     assert (0, b"cut") not in answered
+
+
+@pytest.mark.parametrize("path", ["/v1/Configuration.Replace", "/status"])
+async def test_half_a_request_holds_no_exit(fleet, path):
+    """Load: an operator's connection stalls as the replica is stopped."""
+    port = STATUS_PORT if path == "/status" else CONTROL_PORT
+    _, writer = await asyncio.open_connection(SEEDS[0], port)
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+    writer.write(head.encode())
+    await asyncio.sleep(0.1)
+    async with asyncio.timeout(3.0):
+        await fleet.stop_control(0)
+    writer.close()
