--- a/src/oriolejunction/http/waiting_room.py
+++ b/src/oriolejunction/http/waiting_room.py
@@ -11,7 +11,7 @@
 from oriolejunction.controllers import waiting
 from oriolejunction import ids
 
-# The loads of others change every few ms; a look costs less than one.
+# The loads of others change every few ms; a look takes less than one ms.
 LOOK_MS = 25.0
 _log = structlog.get_logger(__name__)
 
