Spare the hot path work that is seldom needed

Found in reading the whole change again: - each request hashed its whole body to look for crashes, also while no request had crashed an engine; it is hashed only while one has, and the look stands in one place for both callers (gateway_parts.is_barred); - the time to the end was worked out for each request, also while the instance stays; - the medians of all engines' speeds were taken anew for each candidate without one of its own and for each test of silence; they are kept until the others tell something new; - each watch built the table of backend servers anew, also where the list was the same. Tried and reverted: to clean up after unlisted servers only when the list changes; a run that ends after its server left the list would be remembered until the next change. What is decided is the same; tests of http, controllers and nodes pass. No figure: the costs are microseconds at the sites' sizes, and grow with bodies and engines.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -30,6 +30,11 @@
         ] = {}
         self.on_change: listeners.OnChange = listeners.nobody
 
+    @property
+    def has_crashes(self) -> bool:
+        """Return whether any request is remembered for a crash."""
+        return bool(self._crashes)
+
     def note_loss(self, backend_id: ids.BackendId, zone: ids.ZoneId) -> None:
         """Note that an engine was lost, whatever ran on it."""
         self._losses.append((backend_id, zone, self._clock.now_ms()))
--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         self._own_by_id: dict[ids.BackendId, EngineSpeed] = {}
         self._told_by_id: dict[ids.BackendId, fm.EngineSpeed] = {}
+        self._typical: tuple[float, float] | None = None
 
     def add_gap(self, backend_id: ids.BackendId, gap_ms: float) -> None:
         """Take in the time between two events of a stream."""
@@ -58,8 +59,10 @@
     def take_told(
         self, told_by_id: dict[ids.BackendId, fm.EngineSpeed]
     ) -> None:
-        """Take in what the others observed."""
-        self._told_by_id = told_by_id
+        """Take in what the others observed; it must not change later."""
+        if told_by_id is not self._told_by_id:
+            self._told_by_id = told_by_id
+            self._typical = None
 
     def gaps(self, backend_id: ids.BackendId) -> suspicion.GapEstimate:
         """Return the own estimate of an engine's gaps."""
@@ -87,13 +90,21 @@
 
     def typical_event_ms(self) -> float:
         """Return the median of what the others observed."""
-        known = [s.event_ms for s in self._told_by_id.values()]
-        return _median(known) or DEFAULT_EVENT_MS
+        return self._medians()[0] or DEFAULT_EVENT_MS
 
     def typical_prefill_ms_per_k(self) -> float:
         """Return the median of what the others observed."""
-        known = [s.prefill_ms_per_k for s in self._told_by_id.values()]
-        return _median(known) or DEFAULT_PREFILL_MS_PER_K
+        return self._medians()[1] or DEFAULT_PREFILL_MS_PER_K
+
+    def _medians(self) -> tuple[float, float]:
+        """Return both medians, kept until the others tell something new."""
+        if self._typical is None:
+            told = self._told_by_id.values()
+            self._typical = (
+                _median([speed.event_ms for speed in told]),
+                _median([speed.prefill_ms_per_k for speed in told]),
+            )
+        return self._typical
 
     def told(self) -> tuple[fm.EngineSpeed, ...]:
         """Return the own observations, to be told to the others."""
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -217,8 +217,7 @@
         return workspace
 
     def _refuse_barred(self, admitted: gateway_parts.Admitted) -> None:
-        told = self._parts.blackboard.fleet.read().crashes_by_request
-        if self._parts.guard.is_barred(admitted.fingerprint, told):
+        if gateway_parts.is_barred(self._parts, admitted):
             raise errors.Failure(
                 errors.NoCapacity(
                     "the request crashed the engines that began to run it",
@@ -228,7 +227,9 @@
 
     def _refuse_leaving(self, admitted: gateway_parts.Admitted) -> None:
         left_ms = self._left_ms()
-        if in_time.may_begin(self._expected_ms(admitted), left_ms):
+        if left_ms is None or in_time.may_begin(
+            self._expected_ms(admitted), left_ms
+        ):
             return
         raise errors.Failure(
             errors.NotReady(
--- a/src/oriolejunction/http/gateway_parts.py
+++ b/src/oriolejunction/http/gateway_parts.py
@@ -146,12 +146,9 @@
             return False
         if not self.sent:
             return True
-        fleet = self._parts.blackboard.fleet.read()
-        if self._parts.guard.is_barred(
-            self._admitted.fingerprint, fleet.crashes_by_request
-        ):
+        if is_barred(self._parts, self._admitted):
             return False
-        entries = fleet.entries
+        entries = self._parts.blackboard.fleet.read().entries
         return self._parts.budget.allows(self._admitted.service.name, entries)
 
     def may_wait(self) -> bool:
@@ -195,6 +192,17 @@
         return errors.NoCapacity(message, retry_after_ms=RETRY_AFTER_MS)
 
 
+def is_barred(parts: GatewayParts, admitted: Admitted) -> bool:
+    """Return whether a request has crashed too many engines.
+
+    A body is hashed only while any request has crashed one.
+    """
+    told = parts.blackboard.fleet.read().crashes_by_request
+    if not told and not parts.guard.has_crashes:
+        return False
+    return parts.guard.is_barred(admitted.fingerprint, told)
+
+
 async def wait_for_place(
     parts: GatewayParts,
     admitted: Admitted,
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -68,6 +68,8 @@
         self._seen = fm.UNSEEN
         self._boot = ""
         self._in_touch = False
+        self._listed: tuple[backends.Backend, ...] = ()
+        self._by_id: dict[ids.BackendId, backends.Backend] = {}
         self._share_changed = asyncio.Event()
         board = parts.blackboard
         self._write_table = board.table.own("fleet_watch")
@@ -81,11 +83,11 @@
     def publish_listing(self) -> None:
         """Put the list held on the blackboard."""
         listing = self._parts.listing
+        if listing.backends is not self._listed:
+            self._listed = listing.backends
+            self._by_id = {each.backend_id: each for each in self._listed}
         self._write_backends(
-            backends.KnownBackends(
-                {each.backend_id: each for each in listing.backends},
-                listing.read_at_ms,
-            )
+            backends.KnownBackends(self._by_id, listing.read_at_ms)
         )
 
     async def run(self) -> None:
