Move the decisions under overload into one folder

Change: wait queue, fair queue, placement, admission, serving capacity, deadline estimates, retry and resend budgets move to controllers/overload, their tests beside. No line of code changed but imports. Measured: tests of controllers, http and platform pass.

--- a/src/oriolejunction/bench/admission.py
+++ b/src/oriolejunction/bench/admission.py
@@ -5,7 +5,7 @@
 
 from oriolejunction.bench import result
 from oriolejunction.bench import timed_request
-from oriolejunction.controllers import admission as admissions
+from oriolejunction.controllers.overload import admission as admissions
 from oriolejunction import demonstration
 from oriolejunction import invariants
 from oriolejunction import local_deployment
--- a/src/oriolejunction/bench/routing.py
+++ b/src/oriolejunction/bench/routing.py
@@ -11,7 +11,7 @@
 
 from oriolejunction.bench import result
 from oriolejunction.bench import timed_request
-from oriolejunction.controllers import admission as admissions
+from oriolejunction.controllers.overload import admission as admissions
 from oriolejunction.controllers import routing
 from oriolejunction import demonstration
 from oriolejunction import invariants
--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -12,7 +12,7 @@
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
-from oriolejunction.controllers import placement
+from oriolejunction.controllers.overload import placement
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import routing_table
--- a/src/oriolejunction/controllers/dispatcher.py
+++ b/src/oriolejunction/controllers/dispatcher.py
@@ -13,9 +13,9 @@
 from oriolejunction import configuration
 from oriolejunction.controllers import dispatches as dispatch_state
 from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers.overload import retry_budget
 from oriolejunction.controllers import prefix_caches
 from oriolejunction.controllers import quarantine as quarantines
-from oriolejunction.controllers import retry_budget
 from oriolejunction.controllers import route_request
 from oriolejunction.controllers import routing
 from oriolejunction import errors
--- /dev/null
+++ b/src/oriolejunction/controllers/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests that exceed the capacity of the engines."""
--- a/src/oriolejunction/controllers/admission.py
+++ b/src/oriolejunction/controllers/overload/admission.py
@@ -15,7 +15,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
-from oriolejunction.controllers import fair_queue
+from oriolejunction.controllers.overload import fair_queue
 from oriolejunction.controllers import token_bucket
 from oriolejunction import errors
 from oriolejunction import ids
--- a/src/oriolejunction/controllers/serving_capacity.py
+++ b/src/oriolejunction/controllers/overload/serving_capacity.py
@@ -3,7 +3,7 @@
 import math
 
 from oriolejunction import configuration
-from oriolejunction.controllers import admission as admissions
+from oriolejunction.controllers.overload import admission as admissions
 from oriolejunction.controllers import routing
 from oriolejunction import ids
 from oriolejunction import states
--- a/src/oriolejunction/controllers/wait_queue.py
+++ b/src/oriolejunction/controllers/overload/wait_queue.py
@@ -17,7 +17,7 @@
 import dataclasses
 import typing
 
-from oriolejunction.controllers import fair_queue
+from oriolejunction.controllers.overload import fair_queue
 from oriolejunction import ids
 
 # Requests without a workspace are queued under this one.
--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/fleet_wiring.py
@@ -22,7 +22,7 @@
 from oriolejunction.consensus import types
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import graceful_shutdown
-from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers.overload import resend_budget
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_common
--- a/src/oriolejunction/http/admission_gate.py
+++ b/src/oriolejunction/http/admission_gate.py
@@ -10,9 +10,9 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
-from oriolejunction.controllers import admission as admissions
 from oriolejunction.controllers import dispatcher as dispatchers
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers.overload import admission as admissions
 from oriolejunction.controllers import route_request
 from oriolejunction import errors
 
--- a/src/oriolejunction/http/deadlines.py
+++ b/src/oriolejunction/http/deadlines.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from oriolejunction import configuration
-from oriolejunction.controllers import admission as admissions
 from oriolejunction.controllers import generation as generations
+from oriolejunction.controllers.overload import admission as admissions
 from oriolejunction import errors
 from oriolejunction import prefix_blocks
 
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 import structlog
 
-from oriolejunction.controllers import deadline_estimates
+from oriolejunction.controllers.overload import deadline_estimates
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import gateway_call
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -19,9 +19,9 @@
 from oriolejunction.controllers import crash_guard
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
-from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.controllers import stalls
-from oriolejunction.controllers import wait_queue
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
--- a/src/oriolejunction/http/placement_queue.py
+++ b/src/oriolejunction/http/placement_queue.py
@@ -8,7 +8,7 @@
 import structlog
 
 from oriolejunction import clock as clocks
-from oriolejunction.controllers import wait_queue
+from oriolejunction.controllers.overload import wait_queue
 from oriolejunction import ids
 
 # Reported loads change every few ms; one poll takes less than one ms.
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -5,7 +5,7 @@
 from oriolejunction import backends
 from oriolejunction.controllers import event_answer
 from oriolejunction.controllers import load_table
-from oriolejunction.controllers import placement
+from oriolejunction.controllers.overload import placement
 from oriolejunction import gateway_messages
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
--- a/src/oriolejunction/serving.py
+++ b/src/oriolejunction/serving.py
@@ -10,18 +10,18 @@
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
-from oriolejunction.controllers import admission as admissions
 from oriolejunction.controllers import dispatcher as dispatchers
 from oriolejunction.controllers import dispatches as dispatch_state
 from oriolejunction.controllers import engine_losses
 from oriolejunction.controllers import generation as generations
 from oriolejunction.controllers import generation_attempt
 from oriolejunction.controllers import membership as memberships
+from oriolejunction.controllers.overload import admission as admissions
+from oriolejunction.controllers.overload import retry_budget
+from oriolejunction.controllers.overload import serving_capacity
 from oriolejunction.controllers import prefix_caches
 from oriolejunction.controllers import quarantine as quarantines
-from oriolejunction.controllers import retry_budget
 from oriolejunction.controllers import routing
-from oriolejunction.controllers import serving_capacity
 from oriolejunction.http import admission_gate
 from oriolejunction.http import load_reports
 from oriolejunction.http import platform_list
--- a/tests/controllers/test_admission.py
+++ b/tests/controllers/overload/test_admission.py
@@ -5,7 +5,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
-from oriolejunction.controllers import admission as admissions
+from oriolejunction.controllers.overload import admission as admissions
 from oriolejunction import errors
 
 
--- a/tests/controllers/test_deadline_estimates.py
+++ b/tests/controllers/overload/test_deadline_estimates.py
@@ -1,7 +1,7 @@
 """Requests start only if their expected time fits the time left."""
 
 from oriolejunction.controllers import answer_lengths
-from oriolejunction.controllers import deadline_estimates
+from oriolejunction.controllers.overload import deadline_estimates
 
 
 def test_leaving_instance_starts_only_what_ends_before_it_stops():
--- a/tests/controllers/test_fair_queue.py
+++ b/tests/controllers/overload/test_fair_queue.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from oriolejunction.controllers import fair_queue
+from oriolejunction.controllers.overload import fair_queue
 
 _COSTS = strategies.floats(1.0, 100.0)
 _REQUESTS = strategies.lists(
--- a/tests/controllers/test_placement.py
+++ b/tests/controllers/overload/test_placement.py
@@ -6,7 +6,7 @@
 import pytest
 
 from oriolejunction import backends
-from oriolejunction.controllers import placement
+from oriolejunction.controllers.overload import placement
 from oriolejunction import ids
 
 ZONES = ("z0", "z1", "z2")
--- a/tests/controllers/test_resend_budget.py
+++ b/tests/controllers/overload/test_resend_budget.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from oriolejunction import clock as clocks
-from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers.overload import resend_budget
 from oriolejunction import ids
 
 DESK = ids.ServiceName("desk")
--- a/tests/controllers/test_wait_queue.py
+++ b/tests/controllers/overload/test_wait_queue.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from oriolejunction.controllers import wait_queue
+from oriolejunction.controllers.overload import wait_queue
 from oriolejunction import ids
 
 LLM = ids.ServiceName("llm")
--- a/tests/http/test_placement_queue.py
+++ b/tests/http/test_placement_queue.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oriolejunction import clock as clocks
-from oriolejunction.controllers import wait_queue
+from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.http import placement_queue
 from oriolejunction import ids
 
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -14,7 +14,7 @@
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
-from oriolejunction.controllers import resend_budget
+from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_common
 from oriolejunction import ids
