Start a node with the modules of its role only

Cause: after a power loss of all instances, callers wait for imports. aiohttp reads the system's certificates when imported, though a node speaks plain HTTP, and both roles loaded the modules of each other. Ruled out: lazy imports within aiohttp (not ours). Change: one composition root per role; no certificates; the garbage collector rests while modules load. The check that only the composition root imports the adapter now names both roots, and is as strict.

--- a/src/oriolejunction/fleet_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -1,7 +1,8 @@
-"""Composition root of a deployment's entry instances and control replicas.
+"""Composition root of a deployment's entry instances.
 
-An entry instance serves the deployment's own routes; a control replica stores
-the state that must survive. Only this module imports the platform's adapter.
+An entry instance serves the deployment's own routes. Only this module and
+`control_wiring` import the platform's adapter; they are separate so that a
+program loads the modules of its own role only.
 """
 
 import asyncio
@@ -10,17 +11,10 @@
 import pathlib
 import secrets
 
-import aioprometheus
-import grpc
 import structlog
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
-from oriolejunction.consensus import compaction
-from oriolejunction.consensus import core_state
-from oriolejunction.consensus import raft_replica
-from oriolejunction.consensus import types
-from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import graceful_shutdown
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction import fleet_messages as fm
@@ -31,17 +25,10 @@
 from oriolejunction import node_base
 from oriolejunction import node_settings
 from oriolejunction.peers import channels
-from oriolejunction.peers import fleet_service
 from oriolejunction.peers import fleet_watch
 from oriolejunction.peers import list_poller
-from oriolejunction.peers import raft_formation
-from oriolejunction.peers import raft_service
-from oriolejunction.peers import raft_transport
-from oriolejunction.peers import rpc
-from oriolejunction.peers import transport as transports
 from oriolejunction.platform import backend_list
 from oriolejunction.platform import gateway_dialect
-from oriolejunction.platform import operator_calls
 from oriolejunction import states
 
 # The load balancer checks readiness once a second and stops sending requests
@@ -49,14 +36,6 @@
 LEAVE_DELAY_MS = 2_500.0
 # Reserved at the end of the grace period to close the last answers.
 GRACE_MARGIN_MS = 400.0
-# A removed machine must have lost its vote 4 s after its successor started.
-CONTROL_TIMING = core_state.Timing(
-    first_election_ms=300.0, lost_after_ms=2_500.0
-)
-# Configuration documents with many routes reach 100 KB.
-LOG_LIMITS = compaction.LogLimits(
-    max_entries=1_024, max_bytes=8 << 20, retained=32
-)
 _log = structlog.get_logger(__name__)
 
 
@@ -228,116 +207,3 @@
         self._deps.pool.retain_only(
             {b.address for b in snapshot.by_id.values()}
         )
-
-
-class ControlNode(node_base.Node):
-    """A control replica of a deployment."""
-
-    def __init__(self, path: pathlib.Path) -> None:
-        super().__init__(path, node_settings.ControlSettings)
-
-    async def start(self) -> None:
-        """Open the listeners and form or join the control group."""
-        settings = self.settings_file.current
-        data_dir = pathlib.Path(settings.data_dir)
-        data_dir.mkdir(parents=True, exist_ok=True)
-        self._transport = raft_transport.RaftTransport(settings.peer_listen)
-        self._replica = raft_replica.RaftReplica(
-            data_dir,
-            lambda replica: types.Member(
-                replica,
-                settings.instance_id,
-                settings.zone,
-                settings.peer_listen,
-            ),
-            self._transport,
-            self.clock,
-            self.rng,
-            CONTROL_TIMING,
-            LOG_LIMITS,
-        )
-        self._service = fleet_service.FleetService(
-            fleet_service.FleetDependencies(
-                incarnation=secrets.token_hex(6),
-                replica=self._replica,
-                clock=self.clock,
-                hub=fleet_hub.FleetHub(self.clock),
-                listing=self.listing,
-                stub_for=self._transport.stub_for,
-            )
-        )
-        self._server = grpc.aio.server(options=rpc.SERVER_OPTIONS)
-        raft_service.RaftService(self._replica, self._transport).add_to(
-            self._server
-        )
-        self._service.add_to(self._server)
-        transports.PLAINTEXT.listen(self._server, settings.peer_listen)
-        await self._server.start()
-        self._replica.start()
-        self.spawn(self._new_formation(settings).run)
-        self.spawn(self._service.run)
-        self.spawn(functools.partial(self.settings_file.watch, self.clock))
-        self.spawn(self._new_list_poller(settings).run)
-        await self.listen(
-            node_base.internal_runner(
-                operator_calls.application(self._service)
-            ),
-            settings.operator_listen,
-        )
-        await self.serve_status(aioprometheus.Registry(), self._status)
-        _log.info(
-            "control replica started",
-            replica=self._replica.member.replica,
-            listen=settings.operator_listen,
-        )
-
-    def _status(self) -> dict[str, object]:
-        return {
-            "instance": self.settings_file.current.instance_id,
-            "replica": self._replica.member.replica,
-            "group": self._replica.group,
-            "leader_term": self._replica.leader_term,
-            "leader": self._replica.leader_address(),
-            "table_version": self._replica.state.table.version,
-            "list_age_ms": clocks.round_age_ms(self.listing.age_ms),
-            "members": self._replica.group_changes.members(),
-        }
-
-    def _new_formation(
-        self, settings: node_settings.ControlSettings
-    ) -> raft_formation.GroupFormation:
-        return raft_formation.GroupFormation(
-            self._replica,
-            self._transport,
-            self.clock,
-            lambda: self.settings_file.current.seed_addresses(),
-            may_form=settings.first_start,
-            voter_target=settings.voter_target,
-        )
-
-    def _new_list_poller(
-        self, settings: node_settings.ControlSettings
-    ) -> list_poller.ListPoller:
-        return list_poller.ListPoller(
-            self.clock,
-            self.listing,
-            functools.partial(
-                backend_list.fetch, address=settings.list_address
-            ),
-            lambda: self._replica.leader_term is not None,
-            self._service.notify_listing,
-            self.rng,
-        )
-
-    async def drain(self) -> None:
-        """Transfer leadership, so that no election has to be awaited."""
-        _log.info("control replica leaving")
-        await self._replica.group_changes.transfer_leadership()
-
-    async def close(self) -> None:
-        """Close the listeners, the replica and its connections at once."""
-        await super().close()
-        await self._service.close()
-        await self._server.stop(None)
-        await self._replica.close()
-        await self._transport.close()
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -1,24 +1,30 @@
 """Command line that runs an entry instance or a control replica.
 
 It is separate from `cli` so that a node doesn't import the stand-ins and
-benches.
+benches, and imports only the modules of its own role, since callers wait
+while an instance starts again.
 """
 
 import asyncio
+import collections.abc
+import gc
 import os
 import pathlib
 import signal
 import sys
+import typing
 
 import fire
 import structlog
 
 from oriolejunction import errors
-from oriolejunction import fleet_wiring
 from oriolejunction import node_logs
 from oriolejunction import settings as instance_settings
 from oriolejunction import stop_signals
 
+if typing.TYPE_CHECKING:
+    from oriolejunction import node_base
+
 _log = structlog.get_logger(__name__)
 
 
@@ -27,11 +33,40 @@
 
     def entry(self, boot: str | None = None) -> None:
         """Run an entry instance with the settings file BOOT."""
-        asyncio.run(_run(fleet_wiring.EntryNode(_settings_path(boot))))
+
+        def load() -> type["node_base.Node"]:
+            from oriolejunction import entry_wiring
+
+            return entry_wiring.EntryNode
+
+        _run_role(load, boot)
 
     def control(self, boot: str | None = None) -> None:
         """Run a control replica with the settings file BOOT."""
-        asyncio.run(_run(fleet_wiring.ControlNode(_settings_path(boot))))
+
+        def load() -> type["node_base.Node"]:
+            from oriolejunction import control_wiring
+
+            return control_wiring.ControlNode
+
+        _run_role(load, boot)
+
+
+def _run_role(
+    load: collections.abc.Callable[[], type["node_base.Node"]],
+    boot: str | None,
+) -> None:
+    """Load the modules of a role and run its node."""
+    path = _settings_path(boot)
+    # aiohttp reads the system's certificates when it is imported. A node
+    # speaks plain HTTP and gRPC only.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    gc.disable()
+    node_type = load()
+    # Modules are never collected.
+    gc.freeze()
+    gc.enable()
+    asyncio.run(_run(node_type(path)))
 
 
 def _settings_path(boot: str | None) -> pathlib.Path:
@@ -44,9 +79,7 @@
     return pathlib.Path(found)
 
 
-async def _run(
-    node: fleet_wiring.EntryNode | fleet_wiring.ControlNode,
-) -> None:
+async def _run(node: "node_base.Node") -> None:
     settings = node.settings_file.current
     log_writer = node_logs.configure(
         settings.log_level, instance=settings.instance_id, zone=settings.zone
--- a/src/oriolejunction/node_base.py
+++ b/src/oriolejunction/node_base.py
@@ -64,6 +64,14 @@
             )
             await self.listen(internal_runner(app), address)
 
+    async def start(self) -> None:
+        """Open the listeners; implemented by each role."""
+        raise NotImplementedError
+
+    async def drain(self) -> None:
+        """Finish the work in flight; implemented by each role."""
+        raise NotImplementedError
+
     async def close(self) -> None:
         """Close the listeners and end the tasks."""
         for runner in self._runners:
--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -43,13 +43,13 @@
     assert found == []
 
 
-def test_only_the_composition_root_imports_the_package():
+def test_only_the_composition_roots_import_the_package():
     importers = [
         path.relative_to(SOURCE).as_posix()
         for path in modules()
         if "oriolejunction.platform" in path.read_text()
     ]
-    assert importers == ["fleet_wiring.py"]
+    assert importers == ["control_wiring.py", "entry_wiring.py"]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -11,7 +11,8 @@
 from aiohttp import web
 import pytest
 
-from oriolejunction import fleet_wiring
+from oriolejunction import control_wiring
+from oriolejunction import entry_wiring
 from oriolejunction import node_client
 from tests.platform import gateway_rig
 from tests.platform import test_configuration_document
@@ -43,7 +44,7 @@
 
 def control(tmp_path, number, first_start=True):
     ip = SEEDS[number]
-    return fleet_wiring.ControlNode(
+    return control_wiring.ControlNode(
         settings(
             tmp_path,
             f"core-{number}",
@@ -57,7 +58,7 @@
 
 
 def entry(tmp_path):
-    return fleet_wiring.EntryNode(
+    return entry_wiring.EntryNode(
         settings(
             tmp_path,
             "entry",
