Place streams by the whole answer and by the median event gap

Change: the score is the time to the end plus the delay of the running streams; an engine that misses the latency goal comes last; speeds are medians of 16 gaps, old own ones yield to others'.

--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -1,13 +1,17 @@
 """Observed speed of each engine in decode and in prefill.
 
-Load pattern: the speeds of a service's engines differ by more than a factor
+Load patterns: the speeds of a service's engines differ by more than a factor
 of two, and one instance runs few of the streams, so it also uses what the
-other instances observed.
+other instances observed. Some engines turn slow for a few seconds. The
+prefill of another stream stretches single gaps tenfold, so that a mean says
+more about an engine's neighbours than about its speed.
 """
 
+import collections
 import dataclasses
 import statistics
 
+from oriolejunction import clock as clocks
 from oriolejunction.controllers import silence_detector
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -18,6 +22,11 @@
 PREFILL_WEIGHT = 0.3
 # The prefill of a shorter prompt says little about an engine's speed.
 MIN_PREFILL_TOKENS = 1_000
+# The median over this many event gaps follows an engine that turns slow
+# within about ten events.
+RECENT_GAPS = 16
+# Older own observations yield to newer ones of other instances.
+FRESH_MS = 2_000.0
 
 
 @dataclasses.dataclass
@@ -27,20 +36,35 @@
     gaps: silence_detector.GapEstimate = dataclasses.field(
         default_factory=silence_detector.GapEstimate
     )
+    recent_gaps_ms: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=RECENT_GAPS)
+    )
+    observed_at_ms: float = float("-inf")
     prefill_ms_per_k: float | None = None
 
+    @property
+    def event_ms(self) -> float | None:
+        """Return the median event gap, None until there are enough gaps."""
+        if len(self.recent_gaps_ms) < silence_detector.MIN_SAMPLES:
+            return None
+        return statistics.median(self.recent_gaps_ms)
+
 
 class EngineSpeeds:
     """Own observations, or those of other instances where there are none."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
         self._own_by_id: dict[ids.BackendId, SpeedEstimate] = {}
         self._reported_by_id: dict[ids.BackendId, fm.EngineSpeed] = {}
         self._cached_medians: tuple[float, float] | None = None
 
     def add_gap(self, backend_id: ids.BackendId, gap_ms: float) -> None:
         """Record the time between two events of a stream."""
-        self._own_estimate(backend_id).gaps.add(gap_ms)
+        own = self._own_estimate(backend_id)
+        own.gaps.add(gap_ms)
+        own.recent_gaps_ms.append(gap_ms)
+        own.observed_at_ms = self._clock.now_ms()
 
     def add_prefill(
         self, backend_id: ids.BackendId, tokens: int, took_ms: float
@@ -72,25 +96,32 @@
     def event_ms(self, backend_id: ids.BackendId) -> float:
         """Return the expected time between two events."""
         own = self._own_by_id.get(backend_id)
-        if (
-            own is not None
-            and own.gaps.samples >= silence_detector.MIN_SAMPLES
-        ):
-            return own.gaps.mean_ms
+        own_ms = own.event_ms if own is not None else None
+        if own_ms is not None and self._is_fresh(own):
+            return own_ms
         reported = self._reported_by_id.get(backend_id)
         if reported is not None and reported.event_ms > 0:
             return reported.event_ms
-        return self.typical_event_ms()
+        return own_ms or self.typical_event_ms()
 
     def prefill_ms_per_k(self, backend_id: ids.BackendId) -> float:
-        """Return the expected prefill time of a thousand prompt tokens."""
+        """Return the expected prefill time of a thousand prompt tokens.
+
+        An engine whose prefill was not observed yet is as fast or as slow in
+        prefill as it is in decode.
+        """
         own = self._own_by_id.get(backend_id)
         if own is not None and own.prefill_ms_per_k is not None:
             return own.prefill_ms_per_k
         reported = self._reported_by_id.get(backend_id)
         if reported is not None and reported.prefill_ms_per_k > 0:
             return reported.prefill_ms_per_k
-        return self.typical_prefill_ms_per_k()
+        relative = self.event_ms(backend_id) / self.typical_event_ms()
+        return relative * self.typical_prefill_ms_per_k()
+
+    def _is_fresh(self, estimate: SpeedEstimate) -> bool:
+        age_ms = self._clock.now_ms() - estimate.observed_at_ms
+        return age_ms <= FRESH_MS
 
     def typical_event_ms(self) -> float:
         """Return the median time between events that others observed."""
@@ -115,11 +146,11 @@
         return tuple(
             fm.EngineSpeed(
                 backend_id,
-                round(speed.gaps.mean_ms, 1),
+                round(speed.event_ms, 1),
                 round(speed.prefill_ms_per_k or 0.0, 1),
             )
             for backend_id, speed in self._own_by_id.items()
-            if speed.gaps.samples >= silence_detector.MIN_SAMPLES
+            if speed.event_ms is not None
         )
 
     def retain_only(self, listed: set[ids.BackendId]) -> None:
--- a/src/oriolejunction/controllers/overload/placement.py
+++ b/src/oriolejunction/controllers/overload/placement.py
@@ -1,9 +1,11 @@
 """Choose the engine of a stream and the engine of its KV cache copy.
 
-Load pattern: the prefill of a prompt takes an engine about a second and slows
+Load patterns: the prefill of a prompt takes an engine about a second and slows
 all its other streams meanwhile. An engine runs as many streams as fit into its
 KV cache, which is far fewer than its slots. Most engines of one availability
 zone crash every few seconds, and their streams move to the survivors at once.
+A third of the engines takes more than twice as long for a whole answer as the
+others; the longer an answer runs, the more losses it meets.
 """
 
 import collections
@@ -16,9 +18,12 @@
 
 # Fraction of an engine's KV cache above which it counts as full.
 MAX_FILL_FRACTION = 0.95
-# Mean number of events that a running stream has yet to produce; the prefill
-# of a new stream slows each of them.
-SLOWED_EVENTS = 4.0
+# Fraction of a prefill's duration by which it delays each running stream.
+DELAY_PER_PREFILL = 0.85
+# Events that the KV cache copy of a stream delays on its engine.
+COPY_EVENTS = 4.0
+# An engine that would miss the latency goal is chosen only if all would.
+MISSED_GOAL_MS = 10_000.0
 # Two prefills at once push the event gaps of an engine's streams over the
 # limit.
 SECOND_PREFILL_MS = 800.0
@@ -61,11 +66,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class StreamRequirements:
-    """Tokens that a stream needs on an engine, and its preferred zone."""
+    """What a stream needs of an engine, and its preferred zone.
+
+    `events` are expected until its answer is complete. `first_event_ms` is
+    the time left to the latency goal, infinite once it no longer applies.
+    """
 
     prompt_tokens: int
     kv_tokens: int
     zone: ids.ZoneId
+    events: float = 0.0
+    first_event_ms: float = float("inf")
 
 
 def failing_zones(
@@ -91,9 +102,19 @@
 
 
 def score_ms(candidate: Candidate, requirements: StreamRequirements) -> float:
-    """Return the cost of a placement, as ms of waiting; lower is better."""
-    score = first_event_ms(candidate, requirements.prompt_tokens)
-    score += candidate.streams * SLOWED_EVENTS * candidate.event_ms
+    """Return the cost of a placement, as ms of waiting; lower is better.
+
+    It is the time to the end of the answer, plus the delay of the streams
+    that already run on the engine.
+    """
+    first_ms = first_event_ms(candidate, requirements.prompt_tokens)
+    prefill_ms = (
+        requirements.prompt_tokens / 1_000 * candidate.prefill_ms_per_k
+    )
+    score = first_ms + requirements.events * candidate.event_ms
+    score += candidate.streams * DELAY_PER_PREFILL * prefill_ms
+    if first_ms > requirements.first_event_ms:
+        score += MISSED_GOAL_MS
     if candidate.prefill_tokens:
         score += SECOND_PREFILL_MS
     if candidate.backend.zone != requirements.zone:
@@ -141,6 +162,6 @@
     return min(
         fitting,
         key=lambda c: c.kv_tokens / 1_000 * c.prefill_ms_per_k
-        + SLOWED_EVENTS * c.event_ms
+        + COPY_EVENTS * c.event_ms
         + rng.uniform(0, JITTER_MS),
     )
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -72,7 +72,7 @@
 ) -> GatewayDependencies:
     """Return the dependencies of one instance, with empty state."""
     own_loads = load_table.LoadTable()
-    speeds = engine_speeds.EngineSpeeds()
+    speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
     return GatewayDependencies(
         clock=clock,
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -1,6 +1,7 @@
 """Chooses the engine of a stream and that of its KV cache copy."""
 
 import dataclasses
+import math
 
 from oriolejunction import backends
 from oriolejunction.controllers import event_answer
@@ -166,12 +167,21 @@
 
     def _requirements(self) -> placement.StreamRequirements:
         request = self._admitted.request
+        route = self._admitted.route
         per_event = self._admitted.service.engine.tokens_per_event
-        context_tokens = (
-            request.prompt_tokens + self._answer.last_event * per_event
+        delivered = self._answer.last_event
+        events = self._deps.lengths.expected(
+            route.name, request.max_output_tokens / per_event
         )
+        goal_at_ms = request.received_ms + route.latency_goal_ms
         return placement.StreamRequirements(
-            prompt_tokens=context_tokens,
+            prompt_tokens=request.prompt_tokens + delivered * per_event,
             kv_tokens=request.prompt_tokens + request.max_output_tokens,
             zone=self._deps.view.zone,
+            events=max(0.0, events - delivered),
+            first_event_ms=(
+                math.inf
+                if delivered
+                else goal_at_ms - self._deps.clock.now_ms()
+            ),
         )
--- a/tests/controllers/overload/test_placement.py
+++ b/tests/controllers/overload/test_placement.py
@@ -184,3 +184,68 @@
         assert copy.backend.zone not in ("z0", chosen.backend.zone)
     neighbours = [c for c in candidates if c.zone_failing]
     assert placement.choose_engine(neighbours, REQUIREMENTS, rng) is not None
+
+
+class TimedFleet(Fleet):
+    """A fleet whose engines prefill one prompt after the other."""
+
+    def __init__(self, speeds):
+        super().__init__(speeds)
+        self.pending = []
+        self.answer_ms = []
+
+    def advance(self, now_ms):
+        """Finish the prefills and answers that are due."""
+        for due_ms, engine, change in sorted(
+            (p for p in self.pending if p[0] <= now_ms), key=lambda p: p[0]
+        ):
+            for key, value in change.items():
+                engine[key] -= value
+        self.pending = [p for p in self.pending if p[0] > now_ms]
+
+    def place(self, now_ms, requirements, rng):
+        chosen = placement.choose_engine(self.candidates(), requirements, rng)
+        engine = self.by_id(chosen.backend.backend_id)
+        first_ms = placement.first_event_ms(chosen, PROMPT)
+        answer_ms = first_ms + 140 * chosen.event_ms
+        self.begin(engine["id"])
+        self.pending += [
+            (now_ms + first_ms, engine, {"prefill": PROMPT}),
+            (now_ms + answer_ms, engine, {"streams": 1, "kv": KV}),
+        ]
+        self.answer_ms.append(answer_ms)
+        return engine, first_ms
+
+
+def test_answers_run_on_fast_engines_while_these_have_capacity():
+    """Load: four streams a second, and every third engine is slow.
+
+    An answer takes a slow engine 9 s and a fast one 4 s.
+    """
+    fleet = TimedFleet(speeds=(0.7, 0.7, 1.7, 0.7))
+    rng = random.Random(1)
+    requirements = dataclasses.replace(
+        REQUIREMENTS, events=140.0, first_event_ms=4_500.0
+    )
+    latest_first_ms = 0.0
+    for now_ms in range(0, 60_000, 250):
+        fleet.advance(now_ms)
+        _, first_ms = fleet.place(now_ms, requirements, rng)
+        latest_first_ms = max(latest_first_ms, first_ms)
+    assert max(fleet.answer_ms) < 6_000
+    assert latest_first_ms < 4_500
+
+
+def test_slow_engine_in_time_goes_before_a_fast_one_that_is_late():
+    """Load: a zone's streams return at once and fill the fast engines."""
+    fleet = Fleet(speeds=(0.7, 0.7, 1.7, 0.7))
+    for engine in fleet.engines:
+        if engine["speed"] < 1.0:
+            engine["prefill"], engine["streams"] = 6 * PROMPT, 6
+    requirements = dataclasses.replace(
+        REQUIREMENTS, events=140.0, first_event_ms=4_500.0
+    )
+    chosen = placement.choose_engine(
+        fleet.candidates(), requirements, random.Random(1)
+    )
+    assert fleet.by_id(chosen.backend.backend_id)["speed"] == 1.7
