Ask an engine for its report before giving up on a prefill

Ruled out: waiting longer for all, which makes callers wait for answers that were lost. Change: after the time that the known load explains, the engine's report tells a prefill in progress from events that were lost (the stream resumes from its copy) and from a request that is gone. A request in prefill is active but not listed, as plays with the raw report showed.

--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from oriolejunction.controllers import silence_detector
 
@@ -30,6 +31,8 @@
 # is not explained by the engine's load.
 FIRST_EVENT_FACTOR = 1.4
 FIRST_EVENT_MARGIN_MS = 500.0
+# Interval between reports while the engine works on the request.
+REPORT_INTERVAL_MS = 400.0
 # Where no other engine would meet the latency goal, an engine is given up on
 # only once its answer is almost certainly lost.
 LAST_RESORT_FACTOR = 2.5
@@ -42,10 +45,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class StallLimits:
-    """Silence in ms after which an engine is probed, and then given up on."""
+    """Silence in ms after which an engine is probed, and then given up on.
+
+    After `report_ms` it is asked for its report.
+    """
 
     probe_ms: float
     give_up_ms: float
+    report_ms: float = math.inf
 
 
 def limits_between_events(
@@ -75,9 +82,12 @@
     """
     latest_ms = remaining_goal_ms - ELSEWHERE_FACTOR * elsewhere_ms
     latest_ms -= ELSEWHERE_MARGIN_MS
+    unexplained_ms = FIRST_EVENT_FACTOR * expected_ms + FIRST_EVENT_MARGIN_MS
     if latest_ms < expected_ms:
         # No other engine can meet the latency goal.
         give_up_ms = LAST_RESORT_FACTOR * expected_ms + LAST_RESORT_MARGIN_MS
     else:
-        give_up_ms = FIRST_EVENT_FACTOR * expected_ms + FIRST_EVENT_MARGIN_MS
-    return StallLimits(FIRST_PROBE_MS, max(give_up_ms, latest_ms))
+        give_up_ms = unexplained_ms
+    return StallLimits(
+        FIRST_PROBE_MS, max(give_up_ms, latest_ms), unexplained_ms
+    )
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -109,12 +109,32 @@
     weights_version: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportedRun:
+    """A request that an engine runs, with its tokens in memory and events."""
+
+    kv_tokens: int
+    events: int
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineReport:
+    """Requests that an engine decodes, and how many have no token yet.
+
+    `before_first_event` counts the requests in its queue or in prefill.
+    """
+
+    before_first_event: int
+    run_by_request: dict[ids.RequestId, ReportedRun]
+
+
 @dataclasses.dataclass(frozen=True)
 class WireFormat:
     """How a deployment encodes requests, dispatches and answers.
 
     `read_request` raises `Failure` with `MalformedRequest`; `read_event`
-    returns None for a block without an event number.
+    returns None for a block without an event number, and `read_report` for
+    a report that cannot be read.
     """
 
     read_request: collections.abc.Callable[..., CallerRequest]
@@ -124,3 +144,5 @@
     read_head: collections.abc.Callable[..., AnswerHead]
     read_event: collections.abc.Callable[[bytes], NumberedEvent | None]
     read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
+    report_target: str
+    read_report: collections.abc.Callable[[bytes], EngineReport | None]
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -113,19 +113,13 @@
         last_event_before = self._answer.last_event
         try:
             return await self._read_answer(plan, connection, attempt)
-        except (
-            backend_connection.ConnectionBroken,
-            stall_detection.EngineStalled,
-        ) as error:
-            connection.close()
-            gateway_common.start_crash_check(
-                self._deps,
-                self._admitted,
-                plan.backend,
-                str(error),
-                has_output=self._answer.last_event > last_event_before,
-            )
-            return self._handle_loss(plan, str(error))
+        except stall_detection.EngineStalled as error:
+            if error.has_events:
+                # The KV cache copy began with the first event.
+                self._planner.last_copy_backend = plan.copy_backend
+            why = str(error)
+        except backend_connection.ConnectionBroken as error:
+            why = str(error)
         except stall_detection.DeadlineReached:
             return _AttemptEnd.LOST
         finally:
@@ -133,6 +127,14 @@
             # connection is back in the pool and must stay open.
             if not connection.usable:
                 connection.close()
+        gateway_common.start_crash_check(
+            self._deps,
+            self._admitted,
+            plan.backend,
+            why,
+            has_output=self._answer.last_event > last_event_before,
+        )
+        return self._handle_loss(plan, why)
 
     def _dispatch(
         self, plan: stream_plan.StreamPlan
@@ -158,7 +160,11 @@
         clock = self._deps.clock
         sent_ms = clock.now_ms()
         reader = stall_detection.StallDetectingReader(
-            self._deps, self._attempts, plan.backend
+            self._deps,
+            self._admitted,
+            self._attempts,
+            plan.backend,
+            first_event=self._answer.last_event + 1,
         )
         limits = stall_detection.first_event_limits(
             self._deps, self._admitted, plan, self._last_event_ms is not None
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -9,8 +9,10 @@
 import typing
 
 from oriolejunction import backends
+from oriolejunction.controllers import run_progress
 from oriolejunction.controllers import stalls
 from oriolejunction.http import gateway_common
+from oriolejunction.http import report_probe
 from oriolejunction.http import stream_plan
 
 LimitsSource = collections.abc.Callable[[], stalls.StallLimits]
@@ -18,7 +20,14 @@
 
 
 class EngineStalled(Exception):
-    """An engine sent nothing for too long, or failed a probe."""
+    """An engine sent nothing for too long, or failed a probe.
+
+    `has_events` is set if the engine reports events that did not arrive.
+    """
+
+    def __init__(self, why: str, has_events: bool = False) -> None:
+        super().__init__(why)
+        self.has_events = has_events
 
 
 class DeadlineReached(Exception):
@@ -31,12 +40,16 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
+        admitted: gateway_common.AdmittedRequest,
         attempts: gateway_common.AttemptTracker,
         backend: backends.Backend,
+        first_event: int,
     ) -> None:
         self._deps = deps
+        self._admitted = admitted
         self._attempts = attempts
         self._backend = backend
+        self._first_event = first_event
 
     async def read(
         self,
@@ -47,15 +60,22 @@
     ) -> Piece:
         """Return the next piece, probing the engine while it is silent.
 
-        Raise `EngineStalled` if a probe fails or the silence reaches its
-        limit, and `DeadlineReached` at the deadline.
+        Raise `EngineStalled` if a probe fails, the engine reports that the
+        answer will not come, or the silence reaches its limit while the
+        engine does not report that it works on the request. Raise
+        `DeadlineReached` at the deadline.
         """
         clock = self._deps.clock
         since_ms = clock.now_ms()
         probe_at_ms = limits().probe_ms
+        report_at_ms = 0.0
+        is_working = False
         while True:
             silent_ms = clock.now_ms() - since_ms
-            wait_ms = min(probe_at_ms, limits().give_up_ms) - silent_ms
+            current = limits()
+            report_at_ms = max(report_at_ms, current.report_ms)
+            give_up_ms = report_at_ms if is_working else current.give_up_ms
+            wait_ms = min(probe_at_ms, report_at_ms, give_up_ms) - silent_ms
             wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
             try:
                 async with asyncio.timeout(wait_ms / 1e3):
@@ -64,7 +84,10 @@
                 silent_ms = clock.now_ms() - since_ms
             if self._attempts.remaining_ms <= 0:
                 raise DeadlineReached
-            if silent_ms >= limits().give_up_ms:
+            if silent_ms >= report_at_ms:
+                is_working = await self._check_report(silent_ms)
+                report_at_ms = silent_ms + stalls.REPORT_INTERVAL_MS
+            if silent_ms >= limits().give_up_ms and not is_working:
                 raise EngineStalled(f"silent for {silent_ms:.0f} ms")
             if not await gateway_common.is_reachable(
                 self._deps, self._backend
@@ -74,6 +97,30 @@
                 )
             probe_at_ms = clock.now_ms() - since_ms + stalls.REPROBE_MS
 
+    async def _check_report(self, silent_ms: float) -> bool:
+        """Return whether the engine reports that it works on the request.
+
+        Raise `EngineStalled` if it reports that the answer will not come.
+        """
+        report = await report_probe.fetch_report(
+            self._deps.pool, self._deps.wire_format, self._backend
+        )
+        progress = run_progress.progress_of(
+            report, self._admitted.request.request_id, self._first_event
+        )
+        gateway_common.log_decision(
+            self._admitted,
+            "engine reported",
+            backend=self._backend.backend_id,
+            progress=progress.value,
+            silent_ms=round(silent_ms),
+        )
+        if progress is run_progress.RunProgress.ANSWER_LOST:
+            raise EngineStalled("the engine's events were lost", True)
+        if progress is run_progress.RunProgress.GONE:
+            raise EngineStalled("the engine does not run the request")
+        return progress is run_progress.RunProgress.WORKING
+
 
 def first_event_limits(
     deps: gateway_common.GatewayDependencies,
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -7,6 +7,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction import ids
 from oriolejunction.platform import configuration_document
+from oriolejunction.platform import engine_report
 
 REQUEST_ID = b"attempt-id"
 DEADLINE = b"deadline-ms"
@@ -240,4 +241,6 @@
     read_head=read_head,
     read_event=read_event,
     read_table=configuration_document.read_table,
+    report_target=engine_report.TARGET,
+    read_report=engine_report.read_report,
 )
--- a/tests/http/test_gateway_stream.py
+++ b/tests/http/test_gateway_stream.py
@@ -317,6 +317,45 @@
         assert len(arrivals(rig)) == 1
 
 
+async def test_engine_that_reports_work_is_not_given_up():
+    """Load: an engine of unknown speed takes thrice the usual prefill."""
+
+    async def slow(arrival):
+        await asyncio.sleep(1.9)
+        await complete(arrival)
+
+    async with gateway_rig.running(llm=[slow, slow]) as rig:
+        for engine in rig.engines_by_service[gateway_rig.LLM]:
+            engine.report = b'{"activeRequests":1,"runs":[]}'
+        assert await read(rig.ask("/brief/1")) == (200, ALL_EVENTS)
+        assert len(arrivals(rig)) == 1
+
+
+async def test_stream_whose_events_were_lost_resumes_from_its_copy():
+    """Load: an engine runs a request and its answer is lost on the way."""
+    async with gateway_rig.running(
+        llm=[complete_after_first(hang)] * 2
+    ) as rig:
+        for engine in rig.engines_by_service[gateway_rig.LLM]:
+            engine.report = b'{"activeRequests":1,"runs":[["a1",900,9,5]]}'
+        assert await read(rig.ask("/brief/1")) == (200, ALL_EVENTS)
+        first, second = arrivals(rig)
+        assert second[1].headers["kv-from"].endswith("/a1")
+
+
+async def test_engine_without_the_request_is_given_up_early():
+    """Load: an engine drops a request; the latency goal is far away."""
+    async with gateway_rig.running(
+        llm=[complete_after_first(hang)] * 2,
+        in_force=gateway_rig.table(stream_goal_ms=2_400.0),
+    ) as rig:
+        for engine in rig.engines_by_service[gateway_rig.LLM]:
+            engine.report = b'{"activeRequests":0,"runs":[]}'
+        start = asyncio.get_running_loop().time()
+        assert await read(rig.ask("/brief/1")) == (200, ALL_EVENTS)
+        assert asyncio.get_running_loop().time() - start < 1.2
+
+
 async def test_engine_that_lost_an_answer_is_not_marked_lost():
     """Load: engines reset some of the answers and keep working."""
     seen = []
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -18,6 +18,7 @@
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_common
 from oriolejunction import ids
+from oriolejunction.platform import engine_report
 from oriolejunction.platform import gateway_dialect
 from oriolejunction import routing_table
 from oriolejunction import states
@@ -111,13 +112,17 @@
 
 
 class Engine:
-    """A backend server whose answers a test scripts."""
+    """A backend server whose answers a test scripts.
+
+    `report` is the body of its report on the requests that it runs.
+    """
 
     def __init__(self, name: str, behave: Behaviour) -> None:
         self.name = name
         self.behave = behave
         self.arrivals: list[Arrival] = []
         self.address = ""
+        self.report: bytes | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -130,10 +135,21 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 arrival = await read_request(reader, writer)
+                if arrival.target == engine_report.TARGET:
+                    self._send_report(writer)
+                    continue
                 self.arrivals.append(arrival)
                 await self.behave(arrival)
                 await writer.drain()
 
+    def _send_report(self, writer) -> None:
+        status = b"200 OK" if self.report is not None else b"404 Not Found"
+        body = self.report or b""
+        writer.write(
+            b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s"
+            % (status, len(body), body)
+        )
+
     async def close(self) -> None:
         """Stop at once."""
         if self._server is not None:
@@ -154,7 +170,9 @@
     return Arrival(method, target, headers, body, reader, writer)
 
 
-def table(version: int = 1, **changes) -> routing_table.RoutingTable:
+def table(
+    version: int = 1, stream_goal_ms: float = 600.0, **changes
+) -> routing_table.RoutingTable:
     """Return a table with a stream, idempotent and non-idempotent route."""
 
     def route(prefix: str, kind: states.RequestKind, service, **overrides):
@@ -178,6 +196,7 @@
                 "/brief/",
                 states.RequestKind.STREAM,
                 LLM,
+                goal_ms=stream_goal_ms,
                 resumable=True,
                 max_event_gap_ms=700.0,
             ),
