Share the resend budget where hundreds of instances have few streams

Cause: each of N instances had an equal part of the extra 150 resends; at 195 instances that is 0.6, so that a stream that crossed two losses was given up with most of its time left, or the second stream that a zone's loss hit at one instance. Ruled out: a floor of one resend for each instance, which exceeds the budget where requests are many. Change: reports carry requests and resends of the window, the hub sums them without causing updates, and an instance goes beyond its part while all together used less than half. A request that is given up logs one of five reasons.

--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -22,6 +22,7 @@
 MAX_IDLE_BACKENDS = 512
 
 _Counts = tuple[int, ...]
+_REQUESTS, _RESENDS = range(2)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,6 +113,10 @@
         self._suspects = collections.Counter()
         self._crashes: collections.Counter[ids.Fingerprint]
         self._crashes = collections.Counter()
+        # Requests and resends by service; they change with each request and
+        # therefore cause no update of their own.
+        self._uses: collections.Counter[tuple[ids.ServiceName, int]]
+        self._uses = collections.Counter()
         self._oldest_delta_number = 0
         self._change_number = 0
 
@@ -137,6 +142,7 @@
             report,
             self._clock.now_ms(),
         )
+        self._replace_uses(previous, report)
         if direct:
             self._unforwarded[report.instance] = report
         if previous is not None and _content(previous) == _content(report):
@@ -155,6 +161,25 @@
         self._expire_reports()
         return len(self._timed_report_by_instance)
 
+    def uses_of_others(
+        self, instance: ids.InstanceId
+    ) -> tuple[fm.ServiceUse, ...]:
+        """Return what the other instances sent to each service."""
+        self._expire_reports()
+        others = self._uses - _uses(self._report_of(instance))
+        return tuple(
+            fm.ServiceUse(
+                service, others[service, _REQUESTS], others[service, _RESENDS]
+            )
+            for service in sorted({service for service, _ in others})
+        )
+
+    def _replace_uses(
+        self, before: fm.EntryReport | None, after: fm.EntryReport | None
+    ) -> None:
+        self._uses.update(_uses(after))
+        self._uses.subtract(_uses(before))
+
     def update_for(self, instance: ids.InstanceId, seen: int) -> FleetUpdate:
         """Return what changed since `seen` at the other instances.
 
@@ -215,6 +240,7 @@
             if received_ms >= oldest_ms:
                 return
             del self._timed_report_by_instance[instance]
+            self._replace_uses(report, None)
             self._replace(report, None)
 
 
@@ -249,6 +275,17 @@
     }
 
 
+def _uses(
+    report: fm.EntryReport | None,
+) -> collections.Counter[tuple[ids.ServiceName, int]]:
+    counts: collections.Counter[tuple[ids.ServiceName, int]]
+    counts = collections.Counter()
+    for use in report.uses if report is not None else ():
+        counts[use.service, _REQUESTS] = use.requests
+        counts[use.service, _RESENDS] = use.resends
+    return counts
+
+
 def _suspects(
     report: fm.EntryReport | None,
 ) -> collections.Counter[ids.BackendId]:
--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -1,19 +1,26 @@
 """This instance's part of the budget for sending requests again.
 
-Load pattern: when many requests fail at once, sending each again multiplies
+Load patterns: when many requests fail at once, sending each again multiplies
 the load. In any window, all instances together may resend to a service
-`ratio` times its requests plus `extra`. Each instance counts its own requests
-and uses an equal part of `extra`.
+`ratio` times its requests plus `extra`. Where hundreds of instances have few
+streams each, an equal part of `extra` is less than one resend, while the loss
+of a zone needs several at the instances that it happens to hit. An instance
+therefore goes beyond its own part as long as all together have used little of
+the budget.
 """
 
 import collections
 import dataclasses
 
 from oriolejunction import clock as clocks
+from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 
 # Leaves a reserve, since instances count requests and windows separately.
 SAFETY_FACTOR = 0.8
+# Fraction of the whole budget up to which an instance exceeds its own part;
+# the rest covers what others resend before their counts arrive.
+SHARED_FRACTION = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,17 +47,46 @@
         """Count the first send of a request."""
         self._recent(self._requests[service]).append(self._clock.now_ms())
 
-    def allows(self, service: ids.ServiceName, entries: int) -> bool:
-        """Return whether this instance, one of `entries`, may resend."""
+    def allows(
+        self,
+        service: ids.ServiceName,
+        entries: int,
+        others: fm.ServiceUse | None = None,
+    ) -> bool:
+        """Return whether this instance, one of `entries`, may resend.
+
+        `others` is what the other instances sent; None if that is not known
+        or too old.
+        """
         requests = len(self._recent(self._requests[service]))
         resends = len(self._recent(self._resends[service]))
-        limit = self._limits.ratio * requests + self._limits.extra / entries
-        return resends + 1 <= SAFETY_FACTOR * limit
+        own_limit = self._limits.ratio * requests
+        own_limit += self._limits.extra / entries
+        if resends + 1 <= SAFETY_FACTOR * own_limit:
+            return True
+        if others is None:
+            return False
+        limit = self._limits.ratio * (requests + others.requests)
+        limit += self._limits.extra
+        return resends + others.resends + 1 <= SHARED_FRACTION * limit
 
     def spend(self, service: ids.ServiceName) -> None:
         """Count a resend."""
         self._recent(self._resends[service]).append(self._clock.now_ms())
 
+    def uses(self) -> tuple[fm.ServiceUse, ...]:
+        """Return the counts of the current window, to be reported."""
+        services = sorted({*self._requests, *self._resends})
+        uses = (
+            fm.ServiceUse(
+                service,
+                len(self._recent(self._requests[service])),
+                len(self._recent(self._resends[service])),
+            )
+            for service in services
+        )
+        return tuple(use for use in uses if use.requests or use.resends)
+
     def _recent(
         self, times_ms: collections.deque[float]
     ) -> collections.deque[float]:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -196,6 +196,7 @@
                 for fingerprint, count in self._deps.guard.crashes().items()
             ),
             speeds=self._deps.speeds.own_speeds(),
+            uses=self._deps.budget.uses(),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -40,6 +40,14 @@
     crashes: int
 
 
+class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
+    """Requests to a service and resends of them in the last window."""
+
+    service: ids.ServiceName
+    requests: int
+    resends: int
+
+
 class EntryReport(msgspec.Struct, frozen=True, array_like=True):
     """Load and observations of one entry instance.
 
@@ -54,6 +62,7 @@
     suspects: tuple[ids.BackendId, ...] = ()
     crashes: tuple[CrashCount, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
+    uses: tuple[ServiceUse, ...] = ()
 
 
 class ListingSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -102,7 +111,8 @@
     are sums over the other entry instances; `entries` counts all entry
     instances, the receiver included. `loads` and `speeds` hold what changed
     since the change number in the request, or everything if `whole` is set;
-    `suspects` and `crashes` are complete whenever `seen` has changed.
+    `suspects` and `crashes` are complete whenever `seen` has changed. `uses`
+    are sums over the other entry instances and always complete.
     `replicas` are the control replicas' peer addresses and availability
     zones.
     """
@@ -119,6 +129,7 @@
     crashes: tuple[CrashCount, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
     entries: int = 1
+    uses: tuple[ServiceUse, ...] = ()
     replicas: tuple[tuple[str, str], ...] = ()
 
 
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -5,6 +5,9 @@
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 
+# Counts of resends are used for this long after the last watch reply.
+MAX_USE_AGE_MS = 1_000.0
+
 
 @dataclasses.dataclass(frozen=True)
 class FleetView:
@@ -21,13 +24,25 @@
         default_factory=dict
     )
     entry_count: int = 1
+    use_by_service: dict[ids.ServiceName, fm.ServiceUse] = dataclasses.field(
+        default_factory=dict
+    )
     updated_at_ms: float = float("-inf")
 
+    def use_by_others(
+        self, service: ids.ServiceName, now_ms: float
+    ) -> fm.ServiceUse | None:
+        """Return what the others sent to a service, None if too old."""
+        if now_ms - self.updated_at_ms > MAX_USE_AGE_MS:
+            return None
+        return self.use_by_service.get(service, fm.ServiceUse(service, 0, 0))
+
 
 def apply_reply(
     current: FleetView, reply: fm.WatchReply, now_ms: float
 ) -> FleetView:
     """Return the view after a watch reply with changes is applied."""
+    current = apply_counts(current, reply, now_ms)
     loads = {} if reply.whole else dict(current.load_by_id)
     for load in reply.loads:
         if load.streams or load.kv_tokens or load.prefill_tokens:
@@ -40,13 +55,24 @@
             speeds[speed.backend_id] = speed
         else:
             speeds.pop(speed.backend_id, None)
-    return FleetView(
+    return dataclasses.replace(
+        current,
         load_by_id=loads,
         suspects=frozenset(reply.suspects),
         crashes_by_request={
             each.fingerprint: each.crashes for each in reply.crashes
         },
         speed_by_id=speeds,
+    )
+
+
+def apply_counts(
+    current: FleetView, reply: fm.WatchReply, now_ms: float
+) -> FleetView:
+    """Return the view with the counts that each reply contains."""
+    return dataclasses.replace(
+        current,
         entry_count=reply.entries,
+        use_by_service={use.service: use for use in reply.uses},
         updated_at_ms=now_ms,
     )
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -134,7 +134,7 @@
             QUEUE_WAIT_FRACTION * self._admitted.route.latency_goal_ms,
             placement_queue.PlacementRequest(
                 self._choose_backend,
-                self._attempts.may_wait,
+                self._attempts.may_send,
                 lambda backend: None,
             ),
         )
@@ -243,6 +243,7 @@
         gateway_common.log_decision(
             self._admitted,
             "call given up",
+            reason=self._attempts.why_given_up(),
             sent=self._attempts.sent,
             ran=self._attempts.possibly_run,
             left_ms=round(self._attempts.remaining_ms),
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -29,6 +29,7 @@
 from oriolejunction.http import placement_queue
 from oriolejunction import ids
 from oriolejunction import routing_table
+from oriolejunction import states
 from oriolejunction import telemetry
 
 # After the loss of a zone, its engines are listed again in about this time.
@@ -144,20 +145,30 @@
         """Return the time until the request's deadline."""
         return self._admitted.deadline_ms - self._deps.clock.now_ms()
 
-    def may_send(self) -> bool:
-        """Return whether the request may go to one more server."""
+    def send_refusal(self) -> states.SendRefusal | None:
+        """Return why the request may go to no more servers, if so."""
+        if self.remaining_ms <= 0:
+            return states.SendRefusal.DEADLINE
         if self.possibly_run >= self._admitted.route.max_attempts:
-            return False
+            return states.SendRefusal.MAX_ATTEMPTS
         if not self.sent:
-            return True
+            return None
         if is_blocked(self._deps, self._admitted):
-            return False
-        entries = self._deps.blackboard.fleet.read().entry_count
-        return self._deps.budget.allows(self._admitted.service.name, entries)
+            return states.SendRefusal.CRASHED_ENGINES
+        service = self._admitted.service.name
+        fleet = self._deps.blackboard.fleet.read()
+        others = fleet.use_by_others(service, self._deps.clock.now_ms())
+        if not self._deps.budget.allows(service, fleet.entry_count, others):
+            return states.SendRefusal.RESEND_BUDGET
+        return None
+
+    def may_send(self) -> bool:
+        """Return whether the request may go to one more server."""
+        return self.send_refusal() is None
 
-    def may_wait(self) -> bool:
-        """Return whether waiting for a server still makes sense."""
-        return self.remaining_ms > 0 and self.may_send()
+    def why_given_up(self) -> str:
+        """Return the reason for a log line once no answer will come."""
+        return (self.send_refusal() or states.SendRefusal.NO_CAPACITY).value
 
     def count_sent(self) -> None:
         """Count a request sent to a server; charge a retry to the budget."""
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -349,6 +349,7 @@
         gateway_common.log_decision(
             self._admitted,
             "stream given up",
+            reason=self._attempts.why_given_up(),
             sent=self._attempts.sent,
             ran=self._attempts.possibly_run,
             delivered=self._answer.last_event,
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -77,7 +77,7 @@
             self._attempts,
             RESUME_WAIT_MS if has_started else QUEUE_WAIT_FRACTION * goal_ms,
             placement_queue.PlacementRequest(
-                self._try_plan, self._attempts.may_wait, self.release
+                self._try_plan, self._attempts.may_send, self.release
             ),
             tokens=self._requirements().kv_tokens,
             has_started=has_started,
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -252,6 +252,7 @@
             crashes=update.crashes,
             speeds=update.speeds,
             entries=max(1, hub.entry_count()),
+            uses=hub.uses_of_others(request.instance),
             replicas=tuple(
                 (member.address, member.zone)
                 for member in self._replica.membership.members()
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -205,11 +205,7 @@
             reply.seen == self._seen
             and reply.boot == self._replica_incarnation
         ):
-            self._write_fleet(
-                dataclasses.replace(
-                    current, updated_at_ms=now_ms, entry_count=reply.entries
-                )
-            )
+            self._write_fleet(fleet_view.apply_counts(current, reply, now_ms))
             return
         self._seen, self._replica_incarnation = reply.seen, reply.boot
         self._write_fleet(fleet_view.apply_reply(current, reply, now_ms))
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -45,6 +45,16 @@
     FINISHED = "finished"
 
 
+class SendRefusal(enum.Enum):
+    """Why a request is not sent to a backend server, or not again."""
+
+    DEADLINE = "deadline"
+    MAX_ATTEMPTS = "max_attempts"
+    CRASHED_ENGINES = "crashed_engines"
+    RESEND_BUDGET = "resend_budget"
+    NO_CAPACITY = "no_capacity"
+
+
 class LossCause(enum.Enum):
     """How an engine lost its attempt at a generation.
 
--- a/tests/controllers/test_fleet_hub.py
+++ b/tests/controllers/test_fleet_hub.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import fleet_hub
@@ -43,6 +44,32 @@
     assert hub.entry_count() == 3
 
 
+def test_uses_of_others_are_summed_and_expire():
+    clock = clocks.ManualClock()
+    hub = fleet_hub.FleetHub(clock)
+    service = ids.ServiceName("llm")
+    for number, name in enumerate("abc", start=1):
+        hub.put(
+            msgspec.structs.replace(
+                report(name, 1),
+                uses=(fm.ServiceUse(service, 10 * number, number),),
+            ),
+            direct=True,
+        )
+    own = ids.InstanceId("a")
+    assert hub.uses_of_others(own) == (fm.ServiceUse(service, 50, 5),)
+    changed = hub.put(
+        msgspec.structs.replace(
+            report("b", 2), uses=(fm.ServiceUse(service, 21, 3),)
+        ),
+        direct=True,
+    )
+    assert not changed
+    assert hub.uses_of_others(own) == (fm.ServiceUse(service, 51, 6),)
+    clock.advance(fleet_hub.REPORT_TTL_MS + 1.0)
+    assert hub.uses_of_others(own) == ()
+
+
 def test_late_report_does_not_replace_a_newer_one():
     hub = fleet_hub.FleetHub(clocks.ManualClock())
     hub.put(report("a", 2, streams=7), direct=True)
