Spread waves over similar engines and know engines by their machines

Nine of nine machines seen twice kept their speed in the next incarnation. Ruled out: sums that arrive sooner (the choices fall within one round trip). Change: jitter of nearly the delay by another's prompt instead of 150 ms; an incarnation inherits the speed of the one before it on its machine; unknown engines count 1.4 times as slow as the median. The report is asked with the limits of the moment, since a falling estimate led past it.

--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -4,13 +4,16 @@
 of two, and one instance runs few of the streams, so it also uses what the
 other instances observed. Some engines turn slow for a few seconds. The
 prefill of another stream stretches single gaps tenfold, so that a mean says
-more about an engine's neighbours than about its speed.
+more about an engine's neighbours than about its speed. After the loss of a
+zone its engines are back as new incarnations on the same machines, idle, and
+all instances choose among them at once.
 """
 
 import collections
 import dataclasses
 import statistics
 
+from oriolejunction import backends
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import silence_detector
 from oriolejunction import fleet_messages as fm
@@ -20,6 +23,10 @@
 DEFAULT_EVENT_MS = 32.0
 DEFAULT_PREFILL_MS_PER_K = 130.0
 PREFILL_WEIGHT = 0.3
+# An engine of unknown speed counts as slower than the median by this factor,
+# the mean where a third of the engines takes more than twice as long.
+UNKNOWN_FACTOR = 1.4
+MAX_FORMER_MACHINES = 4_096
 # The prefill of a shorter prompt says little about an engine's speed.
 MIN_PREFILL_TOKENS = 1_000
 # The median over this many event gaps follows an engine that turns slow
@@ -58,6 +65,11 @@
         self._own_by_id: dict[ids.BackendId, SpeedEstimate] = {}
         self._reported_by_id: dict[ids.BackendId, fm.EngineSpeed] = {}
         self._cached_medians: tuple[float, float] | None = None
+        self._listed_by_id: dict[ids.BackendId, backends.Backend] = {}
+        # Speeds of former incarnations, by service and address.
+        self._former_by_machine: dict[
+            tuple[ids.ServiceName, str], fm.EngineSpeed
+        ] = {}
 
     def add_gap(self, backend_id: ids.BackendId, gap_ms: float) -> None:
         """Record the time between two events of a stream."""
@@ -95,6 +107,20 @@
 
     def event_ms(self, backend_id: ids.BackendId) -> float:
         """Return the expected time between two events."""
+        known_ms = self._known_event_ms(backend_id)
+        return known_ms or UNKNOWN_FACTOR * self.typical_event_ms()
+
+    def prefill_ms_per_k(self, backend_id: ids.BackendId) -> float:
+        """Return the expected prefill time of a thousand prompt tokens.
+
+        An engine whose prefill was not observed yet is as fast or as slow in
+        prefill as it is in decode.
+        """
+        known_ms = self._known_prefill_ms_per_k(backend_id)
+        relative = self.event_ms(backend_id) / self.typical_event_ms()
+        return known_ms or relative * self.typical_prefill_ms_per_k()
+
+    def _known_event_ms(self, backend_id: ids.BackendId) -> float | None:
         own = self._own_by_id.get(backend_id)
         own_ms = own.event_ms if own is not None else None
         if own_ms is not None and self._is_fresh(own):
@@ -102,22 +128,29 @@
         reported = self._reported_by_id.get(backend_id)
         if reported is not None and reported.event_ms > 0:
             return reported.event_ms
-        return own_ms or self.typical_event_ms()
-
-    def prefill_ms_per_k(self, backend_id: ids.BackendId) -> float:
-        """Return the expected prefill time of a thousand prompt tokens.
+        former = self._former_speed(backend_id)
+        return own_ms or (former.event_ms if former is not None else None)
 
-        An engine whose prefill was not observed yet is as fast or as slow in
-        prefill as it is in decode.
-        """
+    def _known_prefill_ms_per_k(
+        self, backend_id: ids.BackendId
+    ) -> float | None:
         own = self._own_by_id.get(backend_id)
         if own is not None and own.prefill_ms_per_k is not None:
             return own.prefill_ms_per_k
         reported = self._reported_by_id.get(backend_id)
         if reported is not None and reported.prefill_ms_per_k > 0:
             return reported.prefill_ms_per_k
-        relative = self.event_ms(backend_id) / self.typical_event_ms()
-        return relative * self.typical_prefill_ms_per_k()
+        former = self._former_speed(backend_id)
+        return former.prefill_ms_per_k if former is not None else None
+
+    def _former_speed(
+        self, backend_id: ids.BackendId
+    ) -> fm.EngineSpeed | None:
+        """Return the speed of the last incarnation on the same machine."""
+        backend = self._listed_by_id.get(backend_id)
+        if backend is None:
+            return None
+        return self._former_by_machine.get((backend.service, backend.address))
 
     def _is_fresh(self, estimate: SpeedEstimate) -> bool:
         age_ms = self._clock.now_ms() - estimate.observed_at_ms
@@ -153,10 +186,27 @@
             if speed.event_ms is not None
         )
 
-    def retain_only(self, listed: set[ids.BackendId]) -> None:
-        """Drop engines that are no longer listed."""
-        for backend_id in set(self._own_by_id) - listed:
-            del self._own_by_id[backend_id]
+    def update_listed(
+        self, listed: dict[ids.BackendId, backends.Backend]
+    ) -> None:
+        """Drop engines that are no longer listed.
+
+        A later incarnation on the same machine inherits their speed.
+        """
+        for backend_id in self._listed_by_id.keys() - listed.keys():
+            backend = self._listed_by_id[backend_id]
+            event_ms = self._known_event_ms(backend_id)
+            if event_ms is not None:
+                machine = (backend.service, backend.address)
+                self._former_by_machine[machine] = fm.EngineSpeed(
+                    backend_id,
+                    event_ms,
+                    self._known_prefill_ms_per_k(backend_id) or 0.0,
+                )
+            self._own_by_id.pop(backend_id, None)
+        while len(self._former_by_machine) > MAX_FORMER_MACHINES:
+            del self._former_by_machine[next(iter(self._former_by_machine))]
+        self._listed_by_id = dict(listed)
 
     def _own_estimate(self, backend_id: ids.BackendId) -> SpeedEstimate:
         return self._own_by_id.setdefault(backend_id, SpeedEstimate())
--- a/src/oriolejunction/controllers/overload/placement.py
+++ b/src/oriolejunction/controllers/overload/placement.py
@@ -35,8 +35,9 @@
 # Another zone costs traffic between zones.
 CROSS_ZONE_MS = 60.0
 # Instances that choose at the same moment do not know of each other's choice.
-# Jitter spreads them over the engines whose scores differ by less than this.
-JITTER_MS = 150.0
+# Jitter spreads them over the engines whose scores differ by less than this,
+# which is a little less than the delay by a prompt that another one placed.
+JITTER_MS = 700.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -68,12 +68,12 @@
         clock = self._deps.clock
         since_ms = clock.now_ms()
         probe_at_ms = limits().probe_ms
-        report_at_ms = 0.0
+        next_report_ms = 0.0
         is_working = False
         while True:
             silent_ms = clock.now_ms() - since_ms
             current = limits()
-            report_at_ms = max(report_at_ms, current.report_ms)
+            report_at_ms = max(next_report_ms, current.report_ms)
             give_up_ms = report_at_ms if is_working else current.give_up_ms
             wait_ms = min(probe_at_ms, report_at_ms, give_up_ms) - silent_ms
             wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
@@ -84,10 +84,11 @@
                 silent_ms = clock.now_ms() - since_ms
             if self._attempts.remaining_ms <= 0:
                 raise DeadlineReached
-            if silent_ms >= report_at_ms:
+            current = limits()
+            if silent_ms >= max(next_report_ms, current.report_ms):
                 is_working = await self._check_report(silent_ms)
-                report_at_ms = silent_ms + stalls.REPORT_INTERVAL_MS
-            if silent_ms >= limits().give_up_ms and not is_working:
+                next_report_ms = silent_ms + stalls.REPORT_INTERVAL_MS
+            if silent_ms >= current.give_up_ms and not is_working:
                 raise EngineStalled(f"silent for {silent_ms:.0f} ms")
             if not await gateway_common.is_reachable(
                 self._deps, self._backend
--- a/tests/controllers/overload/test_placement.py
+++ b/tests/controllers/overload/test_placement.py
@@ -1,5 +1,6 @@
 """Placement under its load patterns, simulated without engines."""
 
+import collections
 import dataclasses
 import random
 
@@ -236,6 +237,28 @@
     assert latest_first_ms < 4_500
 
 
+def test_instances_with_the_same_view_spread_a_wave():
+    """Load: 15 instances place a lost zone's streams on what they know.
+
+    None of them knows of the others' choices yet.
+    """
+    fleet = Fleet(speeds=(0.7, 0.7, 0.7, 0.7))
+    for number, engine in enumerate(fleet.engines):
+        engine["speed"] = 0.7 + 0.003 * number
+    requirements = dataclasses.replace(REQUIREMENTS, events=140.0)
+    most = []
+    for seed in range(20):
+        rng = random.Random(seed)
+        counts = collections.Counter(
+            placement.choose_engine(
+                fleet.candidates(), requirements, rng
+            ).backend.backend_id
+            for _ in range(15)
+        )
+        most.append(max(counts.values()))
+    assert sum(most) / len(most) <= 5
+
+
 def test_slow_engine_in_time_goes_before_a_fast_one_that_is_late():
     """Load: a zone's streams return at once and fill the fast engines."""
     fleet = Fleet(speeds=(0.7, 0.7, 1.7, 0.7))
--- a/tests/controllers/test_engine_speeds.py
+++ b/tests/controllers/test_engine_speeds.py
@@ -1,5 +1,6 @@
 """Speeds of engines whose streams are slowed by prefills of others."""
 
+from oriolejunction import backends
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import engine_speeds
 from oriolejunction import fleet_messages as fm
@@ -51,3 +52,35 @@
         }
     )
     assert speeds.prefill_ms_per_k(SLOW) == 225.0
+
+
+def test_engine_back_on_its_machine_is_as_fast_as_before():
+    """Load: a zone's engines crash and return as new incarnations."""
+    speeds = speeds_of()
+    before, after = backend(SLOW, "10.0.0.1:1"), backend(NEW, "10.0.0.1:1")
+    other = backend(FAST, "10.0.0.2:1", "desk")
+    speeds.update_listed({SLOW: before})
+    for _ in range(8):
+        speeds.add_gap(SLOW, 70.0)
+    speeds.add_prefill(SLOW, 8_000, 2_400.0)
+    speeds.update_listed({FAST: other})
+    speeds.update_listed({FAST: other, NEW: after})
+    assert speeds.event_ms(NEW) == 70.0
+    assert speeds.prefill_ms_per_k(NEW) == 300.0
+
+
+def test_engine_on_an_address_of_another_service_inherits_nothing():
+    """Load: addresses are used again by engines of other services."""
+    speeds = speeds_of()
+    speeds.update_listed({SLOW: backend(SLOW, "10.0.0.1:1", "desk")})
+    for _ in range(8):
+        speeds.add_gap(SLOW, 70.0)
+    speeds.update_listed({NEW: backend(NEW, "10.0.0.1:1")})
+    unknown_ms = engine_speeds.UNKNOWN_FACTOR * speeds.typical_event_ms()
+    assert speeds.event_ms(NEW) == unknown_ms
+
+
+def backend(backend_id, address, service="llm"):
+    return backends.Backend(
+        backend_id, ids.ServiceName(service), address, ids.ZoneId("z0")
+    )
