Forecast the wait for an engine, and spread the returns of rejected callers

Change: the ends of the running streams, their speeds and the waiting requests of all instances give a forecast; what cannot be placed in time is rejected at once, what can only be late waits behind those in time; rejected callers return one per interval in which capacity comes free; a returning caller's time counts from its first try. Changes wake the queue, and what does not fit one request is not tried for a larger one. Tests replay a lost zone with forty waiting streams, returns, and a hundred waiters. One test of the queue tells it of freed slots now, and one gives its faulty request fewer tokens, since both relied on the poll; their asserts are unchanged.

--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -22,7 +22,7 @@
 MAX_IDLE_BACKENDS = 512
 
 _Counts = tuple[int, ...]
-_REQUESTS, _RESENDS = range(2)
+_REQUESTS, _RESENDS, _WAITING = range(3)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,8 +113,8 @@
         self._suspects = collections.Counter()
         self._crashes: collections.Counter[ids.Fingerprint]
         self._crashes = collections.Counter()
-        # Requests and resends by service; they change with each request and
-        # therefore cause no update of their own.
+        # Requests, resends and waiting requests by service. They change with
+        # each request and therefore cause no update of their own.
         self._uses: collections.Counter[tuple[ids.ServiceName, int]]
         self._uses = collections.Counter()
         self._oldest_delta_number = 0
@@ -169,7 +169,10 @@
         others = self._uses - _uses(self._report_of(instance))
         return tuple(
             fm.ServiceUse(
-                service, others[service, _REQUESTS], others[service, _RESENDS]
+                service,
+                others[service, _REQUESTS],
+                others[service, _RESENDS],
+                others[service, _WAITING],
             )
             for service in sorted({service for service, _ in others})
         )
@@ -283,6 +286,7 @@
     for use in report.uses if report is not None else ():
         counts[use.service, _REQUESTS] = use.requests
         counts[use.service, _RESENDS] = use.resends
+        counts[use.service, _WAITING] = use.waiting
     return counts
 
 
--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -74,18 +74,23 @@
         """Count a resend."""
         self._recent(self._resends[service]).append(self._clock.now_ms())
 
-    def uses(self) -> tuple[fm.ServiceUse, ...]:
+    def uses(
+        self, waiting_by_service: dict[ids.ServiceName, int]
+    ) -> tuple[fm.ServiceUse, ...]:
         """Return the counts of the current window, to be reported."""
-        services = sorted({*self._requests, *self._resends})
+        services = {*self._requests, *self._resends, *waiting_by_service}
         uses = (
             fm.ServiceUse(
                 service,
                 len(self._recent(self._requests[service])),
                 len(self._recent(self._resends[service])),
+                waiting_by_service.get(service, 0),
             )
-            for service in services
+            for service in sorted(services)
+        )
+        return tuple(
+            use for use in uses if use.requests or use.resends or use.waiting
         )
-        return tuple(use for use in uses if use.requests or use.resends)
 
     def _recent(
         self, times_ms: collections.deque[float]
--- a/src/oriolejunction/controllers/overload/wait_queue.py
+++ b/src/oriolejunction/controllers/overload/wait_queue.py
@@ -7,10 +7,12 @@
 its deadline.
 
 Streams that have started go first, since their callers see the pause. Next
-come requests with a lower rank, and within a rank those of the workspace that
-was served the fewest tokens. Once a request has waited for half of its time
-limit, its rank no longer delays it, and shorter requests behind it must not
-take the memory that it waits for.
+come requests that can still meet their latency goal, among them those with a
+lower rank, and within a rank those of the workspace that was served the
+fewest tokens. Once a request has waited for half of its time limit, neither
+its rank nor its missed goal delays it any more, and shorter requests behind
+it must not take the memory that it waits for. The time of a caller that was
+rejected and came back counts from its first try.
 """
 
 import collections
@@ -31,6 +33,7 @@
 class Waiter(typing.Generic[Item]):
     """A request that waits from `since_ms` to `until_ms` at most.
 
+    It misses its latency goal if it is placed after `goal_until_ms`.
     `tokens` is the KV cache that it needs, and a lower `rank` is more
     urgent. `has_exclusions` is set once some servers are excluded for it;
     whether it fits then says nothing about whether others fit.
@@ -45,6 +48,7 @@
     until_ms: float
     has_exclusions: bool
     item: Item
+    goal_until_ms: float = float("inf")
 
     def is_near_deadline(self, now_ms: float) -> bool:
         """Return whether half of its time to wait has passed."""
@@ -72,6 +76,10 @@
         """Return the services that have waiting requests."""
         return [s for s, queue in self._queue_by_service.items() if queue]
 
+    def count(self, service: ids.ServiceName) -> int:
+        """Return how many requests wait for a service."""
+        return len(self._queue_by_service[service])
+
     def add(self, waiter: Waiter[Item]) -> None:
         """Add a request behind the others of its workspace."""
         queue = self._queue_by_service[waiter.service]
@@ -94,10 +102,11 @@
 
         def key(queued: fair_queue.QueuedItem[Waiter[Item]]) -> tuple:
             waiter = queued.item
-            rank = 0 if waiter.is_near_deadline(now_ms) else waiter.rank
+            near_deadline = waiter.is_near_deadline(now_ms)
             return (
                 not waiter.started,
-                rank,
+                not near_deadline and now_ms > waiter.goal_until_ms,
+                0 if near_deadline else waiter.rank,
                 queued.start_tag,
                 waiter.since_ms,
             )
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -196,7 +196,7 @@
                 for fingerprint, count in self._deps.guard.crashes().items()
             ),
             speeds=self._deps.speeds.own_speeds(),
-            uses=self._deps.budget.uses(),
+            uses=self._deps.budget.uses(self._deps.queue.waiting_by_service()),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
@@ -204,7 +204,7 @@
             return
         listed = set(snapshot.by_id)
         self._deps.health.retain_only(listed)
-        self._deps.speeds.retain_only(listed)
+        self._deps.speeds.update_listed(snapshot.by_id)
         self._deps.pool.retain_only(
             {b.address for b in snapshot.by_id.values()}
         )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -41,11 +41,15 @@
 
 
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
-    """Requests to a service and resends of them in the last window."""
+    """Requests to a service and resends of them in the last window.
+
+    `waiting` counts the requests that wait for a backend server now.
+    """
 
     service: ids.ServiceName
     requests: int
     resends: int
+    waiting: int = 0
 
 
 class EntryReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -29,6 +29,9 @@
 # stays for the answer.
 TABLE_WAIT_MS = 600.0
 TABLE_POLL_MS = 20.0
+# Without a table, the caller's remaining time is not known.
+TABLE_RETURN_LIMIT_MS = 6_000.0
+NO_SERVICE = ids.ServiceName("")
 # Short, since any other instance can serve the request.
 LEAVING_RETRY_AFTER_MS = 20
 _log = structlog.get_logger(__name__)
@@ -126,7 +129,9 @@
             raise errors.Failure(
                 errors.NoTable(
                     "no configuration has reached this instance yet",
-                    retry_after_ms=gateway_common.RETRY_AFTER_MS,
+                    retry_after_ms=self._deps.returns.return_after_ms(
+                        NO_SERVICE, TABLE_RETURN_LIMIT_MS
+                    ),
                 )
             )
         body = await self._read_body(request, table.limits.body_bytes)
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import hashlib
+import math
 import random
 
 from aiohttp import web
@@ -20,6 +21,7 @@
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.controllers import stalls
 from oriolejunction import errors
@@ -32,8 +34,6 @@
 from oriolejunction import states
 from oriolejunction import telemetry
 
-# After the loss of a zone, its engines are listed again in about this time.
-RETRY_AFTER_MS = 1_000
 # HTTP "Misdirected Request": another incarnation now has the address.
 MISDIRECTED_STATUS = 421
 # Shorter waits for a backend server are not logged.
@@ -58,6 +58,8 @@
     lengths: answer_lengths.AnswerLengths
     telemetry: telemetry.GatewayTelemetry
     queue: placement_queue.PlacementQueue
+    release_intervals: wait_forecast.IntervalCache
+    returns: wait_forecast.ReturnSchedule
     background_tasks: set[asyncio.Task] = dataclasses.field(
         default_factory=set
     )
@@ -75,6 +77,9 @@
     own_loads = load_table.LoadTable()
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
+    queue = placement_queue.PlacementQueue(clock)
+    for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
+        changes.subscribe(lambda _: queue.notify_capacity())
     return GatewayDependencies(
         clock=clock,
         blackboard=blackboard,
@@ -90,7 +95,9 @@
         guard=crash_guard.CrashGuard(clock),
         lengths=answer_lengths.AnswerLengths(),
         telemetry=telemetry.GatewayTelemetry(),
-        queue=placement_queue.PlacementQueue(clock),
+        queue=queue,
+        release_intervals=wait_forecast.IntervalCache(clock),
+        returns=wait_forecast.ReturnSchedule(clock),
     )
 
 
@@ -110,6 +117,17 @@
     deadline_ms: float
     web_request: web.Request
 
+    @property
+    def began_ms(self) -> float:
+        """Return the time of the caller's first try, as far as known.
+
+        A caller that comes back states the rest of its time as its deadline.
+        """
+        if self.request.deadline_ms is None:
+            return self.request.received_ms
+        first_ms = self.request.deadline_ms - self.route.timeout_ms
+        return min(first_ms, self.request.received_ms)
+
     @functools.cached_property
     def fingerprint(self) -> ids.Fingerprint:
         """Return a digest that each retry by the caller shares."""
@@ -139,6 +157,9 @@
         self.sent = 0
         self.possibly_run = 0
         self.excluded: set[ids.BackendId] = set()
+        # Last forecast for a backend server with capacity, if there is one.
+        self.expected_wait_ms = math.inf
+        self.return_interval_ms = math.inf
 
     @property
     def remaining_ms(self) -> float:
@@ -202,7 +223,15 @@
             return errors.NoCapacity(message)
         if self.possibly_run:
             return errors.AnswerUnknown(message)
-        return errors.NoCapacity(message, retry_after_ms=RETRY_AFTER_MS)
+        return errors.NoCapacity(
+            message,
+            retry_after_ms=self._deps.returns.return_after_ms(
+                self._admitted.service.name,
+                self.remaining_ms,
+                self.expected_wait_ms,
+                self.return_interval_ms,
+            ),
+        )
 
 
 def is_blocked(deps: GatewayDependencies, admitted: AdmittedRequest) -> bool:
@@ -224,8 +253,13 @@
     placement_request: placement_queue.PlacementRequest,
     tokens: int = 0,
     has_started: bool = False,
+    goal_until_ms: float = math.inf,
 ):
-    """Return the assignment of a request, None if there was none in time."""
+    """Return the assignment of a request, None if there was none in time.
+
+    The request waits for `wait_ms` at most. It misses its latency goal if it
+    is placed after `goal_until_ms`.
+    """
     now_ms = deps.clock.now_ms()
     waiter = wait_queue.Waiter(
         service=admitted.service.name,
@@ -233,10 +267,11 @@
         started=has_started,
         rank=admitted.rank,
         tokens=tokens,
-        since_ms=now_ms,
+        since_ms=min(now_ms, admitted.began_ms),
         until_ms=now_ms + min(wait_ms, attempts.remaining_ms),
         has_exclusions=bool(attempts.excluded),
         item=placement_request,
+        goal_until_ms=goal_until_ms,
     )
     assignment = await deps.queue.wait(waiter)
     waited_ms = deps.clock.now_ms() - now_ms
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -7,6 +7,7 @@
 from oriolejunction.controllers import event_answer
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import placement
+from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
@@ -70,23 +71,77 @@
 
         `has_started` is set once the caller has the head of the answer.
         """
-        goal_ms = self._admitted.route.latency_goal_ms
+        requirements = self._requirements()
+        now_ms = self._deps.clock.now_ms()
+        prefill_ms = (
+            requirements.prompt_tokens
+            / 1_000
+            * self._deps.speeds.typical_prefill_ms_per_k()
+        )
         return await gateway_common.wait_for_backend(
             self._deps,
             self._admitted,
             self._attempts,
-            RESUME_WAIT_MS if has_started else QUEUE_WAIT_FRACTION * goal_ms,
+            self._max_wait_ms(has_started, prefill_ms),
             placement_queue.PlacementRequest(
-                self._try_plan, self._attempts.may_send, self.release
+                self._try_plan,
+                self._attempts.may_send,
+                self.release,
+                (
+                    placement_queue.unknown_wait_ms
+                    if has_started
+                    else self._forecast_wait_ms
+                ),
             ),
-            tokens=self._requirements().kv_tokens,
+            tokens=requirements.kv_tokens,
             has_started=has_started,
+            goal_until_ms=now_ms + requirements.first_event_ms - prefill_ms,
+        )
+
+    def _max_wait_ms(self, has_started: bool, prefill_ms: float) -> float:
+        """Return how long waiting for an engine can be of use.
+
+        Without a forecast, a new stream waits for a part of its latency goal.
+        """
+        if has_started:
+            return RESUME_WAIT_MS
+        if not self._forecast_wait_ms(0):
+            goal_ms = self._admitted.route.latency_goal_ms
+            return QUEUE_WAIT_FRACTION * goal_ms
+        return self._attempts.remaining_ms - prefill_ms
+
+    def _forecast_wait_ms(self, ahead: int) -> float:
+        """Return the expected wait behind `ahead` others of this instance.
+
+        It is 0 while nothing runs whose end would free capacity.
+        """
+        service = self._admitted.service
+        interval_ms = self._deps.release_intervals.interval_ms(
+            service.name, self._release_interval_ms
+        )
+        if math.isinf(interval_ms):
+            return 0.0
+        fleet = self._deps.blackboard.fleet.read()
+        others = fleet.use_by_others(service.name, self._deps.clock.now_ms())
+        waiting = others.waiting if others is not None else 0
+        wait_ms = wait_forecast.expected_wait_ms(ahead + waiting, interval_ms)
+        self._attempts.expected_wait_ms = wait_ms
+        self._attempts.return_interval_ms = interval_ms * fleet.entry_count
+        return wait_ms
+
+    def _release_interval_ms(self) -> float:
+        requirements = self._requirements()
+        return wait_forecast.release_interval_ms(
+            self._deps.view.engine_candidates(self._admitted.service),
+            requirements.prompt_tokens,
+            requirements.events,
         )
 
     def release(self, plan: StreamPlan) -> None:
         """Remove an attempt from the load of its engines."""
         self._deps.own_loads.end(plan.load_key)
         self._deps.own_loads.end(plan.copy_load_key)
+        self._deps.queue.notify_capacity()
 
     def _try_plan(self) -> StreamPlan | None:
         view = self._deps.view
@@ -173,7 +228,7 @@
         events = self._deps.lengths.expected(
             route.name, request.max_output_tokens / per_event
         )
-        goal_at_ms = request.received_ms + route.latency_goal_ms
+        goal_at_ms = self._admitted.began_ms + route.latency_goal_ms
         return placement.StreamRequirements(
             prompt_tokens=request.prompt_tokens + delivered * per_event,
             kv_tokens=request.prompt_tokens + request.max_output_tokens,
--- a/tests/controllers/overload/test_resend_budget.py
+++ b/tests/controllers/overload/test_resend_budget.py
@@ -73,7 +73,7 @@
             budget.count_request(DESK)
     resends = 0
     for _ in range(20):
-        uses = [budget.uses()[0] for budget in budgets]
+        uses = [budget.uses({})[0] for budget in budgets]
         for index, budget in enumerate(budgets):
             others = fm.ServiceUse(
                 DESK,
--- a/tests/controllers/overload/test_wait_queue.py
+++ b/tests/controllers/overload/test_wait_queue.py
@@ -47,6 +47,16 @@
     assert queue.in_order(LLM, 800.0) == [low, urgent]
 
 
+def test_late_request_yields_to_those_in_time_until_its_half_time():
+    """Load: callers return after a power loss, some already late."""
+    late = waiter("a", until_ms=20_000.0, goal_until_ms=100.0)
+    in_time = waiter("b", since_ms=200.0, goal_until_ms=4_000.0)
+    queue = queue_of(late, in_time)
+    assert queue.in_order(LLM, 50.0) == [late, in_time]
+    assert queue.in_order(LLM, 300.0) == [in_time, late]
+    assert queue.in_order(LLM, 10_000.0) == [late, in_time]
+
+
 def test_large_workspace_delays_only_itself():
     """Load: one workspace has twenty waiting streams when others arrive."""
     large = [waiter("large") for _ in range(20)]
--- a/tests/http/test_placement_queue.py
+++ b/tests/http/test_placement_queue.py
@@ -1,6 +1,7 @@
 """Order, time limit and cancellation of requests in the placement queue."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -17,6 +18,11 @@
         self.free_slots = free_slots
         self.order = []
 
+    def free(self, queue, slots):
+        """Free slots and tell the queue, as an answer's end does."""
+        self.free_slots = slots
+        queue.notify_capacity()
+
     def request(self, name, may_wait=lambda: True):
         def try_place():
             if not self.free_slots:
@@ -59,10 +65,10 @@
         for name in ("a1", "a2", "a3", "b1")
     ]
     await asyncio.sleep(0.04)
-    engine.free_slots = 2
+    engine.free(queue, 2)
     await asyncio.sleep(0.06)
     assert sorted(engine.order) == ["a1", "b1"]
-    engine.free_slots = 2
+    engine.free(queue, 2)
     assert await asyncio.gather(*tasks) == ["a1", "a2", "a3", "b1"]
 
 
@@ -70,7 +76,7 @@
     engine = Engine(0)
     first = asyncio.create_task(queue.wait(waiter(engine.request("first"))))
     await asyncio.sleep(0.01)
-    engine.free_slots = 1
+    engine.free(queue, 1)
     second = waiter(engine.request("second"), wait_ms=120.0)
     assert await queue.wait(second) is None
     assert await first == "first"
@@ -90,7 +96,7 @@
     engine = Engine(0)
     task = asyncio.create_task(queue.wait(waiter(engine.request("gone"))))
     await asyncio.sleep(0.01)
-    engine.free_slots = 1
+    engine.free(queue, 1)
     if placed_first:
         while not engine.order:
             queue._place_waiters(ids.ServiceName("llm"))
@@ -115,8 +121,8 @@
     )
     await asyncio.sleep(0)
     with pytest.raises(ValueError, match="faulty"):
-        await queue.wait(waiter(faulty))
-    engine.free_slots = 1
+        await queue.wait(dataclasses.replace(waiter(faulty), tokens=500))
+    engine.free(queue, 1)
     assert await healthy == "healthy"
 
 
@@ -130,5 +136,64 @@
     monkeypatch.setattr(queue, "_place_waiters", fail)
     assert await queue.wait(waiter(engine.request("a"))) is None
     monkeypatch.undo()
-    engine.free_slots = 1
+    engine.free(queue, 1)
     assert await queue.wait(waiter(engine.request("b"))) == "b"
+
+
+async def test_request_that_cannot_be_served_in_time_is_rejected_at_once(
+    queue,
+):
+    """Load: a zone is lost, and forty streams wait for the survivors."""
+    engine = Engine(0)
+
+    def request(name, interval_ms):
+        return placement_queue.PlacementRequest(
+            engine.request(name).try_place,
+            lambda: True,
+            lambda assignment: None,
+            lambda ahead: (ahead + 1) * interval_ms,
+        )
+
+    start = asyncio.get_running_loop().time()
+    tasks = [
+        asyncio.create_task(queue.wait(waiter(request(f"r{n}", 30.0))))
+        for n in range(40)
+    ]
+    done, waiting = await asyncio.wait(tasks, timeout=0.05)
+    assert [task.result() for task in done] == [None] * len(done)
+    assert len(waiting) in range(10, 14)
+    engine.free(queue, 13)
+    await asyncio.gather(*waiting)
+    assert engine.order == [f"r{n}" for n in range(len(waiting))]
+    assert asyncio.get_running_loop().time() - start < 0.4
+
+
+async def test_waiters_that_do_not_fit_are_not_tried_against_all_engines(
+    queue,
+):
+    """Load: a hundred streams wait while capacity changes often."""
+    tries = []
+
+    def try_place():
+        tries.append(1)
+
+    request = placement_queue.PlacementRequest(
+        try_place, lambda: True, lambda assignment: None
+    )
+    tasks = [
+        asyncio.create_task(
+            queue.wait(waiter(dataclasses.replace(request, future=future())))
+        )
+        for _ in range(100)
+    ]
+    await asyncio.sleep(0)
+    tries.clear()
+    queue._place_waiters(ids.ServiceName("llm"))
+    assert len(tries) == 1
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def future():
+    return asyncio.get_running_loop().create_future()
