--- a/src/oriolejunction/http/answer_stream.py
+++ b/src/oriolejunction/http/answer_stream.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import contextlib
+import functools
 
 import aiohttp
 from aiohttp import web
@@ -46,6 +47,8 @@
         self._ended = False
         self._journal_drained: asyncio.Future | None = None
         self._journal_move: asyncio.Task | None = None
+        # Acknowledgements of batches sent before the last move are stale.
+        self._journal_moves = 0
         self._response = web.StreamResponse(
             headers={
                 "Content-Type": "text/event-stream",
@@ -128,7 +131,10 @@
         if self._journal_move is not None:
             await self._wait_for_journal()
         if self._response.prepared and self._journals.append_nowait(
-            journal, batch, self._finish_record(), self._on_acknowledged
+            journal,
+            batch,
+            self._finish_record(),
+            functools.partial(self._on_acknowledged, self._journal_moves),
         ):
             self._unacknowledged.append(batch)
             await self._apply_backpressure()
@@ -164,10 +170,15 @@
 
     def _on_acknowledged(
         self,
+        moves_before: int,
         refusal: states.JournalRefusal | journal_sender.ReplicaLost | None,
     ) -> None:
-        """Write the oldest batch, or move the journal after a refusal."""
-        if self._ended or self._journal_move is not None:
+        """Write the oldest batch, or move the journal after a refusal.
+
+        `moves_before` counts the moves before the batch was sent; a move
+        writes the batches that were sent before it.
+        """
+        if self._ended or moves_before != self._journal_moves:
             return
         if refusal is None:
             batch = self._unacknowledged.popleft()
@@ -176,6 +187,7 @@
             journal.acknowledge(last.offset + len(last.ids))
             self._write_now(batch)
         else:
+            self._journal_moves += 1
             self._journal_move = asyncio.create_task(
                 self._move_journal(refusal)
             )
--- a/src/oriolejunction/peers/journal_sender.py
+++ b/src/oriolejunction/peers/journal_sender.py
@@ -6,11 +6,11 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 
 import grpc
 import msgspec
+import structlog
 
 from oriolejunction import clock as clocks
 from oriolejunction import errors
@@ -22,6 +22,7 @@
 MAX_BATCH_SUBMISSIONS = 2_000
 
 _encode = msgspec.msgpack.Encoder().encode
+_log = structlog.get_logger(__name__)
 
 Write = collections.abc.Callable[
     ..., collections.abc.Awaitable[journal_messages.JournalBatchReply]
@@ -137,11 +138,23 @@
             refusal = None
             if refusal_by_key:
                 refusal = refusal_by_key.get((first.generation, first.owner))
-            # A violated invariant of one stream must not stop the others.
-            with contextlib.suppress(errors.Failure):
-                submission.on_done(refusal)
+            _notify(submission, refusal)
 
 
 def _fail_all(submissions: list[Submission], why: str) -> None:
     for submission in submissions:
-        submission.on_done(ReplicaLost(why))
+        _notify(submission, ReplicaLost(why))
+
+
+def _notify(
+    submission: Submission,
+    refusal: states.JournalRefusal | ReplicaLost | None,
+) -> None:
+    """Tell a stream the outcome; its error must not stop the others."""
+    try:
+        submission.on_done(refusal)
+    except Exception:
+        _log.exception(
+            "journal outcome not handled",
+            generation=submission.records[0].generation,
+        )
--- a/tests/peers/test_journal_sender.py
+++ b/tests/peers/test_journal_sender.py
@@ -4,6 +4,7 @@
 
 import grpc
 import msgspec
+import pytest
 
 from oriolejunction import clock as clocks
 from oriolejunction import journal_messages
@@ -122,3 +123,25 @@
         journal_sender.ReplicaLost,
         journal_sender.ReplicaLost,
     ]
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+async def test_error_of_one_stream_leaves_no_other_untold(is_lost):
+    """Load: a replica that answers late, and one stream fails on that."""
+    clock, replica, done = clocks.ManualClock(), Replica(), []
+    sender = _sender(replica, clock)
+
+    def fail(refusal):
+        raise IndexError("faulty")
+
+    sender.submit((_append(0),), fail)
+    sender.submit((_append(0, "h"),), done.append)
+    await _run_batch_window(clock)
+    replica.answers.put_nowait(grpc.aio.UsageError() if is_lost else ())
+    await _run_batch_window(clock)
+    assert len(done) == 1
+    sender.submit((_append(1, "h"),), done.append)
+    replica.answers.put_nowait(())
+    await _run_batch_window(clock)
+    assert len(done) == 2
+    await sender.close()
