Name the cause of a request that was given up

Change: reason, unanswered servers with their ms; explain ends with the cause, and says what it searched for an unknown id. Runtime decisions are unchanged. Measured: tests.

--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -156,7 +156,7 @@
             print(orjson.dumps(entry).decode())
 
     def explain(self, request: str, *files: str) -> None:
-        """Show the trace of REQUEST from the log files FILES."""
+        """Show the trace of REQUEST, and its cause, from log files FILES."""
         lines = [
             line
             for file in files
@@ -165,11 +165,13 @@
         found = request_trace.collect(str(request), lines)
         if not found:
             print(
-                f"{request}: no log line contains this request id",
+                f"{request}: no log line contains this request id; searched"
+                f" {len(lines)} lines in {', '.join(files) or 'no file'}",
                 file=sys.stderr,
             )
             sys.exit(1)
         print(request_trace.format_trace(found))
+        print(f"cause: {request_trace.find_cause(found)}")
 
     def bench(
         self,
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -16,6 +16,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
+from oriolejunction import ids
 
 # Several tries survive the loss of single packets, within the latency goal.
 CONNECT_TIMEOUT_MS = 50.0
@@ -55,6 +56,8 @@
         self._retryable = admitted.route.retryable
         self._last_failure: _BackendAnswer | None = None
         self._dispatches = 0
+        # When each server was sent the request; it has not answered since.
+        self._unanswered_since_ms: dict[ids.BackendId, float] = {}
 
     async def run(self) -> web.StreamResponse:
         """Return the answer; raise `Failure` if there is none."""
@@ -175,9 +178,11 @@
                 CONNECT_TRIES,
                 max_idle_ms,
             )
+            self._unanswered_since_ms[backend.backend_id] = deps.clock.now_ms()
             head = deps.wire_format.read_head(
                 await connection.read_response_head(), self._admitted.request
             )
+            self._unanswered_since_ms.pop(backend.backend_id, None)
             if head.not_run:
                 self._handle_not_run(backend, head)
                 return None
@@ -247,7 +252,16 @@
             sent=self._attempts.sent,
             ran=self._attempts.possibly_run,
             left_ms=round(self._attempts.remaining_ms),
+            unanswered_ms=self._unanswered_ms(),
         )
         raise errors.Failure(
             self._attempts.final_error("no backend server answered")
         )
+
+    def _unanswered_ms(self) -> dict[ids.BackendId, int]:
+        """Return for how long each server has not answered."""
+        now_ms = self._deps.clock.now_ms()
+        return {
+            backend_id: round(now_ms - since_ms)
+            for backend_id, since_ms in self._unanswered_since_ms.items()
+        }
--- a/src/oriolejunction/request_trace.py
+++ b/src/oriolejunction/request_trace.py
@@ -56,3 +56,76 @@
         + " ".join(f"{key}={value}" for key, value in entry.facts.items())
         for entry in entries
     )
+
+
+def find_cause(entries: list[TraceEntry]) -> str:
+    """Return how a request ended and why, from the last line that says so.
+
+    The reasons are the terms of docs/OPERATIONS.md.
+    """
+    given_up = [e for e in entries if e.event.endswith("given up")]
+    for entry in reversed(given_up or entries):
+        describe = _DESCRIBE_BY_EVENT.get(entry.event)
+        if describe is not None:
+            return describe(entry.facts, entries)
+    return "unknown: no line tells how the request ended"
+
+
+def _describe_complete(
+    facts: dict[str, object], entries: list[TraceEntry]
+) -> str:
+    lost = _lost_attempts(entries)
+    return (
+        f"complete after {facts.get('took_ms')} ms, first event after"
+        f" {facts.get('first_ms')} ms, longest pause"
+        f" {facts.get('longest_pause_ms')} ms" + (f"; {lost}" if lost else "")
+    )
+
+
+def _describe_given_up(
+    facts: dict[str, object], entries: list[TraceEntry]
+) -> str:
+    unanswered = facts.get("unanswered_ms") or {}
+    details = [
+        f"{backend} had not answered after {waited_ms} ms"
+        for backend, waited_ms in unanswered.items()
+    ]
+    lost = _lost_attempts(entries)
+    return "; ".join(
+        [f"given up, {facts.get('reason')}", *details, *([lost] * bool(lost))]
+    )
+
+
+def _describe_failed(
+    facts: dict[str, object], entries: list[TraceEntry]
+) -> str:
+    return (
+        f"rejected, {facts.get('code')} ({facts.get('outcome')}):"
+        f" {facts.get('why')}; retry after {facts.get('retry_after_ms')} ms"
+    )
+
+
+def _describe_answered(
+    facts: dict[str, object], entries: list[TraceEntry]
+) -> str:
+    return (
+        f"answered with status {facts.get('status')} after"
+        f" {facts.get('took_ms')} ms and {facts.get('attempts')} attempts"
+    )
+
+
+def _lost_attempts(entries: list[TraceEntry]) -> str:
+    return "; ".join(
+        f"{entry.facts.get('backend')} lost it: {entry.facts.get('why')}"
+        for entry in entries
+        if entry.event in ("attempt lost", "call broken off")
+    )
+
+
+_DESCRIBE_BY_EVENT = {
+    "stream complete": _describe_complete,
+    "stream given up": _describe_given_up,
+    "call given up": _describe_given_up,
+    "call answered": _describe_answered,
+    "request failed": _describe_failed,
+}
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -1,5 +1,9 @@
 """The trace of one request is ordered, from several logs."""
 
+import json
+
+import pytest
+
 from oriolejunction import request_trace
 
 LINES = [
@@ -24,3 +28,73 @@
 
 def test_unknown_request_has_no_entries():
     assert request_trace.collect("r3", LINES) == []
+
+
+def entries_of(*lines):
+    return request_trace.collect(
+        "r1",
+        [
+            json.dumps({"request": "r1", "timestamp": str(number), **line})
+            for number, line in enumerate(lines)
+        ],
+    )
+
+
+LOST = {"event": "attempt lost", "backend": "e1", "why": "silent for 9 ms"}
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        (
+            [
+                {
+                    "event": "call given up",
+                    "reason": "deadline",
+                    "unanswered_ms": {"e7": 812},
+                },
+            ],
+            "given up, deadline; e7 had not answered after 812 ms",
+        ),
+        (
+            [LOST, {"event": "stream given up", "reason": "resend_budget"}],
+            "given up, resend_budget; e1 lost it: silent for 9 ms",
+        ),
+        (
+            [
+                {
+                    "event": "request failed",
+                    "code": "no_capacity",
+                    "outcome": "not_run",
+                    "why": "busy",
+                    "retry_after_ms": 340,
+                }
+            ],
+            "rejected, no_capacity (not_run): busy; retry after 340 ms",
+        ),
+        (
+            [
+                LOST,
+                {
+                    "event": "stream complete",
+                    "took_ms": 9000,
+                    "first_ms": 4700,
+                    "longest_pause_ms": 80,
+                },
+            ],
+            "complete after 9000 ms, first event after 4700 ms, longest"
+            " pause 80 ms; e1 lost it: silent for 9 ms",
+        ),
+        ([LOST], "unknown: no line tells how the request ended"),
+    ],
+)
+def test_cause_names_reason_and_server(lines, expected):
+    assert request_trace.find_cause(entries_of(*lines)) == expected
+
+
+def test_rejection_after_giving_up_keeps_the_reason_of_giving_up():
+    entries = entries_of(
+        {"event": "call given up", "reason": "deadline"},
+        {"event": "request failed", "code": "answer_timed_out"},
+    )
+    assert request_trace.find_cause(entries) == "given up, deadline"
