Leave the platform's list alone while an instance has no table

Ruled out: a longer interval, since these are first reads. Change: an instance without a table reads no list. Test: 2 s without a read, one after the table.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -135,6 +135,7 @@
                 backend_list.fetch, address=settings.list_address
             ),
             lambda: self._replica.leader_term is not None,
+            lambda: True,
             self._service.notify_listing,
             self.rng,
         )
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -111,6 +111,7 @@
                     backend_list.fetch, address=settings.list_address
                 ),
                 lambda: False,
+                lambda: self._blackboard.table.read() is not None,
                 self._watch.publish_listing,
                 self.rng,
             ).run
--- a/src/oriolejunction/peers/list_poller.py
+++ b/src/oriolejunction/peers/list_poller.py
@@ -2,6 +2,10 @@
 
 The control leader reads the list and distributes it. A process whose copy
 is stale, because the leader is partitioned or absent, reads the list itself.
+
+Load pattern: after a power loss hundreds of processes start at once with no
+copy. One without a routing table serves nobody, and the control replica that
+sends it the table sends the list too, so it leaves the platform alone.
 """
 
 import collections.abc
@@ -40,6 +44,7 @@
         store: listing_store.ListingStore,
         fetch: Fetch,
         is_primary: collections.abc.Callable[[], bool],
+        is_needed: collections.abc.Callable[[], bool],
         on_change: listeners.OnChange,
         rng: random.Random,
     ) -> None:
@@ -47,6 +52,7 @@
         self._store = store
         self._fetch = fetch
         self._is_primary = is_primary
+        self._is_needed = is_needed
         self._on_change = on_change
         self._rng = rng
         self._reachable = True
@@ -58,13 +64,16 @@
                 if self._is_primary():
                     await self._fetch_list(session)
                     await self._clock.sleep_ms(READ_INTERVAL_MS)
-                elif self._store.age_ms > STALE_AFTER_MS:
+                elif self._is_stale() and self._is_needed():
                     await self._fetch_list(session)
                     jitter = self._rng.uniform(0.8, 1.2)
                     await self._clock.sleep_ms(BACKUP_INTERVAL_MS * jitter)
                 else:
                     await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
+    def _is_stale(self) -> bool:
+        return self._store.age_ms > STALE_AFTER_MS
+
     async def _fetch_list(self, session: aiohttp.ClientSession) -> None:
         try:
             fetched = await self._fetch(session)
--- a/tests/peers/test_list_poller.py
+++ b/tests/peers/test_list_poller.py
@@ -42,6 +42,7 @@
         store,
         fetch,
         lambda: leads,
+        lambda: True,
         lambda: changes.append(store.backends),
         random.Random(1),
     )
@@ -54,3 +55,36 @@
     assert changes[0] == FOUND
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_instance_without_a_table_leaves_the_list_to_the_others():
+    """Load: two hundred instances start in the same moment."""
+    clock = clocks.ManualClock(1e6)
+    has_table = False
+    reads = []
+
+    async def fetch(session):
+        reads.append(clock.now_ms())
+        return FOUND
+
+    poller = list_poller.ListPoller(
+        clock,
+        listing_store.ListingStore(clock),
+        fetch,
+        lambda: False,
+        lambda: has_table,
+        lambda: None,
+        random.Random(1),
+    )
+    task = asyncio.create_task(poller.run())
+    for _ in range(20):
+        await asyncio.sleep(0)
+        clock.advance(100.0)
+    assert not reads
+    has_table = True
+    for _ in range(3):
+        await asyncio.sleep(0)
+        clock.advance(100.0)
+    assert len(reads) == 1
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
