End the placement queue quietly when all its requests left

Cause: if the last waiting requests were cancelled between two passes, the earliest limit of an empty queue was asked for; the ValueError was logged and the queue ended by its error path. Found by reading; no caller was affected.

--- /dev/null
+++ b/src/oriolejunction/http/backend_checks.py
@@ -0,0 +1,86 @@
+"""Checks and marks of backend servers that lost an answer."""
+
+import asyncio
+
+import structlog
+
+from oriolejunction import backends
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import stalls
+from oriolejunction import gateway_messages
+from oriolejunction.http import backend_connection
+from oriolejunction.http import gateway_common
+
+# HTTP "Misdirected Request": another incarnation now has the address.
+MISDIRECTED_STATUS = 421
+_log = structlog.get_logger(__name__)
+
+
+def mark_backend_lost(
+    deps: gateway_common.GatewayDependencies,
+    backend: backends.Backend,
+    why: str,
+) -> None:
+    """Mark a backend server as lost and close its idle connections."""
+    _log.warning(
+        "backend server lost",
+        backend=backend.backend_id,
+        address=backend.address,
+        zone=backend.zone,
+        why=why,
+    )
+    deps.health.mark_lost(backend.backend_id)
+    deps.guard.record_loss(backend.backend_id, backend.zone)
+    deps.pool.close_address(backend.address)
+
+
+def start_crash_check(
+    deps: gateway_common.GatewayDependencies,
+    admitted: gateway_common.AdmittedRequest,
+    backend: backends.Backend,
+    why: str,
+    has_output: bool,
+) -> None:
+    """Check in the background whether a broken answer was a crash.
+
+    A server that accepts a new connection has lost only this answer. One
+    that does not is marked as lost, and the crash is recorded against the
+    request unless the attempt `has_output` already.
+    """
+
+    async def check() -> None:
+        if await is_reachable(deps, backend):
+            return
+        mark_backend_lost(deps, backend, why)
+        if not has_output:
+            deps.guard.record_crash(
+                admitted.fingerprint, backend.backend_id, backend.zone
+            )
+
+    task = asyncio.create_task(check())
+    deps.background_tasks.add(task)
+    task.add_done_callback(deps.background_tasks.discard)
+
+
+async def is_reachable(
+    deps: gateway_common.GatewayDependencies, backend: backends.Backend
+) -> bool:
+    """Return whether a server's machine accepts a new connection."""
+    try:
+        connection = await backend_connection.connect(
+            backend.address, stalls.PROBE_TIMEOUT_MS, stalls.PROBE_ATTEMPTS
+        )
+    except backend_connection.RequestNotSent:
+        return False
+    deps.pool.release(connection)
+    return True
+
+
+def mark_replaced(
+    deps: gateway_common.GatewayDependencies,
+    backend: backends.Backend,
+    head: gateway_messages.AnswerHead,
+) -> None:
+    """Mark a server as lost if another incarnation has its address."""
+    if head.status == MISDIRECTED_STATUS:
+        deps.health.mark_lost(backend.backend_id, backend_health.REPLACED_MS)
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -13,6 +13,7 @@
 from oriolejunction import backends
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
@@ -193,7 +194,7 @@
             deps.pool.release(connection)
             return _BackendAnswer(head, body)
         except backend_connection.RequestNotSent as error:
-            gateway_common.mark_backend_lost(
+            backend_checks.mark_backend_lost(
                 deps, backend, f"not reached: {error}"
             )
         except backend_connection.ConnectionBroken as error:
@@ -205,7 +206,7 @@
                 why=str(error),
             )
             deps.health.record_outcome(backend.backend_id, failed=True)
-            gateway_common.start_crash_check(
+            backend_checks.start_crash_check(
                 deps, self._admitted, backend, str(error), has_output=False
             )
         finally:
@@ -224,7 +225,7 @@
             backend=backend.backend_id,
             status=head.status,
         )
-        gateway_common.mark_replaced(self._deps, backend, head)
+        backend_checks.mark_replaced(self._deps, backend, head)
 
     def _record_answer(self, answer: _BackendAnswer) -> None:
         took_ms = (
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -11,7 +11,6 @@
 import multidict
 import structlog
 
-from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import answer_lengths
@@ -23,7 +22,6 @@
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction.controllers.overload import wait_queue
-from oriolejunction.controllers import stalls
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
@@ -34,8 +32,6 @@
 from oriolejunction import states
 from oriolejunction import telemetry
 
-# HTTP "Misdirected Request": another incarnation now has the address.
-MISDIRECTED_STATUS = 421
 # Shorter waits for a backend server are not logged.
 MIN_LOGGED_WAIT_MS = 20.0
 _log = structlog.get_logger(__name__)
@@ -325,64 +321,6 @@
     return connection
 
 
-def mark_backend_lost(
-    deps: GatewayDependencies, backend: backends.Backend, why: str
-) -> None:
-    """Mark a backend server as lost and close its idle connections."""
-    _log.warning(
-        "backend server lost",
-        backend=backend.backend_id,
-        address=backend.address,
-        zone=backend.zone,
-        why=why,
-    )
-    deps.health.mark_lost(backend.backend_id)
-    deps.guard.record_loss(backend.backend_id, backend.zone)
-    deps.pool.close_address(backend.address)
-
-
-def start_crash_check(
-    deps: GatewayDependencies,
-    admitted: AdmittedRequest,
-    backend: backends.Backend,
-    why: str,
-    has_output: bool,
-) -> None:
-    """Check in the background whether a broken answer was a crash.
-
-    A server that accepts a new connection has lost only this answer. One
-    that does not is marked as lost, and the crash is recorded against the
-    request unless the attempt `has_output` already.
-    """
-
-    async def check() -> None:
-        if await is_reachable(deps, backend):
-            return
-        mark_backend_lost(deps, backend, why)
-        if not has_output:
-            deps.guard.record_crash(
-                admitted.fingerprint, backend.backend_id, backend.zone
-            )
-
-    task = asyncio.create_task(check())
-    deps.background_tasks.add(task)
-    task.add_done_callback(deps.background_tasks.discard)
-
-
-async def is_reachable(
-    deps: GatewayDependencies, backend: backends.Backend
-) -> bool:
-    """Return whether a server's machine accepts a new connection."""
-    try:
-        connection = await backend_connection.connect(
-            backend.address, stalls.PROBE_TIMEOUT_MS, stalls.PROBE_ATTEMPTS
-        )
-    except backend_connection.RequestNotSent:
-        return False
-    deps.pool.release(connection)
-    return True
-
-
 def require_matching_answer(head: gateway_messages.AnswerHead) -> None:
     """Raise `ConnectionBroken` for an answer to another request."""
     if not head.echoes_request_id or (head.success and not head.signed):
@@ -391,16 +329,6 @@
         )
 
 
-def mark_replaced(
-    deps: GatewayDependencies,
-    backend: backends.Backend,
-    head: gateway_messages.AnswerHead,
-) -> None:
-    """Mark a server as lost if another incarnation has its address."""
-    if head.status == MISDIRECTED_STATUS:
-        deps.health.mark_lost(backend.backend_id, backend_health.REPLACED_MS)
-
-
 def answer_headers(
     head: gateway_messages.AnswerHead,
 ) -> multidict.CIMultiDict[str]:
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -15,6 +15,7 @@
 from oriolejunction.controllers import stalls
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
@@ -108,7 +109,7 @@
             )
         except backend_connection.RequestNotSent as error:
             why = f"not reached: {error}"
-            gateway_common.mark_backend_lost(self._deps, plan.backend, why)
+            backend_checks.mark_backend_lost(self._deps, plan.backend, why)
             return self._handle_loss(plan, why)
         last_event_before = self._answer.last_event
         try:
@@ -127,7 +128,7 @@
             # connection is back in the pool and must stay open.
             if not connection.usable:
                 connection.close()
-        gateway_common.start_crash_check(
+        backend_checks.start_crash_check(
             self._deps,
             self._admitted,
             plan.backend,
@@ -326,7 +327,7 @@
             # The KV cache copy is gone; the engine itself may be healthy.
             return
         self._attempts.excluded.add(plan.backend.backend_id)
-        gateway_common.mark_replaced(self._deps, plan.backend, head)
+        backend_checks.mark_replaced(self._deps, plan.backend, head)
 
     def _handle_loss(
         self, plan: stream_plan.StreamPlan, why: str
--- a/src/oriolejunction/http/placement_queue.py
+++ b/src/oriolejunction/http/placement_queue.py
@@ -127,12 +127,16 @@
 
     async def _wait_for_change(self) -> None:
         """Wait for a change of capacity, or the end of the first wait."""
+        now_ms = self._clock.now_ms()
         until_ms = min(
-            waiter.until_ms
-            for service in self._queue.services()
-            for waiter in self._queue.in_order(service, 0.0)
+            (
+                waiter.until_ms
+                for service in self._queue.services()
+                for waiter in self._queue.in_order(service, now_ms)
+            ),
+            default=now_ms,
         )
-        remaining_ms = until_ms - self._clock.now_ms() - MIN_INTERVAL_MS
+        remaining_ms = until_ms - now_ms - MIN_INTERVAL_MS
         timeout_ms = max(0.0, min(POLL_INTERVAL_MS, remaining_ms))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_ms / 1e3):
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -11,6 +11,7 @@
 from oriolejunction import backends
 from oriolejunction.controllers import run_progress
 from oriolejunction.controllers import stalls
+from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import report_probe
 from oriolejunction.http import stream_plan
@@ -90,7 +91,7 @@
                 next_report_ms = silent_ms + stalls.REPORT_INTERVAL_MS
             if silent_ms >= current.give_up_ms and not is_working:
                 raise EngineStalled(f"silent for {silent_ms:.0f} ms")
-            if not await gateway_common.is_reachable(
+            if not await backend_checks.is_reachable(
                 self._deps, self._backend
             ):
                 raise EngineStalled(
--- a/tests/http/test_placement_queue.py
+++ b/tests/http/test_placement_queue.py
@@ -195,5 +195,27 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def test_queue_whose_requests_all_left_ends_without_an_error(
+    queue, monkeypatch
+):
+    """Load: callers disconnect while they wait."""
+    errors = []
+    monkeypatch.setattr(
+        placement_queue._log, "exception", lambda *a, **k: errors.append(a)
+    )
+    engine = Engine(0)
+    tasks = [
+        asyncio.create_task(queue.wait(waiter(engine.request(name))))
+        for name in "ab"
+    ]
+    await asyncio.sleep(0.002)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.sleep(0.05)
+    assert not errors
+    assert queue._poll_task is None
+
+
 def future():
     return asyncio.get_running_loop().create_future()
