--- a/src/oriolejunction/controllers/overload/wait_forecast.py
+++ b/src/oriolejunction/controllers/overload/wait_forecast.py
@@ -53,7 +53,7 @@
 
 
 class IntervalCache:
-    """Computes the release interval of a service at most once a while.
+    """Keeps the release interval of each service for a short time.
 
     The work for each waiting request must not grow with the engines.
     """
@@ -69,7 +69,7 @@
         service: ids.ServiceName,
         compute: collections.abc.Callable[[], float],
     ) -> float:
-        """Return the interval of a service, computed within the last while."""
+        """Return the interval of a service, computed anew if it is too old."""
         now_ms = self._clock.now_ms()
         computed_ms, interval_ms = self._timed_interval_by_service.get(
             service, (-math.inf, math.inf)
--- a/src/oriolejunction/http/placement_queue.py
+++ b/src/oriolejunction/http/placement_queue.py
@@ -76,7 +76,7 @@
             ):
                 return assignment
         ahead = self._queue.count(waiter.service)
-        if self._is_hopeless(waiter, ahead):
+        if self._is_too_late(waiter, ahead):
             return None
         self._queue.add(waiter)
         # It may go before the others, or fit where they don't.
@@ -101,7 +101,7 @@
             for service in self._queue.services()
         }
 
-    def _is_hopeless(
+    def _is_too_late(
         self, waiter: wait_queue.Waiter[PlacementRequest], ahead: int
     ) -> bool:
         """Return whether capacity is expected after the request's limit."""
@@ -179,7 +179,7 @@
             elif (
                 is_over
                 or now_ms + 2 * MIN_INTERVAL_MS > waiter.until_ms
-                or self._is_hopeless(waiter, len(unplaced))
+                or self._is_too_late(waiter, len(unplaced))
             ):
                 self._queue.withdraw(waiter)
                 request.future.set_result(None)
