--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -24,7 +24,7 @@
 DEFAULT_PREFILL_MS_PER_K = 130.0
 PREFILL_WEIGHT = 0.3
 # An engine of unknown speed counts as slower than the median by this factor,
-# the mean where a third of the engines takes more than twice as long.
+# since instances that choose it at once may find it slow.
 UNKNOWN_FACTOR = 1.4
 MAX_FORMER_MACHINES = 4_096
 # The prefill of a shorter prompt says little about an engine's speed.
