Keep a silent engine's connection until another engine can take the stream

What callers saw (LOST): a stream whose engine was silent for a second ended without its last events, or with 502 before the first one, although the engine was sound and went on. Cause: the relay closed the engine's connection as soon as the silence passed its limit or a probe failed, and looked for another engine afterwards; without capacity, retry budget or attempts left, or with the next engine lost as well, there was nothing to go on with. Class: a working resource is given up before its replacement is secured. Ruled out: the table, since requests keep the route and service they were admitted with.

Change: a stalled engine starts a search while its connection stays open. Whichever comes first wins: its next piece, or a plan on an engine that has accepted a connection; only then is the old connection closed and the request sent. The search repeats until the deadline. It ends early if the engine reports that it does not run the request, or is neither listed nor reached. `engine stalled` and `stalled engine continued` are logged with the silence and whether attempts are left, which the hypotheses needed to be told apart.

--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -20,6 +20,7 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stream_plan
+from oriolejunction.http import stream_timing
 from oriolejunction import states
 
 # A machine of the same region accepts a connection within a few ms; several
@@ -55,18 +56,19 @@
         self._planner = stream_plan.StreamPlanner(
             deps, admitted, self._attempts, self._answer
         )
-        self._last_event_ms: float | None = None
-        self._first_ms = 0.0
-        self._longest_gap_ms = 0.0
+        self._timing = stream_timing.StreamTiming(deps, admitted)
         self._engine_failure: (
             tuple[gateway_messages.AnswerHead, bytes] | None
         ) = None
+        # The next attempt, where it was planned before the last one ended.
+        self._next_plan: stream_plan.StreamPlan | None = None
 
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` if it cannot begin."""
         while True:
-            has_started = self._response is not None
-            plan = await self._planner.plan(has_started)
+            plan, self._next_plan = self._next_plan, None
+            if plan is None:
+                plan = await self._planner.plan(self._response is not None)
             if plan is None:
                 return self._give_up()
             attempt_end = await self._run_attempt(plan)
@@ -114,12 +116,13 @@
         last_event_before = self._answer.last_event
         try:
             return await self._read_answer(plan, connection, attempt)
-        except stall_detection.EngineStalled as error:
-            if error.has_events:
-                # The KV cache copy began with the first event.
-                self._planner.last_copy_backend = plan.copy_backend
+        except stall_detection.EngineReplaced as error:
+            self._next_plan = error.plan
             why = str(error)
-        except backend_connection.ConnectionBroken as error:
+        except (
+            backend_connection.ConnectionBroken,
+            stall_detection.RequestGone,
+        ) as error:
             why = str(error)
         except stall_detection.DeadlineReached:
             return _AttemptEnd.LOST
@@ -152,6 +155,34 @@
             engine_priority=RESUMED_ENGINE_PRIORITY if resumed else None,
         )
 
+    def _stall_handlers(
+        self, plan: stream_plan.StreamPlan
+    ) -> stall_detection.StallHandlers:
+        excluded = self._attempts.excluded
+        backend = plan.backend
+
+        def on_stalled(stall: stall_detection.EngineStalled) -> None:
+            if stall.has_events:
+                # The KV cache copy began with the first event.
+                self._planner.last_copy_backend = plan.copy_backend
+            excluded.add(backend.backend_id)
+            backend_checks.start_crash_check(
+                self._deps, self._admitted, backend, str(stall), True
+            )
+
+        def on_continued() -> None:
+            excluded.discard(backend.backend_id)
+            self._deps.health.mark_answered(backend.backend_id)
+            if self._answer.last_event:
+                self._planner.last_copy_backend = plan.copy_backend
+
+        return stall_detection.StallHandlers(
+            on_stalled,
+            on_continued,
+            lambda: self._planner.plan_reachable(self._response is not None),
+            self._planner.release,
+        )
+
     async def _read_answer(
         self,
         plan: stream_plan.StreamPlan,
@@ -166,9 +197,10 @@
             self._attempts,
             plan.backend,
             first_event=self._answer.last_event + 1,
+            handlers=self._stall_handlers(plan),
         )
         limits = stall_detection.first_event_limits(
-            self._deps, self._admitted, plan, self._last_event_ms is not None
+            self._deps, self._admitted, plan, self._timing.has_events
         )
         next_event_limits = functools.partial(
             stalls.limits_between_events,
@@ -229,8 +261,8 @@
             events=self._answer.delivered,
             prompt_tokens=self._admitted.request.prompt_tokens,
             attempts=self._attempts.sent,
-            first_ms=round(self._first_ms),
-            longest_pause_ms=round(self._longest_gap_ms),
+            first_ms=round(self._timing.first_ms),
+            longest_pause_ms=round(self._timing.longest_gap_ms),
             took_ms=round(clock.now_ms() - self._admitted.request.received_ms),
         )
         return _AttemptEnd.COMPLETE
@@ -260,24 +292,9 @@
                     f"event {event.number} follows {self._answer.last_event}"
                 )
         if out:
-            self._record_event_timing()
+            self._timing.record_event(resumed=self._attempts.sent > 1)
             await self._response.write(b"".join(out))
 
-    def _record_event_timing(self) -> None:
-        now_ms = self._deps.clock.now_ms()
-        telemetry = self._deps.telemetry
-        labels = {"service": self._admitted.service.name}
-        if self._last_event_ms is None:
-            took_ms = now_ms - self._admitted.request.received_ms
-            telemetry.first_piece_ms.observe(labels, took_ms)
-            self._first_ms = took_ms
-        elif self._attempts.sent > 1:
-            telemetry.resume_ms.observe(labels, now_ms - self._last_event_ms)
-        if self._last_event_ms is not None:
-            gap_ms = now_ms - self._last_event_ms
-            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
-        self._last_event_ms = now_ms
-
     async def _send_head(self, head: gateway_messages.AnswerHead) -> None:
         """Send the head of the first engine that answers."""
         if self._response is not None:
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -1,11 +1,14 @@
-"""Reads an engine's answer, and detects by probes that it has stalled.
+"""Reads an engine's answer, and replaces an engine that has stalled.
 
-A silent engine is probed; the reader gives up on one that is unreachable or
-silent for too long.
+A silent engine is probed. If it is unreachable or silent for too long, another
+engine is searched for while the connection stays open: an engine that is only
+silent for a while completes an answer that no other engine can take.
 """
 
 import asyncio
 import collections.abc
+import contextlib
+import dataclasses
 import typing
 
 from oriolejunction import backends
@@ -18,6 +21,11 @@
 
 LimitsSource = collections.abc.Callable[[], stalls.StallLimits]
 Piece = typing.TypeVar("Piece")
+PieceReader = collections.abc.Callable[[], collections.abc.Awaitable[Piece]]
+
+
+# Interval between searches for another engine while an engine is stalled.
+SEARCH_INTERVAL_MS = 400.0
 
 
 class EngineStalled(Exception):
@@ -31,10 +39,39 @@
         self.has_events = has_events
 
 
+class EngineReplaced(Exception):
+    """Another engine continues the answer of a stalled one, by `plan`."""
+
+    def __init__(self, why: str, plan: stream_plan.StreamPlan) -> None:
+        super().__init__(why)
+        self.plan = plan
+
+
+class RequestGone(Exception):
+    """An engine reports that it does not run the request."""
+
+
 class DeadlineReached(Exception):
     """The caller's deadline or the route's timeout was reached."""
 
 
+@dataclasses.dataclass(frozen=True)
+class StallHandlers:
+    """What happens when an engine stalls.
+
+    `on_stalled` excludes the engine from further placements,
+    `on_continued` takes that back. `search` returns the plan of an attempt
+    on another engine, None if there is none; `release` undoes a plan.
+    """
+
+    on_stalled: collections.abc.Callable[[EngineStalled], None]
+    on_continued: collections.abc.Callable[[], None]
+    search: collections.abc.Callable[
+        [], collections.abc.Awaitable[stream_plan.StreamPlan | None]
+    ]
+    release: collections.abc.Callable[[stream_plan.StreamPlan], None]
+
+
 class StallDetectingReader:
     """Reads one attempt's answer and detects a stalled engine."""
 
@@ -45,26 +82,145 @@
         attempts: gateway_common.AttemptTracker,
         backend: backends.Backend,
         first_event: int,
+        handlers: StallHandlers,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
         self._attempts = attempts
         self._backend = backend
         self._first_event = first_event
+        self._handlers = handlers
 
     async def read(
-        self,
-        read_piece: collections.abc.Callable[
-            [], collections.abc.Awaitable[Piece]
-        ],
-        limits: LimitsSource,
+        self, read_piece: PieceReader[Piece], limits: LimitsSource
     ) -> Piece:
         """Return the next piece, probing the engine while it is silent.
 
-        Raise `EngineStalled` if a probe fails, the engine reports that the
-        answer will not come, or the silence reaches its limit while the
-        engine does not report that it works on the request. Raise
-        `DeadlineReached` at the deadline.
+        Raise `EngineReplaced` once another engine is found for the answer of
+        a stalled one, `RequestGone` if the engine does not run the request,
+        and `DeadlineReached` at the deadline.
+        """
+        since_ms = self._deps.clock.now_ms()
+        try:
+            return await self._read_in_time(read_piece, limits)
+        except EngineStalled as stall:
+            return await self._read_or_replace(read_piece, stall, since_ms)
+
+    async def _read_or_replace(
+        self,
+        read_piece: PieceReader[Piece],
+        stall: EngineStalled,
+        since_ms: float,
+    ) -> Piece:
+        """Return the next piece if it comes before another engine is found."""
+        clock = self._deps.clock
+        self._log_stall("engine stalled", since_ms, why=str(stall))
+        self._handlers.on_stalled(stall)
+        piece_task = asyncio.ensure_future(read_piece())
+        search_task = None
+        next_search_ms = 0.0
+        next_check_ms = clock.now_ms() + stalls.REPORT_INTERVAL_MS
+        try:
+            while not piece_task.done():
+                if self._attempts.remaining_ms <= 0:
+                    raise DeadlineReached
+                if clock.now_ms() >= next_check_ms:
+                    await self._require_running(piece_task, since_ms)
+                    next_check_ms = clock.now_ms() + stalls.REPORT_INTERVAL_MS
+                if search_task is None and clock.now_ms() >= next_search_ms:
+                    search_task = asyncio.ensure_future(
+                        self._handlers.search()
+                    )
+                    next_search_ms = clock.now_ms() + SEARCH_INTERVAL_MS
+                await self._wait_for_any(
+                    {piece_task, search_task}, next_check_ms, next_search_ms
+                )
+                if search_task is None or not search_task.done():
+                    continue
+                plan, search_task = search_task.result(), None
+                if plan is None:
+                    continue
+                if not piece_task.done():
+                    raise EngineReplaced(str(stall), plan)
+                self._handlers.release(plan)
+            piece = piece_task.result()
+        finally:
+            piece_task.cancel()
+            if search_task is not None:
+                await self._cancel_search(search_task)
+        self._log_stall("stalled engine continued", since_ms)
+        self._handlers.on_continued()
+        return piece
+
+    async def _require_running(
+        self, piece_task: asyncio.Future, since_ms: float
+    ) -> None:
+        """Raise `RequestGone` if a stalled engine can't continue any more.
+
+        Its report says so, or it is neither listed nor reachable.
+        """
+        listed = self._deps.blackboard.backends.read().by_id
+        try:
+            with contextlib.suppress(EngineStalled):
+                await self._check_report(self._deps.clock.now_ms() - since_ms)
+            if self._backend.backend_id in listed:
+                return
+            if await backend_checks.is_reachable(self._deps, self._backend):
+                return
+            raise RequestGone("neither listed nor reached")
+        except RequestGone:
+            # The last events of a run arrive while its report is fetched.
+            if not piece_task.done():
+                raise
+
+    async def _wait_for_any(
+        self,
+        tasks: set[asyncio.Future | None],
+        next_check_ms: float,
+        next_search_ms: float,
+    ) -> None:
+        """Wait for a task, the next check or search, or the deadline."""
+        pending = {task for task in tasks if task is not None}
+        wake_ms = next_check_ms
+        if len(pending) < len(tasks):
+            wake_ms = min(wake_ms, next_search_ms)
+        wait_ms = wake_ms - self._deps.clock.now_ms()
+        wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
+        await asyncio.wait(
+            pending,
+            timeout=wait_ms / 1e3,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    async def _cancel_search(self, search_task: asyncio.Future) -> None:
+        """Cancel a search; undo its plan if it has just found one."""
+        search_task.cancel()
+        await asyncio.wait({search_task})
+        if search_task.cancelled() or search_task.exception() is not None:
+            return
+        if (plan := search_task.result()) is not None:
+            self._handlers.release(plan)
+
+    def _log_stall(
+        self, decision: str, since_ms: float, **inputs: object
+    ) -> None:
+        gateway_common.log_decision(
+            self._admitted,
+            decision,
+            backend=self._backend.backend_id,
+            silent_ms=round(self._deps.clock.now_ms() - since_ms),
+            attempts_left=self._attempts.may_send(),
+            **inputs,
+        )
+
+    async def _read_in_time(
+        self, read_piece: PieceReader[Piece], limits: LimitsSource
+    ) -> Piece:
+        """Return the next piece; raise `EngineStalled`.
+
+        The engine has stalled if a probe fails, it reports that the answer
+        will not come, or the silence reaches its limit while it does not
+        report that it works on the request.
         """
         clock = self._deps.clock
         since_ms = clock.now_ms()
@@ -102,7 +258,8 @@
     async def _check_report(self, silent_ms: float) -> bool:
         """Return whether the engine reports that it works on the request.
 
-        Raise `EngineStalled` if it reports that the answer will not come.
+        Raise `EngineStalled` if it reports events that did not arrive, and
+        `RequestGone` if it does not run the request.
         """
         report = await report_probe.fetch_report(
             self._deps.pool, self._deps.wire_format, self._backend
@@ -120,7 +277,7 @@
         if progress is run_progress.RunProgress.ANSWER_LOST:
             raise EngineStalled("the engine's events were lost", True)
         if progress is run_progress.RunProgress.GONE:
-            raise EngineStalled("the engine does not run the request")
+            raise RequestGone("the engine does not run the request")
         return progress is run_progress.RunProgress.WORKING
 
 
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -9,6 +9,7 @@
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
+from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
 
@@ -98,6 +99,27 @@
             goal_until_ms=now_ms + requirements.first_event_ms - prefill_ms,
         )
 
+    async def plan_reachable(self, has_started: bool) -> StreamPlan | None:
+        """Return a plan on an engine that accepts a connection now."""
+        plan = await self.plan(has_started)
+        if plan is None:
+            return None
+        reachable = False
+        try:
+            reachable = await backend_checks.is_reachable(
+                self._deps, plan.backend
+            )
+        finally:
+            if not reachable:
+                self.release(plan)
+        if reachable:
+            return plan
+        self._attempts.excluded.add(plan.backend.backend_id)
+        backend_checks.mark_backend_lost(
+            self._deps, plan.backend, "not reached"
+        )
+        return None
+
     def _max_wait_ms(self, has_started: bool, prefill_ms: float) -> float:
         """Return how long waiting for an engine can be of use.
 
--- /dev/null
+++ b/src/oriolejunction/http/stream_timing.py
@@ -0,0 +1,38 @@
+"""Times of a stream's events as its caller sees them."""
+
+from oriolejunction.http import gateway_common
+
+
+class StreamTiming:
+    """Time to the first event and longest gap between events, in ms."""
+
+    def __init__(
+        self,
+        deps: gateway_common.GatewayDependencies,
+        admitted: gateway_common.AdmittedRequest,
+    ) -> None:
+        self._deps = deps
+        self._admitted = admitted
+        self._last_event_ms: float | None = None
+        self.first_ms = 0.0
+        self.longest_gap_ms = 0.0
+
+    @property
+    def has_events(self) -> bool:
+        """Return whether any event was recorded."""
+        return self._last_event_ms is not None
+
+    def record_event(self, resumed: bool) -> None:
+        """Record an event; `resumed` means after the first attempt."""
+        now_ms = self._deps.clock.now_ms()
+        telemetry = self._deps.telemetry
+        labels = {"service": self._admitted.service.name}
+        if self._last_event_ms is None:
+            self.first_ms = now_ms - self._admitted.request.received_ms
+            telemetry.first_piece_ms.observe(labels, self.first_ms)
+        else:
+            gap_ms = now_ms - self._last_event_ms
+            if resumed:
+                telemetry.resume_ms.observe(labels, gap_ms)
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._last_event_ms = now_ms
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -215,7 +215,7 @@
 
 async def test_instance_without_a_table_answers_not_run():
     async with gateway_rig.running(desk=[answer]) as rig:
-        rig._write_table(None)
+        rig.put_in_force(None)
         status, body = await read(rig.ask("/order/1"))
     assert status == 503
     assert json.loads(body)["error"]["outcome"] == "not_run"
@@ -264,10 +264,10 @@
     """Load: callers arrive while the control replicas elect a leader."""
     async with gateway_rig.running(desk=[answer]) as rig:
         table = rig.blackboard.table.read()
-        rig._write_table(None)
+        rig.put_in_force(None)
         request_task = asyncio.create_task(read(rig.ask("/order/1")))
         await asyncio.sleep(0.2)
-        rig._write_table(table)
+        rig.put_in_force(table)
         assert await request_task == (200, b"whole")
 
 
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+import aiohttp
 import pytest
 
 from tests.http import test_gateway_stream as streams
@@ -58,3 +59,35 @@
         rig.put_in_force(table_with_one_attempt(version=2))
         assert await request == (200, streams.ALL_EVENTS)
         assert len(streams.arrivals(rig)) == 1
+
+
+async def test_silent_engine_keeps_its_stream_while_the_others_are_lost():
+    """Fault: the only engine with capacity does not accept connections."""
+    async with gateway_rig.running(llm=[silent_between_events] * 2) as rig:
+        request = asyncio.create_task(streams.read(rig.ask("/brief/1")))
+        await asyncio.sleep(0.2)
+        for engine in rig.engines_by_service[gateway_rig.LLM]:
+            if not engine.arrivals:
+                engine._server.close()
+        assert await request == (200, streams.ALL_EVENTS)
+
+
+async def test_engine_neither_listed_nor_reached_is_given_up():
+    async def silent_for_good(arrival):
+        arrival.begin()
+        arrival.events([1, 2, 3])
+        await asyncio.sleep(30)
+
+    async with gateway_rig.running(llm=[silent_for_good]) as rig:
+        request = asyncio.create_task(
+            streams.read(rig.ask("/brief/1", Deadline_Ms="2900"))
+        )
+        await asyncio.sleep(0.2)
+        rig.engines_by_service[gateway_rig.LLM][0]._server.close()
+        rig.list({})
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await request
+    attempt_losses = rig.deps.telemetry.attempts.get(
+        {"service": gateway_rig.LLM, "event": "lost"}
+    )
+    assert attempt_losses == 1
