Do not take an own pause for silence of an engine

What callers saw: nothing distinct; an instance that was paused for longer than a silence limit (table decoding, a slow machine, a used-up processor quota) left an engine whose events had already arrived, or marked a reachable server as lost for all instances. Cause: when the process runs again, the timer of the read or of the connection attempt cancels it before the data is looked at.

Change: a timer that fires more than 50 ms late does not count as silence; what arrived is read first. A connection attempt during which the process was paused is repeated, twice at most. The product's own generation path had this rule; the constant is shared now.

--- a/src/oriolejunction/clock.py
+++ b/src/oriolejunction/clock.py
@@ -7,6 +7,9 @@
 import time
 import typing
 
+# A timer that fires later than this means that the process was paused.
+LATE_TIMER_MS = 50.0
+
 
 class Clock(typing.Protocol):
     """Monotonic time in ms, wall time in ms and a sleep."""
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -27,7 +27,6 @@
 MAX_ATTEMPTS = 12
 MIN_CHECK_MS = 10.0
 MAX_CHECK_MS = 250.0
-LATE_TIMER_MS = 50.0
 LATE_TIMER_GRACE_MS = 100.0
 _log = structlog.get_logger(__name__)
 
@@ -179,7 +178,7 @@
             await clock.sleep_ms(wait_ms)
             # A late timer means that this process was paused. Events that
             # arrived meanwhile are read before an engine is suspected.
-            if clock.now_ms() - due_ms > LATE_TIMER_MS:
+            if clock.now_ms() - due_ms > clocks.LATE_TIMER_MS:
                 await clock.sleep_ms(LATE_TIMER_GRACE_MS)
 
     async def close(self) -> None:
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -12,12 +12,16 @@
 
 import h11
 
+from oriolejunction import clock as clocks
+
 MAX_HEAD_BYTES = 65_536
 # The kernel closes a connection with data unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1_500
 # Connections idle for longer than this fraction of the peer's keep-alive
 # timeout may be closed by the peer while a request is on its way.
 KEEP_ALIVE_FRACTION = 0.5
+# Tries repeated because this process was paused meanwhile.
+MAX_LATE_TRIES = 2
 # Used if the peer announces no keep-alive timeout.
 DEFAULT_IDLE_LIMIT_MS = 2_000.0
 
@@ -218,15 +222,27 @@
     The kernel resends a lost SYN only after a second, so a new try is
     faster. A refusal is the peer's own answer and is not tried again.
     """
-    for tries_left in reversed(range(tries)):
+    failure = "no connection attempt is allowed"
+    tries_left = tries
+    late_tries_left = MAX_LATE_TRIES
+    while tries_left:
+        due_ms = _loop_ms() + timeout_ms
         try:
             return await _connect_once(address, timeout_ms)
         except ConnectionRefusedError as error:
             raise RequestNotSent(repr(error))
         except (OSError, TimeoutError) as error:
-            if not tries_left:
-                raise RequestNotSent(repr(error))
-    raise RequestNotSent("no connection attempt is allowed")
+            failure = repr(error)
+        # A try that this process was paused for says nothing of the peer.
+        if late_tries_left and _loop_ms() - due_ms > clocks.LATE_TIMER_MS:
+            late_tries_left -= 1
+        else:
+            tries_left -= 1
+    raise RequestNotSent(failure)
+
+
+def _loop_ms() -> float:
+    return asyncio.get_running_loop().time() * 1e3
 
 
 async def _connect_once(address: str, timeout_ms: float) -> BackendConnection:
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -12,6 +12,7 @@
 import typing
 
 from oriolejunction import backends
+from oriolejunction import clock as clocks
 from oriolejunction.controllers import run_progress
 from oriolejunction.controllers import stalls
 from oriolejunction.http import backend_checks
@@ -234,13 +235,19 @@
             give_up_ms = report_at_ms if is_working else current.give_up_ms
             wait_ms = min(probe_at_ms, report_at_ms, give_up_ms) - silent_ms
             wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
+            due_ms = clock.now_ms() + wait_ms
             try:
                 async with asyncio.timeout(wait_ms / 1e3):
                     return await read_piece()
             except TimeoutError:
-                silent_ms = clock.now_ms() - since_ms
+                late_ms = clock.now_ms() - due_ms
             if self._attempts.remaining_ms <= 0:
                 raise DeadlineReached
+            if late_ms > clocks.LATE_TIMER_MS:
+                # What arrived while this process was paused is read first.
+                since_ms += late_ms
+                continue
+            silent_ms = clock.now_ms() - since_ms
             current = limits()
             if silent_ms >= max(next_report_ms, current.report_ms):
                 is_working = await self._check_report(silent_ms)
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+import time
 
 import aiohttp
 import pytest
+import structlog
 
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
@@ -91,3 +93,24 @@
         {"service": gateway_rig.LLM, "event": "lost"}
     )
     assert attempt_losses == 1
+
+
+async def test_own_pause_is_not_taken_for_silence_of_an_engine():
+    """Fault: after a pause, the timer won over the data that had come."""
+
+    async def sends_during_a_pause(arrival):
+        arrival.begin()
+        arrival.events([1, 2, 3])
+        await arrival.writer.drain()
+        await asyncio.sleep(0.05)
+        arrival.events([4, 5, 6])
+        arrival.end()
+        await arrival.writer.drain()
+        time.sleep(SILENCE_S)
+
+    async with gateway_rig.running(llm=[sends_during_a_pause] * 2) as rig:
+        with structlog.testing.capture_logs() as lines:
+            answer = await streams.read(rig.ask("/brief/1"))
+        assert answer == (200, streams.ALL_EVENTS)
+        assert len(streams.arrivals(rig)) == 1
+    assert "engine stalled" not in [line["event"] for line in lines]
