Charge the retry budget when a stalled stream's next engine is reserved

What callers saw: nothing yet; found in the review of the fix. Cause: each search asked the budget, then probed the engine, and was charged only when it sent; all asked before any was charged. Change: the charge is made in the same step as the question and given back if the send does not happen.

--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -74,6 +74,12 @@
         """Count a resend."""
         self._recent(self._resends[service]).append(self._clock.now_ms())
 
+    def give_back(self, service: ids.ServiceName) -> None:
+        """Uncount the newest resend, which was not sent after all."""
+        resends = self._recent(self._resends[service])
+        if resends:
+            resends.pop()
+
     def uses(
         self, waiting_by_service: dict[ids.ServiceName, int]
     ) -> tuple[fm.ServiceUse, ...]:
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -153,6 +153,8 @@
         self.sent = 0
         self.possibly_run = 0
         self.excluded: set[ids.BackendId] = set()
+        # Whether the next send is charged to the budget already.
+        self._reserved = False
         # Last forecast for a backend server with capacity, if there is one.
         self.expected_wait_ms = math.inf
         self.return_interval_ms = math.inf
@@ -187,10 +189,27 @@
         """Return the reason for a log line once no answer will come."""
         return (self.send_refusal() or states.SendRefusal.NO_CAPACITY).value
 
+    def reserve_send(self) -> bool:
+        """Charge the next send to the budget, if it is allowed now."""
+        if not self.may_send():
+            return False
+        if self.sent:
+            self._deps.budget.spend(self._admitted.service.name)
+            self._reserved = True
+        return True
+
+    def cancel_reservation(self) -> None:
+        """Give back the charge for a send that does not happen."""
+        if self._reserved:
+            self._deps.budget.give_back(self._admitted.service.name)
+            self._reserved = False
+
     def count_sent(self) -> None:
         """Count a request sent to a server; charge a retry to the budget."""
         service = self._admitted.service.name
-        if self.sent:
+        if self._reserved:
+            self._reserved = False
+        elif self.sent:
             self._deps.budget.spend(service)
         else:
             self._deps.budget.count_request(service)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -94,7 +94,7 @@
             return await self._send_and_read(plan, attempt)
         finally:
             self._answer.revoke(attempt)
-            self._planner.release(plan)
+            self._planner.discard(plan)
 
     async def _send_and_read(
         self, plan: stream_plan.StreamPlan, attempt
@@ -180,7 +180,7 @@
             on_stalled,
             on_continued,
             lambda: self._planner.plan_reachable(self._response is not None),
-            self._planner.release,
+            self._planner.discard,
         )
 
     async def _read_answer(
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -100,10 +100,16 @@
         )
 
     async def plan_reachable(self, has_started: bool) -> StreamPlan | None:
-        """Return a plan on an engine that accepts a connection now."""
+        """Return a plan on an engine that accepts a connection now.
+
+        Its send is charged to the budget already.
+        """
         plan = await self.plan(has_started)
         if plan is None:
             return None
+        if not self._attempts.reserve_send():
+            self.release(plan)
+            return None
         reachable = False
         try:
             reachable = await backend_checks.is_reachable(
@@ -111,7 +117,7 @@
             )
         finally:
             if not reachable:
-                self.release(plan)
+                self.discard(plan)
         if reachable:
             return plan
         self._attempts.excluded.add(plan.backend.backend_id)
@@ -165,6 +171,11 @@
         self._deps.own_loads.end(plan.copy_load_key)
         self._deps.queue.notify_capacity()
 
+    def discard(self, plan: StreamPlan) -> None:
+        """Undo a plan of `plan_reachable`."""
+        self.release(plan)
+        self._attempts.cancel_reservation()
+
     def _try_plan(self) -> StreamPlan | None:
         view = self._deps.view
         excluded = frozenset(self._attempts.excluded)
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -8,6 +8,7 @@
 import pytest
 import structlog
 
+from oriolejunction.controllers.overload import resend_budget
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
@@ -74,6 +75,29 @@
         assert await request == (200, streams.ALL_EVENTS)
 
 
+async def test_streams_that_stall_together_keep_the_retry_budget():
+    """Fault: each asked for the budget before any other was charged."""
+
+    async def silent_for_good(arrival):
+        arrival.begin()
+        arrival.events([1, 2, 3])
+        await asyncio.sleep(30)
+
+    async def read(rig, number):
+        request = rig.ask(
+            "/brief/1", f"a{number}", Token_Counts="80,80", Deadline_Ms="1500"
+        )
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await streams.read(request)
+
+    async with gateway_rig.running(
+        llm=[silent_for_good] * 2,
+        budget=resend_budget.BudgetLimits(0.1, 0.0, 10_000.0),
+    ) as rig:
+        await asyncio.gather(*(read(rig, number) for number in range(40)))
+        assert len(streams.arrivals(rig)) - 40 <= 4
+
+
 async def test_engine_neither_listed_nor_reached_is_given_up():
     async def silent_for_good(arrival):
         arrival.begin()
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -29,6 +29,7 @@
 DESK = ids.ServiceName("desk")
 SIGNATURE = b"Response-Signature: s1\r\n"
 UNREACHABLE_ADDRESS = "127.0.0.1:1"
+BUDGET = resend_budget.BudgetLimits(0.8, 150.0, 10_000.0)
 
 
 @dataclasses.dataclass
@@ -225,7 +226,9 @@
 class Rig:
     """A gateway, its engines and a caller's session."""
 
-    def __init__(self, engines_by_service: dict, table_in_force) -> None:
+    def __init__(
+        self, engines_by_service: dict, table_in_force, budget
+    ) -> None:
         self.blackboard = blackboards.Blackboard()
         self.clock = clocks.SystemClock()
         self.engines_by_service = engines_by_service
@@ -237,7 +240,7 @@
             self.clock,
             self.blackboard,
             gateway_dialect.WIRE_FORMAT,
-            resend_budget.BudgetLimits(0.8, 150.0, 10_000.0),
+            budget,
             ids.ZoneId("z0"),
             random.Random(1),
         )
@@ -302,7 +305,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running(llm=(), desk=(), in_force=None):
+async def running(llm=(), desk=(), in_force=None, budget=BUDGET):
     """Run a gateway in front of engines with the given behaviours."""
     rig = Rig(
         {
@@ -310,6 +313,7 @@
             DESK: [Engine(f"desk-{n}", each) for n, each in enumerate(desk)],
         },
         in_force or table(),
+        budget,
     )
     await rig.start()
     try:
