Check and replace a stalled engine beside the reading of its answer

What callers saw: nothing yet; found in the review of the fix. The first event after a silence was held for up to 200 ms while the engine's report was awaited, the deadline was overrun by as much, and an error in a search for another engine cut the answer of a sound engine. Cause: the check was awaited in line, and the result of the search was taken without its error. Change: RepeatedTask runs search and check beside the reading and logs their errors.

Result: test_event_is_not_held_while_a_stalled_engine_is_checked, 153 ms before, below 100 ms now; test_error_of_a_search_does_not_cut_a_stream failed with a cut answer before. Both pass, as do the tests of streams (34).

--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
+import math
 import typing
 
 from oriolejunction import backends
@@ -17,6 +17,7 @@
 from oriolejunction.controllers import stalls
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
+from oriolejunction.http import repeated_task
 from oriolejunction.http import report_probe
 from oriolejunction.http import stream_plan
 
@@ -27,17 +28,24 @@
 
 # Interval between searches for another engine while an engine is stalled.
 SEARCH_INTERVAL_MS = 400.0
+# The last events of a finished run may still be on their way for as long as
+# a lost packet takes to be sent again.
+GONE_GRACE_MS = 0.0
 
 
 class EngineStalled(Exception):
     """An engine sent nothing for too long, or failed a probe.
 
-    `has_events` is set if the engine reports events that did not arrive.
+    `has_events` is set if the engine reports events that did not arrive,
+    `gone` if it reports that it does not run the request.
     """
 
-    def __init__(self, why: str, has_events: bool = False) -> None:
+    def __init__(
+        self, why: str, has_events: bool = False, gone: bool = False
+    ) -> None:
         super().__init__(why)
         self.has_events = has_events
+        self.gone = gone
 
 
 class EngineReplaced(Exception):
@@ -49,7 +57,7 @@
 
 
 class RequestGone(Exception):
-    """An engine reports that it does not run the request."""
+    """A stalled engine does not run the request any more."""
 
 
 class DeadlineReached(Exception):
@@ -118,89 +126,74 @@
         self._log_stall("engine stalled", since_ms, why=str(stall))
         self._handlers.on_stalled(stall)
         piece_task = asyncio.ensure_future(read_piece())
-        search_task = None
-        next_search_ms = 0.0
-        next_check_ms = clock.now_ms() + stalls.REPORT_INTERVAL_MS
+        search = repeated_task.RepeatedTask(
+            clock, self._handlers.search, SEARCH_INTERVAL_MS
+        )
+        check = repeated_task.RepeatedTask(
+            clock,
+            lambda: self._is_gone(clock.now_ms() - since_ms),
+            stalls.REPORT_INTERVAL_MS,
+            first_ms=stalls.REPORT_INTERVAL_MS,
+        )
+        gone_since_ms = clock.now_ms() if stall.gone else math.inf
         try:
             while not piece_task.done():
                 if self._attempts.remaining_ms <= 0:
                     raise DeadlineReached
-                if clock.now_ms() >= next_check_ms:
-                    await self._require_running(piece_task, since_ms)
-                    next_check_ms = clock.now_ms() + stalls.REPORT_INTERVAL_MS
-                if search_task is None and clock.now_ms() >= next_search_ms:
-                    search_task = asyncio.ensure_future(
-                        self._handlers.search()
-                    )
-                    next_search_ms = clock.now_ms() + SEARCH_INTERVAL_MS
-                await self._wait_for_any(
-                    {piece_task, search_task}, next_check_ms, next_search_ms
-                )
-                if search_task is None or not search_task.done():
-                    continue
-                plan, search_task = search_task.result(), None
-                if plan is None:
-                    continue
-                if not piece_task.done():
-                    raise EngineReplaced(str(stall), plan)
-                self._handlers.release(plan)
+                await self._wait_for_any(piece_task, search, check)
+                plan = search.take()
+                if plan is not None:
+                    if not piece_task.done():
+                        raise EngineReplaced(str(stall), plan)
+                    self._handlers.release(plan)
+                gone = check.take()
+                if gone is not None:
+                    since = min(gone_since_ms, clock.now_ms())
+                    gone_since_ms = since if gone else math.inf
+                gone_ms = clock.now_ms() - gone_since_ms
+                if gone_ms >= GONE_GRACE_MS and not piece_task.done():
+                    raise RequestGone("the engine does not run the request")
             piece = piece_task.result()
         finally:
             piece_task.cancel()
-            if search_task is not None:
-                await self._cancel_search(search_task)
+            await check.cancel()
+            if (plan := await search.cancel()) is not None:
+                self._handlers.release(plan)
         self._log_stall("stalled engine continued", since_ms)
         self._handlers.on_continued()
         return piece
 
-    async def _require_running(
-        self, piece_task: asyncio.Future, since_ms: float
-    ) -> None:
-        """Raise `RequestGone` if a stalled engine can't continue any more.
-
-        Its report says so, or it is neither listed nor reachable.
-        """
-        listed = self._deps.blackboard.backends.read().by_id
-        try:
-            with contextlib.suppress(EngineStalled):
-                await self._check_report(self._deps.clock.now_ms() - since_ms)
-            if self._backend.backend_id in listed:
-                return
-            if await backend_checks.is_reachable(self._deps, self._backend):
-                return
-            raise RequestGone("neither listed nor reached")
-        except RequestGone:
-            # The last events of a run arrive while its report is fetched.
-            if not piece_task.done():
-                raise
-
     async def _wait_for_any(
         self,
-        tasks: set[asyncio.Future | None],
-        next_check_ms: float,
-        next_search_ms: float,
+        piece_task: asyncio.Future,
+        *repeated: repeated_task.RepeatedTask,
     ) -> None:
-        """Wait for a task, the next check or search, or the deadline."""
-        pending = {task for task in tasks if task is not None}
-        wake_ms = next_check_ms
-        if len(pending) < len(tasks):
-            wake_ms = min(wake_ms, next_search_ms)
-        wait_ms = wake_ms - self._deps.clock.now_ms()
-        wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
+        """Wait for the piece, a repeated task, or the deadline."""
+        tasks = {piece_task}
+        wait_ms = min(self._attempts.remaining_ms, GONE_GRACE_MS)
+        for each in repeated:
+            wait_ms = min(wait_ms, each.start_if_due())
+            if each.task is not None:
+                tasks.add(each.task)
         await asyncio.wait(
-            pending,
-            timeout=wait_ms / 1e3,
+            tasks,
+            timeout=max(0.0, wait_ms) / 1e3,
             return_when=asyncio.FIRST_COMPLETED,
         )
 
-    async def _cancel_search(self, search_task: asyncio.Future) -> None:
-        """Cancel a search; undo its plan if it has just found one."""
-        search_task.cancel()
-        await asyncio.wait({search_task})
-        if search_task.cancelled() or search_task.exception() is not None:
-            return
-        if (plan := search_task.result()) is not None:
-            self._handlers.release(plan)
+    async def _is_gone(self, silent_ms: float) -> bool:
+        """Return whether a stalled engine has stopped running the request.
+
+        Its report says so, or it is neither listed nor reachable.
+        """
+        try:
+            await self._check_report(silent_ms)
+        except EngineStalled as stall:
+            return stall.gone
+        listed = self._deps.blackboard.backends.read().by_id
+        if self._backend.backend_id in listed:
+            return False
+        return not await backend_checks.is_reachable(self._deps, self._backend)
 
     def _log_stall(
         self, decision: str, since_ms: float, **inputs: object
@@ -265,8 +258,8 @@
     async def _check_report(self, silent_ms: float) -> bool:
         """Return whether the engine reports that it works on the request.
 
-        Raise `EngineStalled` if it reports events that did not arrive, and
-        `RequestGone` if it does not run the request.
+        Raise `EngineStalled` if it reports events that did not arrive, or
+        that it does not run the request.
         """
         report = await report_probe.fetch_report(
             self._deps.pool, self._deps.wire_format, self._backend
@@ -284,7 +277,7 @@
         if progress is run_progress.RunProgress.ANSWER_LOST:
             raise EngineStalled("the engine's events were lost", True)
         if progress is run_progress.RunProgress.GONE:
-            raise RequestGone("the engine does not run the request")
+            raise EngineStalled("the engine does not run it", gone=True)
         return progress is run_progress.RunProgress.WORKING
 
 
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -9,6 +9,7 @@
 import structlog
 
 from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.http import stream_plan
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
@@ -138,3 +139,40 @@
         assert answer == (200, streams.ALL_EVENTS)
         assert len(streams.arrivals(rig)) == 1
     assert "engine stalled" not in [line["event"] for line in lines]
+
+
+async def test_event_is_not_held_while_a_stalled_engine_is_checked():
+    """Fault: the report of the engine was awaited before its next event."""
+    sent_s = []
+
+    async def behave(arrival):
+        arrival.begin()
+        arrival.events([1, 2, 3])
+        await arrival.writer.drain()
+        # The second check of the stalled engine is under way.
+        await asyncio.sleep(0.98)
+        sent_s.append(asyncio.get_running_loop().time())
+        arrival.events([4, 5, 6])
+        arrival.end()
+
+    async with gateway_rig.running(llm=[behave]) as rig:
+        engine = rig.engines_by_service[gateway_rig.LLM][0]
+        engine._send_report = lambda writer: None
+        async with rig.ask("/brief/1") as response:
+            received = b""
+            while b"id: 4" not in received:
+                received += await response.content.readany()
+            received_s = asyncio.get_running_loop().time()
+    assert received_s - sent_s[0] < 0.1
+
+
+async def test_error_of_a_search_does_not_cut_a_stream(monkeypatch):
+    async def fails(self, has_started):
+        raise ValueError("bad candidate")
+
+    monkeypatch.setattr(stream_plan.StreamPlanner, "plan_reachable", fails)
+    async with gateway_rig.running(llm=[silent_between_events]) as rig:
+        with structlog.testing.capture_logs() as lines:
+            answer = await streams.read(rig.ask("/brief/1"))
+    assert answer == (200, streams.ALL_EVENTS)
+    assert "repeated task failed" in [line["event"] for line in lines]
