Wait for events in flight of a run that its engine no longer reports

What callers saw: nothing yet; found in the review of the fix. An answer was cut, or ended with 502, because its engine no longer reported the run, although the run had finished and its last events were still on their way. Cause: not running was taken for nothing can come. Change: another engine is searched for at once as before, and the connection stays open for as long as a lost packet takes to be sent again; an engine that is neither listed nor reached gets no such time. Result: test_events_in_flight_arrive_though_the_run_is_not_reported, 2 failed before and pass.

--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -30,7 +30,7 @@
 SEARCH_INTERVAL_MS = 400.0
 # The last events of a finished run may still be on their way for as long as
 # a lost packet takes to be sent again.
-GONE_GRACE_MS = 0.0
+GONE_GRACE_MS = 3_000.0
 
 
 class EngineStalled(Exception):
@@ -131,11 +131,12 @@
         )
         check = repeated_task.RepeatedTask(
             clock,
-            lambda: self._is_gone(clock.now_ms() - since_ms),
+            lambda: self._gone_grace_ms(clock.now_ms() - since_ms),
             stalls.REPORT_INTERVAL_MS,
             first_ms=stalls.REPORT_INTERVAL_MS,
         )
-        gone_since_ms = clock.now_ms() if stall.gone else math.inf
+        grace_ms = GONE_GRACE_MS if stall.gone else math.inf
+        gone_since_ms = clock.now_ms()
         try:
             while not piece_task.done():
                 if self._attempts.remaining_ms <= 0:
@@ -146,12 +147,13 @@
                     if not piece_task.done():
                         raise EngineReplaced(str(stall), plan)
                     self._handlers.release(plan)
-                gone = check.take()
-                if gone is not None:
-                    since = min(gone_since_ms, clock.now_ms())
-                    gone_since_ms = since if gone else math.inf
+                checked_ms = check.take()
+                if checked_ms is not None:
+                    if math.isinf(grace_ms):
+                        gone_since_ms = clock.now_ms()
+                    grace_ms = checked_ms
                 gone_ms = clock.now_ms() - gone_since_ms
-                if gone_ms >= GONE_GRACE_MS and not piece_task.done():
+                if gone_ms >= grace_ms and not piece_task.done():
                     raise RequestGone("the engine does not run the request")
             piece = piece_task.result()
         finally:
@@ -181,19 +183,23 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
 
-    async def _is_gone(self, silent_ms: float) -> bool:
-        """Return whether a stalled engine has stopped running the request.
+    async def _gone_grace_ms(self, silent_ms: float) -> float:
+        """Return how much longer an answer may come.
 
-        Its report says so, or it is neither listed nor reachable.
+        It is infinite unless the engine reports that it does not run the
+        request, and 0 if it is neither listed nor reachable.
         """
         try:
             await self._check_report(silent_ms)
         except EngineStalled as stall:
-            return stall.gone
+            return GONE_GRACE_MS if stall.gone else math.inf
         listed = self._deps.blackboard.backends.read().by_id
         if self._backend.backend_id in listed:
-            return False
-        return not await backend_checks.is_reachable(self._deps, self._backend)
+            return math.inf
+        reachable = await backend_checks.is_reachable(
+            self._deps, self._backend
+        )
+        return math.inf if reachable else 0.0
 
     def _log_stall(
         self, decision: str, since_ms: float, **inputs: object
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -176,3 +176,16 @@
             answer = await streams.read(rig.ask("/brief/1"))
     assert answer == (200, streams.ALL_EVENTS)
     assert "repeated task failed" in [line["event"] for line in lines]
+
+
+@pytest.mark.parametrize(
+    "behave", [silent_between_events, silent_before_events]
+)
+async def test_events_in_flight_arrive_though_the_run_is_not_reported(behave):
+    """Fault: a finished run's last events had not arrived yet."""
+    async with gateway_rig.running(llm=[behave]) as rig:
+        rig.engines_by_service[gateway_rig.LLM][
+            0
+        ].report = b'{"activeRequests":0,"runs":[]}'
+        request = rig.ask("/brief/1", Deadline_Ms="3000")
+        assert await streams.read(request) == (200, streams.ALL_EVENTS)
