Try a stalled engine again if the one that replaced it fails

What callers saw: nothing yet; found in the review of the fix. The engine that was chosen for a stalled engine's stream refused it, or was lost; the answer was cut since the stalled engine, sound and now with a free slot, stayed excluded. Change: an engine excluded for its silence only is a candidate again when no other is left; it is not one while its connection is open. Result: test_stalled_engine_is_tried_again_if_its_replacement_refuses failed before (cut answer) and passes.

--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -153,6 +153,8 @@
         self.sent = 0
         self.possibly_run = 0
         self.excluded: set[ids.BackendId] = set()
+        # Excluded for their silence only: tried again if no other is left.
+        self.stalled: set[ids.BackendId] = set()
         # Whether the next send is charged to the budget already.
         self._reserved = False
         # Last forecast for a backend server with capacity, if there is one.
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -88,6 +88,7 @@
             streams=plan.candidate.streams,
             prefill=plan.candidate.prefill_tokens,
         )
+        self._attempts.stalled.discard(plan.backend.backend_id)
         attempt = self._answer.begin_attempt()
         self._planner.last_copy_backend = None
         try:
@@ -117,6 +118,7 @@
         try:
             return await self._read_answer(plan, connection, attempt)
         except stall_detection.EngineReplaced as error:
+            self._attempts.stalled.add(plan.backend.backend_id)
             self._next_plan = error.plan
             why = str(error)
         except (
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -12,6 +12,7 @@
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
+from oriolejunction import ids
 
 # Fraction of the latency goal that a new stream waits for an engine.
 QUEUE_WAIT_FRACTION = 0.6
@@ -177,8 +178,18 @@
         self._attempts.cancel_reservation()
 
     def _try_plan(self) -> StreamPlan | None:
+        excluded = self._attempts.excluded
+        plan = self._plan_without(frozenset(excluded))
+        if plan is None and self._attempts.stalled:
+            plan = self._plan_without(
+                frozenset(excluded - self._attempts.stalled)
+            )
+        return plan
+
+    def _plan_without(
+        self, excluded: frozenset[ids.BackendId]
+    ) -> StreamPlan | None:
         view = self._deps.view
-        excluded = frozenset(self._attempts.excluded)
         candidates = view.engine_candidates(self._admitted.service, excluded)
         requirements = self._requirements()
         chosen, source = self._find_copy_candidate(candidates), None
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -189,3 +189,22 @@
         ].report = b'{"activeRequests":0,"runs":[]}'
         request = rig.ask("/brief/1", Deadline_Ms="3000")
         assert await streams.read(request) == (200, streams.ALL_EVENTS)
+
+
+async def test_stalled_engine_is_tried_again_if_its_replacement_refuses():
+    """Fault: the answer was cut although its engine had become free."""
+    begun_at = []
+
+    async def behave(arrival):
+        address = arrival.headers["expected-instance"]
+        if not begun_at:
+            begun_at.append(address)
+            await silent_between_events(arrival)
+        elif address in begun_at:
+            await streams.complete(arrival)
+        else:
+            arrival.refuse()
+
+    async with gateway_rig.running(llm=[behave] * 2) as rig:
+        request = rig.ask("/brief/1", Deadline_Ms="2900")
+        assert await streams.read(request) == (200, streams.ALL_EVENTS)
