Send a stream that may not resume to one engine only

A stream on a route without resumption was sent to a second engine after the first had broken off (TWICE). Cause: the limit on attempts did not look at the route's kind; calls did so themselves. Change: a request that may not be repeated has one attempt that may have run. Result: test_stream_that_may_not_resume_runs_once, 2 failed before and pass.

--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -170,7 +170,9 @@
         """Return why the request may go to no more servers, if so."""
         if self.remaining_ms <= 0:
             return states.SendRefusal.DEADLINE
-        if self.possibly_run >= self._admitted.route.max_attempts:
+        route = self._admitted.route
+        max_attempts = route.max_attempts if route.retryable else 1
+        if self.possibly_run >= max_attempts:
             return states.SendRefusal.MAX_ATTEMPTS
         if not self.sent:
             return None
