Limit the reading of a failed answer's body by stalls and the deadline

What callers saw: a stream whose engine sent the head of a failure and then fell silent got no answer at all, past its deadline and the route's timeout. Cause: the body of a failure was read without any limit. Change: it is read like the rest of the answer, with a search for another engine and an end at the deadline. Calls had a limit already. Result: test_failure_whose_body_stalls_is_answered_by_the_deadline, nothing within 2.5 s for a deadline of 1 s before, answered now.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 import socket
 
@@ -255,9 +256,13 @@
     return connection
 
 
-async def read_body(connection: BackendConnection) -> bytes:
-    """Return the rest of an answer; raise `ConnectionBroken`."""
+async def read_body(
+    read_chunk: collections.abc.Callable[
+        [], collections.abc.Awaitable[bytes | None]
+    ],
+) -> bytes:
+    """Return the rest of an answer; raise what `read_chunk` raises."""
     pieces = []
-    while (piece := await connection.read_chunk()) is not None:
+    while (piece := await read_chunk()) is not None:
         pieces.append(piece)
     return b"".join(pieces)
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -188,7 +188,7 @@
                 self._handle_not_run(backend, head)
                 return None
             gateway_common.require_matching_answer(head)
-            body = await backend_connection.read_body(connection)
+            body = await backend_connection.read_body(connection.read_chunk)
             deps.health.mark_answered(backend.backend_id)
             deps.health.record_outcome(backend.backend_id, not head.success)
             deps.pool.release(connection)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -213,7 +213,12 @@
             await reader.read(connection.read_response_head, limits),
             self._admitted.request,
         )
-        refusal = await self._check_refusal(plan, connection, head)
+        refusal = await self._check_refusal(
+            plan,
+            connection,
+            head,
+            lambda: reader.read(connection.read_chunk, next_event_limits),
+        )
         if refusal is not None:
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
@@ -313,6 +318,7 @@
         plan: stream_plan.StreamPlan,
         connection: backend_connection.BackendConnection,
         head: gateway_messages.AnswerHead,
+        read_chunk: stall_detection.PieceReader[bytes | None],
     ) -> _AttemptEnd | None:
         """Return how an attempt ended, None if its stream begins."""
         if head.not_run:
@@ -323,7 +329,7 @@
         gateway_common.require_matching_answer(head)
         if head.success:
             return None
-        body = await backend_connection.read_body(connection)
+        body = await backend_connection.read_body(read_chunk)
         self._deps.pool.release(connection)
         self._deps.health.record_outcome(plan.backend.backend_id, failed=True)
         self._attempts.excluded.add(plan.backend.backend_id)
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -39,7 +39,7 @@
                 b"",
             )
             head = await connection.read_response_head()
-            body = await backend_connection.read_body(connection)
+            body = await backend_connection.read_body(connection.read_chunk)
     except (
         TimeoutError,
         backend_connection.RequestNotSent,
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -208,3 +208,18 @@
     async with gateway_rig.running(llm=[behave] * 2) as rig:
         request = rig.ask("/brief/1", Deadline_Ms="2900")
         assert await streams.read(request) == (200, streams.ALL_EVENTS)
+
+
+async def test_failure_whose_body_stalls_is_answered_by_the_deadline():
+    """Fault: the body of an engine's failure was read without a limit."""
+
+    async def half_a_failure(arrival):
+        head = arrival.head("500 Error", b"Content-Length: 9\r\n")
+        arrival.writer.write(head + b"half")
+        await asyncio.sleep(30)
+
+    async with gateway_rig.running(llm=[half_a_failure]) as rig:
+        async with asyncio.timeout(2.5):
+            request = rig.ask("/brief/1", Deadline_Ms="1000")
+            status, _ = await streams.read(request)
+        assert status in (502, 504)
