Send the head of a stream with its first event

What callers saw: an engine that was lost between its head and its first event left the caller with a success that was cut, where a final error, or the head of another engine, was still possible. Cause: the head was forwarded as soon as it came. Change: it is sent with the first event, so that until then the request ends with a true error; the expected version of the weights is that of the engine that sent the event. Result: test_engine_lost_after_its_head_gives_an_error_answer, cut before, 502 now.

--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -222,9 +222,6 @@
         if refusal is not None:
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
-        if self._answer.weights is None:
-            self._answer.weights = head.weights_version
-        await self._send_head(head)
         incomplete = b""
         is_first = True
         last_received_ms = sent_ms
@@ -251,12 +248,15 @@
                     plan.backend.backend_id, now_ms - last_received_ms
                 )
             last_received_ms = now_ms
+            # Without an event, the caller can still get another answer.
+            await self._send_head(head)
             await self._deliver(plan, attempt, blocks)
             limits = next_event_limits
         if incomplete.strip():
             raise backend_connection.ConnectionBroken(
                 "the stream ended within an event"
             )
+        await self._send_head(head)
         self._deps.pool.release(connection)
         self._deps.lengths.add(
             self._admitted.route.name, self._answer.last_event
@@ -303,9 +303,10 @@
             await self._response.write(b"".join(out))
 
     async def _send_head(self, head: gateway_messages.AnswerHead) -> None:
-        """Send the head of the first engine that answers."""
+        """Send the head of the first engine that sends an event."""
         if self._response is not None:
             return
+        self._answer.weights = head.weights_version
         response = web.StreamResponse(
             status=head.status, headers=gateway_common.answer_headers(head)
         )
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -223,3 +223,17 @@
             request = rig.ask("/brief/1", Deadline_Ms="1000")
             status, _ = await streams.read(request)
         assert status in (502, 504)
+
+
+async def test_engine_lost_after_its_head_gives_an_error_answer():
+    """Fault: a success without any event was cut instead."""
+
+    async def head_then_reset(arrival):
+        arrival.begin()
+        await arrival.writer.drain()
+        await asyncio.sleep(0.05)
+        arrival.reset()
+
+    async with gateway_rig.running(llm=[head_then_reset]) as rig:
+        status, _ = await streams.read(rig.ask("/brief/1"))
+        assert status == 502
