Finish requests whose body arrives while idle connections close

Callers saw: after SIGTERM, a request whose head had come before idle connections were closed, and whose body came after, got no answer. Its connection closed at the end of the grace period.

Cause: `Gateway.close_idle` called aiohttp's `RequestHandler.close` on each connection with a request in flight.

Evidence: test_request_arriving_while_idle_connections_close_is_answered sends the end of the body 0.1 s after the close. On the code without this change both cases (call, stream) fail with TimeoutError: no byte comes within 2 s.

Change: a connection is marked as closing once its request is completely received, otherwise when its request was handled, so that a stream that began meanwhile doesn't leave a kept connection either. Idle connections close at once as before.

--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -67,7 +67,10 @@
         self._count_in_flight = count_in_flight
         self._time_to_stop_ms = time_to_stop_ms
         self._server: web.Server | None = None
-        self._busy: set[web.RequestHandler] = set()
+        self._request_by_connection: dict[
+            web.RequestHandler, web.BaseRequest
+        ] = {}
+        self._is_closing = False
 
     def runner(self) -> web.ServerRunner:
         """Return the server runner, to be set up on a listener."""
@@ -85,11 +88,13 @@
 
     def close_idle(self) -> None:
         """Close idle connections now, busy ones after their answer."""
+        self._is_closing = True
         for connection in self._server.connections if self._server else ():
-            if connection in self._busy:
-                connection.close()
-            else:
+            request = self._request_by_connection.get(connection)
+            if request is None:
                 connection.force_close()
+            else:
+                _close_after_answer(request)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         transport = request.transport
@@ -97,11 +102,13 @@
             # The connection was closed as idle while the request was read.
             # An engine must not run a request whose answer is undeliverable.
             return web.Response(status=503)
-        self._busy.add(request.protocol)
+        self._request_by_connection[request.protocol] = request
         try:
             return await self._answer(request)
         finally:
-            self._busy.discard(request.protocol)
+            del self._request_by_connection[request.protocol]
+            if self._is_closing:
+                _close_after_answer(request)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         with self._count_in_flight():
@@ -322,3 +329,10 @@
             why=error.message,
             retry_after_ms=error.retry_after_ms,
         )
+
+
+def _close_after_answer(request: web.BaseRequest) -> None:
+    """Let a request's connection close once the request is answered."""
+    # A connection that is to be closed drops the rest of a body.
+    if request.content.is_eof():
+        request.protocol.close()
