Answer requests that still wait when the grace period ends

Callers saw: after SIGTERM, a request that an engine or server kept waiting until the end of the grace period got a closed connection instead of a final answer.

Cause: `EntryNode.drain` returned at its limit with requests in flight, and the listeners were closed. A request's waits were bounded by its own deadline only, and those that had begun before SIGTERM did not know of the stop.

Evidence: test_request_waiting_at_the_end_of_the_grace_period_is_answered asks a real entry node, 2.0 s after SIGTERM, for a stream whose engine is silent. On the code without this change it fails with ServerDisconnectedError: Server disconnected.

Change: `StopLimit` bounds the waits of requests that have no answer yet: receiving the request, and both relays. It ends them 0.2 s before the drain's limit, also those that began before the stop was known. The error says what is known: 502 `answer_unknown` once a server was sent the request and did not report that it has not run it, otherwise 503 `not_ready` with outcome `not_run`. A begun stream has no such bound: it is relayed until the process closes, and then cut without its last chunk as before.

--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -36,6 +36,8 @@
 LEAVE_DELAY_MS = 2_500.0
 # Reserved at the end of the grace period to close the last answers.
 GRACE_MARGIN_MS = 400.0
+# Reserved before that to answer the requests that still wait.
+ANSWER_MARGIN_MS = 200.0
 _log = structlog.get_logger(__name__)
 
 
@@ -134,6 +136,7 @@
         """Finish the requests in flight within the grace period."""
         limit_ms = self.settings_file.current.grace_ms - GRACE_MARGIN_MS
         self._stop_deadline_ms = self.clock.now_ms() + limit_ms
+        self._deps.stop_limit.stop_in(limit_ms - ANSWER_MARGIN_MS)
         _log.info("entry instance leaving", in_flight=self._shutdown.in_flight)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_ms / 1e3):
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -14,6 +14,7 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import gateway_stream
 from oriolejunction.http import replies
+from oriolejunction.http import stop_limit
 from oriolejunction import ids
 from oriolejunction import routing_table
 from oriolejunction import states
@@ -32,8 +33,6 @@
 # Without a table, the caller's remaining time is not known.
 TABLE_RETURN_LIMIT_MS = 6_000.0
 NO_SERVICE = ids.ServiceName("")
-# Short, since any other instance can serve the request.
-LEAVING_RETRY_AFTER_MS = 20
 _log = structlog.get_logger(__name__)
 
 InFlightCounter = collections.abc.Callable[
@@ -131,17 +130,16 @@
         self, request: web.BaseRequest, log_context: _RequestLogContext
     ) -> web.StreamResponse:
         now_ms = self._deps.clock.now_ms()
-        table = await self._wait_for_table(now_ms)
-        if table is None:
+        try:
+            async with self._deps.stop_limit.bound():
+                table, body = await self._receive(request, now_ms)
+        except stop_limit.StopReached:
             raise errors.Failure(
-                errors.NoTable(
-                    "no configuration has reached this instance yet",
-                    retry_after_ms=self._deps.returns.return_after_ms(
-                        NO_SERVICE, TABLE_RETURN_LIMIT_MS
-                    ),
+                errors.NotReady(
+                    "this instance stops before the request has arrived",
+                    retry_after_ms=gateway_common.LEAVING_RETRY_AFTER_MS,
                 )
-            )
-        body = await self._read_body(request, table.limits.body_bytes)
+            ) from None
         caller_request = self._deps.wire_format.read_request(
             request.method, request.raw_path, request.raw_headers, body, now_ms
         )
@@ -152,6 +150,22 @@
             return await gateway_stream.StreamRelay(self._deps, admitted).run()
         return await gateway_call.CallRelay(self._deps, admitted).run()
 
+    async def _receive(
+        self, request: web.BaseRequest, received_ms: float
+    ) -> tuple[routing_table.RoutingTable, bytes]:
+        """Return the table in force and the body; raise `Failure`."""
+        table = await self._wait_for_table(received_ms)
+        if table is None:
+            raise errors.Failure(
+                errors.NoTable(
+                    "no configuration has reached this instance yet",
+                    retry_after_ms=self._deps.returns.return_after_ms(
+                        NO_SERVICE, TABLE_RETURN_LIMIT_MS
+                    ),
+                )
+            )
+        return table, await self._read_body(request, table.limits.body_bytes)
+
     async def _wait_for_table(
         self, received_ms: float
     ) -> routing_table.RoutingTable | None:
@@ -258,7 +272,7 @@
         raise errors.Failure(
             errors.NotReady(
                 f"this instance stops in {remaining_ms:.0f} ms",
-                retry_after_ms=LEAVING_RETRY_AFTER_MS,
+                retry_after_ms=gateway_common.LEAVING_RETRY_AFTER_MS,
             )
         )
 
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -17,6 +17,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
+from oriolejunction.http import stop_limit
 from oriolejunction import ids
 
 # Several tries survive the loss of single packets, within the latency goal.
@@ -64,12 +65,16 @@
         """Return the answer; raise `Failure` if there is none."""
         tasks: set[asyncio.Task] = set()
         try:
-            async with asyncio.timeout(
-                max(0.0, self._attempts.remaining_ms) / 1e3
-            ):
-                answer = await self._best_answer(tasks)
+            async with self._deps.stop_limit.bound():
+                async with asyncio.timeout(
+                    max(0.0, self._attempts.remaining_ms) / 1e3
+                ):
+                    answer = await self._best_answer(tasks)
         except TimeoutError:
             answer = None
+        except stop_limit.StopReached:
+            self._attempts.stopped = True
+            answer = None
         finally:
             for task in tasks:
                 task.cancel()
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -27,6 +27,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 from oriolejunction.http import placement_queue
+from oriolejunction.http import stop_limit
 from oriolejunction import ids
 from oriolejunction import routing_table
 from oriolejunction import states
@@ -34,6 +35,8 @@
 
 # Shorter waits for a backend server are not logged.
 MIN_LOGGED_WAIT_MS = 20.0
+# Short, since any other instance can serve the request.
+LEAVING_RETRY_AFTER_MS = 20
 _log = structlog.get_logger(__name__)
 
 
@@ -56,6 +59,7 @@
     queue: placement_queue.PlacementQueue
     release_intervals: wait_forecast.IntervalCache
     returns: wait_forecast.ReturnSchedule
+    stop_limit: stop_limit.StopLimit
     background_tasks: set[asyncio.Task] = dataclasses.field(
         default_factory=set
     )
@@ -94,6 +98,7 @@
         queue=queue,
         release_intervals=wait_forecast.IntervalCache(clock),
         returns=wait_forecast.ReturnSchedule(clock),
+        stop_limit=stop_limit.StopLimit(),
     )
 
 
@@ -142,7 +147,8 @@
     """Counts the attempts of one request against its limits.
 
     `possibly_run` counts the servers that were sent the request and did not
-    report that they have not run it.
+    report that they have not run it. `stopped` is set once the instance
+    stops before the request has an answer.
     """
 
     def __init__(
@@ -152,6 +158,7 @@
         self._admitted = admitted
         self.sent = 0
         self.possibly_run = 0
+        self.stopped = False
         self.excluded: set[ids.BackendId] = set()
         # Last forecast for a backend server with capacity, if there is one.
         self.expected_wait_ms = math.inf
@@ -164,6 +171,8 @@
 
     def send_refusal(self) -> states.SendRefusal | None:
         """Return why the request may go to no more servers, if so."""
+        if self.stopped:
+            return states.SendRefusal.INSTANCE_STOPS
         if self.remaining_ms <= 0:
             return states.SendRefusal.DEADLINE
         if self.possibly_run >= self._admitted.route.max_attempts:
@@ -219,6 +228,10 @@
             return errors.NoCapacity(message)
         if self.possibly_run:
             return errors.AnswerUnknown(message)
+        if self.stopped:
+            return errors.NotReady(
+                "this instance stops", retry_after_ms=LEAVING_RETRY_AFTER_MS
+            )
         return errors.NoCapacity(
             message,
             retry_after_ms=self._deps.returns.return_after_ms(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -19,6 +19,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
+from oriolejunction.http import stop_limit
 from oriolejunction.http import stream_plan
 from oriolejunction.http import stream_timing
 from oriolejunction import states
@@ -56,6 +57,7 @@
         self._planner = stream_plan.StreamPlanner(
             deps, admitted, self._attempts, self._answer
         )
+        self._stop_bound = deps.stop_limit.bound()
         self._timing = stream_timing.StreamTiming(deps, admitted)
         self._engine_failure: (
             tuple[gateway_messages.AnswerHead, bytes] | None
@@ -65,6 +67,14 @@
 
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` if it cannot begin."""
+        try:
+            async with self._stop_bound:
+                return await self._run_attempts()
+        except stop_limit.StopReached:
+            self._attempts.stopped = True
+            return self._give_up()
+
+    async def _run_attempts(self) -> web.StreamResponse:
         while True:
             plan, self._next_plan = self._next_plan, None
             if plan is None:
@@ -299,6 +309,7 @@
         """Send the head of the first engine that answers."""
         if self._response is not None:
             return
+        self._stop_bound.lift()
         response = web.StreamResponse(
             status=head.status, headers=gateway_common.answer_headers(head)
         )
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -52,6 +52,7 @@
     MAX_ATTEMPTS = "max_attempts"
     CRASHED_ENGINES = "crashed_engines"
     RESEND_BUDGET = "resend_budget"
+    INSTANCE_STOPS = "instance_stops"
     NO_CAPACITY = "no_capacity"
 
 
--- a/tests/http/test_stopping_instance.py
+++ b/tests/http/test_stopping_instance.py
@@ -1,7 +1,9 @@
 """Requests that are in flight when an entry instance stops."""
 
 import asyncio
+import json
 
+import aiohttp
 import pytest
 
 from tests.http import test_gateway_call as calls
@@ -48,3 +50,90 @@
             for arrival in engine.arrivals
         )
         assert arrival.body == b"prompt"
+
+
+def error_of(body):
+    error = json.loads(body)["error"]
+    return error["code"], error["outcome"]
+
+
+@pytest.mark.parametrize("path", ["/brief/1", "/look/1", "/order/1"])
+@pytest.mark.parametrize("known_before", [True, False])
+async def test_request_without_an_answer_at_the_stop_gets_an_error(
+    path, known_before
+):
+    """Load: an engine is silent until the grace period ends."""
+    async with gateway_rig.running(
+        llm=[streams.hang], desk=[streams.hang]
+    ) as rig:
+        rig.time_to_stop_ms = 9_000.0
+        if known_before:
+            rig.deps.stop_limit.stop_in(700.0)
+        asked = asyncio.create_task(streams.read(rig.ask(path)))
+        await asyncio.sleep(0.3)
+        if not known_before:
+            rig.deps.stop_limit.stop_in(400.0)
+        async with asyncio.timeout(0.7):
+            status, body = await asked
+        assert status == 502
+        assert error_of(body) == ("answer_unknown", "unknown")
+        assert not rig.deps.own_loads.loads()
+
+
+@pytest.mark.parametrize("path", ["/brief/1", "/look/1", "/order/1"])
+async def test_request_that_reached_no_server_at_the_stop_is_not_run(path):
+    async with gateway_rig.running() as rig:
+        asked = asyncio.create_task(streams.read(rig.ask(path)))
+        await asyncio.sleep(0.05)
+        rig.deps.stop_limit.stop_in(100.0)
+        async with asyncio.timeout(0.25):
+            status, body = await asked
+        assert status == 503
+        assert error_of(body) == ("not_ready", "not_run")
+        assert not rig.deps.queue.waiting_by_service()
+
+
+async def test_request_that_never_arrives_completely_ends_at_the_stop():
+    async with gateway_rig.running(desk=[calls.answer]) as rig:
+        reader, writer = await send_part(rig, "/order/1")
+        rig.time_to_stop_ms = 5_000.0
+        rig.deps.stop_limit.stop_in(200.0)
+        rig.gateway.close_idle()
+        async with asyncio.timeout(1.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"Connection: close" in head
+        assert not rig.engines_by_service[gateway_rig.DESK][0].arrivals
+
+
+async def test_begun_stream_is_not_ended_by_the_stop_limit():
+    """Its events are relayed until the process ends."""
+
+    async def pause(arrival):
+        arrival.begin()
+        arrival.events([1, 2, 3])
+        await asyncio.sleep(0.4)
+        arrival.events([4, 5, 6])
+        arrival.end()
+
+    async with gateway_rig.running(llm=[pause]) as rig:
+        rig.deps.stop_limit.stop_in(200.0)
+        status, body = await streams.read(rig.ask("/brief/1"))
+        assert (status, body) == (200, streams.ALL_EVENTS)
+
+
+async def test_begun_stream_that_the_exit_cuts_does_not_look_complete():
+    async def stall(arrival):
+        arrival.begin()
+        arrival.events([1, 2, 3])
+        await asyncio.sleep(30)
+
+    async with gateway_rig.running(llm=[stall]) as rig:
+        rig.deps.stop_limit.stop_in(200.0)
+        asked = asyncio.create_task(streams.read(rig.ask("/brief/1")))
+        await asyncio.sleep(0.4)
+        assert not asked.done()
+        await rig.runner.cleanup()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await asked
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -328,6 +328,36 @@
     assert (0, b"cut") not in answered
 
 
+async def test_request_waiting_at_the_end_of_the_grace_period_is_answered(
+    fleet,
+):
+    """Load: an engine that is silent keeps a request until the exit."""
+    await fleet.publish_until_accepted(document(version=7))
+
+    async def served():
+        return (await fleet.ask())[0] == 200
+
+    await fleet.wait_until(served)
+
+    async def hang(arrival):
+        await asyncio.sleep(30)
+
+    fleet.engine.behave = hang
+    leaving, fleet.entry = fleet.entry, None
+
+    async def stop():
+        await leaving.drain()
+        await leaving.close()
+
+    stopping = asyncio.create_task(stop())
+    await asyncio.sleep(2.0)
+    status, body = await fleet.ask()
+    assert status == 502
+    assert json.loads(body)["error"]["outcome"] == "unknown"
+    assert leaving._remaining_ms() > 0
+    await stopping
+
+
 @pytest.mark.parametrize("path", ["/v1/Configuration.Replace", "/status"])
 async def test_incomplete_request_does_not_delay_exit(fleet, path):
     """Load: an operator's request stalls while the replica stops."""
