--- /dev/null
+++ b/tests/http/test_stream_versions.py
@@ -0,0 +1,154 @@
+"""A stream runs on engines of one software version while a release runs."""
+
+import asyncio
+
+import msgspec
+
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+from oriolejunction.platform import backend_list
+from tests.http import test_gateway_stream as streams
+from tests.platform import gateway_rig
+
+VERSIONS = ("v1", "v2", "v1")
+
+
+def list_engines(rig, versions):
+    """List the engines with these versions, as the platform does."""
+    entries = [
+        msgspec.json.encode(
+            {
+                "id": engine.name,
+                "service": gateway_rig.LLM,
+                "address": engine.address,
+                "zone": f"z{index}",
+                "version": version,
+                "state": "ready",
+            }
+        )
+        for index, (engine, version) in enumerate(
+            zip(rig.engines_by_service[gateway_rig.LLM], versions)
+        )
+    ]
+    found = backend_list.read_entries([msgspec.Raw(e) for e in entries])
+    rig.list({each.backend_id: each for each in found})
+
+
+def make_busy(rig, *names):
+    """Report many tokens of other instances on engines."""
+    loads = {
+        ids.BackendId(name): fm.BackendLoad(
+            ids.BackendId(name), 1, 9_000, 8_000
+        )
+        for name in names
+    }
+    rig.write_fleet(type(rig.blackboard.fleet.read())(load_by_id=loads))
+
+
+def versions_by_request(rig):
+    """Return the versions of the engines that each request reached."""
+    seen = {}
+    for name, arrival in streams.arrivals(rig):
+        version = VERSIONS[int(name.removeprefix("llm-"))]
+        seen.setdefault(arrival.headers["attempt-id"], []).append(version)
+    return seen
+
+
+async def breaks_once(arrival):
+    """Break the first attempt of each request off after three events."""
+    if "last-event-id" in arrival.headers:
+        await streams.complete(arrival)
+    else:
+        await streams.broken_after(3, lambda a: a.reset())(arrival)
+
+
+async def begin_and_leave(rig, request_id):
+    """Read the beginning of a stream, then close the connection."""
+    response = await rig.ask("/brief/1", request_id)
+    await response.content.readany()
+    response.close()
+
+
+async def hang_after_three(arrival):
+    """Stream three events, or the rest of a stream that is taken up."""
+    if "last-event-id" in arrival.headers:
+        await streams.complete(arrival)
+        return
+    arrival.begin()
+    arrival.events([1, 2, 3])
+    await arrival.writer.drain()
+    await arrival.reader.read()
+
+
+async def test_broken_stream_goes_on_at_its_software_version():
+    async with gateway_rig.running(llm=[breaks_once] * 3) as rig:
+        list_engines(rig, VERSIONS)
+        for number in range(6):
+            status, body = await streams.read(
+                rig.ask("/brief/1", f"a{number}")
+            )
+            assert (status, body) == (200, streams.ALL_EVENTS)
+        seen = versions_by_request(rig)
+    assert [len(set(each)) for each in seen.values()] == [1] * 6
+
+
+async def test_kv_cache_is_copied_to_an_engine_of_the_same_version():
+    async with gateway_rig.running(llm=[streams.complete] * 3) as rig:
+        list_engines(rig, VERSIONS)
+        make_busy(rig, "llm-2")
+        await streams.read(rig.ask("/brief/1"))
+        engines = rig.engines_by_service[gateway_rig.LLM]
+        ((name, arrival),) = streams.arrivals(rig)
+    other = {"llm-0": engines[2].address, "llm-1": None}[name]
+    assert arrival.headers.get("kv-backup") == other
+
+
+async def test_taken_up_stream_goes_on_at_the_version_that_began_it():
+    """Load: a caller comes back while the other version is less loaded."""
+    async with gateway_rig.running(llm=[hang_after_three] * 3) as rig:
+        list_engines(rig, VERSIONS)
+        await begin_and_leave(rig, "a1")
+        (begun,) = versions_by_request(rig)["a1"]
+        make_busy(rig, *(n for n in ("llm-0", "llm-2") if begun == "v1"))
+        for request_id in ("a2", "a3"):
+            status, _ = await streams.read(
+                rig.ask(
+                    "/brief/1", request_id, Resumes="a1", Last_Event_Id="3"
+                )
+            )
+            assert status == 200
+        seen = versions_by_request(rig)
+    assert (seen["a2"], seen["a3"]) == ([begun], [begun])
+
+
+async def test_taken_up_stream_of_unknown_version_is_not_run_in_a_release():
+    async with gateway_rig.running(llm=[streams.complete] * 3) as rig:
+        list_engines(rig, VERSIONS)
+        async with rig.ask(
+            "/brief/1", Resumes="elsewhere", Last_Event_Id="3"
+        ) as response:
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0
+            assert (await response.json())["error"]["outcome"] == "not_run"
+        assert not streams.arrivals(rig)
+
+
+async def test_taken_up_stream_of_unknown_version_runs_without_a_release():
+    async with gateway_rig.running(llm=[streams.complete]) as rig:
+        list_engines(rig, ("v1",))
+        status, _ = await streams.read(
+            rig.ask("/brief/1", Resumes="elsewhere", Last_Event_Id="3")
+        )
+    assert status == 200
+
+
+async def test_taken_up_stream_is_refused_at_once_if_its_version_left():
+    async with gateway_rig.running(llm=[hang_after_three] * 3) as rig:
+        list_engines(rig, ("v1", "v1", "v1"))
+        await begin_and_leave(rig, "a1")
+        list_engines(rig, ("v2", "v2", "v2"))
+        async with asyncio.timeout(0.3):
+            status, _ = await streams.read(
+                rig.ask("/brief/1", "a2", Resumes="a1", Last_Event_Id="3")
+            )
+    assert status == 503
