Keep each stream on one software version

What callers saw: during a release, streams whose events come from engines of two software versions.

Cause: a backend server had no software version at all. Placement, KV cache copies and streams that callers take up again chose among all engines of a service, and `Resumes` was read nowhere. Class of fault: state that decides where work may go on is kept with one connection only.

Change: the list's software version is part of `Backend`. The first committed event fixes the version of an answer; a request that takes a stream up fixes it before any dispatch. Only engines of that version are candidates, and a KV cache is copied only to one. Entry instances record the version of a stream at a control replica as they dispatch it, without waiting; a change before the first event waits for the acknowledgement. Control replicas relay the records and keep them for a minute. A stream without a record goes on only if no second version of its service was listed in the last minute; otherwise, and if no engine of its version is listed, the answer is `not_run` with a Retry-After. Log lines name the software version, `Resumes`, where the version is known from and the outcome.

`test_taken_up_stream_of_unknown_version_runs_without_a_release` no longer lists its engine anew: the rig lists it without a version first, so that the second list was a release. Tests that build an answer or a fleet service pass the new arguments; their checks are unchanged.

--- a/src/oriolejunction/backends.py
+++ b/src/oriolejunction/backends.py
@@ -8,7 +8,10 @@
 
 
 class Backend(msgspec.Struct, frozen=True, array_like=True):
-    """One incarnation of a backend server; `address` is ``IP:PORT``."""
+    """One incarnation of a backend server; `address` is ``IP:PORT``.
+
+    Servers that state no software version share the empty one.
+    """
 
     backend_id: ids.BackendId
     service: ids.ServiceName
@@ -17,6 +20,7 @@
     slots: int = 0
     leaving: bool = False
     cold_ms: float = 0.0
+    software: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -17,10 +17,12 @@
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
 from oriolejunction.controllers import fleet_hub
+from oriolejunction.controllers import stream_origins
 from oriolejunction import node_base
 from oriolejunction import node_settings
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import list_poller
+from oriolejunction.peers import origin_service
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
@@ -66,12 +68,14 @@
             CONTROL_TIMING,
             LOG_LIMITS,
         )
+        origins = stream_origins.OriginHub(self.clock)
         self._service = fleet_service.FleetService(
             fleet_service.FleetDependencies(
                 incarnation=secrets.token_hex(6),
                 replica=self._replica,
                 clock=self.clock,
                 hub=fleet_hub.FleetHub(self.clock),
+                origins=origins,
                 listing=self.listing,
                 stub_for=self._transport.stub_for,
             )
@@ -81,6 +85,9 @@
             self._server
         )
         self._service.add_to(self._server)
+        origin_service.OriginService(
+            origins, self._replica, self._transport.stub_for
+        ).add_to(self._server)
         transports.PLAINTEXT.listen(self._server, settings.peer_listen)
         await self._server.start()
         self._replica.start()
--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -34,6 +34,10 @@
     zone: ids.ZoneId
     rng: random.Random
 
+    def listed(self, service: ids.ServiceName) -> list[backends.Backend]:
+        """Return the backend servers of a service that aren't leaving."""
+        return self.blackboard.backends.read().available_for(service)
+
     def available(
         self,
         service: ids.ServiceName,
@@ -43,7 +47,7 @@
         reported = self.blackboard.fleet.read().suspects
         return [
             each
-            for each in self.blackboard.backends.read().available_for(service)
+            for each in self.listed(service)
             if each.backend_id not in excluded
             and not self.health.is_suspect(each.backend_id, reported)
         ]
@@ -52,12 +56,16 @@
         self,
         service: routing_table.Service,
         excluded: frozenset[ids.BackendId] = frozenset(),
+        software: ids.SoftwareVersion | None = None,
     ) -> list[placement.Candidate]:
-        """Return the engines of a service with all their known work."""
+        """Return the engines of a service with all their known work.
+
+        With `software`, return only those of that software version.
+        """
         own = self.own_loads.loads()
         fleet = self.blackboard.fleet.read()
         failing = placement.failing_zones(
-            self.blackboard.backends.read().available_for(service.name),
+            self.listed(service.name),
             fleet.suspects | set(self.health.suspects()),
         )
         return [
@@ -65,6 +73,7 @@
                 each, service.engine, own, fleet.load_by_id, failing
             )
             for each in self.available(service.name, excluded)
+            if software is None or each.software == software
         ]
 
     def _candidate(
--- a/src/oriolejunction/controllers/event_answer.py
+++ b/src/oriolejunction/controllers/event_answer.py
@@ -2,7 +2,7 @@
 
 Events of one answer may come from several engines. An event is appended only
 by the attempt that owns the answer, and only if its number follows the last
-one.
+one. All events of an answer come from one software version.
 """
 
 from oriolejunction.controllers import commit_point
@@ -13,12 +13,18 @@
 
 
 class EventAnswer:
-    """One answer; `last_event` is the number of the caller's last event."""
+    """One answer; `last_event` is the number of the caller's last event.
+
+    `software` is None until the software version is known that all further
+    events must come from.
+    """
 
     def __init__(self, last_event: int = 0) -> None:
         self.first_event = last_event
         self.last_event = last_event
         self.weights: int | None = None
+        self.software: ids.SoftwareVersion | None = None
+        self._attempt_software = ids.SoftwareVersion("")
         self._commit_point = commit_point.CommitPoint()
 
     @property
@@ -26,8 +32,13 @@
         """Return how many events were appended so far."""
         return self.last_event - self.first_event
 
-    def begin_attempt(self) -> ids.AttemptNumber:
+    def begin_attempt(
+        self, software: ids.SoftwareVersion
+    ) -> ids.AttemptNumber:
         """Make a new attempt the owner; it continues after the last event."""
+        if self.software is not None:
+            invariants.require_one_software(self.software, software)
+        self._attempt_software = software
         attempt = self._commit_point.new_attempt()
         self._commit_point.set_owner(attempt, self.last_event + 1)
         return attempt
@@ -47,6 +58,7 @@
             invariants.require_contiguous(self.last_event + 1, event.number)
             self._commit_point.advance(1)
             self.last_event = event.number
+            self.software = self._attempt_software
             if event.weights_version is not None:
                 self.weights = event.weights_version
         return outcome
--- a/src/oriolejunction/controllers/overload/placement.py
+++ b/src/oriolejunction/controllers/overload/placement.py
@@ -149,12 +149,13 @@
     """Return the engine for a stream's KV cache copy, None if none fits.
 
     It is in another availability zone than the engine that runs the stream,
-    since engines of one zone crash together.
+    since engines of one zone crash together, and has its software version.
     """
     fitting = [
         c
         for c in candidates
         if c.backend.zone != runs_on.zone
+        and c.backend.software == runs_on.software
         and not c.zone_failing
         and c.can_fit(requirements.kv_tokens)
     ]
--- a/src/oriolejunction/controllers/overload/wait_forecast.py
+++ b/src/oriolejunction/controllers/overload/wait_forecast.py
@@ -24,6 +24,8 @@
 # A caller honours a longer time only in part.
 MAX_FRACTION_OF_REMAINING = 1 / 3
 
+EngineGroup = tuple[ids.ServiceName, ids.SoftwareVersion | None]
+
 
 def release_interval_ms(
     candidates: collections.abc.Iterable[placement.Candidate],
@@ -53,30 +55,31 @@
 
 
 class IntervalCache:
-    """Keeps the release interval of each service for a short time.
+    """Keeps the release interval of each group of engines for a short time.
 
+    A group is a service, or the engines of one software version of it.
     The work for each waiting request must not grow with the engines.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._timed_interval_by_service: dict[
-            ids.ServiceName, tuple[float, float]
+        self._timed_interval_by_group: dict[
+            EngineGroup, tuple[float, float]
         ] = {}
 
     def interval_ms(
         self,
-        service: ids.ServiceName,
+        group: EngineGroup,
         compute: collections.abc.Callable[[], float],
     ) -> float:
-        """Return the interval of a service, computed anew if it is too old."""
+        """Return the interval of a group, computed anew if it is too old."""
         now_ms = self._clock.now_ms()
-        computed_ms, interval_ms = self._timed_interval_by_service.get(
-            service, (-math.inf, math.inf)
+        computed_ms, interval_ms = self._timed_interval_by_group.get(
+            group, (-math.inf, math.inf)
         )
         if now_ms - computed_ms > MAX_INTERVAL_AGE_MS:
             interval_ms = compute()
-            self._timed_interval_by_service[service] = (now_ms, interval_ms)
+            self._timed_interval_by_group[group] = (now_ms, interval_ms)
         return interval_ms
 
 
--- a/src/oriolejunction/controllers/overload/wait_queue.py
+++ b/src/oriolejunction/controllers/overload/wait_queue.py
@@ -35,7 +35,7 @@
 
     It misses its latency goal if it is placed after `goal_until_ms`.
     `tokens` is the KV cache that it needs, and a lower `rank` is more
-    urgent. `has_exclusions` is set once some servers are excluded for it;
+    urgent. `has_exclusions` is set if some servers are excluded for it;
     whether it fits then says nothing about whether others fit.
     """
 
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -88,8 +88,12 @@
                 read_table=gateway_dialect.WIRE_FORMAT.read_table,
                 stub_for=self._channels.stub_for,
                 rng=self.rng,
+                on_move=self._deps.origins.resend,
             )
         )
+        self._deps.origins.connect(
+            self._watch.replicas, self._channels.stub_for
+        )
         self._blackboard.backends.changes().subscribe(self._drop_unlisted)
         self._blackboard.fleet.changes().subscribe(
             lambda view: self._deps.speeds.update_reported(view.speed_by_id)
@@ -102,6 +106,7 @@
             source.on_change = self._watch.notify_report
         self.spawn(self._watch.run)
         self.spawn(self._watch.run_reports)
+        self.spawn(self._deps.origins.run)
         self.spawn(functools.partial(self.settings_file.watch, self.clock))
         self.spawn(
             list_poller.ListPoller(
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -69,6 +69,18 @@
     uses: tuple[ServiceUse, ...] = ()
 
 
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """The software version that runs a stream from its first event on.
+
+    `request_id` is that of the caller's request that begins the stream;
+    `number` rises when its version changes before the first event.
+    """
+
+    request_id: ids.RequestId
+    software: ids.SoftwareVersion
+    number: int
+
+
 class ListingSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The platform's list and its age; `backends` is None if unchanged."""
 
@@ -88,10 +100,36 @@
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
-    """Reports that one control replica relays to another."""
+    """Reports and origins that one control replica relays to another."""
 
     shares: tuple[EntryReport, ...]
     listing: ListingSnapshot | None = None
+    origins: tuple[StreamOrigin, ...] = ()
+
+
+class OriginsRequest(msgspec.Struct, frozen=True):
+    """Origins of the streams that an entry instance begins."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+class OriginLookup(msgspec.Struct, frozen=True):
+    """Ask for the origin of a stream.
+
+    A control replica that does not know it asks the others with `forwarded`
+    set.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    forwarded: bool = False
+
+
+class OriginReply(msgspec.Struct, frozen=True):
+    """The origin, if known, and the software versions seen lately."""
+
+    origin: StreamOrigin | None = None
+    versions: tuple[ids.SoftwareVersion, ...] = ()
 
 
 class WatchRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -19,8 +19,9 @@
     """One request or retry of a caller, with its complete body.
 
     `deadline_ms` is on this process's clock. `last_event` is the number of
-    the last event that the caller received, 0 without one. `headers` are
-    those to be forwarded unchanged.
+    the last event that the caller received, 0 without one, and `resumes` the
+    id of the request that brought its first event. `headers` are those to be
+    forwarded unchanged.
     """
 
     request_id: ids.RequestId
@@ -33,6 +34,7 @@
     received_ms: float
     deadline_ms: float | None
     last_event: int = 0
+    resumes: ids.RequestId = ids.RequestId("")
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_digest: str = ""
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -28,6 +28,7 @@
 from oriolejunction.http import connection_pool
 from oriolejunction.http import placement_queue
 from oriolejunction import ids
+from oriolejunction.peers import origin_client
 from oriolejunction import routing_table
 from oriolejunction import states
 from oriolejunction import telemetry
@@ -56,6 +57,7 @@
     queue: placement_queue.PlacementQueue
     release_intervals: wait_forecast.IntervalCache
     returns: wait_forecast.ReturnSchedule
+    origins: origin_client.OriginClient
     background_tasks: set[asyncio.Task] = dataclasses.field(
         default_factory=set
     )
@@ -74,6 +76,10 @@
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
     queue = placement_queue.PlacementQueue(clock)
+    origins = origin_client.OriginClient(clock)
+    blackboard.backends.changes().subscribe(
+        lambda snapshot: origins.history.observe(snapshot.by_id.values())
+    )
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
     return GatewayDependencies(
@@ -94,6 +100,7 @@
         queue=queue,
         release_intervals=wait_forecast.IntervalCache(clock),
         returns=wait_forecast.ReturnSchedule(clock),
+        origins=origins,
     )
 
 
@@ -250,6 +257,7 @@
     tokens: int = 0,
     has_started: bool = False,
     goal_until_ms: float = math.inf,
+    has_exclusions: bool = False,
 ):
     """Return the assignment of a request, None if there was none in time.
 
@@ -265,7 +273,7 @@
         tokens=tokens,
         since_ms=min(now_ms, admitted.began_ms),
         until_ms=now_ms + min(wait_ms, attempts.remaining_ms),
-        has_exclusions=bool(attempts.excluded),
+        has_exclusions=has_exclusions or bool(attempts.excluded),
         item=placement_request,
         goal_until_ms=goal_until_ms,
     )
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -20,6 +20,7 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stream_plan
+from oriolejunction.http import stream_software
 from oriolejunction import states
 
 # A machine of the same region accepts a connection within a few ms; several
@@ -52,8 +53,11 @@
         self._attempts = gateway_common.AttemptTracker(deps, admitted)
         self._answer = event_answer.EventAnswer(admitted.request.last_event)
         self._response: web.StreamResponse | None = None
+        self._software = stream_software.StreamSoftware(
+            deps, admitted, self._answer
+        )
         self._planner = stream_plan.StreamPlanner(
-            deps, admitted, self._attempts, self._answer
+            deps, admitted, self._attempts, self._answer, self._software
         )
         self._last_event_ms: float | None = None
         self._first_ms = 0.0
@@ -64,6 +68,7 @@
 
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` if it cannot begin."""
+        await self._software.resume()
         while True:
             has_started = self._response is not None
             plan = await self._planner.plan(has_started)
@@ -80,15 +85,18 @@
             "stream placed",
             backend=plan.backend.backend_id,
             zone=plan.backend.zone,
+            software=plan.backend.software,
             copy=plan.copy_backend and plan.copy_backend.backend_id,
             from_copy=plan.copy_source is not None,
             after_event=self._answer.last_event,
             streams=plan.candidate.streams,
             prefill=plan.candidate.prefill_tokens,
         )
-        attempt = self._answer.begin_attempt()
+        attempt = self._answer.begin_attempt(plan.backend.software)
         self._planner.last_copy_backend = None
         try:
+            if not await self._software.record(plan.backend):
+                return _AttemptEnd.REFUSED
             return await self._send_and_read(plan, attempt)
         finally:
             self._answer.revoke(attempt)
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -1,4 +1,7 @@
-"""Chooses the engine of a stream and that of its KV cache copy."""
+"""Chooses the engine of a stream and that of its KV cache copy.
+
+Both have the software version that the stream has begun at.
+"""
 
 import dataclasses
 import math
@@ -11,6 +14,8 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
+from oriolejunction.http import stream_software
+from oriolejunction import ids
 
 # Fraction of the latency goal that a new stream waits for an engine.
 QUEUE_WAIT_FRACTION = 0.6
@@ -59,11 +64,13 @@
         admitted: gateway_common.AdmittedRequest,
         attempts: gateway_common.AttemptTracker,
         answer: event_answer.EventAnswer,
+        software: stream_software.StreamSoftware,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
         self._attempts = attempts
         self._answer = answer
+        self._software = software
         self.last_copy_backend: backends.Backend | None = None
 
     async def plan(self, has_started: bool) -> StreamPlan | None:
@@ -96,6 +103,7 @@
             tokens=requirements.kv_tokens,
             has_started=has_started,
             goal_until_ms=now_ms + requirements.first_event_ms - prefill_ms,
+            has_exclusions=self._software.excludes_engines,
         )
 
     def _max_wait_ms(self, has_started: bool, prefill_ms: float) -> float:
@@ -117,7 +125,7 @@
         """
         service = self._admitted.service
         interval_ms = self._deps.release_intervals.interval_ms(
-            service.name, self._release_interval_ms
+            (service.name, self._answer.software), self._release_interval_ms
         )
         if math.isinf(interval_ms):
             return 0.0
@@ -132,7 +140,9 @@
     def _release_interval_ms(self) -> float:
         requirements = self._requirements()
         return wait_forecast.release_interval_ms(
-            self._deps.view.engine_candidates(self._admitted.service),
+            self._deps.view.engine_candidates(
+                self._admitted.service, software=self._answer.software
+            ),
             requirements.prompt_tokens,
             requirements.events,
         )
@@ -144,9 +154,21 @@
         self._deps.queue.notify_capacity()
 
     def _try_plan(self) -> StreamPlan | None:
+        for software in self._software.preferences():
+            plan = self._try_plan_at(software)
+            if plan is not None:
+                return plan
+        return None
+
+    def _try_plan_at(
+        self, software: ids.SoftwareVersion | None
+    ) -> StreamPlan | None:
+        """Return a plan with engines of a software version, None for any."""
         view = self._deps.view
         excluded = frozenset(self._attempts.excluded)
-        candidates = view.engine_candidates(self._admitted.service, excluded)
+        candidates = view.engine_candidates(
+            self._admitted.service, excluded, software
+        )
         requirements = self._requirements()
         chosen, source = self._find_copy_candidate(candidates), None
         tokens_to_prefill = requirements.prompt_tokens
--- /dev/null
+++ b/src/oriolejunction/http/stream_software.py
@@ -0,0 +1,142 @@
+"""Keeps one stream on one software version of its service's engines."""
+
+from oriolejunction import backends
+from oriolejunction.controllers import event_answer
+from oriolejunction.controllers import software_choice
+from oriolejunction import errors
+from oriolejunction import fleet_messages as fm
+from oriolejunction.http import gateway_common
+from oriolejunction import ids
+
+# Longer ids are not recorded, so that the records stay small.
+MAX_ID_LENGTH = 128
+
+
+class StreamSoftware:
+    """Records and enforces the software version of one stream."""
+
+    def __init__(
+        self,
+        deps: gateway_common.GatewayDependencies,
+        admitted: gateway_common.AdmittedRequest,
+        answer: event_answer.EventAnswer,
+    ) -> None:
+        self._deps = deps
+        self._admitted = admitted
+        self._answer = answer
+        self._recorded = software_choice.RecordedSoftware()
+        request = admitted.request
+        resumed_id = request.resumes if request.last_event else None
+        self._origin_id = resumed_id or request.request_id
+
+    async def resume(self) -> None:
+        """Fix the version of a stream that its caller takes up again.
+
+        Raise `Failure` with `NoCapacity` if the version is not known or no
+        engine of it is listed.
+        """
+        if not self._admitted.request.last_event:
+            return
+        origins = self._deps.origins
+        service = self._admitted.service.name
+        own = origins.own(self._origin_id)
+        reply = None
+        if own is None:
+            reply = await origins.lookup(self._origin_id, service)
+        resumption = software_choice.choose_for_resumption(
+            own, reply, origins.history.versions(service)
+        )
+        software = resumption.software
+        listed = any(
+            each.software == software
+            for each in self._deps.view.listed(service)
+        )
+        gateway_common.log_decision(
+            self._admitted,
+            "stream taken up",
+            resumes=self._origin_id,
+            software=software,
+            source=resumption.source.value,
+            control_answered=reply is not None,
+            allowed=software is not None and listed,
+        )
+        if software is None:
+            raise self._not_run("the stream's software version is not known")
+        if self._is_recordable:
+            origins.record(
+                fm.StreamOrigin(self._origin_id, software, resumption.number)
+            )
+        if not listed:
+            raise self._not_run(
+                f"no engine of software version {software!r} is listed"
+            )
+        self._answer.software = software
+
+    @property
+    def excludes_engines(self) -> bool:
+        """Return whether engines of other versions are listed."""
+        software = self._answer.software
+        return software is not None and any(
+            each.software != software
+            for each in self._deps.view.listed(self._admitted.service.name)
+        )
+
+    def preferences(self) -> tuple[ids.SoftwareVersion | None, ...]:
+        """Return the versions to place the stream at, the best one first."""
+        return self._recorded.preferences(self._answer.software)
+
+    async def record(self, backend: backends.Backend) -> bool:
+        """Record an attempt's version; return whether it may be sent.
+
+        Only a change of the version has to be acknowledged first.
+        """
+        software = backend.software
+        if (
+            self._answer.software is not None
+            or software == self._recorded.software
+            or not self._is_recordable
+        ):
+            return True
+        origins = self._deps.origins
+        origin = self._recorded.next_origin(self._origin_id, software)
+        if not self._recorded.is_change(software):
+            self._recorded.software = software
+            origins.record(origin)
+            return True
+        is_confirmed = await origins.confirm(origin)
+        gateway_common.log_decision(
+            self._admitted,
+            "software version changes",
+            before=self._recorded.software,
+            software=software,
+            allowed=is_confirmed,
+        )
+        if is_confirmed:
+            self._recorded.software = software
+            return True
+        # A replica may have recorded the change without an answer.
+        self._recorded.keep()
+        origins.record(
+            self._recorded.next_origin(
+                self._origin_id, self._recorded.software
+            )
+        )
+        return False
+
+    @property
+    def _is_recordable(self) -> bool:
+        return (
+            self._admitted.route.resumable
+            and 0 < len(self._origin_id) <= MAX_ID_LENGTH
+        )
+
+    def _not_run(self, message: str) -> errors.Failure:
+        return errors.Failure(
+            errors.NoCapacity(
+                message,
+                retry_after_ms=self._deps.returns.return_after_ms(
+                    self._admitted.service.name,
+                    self._admitted.deadline_ms - self._deps.clock.now_ms(),
+                ),
+            )
+        )
--- a/src/oriolejunction/invariants.py
+++ b/src/oriolejunction/invariants.py
@@ -103,6 +103,16 @@
     )
 
 
+def require_one_software(fixed: str, following: str) -> None:
+    """Require that an answer goes on at the software version it began at."""
+    require(
+        "answer_has_one_software_version",
+        following == fixed,
+        fixed=fixed,
+        following=following,
+    )
+
+
 def require_not_run(never_dispatched: bool, workspace: str) -> None:
     """Require that a request reported as `not_run` was sent to no engine."""
     require("not_run_is_true", never_dispatched, workspace=workspace)
--- a/src/oriolejunction/peers/fleet_methods.py
+++ b/src/oriolejunction/peers/fleet_methods.py
@@ -1,4 +1,4 @@
-"""gRPC methods of the Fleet service, which control replicas serve."""
+"""gRPC methods of the Fleet and StreamOrigins services of control replicas."""
 
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import rpc
@@ -7,4 +7,10 @@
 RELAY = rpc.Method("Fleet", "Relay", fm.RelayRequest, fm.Acknowledgement)
 WATCH = rpc.Method("Fleet", "Watch", fm.WatchRequest, fm.WatchReply)
 PUBLISH = rpc.Method("Fleet", "Publish", fm.PublishRequest, fm.PublishReply)
+ORIGINS = rpc.Method(
+    "StreamOrigins", "Record", fm.OriginsRequest, fm.Acknowledgement
+)
+ORIGIN_LOOKUP = rpc.Method(
+    "StreamOrigins", "Lookup", fm.OriginLookup, fm.OriginReply
+)
 READ = rpc.Method("Fleet", "Read", fm.ReadRequest, fm.ReadReply)
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -1,8 +1,8 @@
 """The Fleet gRPC service of a control replica.
 
 Entry instances send their reports and watch for changes. Control replicas
-relay reports and the platform's list to each other, and forward documents
-and reads to the leader.
+relay reports, origins of streams and the platform's list to each other, and
+forward documents and reads to the leader.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 
 import grpc
 import structlog
@@ -20,7 +21,9 @@
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import published_table
+from oriolejunction.controllers import stream_origins
 from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
 from oriolejunction.peers import rpc
@@ -39,6 +42,8 @@
 LEADER_TIMEOUT_MS = 500.0
 PUBLISH_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 0.8
+# Origins that wait for a replica that can't be reached; the oldest go first.
+MAX_UNSENT_ORIGINS = 10_000
 _log = structlog.get_logger(__name__)
 
 
@@ -54,19 +59,23 @@
     replica: raft_replica.RaftReplica
     clock: clocks.Clock
     hub: fleet_hub.FleetHub
+    origins: stream_origins.OriginHub
     listing: listing_store.ListingStore
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
 
 
 @dataclasses.dataclass
 class _Relay:
-    """Reports still to be sent to one control replica, and their sender."""
+    """What is still to be sent to one control replica, and its sender."""
 
     task: asyncio.Task
     has_updates: asyncio.Event
     reports: dict[str, fm.EntryReport] = dataclasses.field(
         default_factory=dict
     )
+    origins: dict[ids.RequestId, fm.StreamOrigin] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class FleetService:
@@ -78,6 +87,7 @@
         self._replica.on_apply = self._on_applied
         self._changed = asyncio.Event()
         self._has_updates = asyncio.Event()
+        deps.origins.on_change = self._has_updates.set
         self._relay_by_address: dict[str, _Relay] = {}
 
     def add_to(self, server: grpc.aio.Server) -> None:
@@ -100,10 +110,14 @@
 
     def notify_listing(self) -> None:
         """Wake watches and relays after a read of the platform's list."""
+        self._observe_software()
         self.notify_watches()
         for relay in self._relay_by_address.values():
             relay.has_updates.set()
 
+    def _observe_software(self) -> None:
+        self._deps.origins.history.observe(self._deps.listing.backends)
+
     def _on_applied(self) -> None:
         self.notify_watches()
         self._has_updates.set()
@@ -151,9 +165,11 @@
             report.instance: report
             for report in self._deps.hub.take_unforwarded()
         }
-        if reports:
+        origins = self._deps.origins.take_unforwarded()
+        if reports or origins:
             for relay in self._relay_by_address.values():
                 relay.reports.update(reports)
+                relay.origins.update(origins)
                 relay.has_updates.set()
 
     async def _send_relays(self, address: str) -> None:
@@ -166,14 +182,16 @@
             await self._deps.clock.sleep_ms(self._batch_delay_ms())
             reports = tuple(relay.reports.values())
             relay.reports.clear()
+            origins, relay.origins = relay.origins, {}
             listing = None
             if self._replica.leader_term is not None:
                 listing = self._deps.listing.snapshot(digest_sent)
-            if not reports and listing is None:
+            if not reports and not origins and listing is None:
                 continue
             try:
                 await call(
-                    fm.RelayRequest(reports, listing), timeout=RELAY_TIMEOUT_S
+                    fm.RelayRequest(reports, listing, tuple(origins.values())),
+                    timeout=RELAY_TIMEOUT_S,
                 )
             except grpc.aio.AioRpcError as error:
                 # Entry instances resend their reports every second.
@@ -181,6 +199,7 @@
                     "relay not sent", to=address, code=error.code().name
                 )
                 digest_sent = ""
+                relay.origins = _newest({**origins, **relay.origins})
                 continue
             if listing is not None:
                 digest_sent = listing.digest
@@ -201,7 +220,11 @@
     async def _relay(self, request: fm.RelayRequest) -> fm.Acknowledgement:
         hub = self._deps.hub
         changed = [hub.put(report, direct=False) for report in request.shares]
+        for origin in request.origins:
+            self._deps.origins.put(origin, direct=False)
         listing_changed = self._deps.listing.store_received(request.listing)
+        if request.listing is not None:
+            self._observe_software()
         if listing_changed or any(changed):
             self.notify_watches()
         return fm.Acknowledgement()
@@ -338,3 +361,11 @@
                 code=error.code().name,
             )
             return fallback
+
+
+def _newest(
+    origins: dict[ids.RequestId, fm.StreamOrigin],
+) -> dict[ids.RequestId, fm.StreamOrigin]:
+    """Return the last MAX_UNSENT_ORIGINS origins."""
+    excess = max(0, len(origins) - MAX_UNSENT_ORIGINS)
+    return dict(itertools.islice(origins.items(), excess, None))
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -21,6 +21,7 @@
 from oriolejunction import fleet_view
 from oriolejunction import ids
 from oriolejunction import invariants
+from oriolejunction import listeners
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
 from oriolejunction.peers import rpc
@@ -42,7 +43,8 @@
     """Dependencies of the fleet watch.
 
     `seeds` returns the peer addresses of the control replicas that the
-    settings name; `report` returns this instance's current report.
+    settings name; `report` returns this instance's current report. `on_move`
+    is called once another replica, or another incarnation, has answered.
     """
 
     instance: ids.InstanceId
@@ -55,6 +57,7 @@
     read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
     rng: random.Random
+    on_move: listeners.OnChange
 
 
 class FleetWatch:
@@ -126,14 +129,16 @@
             self._report_changed.set()
 
     def _choose_replica(self) -> str | None:
-        """Return the replica to watch, None if no replica is known.
+        """Return the replica to watch, None if no replica is known."""
+        return next(iter(self.replicas()), None)
+
+    def replicas(self) -> list[str]:
+        """Return the addresses of all known replicas, the best one first.
 
         Replicas without a recent failure come first, then replicas in the
         instance's own availability zone, then the one watched now.
         """
         candidates = {*self._zone_by_address, *self._deps.seeds()}
-        if not candidates:
-            return None
         now_ms = self._deps.clock.now_ms()
 
         def rank(address: str) -> tuple:
@@ -147,7 +152,7 @@
                 self._deps.rng.random(),
             )
 
-        return min(candidates, key=rank)
+        return sorted(candidates, key=rank)
 
     async def _watch(self, address: str) -> None:
         if address != self._current:
@@ -207,6 +212,8 @@
         ):
             self._write_fleet(fleet_view.apply_counts(current, reply, now_ms))
             return
+        if reply.boot != self._replica_incarnation:
+            self._deps.on_move()
         self._seen, self._replica_incarnation = reply.seen, reply.boot
         self._write_fleet(fleet_view.apply_reply(current, reply, now_ms))
 
--- /dev/null
+++ b/src/oriolejunction/peers/origin_client.py
@@ -0,0 +1,120 @@
+"""Records origins of streams at the control replicas, and looks them up.
+
+Records are sent in batches, without delaying the streams: an engine takes
+longer for the prefill of a prompt. One that was not acknowledged is sent
+again.
+"""
+
+import asyncio
+import collections.abc
+
+import grpc
+import structlog
+
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import software_history
+from oriolejunction.controllers import stream_origins
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+from oriolejunction.peers import fleet_methods
+from oriolejunction.peers import rpc
+
+BATCH_MS = 10.0
+MAX_BATCH = 1_000
+RETRY_DELAY_MS = 50.0
+CALL_TIMEOUT_S = 0.2
+# Replicas that are asked before a call counts as failed.
+MAX_REPLICAS_ASKED = 2
+_log = structlog.get_logger(__name__)
+
+Replicas = collections.abc.Callable[[], list[str]]
+StubFor = collections.abc.Callable[[str, rpc.Method], rpc.Handler]
+
+
+class OriginClient:
+    """The origins of this instance's streams, and access to all others."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._own = stream_origins.OriginTable(clock)
+        self._unsent: dict[ids.RequestId, fm.StreamOrigin] = {}
+        self._has_unsent = asyncio.Event()
+        self._replicas: Replicas = list
+        self._stub_for: StubFor | None = None
+        self.history = software_history.SoftwareHistory(clock)
+
+    def connect(self, replicas: Replicas, stub_for: StubFor) -> None:
+        """Set the control replicas; `replicas` returns the best one first."""
+        self._replicas = replicas
+        self._stub_for = stub_for
+
+    def own(self, request_id: ids.RequestId) -> fm.StreamOrigin | None:
+        """Return the origin of a stream that this instance has served."""
+        return self._own.get(request_id)
+
+    def record(self, origin: fm.StreamOrigin) -> None:
+        """Record an origin here at once, and soon at a control replica."""
+        self._own.put(origin)
+        self._unsent[origin.request_id] = origin
+        self._has_unsent.set()
+
+    async def confirm(self, origin: fm.StreamOrigin) -> bool:
+        """Record an origin; return whether a control replica has it."""
+        reply = await self._call(
+            fleet_methods.ORIGINS, fm.OriginsRequest((origin,))
+        )
+        if reply is None:
+            return False
+        self._own.put(origin)
+        self._unsent.pop(origin.request_id, None)
+        return True
+
+    def resend(self) -> None:
+        """Send all records again, to a replica that may have none.
+
+        Callers may still come back for streams that have just ended.
+        """
+        self._unsent = {
+            origin.request_id: origin for origin in self._own.all()
+        } | self._unsent
+        if self._unsent:
+            self._has_unsent.set()
+
+    async def lookup(
+        self, request_id: ids.RequestId, service: ids.ServiceName
+    ) -> fm.OriginReply | None:
+        """Return what the control replicas know, None if none answers."""
+        return await self._call(
+            fleet_methods.ORIGIN_LOOKUP, fm.OriginLookup(request_id, service)
+        )
+
+    async def run(self) -> None:
+        """Send new records until cancelled."""
+        while True:
+            await self._has_unsent.wait()
+            await self._clock.sleep_ms(BATCH_MS)
+            batch = dict(list(self._unsent.items())[:MAX_BATCH])
+            for request_id in batch:
+                del self._unsent[request_id]
+            reply = await self._call(
+                fleet_methods.ORIGINS, fm.OriginsRequest(tuple(batch.values()))
+            )
+            if reply is None:
+                self._unsent = batch | self._unsent
+                await self._clock.sleep_ms(RETRY_DELAY_MS)
+            if not self._unsent:
+                self._has_unsent.clear()
+
+    async def _call(self, method: rpc.Method, request):
+        for address in self._replicas()[:MAX_REPLICAS_ASKED]:
+            call = self._stub_for(address, method)
+            try:
+                return await call(request, timeout=CALL_TIMEOUT_S)
+            except grpc.aio.AioRpcError as error:
+                _log.info(
+                    "origins not reached",
+                    method=method.name,
+                    replica=address,
+                    code=error.code().name,
+                )
+        return None
--- a/src/oriolejunction/platform/backend_list.py
+++ b/src/oriolejunction/platform/backend_list.py
@@ -26,6 +26,7 @@
     zone: str
     state: str
     slots: int = 0
+    version: str = ""
     cold_remaining_ms: float = msgspec.field(
         name="coldRemainingMs", default=0.0
     )
@@ -129,4 +130,5 @@
         slots=entry.slots,
         leaving=leaving,
         cold_ms=entry.cold_remaining_ms,
+        software=ids.SoftwareVersion(entry.version),
     )
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -13,6 +13,7 @@
 DEADLINE = b"deadline-ms"
 KEY = b"x-api-key"
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
 # Value: "prompt tokens,max output tokens"
 TOKENS = b"token-counts"
 PROMPT = b"prompt-prefix"
@@ -94,6 +95,7 @@
         received_ms=now_ms,
         deadline_ms=now_ms + deadline_ms if deadline_ms is not None else None,
         last_event=int(_parse_number(by_name, LAST_EVENT) or 0),
+        resumes=ids.RequestId(_decode_text(by_name.get(RESUMES, b""))),
         prompt_tokens=prompt,
         max_output_tokens=output,
         prompt_digest=_decode_text(by_name.get(PROMPT, b"")).rpartition(",")[
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -135,6 +135,15 @@
     NO_ROOM = "no_room"
 
 
+class OriginSource(enum.Enum):
+    """How the software version of a resumed stream is known."""
+
+    OWN = "own"
+    CONTROL = "control"
+    SINGLE_VERSION = "single_version"
+    UNKNOWN = "unknown"
+
+
 class OrderAction(enum.Enum):
     """What an engine is ordered to do."""
 
--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import grpc
 import msgspec
+import pytest
 
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -135,7 +137,6 @@
 
 async def test_taken_up_stream_of_unknown_version_runs_without_a_release():
     async with gateway_rig.running(llm=[streams.complete]) as rig:
-        list_engines(rig, ("v1",))
         status, _ = await streams.read(
             rig.ask("/brief/1", Resumes="elsewhere", Last_Event_Id="3")
         )
@@ -152,3 +153,40 @@
                 rig.ask("/brief/1", "a2", Resumes="a1", Last_Event_Id="3")
             )
     assert status == 503
+
+
+async def lost_at_v1(arrival):
+    """Lose the connection of each attempt before its first event."""
+    arrival.reset()
+
+
+@pytest.mark.parametrize("is_recorded", [True, False])
+async def test_version_changes_before_the_first_event_only_if_recorded(
+    is_recorded,
+):
+    """Load: the only engine of a version is lost during the prefill."""
+
+    def stub_for(address, method):
+        async def record(request, timeout):
+            if not is_recorded:
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.DEADLINE_EXCEEDED, (), ()
+                )
+            sent.extend(request.origins)
+            return fm.Acknowledgement()
+
+        return record
+
+    sent = []
+    async with gateway_rig.running(llm=[lost_at_v1, streams.complete]) as rig:
+        list_engines(rig, VERSIONS)
+        make_busy(rig, "llm-1")
+        rig.deps.origins.connect(lambda: ["r0"], stub_for)
+        status, _ = await streams.read(rig.ask("/brief/1"))
+        seen = versions_by_request(rig)
+    if is_recorded:
+        assert (status, seen["a1"]) == (200, ["v1", "v2"])
+        assert sent == [fm.StreamOrigin("a1", "v2", 2)]
+    else:
+        assert (status, seen["a1"]) == (502, ["v1"])
+        assert rig.deps.origins.own("a1") == fm.StreamOrigin("a1", "v1", 3)
--- a/tests/peers/test_fleet_service.py
+++ b/tests/peers/test_fleet_service.py
@@ -10,6 +10,7 @@
 from oriolejunction.consensus import types as raft_types
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import published_table
+from oriolejunction.controllers import stream_origins
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction.peers import fleet_service
@@ -79,6 +80,7 @@
             replica=replica,
             clock=clock,
             hub=fleet_hub.FleetHub(clock),
+            origins=stream_origins.OriginHub(clock),
             listing=listing_store.ListingStore(clock),
             stub_for=peers.stub_for,
         )
