--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -1,40 +1,86 @@
-"""Reads an engine's answer, and detects by probes that it has stalled.
+"""Reads an engine's answer, and replaces an engine that has stalled.
 
-A silent engine is probed; the reader gives up on one that is unreachable or
-silent for too long.
+A silent engine is probed. If it is unreachable or silent for too long, another
+engine is searched for while the connection stays open: an engine that is only
+silent for a while completes an answer that no other engine can take.
 """
 
 import asyncio
 import collections.abc
+import dataclasses
+import math
 import typing
 
 from oriolejunction import backends
+from oriolejunction import clock as clocks
 from oriolejunction.controllers import run_progress
 from oriolejunction.controllers import stalls
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
+from oriolejunction.http import repeated_task
 from oriolejunction.http import report_probe
 from oriolejunction.http import stream_plan
 
 LimitsSource = collections.abc.Callable[[], stalls.StallLimits]
 Piece = typing.TypeVar("Piece")
+PieceReader = collections.abc.Callable[[], collections.abc.Awaitable[Piece]]
+
+
+# Interval between searches for another engine while an engine is stalled.
+SEARCH_INTERVAL_MS = 400.0
+# The last events of a finished run may still be on their way for as long as
+# a lost packet takes to be sent again.
+GONE_GRACE_MS = 0.0
 
 
 class EngineStalled(Exception):
     """An engine sent nothing for too long, or failed a probe.
 
-    `has_events` is set if the engine reports events that did not arrive.
+    `has_events` is set if the engine reports events that did not arrive,
+    `gone` if it reports that it does not run the request.
     """
 
-    def __init__(self, why: str, has_events: bool = False) -> None:
+    def __init__(
+        self, why: str, has_events: bool = False, gone: bool = False
+    ) -> None:
         super().__init__(why)
         self.has_events = has_events
+        self.gone = gone
+
+
+class EngineReplaced(Exception):
+    """Another engine continues the answer of a stalled one, by `plan`."""
+
+    def __init__(self, why: str, plan: stream_plan.StreamPlan) -> None:
+        super().__init__(why)
+        self.plan = plan
+
+
+class RequestGone(Exception):
+    """A stalled engine does not run the request any more."""
 
 
 class DeadlineReached(Exception):
     """The caller's deadline or the route's timeout was reached."""
 
 
+@dataclasses.dataclass(frozen=True)
+class StallHandlers:
+    """What happens when an engine stalls.
+
+    `on_stalled` excludes the engine from further placements,
+    `on_continued` takes that back. `search` returns the plan of an attempt
+    on another engine, None if there is none; `release` undoes a plan.
+    """
+
+    on_stalled: collections.abc.Callable[[EngineStalled], None]
+    on_continued: collections.abc.Callable[[], None]
+    search: collections.abc.Callable[
+        [], collections.abc.Awaitable[stream_plan.StreamPlan | None]
+    ]
+    release: collections.abc.Callable[[stream_plan.StreamPlan], None]
+
+
 class StallDetectingReader:
     """Reads one attempt's answer and detects a stalled engine."""
 
@@ -45,26 +91,130 @@
         attempts: gateway_common.AttemptTracker,
         backend: backends.Backend,
         first_event: int,
+        handlers: StallHandlers,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
         self._attempts = attempts
         self._backend = backend
         self._first_event = first_event
+        self._handlers = handlers
 
     async def read(
-        self,
-        read_piece: collections.abc.Callable[
-            [], collections.abc.Awaitable[Piece]
-        ],
-        limits: LimitsSource,
+        self, read_piece: PieceReader[Piece], limits: LimitsSource
     ) -> Piece:
         """Return the next piece, probing the engine while it is silent.
 
-        Raise `EngineStalled` if a probe fails, the engine reports that the
-        answer will not come, or the silence reaches its limit while the
-        engine does not report that it works on the request. Raise
-        `DeadlineReached` at the deadline.
+        Raise `EngineReplaced` once another engine is found for the answer of
+        a stalled one, `RequestGone` if the engine does not run the request,
+        and `DeadlineReached` at the deadline.
+        """
+        since_ms = self._deps.clock.now_ms()
+        try:
+            return await self._read_in_time(read_piece, limits)
+        except EngineStalled as stall:
+            return await self._read_or_replace(read_piece, stall, since_ms)
+
+    async def _read_or_replace(
+        self,
+        read_piece: PieceReader[Piece],
+        stall: EngineStalled,
+        since_ms: float,
+    ) -> Piece:
+        """Return the next piece if it comes before another engine is found."""
+        clock = self._deps.clock
+        self._log_stall("engine stalled", since_ms, why=str(stall))
+        self._handlers.on_stalled(stall)
+        piece_task = asyncio.ensure_future(read_piece())
+        search = repeated_task.RepeatedTask(
+            clock, self._handlers.search, SEARCH_INTERVAL_MS
+        )
+        check = repeated_task.RepeatedTask(
+            clock,
+            lambda: self._is_gone(clock.now_ms() - since_ms),
+            stalls.REPORT_INTERVAL_MS,
+            first_ms=stalls.REPORT_INTERVAL_MS,
+        )
+        gone_since_ms = clock.now_ms() if stall.gone else math.inf
+        try:
+            while not piece_task.done():
+                if self._attempts.remaining_ms <= 0:
+                    raise DeadlineReached
+                await self._wait_for_any(piece_task, search, check)
+                plan = search.take()
+                if plan is not None:
+                    if not piece_task.done():
+                        raise EngineReplaced(str(stall), plan)
+                    self._handlers.release(plan)
+                gone = check.take()
+                if gone is not None:
+                    since = min(gone_since_ms, clock.now_ms())
+                    gone_since_ms = since if gone else math.inf
+                gone_ms = clock.now_ms() - gone_since_ms
+                if gone_ms >= GONE_GRACE_MS and not piece_task.done():
+                    raise RequestGone("the engine does not run the request")
+            piece = piece_task.result()
+        finally:
+            piece_task.cancel()
+            await check.cancel()
+            if (plan := await search.cancel()) is not None:
+                self._handlers.release(plan)
+        self._log_stall("stalled engine continued", since_ms)
+        self._handlers.on_continued()
+        return piece
+
+    async def _wait_for_any(
+        self,
+        piece_task: asyncio.Future,
+        *repeated: repeated_task.RepeatedTask,
+    ) -> None:
+        """Wait for the piece, a repeated task, or the deadline."""
+        tasks = {piece_task}
+        wait_ms = min(self._attempts.remaining_ms, GONE_GRACE_MS)
+        for each in repeated:
+            wait_ms = min(wait_ms, each.start_if_due())
+            if each.task is not None:
+                tasks.add(each.task)
+        await asyncio.wait(
+            tasks,
+            timeout=max(0.0, wait_ms) / 1e3,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    async def _is_gone(self, silent_ms: float) -> bool:
+        """Return whether a stalled engine has stopped running the request.
+
+        Its report says so, or it is neither listed nor reachable.
+        """
+        try:
+            await self._check_report(silent_ms)
+        except EngineStalled as stall:
+            return stall.gone
+        listed = self._deps.blackboard.backends.read().by_id
+        if self._backend.backend_id in listed:
+            return False
+        return not await backend_checks.is_reachable(self._deps, self._backend)
+
+    def _log_stall(
+        self, decision: str, since_ms: float, **inputs: object
+    ) -> None:
+        gateway_common.log_decision(
+            self._admitted,
+            decision,
+            backend=self._backend.backend_id,
+            silent_ms=round(self._deps.clock.now_ms() - since_ms),
+            attempts_left=self._attempts.may_send(),
+            **inputs,
+        )
+
+    async def _read_in_time(
+        self, read_piece: PieceReader[Piece], limits: LimitsSource
+    ) -> Piece:
+        """Return the next piece; raise `EngineStalled`.
+
+        The engine has stalled if a probe fails, it reports that the answer
+        will not come, or the silence reaches its limit while it does not
+        report that it works on the request.
         """
         clock = self._deps.clock
         since_ms = clock.now_ms()
@@ -78,13 +228,19 @@
             give_up_ms = report_at_ms if is_working else current.give_up_ms
             wait_ms = min(probe_at_ms, report_at_ms, give_up_ms) - silent_ms
             wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
+            due_ms = clock.now_ms() + wait_ms
             try:
                 async with asyncio.timeout(wait_ms / 1e3):
                     return await read_piece()
             except TimeoutError:
-                silent_ms = clock.now_ms() - since_ms
+                late_ms = clock.now_ms() - due_ms
             if self._attempts.remaining_ms <= 0:
                 raise DeadlineReached
+            if late_ms > clocks.LATE_TIMER_MS:
+                # What arrived while this process was paused is read first.
+                since_ms += late_ms
+                continue
+            silent_ms = clock.now_ms() - since_ms
             current = limits()
             if silent_ms >= max(next_report_ms, current.report_ms):
                 is_working = await self._check_report(silent_ms)
@@ -102,7 +258,8 @@
     async def _check_report(self, silent_ms: float) -> bool:
         """Return whether the engine reports that it works on the request.
 
-        Raise `EngineStalled` if it reports that the answer will not come.
+        Raise `EngineStalled` if it reports events that did not arrive, or
+        that it does not run the request.
         """
         report = await report_probe.fetch_report(
             self._deps.pool, self._deps.wire_format, self._backend
@@ -120,7 +277,7 @@
         if progress is run_progress.RunProgress.ANSWER_LOST:
             raise EngineStalled("the engine's events were lost", True)
         if progress is run_progress.RunProgress.GONE:
-            raise EngineStalled("the engine does not run the request")
+            raise EngineStalled("the engine does not run it", gone=True)
         return progress is run_progress.RunProgress.WORKING
 
 
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -12,6 +12,7 @@
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
+from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stream_software
@@ -106,6 +107,33 @@
             has_exclusions=self._software.excludes_engines,
         )
 
+    async def plan_reachable(self, has_started: bool) -> StreamPlan | None:
+        """Return a plan on an engine that accepts a connection now.
+
+        Its send is charged to the budget already.
+        """
+        plan = await self.plan(has_started)
+        if plan is None:
+            return None
+        if not self._attempts.reserve_send():
+            self.release(plan)
+            return None
+        reachable = False
+        try:
+            reachable = await backend_checks.is_reachable(
+                self._deps, plan.backend
+            )
+        finally:
+            if not reachable:
+                self.discard(plan)
+        if reachable:
+            return plan
+        self._attempts.excluded.add(plan.backend.backend_id)
+        backend_checks.mark_backend_lost(
+            self._deps, plan.backend, "not reached"
+        )
+        return None
+
     def _max_wait_ms(self, has_started: bool, prefill_ms: float) -> float:
         """Return how long waiting for an engine can be of use.
 
@@ -153,6 +181,11 @@
         self._deps.own_loads.end(plan.copy_load_key)
         self._deps.queue.notify_capacity()
 
+    def discard(self, plan: StreamPlan) -> None:
+        """Undo a plan of `plan_reachable`."""
+        self.release(plan)
+        self._attempts.cancel_reservation()
+
     def _try_plan(self) -> StreamPlan | None:
         for software in self._software.preferences():
             plan = self._try_plan_at(software)
