Test that a stream without engines of its version ends

A stream whose last engine of its version is lost must not go on at another one; it ends incomplete.

--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiohttp
 import grpc
 import msgspec
 import pytest
@@ -190,3 +191,13 @@
     else:
         assert (status, seen["a1"]) == (502, ["v1"])
         assert rig.deps.origins.own("a1") == fm.StreamOrigin("a1", "v1", 3)
+
+
+async def test_broken_stream_never_goes_on_at_another_version():
+    """Load: the last engine of a version is lost in a release."""
+    async with gateway_rig.running(llm=[breaks_once] * 2) as rig:
+        list_engines(rig, VERSIONS)
+        make_busy(rig, "llm-1")
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await streams.read(rig.ask("/brief/1", Deadline_Ms="900"))
+        assert versions_by_request(rig)["a1"] == ["v1"]
