--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -160,6 +160,8 @@
         self.sent = 0
         self.possibly_run = 0
         self.excluded: set[ids.BackendId] = set()
+        # Excluded for their silence only: tried again if no other is left.
+        self.stalled: set[ids.BackendId] = set()
         # Whether the next send is charged to the budget already.
         self._reserved = False
         # Last forecast for a backend server with capacity, if there is one.
@@ -175,7 +177,9 @@
         """Return why the request may go to no more servers, if so."""
         if self.remaining_ms <= 0:
             return states.SendRefusal.DEADLINE
-        if self.possibly_run >= self._admitted.route.max_attempts:
+        route = self._admitted.route
+        max_attempts = route.max_attempts if route.retryable else 1
+        if self.possibly_run >= max_attempts:
             return states.SendRefusal.MAX_ATTEMPTS
         if not self.sent:
             return None
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -187,18 +187,30 @@
         self._attempts.cancel_reservation()
 
     def _try_plan(self) -> StreamPlan | None:
+        excluded = self._attempts.excluded
+        plan = self._plan_without(frozenset(excluded))
+        if plan is None and self._attempts.stalled:
+            plan = self._plan_without(
+                frozenset(excluded - self._attempts.stalled)
+            )
+        return plan
+
+    def _plan_without(
+        self, excluded: frozenset[ids.BackendId]
+    ) -> StreamPlan | None:
         for software in self._software.preferences():
-            plan = self._try_plan_at(software)
+            plan = self._plan_at(software, excluded)
             if plan is not None:
                 return plan
         return None
 
-    def _try_plan_at(
-        self, software: ids.SoftwareVersion | None
+    def _plan_at(
+        self,
+        software: ids.SoftwareVersion | None,
+        excluded: frozenset[ids.BackendId],
     ) -> StreamPlan | None:
         """Return a plan with engines of a software version, None for any."""
         view = self._deps.view
-        excluded = frozenset(self._attempts.excluded)
         candidates = view.engine_candidates(
             self._admitted.service, excluded, software
         )
