--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -221,13 +221,15 @@
             await reader.read(connection.read_response_head, limits),
             self._admitted.request,
         )
-        refusal = await self._check_refusal(plan, connection, head)
+        refusal = await self._check_refusal(
+            plan,
+            connection,
+            head,
+            lambda: reader.read(connection.read_chunk, next_event_limits),
+        )
         if refusal is not None:
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
-        if self._answer.weights is None:
-            self._answer.weights = head.weights_version
-        await self._send_head(head)
         incomplete = b""
         is_first = True
         last_received_ms = sent_ms
@@ -254,12 +256,15 @@
                     plan.backend.backend_id, now_ms - last_received_ms
                 )
             last_received_ms = now_ms
+            # Without an event, the caller can still get another answer.
+            await self._send_head(head)
             await self._deliver(plan, attempt, blocks)
             limits = next_event_limits
         if incomplete.strip():
             raise backend_connection.ConnectionBroken(
                 "the stream ended within an event"
             )
+        await self._send_head(head)
         self._deps.pool.release(connection)
         self._deps.lengths.add(
             self._admitted.route.name, self._answer.last_event
@@ -306,9 +311,10 @@
             await self._response.write(b"".join(out))
 
     async def _send_head(self, head: gateway_messages.AnswerHead) -> None:
-        """Send the head of the first engine that answers."""
+        """Send the head of the first engine that sends an event."""
         if self._response is not None:
             return
+        self._answer.weights = head.weights_version
         response = web.StreamResponse(
             status=head.status, headers=gateway_common.answer_headers(head)
         )
@@ -321,6 +327,7 @@
         plan: stream_plan.StreamPlan,
         connection: backend_connection.BackendConnection,
         head: gateway_messages.AnswerHead,
+        read_chunk: stall_detection.PieceReader[bytes | None],
     ) -> _AttemptEnd | None:
         """Return how an attempt ended, None if its stream begins."""
         if head.not_run:
@@ -331,7 +338,7 @@
         gateway_common.require_matching_answer(head)
         if head.success:
             return None
-        body = await backend_connection.read_body(connection)
+        body = await backend_connection.read_body(read_chunk)
         self._deps.pool.release(connection)
         self._deps.health.record_outcome(plan.backend.backend_id, failed=True)
         self._attempts.excluded.add(plan.backend.backend_id)
