--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -19,8 +19,10 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
+from oriolejunction.http import stall_handlers
 from oriolejunction.http import stop_limit
 from oriolejunction.http import stream_plan
+from oriolejunction.http import stream_software
 from oriolejunction.http import stream_timing
 from oriolejunction import states
 
@@ -54,8 +56,11 @@
         self._attempts = gateway_common.AttemptTracker(deps, admitted)
         self._answer = event_answer.EventAnswer(admitted.request.last_event)
         self._response: web.StreamResponse | None = None
+        self._software = stream_software.StreamSoftware(
+            deps, admitted, self._answer
+        )
         self._planner = stream_plan.StreamPlanner(
-            deps, admitted, self._attempts, self._answer
+            deps, admitted, self._attempts, self._answer, self._software
         )
         self._stop_bound = deps.stop_limit.bound()
         self._timing = stream_timing.StreamTiming(deps, admitted)
@@ -75,6 +80,7 @@
             return self._give_up()
 
     async def _run_attempts(self) -> web.StreamResponse:
+        await self._software.resume()
         while True:
             plan, self._next_plan = self._next_plan, None
             if plan is None:
@@ -92,6 +98,7 @@
             "stream placed",
             backend=plan.backend.backend_id,
             zone=plan.backend.zone,
+            software=plan.backend.software,
             copy=plan.copy_backend and plan.copy_backend.backend_id,
             from_copy=plan.copy_source is not None,
             after_event=self._answer.last_event,
@@ -99,9 +106,11 @@
             prefill=plan.candidate.prefill_tokens,
         )
         self._attempts.stalled.discard(plan.backend.backend_id)
-        attempt = self._answer.begin_attempt()
+        attempt = self._answer.begin_attempt(plan.backend.software)
         self._planner.last_copy_backend = None
         try:
+            if not await self._software.record(plan.backend):
+                return _AttemptEnd.REFUSED
             return await self._send_and_read(plan, attempt)
         finally:
             self._answer.revoke(attempt)
@@ -167,34 +176,6 @@
             engine_priority=RESUMED_ENGINE_PRIORITY if resumed else None,
         )
 
-    def _stall_handlers(
-        self, plan: stream_plan.StreamPlan
-    ) -> stall_detection.StallHandlers:
-        excluded = self._attempts.excluded
-        backend = plan.backend
-
-        def on_stalled(stall: stall_detection.EngineStalled) -> None:
-            if stall.has_events:
-                # The KV cache copy began with the first event.
-                self._planner.last_copy_backend = plan.copy_backend
-            excluded.add(backend.backend_id)
-            backend_checks.start_crash_check(
-                self._deps, self._admitted, backend, str(stall), True
-            )
-
-        def on_continued() -> None:
-            excluded.discard(backend.backend_id)
-            self._deps.health.mark_answered(backend.backend_id)
-            if self._answer.last_event:
-                self._planner.last_copy_backend = plan.copy_backend
-
-        return stall_detection.StallHandlers(
-            on_stalled,
-            on_continued,
-            lambda: self._planner.plan_reachable(self._response is not None),
-            self._planner.discard,
-        )
-
     async def _read_answer(
         self,
         plan: stream_plan.StreamPlan,
@@ -209,7 +190,14 @@
             self._attempts,
             plan.backend,
             first_event=self._answer.last_event + 1,
-            handlers=self._stall_handlers(plan),
+            handlers=stall_handlers.handlers_of(
+                self._deps,
+                self._admitted,
+                self._attempts,
+                self._planner,
+                plan,
+                lambda: self._response is not None,
+            ),
         )
         limits = stall_detection.first_event_limits(
             self._deps, self._admitted, plan, self._timing.has_events
