Keep a silent engine's attempt open until another engine is granted

What callers saw (LOST): a generation whose engine paused for 2 s ended with `generation_lost` if no other engine could take it, although the engine was sound and continued. If only the same engine was granted, the whole work was sent to it again.

Cause: `check_silence` recorded the loss and ended the attempt at its give-up limit; an engine was searched for afterwards, once. Class: a working resource is given up before its replacement is secured.

Change: an attempt that reaches its limit for silence alone is reported as stalled and stays open while an engine other than its own is searched for every 400 ms. EARLY begins a contender, and the commit point decides as before; at most two attempts are open, and only if both are stalled the longer silent one ends for a third. THRIFT ends the old attempt at the moment of the grant and never has two open. An attempt ends at once if its connection is lost and not resumed in time, and after `search_ceiling_ms` (10 s) of search. `MAX_ATTEMPTS` is checked before an engine is chosen, so that no retry budget is charged for an attempt that is not sent.

The stall suspends new work for the engine and strikes the request at the same time as the loss did before, so that the next engine is chosen under the same isolation; a loss that follows adds no second strike, and completion clears the first. Only the first search takes precedence over admission: one that lasts for seconds would keep the gate shut for other requests.

`oj_second_attempts_total` counts attempts that begin, not searches for one.

Evidence: the new tests on the code before (with the two new fields declared but unused): tests/controllers/test_stalled_attempts.py 12 failed, among them `Failure: generation_lost: the answer cannot continue, discard the part received: no engine is available`, `assert 2 == 1` (engines granted, requests sent); tests/http/test_engine_loss.py, the two scenarios of an only engine that pauses for 2,500 ms, 2 failed (one `AttemptLoss` of engine-0). The tests of `repeated` came with the change and have no failure before.

Result: tests/controllers and the tests of engine loss, resumption, entry instance loss, leaving, answer stream, metrics, silent engines, operator pages and whole path: 269 passed.

--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -90,6 +90,7 @@
 class AttemptLoss:
     """An attempt that an engine lost, in ms of the instance's clock.
 
+    It may still continue if it is reported as stalled.
     `engine_wide` means that no other stream of the engine was progressing.
     """
 
@@ -119,3 +120,4 @@
         self.backends = Cell(backends.BackendSnapshot({}, float("-inf")))
         self.fleet = Cell(fleet_view.FleetView())
         self.attempt_losses: subject.Subject = subject.Subject()
+        self.attempt_stalls: subject.Subject = subject.Subject()
--- a/src/oriolejunction/controllers/dispatcher.py
+++ b/src/oriolejunction/controllers/dispatcher.py
@@ -66,11 +66,12 @@
         """
         if not self._deps.retries.allows(route):
             return None
-        self.waiting_continuations += route.continuation
+        has_precedence = route.continuation and not route.repeated
+        self.waiting_continuations += has_precedence
         try:
             engine = await self._wait_for_engine(route)
         finally:
-            self.waiting_continuations -= route.continuation
+            self.waiting_continuations -= has_precedence
         if engine is not None:
             self._record_dispatch(route, engine)
         return engine
--- a/src/oriolejunction/controllers/engine_losses.py
+++ b/src/oriolejunction/controllers/engine_losses.py
@@ -25,9 +25,10 @@
     quarantine: quarantines.Quarantine,
     zone_of: collections.abc.Callable[[ids.EngineId], ids.ZoneId],
 ) -> None:
-    """Process each lost attempt that the runner publishes.
+    """Process each stalled or lost attempt that the runner publishes.
 
-    An attempt that never reached its engine, or that the engine refused or
+    A stalled attempt counts as a loss as long as it does not continue. An
+    attempt that never reached its engine, or that the engine refused or
     answered wrongly, gives no strike, since the request did not crash it.
     """
 
@@ -43,4 +44,10 @@
         elif loss.cause in _SUSPECT_CAUSES or loss.engine_wide:
             membership.suspect(loss.engine_id)
 
+    def observe_stall(stall: blackboards.AttemptLoss) -> None:
+        placement = route_request.Placement(stall.generation, stall.engine_id)
+        quarantine.record_stall(placement, zone_of(stall.engine_id))
+        membership.suspect(stall.engine_id)
+
     blackboard.attempt_losses.subscribe(observe)
+    blackboard.attempt_stalls.subscribe(observe_stall)
--- a/src/oriolejunction/controllers/generation_attempt.py
+++ b/src/oriolejunction/controllers/generation_attempt.py
@@ -118,10 +118,11 @@
 class Attempt:
     """An attempt to run a generation on one engine.
 
-    `suspected` is true while a second attempt starts or runs because this
-    one stalled. `reattaching_since_ms` is set while a lost connection is
-    being resumed. While `blocked_on_inbox` is true the inbox is full, and
-    the lack of events says nothing about the engine.
+    `suspected_since_ms` is set while a second attempt starts or runs because
+    this one is silent, `stalled_since_ms` while a replacement is searched
+    for. `reattaching_since_ms` is set while a lost connection is being
+    resumed. While `blocked_on_inbox` is true the inbox is full, and the lack
+    of events says nothing about the engine.
     """
 
     def __init__(
@@ -133,7 +134,8 @@
     ) -> None:
         self.engine = engine
         self.request = request
-        self.suspected = False
+        self.suspected_since_ms: float | None = None
+        self.stalled_since_ms: float | None = None
         self.reattaches = 0
         self.reattaching_since_ms: float | None = None
         self.blocked_on_inbox = False
@@ -211,3 +213,13 @@
 def attempt_lost(cause: states.LossCause) -> errors.Failure:
     """Return the failure of an attempt that was lost for `cause`."""
     return errors.Failure(errors.AttemptLost(cause.value, cause=cause))
+
+
+def loss_cause(failure: Exception) -> states.LossCause:
+    """Return why an attempt was lost; raise what is not a loss."""
+    is_loss = isinstance(failure, errors.Failure) and isinstance(
+        failure.error, errors.AttemptLost
+    )
+    if not is_loss:
+        raise failure
+    return failure.error.cause
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -6,11 +6,10 @@
 import math
 
 from reactivex import subject
-import structlog
 
-from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
+from oriolejunction.controllers import engine_search
 from oriolejunction.controllers import generation as generations
 from oriolejunction.controllers import generation_attempt
 from oriolejunction.controllers import loss_policy
@@ -19,16 +18,12 @@
 from oriolejunction.controllers import silence_detector as detectors
 from oriolejunction.controllers import silence_limits
 from oriolejunction import engine_protocol
-from oriolejunction import errors
-from oriolejunction import ids
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
-MAX_ATTEMPTS = 12
 MIN_CHECK_MS = 10.0
 MAX_CHECK_MS = 250.0
 LATE_TIMER_GRACE_MS = 100.0
-_log = structlog.get_logger(__name__)
 
 EnginePort = generation_attempt.EnginePort
 EventStream = generation_attempt.EventStream
@@ -38,22 +33,22 @@
     states.CommitOutcome.FOREIGN: states.LossCause.FOREIGN,
     states.CommitOutcome.DIVERGED: states.LossCause.DIVERGED,
 }
-_NOT_RUN_CAUSES = (
-    states.LossCause.NOT_REACHED,
-    states.LossCause.REFUSED,
-    states.LossCause.LEAVING,
-)
 
 
 @dataclasses.dataclass(frozen=True)
 class RunnerDependencies:
-    """Dependencies of the runs of one instance."""
+    """Dependencies of the runs of one instance.
+
+    `attempt_stalls` gets the attempts whose engine is silent for too long.
+    They stay open until another engine is found.
+    """
 
     engines: EnginePort
     choose_engine: route_request.ChooseEngine
     telemetry: metrics.Telemetry
     clock: clocks.Clock
     attempt_losses: subject.Subject
+    attempt_stalls: subject.Subject
     detector: detectors.SilenceDetector
     policy: collections.abc.Callable[[], loss_policy.LossPolicy]
 
@@ -81,7 +76,7 @@
 
 
 class _GenerationRun:
-    """The open attempts of one generation and the engines it lost."""
+    """The open attempts of one generation."""
 
     def __init__(
         self, generation: generations.Generation, deps: RunnerDependencies
@@ -92,11 +87,24 @@
         self._policy = deps.policy()
         self._task_by_attempt: dict[generation_attempt.Attempt, asyncio.Task]
         self._task_by_attempt = {}
-        self._second_task: asyncio.Task | None = None
+        self._search_task: asyncio.Task | None = None
+        self._next_search_ms = 0.0
         self._timer: asyncio.Task | None = None
-        self._lost_engines: set[ids.EngineId] = set()
-        self._attempt_count = 0
-        self._may_have_run = False
+        self._search = engine_search.EngineSearch(
+            generation,
+            deps.choose_engine,
+            deps.detector,
+            deps.clock,
+            self._policy,
+        )
+        self._reports = loss_reports.LossReporter(
+            generation,
+            deps.telemetry,
+            deps.detector,
+            deps.clock,
+            deps.attempt_losses,
+            deps.attempt_stalls,
+        )
         self._limits = silence_limits.SilenceLimits(
             deps.detector, deps.clock, self._policy
         )
@@ -104,20 +112,19 @@
             deps.engines, deps.clock, deps.detector, self.inbox
         )
 
+    @property
+    def _open(self) -> list[generation_attempt.Attempt]:
+        return list(self._task_by_attempt)
+
     async def ensure_attempt(self) -> None:
         """Begin an attempt if none is open."""
         if self._task_by_attempt:
             return
-        if self._second_task is not None:
-            await asyncio.wait([self._second_task])
+        if self._search_task is not None:
+            await asyncio.wait([self._search_task])
             if self._task_by_attempt:
                 return
-        engine = await self._choose_or_raise()
-        if self._policy.resumption is loss_policy.Resumption.RESTART:
-            request = self._generation.begin_attempt(from_start=True)
-        else:
-            request = self._generation.begin_attempt()
-        self._begin(engine, request)
+        self._begin_alone(await self._search.choose_or_raise())
 
     def apply_all(
         self, arrivals: list[generation_attempt.Arrival]
@@ -138,10 +145,12 @@
         if self._generation.finished:
             return
         if attempt not in self._task_by_attempt:
-            self._count_dropped(arrival.events, "revoked")
+            self._reports.count_dropped(arrival.events, "revoked")
             return
         if arrival.failure is not None:
-            self._record_loss(attempt, _loss_cause(arrival.failure))
+            self._record_loss(
+                attempt, generation_attempt.loss_cause(arrival.failure)
+            )
             return
         self._clear_suspicion(attempt)
         for event in arrival.events:
@@ -153,17 +162,25 @@
                 return
 
     def check_silence(self) -> None:
-        """Suspect or give up on the attempts that have stalled."""
+        """Replace the attempts that have stalled, or give up on them."""
         if self._generation.finished:
             return
-        for attempt in list(self._task_by_attempt):
+        for attempt in self._open:
             if attempt.blocked_on_inbox:
                 continue
             silence_ms = self._limits.elapsed_ms(attempt)
-            if silence_ms >= self._limits.give_up_ms(attempt):
-                self._record_loss(attempt, states.LossCause.SILENT)
+            if (
+                attempt.stalled_since_ms is not None
+                or silence_ms >= self._limits.give_up_ms(attempt)
+            ):
+                self._check_give_up(attempt)
             elif silence_ms >= self._suspect_ms(attempt):
                 self._suspect(attempt)
+        if (
+            self._may_replace_stalled()
+            and self._deps.clock.now_ms() >= self._next_search_ms
+        ):
+            self._start_search()
 
     async def _run_timer(self) -> None:
         """Tick the inbox when an attempt may have reached a silence limit."""
@@ -184,74 +201,24 @@
     async def close(self) -> None:
         """Cancel all open attempts and tasks."""
         ending_tasks = list(self._task_by_attempt.values())
-        for task in (self._timer, self._second_task):
+        for task in (self._timer, self._search_task):
             if task is not None:
                 task.cancel()
                 ending_tasks.append(task)
-        for attempt in list(self._task_by_attempt):
+        for attempt in self._open:
             self._end(attempt)
         await asyncio.gather(*ending_tasks, return_exceptions=True)
 
-    async def _choose_or_raise(self) -> configuration.Engine:
-        try:
-            engine = await self._choose(frozenset(self._lost_engines))
-            if engine is None and self._lost_engines:
-                self._lost_engines.clear()
-                engine = await self._choose(frozenset())
-        except errors.Failure as failure:
-            raise self._without_false_not_run(failure)
-        if engine is None or self._attempt_count >= MAX_ATTEMPTS:
-            raise self._without_false_not_run(
-                errors.Failure(
-                    errors.NoEngine(
-                        "no engine is available", retry_after_ms=1_000
-                    )
-                )
-            )
-        return engine
-
-    async def _choose(
-        self, excluded: frozenset[ids.EngineId]
-    ) -> configuration.Engine | None:
-        """Choose an engine, if possible one that is not stalled."""
-        stalled = self._deps.detector.stalled_engines(
-            self._deps.clock.now_ms(), self._policy.give_up
-        )
-        engine = None
-        if stalled - excluded:
-            engine = await self._route(excluded | stalled)
-        return engine or await self._route(excluded)
-
-    async def _route(
-        self, excluded: frozenset[ids.EngineId]
-    ) -> configuration.Engine | None:
-        continuation = self._attempt_count > 0 or bool(
-            self._generation.delivered_ids
-        )
-        return await self._deps.choose_engine(
-            route_request.route_of(self._generation, excluded, continuation)
-        )
-
-    def _without_false_not_run(
-        self, failure: errors.Failure
-    ) -> errors.Failure:
-        """Turn an unproven `not_run` failure into `GenerationLost`."""
-        never_ran = not (self._may_have_run or self._generation.delivered_ids)
-        if never_ran or failure.error.outcome is not states.Outcome.NOT_RUN:
-            return failure
-        return errors.Failure(
-            errors.GenerationLost(
-                "the answer cannot continue, discard the part received:"
-                f" {failure.error.message}"
-            )
-        )
+    def _begin_alone(self, engine: configuration.Engine) -> None:
+        from_start = self._policy.resumption is loss_policy.Resumption.RESTART
+        self._begin(engine, self._generation.begin_attempt(from_start))
 
     def _begin(
         self,
         engine: configuration.Engine,
         request: engine_protocol.GenerateRequest,
     ) -> None:
-        self._attempt_count += 1
+        self._search.record_attempt()
         attempt = generation_attempt.Attempt(
             self._attempt_deps, engine, request, self._policy.reattach
         )
@@ -267,32 +234,35 @@
         event: engine_protocol.EngineEvent,
     ) -> tuple[states.LossCause | None, Deliveries]:
         if event.attempt != attempt.request.attempt:
-            self._count_dropped([event], "foreign")
+            self._reports.count_dropped([event], "foreign")
             return states.LossCause.FOREIGN, ()
         commit = self._generation.commit(event)
         if commit.outcome is states.CommitOutcome.COMMITTED:
             self._end_revoked()
             return None, commit.deliveries
-        self._count_dropped([event], commit.outcome.value)
+        self._reports.count_dropped([event], commit.outcome.value)
         return _LOSS_CAUSE_BY_OUTCOME.get(commit.outcome), ()
 
     def _end_revoked(self) -> None:
-        if len(self._task_by_attempt) == 1 and self._second_task is None:
+        if len(self._task_by_attempt) == 1 and self._search_task is None:
             return
-        for attempt in list(self._task_by_attempt):
+        for attempt in self._open:
             if self._generation.may_append(attempt.request.attempt):
                 continue
-            if attempt.suspected:
+            if attempt.suspected_since_ms is not None:
                 self._record_loss(attempt, states.LossCause.SILENT)
             else:
                 self._end(attempt)
-        if len(self._task_by_attempt) == 1 and self._second_task is not None:
-            self._second_task.cancel()
-            self._second_task = None
+        if len(self._task_by_attempt) == 1 and self._search_task is not None:
+            self._search_task.cancel()
+            self._search_task = None
 
     def _clear_suspicion(self, attempt: generation_attempt.Attempt) -> None:
-        if attempt.suspected:
-            attempt.suspected = False
+        if attempt.stalled_since_ms is not None:
+            self._reports.report_continued(attempt)
+            attempt.stalled_since_ms = None
+        if attempt.suspected_since_ms is not None:
+            attempt.suspected_since_ms = None
             self._deps.telemetry.false_suspicions.inc({})
         if attempt.reattaches and attempt.reattaching_since_ms is None:
             self._deps.telemetry.reattached.add({}, attempt.reattaches)
@@ -300,95 +270,126 @@
 
     def _suspect_ms(self, attempt: generation_attempt.Attempt) -> float:
         may_start_second = (
-            self._second_task is None and len(self._task_by_attempt) == 1
+            self._search_task is None
+            and len(self._task_by_attempt) == 1
+            and self._search.may_begin
         )
-        if not may_start_second or attempt.suspected:
+        if not may_start_second or attempt.suspected_since_ms is not None:
             return math.inf
         return self._limits.suspect_ms(attempt)
 
     def _ms_until_check(self) -> float:
         waits = [
-            min(self._limits.give_up_ms(attempt), self._suspect_ms(attempt))
-            - self._limits.elapsed_ms(attempt)
+            self._ms_until_limit(attempt)
             for attempt in self._task_by_attempt
             if not attempt.blocked_on_inbox
         ]
+        if self._may_replace_stalled():
+            waits.append(self._next_search_ms - self._deps.clock.now_ms())
         return min(waits, default=MAX_CHECK_MS)
 
+    def _ms_until_limit(self, attempt: generation_attempt.Attempt) -> float:
+        if (
+            attempt.stalled_since_ms is not None
+            and attempt.reattaching_since_ms is None
+        ):
+            stalled_ms = self._deps.clock.now_ms() - attempt.stalled_since_ms
+            return self._policy.search_ceiling_ms - stalled_ms
+        limit_ms = min(
+            self._limits.give_up_ms(attempt), self._suspect_ms(attempt)
+        )
+        return limit_ms - self._limits.elapsed_ms(attempt)
+
     def _suspect(self, attempt: generation_attempt.Attempt) -> None:
-        attempt.suspected = True
-        self._deps.telemetry.second_attempts.inc({})
-        self._second_task = asyncio.create_task(
-            self._begin_second_attempt(attempt)
+        attempt.suspected_since_ms = self._deps.clock.now_ms()
+        self._start_search()
+
+    def _check_give_up(self, attempt: generation_attempt.Attempt) -> None:
+        """Search for a replacement of an attempt that reached its limit.
+
+        The attempt stays open meanwhile, up to the ceiling of the policy,
+        since its engine may continue. One whose connection is lost is given
+        up on at once.
+        """
+        now_ms = self._deps.clock.now_ms()
+        since_ms = attempt.stalled_since_ms
+        if attempt.reattaching_since_ms is not None:
+            if self._ms_until_limit(attempt) <= 0:
+                self._record_loss(attempt, states.LossCause.SILENT)
+        elif since_ms is None:
+            attempt.stalled_since_ms = now_ms
+            if attempt.suspected_since_ms is None:
+                attempt.suspected_since_ms = now_ms
+            self._reports.report_stall(attempt)
+        elif now_ms - since_ms >= self._policy.search_ceiling_ms:
+            self._record_loss(attempt, states.LossCause.SILENT)
+
+    def _may_replace_stalled(self) -> bool:
+        return (
+            self._search_task is None
+            and self._search.may_begin
+            and bool(self._task_by_attempt)
+            and all(a.stalled_since_ms is not None for a in self._open)
         )
 
-    async def _begin_second_attempt(
-        self, first: generation_attempt.Attempt
-    ) -> None:
-        excluded = self._lost_engines | {first.engine.engine_id}
-        try:
-            engine = await self._choose(frozenset(excluded))
-        except errors.Failure:
-            engine = None
-        still_needed = first.suspected or not self._task_by_attempt
+    def _start_search(self) -> None:
+        self._next_search_ms = (
+            self._deps.clock.now_ms() + engine_search.SEARCH_INTERVAL_MS
+        )
+        self._search_task = asyncio.create_task(self._find_replacement())
+
+    async def _find_replacement(self) -> None:
+        """Search once; begin an attempt if the open ones are still silent."""
+        busy = frozenset(a.engine.engine_id for a in self._open)
+        engine = await self._search.choose_another(busy)
+        still_needed = all(map(self._is_still_silent, self._open))
         if (
             engine is not None
             and still_needed
             and not self._generation.finished
         ):
+            self._replace(engine)
+        self._search_task = None
+
+    def _is_still_silent(self, attempt: generation_attempt.Attempt) -> bool:
+        """Return whether a suspected attempt had no event since then.
+
+        An event may have arrived that is still in the inbox.
+        """
+        since_ms = attempt.suspected_since_ms
+        if since_ms is None:
+            return False
+        silent_since_ms = self._deps.clock.now_ms() - self._limits.elapsed_ms(
+            attempt
+        )
+        return silent_since_ms <= since_ms
+
+    def _replace(self, engine: configuration.Engine) -> None:
+        """Begin an attempt, in parallel with one open if the policy says so.
+
+        An attempt beyond these ends, the one that is silent the longest
+        first.
+        """
+        max_open = 0 if self._policy.suspect is None else 1
+        by_silence = sorted(self._open, key=self._limits.elapsed_ms)
+        for attempt in by_silence[max_open:]:
+            self._record_loss(attempt, states.LossCause.SILENT)
+        if self._task_by_attempt:
+            self._deps.telemetry.second_attempts.inc({})
             self._begin(engine, self._generation.begin_contender())
-        self._second_task = None
+        else:
+            self._begin_alone(engine)
 
     def _record_loss(
         self,
         attempt: generation_attempt.Attempt,
         cause: states.LossCause,
     ) -> None:
-        self._lost_engines.add(attempt.engine.engine_id)
-        if cause not in _NOT_RUN_CAUSES:
-            self._may_have_run = True
-        deps = self._deps
-        loss = loss_reports.describe_loss(
-            self._generation,
-            attempt,
-            cause,
-            deps.detector,
-            deps.clock.now_ms(),
-        )
+        self._search.record_loss(attempt.engine.engine_id, cause)
+        self._reports.report_loss(attempt, cause)
         self._end(attempt)
-        self._report(loss)
 
     def _end(self, attempt: generation_attempt.Attempt) -> None:
         self._task_by_attempt.pop(attempt).cancel()
         self._deps.detector.unwatch(attempt.engine.engine_id, attempt.key)
         self._generation.revoke(attempt.request.attempt)
-
-    def _report(self, loss: blackboards.AttemptLoss) -> None:
-        cause = loss.cause.value
-        self._deps.telemetry.attempts_lost.inc(
-            {"engine": loss.engine_id, "cause": cause}
-        )
-        _log.warning(
-            "attempt lost",
-            generation=loss.generation,
-            engine=loss.engine_id,
-            cause=cause,
-            engine_wide=loss.engine_wide,
-            delivered=len(self._generation.delivered_ids),
-        )
-        self._deps.attempt_losses.on_next(loss)
-
-    def _count_dropped(
-        self, events: list[engine_protocol.EngineEvent], why: str
-    ) -> None:
-        tokens = sum(len(event.ids) for event in events)
-        self._deps.telemetry.tokens_dropped.add({"why": why}, tokens)
-
-
-def _loss_cause(failure: Exception) -> states.LossCause:
-    is_loss = isinstance(failure, errors.Failure) and isinstance(
-        failure.error, errors.AttemptLost
-    )
-    if not is_loss:
-        raise failure
-    return failure.error.cause
--- a/src/oriolejunction/controllers/loss_policy.py
+++ b/src/oriolejunction/controllers/loss_policy.py
@@ -26,11 +26,12 @@
 
     If `suspect` and `suspect_first` are set, a second attempt starts in
     parallel with a suspected one. `give_up` and `give_up_first` bound the
-    silence after which an attempt is lost. The names with `_first` apply
-    before the first token, the others while decoding. `first_ceiling_ms` is
-    the longest wait for a first token while other streams of the engine make
-    progress. `reattach` allows a lost connection to be resumed on the same
-    engine.
+    silence after which an attempt is replaced; it stays open until another
+    engine is found, for at most `search_ceiling_ms`. The names with `_first`
+    apply before the first token, the others while decoding.
+    `first_ceiling_ms` is the longest wait for a first token while other
+    streams of the engine make progress. `reattach` allows a lost connection
+    to be resumed on the same engine.
     """
 
     resumption: Resumption
@@ -39,6 +40,7 @@
     give_up: silence_detector.SilenceBounds
     give_up_first: silence_detector.SilenceBounds
     first_ceiling_ms: float = 10_000.0
+    search_ceiling_ms: float = 10_000.0
     reattach: bool = True
 
 
--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -41,7 +41,8 @@
     """One attempt on an engine.
 
     It is suspect until `offset` reaches `probation_end`. An isolated attempt
-    shares its engine with no other suspect.
+    shares its engine with no other suspect. `struck` is set if its request
+    has its strike already, for a stall.
     """
 
     fingerprint: ids.Fingerprint
@@ -50,6 +51,7 @@
     probation_end: int
     isolated: bool
     dispatched_at_ms: float
+    struck: bool = False
 
     @property
     def suspect(self) -> bool:
@@ -146,9 +148,20 @@
         self, placement: route_request.Placement, zone: ids.ZoneId
     ) -> Strike | None:
         """Add a strike to the request of an attempt lost with its engine."""
-        attempt = self._attempt_by_placement.pop(placement, None)
+        strike = self.record_stall(placement, zone)
+        self._attempt_by_placement.pop(placement, None)
+        return strike
+
+    def record_stall(
+        self, placement: route_request.Placement, zone: ids.ZoneId
+    ) -> Strike | None:
+        """Add a strike to the request of an attempt that may continue."""
+        attempt = self._attempt_by_placement.get(placement)
         if attempt is None or self._policy is QuarantinePolicy.NONE:
             return None
+        if attempt.struck:
+            return None
+        attempt.struck = True
         strike = Strike(
             attempt.fingerprint,
             attempt.engine_id,
--- a/src/oriolejunction/controllers/route_request.py
+++ b/src/oriolejunction/controllers/route_request.py
@@ -18,7 +18,8 @@
     `continuation` is true once an engine has worked on the generation, for
     this instance or for the one from which it took over the answer.
     `delivered` is the number of tokens that the engine receives as a forced
-    prefix.
+    prefix. `repeated` means that a search in vain is repeated while a silent
+    engine may still continue; it does not hold up new requests.
     """
 
     generation: ids.GenerationId
@@ -31,6 +32,7 @@
     continuation: bool
     fingerprint: ids.Fingerprint
     delivered: int
+    repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,6 +70,7 @@
     generation: generations.Generation,
     excluded: frozenset[ids.EngineId],
     continuation: bool,
+    repeated: bool = False,
 ) -> RouteRequest:
     """Return the route request of a generation's next attempt."""
     request = generation.request
@@ -82,4 +85,5 @@
         continuation=continuation or bool(generation.delivered_ids),
         fingerprint=fingerprint_of(request),
         delivered=len(generation.delivered_ids),
+        repeated=repeated,
     )
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -253,6 +253,7 @@
                 telemetry=self.telemetry,
                 clock=self.clock,
                 attempt_losses=self.blackboard.attempt_losses,
+                attempt_stalls=self.blackboard.attempt_stalls,
                 detector=silence_detector.SilenceDetector(),
                 policy=self.loss_policy.current,
             ),
--- a/tests/controllers/test_generation_runner.py
+++ b/tests/controllers/test_generation_runner.py
@@ -32,7 +32,8 @@
     """Engines with scripted faults.
 
     `fault_by_engine` gives the token offset of a fault and the fault: a loss
-    cause to raise, a silence in ms, or the kind of a wrong event.
+    cause to raise, a silence in ms, both, or the kind of a wrong event.
+    `most_open` is the highest number of streams open at once.
     """
 
     def __init__(self, clock, fault_by_engine):
@@ -42,14 +43,21 @@
         self.requests = []
         self.cancelled = []
         self.resumed_at = []
+        self.most_open = 0
+        self._open = 0
         self._stream_by_key = {}
 
     async def generate(self, engine, request):
         self.requests.append((engine.engine_id, request))
         stream = engine_stream.open_stream(request)
         self._stream_by_key[request.generation, request.attempt] = stream
-        async for events in self._follow(engine, stream, 0):
-            yield events
+        self._open += 1
+        self.most_open = max(self.most_open, self._open)
+        try:
+            async for events in self._follow(engine, stream, 0):
+                yield events
+        finally:
+            self._open -= 1
 
     async def resume(self, engine, request, offset):
         if not self.resumable:
@@ -85,6 +93,9 @@
                 yield [event]
 
     async def _inject(self, fault_kind, event, stream, position):
+        if isinstance(fault_kind, tuple):
+            silence_ms, fault_kind = fault_kind
+            await self.clock.sleep_ms(silence_ms)
         if isinstance(fault_kind, int):
             await self.clock.sleep_ms(fault_kind)
             return event
@@ -101,7 +112,10 @@
 
 
 class RunnerHarness:
-    """A runner with fake engines; records the text, losses and gaps."""
+    """A runner with fake engines; records the text, losses and gaps.
+
+    `may_grant` tells whether a request for an engine may be granted.
+    """
 
     def __init__(self, faults, policy, engines=ENGINES):
         self.clock = clocks.ManualClock()
@@ -109,6 +123,11 @@
         self.losses = []
         losses = subject.Subject()
         losses.subscribe(self.losses.append)
+        self.stalls = []
+        stalls = subject.Subject()
+        stalls.subscribe(self.stalls.append)
+        self.granted = 0
+        self.may_grant = lambda: True
         self.telemetry = metrics.Telemetry()
         self.generation = generations.Generation(
             "g",
@@ -125,9 +144,13 @@
         )
 
         async def choose(route):
-            return next(
+            engine = next(
                 (e for e in engines if e.engine_id not in route.excluded), None
             )
+            if engine is None or not self.may_grant():
+                return None
+            self.granted += 1
+            return engine
 
         self.deps = generation_runner.RunnerDependencies(
             engines=self.engines,
@@ -135,6 +158,7 @@
             telemetry=self.telemetry,
             clock=self.clock,
             attempt_losses=losses,
+            attempt_stalls=stalls,
             detector=detectors.SilenceDetector(),
             policy=lambda: policy,
         )
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -66,6 +66,26 @@
     assert quarantine.refused_for_ms("innocent") == 0
 
 
+# A stall and the loss that follows it are one event, not two.
+def test_stall_and_loss_of_one_attempt_give_one_strike():
+    quarantine, clock = _quarantine()
+    placement = _dispatch(quarantine, "innocent", "e0")
+    quarantine.record_stall(placement, "z0")
+    assert quarantine.must_isolate("innocent")
+    _wait_for_verdict(clock)
+    _lose(quarantine, placement)
+    _wait_for_verdict(clock)
+    assert quarantine.refused_for_ms("innocent") == 0
+
+
+def test_stalled_attempt_that_completes_is_cleared():
+    quarantine, clock = _quarantine()
+    placement = _dispatch(quarantine, "innocent", "e0")
+    quarantine.record_stall(placement, "z0")
+    quarantine.record_finish(placement, complete=True)
+    assert quarantine.last_strike("innocent") is None
+
+
 def test_request_sent_to_an_engine_already_lost_is_not_blamed():
     quarantine, clock = _quarantine()
     _lose(quarantine, _dispatch(quarantine, "poison", "e0"))
--- a/tests/http/engine_loss.feature
+++ b/tests/http/engine_loss.feature
@@ -24,3 +24,16 @@
     Then the caller receives each of the 90 tokens once
     And no attempt was lost
     And 90 tokens were computed
+
+  Scenario Outline: The only engine pauses for longer than its limit
+    Given a deployment of one engine that favours <measure>
+    And an answer of 90 tokens is being streamed
+    When its engine pauses for 2500 ms after 20 tokens
+    Then the caller receives each of the 90 tokens once
+    And no attempt was lost
+    And the work was sent once
+
+    Examples:
+      | measure   |
+      | latency   |
+      | resources |
--- a/tests/http/test_engine_loss.py
+++ b/tests/http/test_engine_loss.py
@@ -23,9 +23,9 @@
 class Harness:
     """A deployment with one caller, in an event loop of its own."""
 
-    def __init__(self, measure):
+    def __init__(self, measure, **options):
         self.runner = asyncio.Runner()
-        options = local_deployment.LocalOptions(measure=measure)
+        options = local_deployment.LocalOptions(measure=measure, **options)
         self._context = local_deployment.run_deployment(options)
         self.deployment = self.runner.run(self._context.__aenter__())
         self.runner.run(demonstration.apply_sample_config(self.deployment))
@@ -38,7 +38,7 @@
         self.runner.run(self._context.__aexit__(None, None, None))
         self.runner.close()
 
-    async def read_with_fault(self, prompt, fault, tokens):
+    async def read_with_fault(self, prompt, fault, tokens, duration_ms=0):
         client = resilient_client.ResilientClient(
             self.deployment.addresses.callers_urls,
             local_deployment.KEY_BY_WORKSPACE["hakata"],
@@ -56,7 +56,9 @@
         (busy,) = (
             e for e in self.deployment.engines if e.generations_running()
         )
-        busy.faults.apply(engine_protocol.InjectedFault(fault))
+        busy.faults.apply(
+            engine_protocol.InjectedFault(fault, duration_ms=duration_ms)
+        )
         await reading
         await client.close()
 
@@ -80,6 +82,20 @@
     return harness
 
 
+@pytest_bdd.given(
+    parsers.parse("a deployment of one engine that favours {measure}"),
+    target_fixture="harness",
+)
+def _deployment_of_one_engine(measure, harnesses):
+    harness = Harness(
+        states.Objective(measure),
+        zones=("fukuoka",),
+        engines=(local_deployment.LocalEngineOptions("fukuoka"),),
+    )
+    harnesses.append(harness)
+    return harness
+
+
 @pytest_bdd.given(
     parsers.parse("an answer of {length:d} tokens is being streamed"),
     target_fixture="prompt",
@@ -95,6 +111,22 @@
     harness.runner.run(harness.read_with_fault(prompt, fault, tokens))
 
 
+@pytest_bdd.when(
+    parsers.parse(
+        "its engine pauses for {pause_ms:d} ms after {tokens:d} tokens"
+    )
+)
+def _pause_engine(harness, prompt, pause_ms, tokens):
+    harness.runner.run(
+        harness.read_with_fault(prompt, "pause", tokens, pause_ms)
+    )
+
+
+@pytest_bdd.then("the work was sent once")
+def _sent_once(harness):
+    assert sum(e.requests_run for e in harness.deployment.engines) == 1
+
+
 @pytest_bdd.then(
     parsers.parse("the caller receives each of the {length:d} tokens once")
 )
