--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -26,8 +26,6 @@
 PieceReader = collections.abc.Callable[[], collections.abc.Awaitable[Piece]]
 
 
-# Interval between searches for another engine while an engine is stalled.
-SEARCH_INTERVAL_MS = 400.0
 # The last events of a finished run may still be on their way for as long as
 # a lost packet takes to be sent again.
 GONE_GRACE_MS = 3_000.0
@@ -127,7 +125,7 @@
         self._handlers.on_stalled(stall)
         piece_task = asyncio.ensure_future(read_piece())
         search = repeated_task.RepeatedTask(
-            clock, self._handlers.search, SEARCH_INTERVAL_MS
+            clock, self._handlers.search, stalls.SEARCH_INTERVAL_MS
         )
         check = repeated_task.RepeatedTask(
             clock,
