--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -20,7 +20,6 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stream_plan
-from oriolejunction.http import stream_software
 from oriolejunction.http import stream_timing
 from oriolejunction import states
 
@@ -54,11 +53,8 @@
         self._attempts = gateway_common.AttemptTracker(deps, admitted)
         self._answer = event_answer.EventAnswer(admitted.request.last_event)
         self._response: web.StreamResponse | None = None
-        self._software = stream_software.StreamSoftware(
-            deps, admitted, self._answer
-        )
         self._planner = stream_plan.StreamPlanner(
-            deps, admitted, self._attempts, self._answer, self._software
+            deps, admitted, self._attempts, self._answer
         )
         self._timing = stream_timing.StreamTiming(deps, admitted)
         self._engine_failure: (
@@ -69,7 +65,7 @@
 
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` if it cannot begin."""
-        await self._software.resume()
+        await self._planner.software.resume()
         while True:
             plan, self._next_plan = self._next_plan, None
             if plan is None:
@@ -98,7 +94,7 @@
         attempt = self._answer.begin_attempt(plan.backend.software)
         self._planner.last_copy_backend = None
         try:
-            if not await self._software.record(plan.backend):
+            if not await self._planner.software.record(plan.backend):
                 return _AttemptEnd.REFUSED
             return await self._send_and_read(plan, attempt)
         finally:
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -55,8 +55,8 @@
 class StreamPlanner:
     """Plans the attempts of one stream.
 
-    `last_copy_backend` is the engine that stores a copy of the last
-    attempt's KV cache.
+    `software` keeps them on one software version; `last_copy_backend` is the
+    engine that stores a copy of the last attempt's KV cache.
     """
 
     def __init__(
@@ -65,13 +65,12 @@
         admitted: gateway_common.AdmittedRequest,
         attempts: gateway_common.AttemptTracker,
         answer: event_answer.EventAnswer,
-        software: stream_software.StreamSoftware,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
         self._attempts = attempts
         self._answer = answer
-        self._software = software
+        self.software = stream_software.StreamSoftware(deps, admitted, answer)
         self.last_copy_backend: backends.Backend | None = None
 
     async def plan(self, has_started: bool) -> StreamPlan | None:
@@ -104,7 +103,7 @@
             tokens=requirements.kv_tokens,
             has_started=has_started,
             goal_until_ms=now_ms + requirements.first_event_ms - prefill_ms,
-            has_exclusions=self._software.excludes_engines,
+            has_exclusions=self.software.excludes_engines,
         )
 
     async def plan_reachable(self, has_started: bool) -> StreamPlan | None:
@@ -198,7 +197,7 @@
     def _plan_without(
         self, excluded: frozenset[ids.BackendId]
     ) -> StreamPlan | None:
-        for software in self._software.preferences():
+        for software in self.software.preferences():
             plan = self._plan_at(software, excluded)
             if plan is not None:
                 return plan
