--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -27,6 +27,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 from oriolejunction.http import placement_queue
+from oriolejunction.http import stop_limit
 from oriolejunction import ids
 from oriolejunction.peers import origin_client
 from oriolejunction import routing_table
@@ -35,6 +36,8 @@
 
 # Shorter waits for a backend server are not logged.
 MIN_LOGGED_WAIT_MS = 20.0
+# Short, since any other instance can serve the request.
+LEAVING_RETRY_AFTER_MS = 20
 _log = structlog.get_logger(__name__)
 
 
@@ -57,6 +60,7 @@
     queue: placement_queue.PlacementQueue
     release_intervals: wait_forecast.IntervalCache
     returns: wait_forecast.ReturnSchedule
+    stop_limit: stop_limit.StopLimit
     origins: origin_client.OriginClient
     background_tasks: set[asyncio.Task] = dataclasses.field(
         default_factory=set
@@ -100,6 +104,7 @@
         queue=queue,
         release_intervals=wait_forecast.IntervalCache(clock),
         returns=wait_forecast.ReturnSchedule(clock),
+        stop_limit=stop_limit.StopLimit(),
         origins=origins,
     )
 
@@ -149,7 +154,8 @@
     """Counts the attempts of one request against its limits.
 
     `possibly_run` counts the servers that were sent the request and did not
-    report that they have not run it.
+    report that they have not run it. `stopped` is set once the instance
+    stops before the request has an answer.
     """
 
     def __init__(
@@ -159,6 +165,7 @@
         self._admitted = admitted
         self.sent = 0
         self.possibly_run = 0
+        self.stopped = False
         self.excluded: set[ids.BackendId] = set()
         # Excluded for their silence only: tried again if no other is left.
         self.stalled: set[ids.BackendId] = set()
@@ -175,6 +182,8 @@
 
     def send_refusal(self) -> states.SendRefusal | None:
         """Return why the request may go to no more servers, if so."""
+        if self.stopped:
+            return states.SendRefusal.INSTANCE_STOPS
         if self.remaining_ms <= 0:
             return states.SendRefusal.DEADLINE
         route = self._admitted.route
@@ -249,6 +258,10 @@
             return errors.NoCapacity(message)
         if self.possibly_run:
             return errors.AnswerUnknown(message)
+        if self.stopped:
+            return errors.NotReady(
+                "this instance stops", retry_after_ms=LEAVING_RETRY_AFTER_MS
+            )
         return errors.NoCapacity(
             message,
             retry_after_ms=self._deps.returns.return_after_ms(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -19,6 +19,8 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
+from oriolejunction.http import stall_handlers
+from oriolejunction.http import stop_limit
 from oriolejunction.http import stream_plan
 from oriolejunction.http import stream_timing
 from oriolejunction import states
@@ -56,6 +58,7 @@
         self._planner = stream_plan.StreamPlanner(
             deps, admitted, self._attempts, self._answer
         )
+        self._stop_bound = deps.stop_limit.bound()
         self._timing = stream_timing.StreamTiming(deps, admitted)
         self._engine_failure: (
             tuple[gateway_messages.AnswerHead, bytes] | None
@@ -65,6 +68,14 @@
 
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` if it cannot begin."""
+        try:
+            async with self._stop_bound:
+                return await self._run_attempts()
+        except stop_limit.StopReached:
+            self._attempts.stopped = True
+            return self._give_up()
+
+    async def _run_attempts(self) -> web.StreamResponse:
         await self._planner.software.resume()
         while True:
             plan, self._next_plan = self._next_plan, None
@@ -161,34 +172,6 @@
             engine_priority=RESUMED_ENGINE_PRIORITY if resumed else None,
         )
 
-    def _stall_handlers(
-        self, plan: stream_plan.StreamPlan
-    ) -> stall_detection.StallHandlers:
-        excluded = self._attempts.excluded
-        backend = plan.backend
-
-        def on_stalled(stall: stall_detection.EngineStalled) -> None:
-            if stall.has_events:
-                # The KV cache copy began with the first event.
-                self._planner.last_copy_backend = plan.copy_backend
-            excluded.add(backend.backend_id)
-            backend_checks.start_crash_check(
-                self._deps, self._admitted, backend, str(stall), True
-            )
-
-        def on_continued() -> None:
-            excluded.discard(backend.backend_id)
-            self._deps.health.mark_answered(backend.backend_id)
-            if self._answer.last_event:
-                self._planner.last_copy_backend = plan.copy_backend
-
-        return stall_detection.StallHandlers(
-            on_stalled,
-            on_continued,
-            lambda: self._planner.plan_reachable(self._response is not None),
-            self._planner.discard,
-        )
-
     async def _read_answer(
         self,
         plan: stream_plan.StreamPlan,
@@ -203,7 +186,14 @@
             self._attempts,
             plan.backend,
             first_event=self._answer.last_event + 1,
-            handlers=self._stall_handlers(plan),
+            handlers=stall_handlers.handlers_of(
+                self._deps,
+                self._admitted,
+                self._attempts,
+                self._planner,
+                plan,
+                lambda: self._response is not None,
+            ),
         )
         limits = stall_detection.first_event_limits(
             self._deps, self._admitted, plan, self._timing.has_events
@@ -311,12 +301,14 @@
         if self._response is not None:
             return
         self._answer.weights = head.weights_version
+        self._stop_bound.lift()
         response = web.StreamResponse(
             status=head.status, headers=gateway_common.answer_headers(head)
         )
         response.enable_chunked_encoding()
-        await response.prepare(self._admitted.web_request)
+        # Once its head may have been sent, no other answer may follow.
         self._response = response
+        await response.prepare(self._admitted.web_request)
 
     async def _check_refusal(
         self,
