--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -22,7 +22,6 @@
 from oriolejunction.http import stall_handlers
 from oriolejunction.http import stop_limit
 from oriolejunction.http import stream_plan
-from oriolejunction.http import stream_software
 from oriolejunction.http import stream_timing
 from oriolejunction import states
 
@@ -56,11 +55,8 @@
         self._attempts = gateway_common.AttemptTracker(deps, admitted)
         self._answer = event_answer.EventAnswer(admitted.request.last_event)
         self._response: web.StreamResponse | None = None
-        self._software = stream_software.StreamSoftware(
-            deps, admitted, self._answer
-        )
         self._planner = stream_plan.StreamPlanner(
-            deps, admitted, self._attempts, self._answer, self._software
+            deps, admitted, self._attempts, self._answer
         )
         self._stop_bound = deps.stop_limit.bound()
         self._timing = stream_timing.StreamTiming(deps, admitted)
@@ -80,7 +76,7 @@
             return self._give_up()
 
     async def _run_attempts(self) -> web.StreamResponse:
-        await self._software.resume()
+        await self._planner.software.resume()
         while True:
             plan, self._next_plan = self._next_plan, None
             if plan is None:
@@ -109,7 +105,7 @@
         attempt = self._answer.begin_attempt(plan.backend.software)
         self._planner.last_copy_backend = None
         try:
-            if not await self._software.record(plan.backend):
+            if not await self._planner.software.record(plan.backend):
                 return _AttemptEnd.REFUSED
             return await self._send_and_read(plan, attempt)
         finally:
