--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -237,3 +237,25 @@
     async with gateway_rig.running(llm=[head_then_reset]) as rig:
         status, _ = await streams.read(rig.ask("/brief/1"))
         assert status == 502
+
+
+async def test_charge_for_a_replacement_is_kept_until_it_is_sent(monkeypatch):
+    """Fault: the end of the stalled attempt gave the charge back."""
+    given_back = []
+    begun = []
+
+    async def behave(arrival):
+        begun.append(arrival)
+        if len(begun) == 1:
+            arrival.begin()
+            arrival.events([1, 2, 3])
+            await asyncio.sleep(30)
+        await streams.complete(arrival)
+
+    async with gateway_rig.running(llm=[behave] * 2) as rig:
+        monkeypatch.setattr(rig.deps.budget, "give_back", given_back.append)
+        assert await streams.read(rig.ask("/brief/1")) == (
+            200,
+            streams.ALL_EVENTS,
+        )
+    assert given_back == []
