Keep the charge for a replacement until it is sent

Callers saw nothing; the retry budget of a service could be passed while engines stalled. The end of a stalled attempt discarded its own plan, which also gave back the charge reserved for its replacement. It was charged again when the request was sent; in between, another stream could pass the budget.

The end of an attempt now only releases its load, and gives the charge back if no replacement was planned.

--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -110,7 +110,9 @@
             return await self._send_and_read(plan, attempt)
         finally:
             self._answer.revoke(attempt)
-            self._planner.discard(plan)
+            self._planner.release(plan)
+            if self._next_plan is None:
+                self._attempts.cancel_reservation()
 
     async def _send_and_read(
         self, plan: stream_plan.StreamPlan, attempt
