Answer callers that expect 100 Continue

A caller that sends `Expect: 100-continue` and waits for the interim response got nothing: neither an answer nor a refusal, until it gave up.

The gateway sends the interim response before it reads the body, so that a refusal that needs no body comes without one.

--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -179,6 +179,7 @@
             await clock.sleep_ms(TABLE_POLL_MS)
 
     async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
+        await _send_continue(request)
         pieces = []
         size = 0
         async for piece in request.content.iter_any():
@@ -350,3 +351,14 @@
     # A connection that is to be closed drops the rest of a body.
     if request.content.is_eof():
         request.protocol.close()
+
+
+async def _send_continue(request: web.BaseRequest) -> None:
+    """Answer `Expect: 100-continue`, unless the body arrives already."""
+    expectation = request.headers.get("Expect", "").lower()
+    has_arrived = request.content.total_bytes or not request.can_read_body
+    if expectation != "100-continue" or has_arrived:
+        return
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # Only the final answer counts as output.
+    request.writer.output_size = 0
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -294,3 +294,23 @@
         transport.abort()
         assert runs(rig) == 0
         writer.close()
+
+
+async def test_caller_that_expects_100_continue_is_asked_for_the_body():
+    async with gateway_rig.running(desk=[answer]) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(
+            f"POST /order/1 HTTP/1.1\r\nHost: {gateway_rig.HOST}\r\n"
+            f"Attempt-Id: a1\r\nX-Api-Key: {gateway_rig.KEY}\r\n"
+            "Content-Length: 6\r\nExpect: 100-continue\r\n\r\n".encode()
+        )
+        async with asyncio.timeout(2.0):
+            interim = await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"prompt")
+            final = await reader.readuntil(b"whole")
+        writer.close()
+    assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert final.startswith(b"HTTP/1.1 200 ")
+    (arrival,) = rig.engines_by_service[gateway_rig.DESK][0].arrivals
+    assert arrival.body == b"prompt"
+    assert "expect" not in arrival.headers
