Return or close the connection of a cancelled report probe

Callers saw nothing; an engine kept a connection open. A probe for an engine's report that was cancelled between acquiring its connection and releasing it, as happens when a stalled engine continues, neither pooled nor closed the connection. Evidence: reading; the new test.

The connection is now released in each case. The pool closes one whose answer has not ended.

test_cancelled_probe_closes_its_connection failed before (the engine waited 5 s for the end of the connection in vain) and passes now.

--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -50,10 +50,10 @@
             backend=backend.backend_id,
             why=repr(error),
         )
-        if connection is not None:
-            connection.close()
         return None
-    pool.release(connection)
+    finally:
+        if connection is not None:
+            pool.release(connection)
     if head.status != SUCCESS_STATUS:
         return None
     return wire_format.read_report(body)
