Share an engine's report among the streams that ask for it

Callers saw nothing; engines got needless probes, which are priced. Each stalled stream asked for its engine's report every 400 ms.

A report in flight, or asked for less than 400 ms ago, now serves all streams of the instance on that engine. A stream that continues or ends leaves the report to the others. A request is not judged by a report that was asked for earlier than 500 ms after its silence began, as before: that report may be from before the request. The log line tells how long ago it was asked for.

--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -33,6 +33,8 @@
 FIRST_EVENT_MARGIN_MS = 500.0
 # Interval between reports while the engine works on the request.
 REPORT_INTERVAL_MS = 400.0
+# A report asked for earlier in a silence may be from before the request.
+MIN_REPORT_SILENCE_MS = 500.0
 # Interval between searches for another engine while an engine is stalled.
 SEARCH_INTERVAL_MS = 400.0
 # Where no other engine would meet the latency goal, an engine is given up on
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -27,6 +27,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 from oriolejunction.http import placement_queue
+from oriolejunction.http import report_probe
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
 from oriolejunction.peers import origin_client
@@ -49,6 +50,7 @@
     blackboard: blackboards.Blackboard
     wire_format: gateway_messages.WireFormat
     pool: connection_pool.ConnectionPool
+    reports: report_probe.EngineReports
     view: backend_view.BackendView
     own_loads: load_table.LoadTable
     speeds: engine_speeds.EngineSpeeds
@@ -80,6 +82,7 @@
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
     queue = placement_queue.PlacementQueue(clock)
+    pool = connection_pool.ConnectionPool(clock)
     origins = origin_client.OriginClient(clock)
     blackboard.backends.changes().subscribe(
         lambda snapshot: origins.history.observe(snapshot.by_id.values())
@@ -90,7 +93,8 @@
         clock=clock,
         blackboard=blackboard,
         wire_format=wire_format,
-        pool=connection_pool.ConnectionPool(clock),
+        pool=pool,
+        reports=report_probe.EngineReports(clock, pool, wire_format),
         view=backend_view.BackendView(
             blackboard, own_loads, speeds, health, zone, rng
         ),
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -1,10 +1,13 @@
-"""Asks an engine for its report on the requests that it runs."""
+"""Asks engines for their reports on the requests that they run."""
 
 import asyncio
+import dataclasses
 
 import structlog
 
 from oriolejunction import backends
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import stalls
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
@@ -17,6 +20,71 @@
 _log = structlog.get_logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportReading:
+    """An engine's report, None if it gave none, and when it was asked."""
+
+    report: gateway_messages.EngineReport | None
+    asked_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Probe:
+    task: asyncio.Task[gateway_messages.EngineReport | None]
+    asked_ms: float
+
+
+class EngineReports:
+    """Shares each engine's report among the requests that ask for it."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        pool: connection_pool.ConnectionPool,
+        wire_format: gateway_messages.WireFormat,
+    ) -> None:
+        self._clock = clock
+        self._pool = pool
+        self._wire_format = wire_format
+        # In the order of the times at which the engines were asked.
+        self._probe_by_address: dict[str, _Probe] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def read(
+        self, backend: backends.Backend, not_before_ms: float
+    ) -> ReportReading:
+        """Return a report asked for at `not_before_ms` or later.
+
+        It was asked for less than `REPORT_INTERVAL_MS` ago.
+        """
+        self._forget_old_probes()
+        probe = self._probe_by_address.get(backend.address)
+        if probe is None or probe.asked_ms < not_before_ms:
+            probe = self._start_probe(backend)
+        # Others may wait for the same report.
+        report = await asyncio.shield(probe.task)
+        return ReportReading(report, probe.asked_ms)
+
+    def _start_probe(self, backend: backends.Backend) -> _Probe:
+        task = asyncio.create_task(
+            fetch_report(self._pool, self._wire_format, backend)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self._probe_by_address.pop(backend.address, None)
+        probe = _Probe(task, self._clock.now_ms())
+        self._probe_by_address[backend.address] = probe
+        return probe
+
+    def _forget_old_probes(self) -> None:
+        oldest_ms = self._clock.now_ms() - stalls.REPORT_INTERVAL_MS
+        while self._probe_by_address:
+            address, probe = next(iter(self._probe_by_address.items()))
+            if probe.asked_ms > oldest_ms:
+                return
+            del self._probe_by_address[address]
+
+
 async def fetch_report(
     pool: connection_pool.ConnectionPool,
     wire_format: gateway_messages.WireFormat,
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -18,7 +18,6 @@
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import repeated_task
-from oriolejunction.http import report_probe
 from oriolejunction.http import stream_plan
 
 LimitsSource = collections.abc.Callable[[], stalls.StallLimits]
@@ -265,11 +264,15 @@
         Raise `EngineStalled` if it reports events that did not arrive, or
         that it does not run the request.
         """
-        report = await report_probe.fetch_report(
-            self._deps.pool, self._deps.wire_format, self._backend
+        now_ms = self._deps.clock.now_ms()
+        known_ms = now_ms - silent_ms + stalls.MIN_REPORT_SILENCE_MS
+        reading = await self._deps.reports.read(
+            self._backend, not_before_ms=min(now_ms, known_ms)
         )
         progress = run_progress.progress_of(
-            report, self._admitted.request.request_id, self._first_event
+            reading.report,
+            self._admitted.request.request_id,
+            self._first_event,
         )
         gateway_common.log_decision(
             self._admitted,
@@ -277,6 +280,7 @@
             backend=self._backend.backend_id,
             progress=progress.value,
             silent_ms=round(silent_ms),
+            asked_ms_ago=round(self._deps.clock.now_ms() - reading.asked_ms),
         )
         if progress is run_progress.RunProgress.ANSWER_LOST:
             raise EngineStalled("the engine's events were lost", True)
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -9,6 +9,7 @@
 import structlog
 
 from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers import stalls
 from oriolejunction.http import stream_plan
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
@@ -26,11 +27,25 @@
     arrival.end()
 
 
+async def silent_for_good(arrival):
+    arrival.begin()
+    arrival.events([1, 2, 3])
+    await asyncio.sleep(30)
+
+
 async def silent_before_events(arrival):
     await asyncio.sleep(2 * SILENCE_S)
     await streams.complete(arrival)
 
 
+async def read_cut_answer(rig, number):
+    request = rig.ask(
+        "/brief/1", f"a{number}", Token_Counts="80,80", Deadline_Ms="1500"
+    )
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await streams.read(request)
+
+
 def table_with_one_attempt(version=1):
     table = gateway_rig.table(version)
     return dataclasses.replace(
@@ -78,33 +93,17 @@
 
 async def test_streams_that_stall_together_keep_the_retry_budget():
     """Fault: each asked for the budget before any other was charged."""
-
-    async def silent_for_good(arrival):
-        arrival.begin()
-        arrival.events([1, 2, 3])
-        await asyncio.sleep(30)
-
-    async def read(rig, number):
-        request = rig.ask(
-            "/brief/1", f"a{number}", Token_Counts="80,80", Deadline_Ms="1500"
-        )
-        with pytest.raises(aiohttp.ClientPayloadError):
-            await streams.read(request)
-
     async with gateway_rig.running(
         llm=[silent_for_good] * 2,
         budget=resend_budget.BudgetLimits(0.1, 0.0, 10_000.0),
     ) as rig:
-        await asyncio.gather(*(read(rig, number) for number in range(40)))
+        await asyncio.gather(
+            *(read_cut_answer(rig, number) for number in range(40))
+        )
         assert len(streams.arrivals(rig)) - 40 <= 4
 
 
 async def test_engine_neither_listed_nor_reached_is_given_up():
-    async def silent_for_good(arrival):
-        arrival.begin()
-        arrival.events([1, 2, 3])
-        await asyncio.sleep(30)
-
     async with gateway_rig.running(llm=[silent_for_good]) as rig:
         request = asyncio.create_task(
             streams.read(rig.ask("/brief/1", Deadline_Ms="2900"))
@@ -259,3 +258,18 @@
             streams.ALL_EVENTS,
         )
     assert given_back == []
+
+
+async def test_streams_that_stall_on_one_engine_share_its_report():
+    """Fault: each asked for a report of its own every 400 ms."""
+    asked = []
+
+    async with gateway_rig.running(llm=[silent_for_good]) as rig:
+        engine = rig.engines_by_service[gateway_rig.LLM][0]
+        engine._send_report = asked.append
+        began_ms = rig.clock.now_ms()
+        await asyncio.gather(
+            *(read_cut_answer(rig, number) for number in range(20))
+        )
+        took_ms = rig.clock.now_ms() - began_ms
+    assert 1 <= len(asked) <= 1 + took_ms / stalls.REPORT_INTERVAL_MS
