Count an engine whose crash several instances saw once

Cause: each instance reported how many engines a request had crashed, and the counts were added up. One engine that three instances lost at once counted as three.

Instances now report the engines themselves, at most MAX_CRASHES of a request, and the guard counts the distinct ones.

The tests that built counts now build engines and ask for the same numbers.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -3,12 +3,13 @@
 Load pattern: one request crashes each engine that starts it, and its caller
 sends it again to any instance. A crash counts against a request that had
 produced no event yet, unless other engines of the zone were lost at about the
-same time. The counts of all instances are added up.
+same time. An engine whose crash several instances saw counts once.
 """
 
 import collections
 
 from oriolejunction import clock as clocks
+from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import listeners
 
@@ -55,33 +56,43 @@
         if len(self._crashes) > MAX_FINGERPRINTS:
             del self._crashes[next(iter(self._crashes))]
 
-    def crashes(self) -> dict[ids.Fingerprint, int]:
-        """Return the recent, uncorrelated crashes by request."""
-        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
-        counted = {}
-        for fingerprint, crashes in self._crashes.items():
-            count = sum(
-                at_ms > oldest_ms
-                and not self._is_correlated(backend_id, zone, at_ms)
-                for backend_id, zone, at_ms in crashes
-            )
-            if count:
-                counted[fingerprint] = count
-        return counted
+    def crashes(self) -> tuple[fm.EngineCrash, ...]:
+        """Return the recent, uncorrelated crashes, to be reported.
+
+        Of one request there are at most MAX_CRASHES, which block it.
+        """
+        return tuple(
+            fm.EngineCrash(fingerprint, backend_id)
+            for fingerprint in self._crashes
+            for backend_id in self._crashed_engines(fingerprint)[:MAX_CRASHES]
+        )
 
     def is_blocked(
         self,
         fingerprint: ids.Fingerprint,
-        reported: dict[ids.Fingerprint, int],
+        reported: dict[ids.Fingerprint, tuple[fm.EngineCrash, ...]],
     ) -> bool:
         """Return whether a request crashed too many engines.
 
-        `reported` are the counts of the other instances.
+        `reported` are the crashes that the other instances saw.
         """
-        if fingerprint not in self._crashes and fingerprint not in reported:
-            return False
-        own = self.crashes().get(fingerprint, 0)
-        return own + reported.get(fingerprint, 0) >= MAX_CRASHES
+        engines = set(self._crashed_engines(fingerprint))
+        engines.update(
+            crash.backend_id for crash in reported.get(fingerprint, ())
+        )
+        return len(engines) >= MAX_CRASHES
+
+    def _crashed_engines(
+        self, fingerprint: ids.Fingerprint
+    ) -> list[ids.BackendId]:
+        """Return the engines of a request's own, uncorrelated crashes."""
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        return [
+            backend_id
+            for backend_id, zone, at_ms in self._crashes.get(fingerprint, ())
+            if at_ms > oldest_ms
+            and not self._is_correlated(backend_id, zone, at_ms)
+        ]
 
     def _is_correlated(
         self, backend_id: ids.BackendId, zone: ids.ZoneId, at_ms: float
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -38,7 +38,7 @@
     loads: tuple[fm.BackendLoad, ...] = ()
     speeds: tuple[fm.EngineSpeed, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
-    crashes: tuple[fm.CrashCount, ...] = ()
+    crashes: tuple[fm.EngineCrash, ...] = ()
 
 
 class _ChangeTrackedSums:
@@ -111,7 +111,7 @@
         self._speeds = _ChangeTrackedSums()
         self._suspects: collections.Counter[ids.BackendId]
         self._suspects = collections.Counter()
-        self._crashes: collections.Counter[ids.Fingerprint]
+        self._crashes: collections.Counter[fm.EngineCrash]
         self._crashes = collections.Counter()
         # Requests, resends and waiting requests by service. They change with
         # each request and therefore cause no update of their own.
@@ -210,12 +210,7 @@
                 )
             ),
             suspects=tuple(sorted(self._suspects - _suspects(own))),
-            crashes=tuple(
-                fm.CrashCount(fingerprint, count)
-                for fingerprint, count in (
-                    self._crashes - _crashes(own)
-                ).items()
-            ),
+            crashes=tuple(self._crashes - _crashes(own)),
         )
 
     def _report_of(self, instance: ids.InstanceId) -> fm.EntryReport | None:
@@ -298,13 +293,8 @@
 
 def _crashes(
     report: fm.EntryReport | None,
-) -> collections.Counter[ids.Fingerprint]:
-    return collections.Counter(
-        {
-            crash.fingerprint: crash.crashes
-            for crash in (report.crashes if report is not None else ())
-        }
-    )
+) -> collections.Counter[fm.EngineCrash]:
+    return collections.Counter(report.crashes if report is not None else ())
 
 
 def _mean(tenths: int, count: int) -> float:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -200,10 +200,7 @@
             number=self._report_number,
             loads=tuple(self._deps.own_loads.loads().values()),
             suspects=self._deps.health.suspects(),
-            crashes=tuple(
-                fm.CrashCount(fingerprint, count)
-                for fingerprint, count in self._deps.guard.crashes().items()
-            ),
+            crashes=self._deps.guard.crashes(),
             speeds=self._deps.speeds.own_speeds(),
             uses=self._deps.budget.uses(self._deps.queue.waiting_by_service()),
         )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -33,11 +33,11 @@
     prefill_ms_per_k: float
 
 
-class CrashCount(msgspec.Struct, frozen=True, array_like=True):
-    """How many engines crashed while this request ran alone on them."""
+class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
+    """An engine that was lost while it started a request."""
 
     fingerprint: ids.Fingerprint
-    crashes: int
+    backend_id: ids.BackendId
 
 
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
@@ -64,7 +64,7 @@
     number: int
     loads: tuple[BackendLoad, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
-    crashes: tuple[CrashCount, ...] = ()
+    crashes: tuple[EngineCrash, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
     uses: tuple[ServiceUse, ...] = ()
 
@@ -168,7 +168,7 @@
     whole: bool = False
     loads: tuple[BackendLoad, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
-    crashes: tuple[CrashCount, ...] = ()
+    crashes: tuple[EngineCrash, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
     entries: int = 1
     uses: tuple[ServiceUse, ...] = ()
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -1,5 +1,6 @@
 """An entry instance's view of the other entry instances."""
 
+import collections
 import dataclasses
 
 from oriolejunction import fleet_messages as fm
@@ -17,8 +18,8 @@
         default_factory=dict
     )
     suspects: frozenset[ids.BackendId] = frozenset()
-    crashes_by_request: dict[ids.Fingerprint, int] = dataclasses.field(
-        default_factory=dict
+    crashes_by_request: dict[ids.Fingerprint, tuple[fm.EngineCrash, ...]] = (
+        dataclasses.field(default_factory=dict)
     )
     speed_by_id: dict[ids.BackendId, fm.EngineSpeed] = dataclasses.field(
         default_factory=dict
@@ -59,13 +60,21 @@
         current,
         load_by_id=loads,
         suspects=frozenset(reply.suspects),
-        crashes_by_request={
-            each.fingerprint: each.crashes for each in reply.crashes
-        },
+        crashes_by_request=_by_request(reply.crashes),
         speed_by_id=speeds,
     )
 
 
+def _by_request(
+    crashes: tuple[fm.EngineCrash, ...],
+) -> dict[ids.Fingerprint, tuple[fm.EngineCrash, ...]]:
+    by_request: dict[ids.Fingerprint, list[fm.EngineCrash]]
+    by_request = collections.defaultdict(list)
+    for crash in crashes:
+        by_request[crash.fingerprint].append(crash)
+    return {key: tuple(each) for key, each in by_request.items()}
+
+
 def apply_counts(
     current: FleetView, reply: fm.WatchReply, now_ms: float
 ) -> FleetView:
--- a/tests/controllers/test_fleet_hub.py
+++ b/tests/controllers/test_fleet_hub.py
@@ -21,7 +21,10 @@
         number,
         loads=(fm.BackendLoad(ids.BackendId("e1"), streams, 10, 5),),
         suspects=(ids.BackendId(f"s{instance}"),),
-        crashes=(fm.CrashCount(ids.Fingerprint("f"), 1),),
+        crashes=tuple(
+            fm.EngineCrash(ids.Fingerprint("f"), ids.BackendId(engine))
+            for engine in ("e1", f"c{instance}")
+        ),
         speeds=(fm.EngineSpeed(ids.BackendId("e1"), 30.0, 120.0),),
     )
 
@@ -39,7 +42,7 @@
     (load,) = update.loads
     assert (load.streams, load.kv_tokens, load.prefill_tokens) == (2, 20, 10)
     assert update.suspects == ("sb", "sc")
-    assert update.crashes[0].crashes == 2
+    assert {crash.backend_id for crash in update.crashes} == {"e1", "cb", "cc"}
     assert update.speeds[0].event_ms == 30.0
     assert hub.entry_count() == 3
 
