Judge crashes by the losses of the whole fleet

Cause: engines of a zone lost together count for no crash, but an instance looked at its own losses only. Each instance that lost one engine of the zone blamed the request.

The suspects that others report now count as losses, at the time of the report, and the crashes that they report are judged like own ones. A loss keeps the engines lost with it, so that later losses don't push them out. Losses that the request itself caused, one retry after the other, are no excuse: reported crashes say whether the request was sent after an earlier crash was known. Without that, quick retries at several instances would never be blocked. The same engine found lost again and again is one loss.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -4,12 +4,17 @@
 sends it again to any instance. A crash counts against a request that had
 produced no event yet, unless other engines of the zone were lost at about the
 same time. An engine whose crash several instances saw counts once.
+
+The fleet's losses include those that the request caused itself: each retry
+crashes another engine. Such a loss is no excuse for the next one.
 """
 
-import collections
+import dataclasses
 
+from oriolejunction import backends
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
+from oriolejunction import fleet_view
 from oriolejunction import ids
 from oriolejunction import listeners
 
@@ -17,89 +22,199 @@
 CRASH_TTL_MS = 60_000.0
 # Engines of a zone lost within this time of each other crashed together.
 CORRELATED_LOSS_MS = 1_200.0
+# A lost engine that is found lost again within this time was not back.
+STILL_LOST_MS = 3_000.0
 MAX_FINGERPRINTS = 1_000
+MAX_LOSSES = 512
+# More than MAX_CRASHES, since some may prove to be correlated.
+MAX_REPORTED_PER_REQUEST = 8
+
+
+@dataclasses.dataclass
+class _Loss:
+    """An engine lost at `at_ms` and last found lost at `found_ms`.
+
+    `neighbours` are the engines of its zone lost at about the same time.
+    """
+
+    zone: ids.ZoneId
+    at_ms: float
+    found_ms: float
+    neighbours: set[ids.BackendId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Crash:
+    """An engine lost with a request, which was sent there `retried` or not."""
+
+    loss: _Loss
+    at_ms: float
+    retried: bool
 
 
 class CrashGuard:
-    """Counts crashes by request; a fingerprint covers its path and body."""
+    """Judges crashes by request; a fingerprint covers its path and body."""
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._losses: collections.deque = collections.deque(maxlen=256)
-        self._crashes: dict[
-            ids.Fingerprint, list[tuple[ids.BackendId, ids.ZoneId, float]]
-        ] = {}
+        # Ordered by `at_ms`, the oldest first.
+        self._loss_by_id: dict[ids.BackendId, _Loss] = {}
+        self._crashes: dict[ids.Fingerprint, dict[ids.BackendId, _Crash]] = {}
+        self._others = fleet_view.FleetView()
         self.on_change: listeners.OnChange = listeners.no_op
 
     @property
     def has_crashes(self) -> bool:
-        """Return whether any request has a recorded crash."""
-        return bool(self._crashes)
+        """Return whether any request has a recorded or reported crash."""
+        return bool(self._crashes or self._others.crashes_by_request)
 
     def record_loss(self, backend_id: ids.BackendId, zone: ids.ZoneId) -> None:
         """Record that an engine was lost, whatever ran on it."""
-        self._losses.append((backend_id, zone, self._clock.now_ms()))
+        self._record_loss(backend_id, zone)
+
+    def update_reported(
+        self,
+        others: fleet_view.FleetView,
+        listed: dict[ids.BackendId, backends.Backend],
+    ) -> None:
+        """Apply what the other instances report of losses and crashes."""
+        if others.suspects is not self._others.suspects:
+            for backend_id in others.suspects - self._others.suspects:
+                backend = listed.get(backend_id)
+                if backend is not None:
+                    self._record_loss(backend_id, backend.zone)
+        self._others = others
 
     def record_crash(
         self,
         fingerprint: ids.Fingerprint,
         backend_id: ids.BackendId,
         zone: ids.ZoneId,
+        sent_ms: float,
     ) -> None:
-        """Record that an engine was lost while it started a request."""
-        self.record_loss(backend_id, zone)
-        crashes = self._crashes.setdefault(fingerprint, [])
-        if any(known == backend_id for known, _, _ in crashes):
+        """Record that an engine was lost while it started a request.
+
+        The request was sent to it at `sent_ms`.
+        """
+        loss = self._record_loss(backend_id, zone)
+        if backend_id in self._own_crashes(fingerprint):
             return
-        crashes.append((backend_id, zone, self._clock.now_ms()))
+        retried = any(
+            known != backend_id and self._was_lost_before(known, sent_ms)
+            for known in self._retried_by_engine(fingerprint)
+        )
+        crash = _Crash(loss, self._clock.now_ms(), retried)
+        self._crashes.setdefault(fingerprint, {})[backend_id] = crash
         self.on_change()
         if len(self._crashes) > MAX_FINGERPRINTS:
             del self._crashes[next(iter(self._crashes))]
 
     def crashes(self) -> tuple[fm.EngineCrash, ...]:
-        """Return the recent, uncorrelated crashes, to be reported.
-
-        Of one request there are at most MAX_CRASHES, which block it.
-        """
+        """Return the recent, uncorrelated crashes, to be reported."""
+        self._expire()
         return tuple(
-            fm.EngineCrash(fingerprint, backend_id)
+            fm.EngineCrash(fingerprint, backend_id, crash.retried)
             for fingerprint in self._crashes
-            for backend_id in self._crashed_engines(fingerprint)[:MAX_CRASHES]
+            for backend_id, crash in list(
+                self._own_crashes(fingerprint).items()
+            )[:MAX_REPORTED_PER_REQUEST]
         )
 
-    def is_blocked(
-        self,
-        fingerprint: ids.Fingerprint,
-        reported: dict[ids.Fingerprint, tuple[fm.EngineCrash, ...]],
+    def is_blocked(self, fingerprint: ids.Fingerprint) -> bool:
+        """Return whether a request crashed too many engines of the fleet."""
+        engines = set(self._own_crashes(fingerprint))
+        reported = self._others.crashes_by_request.get(fingerprint, ())
+        if len(engines) + len(reported) < MAX_CRASHES:
+            return False
+        retried = self._retried_by_engine(fingerprint)
+        for crash in reported:
+            loss = self._loss_by_id.get(crash.backend_id)
+            if loss is None or not _is_correlated(
+                loss, retried[crash.backend_id], retried
+            ):
+                engines.add(crash.backend_id)
+        return len(engines) >= MAX_CRASHES
+
+    def _record_loss(
+        self, backend_id: ids.BackendId, zone: ids.ZoneId
+    ) -> _Loss:
+        now_ms = self._clock.now_ms()
+        known = self._loss_by_id.get(backend_id)
+        if known is not None:
+            if now_ms - known.found_ms <= STILL_LOST_MS:
+                known.found_ms = now_ms
+                return known
+            del self._loss_by_id[backend_id]
+        loss = _Loss(zone, now_ms, now_ms)
+        for other_id, other in reversed(self._loss_by_id.items()):
+            if now_ms - other.at_ms > CORRELATED_LOSS_MS:
+                break
+            if other.zone == zone:
+                loss.neighbours.add(other_id)
+                other.neighbours.add(backend_id)
+        self._loss_by_id[backend_id] = loss
+        if len(self._loss_by_id) > MAX_LOSSES:
+            del self._loss_by_id[next(iter(self._loss_by_id))]
+        return loss
+
+    def _was_lost_before(
+        self, backend_id: ids.BackendId, at_ms: float
     ) -> bool:
-        """Return whether a request crashed too many engines.
+        loss = self._loss_by_id.get(backend_id)
+        return loss is None or loss.at_ms < at_ms
 
-        `reported` are the crashes that the other instances saw.
-        """
-        engines = set(self._crashed_engines(fingerprint))
-        engines.update(
-            crash.backend_id for crash in reported.get(fingerprint, ())
-        )
-        return len(engines) >= MAX_CRASHES
+    def _retried_by_engine(
+        self, fingerprint: ids.Fingerprint
+    ) -> dict[ids.BackendId, bool]:
+        """Return the engines that a request crashed, correlated or not.
 
-    def _crashed_engines(
+        The value tells whether each run there was a retry.
+        """
+        retried_by_engine: dict[ids.BackendId, bool] = {}
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        for backend_id, crash in self._crashes.get(fingerprint, {}).items():
+            if crash.at_ms > oldest_ms:
+                retried_by_engine[backend_id] = crash.retried
+        for reported in self._others.crashes_by_request.get(fingerprint, ()):
+            retried = retried_by_engine.get(reported.backend_id, True)
+            retried_by_engine[reported.backend_id] = (
+                retried and reported.retried
+            )
+        return retried_by_engine
+
+    def _own_crashes(
         self, fingerprint: ids.Fingerprint
-    ) -> list[ids.BackendId]:
-        """Return the engines of a request's own, uncorrelated crashes."""
+    ) -> dict[ids.BackendId, _Crash]:
+        """Return a request's own crashes that are recent and uncorrelated."""
+        if fingerprint not in self._crashes:
+            return {}
         oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
-        return [
-            backend_id
-            for backend_id, zone, at_ms in self._crashes.get(fingerprint, ())
-            if at_ms > oldest_ms
-            and not self._is_correlated(backend_id, zone, at_ms)
-        ]
-
-    def _is_correlated(
-        self, backend_id: ids.BackendId, zone: ids.ZoneId, at_ms: float
-    ) -> bool:
-        return any(
-            other != backend_id
-            and other_zone == zone
-            and abs(other_ms - at_ms) <= CORRELATED_LOSS_MS
-            for other, other_zone, other_ms in self._losses
-        )
+        retried = self._retried_by_engine(fingerprint)
+        return {
+            backend_id: crash
+            for backend_id, crash in self._crashes[fingerprint].items()
+            if crash.at_ms > oldest_ms
+            and not _is_correlated(crash.loss, retried[backend_id], retried)
+        }
+
+    def _expire(self) -> None:
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        for fingerprint, crashes in list(self._crashes.items()):
+            if all(crash.at_ms <= oldest_ms for crash in crashes.values()):
+                del self._crashes[fingerprint]
+
+
+def _is_correlated(
+    loss: _Loss,
+    retried: bool,
+    retried_by_engine: dict[ids.BackendId, bool],
+) -> bool:
+    """Return whether other engines were lost for another reason.
+
+    Engines that the request crashed one after the other are no such reason.
+    """
+    return any(
+        neighbour not in retried_by_engine
+        or not (retried or retried_by_engine[neighbour])
+        for neighbour in loss.neighbours
+    )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -34,10 +34,15 @@
 
 
 class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
-    """An engine that was lost while it started a request."""
+    """An engine that was lost while it started a request.
+
+    `retried` is set if the request was sent to it after another engine's
+    crash by the same request was known.
+    """
 
     fingerprint: ids.Fingerprint
     backend_id: ids.BackendId
+    retried: bool = False
 
 
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -39,22 +39,23 @@
     admitted: gateway_common.AdmittedRequest,
     backend: backends.Backend,
     why: str,
-    has_output: bool,
+    sent_ms: float | None,
 ) -> None:
     """Check in the background whether a broken answer was a crash.
 
     A server that accepts a new connection has lost only this answer. One
     that does not is marked as lost, and the crash is recorded against the
-    request unless the attempt `has_output` already.
+    request that was sent at `sent_ms`. That is None if the attempt has
+    output already, which clears the request.
     """
 
     async def check() -> None:
         if await is_reachable(deps, backend):
             return
         mark_backend_lost(deps, backend, why)
-        if not has_output:
+        if sent_ms is not None:
             deps.guard.record_crash(
-                admitted.fingerprint, backend.backend_id, backend.zone
+                admitted.fingerprint, backend.backend_id, backend.zone, sent_ms
             )
 
     task = asyncio.create_task(check())
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -184,7 +184,8 @@
                 CONNECT_TRIES,
                 max_idle_ms,
             )
-            self._unanswered_since_ms[backend.backend_id] = deps.clock.now_ms()
+            sent_ms = deps.clock.now_ms()
+            self._unanswered_since_ms[backend.backend_id] = sent_ms
             head = deps.wire_format.read_head(
                 await connection.read_response_head(), self._admitted.request
             )
@@ -212,7 +213,7 @@
             )
             deps.health.record_outcome(backend.backend_id, failed=True)
             backend_checks.start_crash_check(
-                deps, self._admitted, backend, str(error), has_output=False
+                deps, self._admitted, backend, str(error), sent_ms
             )
         finally:
             deps.own_loads.end_call(backend.backend_id)
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -79,11 +79,17 @@
     own_loads = load_table.LoadTable()
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
+    guard = crash_guard.CrashGuard(clock)
     queue = placement_queue.PlacementQueue(clock)
     origins = origin_client.OriginClient(clock)
     blackboard.backends.changes().subscribe(
         lambda snapshot: origins.history.observe(snapshot.by_id.values())
     )
+    blackboard.fleet.changes().subscribe(
+        lambda fleet: guard.update_reported(
+            fleet, blackboard.backends.read().by_id
+        )
+    )
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
     return GatewayDependencies(
@@ -98,7 +104,7 @@
         speeds=speeds,
         health=health,
         budget=resend_budget.ResendBudget(clock, limits),
-        guard=crash_guard.CrashGuard(clock),
+        guard=guard,
         lengths=answer_lengths.AnswerLengths(),
         telemetry=telemetry.GatewayTelemetry(),
         queue=queue,
@@ -278,10 +284,9 @@
 
     The body is hashed only while any crash is known.
     """
-    reported = deps.blackboard.fleet.read().crashes_by_request
-    if not reported and not deps.guard.has_crashes:
-        return False
-    return deps.guard.is_blocked(admitted.fingerprint, reported)
+    return deps.guard.has_crashes and deps.guard.is_blocked(
+        admitted.fingerprint
+    )
 
 
 async def wait_for_backend(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -132,6 +132,7 @@
             backend_checks.mark_backend_lost(self._deps, plan.backend, why)
             return self._handle_loss(plan, why)
         last_event_before = self._answer.last_event
+        sent_ms = self._deps.clock.now_ms()
         try:
             return await self._read_answer(plan, connection, attempt)
         except stall_detection.EngineReplaced as error:
@@ -150,12 +151,13 @@
             # connection is back in the pool and must stay open.
             if not connection.usable:
                 connection.close()
+        has_output = self._answer.last_event > last_event_before
         backend_checks.start_crash_check(
             self._deps,
             self._admitted,
             plan.backend,
             why,
-            has_output=self._answer.last_event > last_event_before,
+            None if has_output else sent_ms,
         )
         return self._handle_loss(plan, why)
 
--- a/src/oriolejunction/http/stall_handlers.py
+++ b/src/oriolejunction/http/stall_handlers.py
@@ -31,7 +31,7 @@
             planner.last_copy_backend = plan.copy_backend
         attempts.excluded.add(backend.backend_id)
         backend_checks.start_crash_check(
-            deps, admitted, backend, str(stall), has_output=True
+            deps, admitted, backend, str(stall), sent_ms=None
         )
 
     def on_continued() -> None:
--- /dev/null
+++ b/tests/http/test_backend_checks.py
@@ -0,0 +1,35 @@
+"""Crashes that the gateway blames on a request."""
+
+import asyncio
+
+from oriolejunction import fleet_messages as fm
+from oriolejunction import fleet_view
+from oriolejunction import ids
+from tests.http import test_gateway_stream as streams
+from tests.platform import gateway_rig
+
+
+async def test_crashes_that_others_report_block_a_request_here():
+    """Load: a request crashes engines of several instances, one each."""
+    async with gateway_rig.running(llm=[streams.complete] * 2) as rig:
+
+        def crashes(engine):
+            async def behave(arrival):
+                engine._server.close()
+                arrival.reset()
+
+            return behave
+
+        for engine in rig.engines_by_service[gateway_rig.LLM]:
+            engine.behave = crashes(engine)
+        await streams.read(rig.ask("/brief/1"))
+        await asyncio.gather(*rig.deps.background_tasks)
+        own, _ = rig.deps.guard.crashes()
+        reported = fm.EngineCrash(own.fingerprint, ids.BackendId("llm-9"))
+        rig.write_fleet(
+            fleet_view.FleetView(
+                crashes_by_request={own.fingerprint: (reported,)}
+            )
+        )
+        _, body = await streams.read(rig.ask("/brief/1", "a2"))
+        assert b"crashed" in body
