Blame no request that engines answer

Cause: an engine that resets a request and then accepts no connection counts as crashed by it, also if only its link is at fault. When the links of both zones fail at once, requests with one fingerprint are lost on all engines, one after the other. That looks like a request that crashes them, but engines had answered it a moment before.

A request that an engine answered in full within the last minute crashes none. Instances report it where others report crashes of it, so that also one that met lost engines only, since it started, serves it.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -5,11 +5,15 @@
 produced no event yet, unless other engines of the zone were lost at about the
 same time. An engine whose crash several instances saw counts once.
 
+A request that an engine answers in full crashes none, whatever else was lost
+meanwhile: links are reset and zones cut off while callers share a request.
+
 The fleet's losses include those that the request caused itself: each retry
 crashes another engine. Such a loss is no excuse for the next one.
 """
 
 import dataclasses
+import math
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
@@ -60,6 +64,8 @@
         # Ordered by `at_ms`, the oldest first.
         self._loss_by_id: dict[ids.BackendId, _Loss] = {}
         self._crashes: dict[ids.Fingerprint, dict[ids.BackendId, _Crash]] = {}
+        # When requests were last answered here, the oldest first.
+        self._answered_ms: dict[ids.Fingerprint, float] = {}
         self._others = fleet_view.FleetView()
         self.on_change: listeners.OnChange = listeners.no_op
 
@@ -83,7 +89,28 @@
                 backend = listed.get(backend_id)
                 if backend is not None:
                     self._record_loss(backend_id, backend.zone)
+        answered = self.answered()
         self._others = others
+        if self.answered() != answered:
+            self.on_change()
+
+    def record_answer(self, fingerprint: ids.Fingerprint) -> None:
+        """Record that an engine answered a request in full."""
+        self._answered_ms.pop(fingerprint, None)
+        self._answered_ms[fingerprint] = self._clock.now_ms()
+        if len(self._answered_ms) > MAX_FINGERPRINTS:
+            del self._answered_ms[next(iter(self._answered_ms))]
+        if self._crashes.pop(fingerprint, None) is not None:
+            self.on_change()
+
+    def answered(self) -> tuple[ids.Fingerprint, ...]:
+        """Return the answered requests that others report to crash engines."""
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        return tuple(
+            fingerprint
+            for fingerprint in self._others.crashes_by_request
+            if self._answered_ms.get(fingerprint, -math.inf) > oldest_ms
+        )
 
     def record_crash(
         self,
@@ -97,7 +124,9 @@
         The request was sent to it at `sent_ms`.
         """
         loss = self._record_loss(backend_id, zone)
-        if backend_id in self._own_crashes(fingerprint):
+        if self._is_answered(fingerprint) or (
+            backend_id in self._own_crashes(fingerprint)
+        ):
             return
         retried = any(
             known != backend_id and self._was_lost_before(known, sent_ms)
@@ -122,6 +151,8 @@
 
     def is_blocked(self, fingerprint: ids.Fingerprint) -> bool:
         """Return whether a request crashed too many engines of the fleet."""
+        if self._is_answered(fingerprint):
+            return False
         engines = set(self._own_crashes(fingerprint))
         reported = self._others.crashes_by_request.get(fingerprint, ())
         if len(engines) + len(reported) < MAX_CRASHES:
@@ -135,6 +166,11 @@
                 engines.add(crash.backend_id)
         return len(engines) >= MAX_CRASHES
 
+    def _is_answered(self, fingerprint: ids.Fingerprint) -> bool:
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        answered_ms = self._answered_ms.get(fingerprint, -math.inf)
+        return answered_ms > oldest_ms or fingerprint in self._others.answered
+
     def _record_loss(
         self, backend_id: ids.BackendId, zone: ids.ZoneId
     ) -> _Loss:
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -30,7 +30,7 @@
     """Sums over the other entry instances, up to change number `seen`.
 
     `loads` and `speeds` hold only changes, or everything if `complete` is
-    set; `suspects` and `crashes` always hold everything.
+    set; `suspects`, `crashes` and `answered` always hold everything.
     """
 
     seen: int
@@ -39,6 +39,7 @@
     speeds: tuple[fm.EngineSpeed, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
     crashes: tuple[fm.EngineCrash, ...] = ()
+    answered: tuple[ids.Fingerprint, ...] = ()
 
 
 class _ChangeTrackedSums:
@@ -113,6 +114,8 @@
         self._suspects = collections.Counter()
         self._crashes: collections.Counter[fm.EngineCrash]
         self._crashes = collections.Counter()
+        self._answered: collections.Counter[ids.Fingerprint]
+        self._answered = collections.Counter()
         # Requests, resends and waiting requests by service. They change with
         # each request and therefore cause no update of their own.
         self._uses: collections.Counter[tuple[ids.ServiceName, int]]
@@ -211,6 +214,7 @@
             ),
             suspects=tuple(sorted(self._suspects - _suspects(own))),
             crashes=tuple(self._crashes - _crashes(own)),
+            answered=tuple(self._answered - _answered(own)),
         )
 
     def _report_of(self, instance: ids.InstanceId) -> fm.EntryReport | None:
@@ -226,6 +230,7 @@
         self._speeds.replace(_speeds(before), _speeds(after), number)
         self._suspects = self._suspects - _suspects(before) + _suspects(after)
         self._crashes = self._crashes - _crashes(before) + _crashes(after)
+        self._answered = self._answered - _answered(before) + _answered(after)
         for sums in (self._loads, self._speeds):
             if sums.drop_idle():
                 self._oldest_delta_number = number
@@ -249,6 +254,7 @@
         report.loads,
         report.suspects,
         report.crashes,
+        report.answered,
         report.speeds,
     )
 
@@ -297,6 +303,12 @@
     return collections.Counter(report.crashes if report is not None else ())
 
 
+def _answered(
+    report: fm.EntryReport | None,
+) -> collections.Counter[ids.Fingerprint]:
+    return collections.Counter(report.answered if report is not None else ())
+
+
 def _mean(tenths: int, count: int) -> float:
     """Return the mean of values in tenths, 0 where none is known."""
     return round(tenths / count / 10, 1) if count else 0.0
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -203,6 +203,7 @@
             crashes=self._deps.guard.crashes(),
             speeds=self._deps.speeds.own_speeds(),
             uses=self._deps.budget.uses(self._deps.queue.waiting_by_service()),
+            answered=self._deps.guard.answered(),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -61,7 +61,8 @@
     """Load and observations of one entry instance.
 
     `boot` is the incarnation, within which `number` rises with each report.
-    `suspects` are the backend servers that the instance itself found lost.
+    `suspects` are the backend servers that the instance itself found lost;
+    `answered` are requests with crashes that an engine answered in full.
     """
 
     instance: ids.InstanceId
@@ -72,6 +73,7 @@
     crashes: tuple[EngineCrash, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
     uses: tuple[ServiceUse, ...] = ()
+    answered: tuple[ids.Fingerprint, ...] = ()
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -158,8 +160,9 @@
     are sums over the other entry instances; `entries` counts all entry
     instances, the receiver included. `loads` and `speeds` hold what changed
     since the change number in the request, or everything if `whole` is set;
-    `suspects` and `crashes` are complete whenever `seen` has changed. `uses`
-    are sums over the other entry instances and always complete.
+    `suspects`, `crashes` and `answered` are complete whenever `seen` has
+    changed. `uses` are sums over the other entry instances and always
+    complete.
     `replicas` are the control replicas' peer addresses and availability
     zones.
     """
@@ -178,6 +181,7 @@
     entries: int = 1
     uses: tuple[ServiceUse, ...] = ()
     replicas: tuple[tuple[str, str], ...] = ()
+    answered: tuple[ids.Fingerprint, ...] = ()
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -21,6 +21,7 @@
     crashes_by_request: dict[ids.Fingerprint, tuple[fm.EngineCrash, ...]] = (
         dataclasses.field(default_factory=dict)
     )
+    answered: frozenset[ids.Fingerprint] = frozenset()
     speed_by_id: dict[ids.BackendId, fm.EngineSpeed] = dataclasses.field(
         default_factory=dict
     )
@@ -61,6 +62,7 @@
         load_by_id=loads,
         suspects=frozenset(reply.suspects),
         crashes_by_request=_by_request(reply.crashes),
+        answered=frozenset(reply.answered),
         speed_by_id=speeds,
     )
 
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -80,6 +80,8 @@
                 task.cancel()
         if answer is None:
             return self._give_up()
+        if answer.head.success:
+            self._deps.guard.record_answer(self._admitted.fingerprint)
         self._record_answer(answer)
         return gateway_common.relayed_response(answer.head, answer.body)
 
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -259,6 +259,7 @@
         self._deps.lengths.add(
             self._admitted.route.name, self._answer.last_event
         )
+        self._deps.guard.record_answer(self._admitted.fingerprint)
         gateway_common.log_decision(
             self._admitted,
             "stream complete",
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -273,6 +273,7 @@
             loads=update.loads,
             suspects=update.suspects,
             crashes=update.crashes,
+            answered=update.answered,
             speeds=update.speeds,
             entries=max(1, hub.entry_count()),
             uses=hub.uses_of_others(request.instance),
--- a/tests/controllers/test_crash_guard.py
+++ b/tests/controllers/test_crash_guard.py
@@ -29,7 +29,12 @@
     for number, other in enumerate(others):
         instance = ids.InstanceId(f"i{number}")
         report = fm.EntryReport(
-            instance, "b", 1, suspects=suspects, crashes=other.crashes()
+            instance,
+            "b",
+            1,
+            suspects=suspects,
+            crashes=other.crashes(),
+            answered=other.answered(),
         )
         hub.put(report, direct=True)
     update = hub.update_for(ids.InstanceId("other"), fm.NO_CHANGE_SEEN)
@@ -40,6 +45,7 @@
         table_version=routing_table.TableVersion(1),
         suspects=update.suspects,
         crashes=update.crashes,
+        answered=update.answered,
     )
     listed = {
         backend_id: backends.Backend(
@@ -136,3 +142,22 @@
     for _ in range(5):
         crash(guard, clock, 1)
     assert guard.crashes() == (fm.EngineCrash(POISON, engine(1)),)
+
+
+def test_answer_at_any_instance_clears_a_request():
+    """Load: an instance that just started meets only lost engines."""
+    clock = clocks.ManualClock(1_000.0)
+    guard, answering = (crash_guard.CrashGuard(clock) for _ in range(2))
+    answering.record_answer(POISON)
+    for number in range(3):
+        crash(guard, clock, number)
+    assert guard.is_blocked(POISON)
+    tell(clock, answering, guard)
+    assert not answering.is_blocked(POISON)
+    tell(clock, guard, answering)
+    assert not guard.is_blocked(POISON)
+    clock.advance(crash_guard.CRASH_TTL_MS)
+    tell(clock, guard, answering)
+    for number in range(3, 6):
+        crash(guard, clock, number)
+    assert guard.is_blocked(POISON)
--- a/tests/http/test_backend_checks.py
+++ b/tests/http/test_backend_checks.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from oriolejunction import fleet_messages as fm
 from oriolejunction import fleet_view
+from oriolejunction.http import backend_checks
 from oriolejunction import ids
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
@@ -33,3 +36,27 @@
         )
         _, body = await streams.read(rig.ask("/brief/1", "a2"))
         assert b"crashed" in body
+
+
+async def test_request_that_engines_answer_is_not_blamed_for_lost_links():
+    """Load: callers share a request; links are reset and refuse for a bit."""
+    async with gateway_rig.running(llm=[streams.complete] * 4) as rig:
+        engines = rig.engines_by_service[gateway_rig.LLM]
+        assert (await streams.read(rig.ask("/brief/1", "a1")))[0] == 200
+
+        async def resets(arrival):
+            arrival.reset()
+
+        async def refuses_connections(deps, backend):
+            return False
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(backend_checks, "is_reachable", refuses_connections)
+            for engine in engines:
+                engine.behave = resets
+            await streams.read(rig.ask("/brief/1", "a2"))
+            await asyncio.gather(*rig.deps.background_tasks)
+        for engine in engines:
+            engine.behave = streams.complete
+            rig.deps.health.mark_answered(ids.BackendId(engine.name))
+        assert (await streams.read(rig.ask("/brief/1", "a3")))[0] == 200
