Take back the crash of an engine that is reachable at once again

Callers whose request met reset links could be refused for a minute as one that crashes engines. Found by reading the code.

Cause: one failed check after a broken answer counted as a crash for good. A machine that accepts no connection for a moment failed it.

A lost engine is checked once more 400 ms later. If it is reachable within 800 ms of its loss it has not restarted, and the crash is taken back; a later answer proves nothing, since a restarted engine may keep its id. The crash counts meanwhile, so the guard is no slower. One more connection is tried for each crash that is recorded.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -138,6 +138,16 @@
         if len(self._crashes) > MAX_FINGERPRINTS:
             del self._crashes[next(iter(self._crashes))]
 
+    def take_back(
+        self, fingerprint: ids.Fingerprint, backend_id: ids.BackendId
+    ) -> None:
+        """Forget the crash of an engine that proved not to have crashed."""
+        crashes = self._crashes.get(fingerprint, {})
+        if crashes.pop(backend_id, None) is not None:
+            self.on_change()
+        if not crashes:
+            self._crashes.pop(fingerprint, None)
+
     def crashes(self) -> tuple[fm.EngineCrash, ...]:
         """Return the recent, uncorrelated crashes, to be reported."""
         self._expire()
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -13,6 +13,10 @@
 
 # HTTP "Misdirected Request": another incarnation now has the address.
 MISDIRECTED_STATUS = 421
+# A lost server is checked once more after this time. One that is back within
+# MIN_RESTART_MS of its loss has not restarted, so it did not crash.
+RECHECK_DELAY_MS = 400.0
+MIN_RESTART_MS = 800.0
 _log = structlog.get_logger(__name__)
 
 
@@ -46,17 +50,32 @@
     A server that accepts a new connection has lost only this answer. One
     that does not is marked as lost, and the crash is recorded against the
     request that was sent at `sent_ms`. That is None if the attempt has
-    output already, which clears the request.
+    output already, which clears the request. The crash is taken back if the
+    server is reachable again too soon for a restart.
     """
 
     async def check() -> None:
         if await is_reachable(deps, backend):
             return
+        lost_ms = deps.clock.now_ms()
         mark_backend_lost(deps, backend, why)
-        if sent_ms is not None:
-            deps.guard.record_crash(
-                admitted.fingerprint, backend.backend_id, backend.zone, sent_ms
+        if sent_ms is None:
+            return
+        deps.guard.record_crash(
+            admitted.fingerprint, backend.backend_id, backend.zone, sent_ms
+        )
+        await deps.clock.sleep_ms(RECHECK_DELAY_MS)
+        if not await is_reachable(deps, backend):
+            return
+        back_ms = deps.clock.now_ms() - lost_ms
+        if back_ms <= MIN_RESTART_MS:
+            gateway_common.log_decision(
+                admitted,
+                "crash taken back",
+                backend=backend.backend_id,
+                back_ms=round(back_ms),
             )
+            deps.guard.take_back(admitted.fingerprint, backend.backend_id)
 
     task = asyncio.create_task(check())
     deps.background_tasks.add(task)
