--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -33,11 +33,16 @@
     prefill_ms_per_k: float
 
 
-class CrashCount(msgspec.Struct, frozen=True, array_like=True):
-    """How many engines crashed while this request ran alone on them."""
+class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
+    """An engine that was lost while it started a request.
+
+    `retried` is set if the request was sent to it after another engine's
+    crash by the same request was known.
+    """
 
     fingerprint: ids.Fingerprint
-    crashes: int
+    backend_id: ids.BackendId
+    retried: bool = False
 
 
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
@@ -56,7 +61,8 @@
     """Load and observations of one entry instance.
 
     `boot` is the incarnation, within which `number` rises with each report.
-    `suspects` are the backend servers that the instance itself found lost.
+    `suspects` are the backend servers that the instance itself found lost;
+    `answered` are requests with crashes that an engine answered in full.
     """
 
     instance: ids.InstanceId
@@ -64,9 +70,10 @@
     number: int
     loads: tuple[BackendLoad, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
-    crashes: tuple[CrashCount, ...] = ()
+    crashes: tuple[EngineCrash, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
     uses: tuple[ServiceUse, ...] = ()
+    answered: tuple[ids.Fingerprint, ...] = ()
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -153,8 +160,9 @@
     are sums over the other entry instances; `entries` counts all entry
     instances, the receiver included. `loads` and `speeds` hold what changed
     since the change number in the request, or everything if `whole` is set;
-    `suspects` and `crashes` are complete whenever `seen` has changed. `uses`
-    are sums over the other entry instances and always complete.
+    `suspects`, `crashes` and `answered` are complete whenever `seen` has
+    changed. `uses` are sums over the other entry instances and always
+    complete.
     `replicas` are the control replicas' peer addresses and availability
     zones.
     """
@@ -168,11 +176,12 @@
     whole: bool = False
     loads: tuple[BackendLoad, ...] = ()
     suspects: tuple[ids.BackendId, ...] = ()
-    crashes: tuple[CrashCount, ...] = ()
+    crashes: tuple[EngineCrash, ...] = ()
     speeds: tuple[EngineSpeed, ...] = ()
     entries: int = 1
     uses: tuple[ServiceUse, ...] = ()
     replicas: tuple[tuple[str, str], ...] = ()
+    answered: tuple[ids.Fingerprint, ...] = ()
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
