Keep the origin of a stream for as long as its caller may return

A stream that ran for longer than 60 s, or whose caller returned later than that, lost the record of its software version. During a release, its caller then got 503 for the rest of the stream.

Origins and the history of versions had a fixed time to live of 60 s, from the beginning of the stream, whatever the timeouts of the routes.

The time now follows the table in force: a stream may be taken up for the longest timeout of the resumable routes, 10 minutes at most. Records are kept for twice that time, and an entry instance renews those of its running streams before less than one such time is left. A control replica relays a renewal only if its record has an eighth of its time behind it.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -29,6 +29,7 @@
 from oriolejunction.peers import rpc
 from oriolejunction.peers import transport as transports
 from oriolejunction.platform import backend_list
+from oriolejunction.platform import configuration_document
 from oriolejunction.platform import operator_calls
 
 # A removed machine must have lost its vote 4 s after its successor started.
@@ -77,6 +78,7 @@
                 hub=fleet_hub.FleetHub(self.clock),
                 origins=origins,
                 listing=self.listing,
+                read_table=configuration_document.read_table,
                 stub_for=self._transport.stub_for,
             )
         )
--- a/src/oriolejunction/controllers/software_history.py
+++ b/src/oriolejunction/controllers/software_history.py
@@ -1,4 +1,4 @@
-"""The software versions of each service's engines in the last minute.
+"""The software versions that each service's engines had lately.
 
 Load pattern: during a release, engines of two versions serve one service, and
 a stream whose version is not known may have begun at either. The engines of
@@ -9,19 +9,22 @@
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import origin_retention
 from oriolejunction import ids
 
-# Longer than any stream and the returns of its caller.
-HISTORY_MS = 60_000.0
-
 _ServiceVersion = tuple[ids.ServiceName, ids.SoftwareVersion]
 
 
 class SoftwareHistory:
     """Remembers the software versions that were listed recently."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        retention: origin_retention.OriginRetention,
+    ) -> None:
         self._clock = clock
+        self._retention = retention
         self._listed: set[_ServiceVersion] = set()
         self._seen_at_ms: dict[_ServiceVersion, float] = {}
 
@@ -33,17 +36,18 @@
         for each in self._listed:
             self._seen_at_ms[each] = now_ms
         self._listed = {(each.service, each.software) for each in listed}
+        kept_ms = self._retention.kept_ms
         self._seen_at_ms = {
             each: seen_ms
             for each, seen_ms in self._seen_at_ms.items()
-            if now_ms - seen_ms <= HISTORY_MS
+            if now_ms - seen_ms <= kept_ms
         }
 
     def versions(
         self, service: ids.ServiceName
     ) -> frozenset[ids.SoftwareVersion]:
-        """Return the versions of a service within HISTORY_MS."""
-        oldest_ms = self._clock.now_ms() - HISTORY_MS
+        """Return a service's versions that streams may have begun at."""
+        oldest_ms = self._clock.now_ms() - self._retention.kept_ms
         recent = {
             each
             for each, seen_ms in self._seen_at_ms.items()
--- a/src/oriolejunction/controllers/stream_origins.py
+++ b/src/oriolejunction/controllers/stream_origins.py
@@ -8,48 +8,56 @@
 """
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_history
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import listeners
 
-# Longer than any stream and the returns of its caller.
-ORIGIN_TTL_MS = 60_000.0
+# Fraction of its time after which a record that is sent again is relayed.
+RELAY_AGE_FRACTION = 0.125
 MAX_ORIGINS = 50_000
 
 
 class OriginTable:
     """The newest origin of each stream, for a limited time."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        retention: origin_retention.OriginRetention,
+    ) -> None:
         self._clock = clock
+        self._retention = retention
         # Ordered by the time of the last record, the oldest first.
         self._timed_origin_by_id: dict[
             ids.RequestId, tuple[fm.StreamOrigin, float]
         ] = {}
 
     def put(self, origin: fm.StreamOrigin) -> bool:
-        """Record an origin; return whether it was new or has replaced one.
+        """Record or renew an origin; return whether other replicas need it.
 
-        One with a lower number than that recorded is ignored.
+        They don't if the same origin was recorded a short time ago. One with
+        a lower number than that recorded is ignored.
         """
+        now_ms = self._clock.now_ms()
         previous = self.get(origin.request_id)
         if previous is not None and origin.number < previous.number:
             return False
-        self._timed_origin_by_id.pop(origin.request_id, None)
-        self._timed_origin_by_id[origin.request_id] = (
-            origin,
-            self._clock.now_ms(),
+        _, recorded_ms = self._timed_origin_by_id.pop(
+            origin.request_id, (None, 0.0)
         )
+        self._timed_origin_by_id[origin.request_id] = (origin, now_ms)
         self._drop_oldest()
-        return origin != previous
+        relayed_age_ms = RELAY_AGE_FRACTION * self._retention.kept_ms
+        return origin != previous or now_ms - recorded_ms > relayed_age_ms
 
     def get(self, request_id: ids.RequestId) -> fm.StreamOrigin | None:
         """Return the origin of a stream, None if it is not known."""
         origin, recorded_ms = self._timed_origin_by_id.get(
             request_id, (None, 0.0)
         )
-        if self._clock.now_ms() - recorded_ms > ORIGIN_TTL_MS:
+        if self._clock.now_ms() - recorded_ms > self._retention.kept_ms:
             return None
         return origin
 
@@ -59,7 +67,7 @@
         return tuple(origin for origin, _ in self._timed_origin_by_id.values())
 
     def _drop_oldest(self) -> None:
-        oldest_ms = self._clock.now_ms() - ORIGIN_TTL_MS
+        oldest_ms = self._clock.now_ms() - self._retention.kept_ms
         while self._timed_origin_by_id:
             request_id = next(iter(self._timed_origin_by_id))
             _, recorded_ms = self._timed_origin_by_id[request_id]
@@ -75,9 +83,10 @@
     """The origins and software versions that one control replica knows."""
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self._table = OriginTable(clock)
+        self.retention = origin_retention.OriginRetention(clock)
+        self._table = OriginTable(clock, self.retention)
         self._unforwarded: dict[ids.RequestId, fm.StreamOrigin] = {}
-        self.history = software_history.SoftwareHistory(clock)
+        self.history = software_history.SoftwareHistory(clock, self.retention)
         self.on_change = listeners.no_op
 
     def put(self, origin: fm.StreamOrigin, direct: bool) -> None:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -109,6 +109,7 @@
         self.spawn(self._watch.run)
         self.spawn(self._watch.run_reports)
         self.spawn(self._deps.origins.run)
+        self.spawn(self._deps.origins.run_renewals)
         self.spawn(functools.partial(self.settings_file.watch, self.clock))
         self.spawn(
             list_poller.ListPoller(
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -84,6 +84,7 @@
     blackboard.backends.changes().subscribe(
         lambda snapshot: origins.history.observe(snapshot.by_id.values())
     )
+    blackboard.table.changes().subscribe(origins.retention.follow)
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
     return GatewayDependencies(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -74,6 +74,8 @@
         except stop_limit.StopReached:
             self._attempts.stopped = True
             return self._give_up()
+        finally:
+            self._planner.software.end()
 
     async def _run_attempts(self) -> web.StreamResponse:
         await self._planner.software.resume()
--- a/src/oriolejunction/http/stream_software.py
+++ b/src/oriolejunction/http/stream_software.py
@@ -64,7 +64,8 @@
             raise self._not_run("the stream's software version is not known")
         if self._is_recordable:
             origins.record(
-                fm.StreamOrigin(self._origin_id, software, resumption.number)
+                fm.StreamOrigin(self._origin_id, software, resumption.number),
+                run=self,
             )
         if not listed:
             raise self._not_run(
@@ -101,9 +102,9 @@
         origin = self._recorded.next_origin(self._origin_id, software)
         if not self._recorded.is_change(software):
             self._recorded.software = software
-            origins.record(origin)
+            origins.record(origin, run=self)
             return True
-        is_confirmed = await origins.confirm(origin)
+        is_confirmed = await origins.confirm(origin, run=self)
         gateway_common.log_decision(
             self._admitted,
             "software version changes",
@@ -119,10 +120,15 @@
         origins.record(
             self._recorded.next_origin(
                 self._origin_id, self._recorded.software
-            )
+            ),
+            run=self,
         )
         return False
 
+    def end(self) -> None:
+        """Renew the record no more, once the stream runs here no more."""
+        self._deps.origins.end(self)
+
     @property
     def _is_recordable(self) -> bool:
         return (
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -22,11 +22,13 @@
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import published_table
 from oriolejunction.controllers import stream_origins
+from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
 from oriolejunction.peers import rpc
+from oriolejunction import routing_table
 from oriolejunction import supervision
 
 # A watch is answered at least this often, so that a missing answer means
@@ -61,6 +63,7 @@
     hub: fleet_hub.FleetHub
     origins: stream_origins.OriginHub
     listing: listing_store.ListingStore
+    read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
 
 
@@ -89,6 +92,7 @@
         self._has_updates = asyncio.Event()
         deps.origins.on_change = self._has_updates.set
         self._relay_by_address: dict[str, _Relay] = {}
+        self._followed_version = routing_table.NO_TABLE
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve on a gRPC server."""
@@ -119,11 +123,26 @@
         self._deps.origins.history.observe(self._deps.listing.backends)
 
     def _on_applied(self) -> None:
+        self._follow_table()
         self.notify_watches()
         self._has_updates.set()
 
+    def _follow_table(self) -> None:
+        """Keep origins for as long as the table in force needs them."""
+        published = self._replica.state.table
+        if published.version == self._followed_version:
+            return
+        self._followed_version = published.version
+        try:
+            table = self._deps.read_table(published.document)
+        except errors.Failure as failure:
+            _log.error("table not understood", why=failure.error.message)
+            return
+        self._deps.origins.retention.follow(table)
+
     async def run(self) -> None:
         """Relay entry reports to the other control replicas."""
+        self._follow_table()
         while True:
             self._queue_relays()
             await self._wait_for_update(self._has_updates)
--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -2,7 +2,7 @@
 
 Records are sent in batches, without delaying the streams: an engine takes
 longer for the prefill of a prompt. One that was not acknowledged is sent
-again.
+again. While a stream runs here, its record is renewed.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 import structlog
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_history
 from oriolejunction.controllers import stream_origins
 from oriolejunction import fleet_messages as fm
@@ -23,6 +24,9 @@
 MAX_BATCH = 1_000
 RETRY_DELAY_MS = 50.0
 CALL_TIMEOUT_S = 0.2
+# Records of running streams are checked this often at least and at most.
+MAX_RENEWAL_CHECK_MS = 1_000.0
+MIN_RENEWAL_CHECK_MS = 50.0
 # Replicas that are asked before a call counts as failed.
 MAX_REPLICAS_ASKED = 2
 _log = structlog.get_logger(__name__)
@@ -36,12 +40,17 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._own = stream_origins.OriginTable(clock)
+        self.retention = origin_retention.OriginRetention(clock)
+        self._own = stream_origins.OriginTable(clock, self.retention)
+        # Each run's origin and when it was last recorded.
+        self._timed_origin_by_run: dict[
+            collections.abc.Hashable, tuple[fm.StreamOrigin, float]
+        ] = {}
         self._unsent: dict[ids.RequestId, fm.StreamOrigin] = {}
         self._has_unsent = asyncio.Event()
         self._replicas: Replicas = list
         self._stub_for: StubFor | None = None
-        self.history = software_history.SoftwareHistory(clock)
+        self.history = software_history.SoftwareHistory(clock, self.retention)
 
     def connect(self, replicas: Replicas, stub_for: StubFor) -> None:
         """Set the control replicas; `replicas` returns the best one first."""
@@ -52,23 +61,45 @@
         """Return the origin of a stream that this instance has served."""
         return self._own.get(request_id)
 
-    def record(self, origin: fm.StreamOrigin) -> None:
-        """Record an origin here at once, and soon at a control replica."""
-        self._own.put(origin)
+    def record(
+        self, origin: fm.StreamOrigin, run: collections.abc.Hashable
+    ) -> None:
+        """Record an origin here at once, and soon at a control replica.
+
+        It is renewed until `run`, any key, has ended.
+        """
+        self._put(origin, run)
         self._unsent[origin.request_id] = origin
         self._has_unsent.set()
 
-    async def confirm(self, origin: fm.StreamOrigin) -> bool:
+    def end(self, run: collections.abc.Hashable) -> None:
+        """Renew a run's record no more."""
+        self._timed_origin_by_run.pop(run, None)
+
+    @property
+    def run_count(self) -> int:
+        """Return the number of runs whose records are renewed."""
+        return len(self._timed_origin_by_run)
+
+    async def confirm(
+        self, origin: fm.StreamOrigin, run: collections.abc.Hashable
+    ) -> bool:
         """Record an origin; return whether a control replica has it."""
         reply = await self._call(
             fleet_methods.ORIGINS, fm.OriginsRequest((origin,))
         )
         if reply is None:
             return False
-        self._own.put(origin)
+        self._put(origin, run)
         self._unsent.pop(origin.request_id, None)
         return True
 
+    def _put(
+        self, origin: fm.StreamOrigin, run: collections.abc.Hashable
+    ) -> None:
+        self._own.put(origin)
+        self._timed_origin_by_run[run] = (origin, self._clock.now_ms())
+
     def resend(self) -> None:
         """Send all records again, to a replica that may have none.
 
@@ -105,6 +136,23 @@
             if not self._unsent:
                 self._has_unsent.clear()
 
+    async def run_renewals(self) -> None:
+        """Renew the records of running streams until cancelled.
+
+        Once a stream ends, its record stays for `return_ms` at least.
+        """
+        while True:
+            return_ms = self.retention.return_ms
+            interval_ms = max(
+                MIN_RENEWAL_CHECK_MS, min(MAX_RENEWAL_CHECK_MS, return_ms / 2)
+            )
+            await self._clock.sleep_ms(interval_ms)
+            last_ms = self._clock.now_ms() - return_ms + interval_ms
+            for run, timed in list(self._timed_origin_by_run.items()):
+                origin, recorded_ms = timed
+                if recorded_ms <= last_ms:
+                    self.record(origin, run)
+
     async def _call(self, method: rpc.Method, request):
         for address in self._replicas()[:MAX_REPLICAS_ASKED]:
             call = self._stub_for(address, method)
--- a/tests/controllers/test_software_choice.py
+++ b/tests/controllers/test_software_choice.py
@@ -1,10 +1,10 @@
 """A stream goes on at its own version, or at the only one there was."""
 
-import types
-
 import pytest
 
 from oriolejunction import backends
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_choice
 from oriolejunction.controllers import software_history
 from oriolejunction import fleet_messages as fm
@@ -34,12 +34,12 @@
 
 
 def test_version_that_left_is_remembered_for_a_time():
-    clock = types.SimpleNamespace(time_ms=0.0)
-    clock.now_ms = lambda: clock.time_ms
-    history = software_history.SoftwareHistory(clock)
+    clock = clocks.ManualClock()
+    retention = origin_retention.OriginRetention(clock)
+    history = software_history.SoftwareHistory(clock, retention)
 
-    def observe(at_ms, *versions):
-        clock.time_ms = at_ms
+    def observe(after_ms, *versions):
+        clock.advance(after_ms)
         history.observe(
             backends.Backend(f"i-{v}", "llm", "a:1", "z", software=v)
             for v in versions
@@ -47,8 +47,8 @@
 
     observe(0.0, "v1")
     observe(90_000.0, "v1", "v2")
-    observe(95_000.0, "v2")
+    observe(5_000.0, "v2")
     assert history.versions("llm") == {"v1", "v2"}
     assert history.versions("desk") == set()
-    clock.time_ms += software_history.HISTORY_MS + 1
+    clock.advance(retention.kept_ms + 1)
     assert history.versions("llm") == {"v2"}
--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -201,3 +201,17 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await streams.read(rig.ask("/brief/1", Deadline_Ms="900"))
         assert versions_by_request(rig)["a1"] == ["v1"]
+
+
+async def test_record_is_renewed_only_while_its_stream_runs():
+    """Records of streams whose callers left are renewed for ever."""
+    async with gateway_rig.running(llm=[hang_after_three]) as rig:
+        rig.put_in_force(gateway_rig.table(2))
+        origins = rig.deps.origins
+        assert origins.retention.return_ms == 3_000.0
+        response = await rig.ask("/brief/1")
+        await response.content.readany()
+        assert origins.run_count == 1
+        response.close()
+        while origins.run_count:
+            await asyncio.sleep(0.01)
--- a/tests/peers/test_fleet_service.py
+++ b/tests/peers/test_fleet_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import msgspec
 import pytest
 
 from oriolejunction import backends
@@ -15,7 +16,9 @@
 from oriolejunction import ids
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import listing_store
+from oriolejunction.platform import configuration_document
 from oriolejunction import routing_table
+from tests.platform import test_configuration_document
 
 ENGINE = ids.BackendId("e1")
 OWN, SLOW, OTHER = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
@@ -82,6 +85,7 @@
             hub=fleet_hub.FleetHub(clock),
             origins=stream_origins.OriginHub(clock),
             listing=listing_store.ListingStore(clock),
+            read_table=configuration_document.read_table,
             stub_for=peers.stub_for,
         )
     )
@@ -180,3 +184,14 @@
     await asyncio.sleep(0.1)
     lists = [r.listing for to, r in peers.relays if to == OTHER and r.listing]
     assert lists[-1].backends == (backend,)
+
+
+async def test_origins_are_kept_by_the_table_in_force(running):
+    """Control replicas drop the origins of streams with long timeouts."""
+    service, _, replica = running
+    document = msgspec.json.encode(test_configuration_document.document())
+    replica.state.table = published_table.PublishedTable(
+        routing_table.TableVersion(7), document
+    )
+    replica.on_apply()
+    assert service._deps.origins.retention.return_ms == 25_000.0
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -12,6 +12,7 @@
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import origin_client
 from oriolejunction.peers import origin_service
+from tests.platform import gateway_rig
 
 ORIGIN = fm.StreamOrigin("a1", "v1", 1)
 ADDRESSES = ("r0", "r1", "r2")
@@ -20,8 +21,8 @@
 class Replicas:
     """Control replicas that relay nothing to each other."""
 
-    def __init__(self):
-        self.clock = clocks.SystemClock()
+    def __init__(self, clock=clocks.SystemClock()):
+        self.clock = clock
         self.lost = set()
         self.service_by_address = {}
         for address in ADDRESSES:
@@ -33,8 +34,10 @@
             member=types.SimpleNamespace(address=address),
             membership=types.SimpleNamespace(members=lambda: members),
         )
+        hub = stream_origins.OriginHub(self.clock)
+        hub.retention.follow(gateway_rig.table())
         self.service_by_address[address] = origin_service.OriginService(
-            stream_origins.OriginHub(self.clock), replica, self.stub_for
+            hub, replica, self.stub_for
         )
 
     def stub_for(self, address, method):
@@ -50,6 +53,7 @@
 
     def client(self, *addresses):
         client = origin_client.OriginClient(self.clock)
+        client.retention.follow(gateway_rig.table())
         client.connect(lambda: list(addresses), self.stub_for)
         return client
 
@@ -74,7 +78,7 @@
 
 async def test_origin_is_found_at_any_replica_before_it_is_relayed(running):
     replicas, client = running
-    client.record(ORIGIN)
+    client.record(ORIGIN, run=1)
     await settle()
     assert [await found(replicas, each) for each in ADDRESSES] == [ORIGIN] * 3
     replicas.lost.add("r0")
@@ -84,8 +88,8 @@
 async def test_origin_is_sent_again_until_a_replica_has_it(running):
     replicas, client = running
     replicas.lost.add("r0")
-    client.record(ORIGIN)
-    assert not await client.confirm(fm.StreamOrigin("a1", "v2", 2))
+    client.record(ORIGIN, run=1)
+    assert not await client.confirm(fm.StreamOrigin("a1", "v2", 2), run=1)
     await settle()
     replicas.lost.clear()
     await asyncio.sleep(0.1)
@@ -94,7 +98,7 @@
 
 async def test_origins_are_sent_to_a_replica_that_started_again(running):
     replicas, client = running
-    client.record(ORIGIN)
+    client.record(ORIGIN, run=1)
     await settle()
     replicas.restart("r0")
     assert await found(replicas, "r1") is None
@@ -105,8 +109,35 @@
 
 async def test_second_replica_is_asked_if_the_first_is_lost(running):
     replicas, client = running
-    client.record(ORIGIN)
+    client.record(ORIGIN, run=1)
     await settle()
     replicas.lost.add("r2")
     reply = await replicas.client("r2", "r0").lookup("a1", "llm")
     assert reply.origin == ORIGIN
+
+
+async def test_record_is_kept_while_its_stream_runs():
+    """A stream that runs for longer than records are kept loses its own."""
+    clock = clocks.ManualClock()
+    replicas = Replicas(clock)
+    client = replicas.client("r0")
+    tasks = [
+        asyncio.create_task(each())
+        for each in (client.run, client.run_renewals)
+    ]
+
+    async def found_after(duration_ms):
+        for _ in range(int(duration_ms / 100)):
+            clock.advance(100.0)
+            for _ in range(9):
+                await asyncio.sleep(0)
+        return await found(replicas, "r0"), client.own("a1")
+
+    client.record(ORIGIN, run=1)
+    return_ms = client.retention.return_ms
+    assert await found_after(10 * return_ms) == (ORIGIN, ORIGIN)
+    client.end(run=1)
+    assert await found_after(return_ms) == (ORIGIN, ORIGIN)
+    assert await found_after(2 * return_ms) == (None, None)
+    for task in tasks:
+        task.cancel()
