Bound origins by memory and drop those of ended streams first

With more streams than 50,000 in the time for which their origins are kept, a control replica dropped the oldest records without a line, those of running streams too. A caller that took one up during a release got 503. A full table also took a processor: finding the oldest entry of a dict takes a time that grows with the entries removed before it.

An entry instance tells the control replicas in the same batches that a stream has ended. Such records are kept for the time in which a caller may return whose last events were lost, and dropped first when the table is full. Origins that wait for a process that can't be reached are bounded in the same place for both senders, and logged too; those of an entry instance had no bound.

--- a/src/oriolejunction/controllers/origin_retention.py
+++ b/src/oriolejunction/controllers/origin_retention.py
@@ -50,6 +50,8 @@
         """Return how long a stream may be taken up, MAX without a table."""
         if self._current_ms is None:
             return MAX_RETURN_MS
+        if not self._former:
+            return self._current_ms
         now_ms = self._clock.now_ms()
         former_ms = (ms for ms, until_ms in self._former if until_ms >= now_ms)
         return max(self._current_ms, max(former_ms, default=0.0))
--- a/src/oriolejunction/controllers/stream_origins.py
+++ b/src/oriolejunction/controllers/stream_origins.py
@@ -7,32 +7,49 @@
 the streams that begin.
 """
 
+import sys
+
+import msgspec
+
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import aged_records
+from oriolejunction.controllers import drop_log
 from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_history
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import listeners
 
-# Fraction of its time after which a record that is sent again is relayed.
-RELAY_AGE_FRACTION = 0.125
-MAX_ORIGINS = 50_000
+# Memory of one table. Streams that ended are dropped first.
+MAX_BYTES = 64 << 20
+
+
+class _Record(msgspec.Struct, frozen=True, gc=False):
+    software: ids.SoftwareVersion
+    number: int
 
 
 class OriginTable:
-    """The newest origin of each stream, for a limited time."""
+    """The newest origin of each stream, for a limited time.
+
+    A stream that has ended is taken up again only if its last events were
+    lost on their way to the caller.
+    """
 
     def __init__(
         self,
         clock: clocks.Clock,
         retention: origin_retention.OriginRetention,
     ) -> None:
-        self._clock = clock
-        self._retention = retention
-        # Ordered by the time of the last record, the oldest first.
-        self._timed_origin_by_id: dict[
-            ids.RequestId, tuple[fm.StreamOrigin, float]
-        ] = {}
+        self._begun: aged_records.AgedRecords[_Record]
+        self._begun = aged_records.AgedRecords(
+            clock, lambda: retention.kept_ms
+        )
+        self._ended: aged_records.AgedRecords[_Record]
+        self._ended = aged_records.AgedRecords(
+            clock, lambda: retention.return_ms
+        )
+        self._drops = drop_log.DropLog(clock, "origins dropped")
 
     def put(self, origin: fm.StreamOrigin) -> bool:
         """Record or renew an origin; return whether other replicas need it.
@@ -40,43 +57,54 @@
         They don't if the same origin was recorded a short time ago. One with
         a lower number than that recorded is ignored.
         """
-        now_ms = self._clock.now_ms()
-        previous = self.get(origin.request_id)
+        request_id = origin.request_id
+        previous = self.get(request_id)
         if previous is not None and origin.number < previous.number:
             return False
-        _, recorded_ms = self._timed_origin_by_id.pop(
-            origin.request_id, (None, 0.0)
-        )
-        self._timed_origin_by_id[origin.request_id] = (origin, now_ms)
-        self._drop_oldest()
-        relayed_age_ms = RELAY_AGE_FRACTION * self._retention.kept_ms
-        return origin != previous or now_ms - recorded_ms > relayed_age_ms
+        records, others = self._begun, self._ended
+        if origin.ended:
+            records, others = others, records
+        others.remove(request_id)
+        # Each message that is read has a text of its own.
+        software = ids.SoftwareVersion(sys.intern(origin.software))
+        renewed = records.put(request_id, _Record(software, origin.number))
+        self._drop_excess()
+        return renewed or origin != previous
 
     def get(self, request_id: ids.RequestId) -> fm.StreamOrigin | None:
         """Return the origin of a stream, None if it is not known."""
-        origin, recorded_ms = self._timed_origin_by_id.get(
-            request_id, (None, 0.0)
-        )
-        if self._clock.now_ms() - recorded_ms > self._retention.kept_ms:
-            return None
-        return origin
+        for records in (self._begun, self._ended):
+            record = records.get(request_id)
+            if record is not None:
+                return fm.StreamOrigin(
+                    request_id,
+                    record.software,
+                    record.number,
+                    records is self._ended,
+                )
+        return None
 
     def all(self) -> tuple[fm.StreamOrigin, ...]:
         """Return all origins that have not expired."""
-        self._drop_oldest()
-        return tuple(origin for origin, _ in self._timed_origin_by_id.values())
-
-    def _drop_oldest(self) -> None:
-        oldest_ms = self._clock.now_ms() - self._retention.kept_ms
-        while self._timed_origin_by_id:
-            request_id = next(iter(self._timed_origin_by_id))
-            _, recorded_ms = self._timed_origin_by_id[request_id]
-            if (
-                recorded_ms >= oldest_ms
-                and len(self._timed_origin_by_id) <= MAX_ORIGINS
-            ):
-                return
-            del self._timed_origin_by_id[request_id]
+        return tuple(
+            fm.StreamOrigin(
+                ids.RequestId(request_id),
+                record.software,
+                record.number,
+                records is self._ended,
+            )
+            for records in (self._begun, self._ended)
+            for request_id, record in records.items()
+        )
+
+    def _drop_excess(self) -> None:
+        while self._begun.size_bytes + self._ended.size_bytes > MAX_BYTES:
+            if self._ended.remove_oldest():
+                self._drops.count("ended")
+            else:
+                self._begun.remove_oldest()
+                self._drops.count("not_ended")
+        self._drops.flush(max_bytes=MAX_BYTES)
 
 
 class OriginHub:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -73,12 +73,14 @@
     """The software version that runs a stream from its first event on.
 
     `request_id` is that of the caller's request that begins the stream;
-    `number` rises when its version changes before the first event.
+    `number` rises when its version changes before the first event. `ended`
+    is set once the caller was sent the whole answer.
     """
 
     request_id: ids.RequestId
     software: ids.SoftwareVersion
     number: int
+    ended: bool = False
 
 
 class ListingSnapshot(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -63,6 +63,7 @@
         self._engine_failure: (
             tuple[gateway_messages.AnswerHead, bytes] | None
         ) = None
+        self._is_complete = False
         # The next attempt, where it was planned before the last one ended.
         self._next_plan: stream_plan.StreamPlan | None = None
 
@@ -75,7 +76,7 @@
             self._attempts.stopped = True
             return self._give_up()
         finally:
-            self._planner.software.end()
+            self._planner.software.end(self._is_complete)
 
     async def _run_attempts(self) -> web.StreamResponse:
         await self._planner.software.resume()
@@ -88,6 +89,7 @@
             attempt_end = await self._run_attempt(plan)
             if attempt_end is _AttemptEnd.COMPLETE:
                 await self._response.write_eof()
+                self._is_complete = True
                 return self._response
 
     async def _run_attempt(self, plan: stream_plan.StreamPlan) -> _AttemptEnd:
--- a/src/oriolejunction/http/stream_software.py
+++ b/src/oriolejunction/http/stream_software.py
@@ -125,9 +125,9 @@
         )
         return False
 
-    def end(self) -> None:
+    def end(self, is_complete: bool) -> None:
         """Renew the record no more, once the stream runs here no more."""
-        self._deps.origins.end(self)
+        self._deps.origins.end(self, is_complete)
 
     @property
     def _is_recordable(self) -> bool:
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -10,7 +10,6 @@
 import contextlib
 import dataclasses
 import functools
-import itertools
 
 import grpc
 import structlog
@@ -20,11 +19,11 @@
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.controllers import fleet_hub
+from oriolejunction.controllers import origin_backlog
 from oriolejunction.controllers import published_table
 from oriolejunction.controllers import stream_origins
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
-from oriolejunction import ids
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
 from oriolejunction.peers import rpc
@@ -44,8 +43,8 @@
 LEADER_TIMEOUT_MS = 500.0
 PUBLISH_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 0.8
-# Origins that wait for a replica that can't be reached; the oldest go first.
-MAX_UNSENT_ORIGINS = 10_000
+# Origins in one relay.
+MAX_ORIGIN_BATCH = 10_000
 _log = structlog.get_logger(__name__)
 
 
@@ -73,12 +72,10 @@
 
     task: asyncio.Task
     has_updates: asyncio.Event
+    origins: origin_backlog.OriginBacklog
     reports: dict[str, fm.EntryReport] = dataclasses.field(
         default_factory=dict
     )
-    origins: dict[ids.RequestId, fm.StreamOrigin] = dataclasses.field(
-        default_factory=dict
-    )
 
 
 class FleetService:
@@ -177,6 +174,7 @@
                     )
                 ),
                 asyncio.Event(),
+                origin_backlog.OriginBacklog(self._deps.clock),
             )
         for address in set(self._relay_by_address) - addresses:
             self._relay_by_address.pop(address).task.cancel()
@@ -188,7 +186,7 @@
         if reports or origins:
             for relay in self._relay_by_address.values():
                 relay.reports.update(reports)
-                relay.origins.update(origins)
+                relay.origins.add(origins.values())
                 relay.has_updates.set()
 
     async def _send_relays(self, address: str) -> None:
@@ -201,7 +199,7 @@
             await self._deps.clock.sleep_ms(self._batch_delay_ms())
             reports = tuple(relay.reports.values())
             relay.reports.clear()
-            origins, relay.origins = relay.origins, {}
+            origins = relay.origins.take(MAX_ORIGIN_BATCH)
             listing = None
             if self._replica.leader_term is not None:
                 listing = self._deps.listing.snapshot(digest_sent)
@@ -209,7 +207,7 @@
                 continue
             try:
                 await call(
-                    fm.RelayRequest(reports, listing, tuple(origins.values())),
+                    fm.RelayRequest(reports, listing, origins),
                     timeout=RELAY_TIMEOUT_S,
                 )
             except grpc.aio.AioRpcError as error:
@@ -218,8 +216,10 @@
                     "relay not sent", to=address, code=error.code().name
                 )
                 digest_sent = ""
-                relay.origins = _newest({**origins, **relay.origins})
+                relay.origins.put_back(origins)
                 continue
+            if relay.origins:
+                relay.has_updates.set()
             if listing is not None:
                 digest_sent = listing.digest
 
@@ -380,11 +380,3 @@
                 code=error.code().name,
             )
             return fallback
-
-
-def _newest(
-    origins: dict[ids.RequestId, fm.StreamOrigin],
-) -> dict[ids.RequestId, fm.StreamOrigin]:
-    """Return the last MAX_UNSENT_ORIGINS origins."""
-    excess = max(0, len(origins) - MAX_UNSENT_ORIGINS)
-    return dict(itertools.islice(origins.items(), excess, None))
--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -9,9 +9,11 @@
 import collections.abc
 
 import grpc
+import msgspec
 import structlog
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import origin_backlog
 from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_history
 from oriolejunction.controllers import stream_origins
@@ -46,7 +48,7 @@
         self._timed_origin_by_run: dict[
             collections.abc.Hashable, tuple[fm.StreamOrigin, float]
         ] = {}
-        self._unsent: dict[ids.RequestId, fm.StreamOrigin] = {}
+        self._unsent = origin_backlog.OriginBacklog(clock)
         self._has_unsent = asyncio.Event()
         self._replicas: Replicas = list
         self._stub_for: StubFor | None = None
@@ -69,12 +71,23 @@
         It is renewed until `run`, any key, has ended.
         """
         self._put(origin, run)
-        self._unsent[origin.request_id] = origin
-        self._has_unsent.set()
+        self._send_soon(origin)
 
-    def end(self, run: collections.abc.Hashable) -> None:
-        """Renew a run's record no more."""
-        self._timed_origin_by_run.pop(run, None)
+    def end(self, run: collections.abc.Hashable, is_complete: bool) -> None:
+        """Renew a run's record no more.
+
+        If its answer is complete, the control replicas are told.
+        """
+        origin, _ = self._timed_origin_by_run.pop(run, (None, 0.0))
+        if origin is not None and is_complete:
+            ended = msgspec.structs.replace(origin, ended=True)
+            self._own.put(ended)
+            self._send_soon(ended)
+
+    def _send_soon(self, *origins: fm.StreamOrigin) -> None:
+        self._unsent.add(origins)
+        if self._unsent:
+            self._has_unsent.set()
 
     @property
     def run_count(self) -> int:
@@ -91,7 +104,7 @@
         if reply is None:
             return False
         self._put(origin, run)
-        self._unsent.pop(origin.request_id, None)
+        self._unsent.discard(origin.request_id)
         return True
 
     def _put(
@@ -105,11 +118,7 @@
 
         Callers may still come back for streams that have just ended.
         """
-        self._unsent = {
-            origin.request_id: origin for origin in self._own.all()
-        } | self._unsent
-        if self._unsent:
-            self._has_unsent.set()
+        self._send_soon(*self._own.all())
 
     async def lookup(
         self, request_id: ids.RequestId, service: ids.ServiceName
@@ -124,14 +133,12 @@
         while True:
             await self._has_unsent.wait()
             await self._clock.sleep_ms(BATCH_MS)
-            batch = dict(list(self._unsent.items())[:MAX_BATCH])
-            for request_id in batch:
-                del self._unsent[request_id]
+            batch = self._unsent.take(MAX_BATCH)
             reply = await self._call(
-                fleet_methods.ORIGINS, fm.OriginsRequest(tuple(batch.values()))
+                fleet_methods.ORIGINS, fm.OriginsRequest(batch)
             )
             if reply is None:
-                self._unsent = batch | self._unsent
+                self._unsent.put_back(batch)
                 await self._clock.sleep_ms(RETRY_DELAY_MS)
             if not self._unsent:
                 self._has_unsent.clear()
--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -213,5 +213,11 @@
         await response.content.readany()
         assert origins.run_count == 1
         response.close()
-        while origins.run_count:
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(10):
+            while origins.run_count:
+                await asyncio.sleep(0.01)
+        assert not origins.own("a1").ended
+        for engine in rig.engines_by_service[gateway_rig.LLM]:
+            engine.behave = streams.complete
+        await streams.read(rig.ask("/brief/1", "a2"))
+        assert origins.own("a2").ended
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -116,6 +116,19 @@
     assert reply.origin == ORIGIN
 
 
+async def test_replicas_are_told_that_a_stream_has_ended(running):
+    """Replicas keep the records of streams that nobody takes up."""
+    replicas, client = running
+    client.record(ORIGIN, run=1)
+    await settle()
+    client.end(run=1, is_complete=True)
+    ended = fm.StreamOrigin("a1", "v1", 1, ended=True)
+    async with asyncio.timeout(10):
+        while await found(replicas, "r0") != ended:
+            await settle()
+    assert client.own("a1") == ended
+
+
 async def test_record_is_kept_while_its_stream_runs():
     """A stream that runs for longer than records are kept loses its own."""
     clock = clocks.ManualClock()
@@ -136,7 +149,7 @@
     client.record(ORIGIN, run=1)
     return_ms = client.retention.return_ms
     assert await found_after(10 * return_ms) == (ORIGIN, ORIGIN)
-    client.end(run=1)
+    client.end(run=1, is_complete=False)
     assert await found_after(return_ms) == (ORIGIN, ORIGIN)
     assert await found_after(2 * return_ms) == (None, None)
     for task in tasks:
