Confirm a changed software version at a majority of the replicas

Before its first event, a stream may change to another software version once a control replica has acknowledged that. If that replica was lost or cut off before it relayed the change, the others kept the former version, and a caller that took the stream up went on at the wrong one (suspected, not seen).

Without a majority the stream stays with its former version, as before. A lookup asks a majority as well, since one replica may have missed the change; the entry instance asks a second replica if the first reaches no majority, and uses the newest record found.

Four tests of replicas that are lost or cut off fail on the code before: the lookup finds the former version, or the change counts as confirmed. The test of a change through the gateway replies to the new call in place of the old.

--- a/src/oriolejunction/controllers/software_choice.py
+++ b/src/oriolejunction/controllers/software_choice.py
@@ -54,8 +54,8 @@
 class RecordedSoftware:
     """The version under which a stream is recorded before its first event.
 
-    A change needs the acknowledgement of a control replica: a caller that
-    comes back must find the version of the first event.
+    A change needs the acknowledgement of a majority of the control replicas:
+    a caller that comes back must find the version of the first event.
     """
 
     def __init__(self) -> None:
--- a/src/oriolejunction/controllers/stream_origins.py
+++ b/src/oriolejunction/controllers/stream_origins.py
@@ -7,6 +7,7 @@
 the streams that begin.
 """
 
+import collections.abc
 import sys
 
 import msgspec
@@ -140,3 +141,19 @@
             self._table.get(request_id),
             tuple(sorted(self.history.versions(service))),
         )
+
+
+def join_replies(
+    replies: collections.abc.Iterable[fm.OriginReply],
+) -> fm.OriginReply:
+    """Return the newest origin and all versions of some replies."""
+    replies = tuple(replies)
+    return fm.OriginReply(
+        max(
+            (each.origin for each in replies if each.origin is not None),
+            key=lambda origin: origin.number,
+            default=None,
+        ),
+        tuple(sorted({v for each in replies for v in each.versions})),
+        any(each.by_majority for each in replies),
+    )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -115,11 +115,26 @@
     origins: tuple[StreamOrigin, ...]
 
 
+class OriginProposal(msgspec.Struct, frozen=True):
+    """An origin that a majority of the control replicas is to have.
+
+    The receiver records it and sends it to the others with `forwarded` set.
+    """
+
+    origin: StreamOrigin
+    forwarded: bool = False
+
+
+class OriginConfirmation(msgspec.Struct, frozen=True):
+    """Whether a majority of the control replicas has an origin."""
+
+    by_majority: bool = False
+
+
 class OriginLookup(msgspec.Struct, frozen=True):
     """Ask for the origin of a stream.
 
-    A control replica that does not know it asks the others with `forwarded`
-    set.
+    A control replica asks the others with `forwarded` set.
     """
 
     request_id: ids.RequestId
@@ -128,10 +143,15 @@
 
 
 class OriginReply(msgspec.Struct, frozen=True):
-    """The origin, if known, and the software versions seen lately."""
+    """The origin, if known, and the software versions seen lately.
+
+    `by_majority` means that a majority of the control replicas was asked, so
+    that the origin is the newest confirmed one.
+    """
 
     origin: StreamOrigin | None = None
     versions: tuple[ids.SoftwareVersion, ...] = ()
+    by_majority: bool = False
 
 
 class WatchRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/peers/fleet_methods.py
+++ b/src/oriolejunction/peers/fleet_methods.py
@@ -10,6 +10,9 @@
 ORIGINS = rpc.Method(
     "StreamOrigins", "Record", fm.OriginsRequest, fm.Acknowledgement
 )
+ORIGIN_CONFIRM = rpc.Method(
+    "StreamOrigins", "Confirm", fm.OriginProposal, fm.OriginConfirmation
+)
 ORIGIN_LOOKUP = rpc.Method(
     "StreamOrigins", "Lookup", fm.OriginLookup, fm.OriginReply
 )
--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -97,11 +97,15 @@
     async def confirm(
         self, origin: fm.StreamOrigin, run: collections.abc.Hashable
     ) -> bool:
-        """Record an origin; return whether a control replica has it."""
-        reply = await self._call(
-            fleet_methods.ORIGINS, fm.OriginsRequest((origin,))
-        )
-        if reply is None:
+        """Record an origin; return whether a majority of replicas has it."""
+        proposal = fm.OriginProposal(origin)
+        for address in self._replicas()[:MAX_REPLICAS_ASKED]:
+            reply = await self._ask(
+                address, fleet_methods.ORIGIN_CONFIRM, proposal
+            )
+            if reply is not None and reply.by_majority:
+                break
+        else:
             return False
         self._put(origin, run)
         self._unsent.discard(origin.request_id)
@@ -123,10 +127,22 @@
     async def lookup(
         self, request_id: ids.RequestId, service: ids.ServiceName
     ) -> fm.OriginReply | None:
-        """Return what the control replicas know, None if none answers."""
-        return await self._call(
-            fleet_methods.ORIGIN_LOOKUP, fm.OriginLookup(request_id, service)
-        )
+        """Return what the control replicas know, None if none answers.
+
+        Where the first one can't ask a majority, another one is asked too.
+        """
+        replies: list[fm.OriginReply] = []
+        for address in self._replicas()[:MAX_REPLICAS_ASKED]:
+            reply = await self._ask(
+                address,
+                fleet_methods.ORIGIN_LOOKUP,
+                fm.OriginLookup(request_id, service),
+            )
+            if reply is not None:
+                replies.append(reply)
+                if reply.by_majority:
+                    break
+        return stream_origins.join_replies(replies) if replies else None
 
     async def run(self) -> None:
         """Send new records until cancelled."""
@@ -134,10 +150,7 @@
             await self._has_unsent.wait()
             await self._clock.sleep_ms(BATCH_MS)
             batch = self._unsent.take(MAX_BATCH)
-            reply = await self._call(
-                fleet_methods.ORIGINS, fm.OriginsRequest(batch)
-            )
-            if reply is None:
+            if not await self._send(fm.OriginsRequest(batch)):
                 self._unsent.put_back(batch)
                 await self._clock.sleep_ms(RETRY_DELAY_MS)
             if not self._unsent:
@@ -160,16 +173,23 @@
                 if recorded_ms <= last_ms:
                     self.record(origin, run)
 
-    async def _call(self, method: rpc.Method, request):
+    async def _send(self, request: fm.OriginsRequest) -> bool:
+        """Send origins to a replica; return whether one has them."""
         for address in self._replicas()[:MAX_REPLICAS_ASKED]:
-            call = self._stub_for(address, method)
-            try:
-                return await call(request, timeout=CALL_TIMEOUT_S)
-            except grpc.aio.AioRpcError as error:
-                _log.info(
-                    "origins not reached",
-                    method=method.name,
-                    replica=address,
-                    code=error.code().name,
-                )
-        return None
+            reply = await self._ask(address, fleet_methods.ORIGINS, request)
+            if reply is not None:
+                return True
+        return False
+
+    async def _ask(self, address: str, method: rpc.Method, request):
+        call = self._stub_for(address, method)
+        try:
+            return await call(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            _log.info(
+                "origins not reached",
+                method=method.name,
+                replica=address,
+                code=error.code().name,
+            )
+            return None
--- a/src/oriolejunction/peers/origin_service.py
+++ b/src/oriolejunction/peers/origin_service.py
@@ -8,6 +8,7 @@
 import collections.abc
 
 import grpc
+import msgspec
 import structlog
 
 from oriolejunction.consensus import raft_replica
@@ -40,6 +41,7 @@
             server,
             {
                 fleet_methods.ORIGINS: self.record,
+                fleet_methods.ORIGIN_CONFIRM: self.confirm,
                 fleet_methods.ORIGIN_LOOKUP: self.lookup,
             },
         )
@@ -50,44 +52,94 @@
             self._hub.put(origin, direct=True)
         return fm.Acknowledgement()
 
-    async def lookup(self, request: fm.OriginLookup) -> fm.OriginReply:
-        """Return what is known of a stream, here or at another replica."""
-        reply = self._hub.reply(request.request_id, request.service)
-        if reply.origin is not None or request.forwarded:
-            return reply
-        forwarded = fm.OriginLookup(
-            request.request_id, request.service, forwarded=True
+    async def confirm(
+        self, request: fm.OriginProposal
+    ) -> fm.OriginConfirmation:
+        """Record an origin here and at a majority of the replicas."""
+        self._hub.put(request.origin, direct=not request.forwarded)
+        if request.forwarded:
+            return fm.OriginConfirmation()
+        replies = await self._ask_others(
+            fleet_methods.ORIGIN_CONFIRM,
+            fm.OriginProposal(request.origin, forwarded=True),
+            self._is_majority,
         )
-        own = self._replica.member.address
-        others = await asyncio.gather(
-            *(
-                self._ask(member.address, forwarded)
-                for member in self._replica.membership.members()
-                if member.address != own
+        return fm.OriginConfirmation(self._is_majority(replies))
+
+    async def lookup(self, request: fm.OriginLookup) -> fm.OriginReply:
+        """Return what is known of a stream by a majority of the replicas.
+
+        All are asked if none of these knows the stream.
+        """
+        own = self._hub.reply(request.request_id, request.service)
+        if request.forwarded:
+            return own
+
+        def is_known(replies: list[fm.OriginReply]) -> bool:
+            return self._is_majority(replies) and any(
+                each.origin is not None for each in (own, *replies)
             )
+
+        replies = await self._ask_others(
+            fleet_methods.ORIGIN_LOOKUP,
+            fm.OriginLookup(
+                request.request_id, request.service, forwarded=True
+            ),
+            is_known,
+        )
+        return msgspec.structs.replace(
+            stream_origins.join_replies((own, *replies)),
+            by_majority=self._is_majority(replies),
         )
-        return _joined([reply, *others])
+
+    def _is_majority(self, replies: list) -> bool:
+        """Return whether this replica and those that replied are one."""
+        members = self._replica.membership.members()
+        is_member = self._replica.member.address in (
+            each.address for each in members
+        )
+        return 2 * (len(replies) + is_member) > len(members)
+
+    async def _ask_others(
+        self,
+        method: rpc.Method,
+        request: fm.OriginProposal | fm.OriginLookup,
+        is_enough: collections.abc.Callable[[list], bool],
+    ) -> list:
+        """Ask the other replicas at once until their replies are enough."""
+        own = self._replica.member.address
+        tasks = [
+            asyncio.create_task(self._ask(member.address, method, request))
+            for member in self._replica.membership.members()
+            if member.address != own
+        ]
+        replies: list = []
+        try:
+            for completed in asyncio.as_completed(tasks):
+                reply = await completed
+                if reply is not None:
+                    replies.append(reply)
+                if is_enough(replies):
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return replies
 
     async def _ask(
-        self, address: str, request: fm.OriginLookup
-    ) -> fm.OriginReply:
-        call = self._stub_for(address, fleet_methods.ORIGIN_LOOKUP)
+        self,
+        address: str,
+        method: rpc.Method,
+        request: fm.OriginProposal | fm.OriginLookup,
+    ):
+        call = self._stub_for(address, method)
         try:
             return await call(request, timeout=FORWARD_TIMEOUT_S)
         except grpc.aio.AioRpcError as error:
             _log.info(
-                "origin not looked up", at=address, code=error.code().name
+                "origin not forwarded",
+                method=method.name,
+                to=address,
+                code=error.code().name,
             )
-            return fm.OriginReply()
-
-
-def _joined(replies: list[fm.OriginReply]) -> fm.OriginReply:
-    """Return the newest origin and all versions of some replies."""
-    return fm.OriginReply(
-        max(
-            (each.origin for each in replies if each.origin is not None),
-            key=lambda origin: origin.number,
-            default=None,
-        ),
-        tuple(sorted({v for each in replies for v in each.versions})),
-    )
+            return None
--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -173,8 +173,8 @@
                 raise grpc.aio.AioRpcError(
                     grpc.StatusCode.DEADLINE_EXCEEDED, (), ()
                 )
-            sent.extend(request.origins)
-            return fm.Acknowledgement()
+            sent.append(request.origin)
+            return fm.OriginConfirmation(by_majority=True)
 
         return record
 
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -1,6 +1,7 @@
 """Origins reach the control replicas and are found at each of them."""
 
 import asyncio
+import functools
 import types
 
 import grpc
@@ -9,7 +10,6 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import stream_origins
 from oriolejunction import fleet_messages as fm
-from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import origin_client
 from oriolejunction.peers import origin_service
 from tests.platform import gateway_rig
@@ -24,6 +24,8 @@
     def __init__(self, clock=clocks.SystemClock()):
         self.clock = clock
         self.lost = set()
+        # Reached by entry instances, but not by the other replicas.
+        self.cut_off = set()
         self.service_by_address = {}
         for address in ADDRESSES:
             self.restart(address)
@@ -37,20 +39,23 @@
         hub = stream_origins.OriginHub(self.clock)
         hub.retention.follow(gateway_rig.table())
         self.service_by_address[address] = origin_service.OriginService(
-            hub, replica, self.stub_for
+            hub, replica, functools.partial(self.stub_for, source=address)
         )
 
-    def stub_for(self, address, method):
+    def stub_for(self, address, method, source=None):
         async def call(request, timeout):
-            if address in self.lost:
+            is_cut = source and {source, address} & self.cut_off
+            if address in self.lost or is_cut:
                 raise grpc.aio.AioRpcError(grpc.StatusCode.UNAVAILABLE, (), ())
             service = self.service_by_address[address]
-            if method is fleet_methods.ORIGINS:
-                return await service.record(request)
-            return await service.lookup(request)
+            return await getattr(service, method.name.lower())(request)
 
         return call
 
+    def put_at_all(self, origin):
+        for service in self.service_by_address.values():
+            service._hub.put(origin, direct=False)
+
     def client(self, *addresses):
         client = origin_client.OriginClient(self.clock)
         client.retention.follow(gateway_rig.table())
@@ -116,6 +121,52 @@
     assert reply.origin == ORIGIN
 
 
+CHANGED = fm.StreamOrigin("a1", "v2", 2)
+
+
+@pytest.mark.parametrize("lost", ["r0", "r1", "r2"])
+async def test_changed_version_survives_the_loss_of_a_replica(lost):
+    """The replica that acknowledged a change is lost before it relays it."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    assert await replicas.client("r0").confirm(CHANGED, run=1)
+    replicas.lost.add(lost)
+    others = set(ADDRESSES) - {lost}
+    assert [await found(replicas, each) for each in others] == [CHANGED] * 2
+
+
+async def test_replica_that_missed_a_change_asks_the_others():
+    """A replica that was cut off for a moment answers by its old record."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    replicas.cut_off.add("r2")
+    assert await replicas.client("r0").confirm(CHANGED, run=1)
+    replicas.cut_off.clear()
+    assert await found(replicas, "r2") == CHANGED
+
+
+async def test_change_without_a_majority_is_not_confirmed():
+    """A replica that is cut off acknowledges a change that only it knows."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    replicas.cut_off.update(ADDRESSES)
+    client = replicas.client("r0", "r1")
+    assert not await client.confirm(CHANGED, run=1)
+    assert client.own("a1") is None
+
+
+async def test_replica_without_a_majority_is_not_the_only_one_asked():
+    """A lookup gets the former version from a replica that is cut off."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    replicas.cut_off.add("r0")
+    assert await replicas.client("r1").confirm(CHANGED, run=1)
+    reply = await replicas.client("r0", "r1").lookup("a1", "llm")
+    assert (reply.origin, reply.by_majority) == (CHANGED, True)
+    reply = await replicas.client("r0").lookup("a1", "llm")
+    assert (reply.origin, reply.by_majority) == (ORIGIN, False)
+
+
 async def test_replicas_are_told_that_a_stream_has_ended(running):
     """Replicas keep the records of streams that nobody takes up."""
     replicas, client = running
