--- a/src/oriolejunction/controllers/stream_origins.py
+++ b/src/oriolejunction/controllers/stream_origins.py
@@ -7,77 +7,115 @@
 the streams that begin.
 """
 
+import collections.abc
+import sys
+
+import msgspec
+
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import aged_records
+from oriolejunction.controllers import drop_log
+from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_history
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import listeners
 
-# Longer than any stream and the returns of its caller.
-ORIGIN_TTL_MS = 60_000.0
-MAX_ORIGINS = 50_000
+# Memory of one table. Streams that ended are dropped first.
+MAX_BYTES = 64 << 20
 
 
-class OriginTable:
-    """The newest origin of each stream, for a limited time."""
+class _Record(msgspec.Struct, frozen=True, gc=False):
+    software: ids.SoftwareVersion
+    number: int
 
-    def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
-        # Ordered by the time of the last record, the oldest first.
-        self._timed_origin_by_id: dict[
-            ids.RequestId, tuple[fm.StreamOrigin, float]
-        ] = {}
+
+class OriginTable:
+    """The newest origin of each stream, for a limited time.
+
+    A stream that has ended is taken up again only if its last events were
+    lost on their way to the caller.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        retention: origin_retention.OriginRetention,
+    ) -> None:
+        self._begun: aged_records.AgedRecords[_Record]
+        self._begun = aged_records.AgedRecords(
+            clock, lambda: retention.kept_ms
+        )
+        self._ended: aged_records.AgedRecords[_Record]
+        self._ended = aged_records.AgedRecords(
+            clock, lambda: retention.return_ms
+        )
+        self._drops = drop_log.DropLog(clock, "origins dropped")
 
     def put(self, origin: fm.StreamOrigin) -> bool:
-        """Record an origin; return whether it was new or has replaced one.
+        """Record or renew an origin; return whether other replicas need it.
 
-        One with a lower number than that recorded is ignored.
+        They don't if the same origin was recorded a short time ago. One with
+        a lower number than that recorded is ignored.
         """
-        previous = self.get(origin.request_id)
+        request_id = origin.request_id
+        previous = self.get(request_id)
         if previous is not None and origin.number < previous.number:
             return False
-        self._timed_origin_by_id.pop(origin.request_id, None)
-        self._timed_origin_by_id[origin.request_id] = (
-            origin,
-            self._clock.now_ms(),
-        )
-        self._drop_oldest()
-        return origin != previous
+        records, others = self._begun, self._ended
+        if origin.ended:
+            records, others = others, records
+        others.remove(request_id)
+        # Each message that is read has a text of its own.
+        software = ids.SoftwareVersion(sys.intern(origin.software))
+        renewed = records.put(request_id, _Record(software, origin.number))
+        self._drop_excess()
+        return renewed or origin != previous
 
     def get(self, request_id: ids.RequestId) -> fm.StreamOrigin | None:
         """Return the origin of a stream, None if it is not known."""
-        origin, recorded_ms = self._timed_origin_by_id.get(
-            request_id, (None, 0.0)
-        )
-        if self._clock.now_ms() - recorded_ms > ORIGIN_TTL_MS:
-            return None
-        return origin
+        for records in (self._begun, self._ended):
+            record = records.get(request_id)
+            if record is not None:
+                return fm.StreamOrigin(
+                    request_id,
+                    record.software,
+                    record.number,
+                    records is self._ended,
+                )
+        return None
 
     def all(self) -> tuple[fm.StreamOrigin, ...]:
         """Return all origins that have not expired."""
-        self._drop_oldest()
-        return tuple(origin for origin, _ in self._timed_origin_by_id.values())
-
-    def _drop_oldest(self) -> None:
-        oldest_ms = self._clock.now_ms() - ORIGIN_TTL_MS
-        while self._timed_origin_by_id:
-            request_id = next(iter(self._timed_origin_by_id))
-            _, recorded_ms = self._timed_origin_by_id[request_id]
-            if (
-                recorded_ms >= oldest_ms
-                and len(self._timed_origin_by_id) <= MAX_ORIGINS
-            ):
-                return
-            del self._timed_origin_by_id[request_id]
+        return tuple(
+            fm.StreamOrigin(
+                ids.RequestId(request_id),
+                record.software,
+                record.number,
+                records is self._ended,
+            )
+            for records in (self._begun, self._ended)
+            for request_id, record in records.items()
+        )
+
+    def _drop_excess(self) -> None:
+        while self._begun.size_bytes + self._ended.size_bytes > MAX_BYTES:
+            if self._ended.remove_oldest():
+                self._drops.count("ended")
+            else:
+                self._begun.remove_oldest()
+                self._drops.count("not_ended")
+        self._drops.flush(max_bytes=MAX_BYTES)
 
 
 class OriginHub:
     """The origins and software versions that one control replica knows."""
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self._table = OriginTable(clock)
+        self.retention = origin_retention.OriginRetention(clock)
+        self._table = OriginTable(clock, self.retention)
         self._unforwarded: dict[ids.RequestId, fm.StreamOrigin] = {}
-        self.history = software_history.SoftwareHistory(clock)
+        self.history = software_history.SoftwareHistory(clock, self.retention)
         self.on_change = listeners.no_op
 
     def put(self, origin: fm.StreamOrigin, direct: bool) -> None:
@@ -103,3 +141,19 @@
             self._table.get(request_id),
             tuple(sorted(self.history.versions(service))),
         )
+
+
+def join_replies(
+    replies: collections.abc.Iterable[fm.OriginReply],
+) -> fm.OriginReply:
+    """Return the newest origin and all versions of some replies."""
+    replies = tuple(replies)
+    return fm.OriginReply(
+        max(
+            (each.origin for each in replies if each.origin is not None),
+            key=lambda origin: origin.number,
+            default=None,
+        ),
+        tuple(sorted({v for each in replies for v in each.versions})),
+        any(each.by_majority for each in replies),
+    )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -80,12 +80,14 @@
     """The software version that runs a stream from its first event on.
 
     `request_id` is that of the caller's request that begins the stream;
-    `number` rises when its version changes before the first event.
+    `number` rises when its version changes before the first event. `ended`
+    is set once the caller was sent the whole answer.
     """
 
     request_id: ids.RequestId
     software: ids.SoftwareVersion
     number: int
+    ended: bool = False
 
 
 class ListingSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -120,11 +122,26 @@
     origins: tuple[StreamOrigin, ...]
 
 
+class OriginProposal(msgspec.Struct, frozen=True):
+    """An origin that a majority of the control replicas is to have.
+
+    The receiver records it and sends it to the others with `forwarded` set.
+    """
+
+    origin: StreamOrigin
+    forwarded: bool = False
+
+
+class OriginConfirmation(msgspec.Struct, frozen=True):
+    """Whether a majority of the control replicas has an origin."""
+
+    by_majority: bool = False
+
+
 class OriginLookup(msgspec.Struct, frozen=True):
     """Ask for the origin of a stream.
 
-    A control replica that does not know it asks the others with `forwarded`
-    set.
+    A control replica asks the others with `forwarded` set.
     """
 
     request_id: ids.RequestId
@@ -133,10 +150,15 @@
 
 
 class OriginReply(msgspec.Struct, frozen=True):
-    """The origin, if known, and the software versions seen lately."""
+    """The origin, if known, and the software versions seen lately.
+
+    `by_majority` means that a majority of the control replicas was asked, so
+    that the origin is the newest confirmed one.
+    """
 
     origin: StreamOrigin | None = None
     versions: tuple[ids.SoftwareVersion, ...] = ()
+    by_majority: bool = False
 
 
 class WatchRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -93,6 +93,7 @@
             fleet, blackboard.backends.read().by_id
         )
     )
+    blackboard.table.changes().subscribe(origins.retention.follow)
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
     return GatewayDependencies(
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -1,6 +1,7 @@
 """Origins reach the control replicas and are found at each of them."""
 
 import asyncio
+import functools
 import types
 
 import grpc
@@ -9,9 +10,9 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import stream_origins
 from oriolejunction import fleet_messages as fm
-from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import origin_client
 from oriolejunction.peers import origin_service
+from tests.platform import gateway_rig
 
 ORIGIN = fm.StreamOrigin("a1", "v1", 1)
 ADDRESSES = ("r0", "r1", "r2")
@@ -20,9 +21,11 @@
 class Replicas:
     """Control replicas that relay nothing to each other."""
 
-    def __init__(self):
-        self.clock = clocks.SystemClock()
+    def __init__(self, clock=clocks.SystemClock()):
+        self.clock = clock
         self.lost = set()
+        # Reached by entry instances, but not by the other replicas.
+        self.cut_off = set()
         self.service_by_address = {}
         for address in ADDRESSES:
             self.restart(address)
@@ -33,23 +36,29 @@
             member=types.SimpleNamespace(address=address),
             membership=types.SimpleNamespace(members=lambda: members),
         )
+        hub = stream_origins.OriginHub(self.clock)
+        hub.retention.follow(gateway_rig.table())
         self.service_by_address[address] = origin_service.OriginService(
-            stream_origins.OriginHub(self.clock), replica, self.stub_for
+            hub, replica, functools.partial(self.stub_for, source=address)
         )
 
-    def stub_for(self, address, method):
+    def stub_for(self, address, method, source=None):
         async def call(request, timeout):
-            if address in self.lost:
+            is_cut = source and {source, address} & self.cut_off
+            if address in self.lost or is_cut:
                 raise grpc.aio.AioRpcError(grpc.StatusCode.UNAVAILABLE, (), ())
             service = self.service_by_address[address]
-            if method is fleet_methods.ORIGINS:
-                return await service.record(request)
-            return await service.lookup(request)
+            return await getattr(service, method.name.lower())(request)
 
         return call
 
+    def put_at_all(self, origin):
+        for service in self.service_by_address.values():
+            service._hub.put(origin, direct=False)
+
     def client(self, *addresses):
         client = origin_client.OriginClient(self.clock)
+        client.retention.follow(gateway_rig.table())
         client.connect(lambda: list(addresses), self.stub_for)
         return client
 
@@ -74,7 +83,7 @@
 
 async def test_origin_is_found_at_any_replica_before_it_is_relayed(running):
     replicas, client = running
-    client.record(ORIGIN)
+    client.record(ORIGIN, run=1)
     await settle()
     assert [await found(replicas, each) for each in ADDRESSES] == [ORIGIN] * 3
     replicas.lost.add("r0")
@@ -84,8 +93,8 @@
 async def test_origin_is_sent_again_until_a_replica_has_it(running):
     replicas, client = running
     replicas.lost.add("r0")
-    client.record(ORIGIN)
-    assert not await client.confirm(fm.StreamOrigin("a1", "v2", 2))
+    client.record(ORIGIN, run=1)
+    assert not await client.confirm(fm.StreamOrigin("a1", "v2", 2), run=1)
     await settle()
     replicas.lost.clear()
     await asyncio.sleep(0.1)
@@ -94,7 +103,7 @@
 
 async def test_origins_are_sent_to_a_replica_that_started_again(running):
     replicas, client = running
-    client.record(ORIGIN)
+    client.record(ORIGIN, run=1)
     await settle()
     replicas.restart("r0")
     assert await found(replicas, "r1") is None
@@ -105,8 +114,94 @@
 
 async def test_second_replica_is_asked_if_the_first_is_lost(running):
     replicas, client = running
-    client.record(ORIGIN)
+    client.record(ORIGIN, run=1)
     await settle()
     replicas.lost.add("r2")
     reply = await replicas.client("r2", "r0").lookup("a1", "llm")
     assert reply.origin == ORIGIN
+
+
+CHANGED = fm.StreamOrigin("a1", "v2", 2)
+
+
+@pytest.mark.parametrize("lost", ["r0", "r1", "r2"])
+async def test_changed_version_survives_the_loss_of_a_replica(lost):
+    """The replica that acknowledged a change is lost before it relays it."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    assert await replicas.client("r0").confirm(CHANGED, run=1)
+    replicas.lost.add(lost)
+    others = set(ADDRESSES) - {lost}
+    assert [await found(replicas, each) for each in others] == [CHANGED] * 2
+
+
+async def test_replica_that_missed_a_change_asks_the_others():
+    """A replica that was cut off for a moment answers by its old record."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    replicas.cut_off.add("r2")
+    assert await replicas.client("r0").confirm(CHANGED, run=1)
+    replicas.cut_off.clear()
+    assert await found(replicas, "r2") == CHANGED
+
+
+async def test_change_without_a_majority_is_not_confirmed():
+    """A replica that is cut off acknowledges a change that only it knows."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    replicas.cut_off.update(ADDRESSES)
+    client = replicas.client("r0", "r1")
+    assert not await client.confirm(CHANGED, run=1)
+    assert client.own("a1") is None
+
+
+async def test_replica_without_a_majority_is_not_the_only_one_asked():
+    """A lookup gets the former version from a replica that is cut off."""
+    replicas = Replicas()
+    replicas.put_at_all(ORIGIN)
+    replicas.cut_off.add("r0")
+    assert await replicas.client("r1").confirm(CHANGED, run=1)
+    reply = await replicas.client("r0", "r1").lookup("a1", "llm")
+    assert (reply.origin, reply.by_majority) == (CHANGED, True)
+    reply = await replicas.client("r0").lookup("a1", "llm")
+    assert (reply.origin, reply.by_majority) == (ORIGIN, False)
+
+
+async def test_replicas_are_told_that_a_stream_has_ended(running):
+    """Replicas keep the records of streams that nobody takes up."""
+    replicas, client = running
+    client.record(ORIGIN, run=1)
+    await settle()
+    client.end(run=1, is_complete=True)
+    ended = fm.StreamOrigin("a1", "v1", 1, ended=True)
+    async with asyncio.timeout(10):
+        while await found(replicas, "r0") != ended:
+            await settle()
+    assert client.own("a1") == ended
+
+
+async def test_record_is_kept_while_its_stream_runs():
+    """A stream that runs for longer than records are kept loses its own."""
+    clock = clocks.ManualClock()
+    replicas = Replicas(clock)
+    client = replicas.client("r0")
+    tasks = [
+        asyncio.create_task(each())
+        for each in (client.run, client.run_renewals)
+    ]
+
+    async def found_after(duration_ms):
+        for _ in range(int(duration_ms / 100)):
+            clock.advance(100.0)
+            for _ in range(9):
+                await asyncio.sleep(0)
+        return await found(replicas, "r0"), client.own("a1")
+
+    client.record(ORIGIN, run=1)
+    return_ms = client.retention.return_ms
+    assert await found_after(10 * return_ms) == (ORIGIN, ORIGIN)
+    client.end(run=1, is_complete=False)
+    assert await found_after(return_ms) == (ORIGIN, ORIGIN)
+    assert await found_after(2 * return_ms) == (None, None)
+    for task in tasks:
+        task.cancel()
