Move answers of engines out of the gateway's common module

What is read from the head of an engine's answer stands in engine_answers.py now, the log line of a placement in stream_plan.py.

--- /dev/null
+++ b/src/oriolejunction/http/engine_answers.py
@@ -0,0 +1,34 @@
+"""Heads of backend servers' answers, and what callers get of them."""
+
+from aiohttp import web
+import multidict
+
+from oriolejunction import gateway_messages
+from oriolejunction.http import backend_connection
+
+
+def require_matching_answer(head: gateway_messages.AnswerHead) -> None:
+    """Raise `ConnectionBroken` for an answer to another request."""
+    if not head.echoes_request_id or (head.success and not head.signed):
+        raise backend_connection.ConnectionBroken(
+            "the answer does not match the request"
+        )
+
+
+def answer_headers(
+    head: gateway_messages.AnswerHead,
+) -> multidict.CIMultiDict[str]:
+    """Return the headers that the caller gets."""
+    return multidict.CIMultiDict(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    )
+
+
+def relayed_response(
+    head: gateway_messages.AnswerHead, body: bytes
+) -> web.Response:
+    """Return a backend server's answer to the caller, unchanged."""
+    return web.Response(
+        status=head.status, headers=answer_headers(head), body=body
+    )
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -15,6 +15,7 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
+from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stop_limit
@@ -83,7 +84,7 @@
         if answer.head.success:
             self._deps.guard.record_answer(self._admitted.fingerprint)
         self._record_answer(answer)
-        return gateway_common.relayed_response(answer.head, answer.body)
+        return engine_answers.relayed_response(answer.head, answer.body)
 
     async def _best_answer(
         self, tasks: set[asyncio.Task]
@@ -195,7 +196,7 @@
             if head.not_run:
                 self._handle_not_run(backend, head)
                 return None
-            gateway_common.require_matching_answer(head)
+            engine_answers.require_matching_answer(head)
             body = await backend_connection.read_body(connection.read_chunk)
             deps.health.mark_answered(backend.backend_id)
             deps.health.record_outcome(backend.backend_id, not head.success)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -17,6 +17,7 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
+from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stall_handlers
@@ -93,17 +94,8 @@
                 return self._response
 
     async def _run_attempt(self, plan: stream_plan.StreamPlan) -> _AttemptEnd:
-        gateway_common.log_decision(
-            self._admitted,
-            "stream placed",
-            backend=plan.backend.backend_id,
-            zone=plan.backend.zone,
-            software=plan.backend.software,
-            copy=plan.copy_backend and plan.copy_backend.backend_id,
-            from_copy=plan.copy_source is not None,
-            after_event=self._answer.last_event,
-            streams=plan.candidate.streams,
-            prefill=plan.candidate.prefill_tokens,
+        stream_plan.log_placement(
+            self._admitted, plan, self._answer.last_event
         )
         self._attempts.stalled.discard(plan.backend.backend_id)
         attempt = self._answer.begin_attempt(plan.backend.software)
@@ -312,7 +304,7 @@
         self._answer.weights = head.weights_version
         self._stop_bound.lift()
         response = web.StreamResponse(
-            status=head.status, headers=gateway_common.answer_headers(head)
+            status=head.status, headers=engine_answers.answer_headers(head)
         )
         response.enable_chunked_encoding()
         # Once its head may have been sent, no other answer may follow.
@@ -332,7 +324,7 @@
             self._handle_not_run(plan, head)
             connection.close()
             return _AttemptEnd.REFUSED
-        gateway_common.require_matching_answer(head)
+        engine_answers.require_matching_answer(head)
         if head.success:
             return None
         body = await backend_connection.read_body(read_chunk)
@@ -394,7 +386,7 @@
                 transport.close()
             return self._response
         if self._engine_failure is not None:
-            return gateway_common.relayed_response(*self._engine_failure)
+            return engine_answers.relayed_response(*self._engine_failure)
         raise errors.Failure(
             self._attempts.final_error("no engine could answer in time")
         )
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -52,6 +52,26 @@
         return not self.candidate.prefill_tokens
 
 
+def log_placement(
+    admitted: gateway_common.AdmittedRequest,
+    plan: StreamPlan,
+    after_event: int,
+) -> None:
+    """Log the engine of an attempt that resumes after an event."""
+    gateway_common.log_decision(
+        admitted,
+        "stream placed",
+        backend=plan.backend.backend_id,
+        zone=plan.backend.zone,
+        software=plan.backend.software,
+        copy=plan.copy_backend and plan.copy_backend.backend_id,
+        from_copy=plan.copy_source is not None,
+        after_event=after_event,
+        streams=plan.candidate.streams,
+        prefill=plan.candidate.prefill_tokens,
+    )
+
+
 class StreamPlanner:
     """Plans the attempts of one stream.
 
