Keep pauses of the process out of the time of gateway tests

Tests of the gateway failed if their process stood still for 50 to 400 ms at an unlucky moment, although the gateway did what it should: the limits of the tests and those of the scripted engines and callers ran on.

The tests now run on an event loop whose time leaves out the pauses of the process: gaps of more than clock.LATE_TIMER_MS beyond the wait that was asked for. No assertion and no limit of a test changes. The test of the gateway's own pauses stays on the system's loop.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from oriolejunction import demonstration
 from oriolejunction import invariants
 from oriolejunction import local_deployment
+from tests import event_loops
 from tests import known_red
 
 hypothesis.settings.register_profile(
@@ -34,6 +35,14 @@
     parser.addoption("--known-red", action="store_true")
 
 
+def pytest_asyncio_loop_factories(config, item):
+    """Offer event loops; a test that marks none gets the system's."""
+    mark = item.get_closest_marker("asyncio")
+    if mark is not None and "loop_factories" in mark.kwargs:
+        return event_loops.FACTORIES
+    return {"system": event_loops.FACTORIES["system"]}
+
+
 @pytest.fixture
 async def deployment():
     """Run a local deployment with the sample configuration in force."""
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -7,8 +7,11 @@
 
 from oriolejunction import backends
 from oriolejunction import ids
+from tests import event_loops
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
+
 
 async def answer(arrival):
     """Answer with success."""
--- a/tests/http/test_gateway_stream.py
+++ b/tests/http/test_gateway_stream.py
@@ -8,8 +8,11 @@
 from oriolejunction.controllers import stalls
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
+from tests import event_loops
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
+
 ALL_EVENTS = b"".join(
     b"id: %d\ndata: piece%d\n\n" % (n, n) for n in range(1, 7)
 )
--- a/tests/http/test_silent_engines.py
+++ b/tests/http/test_silent_engines.py
@@ -10,9 +10,12 @@
 
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.http import stream_plan
+from tests import event_loops
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
+
 # Longer than any limit after which an engine counts as stalled here.
 SILENCE_S = 1.2
 
@@ -120,6 +123,7 @@
     assert attempt_losses == 1
 
 
+@pytest.mark.asyncio(**event_loops.SYSTEM)
 async def test_own_pause_is_not_taken_for_silence_of_an_engine():
     """Fault: after a pause, the timer won over the data that had come."""
 
--- a/tests/http/test_stopping_instance.py
+++ b/tests/http/test_stopping_instance.py
@@ -6,10 +6,13 @@
 import aiohttp
 import pytest
 
+from tests import event_loops
 from tests.http import test_gateway_call as calls
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
+
 
 async def send_part(rig, path):
     """Send a request without the last three bytes of its body."""
--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -10,9 +10,12 @@
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction.platform import backend_list
+from tests import event_loops
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
+
 VERSIONS = ("v1", "v2", "v1")
 
 
--- a/tests/http/test_unresumable_streams.py
+++ b/tests/http/test_unresumable_streams.py
@@ -6,9 +6,12 @@
 import aiohttp
 import pytest
 
+from tests import event_loops
 from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
+
 
 @pytest.mark.parametrize("how", ["reset", "closed"])
 async def test_stream_that_may_not_resume_runs_once(how):
