Count attempts whose connection is being opened

A retryable call could reach more servers than its route's max_attempts, and the retry budget was not asked about the additional ones. Attempts counted once their request was sent. While the connection of a retry was being opened, the delay of a hedged request ended and a further attempt began; both were sent. Connecting takes three tries of 50 ms at most, so this needs a pause of the process, or a latency goal of less than about 214 ms.

Attempts that open their connection now count against max_attempts, and a call that has begun one asks the budget before the next.

--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -175,15 +175,19 @@
         deps.own_loads.begin_call(backend.backend_id)
         connection = None
         try:
-            connection = await gateway_common.open_and_send(
-                deps,
-                self._admitted,
-                dispatch,
-                self._attempts,
-                CONNECT_TIMEOUT_MS,
-                CONNECT_TRIES,
-                max_idle_ms,
-            )
+            self._attempts.opening += 1
+            try:
+                connection = await gateway_common.open_and_send(
+                    deps,
+                    self._admitted,
+                    dispatch,
+                    self._attempts,
+                    CONNECT_TIMEOUT_MS,
+                    CONNECT_TRIES,
+                    max_idle_ms,
+                )
+            finally:
+                self._attempts.opening -= 1
             self._unanswered_since_ms[backend.backend_id] = deps.clock.now_ms()
             head = deps.wire_format.read_head(
                 await connection.read_response_head(), self._admitted.request
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -154,8 +154,9 @@
     """Counts the attempts of one request against its limits.
 
     `possibly_run` counts the servers that were sent the request and did not
-    report that they have not run it. `stopped` is set once the instance
-    stops before the request has an answer.
+    report that they have not run it. `opening` counts the attempts whose
+    connection is being opened. `stopped` is set once the instance stops
+    before the request has an answer.
     """
 
     def __init__(
@@ -165,6 +166,7 @@
         self._admitted = admitted
         self.sent = 0
         self.possibly_run = 0
+        self.opening = 0
         self.stopped = False
         self.excluded: set[ids.BackendId] = set()
         # Excluded for their silence only: tried again if no other is left.
@@ -188,9 +190,9 @@
             return states.SendRefusal.DEADLINE
         route = self._admitted.route
         max_attempts = route.max_attempts if route.retryable else 1
-        if self.possibly_run >= max_attempts:
+        if self.possibly_run + self.opening >= max_attempts:
             return states.SendRefusal.MAX_ATTEMPTS
-        if not self.sent:
+        if not self.sent and not self.opening:
             return None
         if is_blocked(self._deps, self._admitted):
             return states.SendRefusal.CRASHED_ENGINES
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -72,6 +72,32 @@
     assert len(seen) == 2
 
 
+async def test_call_is_not_sent_more_often_than_its_route_allows(monkeypatch):
+    """Fault: an attempt did not count while its connection was opened."""
+    seen = []
+    may_open = asyncio.Event()
+
+    async def behave(arrival):
+        seen.append(arrival)
+        await (fail if len(seen) == 1 else answer)(arrival)
+
+    async with gateway_rig.running(desk=[behave, behave]) as rig:
+        acquire = rig.deps.pool.acquire
+
+        async def acquire_slowly(*arguments):
+            if seen:
+                await may_open.wait()
+            return await acquire(*arguments)
+
+        monkeypatch.setattr(rig.deps.pool, "acquire", acquire_slowly)
+        request = asyncio.create_task(read(rig.ask("/look/1")))
+        # Longer than the delay of a hedged request.
+        await asyncio.sleep(0.6)
+        may_open.set()
+        assert await request == (200, b"whole")
+    assert len(seen) == 2
+
+
 async def test_idempotent_call_that_fails_everywhere_gets_the_servers_answer():
     async with gateway_rig.running(desk=[fail, fail, fail]) as rig:
         status, body = await read(rig.ask("/look/1"))
