Run tests of the queue, relays and origins in virtual time

These tests wait for fixed times on the system's clock and expect that the process runs on at once.

They do no I/O, so they now run on the loop that jumps from timer to timer, with its time as the clock. Assertions and limits are unchanged. The tests of origins did not fail before; they wait in the same way.

--- a/tests/http/test_placement_queue.py
+++ b/tests/http/test_placement_queue.py
@@ -9,6 +9,9 @@
 from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.http import placement_queue
 from oriolejunction import ids
+from tests import event_loops
+
+pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
 
 
 class Engine:
@@ -39,7 +42,7 @@
 
 def waiter(request, workspace="w", wait_ms=400.0, now_ms=None):
     if now_ms is None:
-        now_ms = clocks.SystemClock().now_ms()
+        now_ms = event_loops.LoopClock().now_ms()
     return wait_queue.Waiter(
         service=ids.ServiceName("llm"),
         workspace=ids.WorkspaceId(workspace),
@@ -55,7 +58,7 @@
 
 @pytest.fixture
 def queue():
-    return placement_queue.PlacementQueue(clocks.SystemClock())
+    return placement_queue.PlacementQueue(event_loops.LoopClock())
 
 
 async def test_workspaces_take_turns(queue):
--- a/tests/peers/test_fleet_service.py
+++ b/tests/peers/test_fleet_service.py
@@ -6,7 +6,6 @@
 import pytest
 
 from oriolejunction import backends
-from oriolejunction import clock as clocks
 from oriolejunction.consensus import types as raft_types
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import published_table
@@ -16,6 +15,9 @@
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import listing_store
 from oriolejunction import routing_table
+from tests import event_loops
+
+pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
 
 ENGINE = ids.BackendId("e1")
 OWN, SLOW, OTHER = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
@@ -72,7 +74,7 @@
 
 @pytest.fixture
 async def running():
-    clock = clocks.SystemClock()
+    clock = event_loops.LoopClock()
     peers, replica = Peers(), Replica()
     service = fleet_service.FleetService(
         fleet_service.FleetDependencies(
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -6,12 +6,14 @@
 import grpc
 import pytest
 
-from oriolejunction import clock as clocks
 from oriolejunction.controllers import stream_origins
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import origin_client
 from oriolejunction.peers import origin_service
+from tests import event_loops
+
+pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
 
 ORIGIN = fm.StreamOrigin("a1", "v1", 1)
 ADDRESSES = ("r0", "r1", "r2")
@@ -21,7 +23,7 @@
     """Control replicas that relay nothing to each other."""
 
     def __init__(self):
-        self.clock = clocks.SystemClock()
+        self.clock = event_loops.LoopClock()
         self.lost = set()
         self.service_by_address = {}
         for address in ADDRESSES:
