Simulate the pause of a connection's try in virtual time

test_try_during_an_own_pause_is_repeated[0.0-2] blocked the process for 10 ms for a try that is not late.

The time of a virtual loop now passes instead. The numbers of tries that the test expects are unchanged.

--- a/tests/http/test_backend_connection.py
+++ b/tests/http/test_backend_connection.py
@@ -1,11 +1,13 @@
 """Connections to backend servers from a process that is paused at times."""
 
 import asyncio
-import time
 
 import pytest
 
 from oriolejunction.http import backend_connection
+from tests import event_loops
+
+pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
 
 ADDRESS = "10.0.0.1:1"
 
@@ -18,7 +20,8 @@
         tries.append(address)
         async with asyncio.timeout(timeout_ms / 1e3):
             await asyncio.sleep(0)
-            time.sleep(timeout_ms / 1e3 + pause_s)
+            loop = asyncio.get_running_loop()
+            loop.pause(timeout_ms / 1e3 + pause_s)
             await asyncio.sleep(1)
 
     monkeypatch.setattr(backend_connection, "_connect_once", connect_once)
