Repair the Raft group of a test at its current leader

test_group_survives_second_loss_after_replacing_wiped_replica repaired the group at its first leader only. After a pause of more than an election timeout (120 to 240 ms there) the replicas may elect another one, which is what they should do; the test then asked the former leader until its limit of 20 s.

The test now repairs the group at its current leader, on the same limit. Assertions are unchanged.

--- a/tests/consensus/test_raft_replica.py
+++ b/tests/consensus/test_raft_replica.py
@@ -161,9 +161,11 @@
                 leader.group_changes.add_learner(replacement.member)
                 leader.group_changes.repair()
             await asyncio.sleep(0.02)
+            leader = await group.leader()
         while len(leader.membership.voters) > 3:
             leader.group_changes.repair()
             await asyncio.sleep(0.02)
+            leader = await group.leader()
     assert old_id not in leader.membership.member_ids()
     await group.commit("between")
     second = next(n for n in "abc" if n not in (lost, leader.member.address))
