--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -178,15 +178,19 @@
         deps.own_loads.begin_call(backend.backend_id)
         connection = None
         try:
-            connection = await gateway_common.open_and_send(
-                deps,
-                self._admitted,
-                dispatch,
-                self._attempts,
-                CONNECT_TIMEOUT_MS,
-                CONNECT_TRIES,
-                max_idle_ms,
-            )
+            self._attempts.opening += 1
+            try:
+                connection = await gateway_common.open_and_send(
+                    deps,
+                    self._admitted,
+                    dispatch,
+                    self._attempts,
+                    CONNECT_TIMEOUT_MS,
+                    CONNECT_TRIES,
+                    max_idle_ms,
+                )
+            finally:
+                self._attempts.opening -= 1
             sent_ms = deps.clock.now_ms()
             self._unanswered_since_ms[backend.backend_id] = sent_ms
             head = deps.wire_format.read_head(
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -12,8 +12,11 @@
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import origin_client
 from oriolejunction.peers import origin_service
+from tests import event_loops
 from tests.platform import gateway_rig
 
+pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
+
 ORIGIN = fm.StreamOrigin("a1", "v1", 1)
 ADDRESSES = ("r0", "r1", "r2")
 
@@ -21,8 +24,8 @@
 class Replicas:
     """Control replicas that relay nothing to each other."""
 
-    def __init__(self, clock=clocks.SystemClock()):
-        self.clock = clock
+    def __init__(self, clock=None):
+        self.clock = clock or event_loops.LoopClock()
         self.lost = set()
         # Reached by entry instances, but not by the other replicas.
         self.cut_off = set()
