Take listen ports that no outgoing connection can get

Cause: free_ports let the system choose ports, which come from the range of outgoing connections, and released them before the listeners were bound. In between, any connection could get one. Ports now come from below that range.

--- a/src/oriolejunction/local_deployment.py
+++ b/src/oriolejunction/local_deployment.py
@@ -4,12 +4,15 @@
 import collections.abc
 import contextlib
 import dataclasses
+import errno
 import pathlib
+import random
 import secrets
 import socket
 import tempfile
 
 from aiohttp import web
+import structlog
 
 from oriolejunction import clock as clocks
 from oriolejunction.questionnaire import answers as answer_files
@@ -30,6 +33,9 @@
 STANDIN_SHUTDOWN_S = 0.1
 CONTROL_REPLICAS = 3
 KEY_BY_WORKSPACE = {"hakata": "hakata-key", "aso": "aso-key"}
+# An outgoing connection may get a port from 32768 on at any time.
+LISTEN_PORTS = range(20_000, 32_768)
+_log = structlog.get_logger(__name__)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -207,14 +213,25 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return distinct free ports of the loopback address."""
+    """Return distinct free ports of the loopback address.
+
+    Raise `OSError` if there are not so many.
+    """
+    candidates = random.SystemRandom().sample(LISTEN_PORTS, len(LISTEN_PORTS))
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        while len(ports) < count:
+            if not candidates:
+                raise OSError(errno.EADDRINUSE, "no free port is left")
+            port = candidates.pop()
             listener = stack.enter_context(socket.socket())
-            listener.bind((HOST, 0))
-            ports.append(listener.getsockname()[1])
-        return ports
+            try:
+                listener.bind((HOST, port))
+            except OSError as error:
+                _log.debug("port not free", port=port, why=str(error))
+            else:
+                ports.append(port)
+    return ports
 
 
 @contextlib.asynccontextmanager
