Log the prompt parts and the writing time of each lost engine

Callers saw engine after engine end (BUDGET). The logs could not tell whether crashes were counted by the wrong key, cleared by a first event or excused by each other. Cause: no line names the shared parts of a prompt, how long an engine had written, or whether a crash counted. Change: the parts are decoded from the prompt's header, and 'engine lost with request' gives all three. No decision changes.

--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -21,7 +21,8 @@
     `deadline_ms` is on this process's clock. `last_event` is the number of
     the last event that the caller received, 0 without one, and `resumes` the
     id of the request that brought its first event. `headers` are those to be
-    forwarded unchanged.
+    forwarded unchanged. `shared_parts` are the parts of the prompt that other
+    requests may have too, in order; its last part is not among them.
     """
 
     request_id: ids.RequestId
@@ -38,6 +39,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_digest: str = ""
+    shared_parts: tuple[ids.PromptPart, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -1,6 +1,7 @@
 """Checks and marks of backend servers that lost an answer."""
 
 import asyncio
+import dataclasses
 
 import structlog
 
@@ -17,9 +18,24 @@
 # MIN_RESTART_MS of its loss has not restarted, so it did not crash.
 RECHECK_DELAY_MS = 400.0
 MIN_RESTART_MS = 800.0
+MAX_LOGGED_PARTS = 16
 _log = structlog.get_logger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class LostAttempt:
+    """An attempt sent at `sent_ms` whose answer broke off or never came.
+
+    `wrote_ms` is the time between its first and its last event, None if there
+    was none.
+    """
+
+    backend: backends.Backend
+    why: str
+    sent_ms: float
+    wrote_ms: float | None = None
+
+
 def mark_backend_lost(
     deps: gateway_common.GatewayDependencies,
     backend: backends.Backend,
@@ -41,28 +57,41 @@
 def start_crash_check(
     deps: gateway_common.GatewayDependencies,
     admitted: gateway_common.AdmittedRequest,
-    backend: backends.Backend,
-    why: str,
-    sent_ms: float | None,
+    lost: LostAttempt,
+    may_continue: bool = False,
 ) -> None:
     """Check in the background whether a broken answer was a crash.
 
     A server that accepts a new connection has lost only this answer. One
     that does not is marked as lost, and the crash is recorded against the
-    request that was sent at `sent_ms`. That is None if the attempt has
-    output already, which clears the request. The crash is taken back if the
-    server is reachable again too soon for a restart.
+    request, unless the attempt has output already or `may_continue`. The
+    crash is taken back if the server is reachable again too soon for a
+    restart.
     """
+    backend = lost.backend
 
     async def check() -> None:
         if await is_reachable(deps, backend):
             return
         lost_ms = deps.clock.now_ms()
-        mark_backend_lost(deps, backend, why)
-        if sent_ms is None:
+        mark_backend_lost(deps, backend, lost.why)
+        counts = lost.wrote_ms is None and not may_continue
+        gateway_common.log_decision(
+            admitted,
+            "engine lost with request",
+            backend=backend.backend_id,
+            parts=admitted.request.shared_parts[:MAX_LOGGED_PARTS],
+            wrote_ms=lost.wrote_ms and round(lost.wrote_ms),
+            sent_ms_ago=round(lost_ms - lost.sent_ms),
+            counts=counts,
+        )
+        if not counts:
             return
         deps.guard.record_crash(
-            admitted.fingerprint, backend.backend_id, backend.zone, sent_ms
+            admitted.fingerprint,
+            backend.backend_id,
+            backend.zone,
+            lost.sent_ms,
         )
         await deps.clock.sleep_ms(RECHECK_DELAY_MS)
         if not await is_reachable(deps, backend):
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -220,7 +220,9 @@
             )
             deps.health.record_outcome(backend.backend_id, failed=True)
             backend_checks.start_crash_check(
-                deps, self._admitted, backend, str(error), sent_ms
+                deps,
+                self._admitted,
+                backend_checks.LostAttempt(backend, str(error), sent_ms),
             )
         finally:
             deps.own_loads.end_call(backend.backend_id)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -127,10 +127,10 @@
             why = f"not reached: {error}"
             backend_checks.mark_backend_lost(self._deps, plan.backend, why)
             return self._handle_loss(plan, why)
-        last_event_before = self._answer.last_event
+        timing = stream_timing.AttemptTiming()
         sent_ms = self._deps.clock.now_ms()
         try:
-            return await self._read_answer(plan, connection, attempt)
+            return await self._read_answer(plan, connection, attempt, timing)
         except stall_detection.EngineReplaced as error:
             self._attempts.stalled.add(plan.backend.backend_id)
             self._next_plan = error.plan
@@ -147,13 +147,12 @@
             # connection is back in the pool and must stay open.
             if not connection.usable:
                 connection.close()
-        has_output = self._answer.last_event > last_event_before
         backend_checks.start_crash_check(
             self._deps,
             self._admitted,
-            plan.backend,
-            why,
-            None if has_output else sent_ms,
+            backend_checks.LostAttempt(
+                plan.backend, why, sent_ms, timing.wrote_ms
+            ),
         )
         return self._handle_loss(plan, why)
 
@@ -177,6 +176,7 @@
         plan: stream_plan.StreamPlan,
         connection: backend_connection.BackendConnection,
         attempt,
+        timing: stream_timing.AttemptTiming,
     ) -> _AttemptEnd:
         clock = self._deps.clock
         sent_ms = clock.now_ms()
@@ -217,8 +217,6 @@
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
         incomplete = b""
-        is_first = True
-        last_received_ms = sent_ms
         while True:
             chunk = await reader.read(connection.read_chunk, limits)
             if chunk is None:
@@ -231,17 +229,16 @@
             if not blocks:
                 continue
             now_ms = clock.now_ms()
-            if is_first:
+            if timing.first_ms is None:
                 # Engines begin the KV cache copy at the first event, not
                 # during the prefill.
                 self._planner.last_copy_backend = plan.copy_backend
                 self._record_first_event(plan, now_ms - sent_ms)
-                is_first = False
             else:
                 self._deps.speeds.add_gap(
-                    plan.backend.backend_id, now_ms - last_received_ms
+                    plan.backend.backend_id, now_ms - timing.last_ms
                 )
-            last_received_ms = now_ms
+            timing.record_event(now_ms)
             # Without an event, the caller can still get another answer.
             await self._send_head(head)
             await self._deliver(plan, attempt, blocks)
--- a/src/oriolejunction/http/stall_handlers.py
+++ b/src/oriolejunction/http/stall_handlers.py
@@ -21,6 +21,7 @@
     `has_started` returns whether the caller has the head of the answer.
     """
     backend = plan.backend
+    sent_ms = deps.clock.now_ms()
     copy_backend = None
 
     def on_stalled(stall: stall_detection.EngineStalled) -> None:
@@ -31,7 +32,10 @@
             planner.last_copy_backend = plan.copy_backend
         attempts.excluded.add(backend.backend_id)
         backend_checks.start_crash_check(
-            deps, admitted, backend, str(stall), sent_ms=None
+            deps,
+            admitted,
+            backend_checks.LostAttempt(backend, str(stall), sent_ms),
+            may_continue=True,
         )
 
     def on_continued() -> None:
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -3,6 +3,25 @@
 from oriolejunction.http import gateway_common
 
 
+class AttemptTiming:
+    """When one attempt's first and latest events arrived, in ms."""
+
+    def __init__(self) -> None:
+        self.first_ms: float | None = None
+        self.last_ms = 0.0
+
+    @property
+    def wrote_ms(self) -> float | None:
+        """Return how long the engine wrote events, None without one."""
+        return None if self.first_ms is None else self.last_ms - self.first_ms
+
+    def record_event(self, now_ms: float) -> None:
+        """Record an event."""
+        if self.first_ms is None:
+            self.first_ms = now_ms
+        self.last_ms = now_ms
+
+
 class StreamTiming:
     """Time to the first event and longest gap between events, in ms."""
 
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -101,6 +101,7 @@
         prompt_digest=_decode_text(by_name.get(PROMPT, b"")).rpartition(",")[
             2
         ],
+        shared_parts=_parse_shared_parts(by_name.get(PROMPT, b"")),
     )
 
 
@@ -221,6 +222,13 @@
     return prompt, output
 
 
+def _parse_shared_parts(value: bytes) -> tuple[ids.PromptPart, ...]:
+    """Return the ids of all parts of a prompt but the last."""
+    parts = _decode_text(value).split(",")[:-1]
+    names = (part.partition(":")[0].strip().lower() for part in parts)
+    return tuple(dict.fromkeys(ids.PromptPart(name) for name in names if name))
+
+
 def _parse_int(value: bytes | None) -> int | None:
     if value is None:
         return None
--- a/tests/platform/test_gateway_dialect.py
+++ b/tests/platform/test_gateway_dialect.py
@@ -47,6 +47,7 @@
     assert (read.prompt_tokens, read.max_output_tokens) == (1460, 80)
     assert (read.last_event, read.key) == (12, "k")
     assert read.prompt_digest == "91bd:410"
+    assert read.shared_parts == ("5c1e",)
 
 
 def test_dispatch_forwards_client_headers_and_sets_reserved_ones():
