Block the prompt parts that crash engines

Cause: crashes were counted by whole requests only, and an answer that had begun excused its request.

Change: crashes are also counted by shared part. A part is accused by engines that are lost within the first second of writing on it, cleared by an answer that goes on, and blocked once it explains three independent crashes. All sends ask the same check; blocks are shared by the hub and outlive instances.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -17,6 +17,7 @@
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import loss_history
 from oriolejunction import fleet_messages as fm
 from oriolejunction import fleet_view
 from oriolejunction import ids
@@ -24,34 +25,16 @@
 
 MAX_CRASHES = 3
 CRASH_TTL_MS = 60_000.0
-# Engines of a zone lost within this time of each other crashed together.
-CORRELATED_LOSS_MS = 1_200.0
-# A lost engine that is found lost again within this time was not back.
-STILL_LOST_MS = 3_000.0
 MAX_FINGERPRINTS = 1_000
-MAX_LOSSES = 512
 # More than MAX_CRASHES, since some may prove to be correlated.
 MAX_REPORTED_PER_REQUEST = 8
 
 
-@dataclasses.dataclass
-class _Loss:
-    """An engine lost at `at_ms` and last found lost at `found_ms`.
-
-    `neighbours` are the engines of its zone lost at about the same time.
-    """
-
-    zone: ids.ZoneId
-    at_ms: float
-    found_ms: float
-    neighbours: set[ids.BackendId] = dataclasses.field(default_factory=set)
-
-
 @dataclasses.dataclass(frozen=True)
 class _Crash:
     """An engine lost with a request, which was sent there `retried` or not."""
 
-    loss: _Loss
+    loss: loss_history.Loss
     at_ms: float
     retried: bool
 
@@ -61,8 +44,7 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        # Ordered by `at_ms`, the oldest first.
-        self._loss_by_id: dict[ids.BackendId, _Loss] = {}
+        self.losses = loss_history.LossHistory(clock)
         self._crashes: dict[ids.Fingerprint, dict[ids.BackendId, _Crash]] = {}
         # When requests were last answered here, the oldest first.
         self._answered_ms: dict[ids.Fingerprint, float] = {}
@@ -76,7 +58,7 @@
 
     def record_loss(self, backend_id: ids.BackendId, zone: ids.ZoneId) -> None:
         """Record that an engine was lost, whatever ran on it."""
-        self._record_loss(backend_id, zone)
+        self.losses.record(backend_id, zone)
 
     def update_reported(
         self,
@@ -88,7 +70,7 @@
             for backend_id in others.suspects - self._others.suspects:
                 backend = listed.get(backend_id)
                 if backend is not None:
-                    self._record_loss(backend_id, backend.zone)
+                    self.losses.record(backend_id, backend.zone)
         answered = self.answered()
         self._others = others
         if self.answered() != answered:
@@ -123,13 +105,13 @@
 
         The request was sent to it at `sent_ms`.
         """
-        loss = self._record_loss(backend_id, zone)
+        loss = self.losses.record(backend_id, zone)
         if self._is_answered(fingerprint) or (
             backend_id in self._own_crashes(fingerprint)
         ):
             return
         retried = any(
-            known != backend_id and self._was_lost_before(known, sent_ms)
+            known != backend_id and self.losses.was_lost_before(known, sent_ms)
             for known in self._retried_by_engine(fingerprint)
         )
         crash = _Crash(loss, self._clock.now_ms(), retried)
@@ -169,7 +151,7 @@
             return False
         retried = self._retried_by_engine(fingerprint)
         for crash in reported:
-            loss = self._loss_by_id.get(crash.backend_id)
+            loss = self.losses.get(crash.backend_id)
             if loss is None or not _is_correlated(
                 loss, retried[crash.backend_id], retried
             ):
@@ -181,34 +163,6 @@
         answered_ms = self._answered_ms.get(fingerprint, -math.inf)
         return answered_ms > oldest_ms or fingerprint in self._others.answered
 
-    def _record_loss(
-        self, backend_id: ids.BackendId, zone: ids.ZoneId
-    ) -> _Loss:
-        now_ms = self._clock.now_ms()
-        known = self._loss_by_id.get(backend_id)
-        if known is not None:
-            if now_ms - known.found_ms <= STILL_LOST_MS:
-                known.found_ms = now_ms
-                return known
-            del self._loss_by_id[backend_id]
-        loss = _Loss(zone, now_ms, now_ms)
-        for other_id, other in reversed(self._loss_by_id.items()):
-            if now_ms - other.at_ms > CORRELATED_LOSS_MS:
-                break
-            if other.zone == zone:
-                loss.neighbours.add(other_id)
-                other.neighbours.add(backend_id)
-        self._loss_by_id[backend_id] = loss
-        if len(self._loss_by_id) > MAX_LOSSES:
-            del self._loss_by_id[next(iter(self._loss_by_id))]
-        return loss
-
-    def _was_lost_before(
-        self, backend_id: ids.BackendId, at_ms: float
-    ) -> bool:
-        loss = self._loss_by_id.get(backend_id)
-        return loss is None or loss.at_ms < at_ms
-
     def _retried_by_engine(
         self, fingerprint: ids.Fingerprint
     ) -> dict[ids.BackendId, bool]:
@@ -251,7 +205,7 @@
 
 
 def _is_correlated(
-    loss: _Loss,
+    loss: loss_history.Loss,
     retried: bool,
     retried_by_engine: dict[ids.BackendId, bool],
 ) -> bool:
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -23,6 +23,15 @@
 
 _Counts = tuple[int, ...]
 _REQUESTS, _RESENDS, _WAITING = range(3)
+# Fields of a report whose items are merged over the instances.
+_MERGED_FIELDS = (
+    "suspects",
+    "crashes",
+    "answered",
+    "part_crashes",
+    "cleared_parts",
+    "blocked_parts",
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,7 +39,7 @@
     """Sums over the other entry instances, up to change number `seen`.
 
     `loads` and `speeds` hold only changes, or everything if `complete` is
-    set; `suspects`, `crashes` and `answered` always hold everything.
+    set; the other fields always hold everything.
     """
 
     seen: int
@@ -40,6 +49,9 @@
     suspects: tuple[ids.BackendId, ...] = ()
     crashes: tuple[fm.EngineCrash, ...] = ()
     answered: tuple[ids.Fingerprint, ...] = ()
+    part_crashes: tuple[fm.PartCrash, ...] = ()
+    cleared_parts: tuple[ids.PromptPart, ...] = ()
+    blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
 
 
 class _ChangeTrackedSums:
@@ -110,12 +122,10 @@
         self._unforwarded: dict[ids.InstanceId, fm.EntryReport] = {}
         self._loads = _ChangeTrackedSums()
         self._speeds = _ChangeTrackedSums()
-        self._suspects: collections.Counter[ids.BackendId]
-        self._suspects = collections.Counter()
-        self._crashes: collections.Counter[fm.EngineCrash]
-        self._crashes = collections.Counter()
-        self._answered: collections.Counter[ids.Fingerprint]
-        self._answered = collections.Counter()
+        # By field, the items and how many instances report each.
+        self._merged: dict[str, collections.Counter] = {
+            field: collections.Counter() for field in _MERGED_FIELDS
+        }
         # Requests, resends and waiting requests by service. They change with
         # each request and therefore cause no update of their own.
         self._uses: collections.Counter[tuple[ids.ServiceName, int]]
@@ -212,9 +222,10 @@
                     since, _speeds(own)
                 )
             ),
-            suspects=tuple(sorted(self._suspects - _suspects(own))),
-            crashes=tuple(self._crashes - _crashes(own)),
-            answered=tuple(self._answered - _answered(own)),
+            **{
+                field: tuple(counts - _items(own, field))
+                for field, counts in self._merged.items()
+            },
         )
 
     def _report_of(self, instance: ids.InstanceId) -> fm.EntryReport | None:
@@ -228,9 +239,10 @@
         number = self._change_number
         self._loads.replace(_loads(before), _loads(after), number)
         self._speeds.replace(_speeds(before), _speeds(after), number)
-        self._suspects = self._suspects - _suspects(before) + _suspects(after)
-        self._crashes = self._crashes - _crashes(before) + _crashes(after)
-        self._answered = self._answered - _answered(before) + _answered(after)
+        for field, counts in self._merged.items():
+            old, new = _items(before, field), _items(after, field)
+            if old != new:
+                self._merged[field] = counts - old + new
         for sums in (self._loads, self._speeds):
             if sums.drop_idle():
                 self._oldest_delta_number = number
@@ -252,10 +264,8 @@
     return (
         report.boot,
         report.loads,
-        report.suspects,
-        report.crashes,
-        report.answered,
         report.speeds,
+        *(getattr(report, field) for field in _MERGED_FIELDS),
     )
 
 
@@ -291,22 +301,10 @@
     return counts
 
 
-def _suspects(
-    report: fm.EntryReport | None,
-) -> collections.Counter[ids.BackendId]:
-    return collections.Counter(report.suspects if report is not None else ())
-
-
-def _crashes(
-    report: fm.EntryReport | None,
-) -> collections.Counter[fm.EngineCrash]:
-    return collections.Counter(report.crashes if report is not None else ())
-
-
-def _answered(
-    report: fm.EntryReport | None,
-) -> collections.Counter[ids.Fingerprint]:
-    return collections.Counter(report.answered if report is not None else ())
+def _items(report: fm.EntryReport | None, field: str) -> collections.Counter:
+    return collections.Counter(
+        getattr(report, field) if report is not None else ()
+    )
 
 
 def _mean(tenths: int, count: int) -> float:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -104,6 +104,7 @@
             self._deps.own_loads,
             self._deps.health,
             self._deps.guard,
+            self._deps.parts,
         ):
             source.on_change = self._watch.notify_report
         self.spawn(self._watch.run)
@@ -205,6 +206,9 @@
             speeds=self._deps.speeds.own_speeds(),
             uses=self._deps.budget.uses(self._deps.queue.waiting_by_service()),
             answered=self._deps.guard.answered(),
+            part_crashes=self._deps.parts.crashes(),
+            cleared_parts=self._deps.parts.cleared(),
+            blocked_parts=self._deps.parts.blocked(),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -45,6 +45,13 @@
     retried: bool = False
 
 
+class PartCrash(msgspec.Struct, frozen=True, array_like=True):
+    """An engine that was lost as it began to answer on a prompt part."""
+
+    part: ids.PromptPart
+    backend_id: ids.BackendId
+
+
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests to a service and resends of them in the last window.
 
@@ -63,6 +70,8 @@
     `boot` is the incarnation, within which `number` rises with each report.
     `suspects` are the backend servers that the instance itself found lost;
     `answered` are requests with crashes that an engine answered in full.
+    `cleared_parts` are accused parts of prompts that an engine answered on; a
+    request with all parts of one of the sets `blocked_parts` is refused.
     """
 
     instance: ids.InstanceId
@@ -74,6 +83,9 @@
     speeds: tuple[EngineSpeed, ...] = ()
     uses: tuple[ServiceUse, ...] = ()
     answered: tuple[ids.Fingerprint, ...] = ()
+    part_crashes: tuple[PartCrash, ...] = ()
+    cleared_parts: tuple[ids.PromptPart, ...] = ()
+    blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -182,9 +194,9 @@
     are sums over the other entry instances; `entries` counts all entry
     instances, the receiver included. `loads` and `speeds` hold what changed
     since the change number in the request, or everything if `whole` is set;
-    `suspects`, `crashes` and `answered` are complete whenever `seen` has
-    changed. `uses` are sums over the other entry instances and always
-    complete.
+    `suspects`, `crashes`, `answered` and what concerns prompt parts are
+    complete whenever `seen` has changed. `uses` are sums over the other entry
+    instances and always complete.
     `replicas` are the control replicas' peer addresses and availability
     zones.
     """
@@ -204,6 +216,9 @@
     uses: tuple[ServiceUse, ...] = ()
     replicas: tuple[tuple[str, str], ...] = ()
     answered: tuple[ids.Fingerprint, ...] = ()
+    part_crashes: tuple[PartCrash, ...] = ()
+    cleared_parts: tuple[ids.PromptPart, ...] = ()
+    blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -22,6 +22,11 @@
         dataclasses.field(default_factory=dict)
     )
     answered: frozenset[ids.Fingerprint] = frozenset()
+    crashes_by_part: dict[ids.PromptPart, frozenset[ids.BackendId]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    cleared_parts: frozenset[ids.PromptPart] = frozenset()
+    blocked_parts: frozenset[frozenset[ids.PromptPart]] = frozenset()
     speed_by_id: dict[ids.BackendId, fm.EngineSpeed] = dataclasses.field(
         default_factory=dict
     )
@@ -63,6 +68,9 @@
         suspects=frozenset(reply.suspects),
         crashes_by_request=_by_request(reply.crashes),
         answered=frozenset(reply.answered),
+        crashes_by_part=_by_part(reply.part_crashes),
+        cleared_parts=frozenset(reply.cleared_parts),
+        blocked_parts=frozenset(map(frozenset, reply.blocked_parts)),
         speed_by_id=speeds,
     )
 
@@ -77,6 +85,16 @@
     return {key: tuple(each) for key, each in by_request.items()}
 
 
+def _by_part(
+    crashes: tuple[fm.PartCrash, ...],
+) -> dict[ids.PromptPart, frozenset[ids.BackendId]]:
+    by_part: dict[ids.PromptPart, set[ids.BackendId]]
+    by_part = collections.defaultdict(set)
+    for crash in crashes:
+        by_part[crash.part].add(crash.backend_id)
+    return {part: frozenset(each) for part, each in by_part.items()}
+
+
 def apply_counts(
     current: FleetView, reply: fm.WatchReply, now_ms: float
 ) -> FleetView:
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -7,9 +7,11 @@
 
 from oriolejunction import backends
 from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import part_guard
 from oriolejunction.controllers import stalls
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
+from oriolejunction.http import crash_records
 from oriolejunction.http import gateway_common
 
 # HTTP "Misdirected Request": another incarnation now has the address.
@@ -35,6 +37,11 @@
     sent_ms: float
     wrote_ms: float | None = None
 
+    @property
+    def was_beginning(self) -> bool:
+        """Return whether it may have crashed by beginning the answer."""
+        return self.wrote_ms is None or self.wrote_ms < part_guard.BEGUN_MS
+
 
 def mark_backend_lost(
     deps: gateway_common.GatewayDependencies,
@@ -64,7 +71,7 @@
 
     A server that accepts a new connection has lost only this answer. One
     that does not is marked as lost, and the crash is recorded against the
-    request, unless the attempt has output already or `may_continue`. The
+    request, unless the answer was well under way or `may_continue`. The
     crash is taken back if the server is reachable again too soon for a
     restart.
     """
@@ -75,7 +82,7 @@
             return
         lost_ms = deps.clock.now_ms()
         mark_backend_lost(deps, backend, lost.why)
-        counts = lost.wrote_ms is None and not may_continue
+        counts = lost.was_beginning and not may_continue
         gateway_common.log_decision(
             admitted,
             "engine lost with request",
@@ -87,12 +94,7 @@
         )
         if not counts:
             return
-        deps.guard.record_crash(
-            admitted.fingerprint,
-            backend.backend_id,
-            backend.zone,
-            lost.sent_ms,
-        )
+        crash_records.record_crash(deps, admitted, backend, lost.sent_ms)
         await deps.clock.sleep_ms(RECHECK_DELAY_MS)
         if not await is_reachable(deps, backend):
             return
@@ -104,7 +106,7 @@
                 backend=backend.backend_id,
                 back_ms=round(back_ms),
             )
-            deps.guard.take_back(admitted.fingerprint, backend.backend_id)
+            crash_records.take_back_crash(deps, admitted, backend)
 
     task = asyncio.create_task(check())
     deps.background_tasks.add(task)
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -24,7 +24,6 @@
 KEEP_ALIVE_TIMEOUT_S = 120.0
 MAX_HEADER_BYTES = 65_536
 MAX_HEADERS = 256
-BLOCKED_RETRY_AFTER_MS = 60_000
 # After a restart of all instances, the control replicas are available again
 # within about this time. Most callers wait a second; about a third of it
 # stays for the answer.
@@ -227,6 +226,7 @@
             rank=rank,
             deadline_ms=deadline_ms,
             web_request=request,
+            is_probe=self._deps.parts.take_probe(caller_request.shared_parts),
         )
         self._refuse_blocked(admitted)
         self._refuse_if_stopping(admitted)
@@ -254,13 +254,10 @@
     def _refuse_blocked(
         self, admitted: gateway_common.AdmittedRequest
     ) -> None:
-        if gateway_common.is_blocked(self._deps, admitted):
-            raise errors.Failure(
-                errors.NoCapacity(
-                    "the request crashed the engines that began to run it",
-                    retry_after_ms=BLOCKED_RETRY_AFTER_MS,
-                )
-            )
+        if not admitted.is_probe and gateway_common.is_blocked(
+            self._deps, admitted
+        ):
+            raise errors.Failure(gateway_common.blocked_error())
 
     def _refuse_if_stopping(
         self, admitted: gateway_common.AdmittedRequest
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -15,6 +15,7 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
+from oriolejunction.http import crash_records
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
@@ -82,7 +83,7 @@
         if answer is None:
             return self._give_up()
         if answer.head.success:
-            self._deps.guard.record_answer(self._admitted.fingerprint)
+            crash_records.record_answer(self._deps, self._admitted)
         self._record_answer(answer)
         return engine_answers.relayed_response(answer.head, answer.body)
 
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -21,6 +21,7 @@
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction.controllers.overload import wait_queue
+from oriolejunction.controllers import part_guard
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
@@ -38,6 +39,8 @@
 MIN_LOGGED_WAIT_MS = 20.0
 # Short, since any other instance can serve the request.
 LEAVING_RETRY_AFTER_MS = 20
+# Other engines would crash too, so a retry is of no use.
+BLOCKED_RETRY_AFTER_MS = 60_000
 _log = structlog.get_logger(__name__)
 
 
@@ -56,6 +59,7 @@
     health: backend_health.BackendHealth
     budget: resend_budget.ResendBudget
     guard: crash_guard.CrashGuard
+    parts: part_guard.PartGuard
     lengths: answer_lengths.AnswerLengths
     telemetry: telemetry.GatewayTelemetry
     queue: placement_queue.PlacementQueue
@@ -81,6 +85,7 @@
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
     guard = crash_guard.CrashGuard(clock)
+    parts = part_guard.PartGuard(clock, guard.losses, rng)
     queue = placement_queue.PlacementQueue(clock)
     pool = connection_pool.ConnectionPool(clock)
     origins = origin_client.OriginClient(clock)
@@ -92,6 +97,7 @@
             fleet, blackboard.backends.read().by_id
         )
     )
+    blackboard.fleet.changes().subscribe(parts.update_reported)
     blackboard.table.changes().subscribe(origins.retention.follow)
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
@@ -109,6 +115,7 @@
         health=health,
         budget=resend_budget.ResendBudget(clock, limits),
         guard=guard,
+        parts=parts,
         lengths=answer_lengths.AnswerLengths(),
         telemetry=telemetry.GatewayTelemetry(),
         queue=queue,
@@ -124,7 +131,8 @@
     """A request with its route, service and, if any, workspace.
 
     `deadline_ms` is the earlier of the caller's deadline and the end of the
-    route's timeout, on this process's clock.
+    route's timeout, on this process's clock. A probe goes to one server
+    although its prompt has a blocked part.
     """
 
     request: gateway_messages.CallerRequest
@@ -134,6 +142,7 @@
     rank: int
     deadline_ms: float
     web_request: web.Request
+    is_probe: bool = False
 
     @property
     def began_ms(self) -> float:
@@ -202,10 +211,12 @@
         max_attempts = route.max_attempts if route.retryable else 1
         if self.possibly_run + self.opening >= max_attempts:
             return states.SendRefusal.MAX_ATTEMPTS
-        if not self.sent and not self.opening:
+        is_first = not self.sent and not self.opening
+        if not (is_first and self._admitted.is_probe):
+            if is_blocked(self._deps, self._admitted):
+                return states.SendRefusal.CRASHED_ENGINES
+        if is_first:
             return None
-        if is_blocked(self._deps, self._admitted):
-            return states.SendRefusal.CRASHED_ENGINES
         service = self._admitted.service.name
         fleet = self._deps.blackboard.fleet.read()
         others = fleet.use_by_others(service, self._deps.clock.now_ms())
@@ -274,6 +285,8 @@
             return errors.NotReady(
                 "this instance stops", retry_after_ms=LEAVING_RETRY_AFTER_MS
             )
+        if is_blocked(self._deps, self._admitted):
+            return blocked_error()
         return errors.NoCapacity(
             message,
             retry_after_ms=self._deps.returns.return_after_ms(
@@ -286,15 +299,26 @@
 
 
 def is_blocked(deps: GatewayDependencies, admitted: AdmittedRequest) -> bool:
-    """Return whether a request has crashed too many engines.
+    """Return whether a request, or a part of its prompt, crashes engines.
 
     The body is hashed only while any crash is known.
     """
+    if deps.parts.is_blocked(admitted.request.shared_parts):
+        return True
     return deps.guard.has_crashes and deps.guard.is_blocked(
         admitted.fingerprint
     )
 
 
+def blocked_error() -> errors.ServingError:
+    """Return the caller's error for a request that must not be sent."""
+    return errors.NoCapacity(
+        "the request, or a part of its prompt, crashed the engines that began"
+        " to run it",
+        retry_after_ms=BLOCKED_RETRY_AFTER_MS,
+    )
+
+
 async def wait_for_backend(
     deps: GatewayDependencies,
     admitted: AdmittedRequest,
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -17,6 +17,7 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
+from oriolejunction.http import crash_records
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
@@ -238,7 +239,10 @@
                 self._deps.speeds.add_gap(
                     plan.backend.backend_id, now_ms - timing.last_ms
                 )
-            timing.record_event(now_ms)
+            if timing.record_event(now_ms):
+                self._deps.parts.record_answer(
+                    self._admitted.request.shared_parts
+                )
             # Without an event, the caller can still get another answer.
             await self._send_head(head)
             await self._deliver(plan, attempt, blocks)
@@ -252,7 +256,7 @@
         self._deps.lengths.add(
             self._admitted.route.name, self._answer.last_event
         )
-        self._deps.guard.record_answer(self._admitted.fingerprint)
+        crash_records.record_answer(self._deps, self._admitted)
         gateway_common.log_decision(
             self._admitted,
             "stream complete",
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -1,5 +1,6 @@
 """Times of a stream's events as its caller sees them."""
 
+from oriolejunction.controllers import part_guard
 from oriolejunction.http import gateway_common
 
 
@@ -15,11 +16,13 @@
         """Return how long the engine wrote events, None without one."""
         return None if self.first_ms is None else self.last_ms - self.first_ms
 
-    def record_event(self, now_ms: float) -> None:
-        """Record an event."""
+    def record_event(self, now_ms: float) -> bool:
+        """Record an event; return whether the beginning is over with it."""
         if self.first_ms is None:
             self.first_ms = now_ms
+        had_begun = self.last_ms - self.first_ms >= part_guard.BEGUN_MS
         self.last_ms = now_ms
+        return not had_begun and now_ms - self.first_ms >= part_guard.BEGUN_MS
 
 
 class StreamTiming:
