Log the limits that servers name

A server in need got far more requests than the limit that it had named (LIMIT). Cause of the missing evidence: the header was not decoded, and no line named a limit. Change: it is decoded (a decimal number; anything else is reported and changes nothing), and each instance logs when a server names another limit or none any more. An answer to a request that was sent before the last limit was named neither raises nor lifts it. No request is sent elsewhere because of it. The creation of the gateway's state moves to a module of its own, which holds the new state.

--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -19,7 +19,7 @@
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway
-from oriolejunction.http import gateway_common
+from oriolejunction.http import gateway_state
 from oriolejunction.http import readiness
 from oriolejunction import ids
 from oriolejunction import node_base
@@ -61,7 +61,7 @@
             lambda: 0,
             self._stop_accepting,
         )
-        self._deps = gateway_common.new_dependencies(
+        self._deps = gateway_state.new_dependencies(
             self.clock,
             self._blackboard,
             gateway_dialect.WIRE_FORMAT,
@@ -216,6 +216,7 @@
             return
         listed = set(snapshot.by_id)
         self._deps.health.retain_only(listed)
+        self._deps.limits.retain_only(listed)
         self._deps.speeds.update_listed(snapshot.by_id)
         self._deps.pool.retain_only(
             {b.address for b in snapshot.by_id.values()}
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -81,6 +81,16 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimit:
+    """Requests a second that a server takes from all instances together.
+
+    `per_s` is None if the server names a limit that cannot be read.
+    """
+
+    per_s: float | None
+
+
 @dataclasses.dataclass(frozen=True)
 class AnswerHead:
     """Head of a backend server's answer.
@@ -88,6 +98,7 @@
     `echoes_request_id` means that it repeats the id of the request, `signed`
     that it has the server's signature, `not_run` that the server states that
     it did not run the request. `weights_version` is that of the model.
+    `rate_limit` is None if the server names none.
     """
 
     status: int
@@ -97,6 +108,7 @@
     not_run: bool
     load: ServerLoad | None = None
     weights_version: int | None = None
+    rate_limit: RateLimit | None = None
 
     @property
     def success(self) -> bool:
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -198,6 +198,7 @@
                 await connection.read_response_head(), self._admitted.request
             )
             self._unanswered_since_ms.pop(backend.backend_id, None)
+            gateway_common.observe_limit(deps, backend, head, sent_ms)
             if head.not_run:
                 self._handle_not_run(backend, head)
                 return None
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -4,12 +4,13 @@
 import dataclasses
 import functools
 import hashlib
+import http
 import math
-import random
 
 from aiohttp import web
 import structlog
 
+from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import answer_lengths
@@ -19,6 +20,7 @@
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.controllers import part_guard
@@ -60,6 +62,7 @@
     budget: resend_budget.ResendBudget
     guard: crash_guard.CrashGuard
     parts: part_guard.PartGuard
+    limits: server_limits.ServerLimits
     lengths: answer_lengths.AnswerLengths
     telemetry: telemetry.GatewayTelemetry
     queue: placement_queue.PlacementQueue
@@ -72,60 +75,6 @@
     )
 
 
-def new_dependencies(
-    clock: clocks.Clock,
-    blackboard: blackboards.Blackboard,
-    wire_format: gateway_messages.WireFormat,
-    limits: resend_budget.BudgetLimits,
-    zone: ids.ZoneId,
-    rng: random.Random,
-) -> GatewayDependencies:
-    """Return the dependencies of one instance, with empty state."""
-    own_loads = load_table.LoadTable()
-    speeds = engine_speeds.EngineSpeeds(clock)
-    health = backend_health.BackendHealth(clock)
-    guard = crash_guard.CrashGuard(clock)
-    parts = part_guard.PartGuard(clock, guard.losses, rng)
-    queue = placement_queue.PlacementQueue(clock)
-    pool = connection_pool.ConnectionPool(clock)
-    origins = origin_client.OriginClient(clock)
-    blackboard.backends.changes().subscribe(
-        lambda snapshot: origins.history.observe(snapshot.by_id.values())
-    )
-    blackboard.fleet.changes().subscribe(
-        lambda fleet: guard.update_reported(
-            fleet, blackboard.backends.read().by_id
-        )
-    )
-    blackboard.fleet.changes().subscribe(parts.update_reported)
-    blackboard.table.changes().subscribe(origins.retention.follow)
-    for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
-        changes.subscribe(lambda _: queue.notify_capacity())
-    return GatewayDependencies(
-        clock=clock,
-        blackboard=blackboard,
-        wire_format=wire_format,
-        pool=pool,
-        reports=report_probe.EngineReports(clock, pool, wire_format),
-        view=backend_view.BackendView(
-            blackboard, own_loads, speeds, health, zone, rng
-        ),
-        own_loads=own_loads,
-        speeds=speeds,
-        health=health,
-        budget=resend_budget.ResendBudget(clock, limits),
-        guard=guard,
-        parts=parts,
-        lengths=answer_lengths.AnswerLengths(),
-        telemetry=telemetry.GatewayTelemetry(),
-        queue=queue,
-        release_intervals=wait_forecast.IntervalCache(clock),
-        returns=wait_forecast.ReturnSchedule(clock),
-        stop_limit=stop_limit.StopLimit(),
-        origins=origins,
-    )
-
-
 @dataclasses.dataclass(frozen=True)
 class AdmittedRequest:
     """A request with its route, service and, if any, workspace.
@@ -362,6 +311,18 @@
     return assignment
 
 
+def observe_limit(
+    deps: GatewayDependencies,
+    backend: backends.Backend,
+    head: gateway_messages.AnswerHead,
+    sent_ms: float,
+) -> None:
+    """Apply the limit that a server names in its answer, if it is its own."""
+    is_replaced = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+    if (head.echoes_request_id or head.not_run) and not is_replaced:
+        deps.limits.observe(backend.backend_id, head.rate_limit, sent_ms)
+
+
 def log_decision(
     admitted: AdmittedRequest, decision: str, **inputs: object
 ) -> None:
--- /dev/null
+++ b/src/oriolejunction/http/gateway_state.py
@@ -0,0 +1,80 @@
+"""Creates the state that an instance serves its requests with."""
+
+import random
+
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import answer_lengths
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import backend_view
+from oriolejunction.controllers import crash_guard
+from oriolejunction.controllers import engine_speeds
+from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers.overload import server_limits
+from oriolejunction.controllers.overload import wait_forecast
+from oriolejunction.controllers import part_guard
+from oriolejunction import gateway_messages
+from oriolejunction.http import connection_pool
+from oriolejunction.http import gateway_common
+from oriolejunction.http import placement_queue
+from oriolejunction.http import report_probe
+from oriolejunction.http import stop_limit
+from oriolejunction import ids
+from oriolejunction.peers import origin_client
+from oriolejunction import telemetry
+
+
+def new_dependencies(
+    clock: clocks.Clock,
+    blackboard: blackboards.Blackboard,
+    wire_format: gateway_messages.WireFormat,
+    limits: resend_budget.BudgetLimits,
+    zone: ids.ZoneId,
+    rng: random.Random,
+) -> gateway_common.GatewayDependencies:
+    """Return the dependencies of one instance, with empty state."""
+    own_loads = load_table.LoadTable()
+    speeds = engine_speeds.EngineSpeeds(clock)
+    health = backend_health.BackendHealth(clock)
+    guard = crash_guard.CrashGuard(clock)
+    parts = part_guard.PartGuard(clock, guard.losses, rng)
+    queue = placement_queue.PlacementQueue(clock)
+    pool = connection_pool.ConnectionPool(clock)
+    origins = origin_client.OriginClient(clock)
+    blackboard.backends.changes().subscribe(
+        lambda snapshot: origins.history.observe(snapshot.by_id.values())
+    )
+    blackboard.fleet.changes().subscribe(
+        lambda fleet: guard.update_reported(
+            fleet, blackboard.backends.read().by_id
+        )
+    )
+    blackboard.fleet.changes().subscribe(parts.update_reported)
+    blackboard.table.changes().subscribe(origins.retention.follow)
+    for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
+        changes.subscribe(lambda _: queue.notify_capacity())
+    return gateway_common.GatewayDependencies(
+        clock=clock,
+        blackboard=blackboard,
+        wire_format=wire_format,
+        pool=pool,
+        reports=report_probe.EngineReports(clock, pool, wire_format),
+        view=backend_view.BackendView(
+            blackboard, own_loads, speeds, health, zone, rng
+        ),
+        own_loads=own_loads,
+        speeds=speeds,
+        health=health,
+        budget=resend_budget.ResendBudget(clock, limits),
+        guard=guard,
+        parts=parts,
+        limits=server_limits.ServerLimits(clock),
+        lengths=answer_lengths.AnswerLengths(),
+        telemetry=telemetry.GatewayTelemetry(),
+        queue=queue,
+        release_intervals=wait_forecast.IntervalCache(clock),
+        returns=wait_forecast.ReturnSchedule(clock),
+        stop_limit=stop_limit.StopLimit(),
+        origins=origins,
+    )
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -208,6 +208,7 @@
             await reader.read(connection.read_response_head, limits),
             self._admitted.request,
         )
+        gateway_common.observe_limit(self._deps, plan.backend, head, sent_ms)
         refusal = await self._check_refusal(
             plan,
             connection,
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -1,6 +1,7 @@
 """Headers and events between clients, entry instances and engines."""
 
 import collections.abc
+import re
 
 from oriolejunction import errors
 from oriolejunction import gateway_messages
@@ -27,6 +28,7 @@
 SIGNATURE = b"response-signature"
 NOT_RUN = b"not-executed"
 LOAD = b"instance-load"
+RATE_LIMIT = b"server-limit"
 COPY_TO = b"kv-backup"
 COPY_FROM = b"kv-from"
 
@@ -63,6 +65,7 @@
     )
 )
 _NOT_RUN_STATUSES = frozenset((421,))
+_DECIMAL = re.compile(rb"\d{1,300}(\.\d{0,300})?|\.\d{1,300}")
 
 
 def read_request(
@@ -158,6 +161,7 @@
         or head.status in _NOT_RUN_STATUSES,
         load=_parse_load(head.get(LOAD)),
         weights_version=_parse_int(head.get(WEIGHTS_VERSION)),
+        rate_limit=_parse_rate_limit(head.get(RATE_LIMIT)),
     )
 
 
@@ -245,6 +249,15 @@
     return gateway_messages.ServerLoad(*numbers)
 
 
+def _parse_rate_limit(
+    value: bytes | None,
+) -> gateway_messages.RateLimit | None:
+    if value is None:
+        return None
+    readable = _DECIMAL.fullmatch(value.strip())
+    return gateway_messages.RateLimit(float(value) if readable else None)
+
+
 WIRE_FORMAT = gateway_messages.WireFormat(
     read_request=read_request,
     dispatch_headers=dispatch_headers,
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -15,7 +15,7 @@
 from oriolejunction import blackboard as blackboards
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.http import gateway
-from oriolejunction.http import gateway_common
+from oriolejunction.http import gateway_state
 from oriolejunction import ids
 from oriolejunction.platform import engine_report
 from oriolejunction.platform import gateway_dialect
@@ -236,7 +236,7 @@
         self._write_backends = self.blackboard.backends.claim_writer("rig")
         self.write_fleet = self.blackboard.fleet.claim_writer("rig")
         self.put_in_force(table_in_force)
-        self.deps = gateway_common.new_dependencies(
+        self.deps = gateway_state.new_dependencies(
             self.clock,
             self.blackboard,
             gateway_dialect.WIRE_FORMAT,
--- a/tests/platform/test_gateway_dialect.py
+++ b/tests/platform/test_gateway_dialect.py
@@ -127,6 +127,27 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "per_s"),
+    [
+        (b"4.4", 4.4),
+        (b" 12 ", 12.0),
+        (b"0", 0.0),
+        (b".25", 0.25),
+        (b"9" * 30, 1e30),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e3", None),
+        (b"4,4", None),
+        (b"", None),
+    ],
+)
+def test_limit_is_a_decimal_number_or_not_read(value, per_s):
+    assert head(200, (b"server-limit", value)).rate_limit.per_s == per_s
+    assert head(200).rate_limit is None
+
+
 def test_head_shows_whose_answer_it_is_and_whether_it_ran():
     own = head(200, (b"attempt-id", b"9c41"), (b"response-signature", b"s"))
     assert (own.echoes_request_id, own.signed, own.success, own.not_run) == (
