Keep the limits that servers name, over all instances

Cause: nothing read the limit, and each path chose its servers by itself. Evidence: the failing test; all of 100 calls in 2 s reach a server that names 4 a second.

Change: each instance takes its part of a named rate, by its part of the requests to the service; the one list of available servers that all paths choose from leaves out servers at their limits; what no server can take in time is rejected at once with the time of the next free request.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -13,6 +13,7 @@
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import placement
+from oriolejunction.controllers.overload import server_limits
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import routing_table
@@ -31,6 +32,7 @@
     own_loads: load_table.LoadTable
     speeds: engine_speeds.EngineSpeeds
     health: backend_health.BackendHealth
+    limits: server_limits.ServerLimits
     zone: ids.ZoneId
     rng: random.Random
 
@@ -44,6 +46,29 @@
         excluded: frozenset[ids.BackendId] = frozenset(),
     ) -> list[backends.Backend]:
         """Return the backend servers of a service that may receive work."""
+        return [
+            each
+            for each in self._healthy(service, excluded)
+            if self.limits.allows(each.backend_id)
+        ]
+
+    def limited_wait_ms(
+        self, service: ids.ServiceName, ahead: int
+    ) -> tuple[float, float]:
+        """Return the wait that the limits of servers cause.
+
+        It is that behind `ahead` other requests, with the time between two;
+        both are 0 unless all servers of the service are at their limits.
+        """
+        return self.limits.expected_wait_ms(
+            [each.backend_id for each in self._healthy(service)], ahead
+        )
+
+    def _healthy(
+        self,
+        service: ids.ServiceName,
+        excluded: frozenset[ids.BackendId] = frozenset(),
+    ) -> list[backends.Backend]:
         reported = self.blackboard.fleet.read().suspects
         return [
             each
--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -47,6 +47,22 @@
         """Count the first send of a request."""
         self._recent(self._requests[service]).append(self._clock.now_ms())
 
+    def share(
+        self,
+        service: ids.ServiceName,
+        entries: int,
+        others: fm.ServiceUse | None,
+    ) -> float:
+        """Return this instance's part of the requests to a service.
+
+        Each of the `entries` instances counts as having one more request. If
+        it is not known what the others sent, all have equal parts.
+        """
+        if others is None:
+            return 1.0 / entries
+        own = len(self._recent(self._requests[service])) + 1
+        return own / (own + others.requests + entries - 1)
+
     def allows(
         self,
         service: ids.ServiceName,
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -111,9 +111,10 @@
                 if answer is not None and not self._retryable:
                     return answer
             if not done:
-                backend = self._choose_backend()
-                if backend is not None and self._attempts.may_send():
-                    tasks.add(self._start_attempt(backend))
+                if self._attempts.may_send():
+                    backend = self._choose_backend()
+                    if backend is not None:
+                        tasks.add(self._start_attempt(backend))
             elif not tasks and not self._may_retry():
                 return self._last_failure
 
@@ -148,18 +149,37 @@
             placement_queue.PlacementRequest(
                 self._choose_backend,
                 self._attempts.may_send,
-                lambda backend: None,
+                lambda backend: self._deps.limits.give_back(
+                    backend.backend_id
+                ),
+                self._limited_wait_ms,
             ),
         )
 
+    def _limited_wait_ms(self, ahead: int) -> float:
+        """Return the expected wait if all servers are at their limits."""
+        wait_ms, interval_ms = self._deps.view.limited_wait_ms(
+            self._admitted.service.name, ahead
+        )
+        if wait_ms:
+            self._attempts.expected_wait_ms = wait_ms
+            self._attempts.return_interval_ms = interval_ms
+        return wait_ms
+
     def _choose_backend(self) -> backends.Backend | None:
-        """Return a server not tried yet, else any available one."""
+        """Return a server not tried yet, else any available one.
+
+        The request to it counts against its limit.
+        """
         name = self._admitted.service.name
         view = self._deps.view
         untried = view.choose_for_call(
             name, frozenset(self._attempts.excluded)
         )
-        return untried or view.choose_for_call(name)
+        backend = untried or view.choose_for_call(name)
+        if backend is not None:
+            self._deps.limits.take(backend.backend_id)
+        return backend
 
     async def _run_attempt(
         self, backend: backends.Backend
@@ -209,6 +229,7 @@
             deps.pool.release(connection)
             return _BackendAnswer(head, body)
         except backend_connection.RequestNotSent as error:
+            deps.limits.give_back(backend.backend_id)
             backend_checks.mark_backend_lost(
                 deps, backend, f"not reached: {error}"
             )
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -320,7 +320,9 @@
     """Apply the limit that a server names in its answer, if it is its own."""
     is_replaced = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
     if (head.echoes_request_id or head.not_run) and not is_replaced:
-        deps.limits.observe(backend.backend_id, head.rate_limit, sent_ms)
+        deps.limits.observe(
+            backend.backend_id, backend.service, head.rate_limit, sent_ms
+        )
 
 
 def log_decision(
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -39,6 +39,14 @@
     health = backend_health.BackendHealth(clock)
     guard = crash_guard.CrashGuard(clock)
     parts = part_guard.PartGuard(clock, guard.losses, rng)
+    budget = resend_budget.ResendBudget(clock, limits)
+
+    def share_of(service: ids.ServiceName) -> float:
+        fleet = blackboard.fleet.read()
+        others = fleet.use_by_others(service, clock.now_ms())
+        return budget.share(service, fleet.entry_count, others)
+
+    limit_table = server_limits.ServerLimits(clock, rng, share_of)
     queue = placement_queue.PlacementQueue(clock)
     pool = connection_pool.ConnectionPool(clock)
     origins = origin_client.OriginClient(clock)
@@ -59,17 +67,25 @@
         blackboard=blackboard,
         wire_format=wire_format,
         pool=pool,
-        reports=report_probe.EngineReports(clock, pool, wire_format),
+        reports=report_probe.EngineReports(
+            clock, pool, wire_format, limit_table
+        ),
         view=backend_view.BackendView(
-            blackboard, own_loads, speeds, health, zone, rng
+            blackboard,
+            own_loads,
+            speeds,
+            health,
+            limit_table,
+            zone,
+            rng,
         ),
         own_loads=own_loads,
         speeds=speeds,
         health=health,
-        budget=resend_budget.ResendBudget(clock, limits),
+        budget=budget,
         guard=guard,
         parts=parts,
-        limits=server_limits.ServerLimits(clock),
+        limits=limit_table,
         lengths=answer_lengths.AnswerLengths(),
         telemetry=telemetry.GatewayTelemetry(),
         queue=queue,
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -103,6 +103,7 @@
         self._planner.last_copy_backend = None
         try:
             if not await self._planner.software.record(plan.backend):
+                self._deps.limits.give_back(plan.backend.backend_id)
                 return _AttemptEnd.REFUSED
             return await self._send_and_read(plan, attempt)
         finally:
@@ -126,6 +127,7 @@
             )
         except backend_connection.RequestNotSent as error:
             why = f"not reached: {error}"
+            self._deps.limits.give_back(plan.backend.backend_id)
             backend_checks.mark_backend_lost(self._deps, plan.backend, why)
             return self._handle_loss(plan, why)
         timing = stream_timing.AttemptTiming()
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -7,6 +7,7 @@
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers import stalls
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
@@ -42,7 +43,9 @@
         clock: clocks.Clock,
         pool: connection_pool.ConnectionPool,
         wire_format: gateway_messages.WireFormat,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._limits = limits
         self._clock = clock
         self._pool = pool
         self._wire_format = wire_format
@@ -55,11 +58,20 @@
     ) -> ReportReading:
         """Return a report asked for at `not_before_ms` or later.
 
-        It was asked for less than `REPORT_INTERVAL_MS` ago.
+        It was asked for less than `REPORT_INTERVAL_MS` ago. An engine that
+        takes no request now gives none.
         """
         self._forget_old_probes()
         probe = self._probe_by_address.get(backend.address)
         if probe is None or probe.asked_ms < not_before_ms:
+            if not self._limits.allows(backend.backend_id):
+                _log.info(
+                    "engine gave no report",
+                    backend=backend.backend_id,
+                    why="at its limit of requests",
+                )
+                return ReportReading(None, self._clock.now_ms())
+            self._limits.take(backend.backend_id)
             probe = self._start_probe(backend)
         # Others may wait for the same report.
         report = await asyncio.shield(probe.task)
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -113,7 +113,7 @@
             placement_queue.PlacementRequest(
                 self._try_plan,
                 self._attempts.may_send,
-                self.release,
+                self._return,
                 (
                     placement_queue.unknown_wait_ms
                     if has_started
@@ -135,7 +135,7 @@
         if plan is None:
             return None
         if not self._attempts.reserve_send():
-            self.release(plan)
+            self._return(plan)
             return None
         reachable = False
         try:
@@ -168,9 +168,17 @@
     def _forecast_wait_ms(self, ahead: int) -> float:
         """Return the expected wait behind `ahead` others of this instance.
 
-        It is 0 while nothing runs whose end would free capacity.
+        It is 0 while nothing runs whose end would free capacity, and no
+        server would take a request later.
         """
         service = self._admitted.service
+        limited_ms, limit_interval_ms = self._deps.view.limited_wait_ms(
+            service.name, ahead
+        )
+        if limited_ms:
+            self._attempts.expected_wait_ms = limited_ms
+            self._attempts.return_interval_ms = limit_interval_ms
+            return limited_ms
         interval_ms = self._deps.release_intervals.interval_ms(
             (service.name, self._answer.software), self._release_interval_ms
         )
@@ -202,9 +210,14 @@
 
     def discard(self, plan: StreamPlan) -> None:
         """Undo a plan of `plan_reachable`."""
-        self.release(plan)
+        self._return(plan)
         self._attempts.cancel_reservation()
 
+    def _return(self, plan: StreamPlan) -> None:
+        """Undo a plan that nothing was sent by."""
+        self.release(plan)
+        self._deps.limits.give_back(plan.backend.backend_id)
+
     def _try_plan(self) -> StreamPlan | None:
         excluded = self._attempts.excluded
         plan = self._plan_without(frozenset(excluded))
@@ -265,6 +278,7 @@
         tokens_to_prefill: int,
     ) -> StreamPlan:
         """Return the plan with its work counted on both engines."""
+        self._deps.limits.take(chosen.backend.backend_id)
         own_loads = self._deps.own_loads
         load_key = own_loads.begin(
             load_table.LoadEntry(
--- a/tests/controllers/overload/test_server_limits.py
+++ b/tests/controllers/overload/test_server_limits.py
@@ -1,26 +1,267 @@
 """Limits that servers name bind all instances together."""
 
+import bisect
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
 import structlog
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import server_limits
+from oriolejunction import fleet_messages as fm
 from oriolejunction import gateway_messages
 from oriolejunction import ids
 
-DESK = ids.BackendId("desk-0")
+DESK = ids.ServiceName("desk")
+SERVER, OTHER = ids.BackendId("desk-0"), ids.BackendId("desk-1")
+WINDOW_MS = 4_000.0
+ANSWER_MS = 45.0
+BUDGET = resend_budget.BudgetLimits(0.8, 150.0, 10_000.0)
 
 
 def named(per_s):
     return gateway_messages.RateLimit(per_s)
 
 
+def new_limits(clock, share=1.0, seed=1):
+    return server_limits.ServerLimits(
+        clock, random.Random(seed), lambda service: share
+    )
+
+
+def observe(limits, limit, sent_ms, server=SERVER):
+    limits.observe(server, DESK, limit, sent_ms)
+
+
+class Fleet:
+    """Instances that send to one server as often as it allows.
+
+    `weights` are their parts of the requests for the service; each knows the
+    counts of the others as they were `lag_ms` before, or not at all.
+    """
+
+    def __init__(self, weights, limit_per_s, lag_ms=400.0, knows_others=True):
+        self.clock = clocks.ManualClock(0.0)
+        self.rng = random.Random(7)
+        self.limit = named(limit_per_s)
+        self.lag_ms, self.knows_others = lag_ms, knows_others
+        self.weights = weights
+        self.budgets = [
+            resend_budget.ResendBudget(self.clock, BUDGET) for _ in weights
+        ]
+        self.tables = [
+            server_limits.ServerLimits(
+                self.clock,
+                random.Random(number),
+                lambda service, number=number: self.share_of(number),
+            )
+            for number in range(len(weights))
+        ]
+        self.reported = [0] * len(weights)
+        self.reported_ms = 0.0
+        self.forgets_others = False
+        self.sent_ms = []
+
+    def share_of(self, number):
+        entries, others = len(self.weights), None
+        if self.forgets_others:
+            entries, others = 1, fm.ServiceUse(DESK, 0, 0)
+        elif self.knows_others:
+            total = sum(self.reported) - self.reported[number]
+            others = fm.ServiceUse(DESK, total, 0)
+        return self.budgets[number].share(DESK, entries, others)
+
+    def run(self, duration_ms, requests_per_s=42.0):
+        """Offer requests; each is sent here, or at once to another server."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(1e3 * self.rng.expovariate(requests_per_s))
+            now_ms = self.clock.now_ms()
+            if now_ms - self.reported_ms >= self.lag_ms:
+                self.reported = [
+                    sum(use.requests for use in budget.uses({}))
+                    for budget in self.budgets
+                ]
+                self.reported_ms = now_ms
+            (number,) = self.rng.choices(
+                range(len(self.weights)), self.weights
+            )
+            self.budgets[number].count_request(DESK)
+            table = self.tables[number]
+            if table.allows(SERVER):
+                table.take(SERVER)
+                self.sent_ms.append(now_ms)
+                observe(table, self.limit, now_ms - ANSWER_MS)
+
+    def most_in_window(self, since_ms):
+        times = [at_ms for at_ms in self.sent_ms if at_ms >= since_ms]
+        return max(
+            (
+                bisect.bisect(times, at_ms + WINDOW_MS) - index
+                for index, at_ms in enumerate(times)
+            ),
+            default=0,
+        )
+
+
+def allowed(limit_per_s):
+    """Return how many requests the platform's rule allows in a window."""
+    return 1.5 * limit_per_s * WINDOW_MS / 1e3 + 5
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.3, 4.4, 20.0])
+@pytest.mark.parametrize(
+    "weights",
+    [[1] * 7, [40, 10, 1, 1, 1, 1, 1], [1] * 90, [1]],
+    ids=["even", "uneven", "many", "one"],
+)
+def test_instances_together_keep_a_limit_and_use_it(weights, limit_per_s):
+    """Load: more requests than the server takes, from all instances."""
+    fleet = Fleet(weights, limit_per_s)
+    fleet.run(40_000.0, requests_per_s=max(60.0, 2.0 * len(weights)))
+    assert fleet.most_in_window(3_000.0) <= allowed(limit_per_s)
+    later = [at_ms for at_ms in fleet.sent_ms if at_ms >= 10_000.0]
+    assert len(later) >= 0.6 * limit_per_s * 30.0
+
+
+def test_instances_that_cannot_ask_take_equal_parts():
+    """Load: no counts of others arrive."""
+    fleet = Fleet([1] * 7, 4.4, knows_others=False)
+    fleet.run(30_000.0)
+    assert fleet.most_in_window(3_000.0) <= allowed(4.4)
+
+
+def test_replica_that_forgot_the_others_raises_no_part():
+    """Load: a control replica starts again and knows no reports yet."""
+    fleet = Fleet([1] * 7, 4.4)
+    for _ in range(5):
+        fleet.run(3_000.0)
+        fleet.forgets_others = True
+        fleet.run(1_200.0)
+        fleet.forgets_others = False
+    assert fleet.most_in_window(3_000.0) <= allowed(4.4)
+
+
+def test_requests_that_wait_at_many_instances_are_not_sent_together():
+    """Load: 90 instances learn of a limit at once and hold requests."""
+    clock = clocks.ManualClock(0.0)
+    tables = [new_limits(clock, 1 / 90, seed) for seed in range(90)]
+    for table in tables:
+        observe(table, named(4.4), 0.0)
+    sent = 0
+    for _ in range(400):
+        clock.advance(10.0)
+        for table in tables:
+            if table.allows(SERVER):
+                table.take(SERVER)
+                sent += 1
+    assert sent <= allowed(4.4)
+
+
+def test_late_answer_raises_or_lifts_no_limit():
+    """Load: answers on two connections overtake each other."""
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    observe(limits, named(0.5), 990.0)
+    for late in (None, named(100.0)):
+        observe(limits, late, 995.0)
+        clock.advance(100.0)
+        assert not limits.allows(SERVER)
+    observe(limits, named(0.25), 995.0)
+    clock.advance(3_000.0)
+    assert not limits.allows(SERVER)
+    observe(limits, None, clock.now_ms())
+    assert limits.allows(SERVER)
+
+
+def test_limit_that_cannot_be_read_changes_nothing():
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    observe(limits, named(None), 1_000.0)
+    assert limits.allows(SERVER)
+    observe(limits, named(0.5), 1_000.0)
+    observe(limits, named(None), 1_100.0)
+    assert not limits.allows(SERVER)
+
+
+def test_new_incarnation_has_no_limit():
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    observe(limits, named(0.0), 1_000.0)
+    assert not limits.allows(SERVER)
+    assert limits.allows(OTHER)
+    limits.retain_only({OTHER})
+    assert limits.allows(SERVER)
+
+
+def test_request_that_was_not_sent_is_given_back():
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    observe(limits, named(1.0), 1_000.0)
+    clock.advance(1_000.0)
+    limits.take(SERVER)
+    assert not limits.allows(SERVER)
+    limits.give_back(SERVER)
+    assert limits.allows(SERVER)
+
+
+def test_wait_is_known_only_if_all_servers_are_at_their_limits():
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    observe(limits, named(2.0), 1_000.0)
+    limits.take(SERVER)
+    assert limits.expected_wait_ms([SERVER, OTHER], 3) == (0.0, 0.0)
+    assert limits.expected_wait_ms([], 3) == (0.0, 0.0)
+    assert limits.expected_wait_ms([SERVER], 3) == (2_000.0, 500.0)
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["observe", "lift", "send", "undo"]),
+            st.floats(0.0, 50.0),
+            st.floats(0.0, 2_000.0),
+        ),
+        max_size=80,
+    )
+)
+def test_no_order_of_events_exceeds_the_highest_limit(steps):
+    """Load: limits come, change and go while requests are sent."""
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    highest, sent, since_ms = 0.0, 0, None
+    for step, per_s, pause_ms in steps:
+        clock.advance(pause_ms)
+        if step == "lift":
+            observe(limits, None, clock.now_ms())
+            since_ms, sent, highest = None, 0, 0.0
+        elif step == "observe":
+            observe(limits, named(per_s), clock.now_ms())
+            since_ms = clock.now_ms() if since_ms is None else since_ms
+            highest = max(highest, per_s)
+        elif since_ms is not None and limits.allows(SERVER):
+            limits.take(SERVER)
+            if step == "undo":
+                limits.give_back(SERVER)
+            else:
+                sent += 1
+    if since_ms is not None:
+        passed_s = (clock.now_ms() - since_ms) / 1e3
+        probes = passed_s * 1e3 / server_limits.MIN_PROBE_MS
+        burst = max(1.0, highest * server_limits.BURST_S)
+        assert sent <= highest * passed_s + burst + probes + 1
+
+
 def test_each_change_of_a_limit_is_logged_once():
     clock = clocks.ManualClock(1_000.0)
-    limits = server_limits.ServerLimits(clock)
+    limits = new_limits(clock)
     with structlog.testing.capture_logs() as logs:
         for limit in (named(4.0), named(4.0), named(2.0), named(None), None):
             clock.advance(100.0)
-            limits.observe(DESK, limit, clock.now_ms())
+            observe(limits, limit, clock.now_ms())
     assert [(line["event"], line.get("per_s")) for line in logs] == [
         ("limit of server named", 4.0),
         ("limit of server named", 2.0),
--- a/tests/http/test_report_probe.py
+++ b/tests/http/test_report_probe.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import random
 
 import pytest
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers import stalls
 from oriolejunction.http import connection_pool
 from oriolejunction.http import report_probe
@@ -69,7 +71,10 @@
 async def test_report_is_shared_until_it_is_an_interval_old(probes):
     """Fault: each stream asked, or one that continued ended the others'."""
     clock = clocks.ManualClock()
-    reports = report_probe.EngineReports(clock, None, None)
+    limits = server_limits.ServerLimits(
+        clock, random.Random(1), lambda service: 1.0
+    )
+    reports = report_probe.EngineReports(clock, None, None, limits)
     ended, waiting = [
         asyncio.create_task(reports.read(ENGINE, 0.0)) for _ in range(2)
     ]
