Hold a server's limit beyond an answer without it

Cause: an instance dropped a limit with the first answer that named none, and knew only what was named to itself.

Change: instances report the limits that servers name to them; one holds for 4 s after the last answer to any instance that names it, longer where few requests are allowed, and then doubles each second until it is dropped.

--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -31,6 +31,7 @@
     "part_crashes",
     "cleared_parts",
     "blocked_parts",
+    "limits",
 )
 
 
@@ -52,6 +53,7 @@
     part_crashes: tuple[fm.PartCrash, ...] = ()
     cleared_parts: tuple[ids.PromptPart, ...] = ()
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
+    limits: tuple[fm.NamedLimit, ...] = ()
 
 
 class _ChangeTrackedSums:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -105,6 +105,7 @@
             self._deps.health,
             self._deps.guard,
             self._deps.parts,
+            self._deps.limits,
         ):
             source.on_change = self._watch.notify_report
         self.spawn(self._watch.run)
@@ -209,6 +210,7 @@
             part_crashes=self._deps.parts.crashes(),
             cleared_parts=self._deps.parts.cleared(),
             blocked_parts=self._deps.parts.blocked(),
+            limits=self._deps.limits.named(),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -52,6 +52,13 @@
     backend_id: ids.BackendId
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Requests a second that a server takes from all instances together."""
+
+    backend_id: ids.BackendId
+    per_s: float
+
+
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests to a service and resends of them in the last window.
 
@@ -72,6 +79,7 @@
     `answered` are requests with crashes that an engine answered in full.
     `cleared_parts` are accused parts of prompts that an engine answered on; a
     request with all parts of one of the sets `blocked_parts` is refused.
+    `limits` are those that servers name to the instance.
     """
 
     instance: ids.InstanceId
@@ -86,6 +94,7 @@
     part_crashes: tuple[PartCrash, ...] = ()
     cleared_parts: tuple[ids.PromptPart, ...] = ()
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -194,9 +203,9 @@
     are sums over the other entry instances; `entries` counts all entry
     instances, the receiver included. `loads` and `speeds` hold what changed
     since the change number in the request, or everything if `whole` is set;
-    `suspects`, `crashes`, `answered` and what concerns prompt parts are
-    complete whenever `seen` has changed. `uses` are sums over the other entry
-    instances and always complete.
+    `suspects`, `crashes`, `answered`, `limits` and what concerns prompt parts
+    are complete whenever `seen` has changed. `uses` are sums over the other
+    entry instances and always complete.
     `replicas` are the control replicas' peer addresses and availability
     zones.
     """
@@ -219,6 +228,7 @@
     part_crashes: tuple[PartCrash, ...] = ()
     cleared_parts: tuple[ids.PromptPart, ...] = ()
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -27,6 +27,9 @@
     )
     cleared_parts: frozenset[ids.PromptPart] = frozenset()
     blocked_parts: frozenset[frozenset[ids.PromptPart]] = frozenset()
+    limit_by_id: dict[ids.BackendId, float] = dataclasses.field(
+        default_factory=dict
+    )
     speed_by_id: dict[ids.BackendId, fm.EngineSpeed] = dataclasses.field(
         default_factory=dict
     )
@@ -71,6 +74,11 @@
         crashes_by_part=_by_part(reply.part_crashes),
         cleared_parts=frozenset(reply.cleared_parts),
         blocked_parts=frozenset(map(frozenset, reply.blocked_parts)),
+        # The lowest one, if instances were told different limits.
+        limit_by_id={
+            limit.backend_id: limit.per_s
+            for limit in sorted(reply.limits, reverse=True)
+        },
         speed_by_id=speeds,
     )
 
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -14,6 +14,7 @@
 from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction.controllers import part_guard
+from oriolejunction import fleet_view
 from oriolejunction import gateway_messages
 from oriolejunction.http import connection_pool
 from oriolejunction.http import gateway_common
@@ -46,7 +47,13 @@
         others = fleet.use_by_others(service, clock.now_ms())
         return budget.share(service, fleet.entry_count, others)
 
-    limit_table = server_limits.ServerLimits(clock, rng, share_of)
+    def hears_others() -> bool:
+        age_ms = clock.now_ms() - blackboard.fleet.read().updated_at_ms
+        return age_ms <= fleet_view.MAX_USE_AGE_MS
+
+    limit_table = server_limits.ServerLimits(
+        clock, rng, share_of, hears_others
+    )
     queue = placement_queue.PlacementQueue(clock)
     pool = connection_pool.ConnectionPool(clock)
     origins = origin_client.OriginClient(clock)
@@ -59,6 +66,11 @@
         )
     )
     blackboard.fleet.changes().subscribe(parts.update_reported)
+    blackboard.fleet.changes().subscribe(
+        lambda fleet: limit_table.update_reported(
+            fleet.limit_by_id, blackboard.backends.read().by_id
+        )
+    )
     blackboard.table.changes().subscribe(origins.retention.follow)
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -296,6 +296,7 @@
             part_crashes=update.part_crashes,
             cleared_parts=update.cleared_parts,
             blocked_parts=update.blocked_parts,
+            limits=update.limits,
             speeds=update.speeds,
             entries=max(1, hub.entry_count()),
             uses=hub.uses_of_others(request.instance),
