--- a/tests/controllers/overload/test_server_limits.py
+++ b/tests/controllers/overload/test_server_limits.py
@@ -69,6 +69,7 @@
         self.reported_ms = 0.0
         self.forgets_others = False
         self.sent_ms = []
+        self.is_named = lambda: True
 
     def share_of(self, number):
         entries, others = len(self.weights), None
@@ -101,7 +102,8 @@
             if table.allows(SERVER):
                 table.take(SERVER)
                 self.sent_ms.append(now_ms)
-                observe(table, self.limit, now_ms - ANSWER_MS)
+                limit = self.limit if self.is_named() else None
+                observe(table, limit, now_ms - ANSWER_MS)
 
     def exchange(self):
         """Let each instance know what the server named to any."""
@@ -112,12 +114,18 @@
                         {limit.backend_id: limit.per_s}, LISTED
                     )
 
-    def most_in_window(self, since_ms):
+    def rate_per_s(self):
+        now_ms = self.clock.now_ms()
+        return sum(at_ms > now_ms - 1_000.0 for at_ms in self.sent_ms)
+
+    def most_in_window(self, since_ms, until_ms=float("inf")):
+        """Return the most in a window that begins in this time."""
         times = [at_ms for at_ms in self.sent_ms if at_ms >= since_ms]
         return max(
             (
                 bisect.bisect(times, at_ms + WINDOW_MS) - index
                 for index, at_ms in enumerate(times)
+                if at_ms <= until_ms
             ),
             default=0,
         )
@@ -143,6 +151,33 @@
     assert len(later) >= 0.6 * limit_per_s * 30.0
 
 
+@pytest.mark.parametrize("named_fraction", [0.6, 0.3, 0.1])
+def test_limit_is_kept_if_few_answers_name_it(named_fraction):
+    """Load: most answers of a server in need do not state its limit."""
+    fleet = Fleet([1] * 7, 4.4)
+    fleet.is_named = lambda: fleet.rng.random() < named_fraction
+    fleet.run(40_000.0)
+    assert fleet.most_in_window(3_000.0) <= allowed(4.4)
+
+
+def test_limit_is_kept_in_windows_that_outlast_the_need():
+    """Load: a server is in need for five seconds."""
+    fleet = Fleet([1] * 7, 4.4)
+    fleet.is_named = lambda: fleet.clock.now_ms() < 5_000.0
+    fleet.run(40_000.0)
+    assert fleet.most_in_window(3_000.0, 5_000.0) <= allowed(4.4)
+    free = [at_ms for at_ms in fleet.sent_ms if at_ms >= 15_000.0]
+    assert len(free) >= 25 * 30
+
+
+def test_limit_is_kept_if_it_is_named_only_above_it():
+    """Load: a server states its limit only while it gets more."""
+    fleet = Fleet([1] * 7, 4.4)
+    fleet.is_named = lambda: fleet.rate_per_s() > 4.4
+    fleet.run(60_000.0)
+    assert fleet.most_in_window(3_000.0) <= allowed(4.4)
+
+
 def test_instances_that_cannot_ask_take_equal_parts():
     """Load: no counts of others arrive."""
     fleet = Fleet([1] * 7, 4.4, knows_others=False)
