Bound what servers may send without end

Callers got 504 at their deadline instead of another server's answer, and the instance's memory grew with the bytes.

Cause: bodies were kept whole, each chunk counted as progress of a stream, and sockets were read without limit and parsed at once.

Change: connections parse as far as the answer is read and stop reading the socket at 256 KiB; bodies end at 8 MiB, streams after 1 MiB without a numbered event, interim answers after 16; stalls are measured between events; stray bytes reset the connection. The product's own clients read bodies with the same bound.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -3,6 +3,9 @@
 h11 does the framing. This module tracks what HTTP clients hide: whether any
 byte of a request was sent, whether an answer ended cleanly or was reset, and
 whether stray bytes make a connection unfit for reuse.
+
+A server may send bytes without end. They are parsed only as far as the answer
+is read, and no more than `MAX_UNREAD_BYTES` are taken from the socket before.
 """
 
 import asyncio
@@ -14,8 +17,13 @@
 import h11
 
 from oriolejunction import clock as clocks
+from oriolejunction.http import bounded_body
 
 MAX_HEAD_BYTES = 65_536
+MAX_UNREAD_BYTES = 262_144
+# Parsed at once before other requests of this process have their turn.
+PARSED_BYTES = 4_096
+MAX_INTERIM_ANSWERS = 16
 # The kernel closes a connection with data unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1_500
 # Connections idle for longer than this fraction of the peer's keep-alive
@@ -63,7 +71,8 @@
         )
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
-        self._pending_events: collections.deque = collections.deque()
+        self._unread: collections.deque[bytes] = collections.deque()
+        self._unread_bytes = 0
         self._failure_reason: str | None = None
         self._busy = False
         self._keep_alive = True
@@ -81,18 +90,23 @@
             )
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; fail if no request is in progress."""
+        """Keep received bytes; fail if no request is in progress."""
         if not self._busy:
             self._fail("received bytes while no request was in progress")
+            self._transport.abort()
             return
-        self._h11.receive_data(data)
-        self._parse_events()
+        for start in range(0, len(data), PARSED_BYTES):
+            self._unread.append(data[start : start + PARSED_BYTES])
+        self._unread_bytes += len(data)
+        if self._unread_bytes > MAX_UNREAD_BYTES:
+            self._transport.pause_reading()
+        self._wake()
 
     def eof_received(self) -> bool:
         """Handle a clean end, which may complete an answer without length."""
         if self._busy and self._failure_reason is None:
-            self._h11.receive_data(b"")
-            self._parse_events()
+            # h11 takes no bytes for the end.
+            self._unread.append(b"")
         self._fail("closed by the peer")
         return False
 
@@ -126,13 +140,15 @@
 
     async def read_response_head(self) -> ResponseHead:
         """Return the head of the answer; raise `ConnectionBroken`."""
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._read_keep_alive(event)
                 return ResponseHead(
                     event.status_code, event.reason, tuple(event.headers)
                 )
+        self.close()
+        raise ConnectionBroken("too many interim answers")
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, None at its clean end."""
@@ -156,7 +172,7 @@
             self._keep_alive
             and self._failure_reason is None
             and not trailing
-            and not self._pending_events
+            and not self._unread
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
         )
@@ -178,22 +194,6 @@
                             KEEP_ALIVE_FRACTION * 1e3 * int(number)
                         )
 
-    def _parse_events(self) -> None:
-        try:
-            while True:
-                event = self._h11.next_event()
-                if event in (h11.NEED_DATA, h11.PAUSED):
-                    break
-                if isinstance(event, h11.ConnectionClosed):
-                    break
-                self._pending_events.append(event)
-                if isinstance(event, h11.EndOfMessage):
-                    break
-        except h11.RemoteProtocolError as error:
-            self._fail(f"no HTTP answer: {error}")
-            return
-        self._wake()
-
     def _fail(self, why: str) -> None:
         if self._failure_reason is None:
             self._failure_reason = why
@@ -203,16 +203,43 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    async def _next_event(self):
-        while not self._pending_events:
-            if self._failure_reason is not None:
-                raise ConnectionBroken(self._failure_reason)
-            self._waiter = asyncio.get_running_loop().create_future()
+    async def _next_event(self) -> h11.Event:
+        """Return the next part of the answer; raise `ConnectionBroken`."""
+        while True:
             try:
-                await self._waiter
-            finally:
-                self._waiter = None
-        return self._pending_events.popleft()
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._fail(f"no HTTP answer: {error}")
+                self.close()
+                raise ConnectionBroken(self._failure_reason)
+            if isinstance(event, h11.ConnectionClosed):
+                raise ConnectionBroken(self._failure_reason)
+            if event is not h11.NEED_DATA and event is not h11.PAUSED:
+                return event
+            if self._unread:
+                self._h11.receive_data(self._take_unread())
+                if self._unread:
+                    await asyncio.sleep(0)
+            elif self._failure_reason is not None:
+                raise ConnectionBroken(self._failure_reason)
+            else:
+                await self._wait()
+
+    def _take_unread(self) -> bytes:
+        data = self._unread.popleft()
+        was_full = self._unread_bytes > MAX_UNREAD_BYTES
+        self._unread_bytes -= len(data)
+        if was_full and self._unread_bytes <= MAX_UNREAD_BYTES:
+            self._transport.resume_reading()
+        return data
+
+    async def _wait(self) -> None:
+        """Wait until bytes arrive or the connection ends."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
 
 
 async def connect(
@@ -261,8 +288,13 @@
         [], collections.abc.Awaitable[bytes | None]
     ],
 ) -> bytes:
-    """Return the rest of an answer; raise what `read_chunk` raises."""
-    pieces = []
+    """Return the rest of an answer; raise what `read_chunk` raises.
+
+    Raise `ConnectionBroken` for one that is larger than allowed.
+    """
+    body = bytearray()
     while (piece := await read_chunk()) is not None:
-        pieces.append(piece)
-    return b"".join(pieces)
+        body += piece
+        if len(body) > bounded_body.MAX_BODY_BYTES:
+            raise ConnectionBroken("the answer is too large")
+    return bytes(body)
--- /dev/null
+++ b/src/oriolejunction/http/event_reader.py
@@ -0,0 +1,66 @@
+"""Reads the numbered events of a stream from a backend server."""
+
+import collections.abc
+
+from oriolejunction import gateway_messages
+from oriolejunction.http import backend_connection
+
+# Bytes that may arrive without a complete numbered event.
+MAX_EVENT_BYTES = 1 << 20
+_SEPARATOR = b"\n\n"
+
+
+class EventReader:
+    """Splits one answer into events; blocks without a number are dropped."""
+
+    def __init__(
+        self,
+        read_chunk: collections.abc.Callable[
+            [], collections.abc.Awaitable[bytes | None]
+        ],
+        read_event: collections.abc.Callable[
+            [bytes], gateway_messages.NumberedEvent | None
+        ],
+    ) -> None:
+        self._read_chunk = read_chunk
+        self._read_event = read_event
+        self._incomplete = bytearray()
+        self._bytes_without_event = 0
+
+    @property
+    def is_within_event(self) -> bool:
+        """Return whether the bytes so far end inside an event."""
+        return bool(self._incomplete.strip())
+
+    async def read(self) -> list[gateway_messages.NumberedEvent] | None:
+        """Return the next events, None at the end of the answer.
+
+        Raise `ConnectionBroken` for bytes that are no event.
+        """
+        while (chunk := await self._read_chunk()) is not None:
+            events = [
+                event
+                for block in self._split(chunk)
+                if (event := self._read_event(block)) is not None
+            ]
+            if events:
+                self._bytes_without_event = 0
+                return events
+            self._bytes_without_event += len(chunk)
+            if self._bytes_without_event > MAX_EVENT_BYTES:
+                raise backend_connection.ConnectionBroken(
+                    f"no event within {MAX_EVENT_BYTES} bytes"
+                )
+        return None
+
+    def _split(self, chunk: bytes) -> list[bytes]:
+        """Return the blocks that a chunk completes."""
+        # The separator may begin with the last byte before the chunk.
+        searched = max(0, len(self._incomplete) - 1)
+        self._incomplete += chunk
+        end = self._incomplete.rfind(_SEPARATOR, searched)
+        if end < 0:
+            return []
+        blocks = bytes(self._incomplete[:end]).split(_SEPARATOR)
+        del self._incomplete[: end + len(_SEPARATOR)]
+        return blocks
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -19,6 +19,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import crash_records
 from oriolejunction.http import engine_answers
+from oriolejunction.http import event_reader
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stall_handlers
@@ -35,7 +36,6 @@
 MAX_CONNECTION_IDLE_MS = 1_000.0
 # Engines admit resumed streams before new ones, whose priority is 5.
 RESUMED_ENGINE_PRIORITY = 2
-MAX_EVENT_BYTES = 1 << 20
 
 
 class _AttemptEnd(enum.Enum):
@@ -220,18 +220,13 @@
         if refusal is not None:
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
-        incomplete = b""
+        events = event_reader.EventReader(
+            connection.read_chunk, self._deps.wire_format.read_event
+        )
         while True:
-            chunk = await reader.read(connection.read_chunk, limits)
-            if chunk is None:
+            received = await reader.read(events.read, limits)
+            if received is None:
                 break
-            *blocks, incomplete = (incomplete + chunk).split(b"\n\n")
-            if len(incomplete) > MAX_EVENT_BYTES:
-                raise backend_connection.ConnectionBroken(
-                    "the event is too large"
-                )
-            if not blocks:
-                continue
             now_ms = clock.now_ms()
             if timing.first_ms is None:
                 # Engines begin the KV cache copy at the first event, not
@@ -248,9 +243,9 @@
                 )
             # Without an event, the caller can still get another answer.
             await self._send_head(head)
-            await self._deliver(plan, attempt, blocks)
+            await self._deliver(attempt, received)
             limits = next_event_limits
-        if incomplete.strip():
+        if events.is_within_event:
             raise backend_connection.ConnectionBroken(
                 "the stream ended within an event"
             )
@@ -283,13 +278,10 @@
             )
 
     async def _deliver(
-        self, plan: stream_plan.StreamPlan, attempt, blocks: list[bytes]
+        self, attempt, events: list[gateway_messages.NumberedEvent]
     ) -> None:
         out = []
-        for block in blocks:
-            event = self._deps.wire_format.read_event(block)
-            if event is None:
-                continue
+        for event in events:
             outcome = self._answer.commit(attempt, event)
             if outcome is states.CommitOutcome.COMMITTED:
                 out.append(event.data + b"\n\n")
--- a/src/oriolejunction/http/load_reports.py
+++ b/src/oriolejunction/http/load_reports.py
@@ -13,6 +13,7 @@
 from oriolejunction.controllers import membership as memberships
 from oriolejunction.controllers import prefix_caches
 from oriolejunction import engine_protocol
+from oriolejunction.http import bounded_body
 from oriolejunction.http import fetch_errors
 
 POLL_INTERVAL_MS = 500
@@ -88,7 +89,7 @@
         sent_at_ms = self._deps.clock.now_ms()
         async with self._session.get(engine.url + "/load") as response:
             response.raise_for_status()
-            report = _decode_report(await response.read())
+            report = _decode_report(await bounded_body.read(response))
         self._deps.membership.observe_report(
             msgspec.structs.replace(report, engine_id=engine.engine_id),
             sent_at_ms,
@@ -100,7 +101,7 @@
         async with self._session.get(url) as response:
             if response.status != 200:
                 return
-            events = _decode_events(await response.read())
+            events = _decode_events(await bounded_body.read(response))
         self._deps.caches.observe(engine.engine_id, events)
 
 
--- a/src/oriolejunction/http/order_client.py
+++ b/src/oriolejunction/http/order_client.py
@@ -11,6 +11,7 @@
 from oriolejunction.controllers import orders
 from oriolejunction import engine_protocol
 from oriolejunction import errors
+from oriolejunction.http import bounded_body
 
 OBSERVE_TIMEOUT_S = 1.0
 _encode = msgspec.json.Encoder().encode
@@ -43,7 +44,7 @@
                 if response.status == 404:
                     return None
                 response.raise_for_status()
-                holdings = _decode_holdings(await response.read())
+                holdings = _decode_holdings(await bounded_body.read(response))
         except (
             aiohttp.ClientError,
             OSError,
--- a/src/oriolejunction/http/platform_list.py
+++ b/src/oriolejunction/http/platform_list.py
@@ -6,6 +6,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import membership as memberships
+from oriolejunction.http import bounded_body
 from oriolejunction.http import fetch_errors
 from oriolejunction import ids
 from oriolejunction import states
@@ -62,7 +63,7 @@
         try:
             async with self._session.get(self._url) as response:
                 response.raise_for_status()
-                listed = _decode(await response.read())
+                listed = _decode(await bounded_body.read(response))
         except fetch_errors.FETCH_ERRORS as error:
             _log.warning("no platform list", why=repr(error))
             return
--- a/src/oriolejunction/http/service_client.py
+++ b/src/oriolejunction/http/service_client.py
@@ -9,6 +9,7 @@
 
 from oriolejunction import commands
 from oriolejunction import errors
+from oriolejunction.http import bounded_body
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 30.0
@@ -50,7 +51,7 @@
                 return commands.StoredAnswer(
                     status=response.status,
                     content_type=response.content_type,
-                    body=await response.read(),
+                    body=await bounded_body.read(response),
                 )
         except (
             aiohttp.ClientConnectorError,
--- a/src/oriolejunction/platform/backend_list.py
+++ b/src/oriolejunction/platform/backend_list.py
@@ -10,6 +10,7 @@
 
 from oriolejunction import backends
 from oriolejunction import errors
+from oriolejunction.http import bounded_body
 from oriolejunction.http import fetch_errors
 from oriolejunction import ids
 
@@ -73,7 +74,7 @@
             raise errors.Failure(
                 errors.ListUnavailable(f"status {response.status}")
             )
-        return read_page(await response.read())
+        return read_page(await bounded_body.read(response))
 
 
 def read_page(data: bytes) -> _Page:
