Resume an unframed stream whose engine is gone

Callers got a stream that looked complete after an engine had crashed between two events, and an empty success if it crashed before the first.

Cause: the clean end of a connection was taken for the end of the answer; the end of a process closes its connections cleanly too. Evidence: 3 of 7 cases of tests/http/test_unframed_streams.py fail on the code before.

Change: such a stream is complete only if it had an event and its engine accepts a new connection. It clears the parts of its prompt only then, too. Result: all cases pass, and the stream tests.

--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -127,6 +127,22 @@
     return True
 
 
+async def check_unframed_end(
+    deps: gateway_common.GatewayDependencies,
+    backend: backends.Backend,
+    last_event: int,
+) -> None:
+    """Raise `ConnectionBroken` if a stream may have been broken off.
+
+    Its engine marked the end only by closing the connection, which a crash
+    does too.
+    """
+    if not last_event or not await is_reachable(deps, backend):
+        raise backend_connection.ConnectionBroken(
+            "the stream ended with its connection, maybe too early"
+        )
+
+
 def mark_replaced(
     deps: gateway_common.GatewayDependencies,
     backend: backends.Backend,
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -76,6 +76,8 @@
         self._failure_reason: str | None = None
         self._busy = False
         self._keep_alive = True
+        # Whether only the end of the connection ends the current answer.
+        self.ends_answer = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set socket options; called by asyncio."""
@@ -183,6 +185,10 @@
         self._busy = False
 
     def _read_keep_alive(self, response: h11.Response) -> None:
+        self.ends_answer = not any(
+            name in (b"content-length", b"transfer-encoding")
+            for name, _ in response.headers
+        )
         for name, value in response.headers:
             if name == b"connection" and b"close" in value.lower():
                 self._keep_alive = False
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -249,6 +249,10 @@
             raise backend_connection.ConnectionBroken(
                 "the stream ended within an event"
             )
+        if connection.ends_answer:
+            await backend_checks.check_unframed_end(
+                self._deps, plan.backend, self._answer.last_event
+            )
         await self._send_head(head)
         self._deps.pool.release(connection)
         self._deps.lengths.add(
