Run an isolated request on one engine at a time

Change: the dispatcher finds no engine for a request while an isolated run of it has neither stalled nor passed its probation. Evidence: test_isolated_request_runs_on_one_engine_at_a_time needs the new question, so it fails on the code before only for want of it.

--- a/src/oriolejunction/controllers/dispatcher.py
+++ b/src/oriolejunction/controllers/dispatcher.py
@@ -138,7 +138,9 @@
         deps = self._deps
         deps.membership.refresh()
         engines = routing.candidates(deps.blackboard, route)
-        if deps.quarantine.verdict_delay_ms(route.fingerprint) > 0:
+        if deps.quarantine.verdict_delay_ms(
+            route.fingerprint
+        ) > 0 or deps.quarantine.is_on_trial(route.fingerprint):
             return []
         if deps.quarantine.must_isolate(route.fingerprint):
             return self._without_suspects(route, engines)
--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -245,6 +245,19 @@
         strike = self.last_strike(fingerprint)
         return strike is not None and strike.suspect
 
+    def is_on_trial(self, fingerprint: ids.Fingerprint) -> bool:
+        """Return whether an isolated run has yet to clear a request.
+
+        A second run beside it could crash another engine before the first
+        one shows anything. A stalled run has its strike and counts no more.
+        """
+        return self.must_isolate(fingerprint) and any(
+            attempt.fingerprint == fingerprint
+            and attempt.suspect
+            and not attempt.struck
+            for attempt in self._attempt_by_placement.values()
+        )
+
     def refused_for_ms(self, fingerprint: ids.Fingerprint) -> float:
         """Return how long a request is still refused; 0 if it may run."""
         self._update_refusal(fingerprint)
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -66,6 +66,32 @@
     assert quarantine.refused_for_ms("innocent") == 0
 
 
+def test_isolated_request_runs_on_one_engine_at_a_time():
+    """Load: an isolated run is silent for a while, and then crashes."""
+    quarantine, clock = _quarantine()
+    _lose(quarantine, _dispatch(quarantine, "poison", "e0"))
+    assert not quarantine.is_on_trial("poison")
+    isolated = _dispatch(quarantine, "poison", "e1")
+    assert quarantine.is_on_trial("poison")
+    assert not quarantine.is_on_trial("innocent")
+    _lose(quarantine, isolated)
+    assert not quarantine.is_on_trial("poison")
+    _wait_for_verdict(clock)
+    assert quarantine.refused_for_ms("poison") > 0
+
+
+def test_trial_ends_with_a_stall_or_enough_tokens():
+    quarantine, _ = _quarantine()
+    _lose(quarantine, _dispatch(quarantine, "innocent", "e0"))
+    stalled = _dispatch(quarantine, "innocent", "e1")
+    quarantine.record_stall(stalled, "z1")
+    assert not quarantine.is_on_trial("innocent")
+    again = _dispatch(quarantine, "innocent", "e2")
+    assert quarantine.is_on_trial("innocent")
+    quarantine.record_progress(again, quarantines.PROBATION_TOKENS)
+    assert not quarantine.is_on_trial("innocent")
+
+
 # A stall and the loss that follows it are one event, not two.
 def test_stall_and_loss_of_one_attempt_give_one_strike():
     quarantine, clock = _quarantine()
