Excuse no second strike by a request with fewer strikes

Cause, traced: the isolated request shared its second engine with a new request, which another instance had sent within the delay of the gossip; both were suspects of that loss, so neither was refused, and the request went to a third engine. The new one had one strike and could not explain the first loss. Change: another suspect leaves a loss undecided only if it has as many valid strikes. Evidence: test_new_request_on_the_engine_excuses_no_second_strike fails on the code before.

--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -302,16 +302,22 @@
         if len(strikes) < 2 or self.verdict_delay_ms(fingerprint) > 0:
             return
         last = strikes[-1]
-        if not last.suspect or self._has_other_suspect(last):
+        if not last.suspect or self._has_other_suspect(last, len(strikes)):
             return
         self._refused_until_ms[fingerprint] = last.at_ms + QUARANTINE_MS
 
-    def _has_other_suspect(self, strike: Strike) -> bool:
+    def _has_other_suspect(self, strike: Strike, strikes: int) -> bool:
+        """Return whether another request may have caused as many losses.
+
+        One that got to the engine before its instance knew of the isolation
+        does not explain the losses before.
+        """
         return any(
             other.fingerprint != strike.fingerprint
             and other.suspect
             and other.engine_id == strike.engine_id
             and abs(other.at_ms - strike.at_ms) <= LOSS_WINDOW_MS
+            and len(self._valid_strikes(other.fingerprint)) >= strikes
             for other in self._all_strikes()
         )
 
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -80,6 +80,35 @@
     assert quarantine.refused_for_ms("poison") > 0
 
 
+def test_new_request_on_the_engine_excuses_no_second_strike():
+    """Load: another instance sends it before it knows of the isolation."""
+    quarantine, clock = _quarantine()
+    _lose(quarantine, _dispatch(quarantine, "poison", "e0"))
+    clock.advance(2_000)
+    isolated = _dispatch(quarantine, "poison", "e1")
+    new = _dispatch(quarantine, "innocent", "e1")
+    _lose(quarantine, isolated)
+    _lose(quarantine, new)
+    _wait_for_verdict(clock)
+    assert quarantine.refused_for_ms("poison") > 0
+    assert quarantine.refused_for_ms("innocent") == 0
+
+
+def test_two_requests_with_the_same_strikes_are_both_sent_again():
+    """Load: one of them crashed both engines; which one is not known."""
+    quarantine, clock = _quarantine()
+    for engine in ("e0", "e1"):
+        placements = [
+            _dispatch(quarantine, name, engine)
+            for name in ("poison", "innocent")
+        ]
+        for placement in placements:
+            _lose(quarantine, placement)
+        clock.advance(2_000)
+    assert quarantine.refused_for_ms("poison") == 0
+    assert quarantine.refused_for_ms("innocent") == 0
+
+
 def test_trial_ends_with_a_stall_or_enough_tokens():
     quarantine, _ = _quarantine()
     _lose(quarantine, _dispatch(quarantine, "innocent", "e0"))
