Count only losses that a request may have caused

Change: only strikes as a suspect are compared. Evidence: test_loss_after_its_probation_makes_no_request_a_suspect fails on the code before.

--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -302,25 +302,30 @@
         if len(strikes) < 2 or self.verdict_delay_ms(fingerprint) > 0:
             return
         last = strikes[-1]
-        if not last.suspect or self._has_other_suspect(last, len(strikes)):
+        if not last.suspect or self._has_other_suspect(last):
             return
         self._refused_until_ms[fingerprint] = last.at_ms + QUARANTINE_MS
 
-    def _has_other_suspect(self, strike: Strike, strikes: int) -> bool:
+    def _has_other_suspect(self, strike: Strike) -> bool:
         """Return whether another request may have caused as many losses.
 
         One that got to the engine before its instance knew of the isolation
         does not explain the losses before.
         """
+        losses = self._count_suspected(strike.fingerprint)
         return any(
             other.fingerprint != strike.fingerprint
             and other.suspect
             and other.engine_id == strike.engine_id
             and abs(other.at_ms - strike.at_ms) <= LOSS_WINDOW_MS
-            and len(self._valid_strikes(other.fingerprint)) >= strikes
+            and self._count_suspected(other.fingerprint) >= losses
             for other in self._all_strikes()
         )
 
+    def _count_suspected(self, fingerprint: ids.Fingerprint) -> int:
+        """Return how many losses a request may have caused."""
+        return sum(s.suspect for s in self._valid_strikes(fingerprint))
+
     def _all_strikes(self) -> collections.abc.Iterator[Strike]:
         return itertools.chain.from_iterable(
             self._strikes_by_fingerprint.values()
--- a/tests/controllers/test_quarantine.py
+++ b/tests/controllers/test_quarantine.py
@@ -94,6 +94,24 @@
     assert quarantine.refused_for_ms("innocent") == 0
 
 
+def test_loss_after_its_probation_makes_no_request_a_suspect():
+    """Load: a request lost its engine late, and meets an isolated one."""
+    quarantine, clock = _quarantine()
+    late = _dispatch(quarantine, "innocent", "e4")
+    quarantine.record_progress(late, quarantines.PROBATION_TOKENS)
+    _lose(quarantine, late)
+    clock.advance(2_000)
+    _lose(quarantine, _dispatch(quarantine, "poison", "e0"))
+    clock.advance(2_000)
+    isolated = _dispatch(quarantine, "poison", "e1")
+    beside = _dispatch(quarantine, "innocent", "e1", offset=16)
+    _lose(quarantine, isolated)
+    _lose(quarantine, beside)
+    _wait_for_verdict(clock)
+    assert quarantine.refused_for_ms("poison") > 0
+    assert quarantine.refused_for_ms("innocent") == 0
+
+
 def test_two_requests_with_the_same_strikes_are_both_sent_again():
     """Load: one of them crashed both engines; which one is not known."""
     quarantine, clock = _quarantine()
