Blame parts of prompts only for crashes of several requests

Cause: a part counted every engine lost with it, also those of one request that was sent again and again, which the guard of whole requests blocks. Evidence: test_parts_of_one_request_that_crashes_engines_are_not_blocked fails on the code before.

Change: a crash of a part names its request, and a part is blocked for crashes of two requests or more; four independent ones need no delay unless the part was cleared lately. A stream that broke off at its beginning is now sent on only once it is known whether its engine crashed.

--- a/src/oriolejunction/controllers/crash_suspects.py
+++ b/src/oriolejunction/controllers/crash_suspects.py
@@ -17,7 +17,7 @@
 def find_culprits(
     crashed_by_part: dict[ids.PromptPart, Engines],
     losses: loss_history.LossHistory,
-    min_crashes: collections.abc.Callable[[ids.PromptPart], int],
+    min_crashes: collections.abc.Callable[[ids.PromptPart], float],
     is_known_sound: collections.abc.Callable[[ids.PromptPart], bool],
 ) -> list[frozenset[ids.PromptPart]]:
     """Return sets of parts, each of which explains many crashes.
--- a/src/oriolejunction/controllers/part_guard.py
+++ b/src/oriolejunction/controllers/part_guard.py
@@ -7,7 +7,8 @@
 
 A lost engine accuses the shared parts of each request whose answer it had not
 written for `BEGUN_MS`. An answer that is written for longer, or completely,
-clears its parts at all instances. A blocked part stays blocked while requests
+clears its parts at all instances. Crashes of one and the same request accuse
+that request rather than its parts. A blocked part stays blocked while requests
 with it come; now and then one of them is let through as a probe.
 """
 
@@ -29,6 +30,9 @@
 # An engine that wrote for this long has not crashed by beginning the answer.
 BEGUN_MS = 1_000.0
 MIN_CRASHES = 3
+MIN_REQUESTS = 2
+# Crashes that need not be judged later, unless the part was cleared lately.
+MIN_CRASHES_AT_ONCE = 4
 # A crash is judged after this time, in which it may be taken back and other
 # instances report the parts that they know to be sound.
 JUDGE_DELAY_MS = 500.0
@@ -44,6 +48,7 @@
 PROBE_BACKOFF = 6.0
 MAX_PROBE_MS = 3_600_000.0
 MAX_ACCUSED_PARTS = 256
+MAX_CRASHES_PER_PART = 64
 MAX_REPORTED_CRASHES = 64
 MAX_CLEARED_PARTS = 2_048
 MAX_BLOCKS = 64
@@ -78,8 +83,8 @@
         self._rng = rng
         # When each engine was lost with a part, as this instance saw it and
         # as it heard from others.
-        self._own: dict[ids.PromptPart, dict[ids.BackendId, float]] = {}
-        self._reported: dict[ids.PromptPart, dict[ids.BackendId, float]] = {}
+        self._own: dict[ids.PromptPart, dict[fm.PartCrash, float]] = {}
+        self._reported: dict[ids.PromptPart, dict[fm.PartCrash, float]] = {}
         # When parts were last cleared here, the oldest first.
         self._cleared_ms: dict[ids.PromptPart, float] = {}
         self._block_by_parts: dict[Parts, _Block] = {}
@@ -91,26 +96,32 @@
         self,
         parts: collections.abc.Iterable[ids.PromptPart],
         backend_id: ids.BackendId,
+        fingerprint: ids.Fingerprint,
     ) -> None:
-        """Record that an engine was lost as it began to answer on parts."""
+        """Record that an engine was lost as it began to answer a request."""
         now_ms = self._clock.now_ms()
         for part in parts:
-            self._own.setdefault(part, {}).setdefault(backend_id, now_ms)
+            crash = fm.PartCrash(part, backend_id, fingerprint)
+            crashes = self._own.setdefault(part, {})
+            crashes.setdefault(crash, now_ms)
+            if len(crashes) > MAX_CRASHES_PER_PART:
+                del crashes[next(iter(crashes))]
             self._postpone_probes(part)
         while len(self._own) > MAX_ACCUSED_PARTS:
             del self._own[next(iter(self._own))]
-        self._judge_soon(now_ms)
+        self._judge_at(now_ms)
         self.on_change()
 
     def take_back(
         self,
         parts: collections.abc.Iterable[ids.PromptPart],
         backend_id: ids.BackendId,
+        fingerprint: ids.Fingerprint,
     ) -> None:
         """Forget the crash of an engine that proved not to have crashed."""
         for part in parts:
             crashed = self._own.get(part, {})
-            crashed.pop(backend_id, None)
+            crashed.pop(fm.PartCrash(part, backend_id, fingerprint), None)
             if not crashed:
                 self._own.pop(part, None)
         self.on_change()
@@ -155,9 +166,9 @@
             if max(crashed.values(), default=oldest_ms) <= oldest_ms:
                 del self._own[part]
         pairs = (
-            (at_ms, fm.PartCrash(part, backend_id))
-            for part, crashed in self._own.items()
-            for backend_id, at_ms in crashed.items()
+            (at_ms, crash)
+            for crashed in self._own.values()
+            for crash, at_ms in crashed.items()
             if at_ms > oldest_ms
         )
         newest = sorted(pairs, key=lambda pair: pair[0], reverse=True)
@@ -218,15 +229,14 @@
         now_ms = self._clock.now_ms()
         known = self._reported
         self._reported = {}
-        for part, backend_ids in others.crashes_by_part.items():
+        for part, crashes in others.crashes_by_part.items():
             before = known.get(part, {})
             self._reported[part] = {
-                backend_id: before.get(backend_id, now_ms)
-                for backend_id in backend_ids
+                crash: before.get(crash, now_ms) for crash in crashes
             }
-            if backend_ids - before.keys():
+            if crashes - before.keys():
                 self._postpone_probes(part)
-                self._judge_soon(now_ms)
+                self._judge_at(now_ms)
 
     def _drop_old_crashes(self, part: ids.PromptPart) -> None:
         """Drop the own crashes that a part which others clear outlived."""
@@ -235,7 +245,9 @@
         if crashed is None:
             return
         recent = {
-            b: at_ms for b, at_ms in crashed.items() if at_ms > oldest_ms
+            crash: at_ms
+            for crash, at_ms in crashed.items()
+            if at_ms > oldest_ms
         }
         if len(recent) == len(crashed):
             return
@@ -259,8 +271,8 @@
             part in self._others.cleared_parts
         )
 
-    def _judge_soon(self, now_ms: float) -> None:
-        self._judge_at_ms = min(self._judge_at_ms, now_ms + JUDGE_DELAY_MS)
+    def _judge_at(self, at_ms: float) -> None:
+        self._judge_at_ms = min(self._judge_at_ms, at_ms)
 
     def _judge(self) -> None:
         """Block the parts that explain the crashes known by now."""
@@ -268,39 +280,55 @@
         if now_ms < self._judge_at_ms:
             return
         self._judge_at_ms = math.inf
+        self._block_culprits(JUDGE_DELAY_MS, self._min_crashes)
+        self._block_culprits(0.0, self._min_crashes_at_once)
+
+    def _block_culprits(
+        self,
+        min_age_ms: float,
+        min_crashes: collections.abc.Callable[[ids.PromptPart], float],
+    ) -> None:
+        """Block the parts that explain the crashes of this age or older."""
+        now_ms = self._clock.now_ms()
         crashed_by_part = {
             part: crashed
             for part in self._own.keys() | self._reported.keys()
-            if (crashed := self._judged_crashes(part, now_ms))
+            if (crashed := self._crashes_of(part, now_ms, min_age_ms))
         }
         for parts in crash_suspects.find_culprits(
             crashed_by_part,
             self._losses,
-            self._min_crashes,
+            min_crashes,
             lambda part: part in self._cleared_ms or self._is_cleared(part),
         ):
             engines = set().union(*(crashed_by_part[p] for p in parts))
             self._block(parts, f"crashed {len(engines)} engines")
 
-    def _judged_crashes(
-        self, part: ids.PromptPart, now_ms: float
+    def _crashes_of(
+        self, part: ids.PromptPart, now_ms: float, min_age_ms: float
     ) -> crash_suspects.Engines:
+        """Return the engines lost with a part in several requests."""
         ttl_ms = (
             CLEARED_CRASH_TTL_MS if self._is_cleared(part) else CRASH_TTL_MS
         )
         crashed = set()
         for source in (self._own, self._reported):
-            for backend_id, at_ms in source.get(part, {}).items():
+            for crash, at_ms in source.get(part, {}).items():
                 age_ms = now_ms - at_ms
-                if age_ms < JUDGE_DELAY_MS:
-                    self._judge_soon(at_ms)
+                if age_ms < min_age_ms:
+                    self._judge_at(at_ms + min_age_ms)
                 elif age_ms < ttl_ms:
-                    crashed.add(backend_id)
-        return frozenset(crashed)
+                    crashed.add(crash)
+        if len({crash.fingerprint for crash in crashed}) < MIN_REQUESTS:
+            return frozenset()
+        return frozenset(crash.backend_id for crash in crashed)
 
-    def _min_crashes(self, part: ids.PromptPart) -> int:
+    def _min_crashes(self, part: ids.PromptPart) -> float:
         return CLEARED_MIN_CRASHES if self._is_cleared(part) else MIN_CRASHES
 
+    def _min_crashes_at_once(self, part: ids.PromptPart) -> float:
+        return math.inf if self._is_cleared(part) else MIN_CRASHES_AT_ONCE
+
     def _block(self, parts: Parts, why: str) -> None:
         if parts in self._block_by_parts or (
             len(self._block_by_parts) >= MAX_BLOCKS
--- a/src/oriolejunction/controllers/quarantine.py
+++ b/src/oriolejunction/controllers/quarantine.py
@@ -17,6 +17,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import route_request
+from oriolejunction.controllers import tracked_attempt
 from oriolejunction import ids
 
 LOSS_WINDOW_MS = 1_000
@@ -36,29 +37,6 @@
     NONE = "none"
 
 
-@dataclasses.dataclass
-class TrackedAttempt:
-    """One attempt on an engine.
-
-    It is suspect until `offset` reaches `probation_end`. An isolated attempt
-    shares its engine with no other suspect. `struck` is set if its request
-    has its strike already, for a stall.
-    """
-
-    fingerprint: ids.Fingerprint
-    engine_id: ids.EngineId
-    offset: int
-    probation_end: int
-    isolated: bool
-    dispatched_at_ms: float
-    struck: bool = False
-
-    @property
-    def suspect(self) -> bool:
-        """Return whether the attempt may still crash its engine."""
-        return self.offset < self.probation_end
-
-
 @dataclasses.dataclass(frozen=True)
 class Strike:
     """A request that ran on an engine when it was lost, at `at_ms`.
@@ -88,7 +66,7 @@
         self._clock = clock
         self._engines_in_zone = engines_in_zone
         self._attempt_by_placement: dict[
-            route_request.Placement, TrackedAttempt
+            route_request.Placement, tracked_attempt.TrackedAttempt
         ] = {}
         self._strikes_by_fingerprint: dict[
             ids.Fingerprint, tuple[Strike, ...]
@@ -110,7 +88,7 @@
         strike_offset = max(
             (s.offset for s in self._valid_strikes(fingerprint)), default=0
         )
-        self._attempt_by_placement[placement] = TrackedAttempt(
+        self._attempt_by_placement[placement] = tracked_attempt.TrackedAttempt(
             fingerprint=fingerprint,
             engine_id=placement.engine_id,
             offset=offset,
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -46,10 +46,14 @@
 
 
 class PartCrash(msgspec.Struct, frozen=True, array_like=True):
-    """An engine that was lost as it began to answer on a prompt part."""
+    """An engine that was lost as it began to answer on a prompt part.
+
+    The part was in the prompt of the request with this fingerprint.
+    """
 
     part: ids.PromptPart
     backend_id: ids.BackendId
+    fingerprint: ids.Fingerprint
 
 
 class NamedLimit(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -22,7 +22,7 @@
         dataclasses.field(default_factory=dict)
     )
     answered: frozenset[ids.Fingerprint] = frozenset()
-    crashes_by_part: dict[ids.PromptPart, frozenset[ids.BackendId]] = (
+    crashes_by_part: dict[ids.PromptPart, frozenset[fm.PartCrash]] = (
         dataclasses.field(default_factory=dict)
     )
     cleared_parts: frozenset[ids.PromptPart] = frozenset()
@@ -95,11 +95,11 @@
 
 def _by_part(
     crashes: tuple[fm.PartCrash, ...],
-) -> dict[ids.PromptPart, frozenset[ids.BackendId]]:
-    by_part: dict[ids.PromptPart, set[ids.BackendId]]
+) -> dict[ids.PromptPart, frozenset[fm.PartCrash]]:
+    by_part: dict[ids.PromptPart, set[fm.PartCrash]]
     by_part = collections.defaultdict(set)
     for crash in crashes:
-        by_part[crash.part].add(crash.backend_id)
+        by_part[crash.part].add(crash)
     return {part: frozenset(each) for part, each in by_part.items()}
 
 
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -66,9 +66,11 @@
     admitted: gateway_common.AdmittedRequest,
     lost: LostAttempt,
     may_continue: bool = False,
-) -> None:
+) -> asyncio.Event:
     """Check in the background whether a broken answer was a crash.
 
+    The event is set once that is known.
+
     A server that accepts a new connection has lost only this answer. One
     that does not is marked as lost, and the crash is recorded against the
     request, unless the answer was well under way or `may_continue`. The
@@ -77,10 +79,12 @@
     """
     backend = lost.backend
 
-    async def check() -> None:
+    is_known = asyncio.Event()
+
+    async def record() -> bool:
+        """Return whether a crash was recorded against the request."""
         if await is_reachable(deps, backend):
-            return
-        lost_ms = deps.clock.now_ms()
+            return False
         mark_backend_lost(deps, backend, lost.why)
         counts = lost.was_beginning and not may_continue
         gateway_common.log_decision(
@@ -89,12 +93,21 @@
             backend=backend.backend_id,
             parts=admitted.request.shared_parts[:MAX_LOGGED_PARTS],
             wrote_ms=lost.wrote_ms and round(lost.wrote_ms),
-            sent_ms_ago=round(lost_ms - lost.sent_ms),
+            sent_ms_ago=round(deps.clock.now_ms() - lost.sent_ms),
             counts=counts,
         )
-        if not counts:
+        if counts:
+            crash_records.record_crash(deps, admitted, backend, lost.sent_ms)
+        return counts
+
+    async def check() -> None:
+        try:
+            is_recorded = await record()
+        finally:
+            is_known.set()
+        if not is_recorded:
             return
-        crash_records.record_crash(deps, admitted, backend, lost.sent_ms)
+        lost_ms = deps.clock.now_ms()
         await deps.clock.sleep_ms(RECHECK_DELAY_MS)
         if not await is_reachable(deps, backend):
             return
@@ -111,6 +124,7 @@
     task = asyncio.create_task(check())
     deps.background_tasks.add(task)
     task.add_done_callback(deps.background_tasks.discard)
+    return is_known
 
 
 async def is_reachable(
--- a/src/oriolejunction/http/crash_records.py
+++ b/src/oriolejunction/http/crash_records.py
@@ -14,7 +14,11 @@
     deps.guard.record_crash(
         admitted.fingerprint, backend.backend_id, backend.zone, sent_ms
     )
-    deps.parts.record_crash(admitted.request.shared_parts, backend.backend_id)
+    deps.parts.record_crash(
+        admitted.request.shared_parts,
+        backend.backend_id,
+        admitted.fingerprint,
+    )
 
 
 def take_back_crash(
@@ -24,7 +28,11 @@
 ) -> None:
     """Forget the crash of an engine that proved not to have crashed."""
     deps.guard.take_back(admitted.fingerprint, backend.backend_id)
-    deps.parts.take_back(admitted.request.shared_parts, backend.backend_id)
+    deps.parts.take_back(
+        admitted.request.shared_parts,
+        backend.backend_id,
+        admitted.fingerprint,
+    )
 
 
 def record_answer(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -150,13 +150,15 @@
             # connection is back in the pool and must stay open.
             if not connection.usable:
                 connection.close()
-        backend_checks.start_crash_check(
-            self._deps,
-            self._admitted,
-            backend_checks.LostAttempt(
-                plan.backend, why, sent_ms, timing.wrote_ms
-            ),
+        lost = backend_checks.LostAttempt(
+            plan.backend, why, sent_ms, timing.wrote_ms
+        )
+        is_crash_known = backend_checks.start_crash_check(
+            self._deps, self._admitted, lost
         )
+        if lost.was_beginning and self._next_plan is None:
+            # If the request crashes engines, the next one must not get it.
+            await is_crash_known.wait()
         return self._handle_loss(plan, why)
 
     def _dispatch(
