Ask for no wait of limits while no server names one

Callers that wait for an engine cost work that grew with waiters times engines: the forecast of each waiter listed all engines of its service to find whether they were at their limits (found by reading, not measured). Change: nothing is listed while no limit is known.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -60,6 +60,8 @@
         It is that behind `ahead` other requests, with the time between two;
         both are 0 unless all servers of the service are at their limits.
         """
+        if not self.limits.are_known:
+            return 0.0, 0.0
         return self.limits.expected_wait_ms(
             [each.backend_id for each in self._healthy(service)], ahead
         )
--- a/src/oriolejunction/controllers/overload/server_limits.py
+++ b/src/oriolejunction/controllers/overload/server_limits.py
@@ -93,6 +93,11 @@
         ] = collections.defaultdict(collections.deque)
         self.on_change: listeners.OnChange = listeners.no_op
 
+    @property
+    def are_known(self) -> bool:
+        """Return whether any server has named a limit that may hold."""
+        return bool(self._limit_by_id)
+
     def observe(
         self,
         backend_id: ids.BackendId,
