--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import faulthandler
 import gc
 import os
 import pathlib
@@ -97,6 +98,8 @@
 
 def main() -> None:
     """Run the command line; print a `Failure` in one line."""
+    # A crash in a native library leaves the stacks of all threads in the log.
+    faulthandler.enable()
     try:
         fire.Fire(Commands, name="oriolejunction.node")
     except errors.Failure as failure:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 
+from tests import loopback
 from tests.platform import gateway_rig
 from tests.platform import test_configuration_document
 from tests.soak import fault_proxy as proxies
@@ -109,10 +110,10 @@
     """Processes, backend servers behind proxies and the platform's list."""
 
     def __init__(self, folder: pathlib.Path, number: int) -> None:
-        """Use 127.20.`number`.x, so that fleets can run at the same time."""
+        """Use a subnet for each number, so that fleets can run at once."""
         self.observations = guarantees.Observations()
         self._folder = folder
-        self._subnet = f"127.20.{number % 250}"
+        self._subnet = f"{loopback.SOAK_NETWORK}.{number % 250}"
         self._list_address = f"{self._subnet}.250:{LIST_PORT}"
         self.controls = [
             self._make_control(index, first_start=True)
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -1,7 +1,4 @@
-"""Control replicas and an entry instance of a deployment, on loopback.
-
-All nodes listen on the same ports, so each has its own address in 127/8.
-"""
+"""Control replicas and an entry instance of a deployment, on loopback."""
 
 import asyncio
 import contextlib
@@ -16,6 +13,7 @@
 from oriolejunction import entry_wiring
 from oriolejunction import node_client
 from oriolejunction import source_digest
+from tests import loopback
 from tests.platform import gateway_rig
 from tests.platform import test_configuration_document
 
@@ -25,8 +23,9 @@
 READY_PORT = 17_203
 LIST_PORT = 17_204
 STATUS_PORT = 17_205
-SEEDS = ["127.0.7.1", "127.0.7.2", "127.0.7.3"]
-ENTRY = "127.0.7.9"
+SEEDS = [loopback.node_address(number) for number in (1, 2, 3)]
+LIST = loopback.node_address(8)
+ENTRY = loopback.node_address(9)
 
 
 def settings(tmp_path, name, **fields):
@@ -36,7 +35,7 @@
         "zone": "z",
         "peer_port": PEER_PORT,
         "control_seeds": [f"{ip}:{CONTROL_PORT}" for ip in SEEDS],
-        "list_address": f"127.0.7.8:{LIST_PORT}",
+        "list_address": f"{LIST}:{LIST_PORT}",
         "metrics_listen": f"{fields['ip']}:{STATUS_PORT}",
         **fields,
     }
@@ -92,7 +91,7 @@
         app.router.add_get("/instances", self._list)
         self.list_runner = web.AppRunner(app)
         await self.list_runner.setup()
-        await web.TCPSite(self.list_runner, "127.0.7.8", LIST_PORT).start()
+        await web.TCPSite(self.list_runner, LIST, LIST_PORT).start()
         for number in range(3):
             await self.start_control(number)
         self.entry = entry(self.tmp_path)
--- a/tests/test_isolated_instance_nodes.py
+++ b/tests/test_isolated_instance_nodes.py
@@ -7,14 +7,15 @@
 
 from oriolejunction import entry_wiring
 from oriolejunction.http import backend_connection
+from tests import loopback
 from tests.platform import gateway_rig
 from tests import test_fleet_nodes as nodes
 from tests import test_server_limit_nodes as limit_nodes
 
-ENTRIES = ["127.0.7.11", "127.0.7.12", "127.0.7.13"]
+ENTRIES = [loopback.node_address(number) for number in (11, 12, 13)]
 SETTLE_S = 3.0
 CALLS = 40
-UNREACHABLE_ADDRESS = "127.0.9.1:1"
+UNREACHABLE_ADDRESS = f"{loopback.UNREACHABLE_SUBNET}.1:1"
 
 
 class IsolationFleet(nodes.Fleet):
--- a/tests/test_server_limit_nodes.py
+++ b/tests/test_server_limit_nodes.py
@@ -7,11 +7,12 @@
 import pytest
 
 from oriolejunction import entry_wiring
+from tests import loopback
 from tests.platform import gateway_rig
 from tests.platform import test_configuration_document
 from tests import test_fleet_nodes as nodes
 
-ENTRIES = [f"127.0.7.{number}" for number in range(11, 16)]
+ENTRIES = [loopback.node_address(number) for number in range(11, 16)]
 LIMIT_PER_S = 4.0
 CALLS_PER_S = 40.0
 CALLS = 320
