Add the messages and settings that rollouts share

The parts of rollouts at control replicas and entry instances are built side by side and need one definition of their messages. Nothing sets or reads them yet; settings stay absent where a deployment has no rollouts.

--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -11,6 +11,7 @@
 from oriolejunction import backends
 from oriolejunction import ids
 from oriolejunction import routing_table
+from oriolejunction import states
 
 # Change number of a watcher that has received no reply yet.
 NO_CHANGE_SEEN = -1
@@ -75,6 +76,44 @@
     waiting: int = 0
 
 
+class RolloutCount(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one route at one version of a service in a rollout.
+
+    The counts rise within an incarnation of the entry instance. `number` is
+    that of the rollout. `sent` counts every request sent to a server, `ended`
+    those that no longer run, `failed` the answers that the server failed;
+    `latencies` counts good answers by bucket of `rollout_latency`. The rows
+    with the EVENT measure hold latencies only.
+    """
+
+    service: ids.ServiceName
+    number: int
+    software: ids.SoftwareVersion
+    route: str
+    measure: states.RolloutMeasure
+    sent: int = 0
+    ended: int = 0
+    failed: int = 0
+    latencies: tuple[int, ...] = ()
+
+
+class RolloutOrder(msgspec.Struct, frozen=True, array_like=True):
+    """The newest rollout of a service, for one entry instance.
+
+    `allowance` is the number of requests in all that the instance's
+    incarnation may have sent to the target since the order. It holds for
+    `ttl_ms` from when the instance sent the watch request.
+    """
+
+    service: ids.ServiceName
+    number: int
+    target: ids.SoftwareVersion
+    state: states.RolloutState
+    phase: states.RolloutPhase
+    allowance: int = 0
+    ttl_ms: float = 0.0
+
+
 class EntryReport(msgspec.Struct, frozen=True, array_like=True):
     """Load and observations of one entry instance.
 
@@ -85,6 +124,7 @@
     request with all parts of one of the sets `blocked_parts` is refused.
     `limits` are those that servers name to the instance. `helpers` holds the
     address at which it serves requests of other instances, while it can.
+    `rollout_counts` are those of the services that have had a rollout.
     """
 
     instance: ids.InstanceId
@@ -101,6 +141,7 @@
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
     limits: tuple[NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
+    rollout_counts: tuple[RolloutCount, ...] = ()
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -214,7 +255,8 @@
     entry instances and always complete. `helpers` are addresses of some other
     instances that serve requests passed on to them, as of `seen`.
     `replicas` are the control replicas' peer addresses and availability
-    zones.
+    zones. `rollouts` holds the newest rollout of each service that has had
+    one, None where the deployment has none or the replica does not know.
     """
 
     fresh: bool
@@ -237,6 +279,7 @@
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
     limits: tuple[NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
+    rollouts: tuple[RolloutOrder, ...] | None = None
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -16,6 +16,18 @@
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 
 
+class RolloutBounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of a service's rollout to another software version.
+
+    A bad version may get `exposure_share` of the service's requests plus
+    `exposure_tolerance`, and none `rollback_ms` after its 50th bad answer.
+    """
+
+    exposure_share: typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+    exposure_tolerance: typing.Annotated[float, msgspec.Meta(ge=0.0)]
+    rollback_ms: PositiveFloat
+
+
 class _NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     instance_id: settings.Name
     zone: settings.Name
@@ -24,6 +36,8 @@
     control_seeds: tuple[settings.Address, ...]
     list_address: settings.Address
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
+    # Absent where the deployment has no rollouts.
+    rollouts: RolloutBounds | None = None
 
     def seed_addresses(self) -> list[str]:
         """Return the addresses where the control seeds listen for peers."""
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -177,3 +177,36 @@
     COMPLETE = "complete"
     LOST = "lost"
     REFUSED = "refused"
+
+
+class RolloutState(enum.Enum):
+    """State of a rollout, as an operator reads it."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class RolloutPhase(enum.Enum):
+    """What entry instances may send to the versions of a rollout.
+
+    OBSERVING: to the target within an allowance. MOVING: new work only to
+    the target; the old servers finish what runs. DONE: nothing to the old
+    versions. REVERTED: nothing to the target.
+    """
+
+    OBSERVING = "observing"
+    MOVING = "moving"
+    DONE = "done"
+    REVERTED = "reverted"
+
+
+class RolloutMeasure(enum.IntEnum):
+    """What the latencies of a rollout count measure.
+
+    ANSWER is the time of a call, or a stream's time to its first event per
+    thousand prompt tokens; EVENT is a stream's time per event.
+    """
+
+    ANSWER = 0
+    EVENT = 1
