--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -5,8 +5,6 @@
 import dataclasses
 import math
 
-from reactivex import subject
-
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
 from oriolejunction.controllers import engine_search
@@ -19,6 +17,7 @@
 from oriolejunction.controllers import silence_limits
 from oriolejunction.controllers import stalls
 from oriolejunction import engine_protocol
+from oriolejunction import listeners
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
@@ -48,8 +47,8 @@
     choose_engine: route_request.ChooseEngine
     telemetry: metrics.Telemetry
     clock: clocks.Clock
-    attempt_losses: subject.Subject
-    attempt_stalls: subject.Subject
+    attempt_losses: listeners.Changes
+    attempt_stalls: listeners.Changes
     detector: detectors.SilenceDetector
     policy: collections.abc.Callable[[], loss_policy.LossPolicy]
 
--- a/tests/controllers/test_generation_runner.py
+++ b/tests/controllers/test_generation_runner.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-from reactivex import subject
 
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
@@ -14,6 +13,7 @@
 from oriolejunction.controllers import silence_detector as detectors
 from oriolejunction import engine_protocol
 from oriolejunction import errors
+from oriolejunction import listeners
 from oriolejunction.standin import chain
 from oriolejunction.standin import engine_stream
 from oriolejunction import states
@@ -121,10 +121,10 @@
         self.clock = clocks.ManualClock()
         self.engines = FakeEngines(self.clock, dict(faults))
         self.losses = []
-        losses = subject.Subject()
+        losses = listeners.Changes()
         losses.subscribe(self.losses.append)
         self.stalls = []
-        stalls = subject.Subject()
+        stalls = listeners.Changes()
         stalls.subscribe(self.stalls.append)
         self.granted = 0
         self.may_grant = lambda: True
