Write the digest of the sources in the build, not at each start

Nodes ended by a segmentation fault (exit code 139) soon after their start.

The build now writes the digest beside the installed package, and a node reads it once, before gRPC starts its threads.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -109,7 +109,7 @@
             "control replica started",
             replica=self._replica.member.replica,
             listen=settings.operator_listen,
-            sources=source_digest.source_digest(),
+            sources=source_digest.running_sources(),
         )
 
     def _status(self) -> dict[str, object]:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -152,7 +152,7 @@
         _log.info(
             "entry instance started",
             listen=settings.caller_listen,
-            sources=source_digest.source_digest(),
+            sources=source_digest.running_sources(),
         )
 
     async def drain(self) -> None:
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -21,6 +21,7 @@
 from oriolejunction import errors
 from oriolejunction import node_logs
 from oriolejunction import settings as instance_settings
+from oriolejunction import source_digest
 from oriolejunction import stop_signals
 
 if typing.TYPE_CHECKING:
@@ -59,6 +60,8 @@
 ) -> None:
     """Load the modules of a role and run its node."""
     path = _settings_path(boot)
+    # Read before gRPC starts its threads.
+    source_digest.running_sources()
     # aiohttp reads the system's certificates when it is imported. A node
     # speaks plain HTTP and gRPC only.
     os.environ.setdefault("SSL_CERT_FILE", os.devnull)
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -90,6 +90,8 @@
     _build(checkout)
     digest = source_digest.source_digest(installed)
     assert digest == source_digest.source_digest(sources)
+    assert source_digest.running_sources(installed) == digest
+    assert (installed.parent / source_digest.DIGEST_FILE).exists()
     (installed / "removed_module.py").touch()
     assert source_digest.source_digest(installed) != digest
 
