--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -4,17 +4,16 @@
 that do I/O subscribe to changes and act on them.
 """
 
-import dataclasses
 import typing
 
-import reactivex
-from reactivex import subject
+import msgspec
 
 from oriolejunction import backends
 from oriolejunction import configuration
 from oriolejunction import fleet_view
 from oriolejunction import ids
 from oriolejunction import invariants
+from oriolejunction import listeners
 from oriolejunction import messages
 from oriolejunction import routing_table
 from oriolejunction import states
@@ -28,14 +27,14 @@
     def __init__(self, value: Value) -> None:
         self._value = value
         self._writer: str | None = None
-        self._changes: subject.Subject = subject.Subject()
+        self._changes: listeners.Changes[Value] = listeners.Changes()
 
     def read(self) -> Value:
         """Return the current value."""
         return self._value
 
-    def changes(self) -> reactivex.Observable:
-        """Return an observable of the values written from now on."""
+    def changes(self) -> listeners.Changes[Value]:
+        """Return the stream of the values written from now on."""
         return self._changes
 
     def claim_writer(self, writer: str) -> typing.Callable[[Value], None]:
@@ -51,26 +50,23 @@
 
     def _write(self, value: Value) -> None:
         self._value = value
-        self._changes.on_next(value)
+        self._changes.notify(value)
 
 
-@dataclasses.dataclass(frozen=True)
-class InForce:
+class InForce(msgspec.Struct, frozen=True):
     """The configuration that an instance applies now."""
 
     revision: ids.Revision
     configuration: configuration.Configuration
 
 
-@dataclasses.dataclass(frozen=True)
-class ConfigurationLease:
+class ConfigurationLease(msgspec.Struct, frozen=True):
     """Right to serve with the configuration in force until `until_ms`."""
 
     until_ms: float
 
 
-@dataclasses.dataclass(frozen=True)
-class EngineReport:
+class EngineReport(msgspec.Struct, frozen=True):
     """Last load report of an engine and when it was measured.
 
     `tokens_per_s` is the decode speed of one stream. A limit of 0 is
@@ -86,8 +82,7 @@
     kv_limit_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class AttemptLoss:
+class AttemptLoss(msgspec.Struct, frozen=True):
     """An attempt that an engine lost, in ms of the instance's clock.
 
     It may still continue if it is reported as stalled.
@@ -119,5 +114,5 @@
         self.table: Cell[routing_table.RoutingTable | None] = Cell(None)
         self.backends = Cell(backends.BackendSnapshot({}, float("-inf")))
         self.fleet = Cell(fleet_view.FleetView())
-        self.attempt_losses: subject.Subject = subject.Subject()
-        self.attempt_stalls: subject.Subject = subject.Subject()
+        self.attempt_losses: listeners.Changes = listeners.Changes()
+        self.attempt_stalls: listeners.Changes = listeners.Changes()
