--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -17,7 +17,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import graceful_shutdown
 from oriolejunction.controllers.overload import resend_budget
-from oriolejunction import fleet_messages as fm
+from oriolejunction import entry_reports
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_state
 from oriolejunction.http import readiness
@@ -53,7 +53,6 @@
             "fleet_wiring"
         )
         self._incarnation = secrets.token_hex(6)
-        self._report_number = 0
         self._stop_deadline_ms: float | None = None
         self._shutdown = graceful_shutdown.GracefulShutdown(
             self.clock,
@@ -79,6 +78,12 @@
         """Open the listeners and start watching the control replicas."""
         settings = self.settings_file.current
         self._channels = channels.ChannelPool()
+        reports = entry_reports.EntryReports(
+            self._deps,
+            ids.InstanceId(settings.instance_id),
+            self._incarnation,
+            self._helper_addresses,
+        )
         self._watch = fleet_watch.FleetWatch(
             fleet_watch.WatchDependencies(
                 instance=ids.InstanceId(settings.instance_id),
@@ -87,7 +92,7 @@
                 blackboard=self._blackboard,
                 listing=self.listing,
                 seeds=lambda: self.settings_file.current.seed_addresses(),
-                report=self._entry_report,
+                report=reports.next_report,
                 read_table=gateway_dialect.WIRE_FORMAT.read_table,
                 stub_for=self._channels.stub_for,
                 rng=self.rng,
@@ -237,25 +242,6 @@
             and bool(self._blackboard.backends.read().by_id)
         )
 
-    def _entry_report(self) -> fm.EntryReport:
-        self._report_number += 1
-        return fm.EntryReport(
-            instance=ids.InstanceId(self.settings_file.current.instance_id),
-            boot=self._incarnation,
-            number=self._report_number,
-            loads=tuple(self._deps.own_loads.loads().values()),
-            suspects=self._deps.health.suspects(),
-            crashes=self._deps.guard.crashes(),
-            speeds=self._deps.speeds.own_speeds(),
-            uses=self._deps.budget.uses(self._deps.queue.waiting_by_service()),
-            answered=self._deps.guard.answered(),
-            part_crashes=self._deps.parts.crashes(),
-            cleared_parts=self._deps.parts.cleared(),
-            blocked_parts=self._deps.parts.blocked(),
-            limits=self._deps.intake.limits.named(),
-            helpers=self._helper_addresses(),
-        )
-
     def _drop_unlisted(self, snapshot) -> None:
         if not snapshot.by_id:
             return
