Answer watches in rounds, with sums that are encoded once

Cause: each instance got up to 36 watch replies a second, each summed up and encoded for it alone, and a change of a load at one instance woke all. The sums are the same for all; an instance subtracts its own report, whose number the reply names. Earlier instances get replies as before. The test of older reports named the last field by position, which a new field broke; it now names it.

--- a/bench/fleet_watchers.py
+++ b/bench/fleet_watchers.py
@@ -83,6 +83,7 @@
         self._watch = fleet_watch.FleetWatch(
             fleet_watch.WatchDependencies(
                 instance=reports.instance,
+                boot=reports.boot,
                 zone=zone,
                 clock=clock,
                 blackboard=board,
@@ -96,7 +97,7 @@
             )
         )
         self._watch.replicas = lambda: seed
-        self.deps.own_loads.on_change = self._watch.notify_report
+        self.deps.own_loads.on_change = self._watch.notify_loads
 
     def _stub_for(self, address, method) -> collections.abc.Callable:
         call = self._channels.stub_for(address, method)
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -10,21 +10,21 @@
 import collections
 import collections.abc
 import dataclasses
+import operator
+import typing
 
 import xxhash
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import report_counts
+from oriolejunction.controllers import tracked_sums
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 
 # An entry instance sends a report at least once a second.
 REPORT_TTL_MS = 3_000.0
-# Backend servers without work are retained, so that watching instances learn
-# that the work ended; each takes a few hundred bytes.
-MAX_IDLE_BACKENDS = 512
-
-_Counts = tuple[int, ...]
-_REQUESTS, _RESENDS, _WAITING = range(3)
+_Key = typing.TypeVar("_Key", bound=collections.abc.Hashable)
+_RESENDS = 1
 # Fields of a report whose items are merged over the instances.
 _MERGED_FIELDS = (
     "suspects",
@@ -40,6 +40,21 @@
 MAX_HELPERS = 6
 
 
+@dataclasses.dataclass(frozen=True)
+class FleetSums:
+    """Sums over all entry instances, up to change number `seen`.
+
+    `loads` and `speeds` hold only changes, or everything if `complete` is
+    set.
+    """
+
+    seen: int
+    complete: bool
+    loads: tuple[fm.BackendLoad, ...]
+    speeds: tuple[fm.SpeedSums, ...]
+    uses: tuple[fm.ServiceUse, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class FleetUpdate:
     """Sums over the other entry instances, up to change number `seen`.
@@ -62,60 +77,11 @@
     helpers: tuple[str, ...] = ()
 
 
-class _ChangeTrackedSums:
-    """Sums by backend server, in the order of their last change."""
-
-    def __init__(self) -> None:
-        self._total_by_id: dict[ids.BackendId, list[int]] = {}
-        self._changed_by_id: dict[ids.BackendId, int] = {}
-        self._idle: set[ids.BackendId] = set()
-
-    def replace(
-        self,
-        before: dict[ids.BackendId, _Counts],
-        after: dict[ids.BackendId, _Counts],
-        number: int,
-    ) -> None:
-        """Replace the counts of one instance by its new ones."""
-        for key in before.keys() | after.keys():
-            old, new = before.get(key), after.get(key)
-            if old == new:
-                continue
-            counts = old or new
-            total = self._total_by_id.setdefault(key, [0] * len(counts))
-            for index in range(len(counts)):
-                total[index] += new[index] if new else 0
-                total[index] -= old[index] if old else 0
-            self._changed_by_id.pop(key, None)
-            self._changed_by_id[key] = number
-            if any(total):
-                self._idle.discard(key)
-            else:
-                self._idle.add(key)
-
-    def changed_since(
-        self, number: int, own: dict[ids.BackendId, _Counts]
-    ) -> collections.abc.Iterator[tuple[ids.BackendId, list[int]]]:
-        """Yield the sums that changed after a change number, less `own`."""
-        for key, changed in reversed(self._changed_by_id.items()):
-            if changed <= number:
-                return
-            total = self._total_by_id[key]
-            own_counts = own.get(key, (0,) * len(total))
-            yield key, [a - b for a, b in zip(total, own_counts, strict=True)]
-
-    def drop_idle(self) -> bool:
-        """Drop all idle backend servers once there are too many.
-
-        Return whether they were dropped.
-        """
-        if len(self._idle) <= MAX_IDLE_BACKENDS:
-            return False
-        for key in self._idle:
-            del self._total_by_id[key]
-            del self._changed_by_id[key]
-        self._idle.clear()
-        return True
+@dataclasses.dataclass(frozen=True)
+class _KnownReport:
+    report: fm.EntryReport
+    counts: report_counts.ReportCounts
+    received_ms: float
 
 
 class FleetHub:
@@ -124,24 +90,27 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         # Ordered by the time of the report, the oldest first.
-        self._timed_report_by_instance: dict[
-            ids.InstanceId, tuple[fm.EntryReport, float]
-        ] = {}
+        self._known_by_instance: dict[ids.InstanceId, _KnownReport] = {}
         self._unforwarded: dict[ids.InstanceId, fm.EntryReport] = {}
-        self._loads = _ChangeTrackedSums()
-        self._speeds = _ChangeTrackedSums()
+        self._loads = tracked_sums.ChangeTrackedSums()
+        self._speeds = tracked_sums.ChangeTrackedSums()
         # By field, the items and how many instances report each.
         self._merged: dict[str, collections.Counter] = {
             field: collections.Counter() for field in _MERGED_FIELDS
         }
         # Requests, resends and waiting requests by service. They change with
         # each request and therefore cause no update of their own.
-        self._uses: collections.Counter[tuple[ids.ServiceName, int]]
-        self._uses = collections.Counter()
+        self._uses: dict[ids.ServiceName, report_counts.Counts] = {}
         # The addresses of all helpers, in an order of their own.
         self._ordered_helpers: list[str] = []
         self._oldest_delta_number = 0
         self._change_number = 0
+        # Rises also with changes that cause no update of their own.
+        self.version = 0
+        # The last change of anything but loads and speeds.
+        self._observed_number = 0
+        # The last change with more resends than before.
+        self._resent_number = 0
 
     @property
     def change_number(self) -> int:
@@ -149,6 +118,20 @@
         self._expire_reports()
         return self._change_number
 
+    def has_observations_since(self, seen: int) -> bool:
+        """Return whether more than loads and speeds changed since `seen`."""
+        return self._observed_number > seen
+
+    def has_resends_since(self, seen: int) -> bool:
+        """Return whether instances reported more resends since `seen`."""
+        return self._resent_number > seen
+
+    def mark_changed(self) -> None:
+        """Count a change outside the reports that all watchers must know."""
+        self._change_number += 1
+        self._observed_number = self._change_number
+        self.version += 1
+
     def put(self, report: fm.EntryReport, direct: bool) -> bool:
         """Store a report; return whether it changes the sums.
 
@@ -156,21 +139,28 @@
         to the other control replicas.
         """
         self._expire_reports()
-        previous = self._report_of(report.instance)
-        if previous is not None and previous.boot == report.boot:
-            if report.number < previous.number:
-                return False
-        self._timed_report_by_instance.pop(report.instance, None)
-        self._timed_report_by_instance[report.instance] = (
-            report,
-            self._clock.now_ms(),
+        known = self._known_by_instance.get(report.instance)
+        previous = known.report if known is not None else None
+        if (
+            previous is not None
+            and previous.boot == report.boot
+            and report.number < previous.number
+        ):
+            return False
+        before = known.counts if known is not None else report_counts.NO_COUNTS
+        counts = report_counts.counts_of(report, previous, before)
+        self._known_by_instance.pop(report.instance, None)
+        self._known_by_instance[report.instance] = _KnownReport(
+            report, counts, self._clock.now_ms()
         )
-        self._replace_uses(previous, report)
+        self._replace_uses(before.uses, counts.uses)
         if direct:
             self._unforwarded[report.instance] = report
         if previous is not None and _content(previous) == _content(report):
             return False
-        self._replace(previous, report)
+        self._replace(previous, before, report, counts)
+        if _resends(counts) > _resends(before):
+            self._resent_number = self._change_number
         return True
 
     def take_unforwarded(self) -> tuple[fm.EntryReport, ...]:
@@ -182,29 +172,78 @@
     def entry_count(self) -> int:
         """Return how many entry instances have sent a report recently."""
         self._expire_reports()
-        return len(self._timed_report_by_instance)
+        return len(self._known_by_instance)
 
     def uses_of_others(
         self, instance: ids.InstanceId
     ) -> tuple[fm.ServiceUse, ...]:
         """Return what the other instances sent to each service."""
         self._expire_reports()
-        others = self._uses - _uses(self._report_of(instance))
+        own = self._counts_of(instance).uses
+        others = _minus(self._uses, own)
         return tuple(
-            fm.ServiceUse(
-                service,
-                others[service, _REQUESTS],
-                others[service, _RESENDS],
-                others[service, _WAITING],
-            )
-            for service in sorted({service for service, _ in others})
+            fm.ServiceUse(service, *others[service])
+            for service in sorted(others)
         )
 
     def _replace_uses(
-        self, before: fm.EntryReport | None, after: fm.EntryReport | None
+        self,
+        before: dict[ids.ServiceName, report_counts.Counts],
+        after: dict[ids.ServiceName, report_counts.Counts],
     ) -> None:
-        self._uses.update(_uses(after))
-        self._uses.subtract(_uses(before))
+        if before != after:
+            self.version += 1
+            self._uses = _minus(_plus(self._uses, after), before)
+
+    def sums(self, seen: int) -> FleetSums:
+        """Return the sums over all instances that changed since `seen`."""
+        self._expire_reports()
+        complete = not self._oldest_delta_number <= seen <= self._change_number
+        since = 0 if complete else seen
+        return FleetSums(
+            seen=self._change_number,
+            complete=complete,
+            loads=tuple(
+                fm.BackendLoad(key, *totals)
+                for key, totals in self._loads.changed_since(since, {})
+            ),
+            speeds=tuple(
+                fm.SpeedSums(key, *totals)
+                for key, totals in self._speeds.changed_since(since, {})
+            ),
+            uses=tuple(
+                fm.ServiceUse(service, *counts)
+                for service, counts in self._uses.items()
+            ),
+        )
+
+    def number_of(self, instance: ids.InstanceId, boot: str) -> int:
+        """Return the number of the instance's report that the sums include.
+
+        It is 0 if they include none of its incarnation `boot`.
+        """
+        report = self._report_of(instance)
+        return report.number if report and report.boot == boot else 0
+
+    def has_observations(self, instance: ids.InstanceId) -> bool:
+        """Return whether an instance reports any that it must not be told."""
+        report = self._report_of(instance)
+        return report is not None and any(
+            getattr(report, field)
+            for field in _MERGED_FIELDS
+            if field != "helpers"
+        )
+
+    def observations(
+        self, instance: ids.InstanceId | None = None
+    ) -> dict[str, tuple]:
+        """Return what all instances observe, without that of one alone."""
+        own = self._report_of(instance)
+        return {
+            field: tuple(counts - _items(own, field) if own else counts)
+            for field, counts in self._merged.items()
+            if field != "helpers"
+        }
 
     def update_for(self, instance: ids.InstanceId, seen: int) -> FleetUpdate:
         """Return what changed since `seen` at the other instances.
@@ -216,34 +255,29 @@
             return FleetUpdate(seen, complete=False)
         complete = not self._oldest_delta_number <= seen < self._change_number
         since = 0 if complete else seen
-        own = self._report_of(instance)
+        counts = self._counts_of(instance)
         return FleetUpdate(
             seen=self._change_number,
             complete=complete,
             loads=tuple(
                 fm.BackendLoad(key, *totals)
                 for key, totals in self._loads.changed_since(
-                    since, _loads(own)
+                    since, counts.loads
                 )
             ),
             speeds=tuple(
-                fm.EngineSpeed(key, _mean(*sums[:2]), _mean(*sums[2:]))
+                report_counts.mean_speed(key, sums)
                 for key, sums in self._speeds.changed_since(
-                    since, _speeds(own)
+                    since, counts.speeds
                 )
             ),
-            **{
-                field: tuple(counts - _items(own, field))
-                for field, counts in self._merged.items()
-                if field != "helpers"
-            },
-            helpers=self._helpers_for(instance, own),
+            **self.observations(instance),
+            helpers=self.helpers_for(instance),
         )
 
-    def _helpers_for(
-        self, instance: ids.InstanceId, own: fm.EntryReport | None
-    ) -> tuple[str, ...]:
+    def helpers_for(self, instance: ids.InstanceId) -> tuple[str, ...]:
         """Return some helpers; instances get different ones."""
+        own = self._report_of(instance)
         count = len(self._ordered_helpers)
         first = _digest(instance) % count if count else 0
         some = (
@@ -254,20 +288,37 @@
         others = [each for each in some if each not in own_addresses]
         return tuple(others[:MAX_HELPERS])
 
-    def _report_of(self, instance: ids.InstanceId) -> fm.EntryReport | None:
-        report, _ = self._timed_report_by_instance.get(instance, (None, 0.0))
-        return report
+    def _report_of(
+        self, instance: ids.InstanceId | None
+    ) -> fm.EntryReport | None:
+        known = self._known_by_instance.get(instance)
+        return known.report if known is not None else None
+
+    def _counts_of(
+        self, instance: ids.InstanceId
+    ) -> report_counts.ReportCounts:
+        known = self._known_by_instance.get(instance)
+        return known.counts if known is not None else report_counts.NO_COUNTS
 
     def _replace(
-        self, before: fm.EntryReport | None, after: fm.EntryReport | None
+        self,
+        before: fm.EntryReport | None,
+        counts_before: report_counts.ReportCounts,
+        after: fm.EntryReport | None,
+        counts_after: report_counts.ReportCounts,
     ) -> None:
         self._change_number += 1
+        self.version += 1
         number = self._change_number
-        self._loads.replace(_loads(before), _loads(after), number)
-        self._speeds.replace(_speeds(before), _speeds(after), number)
+        if before is None or after is None:
+            # The number of instances is one of the observations.
+            self._observed_number = number
+        self._loads.replace(counts_before.loads, counts_after.loads, number)
+        self._speeds.replace(counts_before.speeds, counts_after.speeds, number)
         for field, counts in self._merged.items():
             old, new = _items(before, field), _items(after, field)
             if old != new:
+                self._observed_number = number
                 self._merged[field] = counts - old + new
                 if field == "helpers":
                     self._ordered_helpers = sorted(
@@ -279,14 +330,15 @@
 
     def _expire_reports(self) -> None:
         oldest_ms = self._clock.now_ms() - REPORT_TTL_MS
-        while self._timed_report_by_instance:
-            instance = next(iter(self._timed_report_by_instance))
-            report, received_ms = self._timed_report_by_instance[instance]
-            if received_ms >= oldest_ms:
+        while self._known_by_instance:
+            instance, known = next(iter(self._known_by_instance.items()))
+            if known.received_ms >= oldest_ms:
                 return
-            del self._timed_report_by_instance[instance]
-            self._replace_uses(report, None)
-            self._replace(report, None)
+            del self._known_by_instance[instance]
+            self._replace_uses(known.counts.uses, {})
+            self._replace(
+                known.report, known.counts, None, report_counts.NO_COUNTS
+            )
 
 
 def _digest(text: str) -> int:
@@ -303,44 +355,37 @@
     )
 
 
-def _loads(report: fm.EntryReport | None) -> dict[ids.BackendId, _Counts]:
-    return {
-        load.backend_id: (load.streams, load.kv_tokens, load.prefill_tokens)
-        for load in (report.loads if report is not None else ())
-    }
+def _resends(counts: report_counts.ReportCounts) -> int:
+    return sum(use[_RESENDS] for use in counts.uses.values())
 
 
-def _speeds(report: fm.EntryReport | None) -> dict[ids.BackendId, _Counts]:
-    """Return the speeds in tenths of ms, each with a 1 if it is known."""
-    return {
-        speed.backend_id: (
-            round(speed.event_ms * 10),
-            int(speed.event_ms > 0),
-            round(speed.prefill_ms_per_k * 10),
-            int(speed.prefill_ms_per_k > 0),
-        )
-        for speed in (report.speeds if report is not None else ())
-    }
+def _plus(
+    left: dict[_Key, report_counts.Counts],
+    right: dict[_Key, report_counts.Counts],
+) -> dict[_Key, report_counts.Counts]:
+    total = dict(left)
+    for key, counts in right.items():
+        if key in total:
+            counts = tuple(map(operator.add, total[key], counts))
+        total[key] = counts
+    return total
 
 
-def _uses(
-    report: fm.EntryReport | None,
-) -> collections.Counter[tuple[ids.ServiceName, int]]:
-    counts: collections.Counter[tuple[ids.ServiceName, int]]
-    counts = collections.Counter()
-    for use in report.uses if report is not None else ():
-        counts[use.service, _REQUESTS] = use.requests
-        counts[use.service, _RESENDS] = use.resends
-        counts[use.service, _WAITING] = use.waiting
-    return counts
+def _minus(
+    left: dict[_Key, report_counts.Counts],
+    right: dict[_Key, report_counts.Counts],
+) -> dict[_Key, report_counts.Counts]:
+    """Return the differences that are not all 0."""
+    total = dict(left)
+    for key, counts in right.items():
+        if key in total:
+            total[key] = tuple(map(operator.sub, total[key], counts))
+            if not any(total[key]):
+                del total[key]
+    return total
 
 
 def _items(report: fm.EntryReport | None, field: str) -> collections.Counter:
     return collections.Counter(
         getattr(report, field) if report is not None else ()
     )
-
-
-def _mean(tenths: int, count: int) -> float:
-    """Return the mean of values in tenths, 0 where none is known."""
-    return round(tenths / count / 10, 1) if count else 0.0
--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -15,6 +15,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
+from oriolejunction import listeners
 
 # Leaves a reserve, since instances count requests and windows separately.
 SAFETY_FACTOR = 0.8
@@ -38,6 +39,8 @@
     def __init__(self, clock: clocks.Clock, limits: BudgetLimits) -> None:
         self._clock = clock
         self._limits = limits
+        # Called at each resend, which the others must count soon.
+        self.on_change: listeners.OnChange = listeners.no_op
         self._requests: dict[ids.ServiceName, collections.deque[float]]
         self._requests = collections.defaultdict(collections.deque)
         self._resends: dict[ids.ServiceName, collections.deque[float]]
@@ -89,6 +92,7 @@
     def spend(self, service: ids.ServiceName) -> None:
         """Count a resend."""
         self._recent(self._resends[service]).append(self._clock.now_ms())
+        self.on_change()
 
     def give_back(self, service: ids.ServiceName) -> None:
         """Uncount the newest resend, which was not sent after all."""
--- /dev/null
+++ b/src/oriolejunction/controllers/report_counts.py
@@ -0,0 +1,84 @@
+"""The counts of an entry report that are summed up over the instances.
+
+A control replica adds them up; an entry instance subtracts its own from the
+sums.
+"""
+
+import dataclasses
+
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+
+Counts = tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class ReportCounts:
+    """Counts by backend server, and by service."""
+
+    loads: dict[ids.BackendId, Counts] = dataclasses.field(
+        default_factory=dict
+    )
+    speeds: dict[ids.BackendId, Counts] = dataclasses.field(
+        default_factory=dict
+    )
+    uses: dict[ids.ServiceName, Counts] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+NO_COUNTS = ReportCounts()
+
+
+def counts_of(
+    report: fm.EntryReport,
+    before: fm.EntryReport | None = None,
+    counts_before: ReportCounts = NO_COUNTS,
+) -> ReportCounts:
+    """Return the counts of a report.
+
+    Those of the report before serve again where nothing has changed.
+    """
+    same_loads = before is not None and before.loads == report.loads
+    same_speeds = before is not None and before.speeds == report.speeds
+    return ReportCounts(
+        loads=counts_before.loads if same_loads else _loads(report),
+        speeds=counts_before.speeds if same_speeds else _speeds(report),
+        uses={
+            use.service: (use.requests, use.resends, use.waiting)
+            for use in report.uses
+        },
+    )
+
+
+def _loads(report: fm.EntryReport) -> dict[ids.BackendId, Counts]:
+    return {
+        load.backend_id: (load.streams, load.kv_tokens, load.prefill_tokens)
+        for load in report.loads
+    }
+
+
+def _speeds(report: fm.EntryReport) -> dict[ids.BackendId, Counts]:
+    """Return the speeds in tenths of ms, each with a 1 if it is known."""
+    return {
+        speed.backend_id: (
+            round(speed.event_ms * 10),
+            int(speed.event_ms > 0),
+            round(speed.prefill_ms_per_k * 10),
+            int(speed.prefill_ms_per_k > 0),
+        )
+        for speed in report.speeds
+    }
+
+
+def mean_speed(backend_id: ids.BackendId, sums: Counts) -> fm.EngineSpeed:
+    """Return the mean speed from sums of speeds and their counts."""
+    event, events, prefill, prefills = sums
+    return fm.EngineSpeed(
+        backend_id, _mean(event, events), _mean(prefill, prefills)
+    )
+
+
+def _mean(tenths: int, count: int) -> float:
+    """Return the mean of values in tenths, 0 where none is known."""
+    return round(tenths / count / 10, 1) if count else 0.0
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -86,7 +86,8 @@
         )
         self._watch = fleet_watch.FleetWatch(
             fleet_watch.WatchDependencies(
-                instance=ids.InstanceId(settings.instance_id),
+                instance=reports.instance,
+                boot=reports.boot,
                 zone=ids.ZoneId(settings.zone),
                 clock=self.clock,
                 blackboard=self._blackboard,
@@ -106,12 +107,13 @@
         self._blackboard.fleet.changes().subscribe(
             lambda view: self._deps.speeds.update_reported(view.speed_by_id)
         )
+        self._deps.own_loads.on_change = self._watch.notify_loads
         for source in (
-            self._deps.own_loads,
             self._deps.health,
             self._deps.guard,
             self._deps.parts,
             self._deps.intake.limits,
+            self._deps.budget,
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
@@ -213,7 +215,7 @@
             "in_flight": self._shutdown.in_flight,
             "table_version": table and table.version,
             "backends": sorted(snapshot.by_id),
-            "list_age_ms": clocks.round_age_ms(now_ms - snapshot.read_at_ms),
+            "list_age_ms": clocks.round_age_ms(self.listing.age_ms),
             "others_age_ms": clocks.round_age_ms(now_ms - fleet.updated_at_ms),
             "entries": fleet.entry_count,
             "suspects": self._deps.health.suspects(),
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -34,6 +34,16 @@
     prefill_ms_per_k: float
 
 
+class SpeedSums(msgspec.Struct, frozen=True, array_like=True):
+    """Sums of speeds in tenths of ms, each with the number of its values."""
+
+    backend_id: ids.BackendId
+    event: int
+    event_count: int
+    prefill_per_k: int
+    prefill_per_k_count: int
+
+
 class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
     """An engine that was lost while it started a request.
 
@@ -233,7 +243,8 @@
     """Long poll for changes since `seen`.
 
     `seen` is the change number of the last reply from the replica's
-    incarnation `boot`.
+    incarnation `boot`. An instance that takes sums over all instances, and
+    subtracts its own share, sends its own incarnation as `entry_boot`.
     """
 
     instance: ids.InstanceId
@@ -241,6 +252,7 @@
     listing_digest: str
     seen: int
     boot: str = ""
+    entry_boot: str = ""
 
 
 class WatchReply(msgspec.Struct, frozen=True):
@@ -257,6 +269,12 @@
     `replicas` are the control replicas' peer addresses and availability
     zones. `rollouts` holds the newest rollout of each service that has had
     one, None where the deployment has none or the replica does not know.
+
+    With `own_number`, `loads`, `speed_sums` (instead of `speeds`) and `uses`
+    are sums over all entry instances, the receiver included with its report
+    of that number, or without any if it is 0. `has_observations` is then set
+    if the reply holds `suspects` and all else but loads, speeds and uses;
+    otherwise these are as in the reply before.
     """
 
     fresh: bool
@@ -280,6 +298,9 @@
     limits: tuple[NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
     rollouts: tuple[RolloutOrder, ...] | None = None
+    own_number: int | None = None
+    speed_sums: tuple[SpeedSums, ...] = ()
+    has_observations: bool = True
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -53,7 +53,6 @@
     current: FleetView, reply: fm.WatchReply, now_ms: float
 ) -> FleetView:
     """Return the view after a watch reply with changes is applied."""
-    current = apply_counts(current, reply, now_ms)
     loads = {} if reply.whole else dict(current.load_by_id)
     for load in reply.loads:
         if load.streams or load.kv_tokens or load.prefill_tokens:
@@ -67,8 +66,16 @@
         else:
             speeds.pop(speed.backend_id, None)
     return dataclasses.replace(
-        current,
+        apply_observations(apply_counts(current, reply, now_ms), reply),
         load_by_id=loads,
+        speed_by_id=speeds,
+    )
+
+
+def apply_observations(current: FleetView, reply: fm.WatchReply) -> FleetView:
+    """Return the view with all of a reply but loads, speeds and counts."""
+    return dataclasses.replace(
+        current,
         suspects=frozenset(reply.suspects),
         crashes_by_request=_by_request(reply.crashes),
         answered=frozenset(reply.answered),
@@ -80,7 +87,6 @@
             limit.backend_id: limit.per_s
             for limit in sorted(reply.limits, reverse=True)
         },
-        speed_by_id=speeds,
         helpers=tuple(reply.helpers),
     )
 
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -7,11 +7,11 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 import functools
 
 import grpc
+import msgspec
 import structlog
 
 from oriolejunction import clock as clocks
@@ -26,21 +26,22 @@
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
+from oriolejunction.peers import pacer as pacers
 from oriolejunction.peers import rpc
+from oriolejunction.peers import watch_replies
+from oriolejunction.peers import watch_rounds
 from oriolejunction import routing_table
 from oriolejunction import supervision
 
-# A watch is answered at least this often, so that a missing answer means
-# that the replica or the connection is lost.
-LONG_POLL_MS = 400.0
-# Changes within this delay are sent together. The delay grows with the
-# number of entry instances, which bounds a replica's message rate.
-MIN_BATCH_MS = 5.0
-BATCH_MS_PER_ENTRY = 0.5
+# The first reply of an instance, which may arrive with those of others.
+FIRST_REPLY_MS = 5.0
+# Least times between relays to a replica: for what instances must know within
+# 100 ms, and for loads and origins, which may be as old as the loads of the
+# replica's own watchers.
+URGENT_RELAY_MS = 15.0
+LOAD_RELAY_MS = 80.0
 RELAY_INTERVAL_MS = 500.0
 RELAY_TIMEOUT_S = 0.5
-# Five heartbeat intervals of the leader.
-LEADER_TIMEOUT_MS = 500.0
 PUBLISH_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 0.8
 # Origins in one relay.
@@ -71,7 +72,7 @@
     """What is still to be sent to one control replica, and its sender."""
 
     task: asyncio.Task
-    has_updates: asyncio.Event
+    pacer: pacers.Pacer
     origins: origin_backlog.OriginBacklog
     reports: dict[str, fm.EntryReport] = dataclasses.field(
         default_factory=dict
@@ -85,11 +86,18 @@
         self._deps = deps
         self._replica = deps.replica
         self._replica.on_apply = self._on_applied
-        self._changed = asyncio.Event()
-        self._has_updates = asyncio.Event()
-        deps.origins.on_change = self._has_updates.set
+        self._rounds = watch_rounds.WatchRounds(deps.clock)
+        self._replies = watch_replies.WatchReplies(
+            deps.incarnation,
+            deps.replica,
+            deps.clock,
+            deps.hub,
+            deps.listing,
+        )
+        deps.origins.on_change = lambda: self._request_relay(LOAD_RELAY_MS)
         self._relay_by_address: dict[str, _Relay] = {}
         self._followed_version = routing_table.NO_TABLE
+        self._listing_told = ""
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve on a gRPC server."""
@@ -105,24 +113,34 @@
         )
 
     def notify_watches(self) -> None:
-        """Wake the watches that wait for a change."""
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        """Tell all watching instances now of a change outside the reports."""
+        self._deps.hub.mark_changed()
+        self._rounds.request(watch_rounds.Urgency.NOW)
 
     def notify_listing(self) -> None:
         """Wake watches and relays after a read of the platform's list."""
         self._observe_software()
-        self.notify_watches()
+        if self._deps.listing.digest != self._listing_told:
+            self._tell_listing()
+            self._request_relay(URGENT_RELAY_MS)
+        else:
+            self._request_relay(LOAD_RELAY_MS)
+
+    def _tell_listing(self) -> None:
+        self._listing_told = self._deps.listing.digest
+        self._rounds.request(watch_rounds.Urgency.NOW)
+
+    def _request_relay(self, interval_ms: float) -> None:
         for relay in self._relay_by_address.values():
-            relay.has_updates.set()
+            relay.pacer.act_after(interval_ms)
 
     def _observe_software(self) -> None:
         self._deps.origins.history.observe(self._deps.listing.backends)
 
     def _on_applied(self) -> None:
-        self._follow_table()
-        self.notify_watches()
-        self._has_updates.set()
+        if self._replica.state.table.version != self._followed_version:
+            self._follow_table()
+            self._rounds.request(watch_rounds.Urgency.NOW)
 
     def _follow_table(self) -> None:
         """Keep origins for as long as the table in force needs them."""
@@ -138,24 +156,16 @@
         self._deps.origins.retention.follow(table)
 
     async def run(self) -> None:
-        """Relay entry reports to the other control replicas."""
+        """Answer watches, and relay reports to the other replicas."""
         self._follow_table()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._rounds.run())
+            group.create_task(self._run_relays())
+
+    async def _run_relays(self) -> None:
         while True:
             self._queue_relays()
-            await self._wait_for_update(self._has_updates)
-            await self._deps.clock.sleep_ms(self._batch_delay_ms())
-
-    async def _wait_for_update(self, has_updates: asyncio.Event) -> None:
-        """Wait for an update, for at most RELAY_INTERVAL_MS."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(RELAY_INTERVAL_MS / 1e3):
-                await has_updates.wait()
-        has_updates.clear()
-
-    def _batch_delay_ms(self) -> float:
-        return max(
-            MIN_BATCH_MS, BATCH_MS_PER_ENTRY * self._deps.hub.entry_count()
-        )
+            await self._deps.clock.sleep_ms(RELAY_INTERVAL_MS)
 
     def _queue_relays(self) -> None:
         """Queue new reports for each other replica's own sender task."""
@@ -173,7 +183,7 @@
                         self._deps.clock,
                     )
                 ),
-                asyncio.Event(),
+                pacers.Pacer(self._deps.clock, RELAY_INTERVAL_MS),
                 origin_backlog.OriginBacklog(self._deps.clock),
             )
         for address in set(self._relay_by_address) - addresses:
@@ -187,7 +197,6 @@
             for relay in self._relay_by_address.values():
                 relay.reports.update(reports)
                 relay.origins.add(origins.values())
-                relay.has_updates.set()
 
     async def _send_relays(self, address: str) -> None:
         """Send pending reports to one replica; a slow one delays no other."""
@@ -195,8 +204,8 @@
         relay = self._relay_by_address[address]
         digest_sent = ""
         while True:
-            await self._wait_for_update(relay.has_updates)
-            await self._deps.clock.sleep_ms(self._batch_delay_ms())
+            await relay.pacer.wait()
+            self._queue_relays()
             reports = tuple(relay.reports.values())
             relay.reports.clear()
             origins = relay.origins.take(MAX_ORIGIN_BATCH)
@@ -219,7 +228,7 @@
                 relay.origins.put_back(origins)
                 continue
             if relay.origins:
-                relay.has_updates.set()
+                relay.pacer.act_after(URGENT_RELAY_MS)
             if listing is not None:
                 digest_sent = listing.digest
 
@@ -231,81 +240,78 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _report(self, request: fm.ReportRequest) -> fm.Acknowledgement:
-        if self._deps.hub.put(request.share, direct=True):
-            self.notify_watches()
-            self._has_updates.set()
+        urgency = self._put((request.share,), direct=True)
+        if urgency is not None:
+            is_urgent = urgency is not watch_rounds.Urgency.LOADS
+            self._request_relay(
+                URGENT_RELAY_MS if is_urgent else LOAD_RELAY_MS
+            )
         return fm.Acknowledgement()
 
     async def _relay(self, request: fm.RelayRequest) -> fm.Acknowledgement:
-        hub = self._deps.hub
-        changed = [hub.put(report, direct=False) for report in request.shares]
+        self._put(request.shares, direct=False)
         for origin in request.origins:
             self._deps.origins.put(origin, direct=False)
         listing_changed = self._deps.listing.store_received(request.listing)
         if request.listing is not None:
             self._observe_software()
-        if listing_changed or any(changed):
-            self.notify_watches()
+        if listing_changed:
+            self._tell_listing()
         return fm.Acknowledgement()
 
-    async def _watch(self, request: fm.WatchRequest) -> fm.WatchReply:
+    def _put(
+        self, reports: tuple[fm.EntryReport, ...], direct: bool
+    ) -> watch_rounds.Urgency | None:
+        """Store reports; return how soon the others must know of them."""
+        hub = self._deps.hub
+        before = hub.change_number
+        for report in reports:
+            hub.put(report, direct)
+        urgency = self._urgency_since(before)
+        if urgency is not None:
+            self._rounds.request(urgency)
+        return urgency
+
+    def _urgency_since(self, seen: int) -> watch_rounds.Urgency | None:
+        """Return how soon a watcher must be told; None without a change."""
+        hub = self._deps.hub
+        if hub.change_number == seen:
+            return None
+        if hub.has_observations_since(seen):
+            return watch_rounds.Urgency.NOW
+        if hub.has_resends_since(seen):
+            return watch_rounds.Urgency.RESENDS
+        return watch_rounds.Urgency.LOADS
+
+    async def _watch(
+        self, request: fm.WatchRequest
+    ) -> fm.WatchReply | msgspec.Raw:
         clock = self._deps.clock
-        deadline_ms = clock.now_ms() + LONG_POLL_MS
-        await clock.sleep_ms(self._batch_delay_ms())
-        while not self._has_changed(request):
-            remaining_ms = deadline_ms - clock.now_ms()
-            if remaining_ms <= 0:
-                break
-            changed = self._changed
-            try:
-                async with asyncio.timeout(remaining_ms / 1e3):
-                    await changed.wait()
-            except TimeoutError:
-                break
-        return self._watch_reply(request)
-
-    def _has_changed(self, request: fm.WatchRequest) -> bool:
-        return (
+        if request.boot != self._deps.incarnation:
+            await clock.sleep_ms(FIRST_REPLY_MS)
+            return self._replies.reply_to(request)
+        until_ms = clock.now_ms() + watch_rounds.LONG_POLL_MS
+        early_ms = until_ms - watch_rounds.EARLY_REPLY_MS
+        while True:
+            urgency = self._urgency_for(request)
+            if urgency is not None:
+                self._rounds.request(urgency)
+            await self._rounds.wait(until_ms)
+            if (
+                self._urgency_for(request) is not None
+                or clock.now_ms() >= early_ms
+            ):
+                return self._replies.reply_to(request)
+
+    def _urgency_for(
+        self, request: fm.WatchRequest
+    ) -> watch_rounds.Urgency | None:
+        if (
             self._replica.state.table.version > request.table_version
             or self._deps.listing.digest != request.listing_digest
-            or self._deps.hub.change_number != request.seen
-            or self._deps.incarnation != request.boot
-        )
-
-    def _watch_reply(self, request: fm.WatchRequest) -> fm.WatchReply:
-        hub = self._deps.hub
-        table = self._replica.state.table
-        document_known = table.version <= request.table_version
-        same_incarnation = request.boot == self._deps.incarnation
-        update = hub.update_for(
-            request.instance,
-            request.seen if same_incarnation else fm.NO_CHANGE_SEEN,
-        )
-        return fm.WatchReply(
-            fresh=self._replica.is_connected(LEADER_TIMEOUT_MS),
-            seen=update.seen,
-            boot=self._deps.incarnation,
-            table_version=table.version,
-            document=None if document_known else table.document,
-            listing=self._deps.listing.snapshot(request.listing_digest),
-            whole=update.complete,
-            loads=update.loads,
-            suspects=update.suspects,
-            crashes=update.crashes,
-            answered=update.answered,
-            part_crashes=update.part_crashes,
-            cleared_parts=update.cleared_parts,
-            blocked_parts=update.blocked_parts,
-            limits=update.limits,
-            helpers=update.helpers,
-            speeds=update.speeds,
-            entries=max(1, hub.entry_count()),
-            uses=hub.uses_of_others(request.instance),
-            replicas=tuple(
-                (member.address, member.zone)
-                for member in self._replica.membership.members()
-            ),
-        )
+        ):
+            return watch_rounds.Urgency.NOW
+        return self._urgency_since(request.seen)
 
     async def _publish(self, request: fm.PublishRequest) -> fm.PublishReply:
         return await self.publish(request, forward=False)
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -5,7 +5,6 @@
 replica is no longer connected to the leader.
 """
 
-import asyncio
 import collections.abc
 import dataclasses
 import random
@@ -18,19 +17,23 @@
 from oriolejunction import clock as clocks
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
-from oriolejunction import fleet_view
+from oriolejunction import fleet_sums
 from oriolejunction import ids
 from oriolejunction import invariants
 from oriolejunction import listeners
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
+from oriolejunction.peers import pacer as pacers
 from oriolejunction.peers import rpc
 from oriolejunction import routing_table
 
 # A replica answers a watch within 400 ms; the rest is for the network.
 WATCH_TIMEOUT_S = 0.7
 REPORT_TIMEOUT_S = 0.4
-REPORT_DELAY_MS = 5.0
+# Least times between reports: of what the others must know within 100 ms, and
+# of loads, which reach them with the replica's next load round.
+URGENT_REPORT_MS = 20.0
+LOAD_REPORT_MS = 100.0
 REPORT_INTERVAL_MS = 1_000.0
 RETRY_DELAY_MS = 50.0
 # A replica that failed is the last choice for this long.
@@ -45,9 +48,11 @@
     `seeds` returns the peer addresses of the control replicas that the
     settings name; `report` returns this instance's current report. `on_move`
     is called once another replica, or another incarnation, has answered.
+    `boot` is this incarnation of the instance.
     """
 
     instance: ids.InstanceId
+    boot: str
     zone: ids.ZoneId
     clock: clocks.Clock
     blackboard: blackboards.Blackboard
@@ -72,27 +77,32 @@
         self._replica_incarnation = ""
         self._connected = False
         self._published_backends: tuple[backends.Backend, ...] = ()
-        self._backend_by_id: dict[ids.BackendId, backends.Backend] = {}
-        self._report_changed = asyncio.Event()
+        self._report_pacer = pacers.Pacer(deps.clock, REPORT_INTERVAL_MS)
+        self._others = fleet_sums.OthersSums(deps.clock)
         board = deps.blackboard
         self._write_table = board.table.claim_writer("fleet_watch")
         self._write_fleet = board.fleet.claim_writer("fleet_watch")
         self._write_backends = board.backends.claim_writer("fleet_watch")
 
     def notify_report(self) -> None:
-        """Send this instance's changed report soon."""
-        self._report_changed.set()
+        """Send this instance's report, which the others need at once."""
+        self._report_pacer.act_after(URGENT_REPORT_MS)
+
+    def notify_loads(self) -> None:
+        """Send this instance's report soon, since its loads changed."""
+        self._report_pacer.act_after(LOAD_REPORT_MS)
 
     def publish_listing(self) -> None:
-        """Write the current list of backend servers to the blackboard."""
+        """Write a changed list of backend servers to the blackboard."""
         listing = self._deps.listing
-        if listing.backends is not self._published_backends:
-            self._published_backends = listing.backends
-            self._backend_by_id = {
-                each.backend_id: each for each in self._published_backends
-            }
+        if listing.backends is self._published_backends:
+            return
+        self._published_backends = listing.backends
         self._write_backends(
-            backends.BackendSnapshot(self._backend_by_id, listing.read_at_ms)
+            backends.BackendSnapshot(
+                {each.backend_id: each for each in listing.backends},
+                listing.read_at_ms,
+            )
         )
 
     async def run(self) -> None:
@@ -106,27 +116,20 @@
 
     async def run_reports(self) -> None:
         """Send the report when it changes, and at least once a second."""
-        clock = self._deps.clock
         while True:
-            try:
-                async with asyncio.timeout(REPORT_INTERVAL_MS / 1e3):
-                    await self._report_changed.wait()
-            except TimeoutError:
-                pass
-            self._report_changed.clear()
+            await self._report_pacer.wait()
             if self._current is not None:
                 await self._send_report(self._current)
-            await clock.sleep_ms(REPORT_DELAY_MS)
 
     async def _send_report(self, address: str) -> None:
         call = self._deps.stub_for(address, fleet_methods.REPORT)
+        report = self._deps.report()
+        self._others.record_report(report)
         try:
-            await call(
-                fm.ReportRequest(self._deps.report()), timeout=REPORT_TIMEOUT_S
-            )
+            await call(fm.ReportRequest(report), timeout=REPORT_TIMEOUT_S)
         except grpc.aio.AioRpcError as error:
             _log.debug("report not sent", to=address, code=error.code().name)
-            self._report_changed.set()
+            self.notify_report()
 
     def _choose_replica(self) -> str | None:
         """Return the replica to watch, None if no replica is known."""
@@ -157,7 +160,7 @@
     async def _watch(self, address: str) -> None:
         if address != self._current:
             self._current = address
-            self._report_changed.set()
+            self.notify_report()
         table = self._deps.blackboard.table.read()
         request = fm.WatchRequest(
             self._deps.instance,
@@ -165,6 +168,7 @@
             self._deps.listing.digest,
             self._seen,
             self._replica_incarnation,
+            self._deps.boot,
         )
         call = self._deps.stub_for(address, fleet_methods.WATCH)
         try:
@@ -205,17 +209,16 @@
             )
         self.publish_listing()
         current = self._deps.blackboard.fleet.read()
-        now_ms = self._deps.clock.now_ms()
-        if (
-            reply.seen == self._seen
-            and reply.boot == self._replica_incarnation
-        ):
-            self._write_fleet(fleet_view.apply_counts(current, reply, now_ms))
-            return
         if reply.boot != self._replica_incarnation:
             self._deps.on_move()
+        view = self._others.apply(
+            current,
+            reply,
+            has_changes=reply.seen != self._seen
+            or reply.boot != self._replica_incarnation,
+        )
         self._seen, self._replica_incarnation = reply.seen, reply.boot
-        self._write_fleet(fleet_view.apply_reply(current, reply, now_ms))
+        self._write_fleet(view)
 
     def _apply_table(self, document: bytes) -> None:
         current = self._deps.blackboard.table.read()
--- a/tests/controllers/test_fleet_hub.py
+++ b/tests/controllers/test_fleet_hub.py
@@ -8,6 +8,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import fleet_hub
+from oriolejunction.controllers import tracked_sums
 from oriolejunction import fleet_messages as fm
 from oriolejunction import fleet_view
 from oriolejunction import ids
@@ -128,14 +129,14 @@
 
 def test_idle_backends_are_dropped_once_there_are_too_many():
     hub = fleet_hub.FleetHub(clocks.ManualClock())
-    for number in range(3 * fleet_hub.MAX_IDLE_BACKENDS):
+    for number in range(3 * tracked_sums.MAX_IDLE_BACKENDS):
         load = fm.BackendLoad(ids.BackendId(f"e{number}"), 1, 1, 1)
         hub.put(
             fm.EntryReport(ids.InstanceId("a"), "b", number, (load,)), True
         )
     update = hub.update_for(ids.InstanceId("x"), 1)
     assert update.complete
-    assert len(update.loads) <= fleet_hub.MAX_IDLE_BACKENDS + 1
+    assert len(update.loads) <= tracked_sums.MAX_IDLE_BACKENDS + 1
 
 
 def test_only_direct_reports_are_forwarded():
@@ -242,6 +243,8 @@
 def test_report_is_read_by_an_older_replica_and_an_older_one_here():
     """Load: instances and replicas of two versions during an update."""
     fields = msgspec.structs.fields(fm.EntryReport)
+    names = [field.name for field in fields]
+    fields = fields[: names.index("helpers") + 1]
     older = msgspec.defstruct(
         "OlderReport",
         [(f.name, f.type, f.default) for f in fields[3:-1]],
