--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -79,17 +79,20 @@
     disturbed_boots: set[int] = dataclasses.field(default_factory=set)
     is_paused: bool = False
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    # Where the node's package is, and how Python is to run it.
+    source: str = "src"
+    python_options: tuple[str, ...] = ()
 
     async def start(self) -> None:
         """Start the process and append its output to its log."""
         self.boot += 1
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "oriolejunction.node", self.role),
-                str(self.settings),
+                *(sys.executable, *self.python_options),
+                *("-m", "oriolejunction.node", self.role, str(self.settings)),
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": "src"},
+                env={**os.environ, "PYTHONPATH": self.source},
             )
 
     def signal_process(self, number: signal.Signals) -> None:
