--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -1,11 +1,11 @@
 """Processor time of an entry instance by request, event and second.
 
-``python -m bench.request_cost [--source FOLDER] [--profile FILE]`` starts three
-entry instances and three control replicas of the package in FOLDER, in front
-of scripted backend servers, and prints what one entry instance used: without
-requests, with calls only, with streams of one and of many events, and with a
-mix of both. With ``--profile`` it runs the mix only, and writes a cProfile of
-the instance to FILE; processor time by wall clock then includes the profiler.
+``python -m bench.request_cost [--source FOLDER] [--profile FILE]`` starts
+three entry instances and three control replicas of the package in FOLDER, in
+front of scripted backend servers, and prints what one entry instance used:
+without requests, with calls only, with streams of one and of many events, and
+with a mix of both. With ``--profile`` it runs the mix only, and writes a
+cProfile of the instance to FILE, which is by wall clock.
 """
 
 import argparse
@@ -63,6 +63,14 @@
 
     async def send(self, kind: str, events: int = 0) -> bool:
         """Send one request; return whether it was answered."""
+        try:
+            is_whole = await self._send(kind, events)
+        except aiohttp.ClientError:
+            is_whole = False
+        self.failed += not is_whole
+        return is_whole
+
+    async def _send(self, kind: str, events: int) -> bool:
         self._count += 1
         url = f"http://{self._node.ip}:{fleets.ENTRY_PORT}"
         async with self._session.request(
@@ -79,9 +87,7 @@
             data=b"prompt" * 700,
         ) as response:
             body = await response.read()
-        is_whole = response.status == 200 and body.count(b"id: ") == events
-        self.failed += not is_whole
-        return is_whole
+        return response.status == 200 and body.count(b"id: ") == events
 
     async def run(
         self,
