Bound the waits for a stream's events by one timer

Each event of a stream started and cancelled a timer, computed the limits of its silence twice and made a default estimate that was thrown away. The reader of an answer now has one timer that is moved only when it fires.

--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -209,7 +209,10 @@
         self._listed_by_id = dict(listed)
 
     def _own_estimate(self, backend_id: ids.BackendId) -> SpeedEstimate:
-        return self._own_by_id.setdefault(backend_id, SpeedEstimate())
+        own = self._own_by_id.get(backend_id)
+        if own is None:
+            own = self._own_by_id[backend_id] = SpeedEstimate()
+        return own
 
 
 def _median(values: list[float]) -> float:
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -19,6 +19,7 @@
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import repeated_task
+from oriolejunction.http import shared_timer
 from oriolejunction.http import stream_plan
 
 LimitsSource = collections.abc.Callable[[], stalls.StallLimits]
@@ -96,6 +97,7 @@
         self._backend = backend
         self._first_event = first_event
         self._handlers = handlers
+        self._timer = shared_timer.SharedTimer()
 
     async def read(
         self, read_piece: PieceReader[Piece], limits: LimitsSource
@@ -108,7 +110,7 @@
         """
         since_ms = self._deps.clock.now_ms()
         try:
-            return await self._read_in_time(read_piece, limits)
+            return await self._read_in_time(read_piece, limits, since_ms)
         except EngineStalled as stall:
             return await self._read_or_replace(
                 read_piece, limits, stall, since_ms
@@ -221,7 +223,10 @@
         )
 
     async def _read_in_time(
-        self, read_piece: PieceReader[Piece], limits: LimitsSource
+        self,
+        read_piece: PieceReader[Piece],
+        limits: LimitsSource,
+        since_ms: float,
     ) -> Piece:
         """Return the next piece; raise `EngineStalled`.
 
@@ -230,31 +235,31 @@
         report that it works on the request.
         """
         clock = self._deps.clock
-        since_ms = clock.now_ms()
-        probe_at_ms = limits().probe_ms
+        now_ms = since_ms
+        current = limits()
+        probe_at_ms = current.probe_ms
         next_report_ms = 0.0
         is_working = False
         while True:
-            silent_ms = clock.now_ms() - since_ms
-            current = limits()
+            silent_ms = now_ms - since_ms
             report_at_ms = max(next_report_ms, current.report_ms)
             give_up_ms = report_at_ms if is_working else current.give_up_ms
             wait_ms = min(probe_at_ms, report_at_ms, give_up_ms) - silent_ms
             wait_ms = max(0.0, min(wait_ms, self._attempts.remaining_ms))
-            due_ms = clock.now_ms() + wait_ms
+            due_ms = now_ms + wait_ms
             try:
-                async with asyncio.timeout(wait_ms / 1e3):
-                    return await read_piece()
+                return await self._timer.bound(read_piece, wait_ms)
             except TimeoutError:
-                late_ms = clock.now_ms() - due_ms
+                now_ms = clock.now_ms()
+                late_ms = now_ms - due_ms
+            current = limits()
             if self._attempts.remaining_ms <= 0:
                 raise DeadlineReached
             if late_ms > clocks.LATE_TIMER_MS:
                 # What arrived while this process was paused is read first.
                 since_ms += late_ms
                 continue
-            silent_ms = clock.now_ms() - since_ms
-            current = limits()
+            silent_ms = now_ms - since_ms
             if silent_ms >= max(next_report_ms, current.report_ms):
                 is_working = await self._check_report(silent_ms)
                 next_report_ms = silent_ms + stalls.REPORT_INTERVAL_MS
@@ -266,7 +271,9 @@
                 raise EngineStalled(
                     f"silent for {silent_ms:.0f} ms and not reached"
                 )
-            probe_at_ms = clock.now_ms() - since_ms + stalls.REPROBE_MS
+            now_ms = clock.now_ms()
+            current = limits()
+            probe_at_ms = now_ms - since_ms + stalls.REPROBE_MS
 
     async def _check_report(self, silent_ms: float) -> bool:
         """Return whether the engine reports that it works on the request.
