Let entry instances sleep while their list of servers is fresh

An entry instance checked ten times a second whether its list was stale, and made a new stub and parsed the seeds' addresses for each watch and report. It sleeps until its list can be stale now, and keeps stubs and addresses.

--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -122,7 +122,7 @@
                 functools.partial(
                     backend_list.fetch, address=settings.list_address
                 ),
-                lambda: False,
+                None,
                 lambda: self._blackboard.table.read() is not None,
                 self._watch.publish_listing,
                 self.rng,
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -4,6 +4,7 @@
 can change while the process runs.
 """
 
+import functools
 import pathlib
 import typing
 
@@ -28,7 +29,7 @@
     rollback_ms: PositiveFloat
 
 
-class _NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+class _NodeSettings(msgspec.Struct, frozen=True, kw_only=True, dict=True):
     instance_id: settings.Name
     zone: settings.Name
     ip: str
@@ -41,10 +42,14 @@
 
     def seed_addresses(self) -> list[str]:
         """Return the addresses where the control seeds listen for peers."""
+        return list(self._seed_addresses)
+
+    @functools.cached_property
+    def _seed_addresses(self) -> tuple[str, ...]:
         hosts = (
             settings.split_address(each)[0] for each in self.control_seeds
         )
-        return [f"{host}:{self.peer_port}" for host in hosts]
+        return tuple(f"{host}:{self.peer_port}" for host in hosts)
 
     @property
     def peer_listen(self) -> str:
--- a/src/oriolejunction/peers/channels.py
+++ b/src/oriolejunction/peers/channels.py
@@ -14,14 +14,19 @@
     ) -> None:
         self._transport = transport
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self._stub_by_target: dict[tuple[str, rpc.Method], rpc.Handler] = {}
 
     def stub_for(self, address: str, method: rpc.Method) -> rpc.Handler:
         """Return a stub for `method` at `address`."""
-        channel = self._channel_by_address.get(address)
-        if channel is None:
-            channel = self._transport.channel(address)
-            self._channel_by_address[address] = channel
-        return rpc.make_stub(channel, method)
+        stub = self._stub_by_target.get((address, method))
+        if stub is None:
+            channel = self._channel_by_address.get(address)
+            if channel is None:
+                channel = self._transport.channel(address)
+                self._channel_by_address[address] = channel
+            stub = rpc.make_stub(channel, method)
+            self._stub_by_target[address, method] = stub
+        return stub
 
     async def close(self) -> None:
         """Close all channels."""
--- a/src/oriolejunction/peers/list_poller.py
+++ b/src/oriolejunction/peers/list_poller.py
@@ -43,11 +43,12 @@
         clock: clocks.Clock,
         store: listing_store.ListingStore,
         fetch: Fetch,
-        is_primary: collections.abc.Callable[[], bool],
+        is_primary: collections.abc.Callable[[], bool] | None,
         is_needed: collections.abc.Callable[[], bool],
         on_change: listeners.OnChange,
         rng: random.Random,
     ) -> None:
+        """Create the poller; `is_primary` is None if it never is."""
         self._clock = clock
         self._store = store
         self._fetch = fetch
@@ -61,7 +62,7 @@
         """Poll the list until cancelled."""
         async with aiohttp.ClientSession() as session:
             while True:
-                if self._is_primary():
+                if self._is_primary is not None and self._is_primary():
                     await self._fetch_list(session)
                     await self._clock.sleep_ms(READ_INTERVAL_MS)
                 elif self._is_stale() and self._is_needed():
@@ -69,7 +70,13 @@
                     jitter = self._rng.uniform(0.8, 1.2)
                     await self._clock.sleep_ms(BACKUP_INTERVAL_MS * jitter)
                 else:
-                    await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+                    await self._clock.sleep_ms(self._check_in_ms())
+
+    def _check_in_ms(self) -> float:
+        """Return when the list may have to be read, at the earliest."""
+        if self._is_primary is not None:
+            return CHECK_INTERVAL_MS
+        return max(CHECK_INTERVAL_MS, STALE_AFTER_MS - self._store.age_ms)
 
     def _is_stale(self) -> bool:
         return self._store.age_ms > STALE_AFTER_MS
