Add pending increments of counters however these are read

The values of a counter now add what is pending whoever reads them.

Ran tests of telemetry, metrics, generation runner and stalled attempts.

--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -32,27 +32,24 @@
     """
 
     def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
         self._pending: collections.Counter[tuple] = collections.Counter()
+        super().__init__(*args, **kwargs)
 
     def inc(self, labels: dict[str, str]) -> None:
         """Add 1."""
         self._pending[tuple(labels.items())] += 1
 
-    def get(self, labels: dict[str, str]) -> float:
-        """Return a value; raise `KeyError` if there is none."""
-        self._add_pending()
-        return super().get(labels)
-
-    def get_all(self) -> list[tuple[dict[str, str], float]]:
-        """Return all values with their labels."""
-        self._add_pending()
-        return super().get_all()
-
-    def _add_pending(self) -> None:
+    @property
+    def values(self):
+        """Return the values by labels, with all increments."""
         pending, self._pending = self._pending, collections.Counter()
         for labels, count in pending.items():
             self.add(dict(labels), count)
+        return self._values
+
+    @values.setter
+    def values(self, values) -> None:
+        self._values = values
 
 
 class _MetricsBase:
