--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -6,14 +6,18 @@
 
 import typing
 
+<<<<<<< HEAD
 import msgspec
+=======
+import reactivex
+from reactivex import subject
+>>>>>>> parent of 7c1121f (Start nodes without fire and reactivex)
 
 from oriolejunction import backends
 from oriolejunction import configuration
 from oriolejunction import fleet_view
 from oriolejunction import ids
 from oriolejunction import invariants
-from oriolejunction import listeners
 from oriolejunction import messages
 from oriolejunction import routing_table
 from oriolejunction import states
@@ -27,14 +31,14 @@
     def __init__(self, value: Value) -> None:
         self._value = value
         self._writer: str | None = None
-        self._changes: listeners.Changes[Value] = listeners.Changes()
+        self._changes: subject.Subject = subject.Subject()
 
     def read(self) -> Value:
         """Return the current value."""
         return self._value
 
-    def changes(self) -> listeners.Changes[Value]:
-        """Return the stream of the values written from now on."""
+    def changes(self) -> reactivex.Observable:
+        """Return an observable of the values written from now on."""
         return self._changes
 
     def claim_writer(self, writer: str) -> typing.Callable[[Value], None]:
@@ -50,7 +54,7 @@
 
     def _write(self, value: Value) -> None:
         self._value = value
-        self._changes.notify(value)
+        self._changes.on_next(value)
 
 
 class InForce(msgspec.Struct, frozen=True):
@@ -114,5 +118,5 @@
         self.table: Cell[routing_table.RoutingTable | None] = Cell(None)
         self.backends = Cell(backends.BackendSnapshot({}, float("-inf")))
         self.fleet = Cell(fleet_view.FleetView())
-        self.attempt_losses: listeners.Changes = listeners.Changes()
-        self.attempt_stalls: listeners.Changes = listeners.Changes()
+        self.attempt_losses: subject.Subject = subject.Subject()
+        self.attempt_stalls: subject.Subject = subject.Subject()
--- a/src/oriolejunction/controllers/generation_runner.py
+++ b/src/oriolejunction/controllers/generation_runner.py
@@ -5,6 +5,8 @@
 import dataclasses
 import math
 
+from reactivex import subject
+
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
 from oriolejunction.controllers import engine_search
@@ -17,7 +19,6 @@
 from oriolejunction.controllers import silence_limits
 from oriolejunction.controllers import stalls
 from oriolejunction import engine_protocol
-from oriolejunction import listeners
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
@@ -47,8 +48,8 @@
     choose_engine: route_request.ChooseEngine
     telemetry: metrics.Telemetry
     clock: clocks.Clock
-    attempt_losses: listeners.Changes
-    attempt_stalls: listeners.Changes
+    attempt_losses: subject.Subject
+    attempt_stalls: subject.Subject
     detector: detectors.SilenceDetector
     policy: collections.abc.Callable[[], loss_policy.LossPolicy]
 
--- a/src/oriolejunction/controllers/loss_reports.py
+++ b/src/oriolejunction/controllers/loss_reports.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from reactivex import subject
 import structlog
 
 from oriolejunction import blackboard as blackboards
@@ -11,7 +12,6 @@
 from oriolejunction.controllers import route_request
 from oriolejunction.controllers import silence_detector as detectors
 from oriolejunction import engine_protocol
-from oriolejunction import listeners
 from oriolejunction import states
 from oriolejunction import telemetry as metrics
 
@@ -33,8 +33,8 @@
     telemetry: metrics.Telemetry
     detector: detectors.SilenceDetector
     clock: clocks.Clock
-    attempt_losses: listeners.Changes
-    attempt_stalls: listeners.Changes
+    attempt_losses: subject.Subject
+    attempt_stalls: subject.Subject
 
     def report_loss(
         self, attempt: generation_attempt.Attempt, cause: states.LossCause
@@ -52,7 +52,7 @@
             engine_wide=loss.engine_wide,
             delivered=len(self.generation.delivered_ids),
         )
-        self.attempt_losses.notify(loss)
+        self.attempt_losses.on_next(loss)
 
     def report_stall(self, attempt: generation_attempt.Attempt) -> None:
         """Report an attempt that is silent for too long but stays open."""
@@ -61,7 +61,7 @@
             attempt.engine.engine_id, attempt.key, now_ms
         )
         self._log_stall("engine stalled", attempt, silence_ms)
-        self.attempt_stalls.notify(
+        self.attempt_stalls.on_next(
             self._describe(attempt, states.LossCause.SILENT)
         )
 
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -5,7 +5,6 @@
 while an instance starts again.
 """
 
-import argparse
 import asyncio
 import collections.abc
 import faulthandler
@@ -16,6 +15,7 @@
 import sys
 import typing
 
+import fire
 import structlog
 
 from oriolejunction import errors
@@ -30,31 +30,28 @@
 _log = structlog.get_logger(__name__)
 
 
-def _load_entry() -> type["node_base.Node"]:
-    from oriolejunction import entry_wiring
+class Commands:
+    """Run one node of a deployment until SIGINT or SIGTERM."""
 
-    return entry_wiring.EntryNode
+    def entry(self, boot: str | None = None) -> None:
+        """Run an entry instance with the settings file BOOT."""
 
+        def load() -> type["node_base.Node"]:
+            from oriolejunction import entry_wiring
 
-def _load_control() -> type["node_base.Node"]:
-    from oriolejunction import control_wiring
+            return entry_wiring.EntryNode
 
-    return control_wiring.ControlNode
+        _run_role(load, boot)
 
+    def control(self, boot: str | None = None) -> None:
+        """Run a control replica with the settings file BOOT."""
 
-LOAD_BY_ROLE = {"entry": _load_entry, "control": _load_control}
+        def load() -> type["node_base.Node"]:
+            from oriolejunction import control_wiring
 
+            return control_wiring.ControlNode
 
-def _parse_arguments() -> argparse.Namespace:
-    # Not by fire, which `cli` uses: its import takes a fifth of a start.
-    parser = argparse.ArgumentParser(
-        prog="oriolejunction.node",
-        description="Run one node of a deployment until SIGINT or SIGTERM.",
-    )
-    parser.add_argument("role", choices=LOAD_BY_ROLE)
-    parser.add_argument("path", nargs="?", help="the settings file")
-    parser.add_argument("--boot", metavar="PATH", help="the settings file")
-    return parser.parse_args()
+        _run_role(load, boot)
 
 
 def _run_role(
@@ -106,11 +103,8 @@
     """Run the command line; print a `Failure` in one line."""
     # A crash in a native library leaves the stacks of all threads in the log.
     faulthandler.enable()
-    arguments = _parse_arguments()
     try:
-        _run_role(
-            LOAD_BY_ROLE[arguments.role], arguments.boot or arguments.path
-        )
+        fire.Fire(Commands, name="oriolejunction.node")
     except errors.Failure as failure:
         print(failure.error.message, file=sys.stderr)
         sys.exit(2)
--- a/src/oriolejunction/peers/journal_client.py
+++ b/src/oriolejunction/peers/journal_client.py
@@ -61,7 +61,7 @@
         self._closing: set[asyncio.Task] = set()
         self._leaving: frozenset[ids.InstanceId] = frozenset()
         self._absent_since_ms_by_id: dict[ids.InstanceId, float] = {}
-        self._unsubscribe = blackboard.instance_by_id.changes().subscribe(
+        self._subscription = blackboard.instance_by_id.changes().subscribe(
             self._on_peers_changed
         )
 
@@ -129,7 +129,7 @@
 
     async def close(self) -> None:
         """Fail pending records and close all channels."""
-        self._unsubscribe()
+        self._subscription.dispose()
         for sender in self._sender_by_address.values():
             await sender.close()
 
--- a/tests/controllers/test_generation_runner.py
+++ b/tests/controllers/test_generation_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from reactivex import subject
 
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
@@ -13,7 +14,6 @@
 from oriolejunction.controllers import silence_detector as detectors
 from oriolejunction import engine_protocol
 from oriolejunction import errors
-from oriolejunction import listeners
 from oriolejunction.standin import chain
 from oriolejunction.standin import engine_stream
 from oriolejunction import states
@@ -121,10 +121,10 @@
         self.clock = clocks.ManualClock()
         self.engines = FakeEngines(self.clock, dict(faults))
         self.losses = []
-        losses = listeners.Changes()
+        losses = subject.Subject()
         losses.subscribe(self.losses.append)
         self.stalls = []
-        stalls = listeners.Changes()
+        stalls = subject.Subject()
         stalls.subscribe(self.stalls.append)
         self.granted = 0
         self.may_grant = lambda: True
