--- a/src/oriolejunction/controllers/report_counts.py
+++ b/src/oriolejunction/controllers/report_counts.py
@@ -4,7 +4,7 @@
 sums.
 """
 
-import dataclasses
+import msgspec
 
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -12,19 +12,12 @@
 Counts = tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True)
-class ReportCounts:
+class ReportCounts(msgspec.Struct, frozen=True):
     """Counts by backend server, and by service."""
 
-    loads: dict[ids.BackendId, Counts] = dataclasses.field(
-        default_factory=dict
-    )
-    speeds: dict[ids.BackendId, Counts] = dataclasses.field(
-        default_factory=dict
-    )
-    uses: dict[ids.ServiceName, Counts] = dataclasses.field(
-        default_factory=dict
-    )
+    loads: dict[ids.BackendId, Counts] = {}
+    speeds: dict[ids.BackendId, Counts] = {}
+    uses: dict[ids.ServiceName, Counts] = {}
 
 
 NO_COUNTS = ReportCounts()
--- a/src/oriolejunction/fleet_sums.py
+++ b/src/oriolejunction/fleet_sums.py
@@ -5,9 +5,9 @@
 """
 
 import collections
-import dataclasses
 import operator
 
+import msgspec
 import structlog
 
 from oriolejunction import clock as clocks
@@ -112,7 +112,7 @@
         )
         if reply.has_observations:
             current = fleet_view.apply_observations(current, reply)
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             current,
             load_by_id=loads,
             speed_by_id=speeds,
