--- a/src/oriolejunction/blackboard.py
+++ b/src/oriolejunction/blackboard.py
@@ -6,12 +6,9 @@
 
 import typing
 
-<<<<<<< HEAD
 import msgspec
-=======
 import reactivex
 from reactivex import subject
->>>>>>> parent of 7c1121f (Start nodes without fire and reactivex)
 
 from oriolejunction import backends
 from oriolejunction import configuration
