Subtract the own report from changed rows only

A watch reply cost an instance twice as much with 90 instances as with 10, since it computed the differences of all changed servers from totals it kept. A row of the reply suffices: what changed between two own reports has changed in the sums, too. The hub compares fields before it counts items. bench.fleet_cost also measures how long a lost server takes to be known.

--- a/bench/fleet_cost.py
+++ b/bench/fleet_cost.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import statistics
 import sys
 
 import fire
@@ -92,6 +93,13 @@
         msgspec.json.decode(output, type=fleet_watchers.WatcherCosts)
         for output, _ in outputs[: len(members)]
     ]
+    lost_ms = [
+        spread_ms
+        for output, _ in outputs
+        for spread_ms in msgspec.json.decode(
+            output, type=fleet_watchers.WatcherCosts
+        ).lost_ms
+    ]
     replies = sum(each.replies / each.seconds for each in costs)
     reports = sum(each.reports / each.seconds for each in costs)
     cpu = sum(each.cpu_s / each.seconds for each in costs)
@@ -106,6 +114,9 @@
         ),
         "watcher_share": round(cpu / watchers, 5),
         "watcher_us_per_call": round(cpu * 1e6 / (replies + reports)),
+        "lost_p50_ms": statistics.median(lost_ms),
+        "lost_p95_ms": statistics.quantiles(lost_ms, n=20)[-1],
+        "lost_max_ms": max(lost_ms),
     }
 
 
@@ -119,6 +130,8 @@
 
     `profile` begins the names of files for the functions that took the most
     processor time. The share of a watcher includes its made-up streams.
+    `lost_p50_ms` is the median time until all instances of a process know of
+    a server that one of them lost.
     """
     logs.configure("error")
     for count in (watchers,) if isinstance(watchers, int) else watchers:
--- a/bench/fleet_watchers.py
+++ b/bench/fleet_watchers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import sys
 import time
@@ -34,17 +35,23 @@
 STREAM_S = 1.5
 EVENT_MS = 30.0
 SETTLE_S = 5.0
+LOSS_INTERVAL_S = 1.0
+POLL_S = 0.002
 _ENGINES = fleet_replica.engines()
 
 
 class WatcherCosts(msgspec.Struct, frozen=True):
-    """Calls and processor time of one process with some watchers."""
+    """Calls and processor time of one process with some watchers.
+
+    `lost_ms` are the times until all of its watchers knew of a lost server.
+    """
 
     watchers: int
     replies: int
     reports: int
     cpu_s: float
     seconds: float
+    lost_ms: tuple[float, ...]
 
 
 @dataclasses.dataclass
@@ -111,6 +118,7 @@
         )
         self._watch.replicas = lambda: seed
         self.deps.own_loads.on_change = self._watch.notify_loads
+        self.deps.health.on_change = self._watch.notify_report
 
     async def run(self) -> None:
         """Watch, report and run streams until cancelled."""
@@ -142,6 +150,25 @@
         await self._channels.close()
 
 
+async def _lose_servers(watchers: list[Watcher], lost_ms: list[float]) -> None:
+    """Let one watcher at a time lose a server; record when all know it."""
+    for number in itertools.count():
+        await asyncio.sleep(LOSS_INTERVAL_S)
+        server = ids.BackendId(f"lost-{number}")
+        finder = watchers[number % len(watchers)]
+        others = [each for each in watchers if each is not finder]
+        start_s = time.monotonic()
+        finder.deps.health.mark_lost(server)
+        while others:
+            await asyncio.sleep(POLL_S)
+            others = [
+                each
+                for each in others
+                if server not in each.deps.blackboard.fleet.read().suspects
+            ]
+        lost_ms.append(round((time.monotonic() - start_s) * 1e3, 1))
+
+
 async def _run(
     name: str, count: int, addresses: list[str], seconds: float
 ) -> WatcherCosts:
@@ -153,7 +180,9 @@
         for number in range(count)
     ]
     tasks = [asyncio.create_task(watcher.run()) for watcher in watchers]
+    lost_ms: list[float] = []
     await asyncio.sleep(SETTLE_S)
+    tasks.append(asyncio.create_task(_lose_servers(watchers, lost_ms)))
     start_s, cpu_s = time.monotonic(), time.process_time()
     before = dataclasses.replace(calls)
     await asyncio.sleep(seconds)
@@ -163,6 +192,7 @@
         calls.reports - before.reports,
         time.process_time() - cpu_s,
         time.monotonic() - start_s,
+        tuple(lost_ms),
     )
     for task in tasks:
         task.cancel()
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -316,9 +316,10 @@
         self._loads.replace(counts_before.loads, counts_after.loads, number)
         self._speeds.replace(counts_before.speeds, counts_after.speeds, number)
         for field, counts in self._merged.items():
-            old, new = _items(before, field), _items(after, field)
+            old, new = getattr(before, field, ()), getattr(after, field, ())
             if old != new:
                 self._observed_number = number
+                old, new = _items(before, field), _items(after, field)
                 self._merged[field] = counts - old + new
                 if field == "helpers":
                     self._ordered_helpers = sorted(
--- a/src/oriolejunction/fleet_sums.py
+++ b/src/oriolejunction/fleet_sums.py
@@ -23,13 +23,10 @@
 
 
 class OthersSums:
-    """The sums of the last replies, and the own reports they may include."""
+    """The own reports that the sums of a control replica may include."""
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._load_totals: dict[ids.BackendId, report_counts.Counts] = {}
-        self._speed_totals: dict[ids.BackendId, report_counts.Counts] = {}
-        self._subtracted = report_counts.NO_COUNTS
         self._last_report: fm.EntryReport | None = None
         # The newest last, with the time it was sent.
         self._sent: collections.deque[
@@ -62,52 +59,20 @@
             if has_changes:
                 return fleet_view.apply_reply(current, reply, now_ms)
             return fleet_view.apply_counts(current, reply, now_ms)
+        # What changed between two own reports has changed in the sums, too.
         own = self._counts_of(reply.own_number)
-        loads, speeds = current.load_by_id, current.speed_by_id
-        if reply.whole:
-            self._load_totals, self._speed_totals = {}, {}
-        for load in reply.loads:
-            _set_or_drop(
-                self._load_totals,
-                load.backend_id,
-                (load.streams, load.kv_tokens, load.prefill_tokens),
-            )
-        for speed in reply.speed_sums:
-            _set_or_drop(
-                self._speed_totals,
-                speed.backend_id,
-                (
-                    speed.event,
-                    speed.event_count,
-                    speed.prefill_per_k,
-                    speed.prefill_per_k_count,
-                ),
-            )
-        before, self._subtracted = self._subtracted, own
-        changed_loads = _changed(before.loads, own.loads)
-        changed_loads.update(load.backend_id for load in reply.loads)
-        changed_speeds = _changed(before.speeds, own.speeds)
-        changed_speeds.update(speed.backend_id for speed in reply.speed_sums)
-        if reply.whole:
-            loads, speeds = {}, {}
-            changed_loads.update(self._load_totals)
-            changed_speeds.update(self._speed_totals)
         loads = _updated(
-            loads,
+            {} if reply.whole else current.load_by_id,
             {
-                key: fm.BackendLoad(key, *counts) if counts else None
-                for key, counts in _differences(
-                    changed_loads, self._load_totals, own.loads
-                )
+                load.backend_id: _load_of_others(load, own)
+                for load in reply.loads
             },
         )
         speeds = _updated(
-            speeds,
+            {} if reply.whole else current.speed_by_id,
             {
-                key: report_counts.mean_speed(key, counts) if counts else None
-                for key, counts in _differences(
-                    changed_speeds, self._speed_totals, own.speeds
-                )
+                sums.backend_id: _speed_of_others(sums, own)
+                for sums in reply.speed_sums
             },
         )
         if reply.has_observations:
@@ -136,38 +101,40 @@
         return report_counts.NO_COUNTS
 
 
-def _set_or_drop(
-    totals: dict[ids.BackendId, report_counts.Counts],
-    key: ids.BackendId,
-    counts: report_counts.Counts,
-) -> None:
-    if any(counts):
-        totals[key] = counts
-    else:
-        totals.pop(key, None)
-
-
-def _changed(
-    before: dict[ids.BackendId, report_counts.Counts],
-    after: dict[ids.BackendId, report_counts.Counts],
-) -> set[ids.BackendId]:
-    if before is after:
-        return set()
-    return {key for key, _ in before.items() ^ after.items()}
-
-
-def _differences(
-    keys: set[ids.BackendId],
-    totals: dict[ids.BackendId, report_counts.Counts],
-    own: dict[ids.BackendId, report_counts.Counts],
-):
-    """Yield what the others have, None where that is nothing."""
-    for key in keys:
-        counts = totals.get(key)
-        own_counts = own.get(key)
-        if counts is not None and own_counts is not None:
-            counts = tuple(map(operator.sub, counts, own_counts))
-        yield key, counts if counts is not None and any(counts) else None
+def _load_of_others(
+    total: fm.BackendLoad, own: report_counts.ReportCounts
+) -> fm.BackendLoad | None:
+    """Return the load without the own one, None where there is none."""
+    counts = own.loads.get(total.backend_id)
+    if counts is not None:
+        streams, kv_tokens, prefill_tokens = counts
+        total = fm.BackendLoad(
+            total.backend_id,
+            total.streams - streams,
+            total.kv_tokens - kv_tokens,
+            total.prefill_tokens - prefill_tokens,
+        )
+    if total.streams or total.kv_tokens or total.prefill_tokens:
+        return total
+    return None
+
+
+def _speed_of_others(
+    total: fm.SpeedSums, own: report_counts.ReportCounts
+) -> fm.EngineSpeed | None:
+    """Return the mean speed that others observe, None where none does."""
+    sums = (
+        total.event,
+        total.event_count,
+        total.prefill_per_k,
+        total.prefill_per_k_count,
+    )
+    counts = own.speeds.get(total.backend_id)
+    if counts is not None:
+        sums = tuple(map(operator.sub, sums, counts))
+    if not any(sums):
+        return None
+    return report_counts.mean_speed(total.backend_id, sums)
 
 
 def _updated(current: dict, changes: dict) -> dict:
@@ -179,8 +146,13 @@
     }
     if not changes:
         return current
-    merged = current | changes
-    return {key: value for key, value in merged.items() if value is not None}
+    merged = dict(current)
+    for key, value in changes.items():
+        if value is None:
+            del merged[key]
+        else:
+            merged[key] = value
+    return merged
 
 
 def _uses_of_others(
