--- a/bench/fleet_cost.py
+++ b/bench/fleet_cost.py
@@ -37,7 +37,12 @@
 
 
 async def _start_watchers(
-    name: str, count: int, addresses: list[str], seconds: float, profile: str
+    name: str,
+    count: int,
+    addresses: list[str],
+    seconds: float,
+    losses: bool,
+    profile: str,
 ) -> list[asyncio.subprocess.Process]:
     size = WATCHERS_PER_PROCESS
     return [
@@ -47,6 +52,7 @@
             str(min(size, count - first)),
             ",".join(addresses),
             str(seconds),
+            "losses" if losses else "none",
             *([profile] if profile and not first else []),
         )
         for first in range(0, count, size)
@@ -54,7 +60,7 @@
 
 
 async def _measure(
-    watchers: int, others: int, seconds: float, profile: str
+    watchers: int, others: int, seconds: float, losses: bool, profile: str
 ) -> dict[str, float]:
     ports = local_deployment.free_ports(REPLICAS)
     addresses = [f"{local_deployment.HOST}:{port}" for port in ports]
@@ -77,9 +83,12 @@
         watchers,
         addresses[:1],
         seconds,
+        losses,
         profile and profile + ".entry",
     )
-    extra = await _start_watchers("other", others, addresses[1:], seconds, "")
+    extra = await _start_watchers(
+        "other", others, addresses[1:], seconds, losses, ""
+    )
     await asyncio.sleep(START_S + fleet_watchers.SETTLE_S)
     replica = psutil.Process(process.pid)
     replica_s = sum(replica.cpu_times()[:2])
@@ -103,7 +112,7 @@
     replies = sum(each.replies / each.seconds for each in costs)
     reports = sum(each.reports / each.seconds for each in costs)
     cpu = sum(each.cpu_s / each.seconds for each in costs)
-    return {
+    figures = {
         "watchers": watchers,
         "others": others,
         "replica_share": round(replica_s / seconds, 4),
@@ -114,28 +123,32 @@
         ),
         "watcher_share": round(cpu / watchers, 5),
         "watcher_us_per_call": round(cpu * 1e6 / (replies + reports)),
-        "lost_p50_ms": statistics.median(lost_ms),
-        "lost_p95_ms": statistics.quantiles(lost_ms, n=20)[-1],
-        "lost_max_ms": max(lost_ms),
     }
+    if lost_ms:
+        figures["lost_p50_ms"] = round(statistics.median(lost_ms), 1)
+        figures["lost_max_ms"] = max(lost_ms)
+    return figures
 
 
 def run(
     watchers: int | tuple = (10, 30, 90),
     others: int = 0,
     seconds: float = 8.0,
+    losses: bool = False,
     profile: str = "",
 ) -> None:
     """Print a line of JSON for each number of watchers.
 
     `profile` begins the names of files for the functions that took the most
     processor time. The share of a watcher includes its made-up streams.
-    `lost_p50_ms` is the median time until all instances of a process know of
-    a server that one of them lost.
+    With `losses`, an instance of each process loses a server each second, and
+    `lost_p50_ms` is the median time until all instances of the process know.
     """
     logs.configure("error")
     for count in (watchers,) if isinstance(watchers, int) else watchers:
-        figures = asyncio.run(_measure(count, others, seconds, profile))
+        figures = asyncio.run(
+            _measure(count, others, seconds, losses, profile)
+        )
         print(msgspec.json.encode(figures).decode(), flush=True)
 
 
--- a/bench/fleet_replica.py
+++ b/bench/fleet_replica.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import cProfile
 import io
@@ -35,6 +36,7 @@
 Result = typing.TypeVar("Result")
 
 ENGINES = 60
+_SUMS = ("fleet_hub", "tracked_sums", "report_counts", "fleet_sums")
 SERVICE = ids.ServiceName("llm")
 
 
@@ -127,17 +129,39 @@
 def run_profiled(
     work: collections.abc.Coroutine[None, None, Result], profile: str
 ) -> Result:
-    """Run `work`; write its costliest functions to a file, if it is named."""
+    """Run `work`; write its costs by cause and function to a named file."""
     if not profile:
         return asyncio.run(work)
     profiler = cProfile.Profile()
     result = profiler.runcall(asyncio.run, work)
     text = io.StringIO()
-    pstats.Stats(profiler, stream=text).sort_stats("tottime").print_stats(45)
+    stats = pstats.Stats(profiler, stream=text)
+    costs: collections.Counter[str] = collections.Counter()
+    for function, (_, _, own_s, _, _) in stats.stats.items():
+        costs[_cause(function[0], function[2])] += own_s
+    for cause, own_s in costs.most_common():
+        print(f"{cause}: {own_s:.2f} s", file=text)
+    stats.sort_stats("tottime").print_stats(45)
     pathlib.Path(profile).write_text(text.getvalue(), encoding="utf-8")
     return result
 
 
+def _cause(path: str, function: str) -> str:
+    """Return what the processor time of a function is spent on."""
+    if "poll" in function:
+        return "waiting"
+    # The event loop runs the compiled code of gRPC's tasks in a context.
+    if "/grpc/" in path or "_contextvars.Context" in function:
+        return "calls and streams of gRPC"
+    if "msgpack" in function:
+        return "encoding"
+    if "/asyncio/" in path or path.endswith("selectors.py"):
+        return "event loop and timers"
+    if "/collections/" in path or any(name in path for name in _SUMS):
+        return "sums"
+    return "all else"
+
+
 def main(own: str, addresses: str, seconds: str, profile: str = "") -> None:
     """Serve one replica for some seconds."""
     logs.configure("error")
--- a/bench/fleet_watchers.py
+++ b/bench/fleet_watchers.py
@@ -1,8 +1,9 @@
 """Entry instances without callers, whose streams are made up.
 
-Run as ``python -m bench.fleet_watchers NAME COUNT ADDRESSES SECONDS``, with
-the addresses of the replicas to watch separated by commas. It prints a line
-of JSON with the calls and the processor time of the last `SECONDS`.
+Run as ``python -m bench.fleet_watchers NAME COUNT ADDRESSES SECONDS LOSSES``,
+with the addresses of the replicas to watch separated by commas. With `losses`
+as LOSSES, one of the instances loses a server each second. It prints a line of
+JSON with the calls and the processor time of the last `SECONDS`.
 """
 
 import asyncio
@@ -170,7 +171,11 @@
 
 
 async def _run(
-    name: str, count: int, addresses: list[str], seconds: float
+    name: str,
+    count: int,
+    addresses: list[str],
+    seconds: float,
+    loses_servers: bool,
 ) -> WatcherCosts:
     calls = Calls()
     watchers = [
@@ -182,7 +187,8 @@
     tasks = [asyncio.create_task(watcher.run()) for watcher in watchers]
     lost_ms: list[float] = []
     await asyncio.sleep(SETTLE_S)
-    tasks.append(asyncio.create_task(_lose_servers(watchers, lost_ms)))
+    if loses_servers:
+        tasks.append(asyncio.create_task(_lose_servers(watchers, lost_ms)))
     start_s, cpu_s = time.monotonic(), time.process_time()
     before = dataclasses.replace(calls)
     await asyncio.sleep(seconds)
@@ -203,11 +209,22 @@
 
 
 def main(
-    name: str, count: str, addresses: str, seconds: str, profile: str = ""
+    name: str,
+    count: str,
+    addresses: str,
+    seconds: str,
+    losses: str,
+    profile: str = "",
 ) -> None:
     """Run some watchers and print their costs."""
     logs.configure("error")
-    work = _run(name, int(count), addresses.split(","), float(seconds))
+    work = _run(
+        name,
+        int(count),
+        addresses.split(","),
+        float(seconds),
+        losses == "losses",
+    )
     costs = fleet_replica.run_profiled(work, profile)
     print(msgspec.json.encode(costs).decode())
 
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -169,6 +169,11 @@
         self._unforwarded.clear()
         return unforwarded
 
+    def is_newest(self, report: fm.EntryReport) -> bool:
+        """Return whether a report is an instance's newest, and not expired."""
+        self._expire_reports()
+        return self._report_of(report.instance) is report
+
     def entry_count(self) -> int:
         """Return how many entry instances have sent a report recently."""
         self._expire_reports()
--- a/src/oriolejunction/peers/report_relays.py
+++ b/src/oriolejunction/peers/report_relays.py
@@ -131,18 +131,27 @@
                     timeout=RELAY_TIMEOUT_S,
                 )
             except grpc.aio.AioRpcError as error:
-                # Entry instances resend their reports every second.
                 _log.debug(
                     "relay not sent", to=address, code=error.code().name
                 )
                 digest_sent = ""
                 relay.origins.put_back(origins)
+                self._put_back(relay, reports)
                 continue
             if relay.origins:
                 relay.pacer.act_after(URGENT_RELAY_MS)
             if listing is not None:
                 digest_sent = listing.digest
 
+    def _put_back(
+        self, relay: _Relay, reports: tuple[fm.EntryReport, ...]
+    ) -> None:
+        """Relay again what is still the newest report of its instance."""
+        for report in reports:
+            if self._hub.is_newest(report):
+                relay.reports.setdefault(report.instance, report)
+        relay.pacer.act_after(LOAD_RELAY_MS)
+
     async def close(self) -> None:
         """Cancel the sender tasks."""
         tasks = [relay.task for relay in self._relay_by_address.values()]
--- a/tests/peers/test_fleet_service.py
+++ b/tests/peers/test_fleet_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import grpc
 import msgspec
 import pytest
 
@@ -52,11 +53,19 @@
 
     def __init__(self):
         self.relays = []
+        self.failures = 0
 
     def stub_for(self, address, method):
         async def call(relay, timeout):
             if address == SLOW:
                 await asyncio.sleep(timeout)
+            if address == OTHER and self.failures:
+                self.failures -= 1
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.UNAVAILABLE,
+                    grpc.aio.Metadata(),
+                    grpc.aio.Metadata(),
+                )
             self.relays.append((address, relay))
             return fm.Acknowledgement()
 
@@ -118,6 +127,15 @@
     assert relayed_to(peers, SLOW) == []
 
 
+async def test_report_is_relayed_again_where_a_relay_failed(running):
+    """Load: a replica takes too long while many servers are lost."""
+    service, peers, _ = running
+    peers.failures = 1
+    await service._report(report_request(1, 1))
+    await asyncio.sleep(0.3)
+    assert relayed_to(peers, OTHER) == [1]
+
+
 async def test_idle_report_is_relayed_before_it_expires(running):
     service, peers, _ = running
     for number in (1, 2):
