--- a/src/oriolejunction/controllers/report_counts.py
+++ b/src/oriolejunction/controllers/report_counts.py
@@ -4,6 +4,8 @@
 sums.
 """
 
+import functools
+
 import msgspec
 
 from oriolejunction import fleet_messages as fm
@@ -11,6 +13,10 @@
 
 Counts = tuple[int, ...]
 
+# Reports repeat the speeds of most engines; a hundred instances observe a few
+# thousand.
+MAX_CACHED_SPEEDS = 4_096
+
 
 class ReportCounts(msgspec.Struct, frozen=True):
     """Counts by backend server, and by service."""
@@ -52,18 +58,23 @@
 
 
 def _speeds(report: fm.EntryReport) -> dict[ids.BackendId, Counts]:
-    """Return the speeds in tenths of ms, each with a 1 if it is known."""
     return {
-        speed.backend_id: (
-            round(speed.event_ms * 10),
-            int(speed.event_ms > 0),
-            round(speed.prefill_ms_per_k * 10),
-            int(speed.prefill_ms_per_k > 0),
-        )
+        speed.backend_id: _speed_counts(speed.event_ms, speed.prefill_ms_per_k)
         for speed in report.speeds
     }
 
 
+@functools.lru_cache(MAX_CACHED_SPEEDS)
+def _speed_counts(event_ms: float, prefill_ms_per_k: float) -> Counts:
+    """Return the speeds in tenths of ms, each with a 1 if it is known."""
+    return (
+        round(event_ms * 10),
+        int(event_ms > 0),
+        round(prefill_ms_per_k * 10),
+        int(prefill_ms_per_k > 0),
+    )
+
+
 def mean_speed(backend_id: ids.BackendId, sums: Counts) -> fm.EngineSpeed:
     """Return the mean speed from sums of speeds and their counts."""
     event, events, prefill, prefills = sums
--- a/src/oriolejunction/controllers/tracked_sums.py
+++ b/src/oriolejunction/controllers/tracked_sums.py
@@ -29,10 +29,10 @@
         number: int,
     ) -> None:
         """Replace the counts of one instance by its new ones."""
-        for key in before.keys() | after.keys():
+        if before is after:
+            return
+        for key in {key for key, _ in before.items() ^ after.items()}:
             old, new = before.get(key), after.get(key)
-            if old == new:
-                continue
             counts = old or new
             total = self._total_by_id.setdefault(key, [0] * len(counts))
             for index in range(len(counts)):
