--- a/tests/test_isolated_instance_nodes.py
+++ b/tests/test_isolated_instance_nodes.py
@@ -191,7 +191,7 @@
         assert node._deps.health.suspects() == ()
         assert node._blackboard.fleet.read().suspects == frozenset()
         assert not node._deps.guard.has_crashes
-        assert node._entry_report().part_crashes == ()
+        assert node._deps.parts.crashes() == ()
 
 
 async def test_end_of_isolation_is_noticed(fleet, monkeypatch):
