--- a/bench/fleet_watchers.py
+++ b/bench/fleet_watchers.py
@@ -1,13 +1,14 @@
 """Entry instances without callers, whose streams are made up.
 
-Run as ``python -m bench.fleet_watchers NAME COUNT ADDRESSES SECONDS``, with
-the addresses of the replicas to watch separated by commas. It prints a line
-of JSON with the calls and the processor time of the last `SECONDS`.
+Run as ``python -m bench.fleet_watchers NAME COUNT ADDRESSES SECONDS LOSSES``,
+with the addresses of the replicas to watch separated by commas. With `losses`
+as LOSSES, one of the instances loses a server each second. It prints a line of
+JSON with the calls and the processor time of the last `SECONDS`.
 """
 
 import asyncio
-import collections.abc
 import dataclasses
+import itertools
 import random
 import sys
 import time
@@ -24,7 +25,7 @@
 from oriolejunction import ids
 from oriolejunction import logs
 from oriolejunction.peers import channels
-from oriolejunction.peers import fleet_methods
+from oriolejunction.peers import fleet_session
 from oriolejunction.peers import fleet_watch
 from oriolejunction.peers import listing_store
 from oriolejunction.platform import gateway_dialect
@@ -35,17 +36,23 @@
 STREAM_S = 1.5
 EVENT_MS = 30.0
 SETTLE_S = 5.0
+LOSS_INTERVAL_S = 1.0
+POLL_S = 0.002
 _ENGINES = fleet_replica.engines()
 
 
 class WatcherCosts(msgspec.Struct, frozen=True):
-    """Calls and processor time of one process with some watchers."""
+    """Calls and processor time of one process with some watchers.
+
+    `lost_ms` are the times until all of its watchers knew of a lost server.
+    """
 
     watchers: int
     replies: int
     reports: int
     cpu_s: float
     seconds: float
+    lost_ms: tuple[float, ...]
 
 
 @dataclasses.dataclass
@@ -56,6 +63,21 @@
     reports: int = 0
 
 
+class _CountingSession(fleet_session.FleetSession):
+    def __init__(self, pool: channels.ChannelPool, calls: Calls) -> None:
+        super().__init__(clocks.SystemClock(), pool.stub_for, pool.stream_to)
+        self._counts = calls
+
+    async def watch(self, address, request):
+        reply = await super().watch(address, request)
+        self._counts.replies += 1
+        return reply
+
+    async def report(self, address, report):
+        await super().report(address, report)
+        self._counts.reports += 1
+
+
 class Watcher:
     """An entry instance without callers, whose streams are made up."""
 
@@ -64,7 +86,6 @@
         self._rng = random.Random(name)
         board = blackboards.Blackboard()
         self._channels = channels.ChannelPool()
-        self._calls = calls
         zone = ids.ZoneId("zone-0")
         self.deps = gateway_state.new_dependencies(
             clock,
@@ -91,21 +112,14 @@
                 seeds=lambda: seed,
                 report=reports.next_report,
                 read_table=gateway_dialect.WIRE_FORMAT.read_table,
-                stub_for=self._stub_for,
+                session=_CountingSession(self._channels, calls),
                 rng=self._rng,
                 on_move=lambda: None,
             )
         )
         self._watch.replicas = lambda: seed
         self.deps.own_loads.on_change = self._watch.notify_loads
-
-    def _stub_for(self, address, method) -> collections.abc.Callable:
-        call = self._channels.stub_for(address, method)
-        if method is fleet_methods.WATCH:
-            self._calls.replies += 1
-        else:
-            self._calls.reports += 1
-        return call
+        self.deps.health.on_change = self._watch.notify_report
 
     async def run(self) -> None:
         """Watch, report and run streams until cancelled."""
@@ -137,8 +151,31 @@
         await self._channels.close()
 
 
+async def _lose_servers(watchers: list[Watcher], lost_ms: list[float]) -> None:
+    """Let one watcher at a time lose a server; record when all know it."""
+    for number in itertools.count():
+        await asyncio.sleep(LOSS_INTERVAL_S)
+        server = ids.BackendId(f"lost-{number}")
+        finder = watchers[number % len(watchers)]
+        others = [each for each in watchers if each is not finder]
+        start_s = time.monotonic()
+        finder.deps.health.mark_lost(server)
+        while others:
+            await asyncio.sleep(POLL_S)
+            others = [
+                each
+                for each in others
+                if server not in each.deps.blackboard.fleet.read().suspects
+            ]
+        lost_ms.append(round((time.monotonic() - start_s) * 1e3, 1))
+
+
 async def _run(
-    name: str, count: int, addresses: list[str], seconds: float
+    name: str,
+    count: int,
+    addresses: list[str],
+    seconds: float,
+    loses_servers: bool,
 ) -> WatcherCosts:
     calls = Calls()
     watchers = [
@@ -148,7 +185,10 @@
         for number in range(count)
     ]
     tasks = [asyncio.create_task(watcher.run()) for watcher in watchers]
+    lost_ms: list[float] = []
     await asyncio.sleep(SETTLE_S)
+    if loses_servers:
+        tasks.append(asyncio.create_task(_lose_servers(watchers, lost_ms)))
     start_s, cpu_s = time.monotonic(), time.process_time()
     before = dataclasses.replace(calls)
     await asyncio.sleep(seconds)
@@ -158,6 +198,7 @@
         calls.reports - before.reports,
         time.process_time() - cpu_s,
         time.monotonic() - start_s,
+        tuple(lost_ms),
     )
     for task in tasks:
         task.cancel()
@@ -168,11 +209,22 @@
 
 
 def main(
-    name: str, count: str, addresses: str, seconds: str, profile: str = ""
+    name: str,
+    count: str,
+    addresses: str,
+    seconds: str,
+    losses: str,
+    profile: str = "",
 ) -> None:
     """Run some watchers and print their costs."""
     logs.configure("error")
-    work = _run(name, int(count), addresses.split(","), float(seconds))
+    work = _run(
+        name,
+        int(count),
+        addresses.split(","),
+        float(seconds),
+        losses == "losses",
+    )
     costs = fleet_replica.run_profiled(work, profile)
     print(msgspec.json.encode(costs).decode())
 
--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -1,34 +1,39 @@
 """Builds the reports of an entry instance to the control replicas."""
 
 import collections.abc
-import dataclasses
 
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway_common
 from oriolejunction import ids
 
 
-@dataclasses.dataclass
 class EntryReports:
     """Numbers the reports of one incarnation, `boot`, of an instance.
 
     `helpers` returns where the instance serves requests of others.
     """
 
-    deps: gateway_common.GatewayDependencies
-    instance: ids.InstanceId
-    boot: str
-    helpers: collections.abc.Callable[[], tuple[str, ...]]
-    number: int = 0
+    def __init__(
+        self,
+        deps: gateway_common.GatewayDependencies,
+        instance: ids.InstanceId,
+        boot: str,
+        helpers: collections.abc.Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._deps = deps
+        self.instance = instance
+        self.boot = boot
+        self._helpers = helpers
+        self._number = 0
 
     def next_report(self) -> fm.EntryReport:
         """Return the load and observations of now."""
-        deps = self.deps
-        self.number += 1
+        deps = self._deps
+        self._number += 1
         return fm.EntryReport(
             instance=self.instance,
             boot=self.boot,
-            number=self.number,
+            number=self._number,
             loads=tuple(deps.own_loads.loads().values()),
             suspects=deps.health.suspects(),
             crashes=deps.guard.crashes(),
@@ -39,5 +44,5 @@
             cleared_parts=deps.parts.cleared(),
             blocked_parts=deps.parts.blocked(),
             limits=deps.intake.limits.named(),
-            helpers=self.helpers(),
+            helpers=self._helpers(),
         )
