Keep requests to the versions that a rollout allows

Operators saw no rollouts: entry instances sent requests to servers of any listed software version at once. Where the settings name rollouts, each choice of a server for a stream, call, resend, hedge or probe now asks the rollout gate, the send itself is checked against the allowance, and counts by version and route go with each report. Without the setting all servers are allowed and nothing is counted.

Measured: the tests of calls, streams, versions, forwarding, pauses and silent engines pass (108), and those of the gate (25).

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -4,6 +4,7 @@
 observed speeds and the suspicions into candidates for placement.
 """
 
+import collections.abc
 import dataclasses
 import random
 
@@ -14,6 +15,8 @@
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import server_intake
+from oriolejunction.controllers import rollout_gate
+from oriolejunction.controllers import rollout_orders
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import routing_table
@@ -35,6 +38,7 @@
     intake: server_intake.ServerIntake
     zone: ids.ZoneId
     rng: random.Random
+    rollouts: rollout_gate.RolloutGate
 
     def listed(self, service: ids.ServiceName) -> list[backends.Backend]:
         """Return the backend servers of a service that aren't leaving."""
@@ -42,18 +46,17 @@
 
     def available(
         self,
-        service: ids.ServiceName,
+        use: rollout_orders.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
-    ) -> list[backends.Backend]:
-        """Return the backend servers of a service that may receive work."""
-        return [
-            each
-            for each in self._healthy(service, excluded)
-            if self.intake.allows(each.backend_id)
-        ]
+    ) -> list[list[backends.Backend]]:
+        """Return the backend servers that may receive a request.
+
+        Those of the first list are preferred, by the rollout of its service.
+        """
+        return self.rollouts.tiers(use, self._open(use.service, excluded))
 
     def limited_wait_ms(
-        self, service: ids.ServiceName, ahead: int
+        self, use: rollout_orders.RolloutUse, ahead: int
     ) -> tuple[float, float]:
         """Return the wait that limits and pauses of servers cause.
 
@@ -62,10 +65,20 @@
         """
         if not self.intake.is_restricted:
             return 0.0, 0.0
+        tiers = self.rollouts.tiers(use, self._healthy(use.service))
         return self.intake.expected_wait_ms(
-            [each.backend_id for each in self._healthy(service)], ahead
+            [each.backend_id for tier in tiers for each in tier], ahead
         )
 
+    def _open(
+        self, service: ids.ServiceName, excluded: frozenset[ids.BackendId]
+    ) -> list[backends.Backend]:
+        return [
+            each
+            for each in self._healthy(service, excluded)
+            if self.intake.allows(each.backend_id)
+        ]
+
     def _healthy(
         self,
         service: ids.ServiceName,
@@ -82,26 +95,44 @@
     def engine_candidates(
         self,
         service: routing_table.Service,
+        use: rollout_orders.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
         software: ids.SoftwareVersion | None = None,
-    ) -> list[placement.Candidate]:
-        """Return the engines of a service with all their known work.
+    ) -> collections.abc.Iterator[list[placement.Candidate]]:
+        """Yield the engines of a service with all their known work.
 
-        With `software`, return only those of that software version.
+        Those of the first list are preferred. With `software`, yield only
+        those of that software version.
         """
+        candidate = self._candidate_maker(service)
+        for servers in self.available(use, excluded):
+            yield [
+                candidate(each)
+                for each in servers
+                if software is None or each.software == software
+            ]
+
+    def copy_candidates(
+        self,
+        service: routing_table.Service,
+        excluded: frozenset[ids.BackendId] = frozenset(),
+    ) -> list[placement.Candidate]:
+        """Return the engines that may store a KV cache copy."""
+        candidate = self._candidate_maker(service)
+        return [candidate(each) for each in self._open(service.name, excluded)]
+
+    def _candidate_maker(
+        self, service: routing_table.Service
+    ) -> collections.abc.Callable[[backends.Backend], placement.Candidate]:
         own = self.own_loads.loads()
         fleet = self.blackboard.fleet.read()
         failing = placement.failing_zones(
             self.listed(service.name),
             fleet.suspects | set(self.health.suspects()),
         )
-        return [
-            self._candidate(
-                each, service.engine, own, fleet.load_by_id, failing
-            )
-            for each in self.available(service.name, excluded)
-            if software is None or each.software == software
-        ]
+        return lambda each: self._candidate(
+            each, service.engine, own, fleet.load_by_id, failing
+        )
 
     def _candidate(
         self,
@@ -133,7 +164,7 @@
 
     def choose_for_call(
         self,
-        service: ids.ServiceName,
+        use: rollout_orders.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
     ) -> backends.Backend | None:
         """Return the backend server for a call to a plain service.
@@ -141,11 +172,10 @@
         It is the one with the fewest calls of this instance. A server that
         failed recently or is in another zone counts as having more.
         """
-        return min(
-            self.available(service, excluded),
-            key=self._call_cost,
-            default=None,
-        )
+        for servers in self.available(use, excluded):
+            if servers:
+                return min(servers, key=self._call_cost)
+        return None
 
     def _call_cost(self, backend: backends.Backend) -> float:
         backend_id = backend.backend_id
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -73,6 +73,7 @@
             ),
             ids.ZoneId(settings.zone),
             self.rng,
+            settings.rollouts and settings.rollouts.exposure_share,
         )
 
     async def start(self) -> None:
@@ -92,6 +93,7 @@
                 stub_for=self._channels.stub_for,
                 rng=self.rng,
                 on_move=self._deps.origins.resend,
+                on_reply=self._update_rollouts,
             )
         )
         self._deps.origins.connect(
@@ -107,6 +109,7 @@
             self._deps.guard,
             self._deps.parts,
             self._deps.intake.limits,
+            self._deps.rollouts.counts,
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
@@ -214,6 +217,7 @@
             "suspects": self._deps.health.suspects(),
             "suspects_told": sorted(fleet.suspects),
             "loads": list(self._deps.own_loads.loads().values()),
+            "rollouts": self._deps.rollouts.status(),
         }
 
     def _helper_addresses(self) -> tuple[str, ...]:
@@ -254,6 +258,15 @@
             blocked_parts=self._deps.parts.blocked(),
             limits=self._deps.intake.limits.named(),
             helpers=self._helper_addresses(),
+            rollout_counts=self._deps.rollouts.counts.messages(),
+        )
+
+    def _update_rollouts(self, reply: fm.WatchReply, sent_ms: float) -> None:
+        self._deps.rollouts.update(
+            reply.rollouts,
+            sent_ms,
+            reply.fresh,
+            self.listing.listed_in(reply.listing),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
--- a/src/oriolejunction/http/attempt_errors.py
+++ b/src/oriolejunction/http/attempt_errors.py
@@ -12,5 +12,13 @@
         self.possibly_run = possibly_run
 
 
-class ServerPaused(Exception):
+class SendWithheld(Exception):
+    """The request must not be sent to the chosen server any more."""
+
+
+class ServerPaused(SendWithheld):
     """A server asked for a pause before the request was sent to it."""
+
+
+class VersionWithheld(SendWithheld):
+    """A rollout does not allow the server's software version now."""
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -10,6 +10,7 @@
 from oriolejunction.controllers import part_guard
 from oriolejunction.controllers import stalls
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import backend_connection
 from oriolejunction.http import crash_records
 from oriolejunction.http import gateway_common
@@ -78,7 +79,7 @@
 
 def start_crash_check(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     lost: LostAttempt,
     may_continue: bool = False,
 ) -> asyncio.Event:
--- a/src/oriolejunction/http/crash_records.py
+++ b/src/oriolejunction/http/crash_records.py
@@ -1,12 +1,13 @@
 """Records which engines crashed with a request, and which answered it."""
 
 from oriolejunction import backends
+from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
 
 
 def record_crash(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     backend: backends.Backend,
     sent_ms: float,
 ) -> None:
@@ -23,7 +24,7 @@
 
 def take_back_crash(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     backend: backends.Backend,
 ) -> None:
     """Forget the crash of an engine that proved not to have crashed."""
@@ -37,7 +38,7 @@
 
 def record_answer(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
 ) -> None:
     """Record that an engine answered a request in full."""
     deps.guard.record_answer(admitted.fingerprint)
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -11,6 +11,7 @@
 from oriolejunction.controllers.overload import deadline_estimates
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import gateway_call
 from oriolejunction.http import gateway_common
@@ -165,7 +166,7 @@
             return await self._serve_isolated(admitted, isolated.possibly_run)
 
     async def _serve_isolated(
-        self, admitted: gateway_common.AdmittedRequest, possibly_run: int
+        self, admitted: admitted_request.AdmittedRequest, possibly_run: int
     ) -> web.StreamResponse:
         """Serve a request although this instance reaches no server."""
         if not self._serves_peers:
@@ -230,7 +231,7 @@
         caller_request: gateway_messages.CallerRequest,
         request: web.BaseRequest,
         log_context: _RequestLogContext,
-    ) -> gateway_common.AdmittedRequest:
+    ) -> admitted_request.AdmittedRequest:
         route = table.route(caller_request.host, caller_request.path)
         if route is None:
             raise errors.Failure(
@@ -250,7 +251,7 @@
         rank = route.rank
         if workspace is not None and workspace.rank is not None:
             rank = workspace.rank
-        admitted = gateway_common.AdmittedRequest(
+        admitted = admitted_request.AdmittedRequest(
             request=caller_request,
             route=route,
             service=service,
@@ -285,7 +286,7 @@
         return workspace
 
     def _refuse_blocked(
-        self, admitted: gateway_common.AdmittedRequest
+        self, admitted: admitted_request.AdmittedRequest
     ) -> None:
         if not admitted.is_probe and gateway_common.is_blocked(
             self._deps, admitted
@@ -293,7 +294,7 @@
             raise errors.Failure(gateway_common.blocked_error())
 
     def _refuse_if_stopping(
-        self, admitted: gateway_common.AdmittedRequest
+        self, admitted: admitted_request.AdmittedRequest
     ) -> None:
         remaining_ms = self._time_to_stop_ms()
         if remaining_ms is None or deadline_estimates.can_end_before_stop(
@@ -308,7 +309,7 @@
         )
 
     def _refuse_over_deadline(
-        self, admitted: gateway_common.AdmittedRequest
+        self, admitted: admitted_request.AdmittedRequest
     ) -> None:
         if admitted.service.engine is None:
             return
@@ -329,7 +330,7 @@
         )
 
     def _expected_duration_ms(
-        self, admitted: gateway_common.AdmittedRequest
+        self, admitted: admitted_request.AdmittedRequest
     ) -> float:
         engine = admitted.service.engine
         if engine is None:
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -13,6 +13,7 @@
 from oriolejunction import backends
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
@@ -53,7 +54,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
@@ -61,6 +62,8 @@
         self._retryable = admitted.route.retryable
         self._last_failure: _BackendAnswer | None = None
         self._dispatches = 0
+        # Set once the request has its answer, or none will come in time.
+        self._is_decided = False
         # When each server was sent the request; it has not answered since.
         self._unanswered_since_ms: dict[ids.BackendId, float] = {}
 
@@ -73,7 +76,9 @@
                     max(0.0, self._attempts.remaining_ms) / 1e3
                 ):
                     answer = await self._best_answer(tasks)
+            self._is_decided = answer is not None
         except TimeoutError:
+            self._is_decided = True
             answer = None
         except stop_limit.StopReached:
             self._attempts.stopped = True
@@ -166,7 +171,7 @@
     def _limited_wait_ms(self, ahead: int) -> float:
         """Return the expected wait if all servers are at their limits."""
         wait_ms, interval_ms = self._deps.view.limited_wait_ms(
-            self._admitted.service.name, ahead
+            self._attempts.rollout, ahead
         )
         if wait_ms:
             self._attempts.expected_wait_ms = wait_ms
@@ -178,12 +183,10 @@
 
         The request to it counts against its limit.
         """
-        name = self._admitted.service.name
         view = self._deps.view
-        untried = view.choose_for_call(
-            name, frozenset(self._attempts.excluded)
-        )
-        backend = untried or view.choose_for_call(name)
+        use = self._attempts.rollout
+        untried = view.choose_for_call(use, frozenset(self._attempts.excluded))
+        backend = untried or view.choose_for_call(use)
         if backend is not None:
             self._deps.intake.take(backend.backend_id)
         return backend
@@ -204,11 +207,11 @@
             workspace=self._admitted.workspace,
         )
         deps.own_loads.begin_call(backend.backend_id)
-        connection = None
+        connection = rollout_send = None
         try:
             self._attempts.opening += 1
             try:
-                connection = await gateway_common.open_and_send(
+                connection, rollout_send = await gateway_common.open_and_send(
                     deps,
                     self._admitted,
                     dispatch,
@@ -231,11 +234,20 @@
                 return None
             engine_answers.require_matching_answer(head)
             body = await backend_connection.read_body(connection.read_chunk)
+            if head.success:
+                rollout_send.record_answer(deps.clock.now_ms() - sent_ms)
+            elif head.signed:
+                rollout_send.record_failure()
             deps.health.mark_answered(backend.backend_id)
             deps.health.record_outcome(backend.backend_id, not head.success)
             deps.pool.release(connection)
             return _BackendAnswer(head, body)
-        except attempt_errors.ServerPaused:
+        except asyncio.CancelledError:
+            if self._is_decided and rollout_send is not None:
+                # The answer would have taken at least as long.
+                rollout_send.record_answer(deps.clock.now_ms() - sent_ms)
+            raise
+        except attempt_errors.SendWithheld:
             deps.intake.give_back(backend.backend_id)
         except backend_connection.RequestNotSent as error:
             deps.intake.give_back(backend.backend_id)
@@ -258,6 +270,8 @@
             )
         finally:
             deps.own_loads.end_call(backend.backend_id)
+            if rollout_send is not None:
+                rollout_send.end()
             if connection is not None and not connection.usable:
                 connection.close()
         return None
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -2,12 +2,9 @@
 
 import asyncio
 import dataclasses
-import functools
-import hashlib
 import http
 import math
 
-from aiohttp import web
 import structlog
 
 from oriolejunction import backends
@@ -25,18 +22,20 @@
 from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.controllers import part_guard
 from oriolejunction.controllers import reachability
+from oriolejunction.controllers import rollout_gate
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 from oriolejunction.http import isolation_check
 from oriolejunction.http import placement_queue
 from oriolejunction.http import report_probe
+from oriolejunction.http import rollout_sends
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
 from oriolejunction.peers import origin_client
-from oriolejunction import routing_table
 from oriolejunction import states
 from oriolejunction import telemetry
 
@@ -61,6 +60,7 @@
     isolation: isolation_check.IsolationCheck
     reached: reachability.Reachability
     reports: report_probe.EngineReports
+    rollouts: rollout_gate.RolloutGate
     view: backend_view.BackendView
     own_loads: load_table.LoadTable
     speeds: engine_speeds.EngineSpeeds
@@ -81,51 +81,6 @@
     )
 
 
-@dataclasses.dataclass(frozen=True)
-class AdmittedRequest:
-    """A request with its route, service and, if any, workspace.
-
-    `deadline_ms` is the earlier of the caller's deadline and the end of the
-    route's timeout, on this process's clock. A probe goes to one server
-    although its prompt has a blocked part. One `from_peer` came to another
-    instance, which passed it on.
-    """
-
-    request: gateway_messages.CallerRequest
-    route: routing_table.Route
-    service: routing_table.Service
-    workspace: ids.WorkspaceId | None
-    rank: int
-    deadline_ms: float
-    web_request: web.Request
-    is_probe: bool = False
-    from_peer: bool = False
-
-    @property
-    def began_ms(self) -> float:
-        """Return the time of the caller's first try, as far as known.
-
-        A caller that comes back states the rest of its time as its deadline.
-        """
-        if self.request.deadline_ms is None:
-            return self.request.received_ms
-        first_ms = self.request.deadline_ms - self.route.timeout_ms
-        return min(first_ms, self.request.received_ms)
-
-    @functools.cached_property
-    def fingerprint(self) -> ids.Fingerprint:
-        """Return a digest that each retry by the caller shares."""
-        digest = hashlib.sha256()
-        for part in (
-            (self.workspace or "").encode(),
-            self.request.target.encode(),
-            self.request.body,
-        ):
-            digest.update(len(part).to_bytes(8, "big"))
-            digest.update(part)
-        return ids.Fingerprint(digest.hexdigest()[:16])
-
-
 class AttemptTracker:
     """Counts the attempts of one request against its limits.
 
@@ -136,10 +91,18 @@
     """
 
     def __init__(
-        self, deps: GatewayDependencies, admitted: AdmittedRequest
+        self,
+        deps: GatewayDependencies,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
+        self.rollout = deps.rollouts.open(
+            admitted.service.name,
+            admitted.route.name,
+            is_stream=admitted.route.kind is states.RequestKind.STREAM,
+            may_try=not admitted.is_probe,
+        )
         self.sent = 0
         self.possibly_run = 0
         self.opening = 0
@@ -164,6 +127,8 @@
             return states.SendRefusal.INSTANCE_STOPS
         if self.remaining_ms <= 0:
             return states.SendRefusal.DEADLINE
+        if self._deps.rollouts.is_barred(self.rollout):
+            return states.SendRefusal.VERSION_WITHDRAWN
         route = self._admitted.route
         max_attempts = route.max_attempts if route.retryable else 1
         max_attempts = min(max_attempts, self._admitted.request.attempts_left)
@@ -266,7 +231,9 @@
         )
 
 
-def is_blocked(deps: GatewayDependencies, admitted: AdmittedRequest) -> bool:
+def is_blocked(
+    deps: GatewayDependencies, admitted: admitted_request.AdmittedRequest
+) -> bool:
     """Return whether a request, or a part of its prompt, crashes engines.
 
     The body is hashed only while any crash is known.
@@ -289,7 +256,7 @@
 
 async def wait_for_backend(
     deps: GatewayDependencies,
-    admitted: AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     attempts: AttemptTracker,
     wait_ms: float,
     placement_request: placement_queue.PlacementRequest,
@@ -354,7 +321,7 @@
 
 
 def log_decision(
-    admitted: AdmittedRequest, decision: str, **inputs: object
+    admitted: admitted_request.AdmittedRequest, decision: str, **inputs: object
 ) -> None:
     """Log a decision about a request."""
     _log.info(
@@ -367,16 +334,16 @@
 
 async def open_and_send(
     deps: GatewayDependencies,
-    admitted: AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     dispatch: gateway_messages.Dispatch,
     attempts: AttemptTracker,
     connect_ms: float,
     connect_tries: int,
     max_idle_ms: float,
-) -> backend_connection.BackendConnection:
+) -> tuple[backend_connection.BackendConnection, rollout_sends.RolloutSend]:
     """Send a request to a backend server.
 
-    Raise `RequestNotSent` or `ServerPaused` if no byte of it was sent.
+    Raise `RequestNotSent` or `SendWithheld` if no byte of it was sent.
     """
     connection = await deps.pool.acquire(
         dispatch.backend.address, connect_ms, connect_tries, max_idle_ms
@@ -389,6 +356,17 @@
             backend=dispatch.backend.backend_id,
         )
         raise attempt_errors.ServerPaused
+    try:
+        rollout_send = rollout_sends.begin(
+            deps.rollouts,
+            deps.telemetry,
+            attempts.rollout,
+            dispatch.backend,
+            admitted.request.request_id,
+        )
+    except attempt_errors.VersionWithheld:
+        deps.pool.release(connection)
+        raise
     connection.send(
         admitted.request.method,
         admitted.request.target,
@@ -396,4 +374,4 @@
         admitted.request.body,
     )
     attempts.count_sent()
-    return connection
+    return connection, rollout_send
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -17,6 +17,7 @@
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction.controllers import part_guard
 from oriolejunction.controllers import reachability
+from oriolejunction.controllers import rollout_gate
 from oriolejunction import fleet_view
 from oriolejunction import gateway_messages
 from oriolejunction.http import connection_pool
@@ -37,8 +38,15 @@
     limits: resend_budget.BudgetLimits,
     zone: ids.ZoneId,
     rng: random.Random,
+    exposure_share: float | None = None,
 ) -> gateway_common.GatewayDependencies:
-    """Return the dependencies of one instance, with empty state."""
+    """Return the dependencies of one instance, with empty state.
+
+    `exposure_share` is that of rollouts, None where there are none.
+    """
+    # Without rollouts, the seed must give the same choices as before.
+    salt = 0 if exposure_share is None else rng.getrandbits(32)
+    rollouts = rollout_gate.RolloutGate(clock, exposure_share, salt)
     own_loads = load_table.LoadTable()
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
@@ -62,6 +70,7 @@
         limit_table, server_pauses.ServerPauses(clock, rng)
     )
     queue = placement_queue.PlacementQueue(clock)
+    rollouts.on_change = queue.notify_capacity
     reached = reachability.Reachability(clock)
     pool = connection_pool.ConnectionPool(clock, reached.record_connection)
     origins = origin_client.OriginClient(clock)
@@ -79,6 +88,9 @@
             fleet.limit_by_id, blackboard.backends.read().by_id
         )
     )
+    blackboard.backends.changes().subscribe(
+        lambda snapshot: rollouts.observe_listed(snapshot.by_id)
+    )
     blackboard.table.changes().subscribe(origins.retention.follow)
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
@@ -101,7 +113,9 @@
             intake,
             zone,
             rng,
+            rollouts,
         ),
+        rollouts=rollouts,
         own_loads=own_loads,
         speeds=speeds,
         health=health,
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -14,6 +14,7 @@
 from oriolejunction.controllers import stalls
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
@@ -43,7 +44,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
@@ -72,6 +73,7 @@
             return self._give_up()
         finally:
             self._planner.software.end(self._is_complete)
+            self._deps.rollouts.close(self._attempts.rollout)
 
     async def _run_attempts(self) -> web.StreamResponse:
         await self._planner.software.resume()
@@ -127,7 +129,7 @@
         self, plan: stream_plan.StreamPlan, attempt
     ) -> states.StreamAttemptEnd:
         try:
-            connection = await gateway_common.open_and_send(
+            connection, rollout_send = await gateway_common.open_and_send(
                 self._deps,
                 self._admitted,
                 stream_plan.dispatch_of(
@@ -138,7 +140,7 @@
                 CONNECT_TRIES,
                 MAX_CONNECTION_IDLE_MS,
             )
-        except attempt_errors.ServerPaused:
+        except attempt_errors.SendWithheld:
             self._deps.intake.give_back(plan.backend.backend_id)
             return states.StreamAttemptEnd.REFUSED
         except backend_connection.RequestNotSent as error:
@@ -148,13 +150,18 @@
                 self._deps, plan.backend, why
             )
             return self._handle_loss(plan, why)
-        timing = stream_timing.AttemptTiming()
-        sent_ms = self._deps.clock.now_ms()
+        clock = self._deps.clock
+        sent_ms = clock.now_ms()
+        timing = stream_timing.AttemptTiming(
+            sent_ms, rollout_send, plan.fresh_tokens
+        )
+        replaced_ms = None
         try:
             return await self._read_answer(plan, connection, attempt, timing)
         except stall_detection.EngineReplaced as error:
             self._attempts.stalled.add(plan.backend.backend_id)
             self._next_plan = error.plan
+            replaced_ms = clock.now_ms()
             why = str(error)
         except (
             backend_connection.ConnectionBroken,
@@ -162,10 +169,12 @@
         ) as error:
             why = str(error)
         except stall_detection.DeadlineReached:
+            replaced_ms = clock.now_ms()
             return states.StreamAttemptEnd.LOST
         finally:
             # Closing stops the engine's work. After a clean end the
             # connection is back in the pool and must stay open.
+            timing.end(replaced_ms)
             if not connection.usable:
                 connection.close()
         lost = backend_checks.LostAttempt(
@@ -223,6 +232,8 @@
             lambda: reader.read(connection.read_chunk, next_event_limits),
         )
         if refusal is not None:
+            if refusal is states.StreamAttemptEnd.LOST and head.signed:
+                timing.rollout_send.record_failure()
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
         events = event_reader.EventReader(
@@ -237,7 +248,7 @@
                 # Engines begin the KV cache copy at the first event, not
                 # during the prefill.
                 self._planner.last_copy_backend = plan.copy_backend
-                self._record_first_event(plan, now_ms - sent_ms)
+                self._planner.record_first_event(plan, now_ms - sent_ms)
             else:
                 self._deps.speeds.add_gap(
                     plan.backend.backend_id, now_ms - timing.last_ms
@@ -277,15 +288,6 @@
         )
         return states.StreamAttemptEnd.COMPLETE
 
-    def _record_first_event(
-        self, plan: stream_plan.StreamPlan, took_ms: float
-    ) -> None:
-        self._deps.own_loads.mark_prefilled(plan.load_key)
-        if plan.has_idle_engine and plan.copy_source is None:
-            self._deps.speeds.add_prefill(
-                plan.backend.backend_id, plan.tokens_to_prefill, took_ms
-            )
-
     async def _deliver(
         self, attempt, events: list[gateway_messages.NumberedEvent]
     ) -> None:
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -12,6 +12,7 @@
 
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import backend_connection
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
@@ -52,7 +53,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
         possibly_run: int,
         last_event: int | None = None,
         origin_id: ids.RequestId | None = None,
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -15,6 +15,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import run_progress
 from oriolejunction.controllers import stalls
+from oriolejunction.http import admitted_request
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import repeated_task
@@ -84,7 +85,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
         attempts: gateway_common.AttemptTracker,
         backend: backends.Backend,
         first_event: int,
@@ -301,7 +302,7 @@
 
 def first_event_limits(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     plan: stream_plan.StreamPlan,
     has_events: bool,
 ) -> LimitsSource:
--- a/src/oriolejunction/http/stall_handlers.py
+++ b/src/oriolejunction/http/stall_handlers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction.http import admitted_request
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
@@ -10,7 +11,7 @@
 
 def handlers_of(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     attempts: gateway_common.AttemptTracker,
     planner: stream_plan.StreamPlanner,
     plan: stream_plan.StreamPlan,
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 
 from oriolejunction import backends
@@ -12,6 +13,7 @@
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
@@ -48,6 +50,11 @@
         """Return the engine that runs the attempt."""
         return self.candidate.backend
 
+    @property
+    def fresh_tokens(self) -> int | None:
+        """Return the tokens to prefill, None with a KV cache copy."""
+        return None if self.copy_source else self.tokens_to_prefill
+
     @property
     def has_idle_engine(self) -> bool:
         """Return whether no other prefill is known on the engine."""
@@ -55,7 +62,7 @@
 
 
 def log_placement(
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     plan: StreamPlan,
     after_event: int,
 ) -> None:
@@ -76,7 +83,7 @@
 
 def dispatch_of(
     plan: StreamPlan,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     attempts: gateway_common.AttemptTracker,
     answer: event_answer.EventAnswer,
 ) -> gateway_messages.Dispatch:
@@ -104,7 +111,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
         attempts: gateway_common.AttemptTracker,
         answer: event_answer.EventAnswer,
     ) -> None:
@@ -112,7 +119,9 @@
         self._admitted = admitted
         self._attempts = attempts
         self._answer = answer
-        self.software = stream_software.StreamSoftware(deps, admitted, answer)
+        self.software = stream_software.StreamSoftware(
+            deps, admitted, answer, attempts.rollout
+        )
         self.last_copy_backend: backends.Backend | None = None
 
     async def plan(self, has_started: bool) -> StreamPlan | None:
@@ -195,7 +204,7 @@
         """
         service = self._admitted.service
         limited_ms, limit_interval_ms = self._deps.view.limited_wait_ms(
-            service.name, ahead
+            self._attempts.rollout, ahead
         )
         if limited_ms:
             self._attempts.expected_wait_ms = limited_ms
@@ -217,8 +226,12 @@
     def _release_interval_ms(self) -> float:
         requirements = self._requirements()
         return wait_forecast.release_interval_ms(
-            self._deps.view.engine_candidates(
-                self._admitted.service, software=self._answer.software
+            itertools.chain.from_iterable(
+                self._deps.view.engine_candidates(
+                    self._admitted.service,
+                    self._attempts.rollout,
+                    software=self._answer.software,
+                )
             ),
             requirements.prompt_tokens,
             requirements.events,
@@ -230,6 +243,14 @@
         self._deps.own_loads.end(plan.copy_load_key)
         self._deps.queue.notify_capacity()
 
+    def record_first_event(self, plan: StreamPlan, took_ms: float) -> None:
+        """Take note that an attempt's prefill has ended."""
+        self._deps.own_loads.mark_prefilled(plan.load_key)
+        if plan.has_idle_engine and plan.fresh_tokens is not None:
+            self._deps.speeds.add_prefill(
+                plan.backend.backend_id, plan.tokens_to_prefill, took_ms
+            )
+
     def discard(self, plan: StreamPlan) -> None:
         """Undo a plan of `plan_reachable`."""
         self._return(plan)
@@ -264,11 +285,21 @@
         excluded: frozenset[ids.BackendId],
     ) -> StreamPlan | None:
         """Return a plan with engines of a software version, None for any."""
-        view = self._deps.view
-        candidates = view.engine_candidates(
-            self._admitted.service, excluded, software
-        )
-        requirements = self._requirements()
+        for candidates in self._deps.view.engine_candidates(
+            self._admitted.service, self._attempts.rollout, excluded, software
+        ):
+            plan = self._plan_among(candidates, excluded)
+            if plan is not None:
+                return plan
+        return None
+
+    def _plan_among(
+        self,
+        candidates: list[placement.Candidate],
+        excluded: frozenset[ids.BackendId],
+    ) -> StreamPlan | None:
+        """Return a plan with one of these engines."""
+        view, requirements = self._deps.view, self._requirements()
         chosen, source = self._find_copy_candidate(candidates), None
         tokens_to_prefill = requirements.prompt_tokens
         if chosen is not None:
@@ -284,6 +315,11 @@
             return None
         copy = None
         if self._admitted.service.engine.stores_kv_copies:
+            if self._deps.rollouts.is_in_progress(self._admitted.service.name):
+                # A copy is no request: it may go to any engine of the version.
+                candidates = view.copy_candidates(
+                    self._admitted.service, excluded
+                )
             copy = placement.choose_kv_copy_engine(
                 candidates, requirements, chosen.backend, view.rng
             )
--- a/src/oriolejunction/http/stream_software.py
+++ b/src/oriolejunction/http/stream_software.py
@@ -2,9 +2,11 @@
 
 from oriolejunction import backends
 from oriolejunction.controllers import event_answer
+from oriolejunction.controllers import rollout_orders
 from oriolejunction.controllers import software_choice
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
+from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
 from oriolejunction import ids
 
@@ -21,12 +23,15 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
         answer: event_answer.EventAnswer,
+        use: rollout_orders.RolloutUse,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
         self._answer = answer
+        self._use = use
+        use.begun_at = lambda: answer.software
         self._recorded = software_choice.RecordedSoftware()
         request = admitted.request
         resumed_id = request.resumes if request.last_event else None
@@ -75,10 +80,16 @@
                 f"no engine of software version {software!r} is listed"
             )
         self._answer.software = software
+        if self._deps.rollouts.is_barred(self._use):
+            raise self._not_run(
+                f"software version {software!r} is used no more"
+            )
 
     @property
     def excludes_engines(self) -> bool:
-        """Return whether engines of other versions are listed."""
+        """Return whether engines of some versions are left out."""
+        if self._deps.rollouts.is_in_progress(self._use.service):
+            return True
         software = self._answer.software
         return software is not None and any(
             each.software != software
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -1,15 +1,50 @@
 """Times of a stream's events as its caller sees them."""
 
 from oriolejunction.controllers import part_guard
+from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
+from oriolejunction.http import rollout_sends
+
+# With fewer events, the time per event is mostly that of the network.
+MIN_COUNTED_EVENTS = 8
+# Shorter prompts count as this long: their prefill takes next to no time.
+MIN_PROMPT_TOKENS = 100
 
 
 class AttemptTiming:
-    """When one attempt's first and latest events arrived, in ms."""
+    """When one attempt's first and latest events arrived, in ms.
+
+    `prefill_tokens` is None if the attempt begins with a KV cache copy.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        sent_ms: float,
+        rollout_send: rollout_sends.RolloutSend,
+        prefill_tokens: int | None,
+    ) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
+        self.rollout_send = rollout_send
+        self._sent_ms = sent_ms
+        self._prefill_tokens = prefill_tokens
+        self._events = 0
+
+    def end(self, replaced_ms: float | None) -> None:
+        """Count the attempt for its service's rollout.
+
+        One that was replaced, or ran into its deadline, at `replaced_ms`
+        without an event would have taken at least until then.
+        """
+        first_ms = replaced_ms if self.first_ms is None else self.first_ms
+        if first_ms is not None and self._prefill_tokens is not None:
+            tokens = max(MIN_PROMPT_TOKENS, self._prefill_tokens)
+            self.rollout_send.record_answer(
+                (first_ms - self._sent_ms) / tokens * 1_000
+            )
+        if self._events >= MIN_COUNTED_EVENTS:
+            self.rollout_send.record_gap(self.wrote_ms / (self._events - 1))
+        self.rollout_send.end()
 
     @property
     def wrote_ms(self) -> float | None:
@@ -18,6 +53,7 @@
 
     def record_event(self, now_ms: float) -> bool:
         """Record an event; return whether the beginning is over with it."""
+        self._events += 1
         if self.first_ms is None:
             self.first_ms = now_ms
         had_begun = self.last_ms - self.first_ms >= part_guard.BEGUN_MS
@@ -31,7 +67,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -44,7 +44,9 @@
 
     `seeds` returns the peer addresses of the control replicas that the
     settings name; `report` returns this instance's current report. `on_move`
-    is called once another replica, or another incarnation, has answered.
+    is called once another replica, or another incarnation, has answered,
+    `on_reply` with each reply, once its list is in use, and when it was asked
+    for.
     """
 
     instance: ids.InstanceId
@@ -58,6 +60,9 @@
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
     rng: random.Random
     on_move: listeners.OnChange
+    on_reply: collections.abc.Callable[[fm.WatchReply, float], None] = (
+        lambda reply, sent_ms: None
+    )
 
 
 class FleetWatch:
@@ -167,13 +172,14 @@
             self._replica_incarnation,
         )
         call = self._deps.stub_for(address, fleet_methods.WATCH)
+        sent_ms = self._deps.clock.now_ms()
         try:
             reply = await call(request, timeout=WATCH_TIMEOUT_S)
         except grpc.aio.AioRpcError as error:
             self._mark_failed(address, error.code().name)
             await self._deps.clock.sleep_ms(RETRY_DELAY_MS)
             return
-        self._apply_reply(reply)
+        self._apply_reply(reply, sent_ms)
         if not reply.fresh:
             self._mark_failed(
                 address, "replica has lost touch with the leader"
@@ -192,7 +198,7 @@
         self._connected = False
         self._failed_at_ms[address] = now_ms
 
-    def _apply_reply(self, reply: fm.WatchReply) -> None:
+    def _apply_reply(self, reply: fm.WatchReply, sent_ms: float) -> None:
         if reply.replicas:
             self._zone_by_address = dict(reply.replicas)
         if reply.document is not None:
@@ -204,6 +210,7 @@
                 age_ms=clocks.round_age_ms(self._deps.listing.age_ms),
             )
         self.publish_listing()
+        self._deps.on_reply(reply, sent_ms)
         current = self._deps.blackboard.fleet.read()
         now_ms = self._deps.clock.now_ms()
         if (
--- a/src/oriolejunction/peers/listing_store.py
+++ b/src/oriolejunction/peers/listing_store.py
@@ -58,6 +58,16 @@
         self.read_at_ms = read_at_ms
         return changed
 
+    def listed_in(
+        self, listing: fm.ListingSnapshot | None
+    ) -> tuple[backends.Backend, ...]:
+        """Return the servers on a received list, as far as they are known."""
+        if listing is None:
+            return ()
+        if listing.backends is not None:
+            return listing.backends
+        return self.backends if listing.digest == self.digest else ()
+
     def snapshot(self, known_digest: str) -> fm.ListingSnapshot | None:
         """Return the list for a process whose copy has `known_digest`.
 
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -54,6 +54,7 @@
     RESEND_BUDGET = "resend_budget"
     INSTANCE_STOPS = "instance_stops"
     NO_CAPACITY = "no_capacity"
+    VERSION_WITHDRAWN = "version_withdrawn"
 
 
 class LossCause(enum.Enum):
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -122,6 +122,10 @@
             "oj_attempts_total",
             "Requests sent to backend servers, by service and event.",
         )
+        self.rollout_requests = self._counter(
+            "oj_rollout_requests_total",
+            "Requests during a rollout, by service, software and event.",
+        )
         self.first_piece_ms = aioprometheus.Histogram(
             "oj_first_piece_ms",
             "Time to the answer, for streams to the first event.",
