Test each path against the rollout gate, and trace versions

An instance that was paused holds requests to old servers back until it hears of the orders of meanwhile.

--- a/src/oriolejunction/controllers/rollout_gate.py
+++ b/src/oriolejunction/controllers/rollout_gate.py
@@ -29,6 +29,11 @@
 REPLACED_TARGET_MS = 10_000.0
 # Time for the last report of the counts once a rollout is over.
 KEEP_COUNTS_MS = 10_000.0
+# Without any list or request for longer, this process was paused. A rollout
+# may have been completed meanwhile, and a watch reply says so within the
+# second time (the former watch ends, and the next is answered at once).
+PAUSED_MS = 1_500.0
+WAKE_HOLD_MS = 400.0
 _log = structlog.get_logger(__name__)
 
 
@@ -57,6 +62,7 @@
         ] = collections.defaultdict(rollout_canary.ActiveRoutes)
         self._by_id: dict[ids.BackendId, backends.Backend] = {}
         self._versions = rollout_versions.RolloutVersions()
+        self._active_ms = self._woke_ms = float("-inf")
         self.on_change: listeners.OnChange = listeners.no_op
 
     @property
@@ -68,7 +74,10 @@
         self, by_id: dict[ids.BackendId, backends.Backend]
     ) -> None:
         """Take note of the versions on the list of servers."""
-        if not self.is_active or by_id is self._by_id:
+        if not self.is_active:
+            return
+        self._note_pause()
+        if by_id is self._by_id:
             return
         self._by_id = by_id
         new = self._versions.observe(by_id.values(), self._clock.now_ms())
@@ -116,6 +125,7 @@
         elif order.phase is not current.order.phase:
             return
         current.heard_ms = now_ms
+        current.renew(sent_ms + order.ttl_ms)
         if order.phase is states.RolloutPhase.OBSERVING:
             current.grant(order.allowance, sent_ms + order.ttl_ms, now_ms)
         elif (
@@ -165,6 +175,7 @@
     ) -> rollout_orders.RolloutUse:
         """Return the state of a new request."""
         if self.is_active:
+            self._note_pause()
             self._routes[service].observe(route, self._clock.now_ms())
         return rollout_orders.RolloutUse(service, route, is_stream, may_try)
 
@@ -175,6 +186,13 @@
             rollout.reserved -= 1
         use.reserved_of = None
 
+    def _note_pause(self) -> None:
+        """Take note of the time, and whether the process was paused."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._active_ms > PAUSED_MS:
+            self._woke_ms = now_ms
+        self._active_ms = now_ms
+
     def is_in_progress(self, service: ids.ServiceName) -> bool:
         """Return whether a rollout of the service is not over."""
         rollout = self._rollout_by_service.get(service)
@@ -202,6 +220,7 @@
         """
         if not self.is_active:
             return [servers]
+        self._note_pause()
         begun_at = use.begun_at()
         allowed = [
             each
@@ -262,7 +281,7 @@
             return False
         rollout = self._rollout_by_service.get(service)
         if rollout is not None and software == rollout.order.target:
-            return rollout.order.phase is not states.RolloutPhase.REVERTED
+            return self._is_target_allowed(rollout)
         version = service, software
         if not self._versions.is_known(version):
             return False
@@ -270,6 +289,8 @@
             return False
         if rollout is None:
             return True
+        if self._may_be_outdated(rollout):
+            return False
         phase = rollout.order.phase
         if phase is states.RolloutPhase.MOVING:
             return begun_at is not None
@@ -277,6 +298,21 @@
             return software in rollout.later or self._is_replaced(rollout)
         return True
 
+    def _is_target_allowed(self, rollout: rollout_orders.Rollout) -> bool:
+        phase = rollout.order.phase
+        if phase is states.RolloutPhase.MOVING:
+            # The leader may have taken it back meanwhile.
+            return rollout.is_valid(self._clock.now_ms())
+        return phase is not states.RolloutPhase.REVERTED
+
+    def _may_be_outdated(self, rollout: rollout_orders.Rollout) -> bool:
+        """Return whether news of the time of a pause are on their way."""
+        return (
+            not rollout.is_over
+            and rollout.heard_ms < self._woke_ms
+            and self._clock.now_ms() < self._woke_ms + WAKE_HOLD_MS
+        )
+
     def _is_replaced(self, rollout: rollout_orders.Rollout) -> bool:
         """Return whether the target of a completed rollout is gone."""
         now_ms = self._clock.now_ms()
@@ -293,6 +329,7 @@
             return rollout_counts.CountedSend(
                 None, (use.service, software, use.route), None
             )
+        self._note_pause()
         begun_at = use.begun_at()
         if not self._is_allowed(use.service, software, begun_at):
             return None
--- a/src/oriolejunction/controllers/rollout_orders.py
+++ b/src/oriolejunction/controllers/rollout_orders.py
@@ -62,6 +62,7 @@
         self.target_listed_ms = now_ms
         # Versions first listed after the rollout was over.
         self.later: set[ids.SoftwareVersion] = set()
+        self._valid_until_ms = now_ms
         self._until_by_allowance: dict[int, float] = {}
 
     @property
@@ -74,6 +75,14 @@
         rank = _RANK_BY_PHASE[self.order.phase]
         return rank < _RANK_BY_PHASE[order.phase]
 
+    def is_valid(self, now_ms: float) -> bool:
+        """Return whether the order was heard of lately enough."""
+        return now_ms < self._valid_until_ms
+
+    def renew(self, until_ms: float) -> None:
+        """Take the order as valid until a time."""
+        self._valid_until_ms = max(self._valid_until_ms, until_ms)
+
     def grant(self, allowance: int, until_ms: float, now_ms: float) -> None:
         """Add an allowance; an earlier one holds until its own end."""
         before = self.allowance(now_ms)
--- a/src/oriolejunction/request_trace.py
+++ b/src/oriolejunction/request_trace.py
@@ -67,7 +67,7 @@
     for entry in reversed(given_up or entries):
         describe = _DESCRIBE_BY_EVENT.get(entry.event)
         if describe is not None:
-            return describe(entry.facts, entries)
+            return describe(entry.facts, entries) + _versions(entries)
     return "unknown: no line tells how the request ended"
 
 
@@ -122,6 +122,18 @@
     )
 
 
+def _versions(entries: list[TraceEntry]) -> str:
+    """Return the software versions that the request was sent to."""
+    versions = dict.fromkeys(
+        str(entry.facts["software"])
+        for entry in entries
+        if entry.event in ("stream placed", "rollout decided send")
+        and entry.facts.get("software")
+        and entry.facts.get("sent", True)
+    )
+    return f"; at version {', '.join(versions)}" if versions else ""
+
+
 _DESCRIBE_BY_EVENT = {
     "stream complete": _describe_complete,
     "stream given up": _describe_given_up,
--- a/tests/controllers/test_rollout_gate.py
+++ b/tests/controllers/test_rollout_gate.py
@@ -107,6 +107,34 @@
     assert not instance.send(use)
 
 
+@pytest.mark.parametrize("phase", [PHASE.OBSERVING, PHASE.MOVING])
+def test_a_woken_instance_waits_for_news_before_it_uses_old_servers(phase):
+    """Fails if requests go to servers that were withdrawn in its pause."""
+    instance = Instance(OLD, NEW)
+    instance.hear(order(phase))
+    stream = instance.open(begun_at=OLD)
+    instance.clock.advance(30_000.0)
+    assert instance.versions() == []
+    assert not instance.send(stream, to=OLD)
+    instance.clock.advance(rollout_gate.WAKE_HOLD_MS)
+    assert instance.send(stream, to=OLD)
+    instance.hear(order(PHASE.DONE))
+    assert instance.versions() == [{NEW}]
+    assert not instance.send(stream, to=OLD)
+
+
+def test_moved_work_stops_without_word_of_the_control_replicas():
+    """Fails if a cut-off instance goes on at a target taken back."""
+    instance = Instance(OLD, NEW)
+    instance.hear(order(PHASE.MOVING))
+    assert instance.send()
+    instance.clock.advance(TTL_MS)
+    assert instance.versions() == []
+    assert not instance.send()
+    instance.hear(order(PHASE.MOVING))
+    assert instance.send()
+
+
 def test_a_stream_begun_at_the_target_holds_a_send_in_reserve():
     """Fails if a broken canary stream has no send left to go on with."""
     instance = Instance(OLD, NEW)
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -227,7 +227,11 @@
     """A gateway, its engines and a caller's session."""
 
     def __init__(
-        self, engines_by_service: dict, table_in_force, budget
+        self,
+        engines_by_service: dict,
+        table_in_force,
+        budget,
+        exposure_share=None,
     ) -> None:
         self.blackboard = blackboards.Blackboard()
         self.clock = event_loops.LoopClock()
@@ -243,6 +247,7 @@
             budget,
             ids.ZoneId("z0"),
             random.Random(1),
+            exposure_share,
         )
         self.time_to_stop_ms = None
 
@@ -305,7 +310,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(llm=(), desk=(), in_force=None, budget=BUDGET):
+async def running(
+    llm=(), desk=(), in_force=None, budget=BUDGET, exposure_share=None
+):
     """Run a gateway in front of engines with the given behaviours."""
     rig = Rig(
         {
@@ -314,6 +321,7 @@
         },
         in_force or table(),
         budget,
+        exposure_share,
     )
     await rig.start()
     try:
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -85,6 +85,23 @@
             "complete after 9000 ms, first event after 4700 ms, longest"
             " pause 80 ms; e1 lost it: silent for 9 ms",
         ),
+        (
+            [
+                {
+                    "event": "rollout decided send",
+                    "software": "v2",
+                    "sent": True,
+                },
+                {
+                    "event": "call answered",
+                    "status": 500,
+                    "took_ms": 9,
+                    "attempts": 1,
+                },
+            ],
+            "answered with status 500 after 9 ms and 1 attempts; at version"
+            " v2",
+        ),
         ([LOST], "unknown: no line tells how the request ended"),
     ],
 )
