--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -5,9 +5,10 @@
 """
 
 import collections.abc
-import dataclasses
 import random
 
+import msgspec
+
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction.controllers import backend_health
@@ -16,7 +17,7 @@
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers import rollout_gate
-from oriolejunction.controllers import rollout_orders
+from oriolejunction.controllers import rollout_use
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import routing_table
@@ -27,8 +28,7 @@
 CROSS_ZONE_CALLS = 0.4
 
 
-@dataclasses.dataclass(frozen=True)
-class BackendView:
+class BackendView(msgspec.Struct, frozen=True):
     """All data used to choose among backend servers."""
 
     blackboard: blackboards.Blackboard
@@ -46,7 +46,7 @@
 
     def available(
         self,
-        use: rollout_orders.RolloutUse,
+        use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
     ) -> list[list[backends.Backend]]:
         """Return the backend servers that may receive a request.
@@ -56,7 +56,7 @@
         return self.rollouts.tiers(use, self._open(use.service, excluded))
 
     def limited_wait_ms(
-        self, use: rollout_orders.RolloutUse, ahead: int
+        self, use: rollout_use.RolloutUse, ahead: int
     ) -> tuple[float, float]:
         """Return the wait that limits and pauses of servers cause.
 
@@ -95,7 +95,7 @@
     def engine_candidates(
         self,
         service: routing_table.Service,
-        use: rollout_orders.RolloutUse,
+        use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
         software: ids.SoftwareVersion | None = None,
     ) -> collections.abc.Iterator[list[placement.Candidate]]:
@@ -164,7 +164,7 @@
 
     def choose_for_call(
         self,
-        use: rollout_orders.RolloutUse,
+        use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
     ) -> backends.Backend | None:
         """Return the backend server for a call to a plain service.
--- a/src/oriolejunction/controllers/rollout_counts.py
+++ b/src/oriolejunction/controllers/rollout_counts.py
@@ -7,7 +7,8 @@
 """
 
 import collections
-import dataclasses
+
+import msgspec
 
 from oriolejunction.controllers import rollout_latency
 from oriolejunction import fleet_messages as fm
@@ -24,8 +25,7 @@
 _Place = tuple[ids.ServiceName, ids.SoftwareVersion, str]
 
 
-@dataclasses.dataclass
-class _Row:
+class _Row(msgspec.Struct):
     """Counts since the order of a rollout.
 
     `ended` begins below 0 where requests ran already, so that `sent - ended`
@@ -35,7 +35,7 @@
     sent: int = 0
     ended: int = 0
     failed: int = 0
-    latencies: list[int] = dataclasses.field(default_factory=list)
+    latencies: list[int] = msgspec.field(default_factory=list)
     message: fm.RolloutCount | None = None
 
 
--- a/src/oriolejunction/controllers/rollout_gate.py
+++ b/src/oriolejunction/controllers/rollout_gate.py
@@ -16,7 +16,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import rollout_canary
 from oriolejunction.controllers import rollout_counts
-from oriolejunction.controllers import rollout_orders
+from oriolejunction.controllers import rollout_use
 from oriolejunction.controllers import rollout_versions
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -55,7 +55,7 @@
         self._salt = salt
         self.counts = rollout_counts.RolloutCounts()
         self._rollout_by_service: dict[
-            ids.ServiceName, rollout_orders.Rollout
+            ids.ServiceName, rollout_use.Rollout
         ] = {}
         self._routes: collections.defaultdict[
             ids.ServiceName, rollout_canary.ActiveRoutes
@@ -114,7 +114,7 @@
         current = self._rollout_by_service.get(order.service)
         if current is None or order.number > current.order.number:
             self._replace(current, order, now_ms)
-            current = rollout_orders.Rollout(order, self._salt, now_ms)
+            current = rollout_use.Rollout(order, self._salt, now_ms)
             self._rollout_by_service[order.service] = current
         elif order.number < current.order.number:
             return
@@ -136,7 +136,7 @@
 
     def _replace(
         self,
-        former: rollout_orders.Rollout | None,
+        former: rollout_use.Rollout | None,
         order: fm.RolloutOrder,
         now_ms: float,
     ) -> None:
@@ -152,7 +152,7 @@
                 now_ms,
             )
         self._versions.restore((order.service, order.target))
-        if order.phase not in rollout_orders.OVER:
+        if order.phase not in rollout_use.OVER:
             self.counts.start(order.service, order.number)
         self._log_order(order)
 
@@ -172,14 +172,14 @@
         route: str,
         is_stream: bool,
         may_try: bool = True,
-    ) -> rollout_orders.RolloutUse:
+    ) -> rollout_use.RolloutUse:
         """Return the state of a new request."""
         if self.is_active:
             self._note_pause()
             self._routes[service].observe(route, self._clock.now_ms())
-        return rollout_orders.RolloutUse(service, route, is_stream, may_try)
+        return rollout_use.RolloutUse(service, route, is_stream, may_try)
 
-    def close(self, use: rollout_orders.RolloutUse) -> None:
+    def close(self, use: rollout_use.RolloutUse) -> None:
         """Give back what a request holds in reserve."""
         rollout = self._rollout_by_service.get(use.service)
         if rollout is not None and use.reserved_of == rollout.order.number:
@@ -198,7 +198,7 @@
         rollout = self._rollout_by_service.get(service)
         return rollout is not None and not rollout.is_over
 
-    def is_barred(self, use: rollout_orders.RolloutUse) -> bool:
+    def is_barred(self, use: rollout_use.RolloutUse) -> bool:
         """Return whether a stream's version must not be used any more."""
         rollout = self._rollout_by_service.get(use.service)
         software = use.begun_at()
@@ -210,7 +210,7 @@
 
     def tiers(
         self,
-        use: rollout_orders.RolloutUse,
+        use: rollout_use.RolloutUse,
         servers: list[backends.Backend],
     ) -> list[list[backends.Backend]]:
         """Return the servers that a request may go to, the best ones first.
@@ -248,7 +248,7 @@
         return [old or new]
 
     def _is_due(
-        self, rollout: rollout_orders.Rollout, use: rollout_orders.RolloutUse
+        self, rollout: rollout_use.Rollout, use: rollout_use.RolloutUse
     ) -> bool:
         now_ms = self._clock.now_ms()
         return rollout.turns.is_due(
@@ -260,8 +260,8 @@
 
     def _has_send(
         self,
-        rollout: rollout_orders.Rollout,
-        use: rollout_orders.RolloutUse,
+        rollout: rollout_use.Rollout,
+        use: rollout_use.RolloutUse,
         begun_at: ids.SoftwareVersion | None,
     ) -> bool:
         """Return whether the allowance covers a send to the target."""
@@ -298,14 +298,14 @@
             return software in rollout.later or self._is_replaced(rollout)
         return True
 
-    def _is_target_allowed(self, rollout: rollout_orders.Rollout) -> bool:
+    def _is_target_allowed(self, rollout: rollout_use.Rollout) -> bool:
         phase = rollout.order.phase
         if phase is states.RolloutPhase.MOVING:
             # The leader may have taken it back meanwhile.
             return rollout.is_valid(self._clock.now_ms())
         return phase is not states.RolloutPhase.REVERTED
 
-    def _may_be_outdated(self, rollout: rollout_orders.Rollout) -> bool:
+    def _may_be_outdated(self, rollout: rollout_use.Rollout) -> bool:
         """Return whether news of the time of a pause are on their way."""
         return (
             not rollout.is_over
@@ -313,7 +313,7 @@
             and self._clock.now_ms() < self._woke_ms + WAKE_HOLD_MS
         )
 
-    def _is_replaced(self, rollout: rollout_orders.Rollout) -> bool:
+    def _is_replaced(self, rollout: rollout_use.Rollout) -> bool:
         """Return whether the target of a completed rollout is gone."""
         now_ms = self._clock.now_ms()
         order = rollout.order
@@ -322,7 +322,7 @@
         return now_ms - rollout.target_listed_ms > REPLACED_TARGET_MS
 
     def begin_send(
-        self, use: rollout_orders.RolloutUse, software: ids.SoftwareVersion
+        self, use: rollout_use.RolloutUse, software: ids.SoftwareVersion
     ) -> rollout_counts.CountedSend | None:
         """Count a request that is sent now; return None if it may not be."""
         if not self.is_active:
@@ -344,8 +344,8 @@
 
     def _spend(
         self,
-        rollout: rollout_orders.Rollout,
-        use: rollout_orders.RolloutUse,
+        rollout: rollout_use.Rollout,
+        use: rollout_use.RolloutUse,
         begun_at: ids.SoftwareVersion | None,
     ) -> bool:
         """Charge a send to the target; return whether it is allowed."""
@@ -379,13 +379,13 @@
 
     def facts(
         self, service: ids.ServiceName, software: ids.SoftwareVersion
-    ) -> rollout_orders.RolloutFacts | None:
+    ) -> rollout_use.RolloutFacts | None:
         """Return what the log says of a send, None without a rollout."""
         rollout = self._rollout_by_service.get(service)
         if rollout is None or rollout.is_over:
             return None
         now_ms = self._clock.now_ms()
-        return rollout_orders.RolloutFacts(
+        return rollout_use.RolloutFacts(
             rollout.order.number,
             rollout.order.phase,
             software == rollout.order.target,
--- a/src/oriolejunction/controllers/rollout_orders.py
+++ b/src/oriolejunction/controllers/rollout_use.py
@@ -6,7 +6,8 @@
 """
 
 import collections.abc
-import dataclasses
+
+import msgspec
 
 from oriolejunction.controllers import rollout_canary
 from oriolejunction import fleet_messages as fm
@@ -106,8 +107,7 @@
         return max(0, self.allowance(now_ms) - used)
 
 
-@dataclasses.dataclass(frozen=True)
-class RolloutFacts:
+class RolloutFacts(msgspec.Struct, frozen=True):
     """Why a rollout allowed a send, for the log."""
 
     number: int
--- a/src/oriolejunction/http/admitted_request.py
+++ b/src/oriolejunction/http/admitted_request.py
@@ -1,18 +1,17 @@
 """A caller's request that was matched with its route."""
 
-import dataclasses
 import functools
 import hashlib
 
 from aiohttp import web
+import msgspec
 
 from oriolejunction import gateway_messages
 from oriolejunction import ids
 from oriolejunction import routing_table
 
 
-@dataclasses.dataclass(frozen=True)
-class AdmittedRequest:
+class AdmittedRequest(msgspec.Struct, frozen=True, dict=True):
     """A request with its route, service and, if any, workspace.
 
     `deadline_ms` is the earlier of the caller's deadline and the end of the
--- a/src/oriolejunction/http/rollout_sends.py
+++ b/src/oriolejunction/http/rollout_sends.py
@@ -5,7 +5,7 @@
 from oriolejunction import backends
 from oriolejunction.controllers import rollout_counts
 from oriolejunction.controllers import rollout_gate
-from oriolejunction.controllers import rollout_orders
+from oriolejunction.controllers import rollout_use
 from oriolejunction.http import attempt_errors
 from oriolejunction import ids
 from oriolejunction import states
@@ -56,7 +56,7 @@
 def begin(
     gate: rollout_gate.RolloutGate,
     metrics: telemetry.GatewayTelemetry,
-    use: rollout_orders.RolloutUse,
+    use: rollout_use.RolloutUse,
     backend: backends.Backend,
     request_id: ids.RequestId,
 ) -> RolloutSend:
--- a/src/oriolejunction/http/stream_software.py
+++ b/src/oriolejunction/http/stream_software.py
@@ -2,7 +2,7 @@
 
 from oriolejunction import backends
 from oriolejunction.controllers import event_answer
-from oriolejunction.controllers import rollout_orders
+from oriolejunction.controllers import rollout_use
 from oriolejunction.controllers import software_choice
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
@@ -25,7 +25,7 @@
         deps: gateway_common.GatewayDependencies,
         admitted: admitted_request.AdmittedRequest,
         answer: event_answer.EventAnswer,
-        use: rollout_orders.RolloutUse,
+        use: rollout_use.RolloutUse,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
