Add the durable state of rollouts

Operators could not order that a service moves to another software version. The replicated state now holds the newest rollout of each service, its phase and all allowances that were given out, with typed refusals; a resent order is acknowledged without a second rollout.

--- a/src/oriolejunction/commands.py
+++ b/src/oriolejunction/commands.py
@@ -167,6 +167,55 @@
     digest: str
 
 
+class BeginRollout(message_base.Message, frozen=True):
+    """Order that a service's requests move to a software version.
+
+    `at_ms` is the leader's wall time; the deadline is `duration_ms` later.
+    """
+
+    service: ids.ServiceName
+    target: ids.SoftwareVersion
+    duration_ms: float
+    at_ms: int
+
+
+class ExposureGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Sends to the target that an incarnation may have made in all."""
+
+    instance: ids.InstanceId
+    boot: str
+    allowance: int
+
+
+class GrantExposure(message_base.Message, frozen=True):
+    """Raise allowances; all together must stay within `ceiling`."""
+
+    service: ids.ServiceName
+    number: int
+    ceiling: int
+    grants: tuple[ExposureGrant, ...]
+
+
+class MoveRollout(message_base.Message, frozen=True):
+    """Change what entry instances may send; the rollout goes on."""
+
+    service: ids.ServiceName
+    number: int
+    phase: states.RolloutPhase
+    reason: str
+    evidence: str
+
+
+class DecideRollout(message_base.Message, frozen=True):
+    """End a rollout."""
+
+    service: ids.ServiceName
+    number: int
+    state: states.RolloutState
+    reason: str
+    evidence: str
+
+
 class StoredAnswer(message_base.Message, frozen=True):
     """The answer of a plain service, stored for resends."""
 
@@ -189,6 +238,10 @@
     | RetryOrder
     | ResolveOrder
     | PublishTable
+    | BeginRollout
+    | GrantExposure
+    | MoveRollout
+    | DecideRollout
 )
 
 
@@ -247,6 +300,19 @@
     reason: str
 
 
+class RolloutBegun(message_base.Message, frozen=True):
+    """A rollout was ordered, now or by an earlier copy of the order."""
+
+    number: int
+
+
+class RolloutRefused(message_base.Message, frozen=True):
+    """A command about a rollout was refused; nothing changed."""
+
+    refusal: states.RolloutRefusal
+    message: str
+
+
 CommandResult = (
     ChangeAccepted
     | ChangeRefused
@@ -255,4 +321,6 @@
     | Recorded
     | TablePublished
     | TableRefused
+    | RolloutBegun
+    | RolloutRefused
 )
--- a/src/oriolejunction/controllers/control_state.py
+++ b/src/oriolejunction/controllers/control_state.py
@@ -9,6 +9,7 @@
 from oriolejunction.controllers import ledger as ledgers
 from oriolejunction.controllers import orders as order_books
 from oriolejunction.controllers import published_table
+from oriolejunction.controllers import rollout_book
 from oriolejunction import errors
 from oriolejunction import messages
 
@@ -27,6 +28,9 @@
     table: published_table.PublishedTable = dataclasses.field(
         default_factory=published_table.PublishedTable
     )
+    rollouts: rollout_book.RolloutBook = dataclasses.field(
+        default_factory=rollout_book.RolloutBook
+    )
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -61,6 +65,13 @@
             )
         case commands.PublishTable():
             return published_table.publish(state.table, command)
+        case (
+            commands.BeginRollout()
+            | commands.GrantExposure()
+            | commands.MoveRollout()
+            | commands.DecideRollout()
+        ):
+            return rollout_book.apply_rollout(state.rollouts, command)
         case _:
             return configuration_history.apply_change(state.history, command)
 
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -201,6 +201,15 @@
     REVERTED = "reverted"
 
 
+class RolloutRefusal(enum.Enum):
+    """Why a command about a rollout was refused."""
+
+    OTHER_IN_PROGRESS = "other_in_progress"
+    NOT_IN_PROGRESS = "not_in_progress"
+    WRONG_PHASE = "wrong_phase"
+    OVER_CEILING = "over_ceiling"
+
+
 class RolloutMeasure(enum.IntEnum):
     """What the latencies of a rollout count measure.
 
