--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -26,6 +26,7 @@
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
+from oriolejunction.peers import rollout_service
 from oriolejunction.peers import rpc
 from oriolejunction.peers import transport as transports
 from oriolejunction.platform import backend_list
@@ -91,6 +92,9 @@
         origin_service.OriginService(
             origins, self._replica, self._transport.stub_for
         ).add_to(self._server)
+        self._rollouts = self._new_rollouts(settings)
+        if self._rollouts is not None:
+            self._rollouts.add_to(self._server)
         transports.PLAINTEXT.listen(self._server, settings.peer_listen)
         await self._server.start()
         self._replica.start()
@@ -100,7 +104,7 @@
         self.spawn(self._new_list_poller(settings).run)
         await self.listen(
             node_base.internal_runner(
-                operator_calls.application(self._service)
+                operator_calls.application(self._service, self._rollouts)
             ),
             settings.operator_listen,
         )
@@ -136,6 +140,22 @@
             voter_target=settings.voter_target,
         )
 
+    def _new_rollouts(
+        self, settings: node_settings.ControlSettings
+    ) -> rollout_service.RolloutService | None:
+        """Return the service of rollouts where the deployment has them."""
+        if settings.rollouts is None:
+            return None
+        return rollout_service.RolloutService(
+            rollout_service.RolloutDependencies(
+                self._replica,
+                self.clock,
+                configuration_document.read_table,
+                self._transport.stub_for,
+                progress=lambda rollout: None,
+            )
+        )
+
     def _new_list_poller(
         self, settings: node_settings.ControlSettings
     ) -> list_poller.ListPoller:
--- a/src/oriolejunction/controllers/rollout_book.py
+++ b/src/oriolejunction/controllers/rollout_book.py
@@ -132,18 +132,26 @@
     return commands.RolloutRefused(refusal, message)
 
 
+def is_copy(book: RolloutBook, command: commands.BeginRollout) -> bool:
+    """Return whether an order is a copy of the newest one of its service."""
+    newest = book.newest_by_service.get(command.service)
+    if newest is None or (newest.target, newest.duration_ms) != (
+        command.target,
+        command.duration_ms,
+    ):
+        return False
+    return (
+        newest.state is states.RolloutState.IN_PROGRESS
+        or command.at_ms - newest.at_ms <= RESEND_WINDOW_MS
+    )
+
+
 def _begin(book: RolloutBook, command: commands.BeginRollout) -> _Result:
     newest = book.newest_by_service.get(command.service)
     if newest is not None:
-        same = (newest.target, newest.duration_ms) == (
-            command.target,
-            command.duration_ms,
-        )
-        runs = newest.state is states.RolloutState.IN_PROGRESS
-        recent = command.at_ms - newest.at_ms <= RESEND_WINDOW_MS
-        if same and (runs or recent):
+        if is_copy(book, command):
             return commands.RolloutBegun(newest.number)
-        if runs:
+        if newest.state is states.RolloutState.IN_PROGRESS:
             return _refusal(
                 states.RolloutRefusal.OTHER_IN_PROGRESS,
                 f"a rollout of {command.service} to {newest.target} within"
--- a/src/oriolejunction/errors.py
+++ b/src/oriolejunction/errors.py
@@ -325,6 +325,20 @@
     status = http.HTTPStatus.CONFLICT
 
 
+class RolloutConflict(NotRunError):
+    """Another rollout of the service is in progress."""
+
+    code = "rollout_conflict"
+    status = http.HTTPStatus.CONFLICT
+
+
+class UnknownRollout(NotRunError):
+    """The service has had no rollout."""
+
+    code = "unknown_rollout"
+    status = http.HTTPStatus.NOT_FOUND
+
+
 class ListUnavailable(ServingError):
     """The platform's list of backend servers could not be read in full."""
 
--- a/src/oriolejunction/peers/fleet_methods.py
+++ b/src/oriolejunction/peers/fleet_methods.py
@@ -2,6 +2,7 @@
 
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import rpc
+from oriolejunction import rollout_messages as rm
 
 REPORT = rpc.Method("Fleet", "Share", fm.ReportRequest, fm.Acknowledgement)
 RELAY = rpc.Method("Fleet", "Relay", fm.RelayRequest, fm.Acknowledgement)
@@ -17,3 +18,5 @@
     "StreamOrigins", "Lookup", fm.OriginLookup, fm.OriginReply
 )
 READ = rpc.Method("Fleet", "Read", fm.ReadRequest, fm.ReadReply)
+ROLLOUT_BEGIN = rpc.Method("Rollouts", "Begin", rm.BeginRequest, rm.BeginReply)
+ROLLOUT_READ = rpc.Method("Rollouts", "Read", rm.ReadRequest, rm.ReadReply)
--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -1,20 +1,49 @@
 """The operator's HTTP calls to a control replica."""
 
+import typing
+
 from aiohttp import web
+import msgspec
 
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import replies
+from oriolejunction import ids
 from oriolejunction.peers import fleet_service
+from oriolejunction.peers import rollout_service
 from oriolejunction.platform import configuration_document
+from oriolejunction import rollout_messages as rm
 
 MAX_DOCUMENT_BYTES = 64 << 20
 REPLACE = "/v1/Configuration.Replace"
 READ = "/v1/Configuration.Read"
+BEGIN_ROLLOUT = "/v1/Rollouts.Begin"
+READ_ROLLOUT = "/v1/Rollouts.Read/{service}"
+# Rollouts take seconds to hours.
+MIN_DURATION_S = 0.1
+MAX_DURATION_S = 86_400.0
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+
+
+class _RolloutBody(msgspec.Struct):
+    service: _Name
+    to: _Name
+    duration_s: typing.Annotated[
+        float, msgspec.Meta(ge=MIN_DURATION_S, le=MAX_DURATION_S)
+    ] = msgspec.field(name="durationS")
+
 
+_decode_rollout = msgspec.json.Decoder(_RolloutBody).decode
 
-def application(service: fleet_service.FleetService) -> web.Application:
-    """Return the HTTP application that serves the operator's calls."""
+
+def application(
+    service: fleet_service.FleetService,
+    rollouts: rollout_service.RolloutService | None = None,
+) -> web.Application:
+    """Return the HTTP application that serves the operator's calls.
+
+    Without `rollouts`, the deployment has none.
+    """
 
     async def replace(request: web.Request) -> web.Response:
         document = await request.read()
@@ -52,4 +81,54 @@
     )
     app.router.add_post(REPLACE, replace)
     app.router.add_get(READ, read)
+    if rollouts is not None:
+        _add_rollout_calls(app, rollouts)
     return app
+
+
+def _add_rollout_calls(
+    app: web.Application, rollouts: rollout_service.RolloutService
+) -> None:
+    async def begin(request: web.Request) -> web.Response:
+        try:
+            body = _decode_rollout(await request.read())
+        except (msgspec.DecodeError, ValueError) as error:
+            raise errors.Failure(errors.MalformedRequest(str(error)))
+        reply = await rollouts.begin(
+            rm.BeginRequest(
+                ids.ServiceName(body.service),
+                ids.SoftwareVersion(body.to),
+                body.duration_s * 1e3,
+            )
+        )
+        if reply.unknown_service:
+            raise errors.Failure(
+                errors.MalformedRequest(f"unknown service {body.service!r}")
+            )
+        if reply.refusal is not None:
+            raise errors.Failure(errors.RolloutConflict(reply.refusal))
+        if reply.number is None:
+            raise errors.Failure(
+                errors.ChangeUnconfirmed("no majority confirmed the order")
+            )
+        return web.json_response({"service": body.service, "to": body.to})
+
+    async def read(request: web.Request) -> web.Response:
+        name = request.match_info["service"]
+        reply = await rollouts.read(rm.ReadRequest(ids.ServiceName(name)))
+        if not reply.confirmed:
+            raise errors.Failure(
+                errors.ControlUnavailable(
+                    "no majority confirms which state is the newest"
+                )
+            )
+        if reply.rollout is None:
+            raise errors.Failure(
+                errors.UnknownRollout(f"no rollout of service {name!r}")
+            )
+        return web.json_response(
+            {"state": reply.rollout.state.value, "to": reply.rollout.target}
+        )
+
+    app.router.add_post(BEGIN_ROLLOUT, begin)
+    app.router.add_get(READ_ROLLOUT, read)
--- /dev/null
+++ b/tests/test_rollout_nodes.py
@@ -0,0 +1,137 @@
+"""Rollouts are ordered and read at real control replicas, on loopback."""
+
+import json
+
+import pytest
+
+from oriolejunction import control_wiring
+from tests import test_fleet_nodes as fleet_nodes
+
+BOUNDS = {
+    "exposure_share": 0.1,
+    "exposure_tolerance": 50,
+    "rollback_ms": 5_000,
+}
+ORDER = {"service": "llm", "to": "v2", "durationS": 12}
+
+
+class RolloutFleet(fleet_nodes.Fleet):
+    """A fleet whose settings have rollouts, if `bounds` are given."""
+
+    bounds = BOUNDS
+
+    async def start_control(self, number, first_start=True):
+        ip = fleet_nodes.SEEDS[number]
+        path = fleet_nodes.settings(
+            self.tmp_path,
+            f"core-{number}",
+            ip=ip,
+            operator_listen=f"{ip}:{fleet_nodes.CONTROL_PORT}",
+            data_dir=str(self.tmp_path / f"disk-{number}"),
+            first_start=first_start,
+            losses_borne=1,
+            rollouts=self.bounds,
+        )
+        node = control_wiring.ControlNode(path)
+        await node.start()
+        self.control_by_number[number] = node
+
+    def url(self, number, call):
+        ip = fleet_nodes.SEEDS[number]
+        return f"http://{ip}:{fleet_nodes.CONTROL_PORT}/v1/Rollouts.{call}"
+
+    async def begin(self, body, number=0):
+        data = body if isinstance(body, str) else json.dumps(body)
+        url = self.url(number, "Begin")
+        async with self.session.post(url, data=data) as response:
+            return response.status, await response.json()
+
+    async def state(self, service="llm", number=0):
+        url = self.url(number, f"Read/{service}")
+        async with self.session.get(url) as response:
+            return response.status, await response.json()
+
+    async def restart_all_controls(self):
+        for number in range(3):
+            await self.stop_control(number)
+        for number in range(3):
+            await self.start_control(number, first_start=False)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    running = RolloutFleet(tmp_path)
+    await running.start()
+    await running.publish_until_accepted(fleet_nodes.document(version=7))
+    yield running
+    await running.close()
+
+
+async def test_order_is_acknowledged_again_and_survives_restarts(fleet):
+    assert (await fleet.state())[0] == 404
+    for number in range(3):
+        assert (await fleet.begin(ORDER, number))[0] == 200
+    expected = (200, {"state": "in_progress", "to": "v2"})
+    for number in range(3):
+        assert await fleet.state(number=number) == expected
+    status, reply = await fleet.begin({**ORDER, "to": "v3"}, 1)
+    assert status == 409
+    assert "v2 within 12 s is in progress" in reply["error"]["message"]
+    await fleet.restart_all_controls()
+
+    async def confirmed():
+        return (await fleet.state(number=2))[0] == 200
+
+    await fleet.wait_until(confirmed)
+    assert await fleet.state(number=2) == expected
+    assert (await fleet.begin(ORDER, 1))[0] == 200
+    numbers = {
+        node._replica.state.rollouts.last_number
+        for node in fleet.control_by_number.values()
+    }
+    assert max(numbers) == 1
+
+
+async def test_wrong_orders_are_refused_and_change_nothing(fleet):
+    wrong = [
+        {**ORDER, "service": "unknown"},
+        {**ORDER, "service": ""},
+        {"service": "llm", "durationS": 12},
+        {"to": "v2", "service": "llm"},
+        {**ORDER, "to": 7},
+        *({**ORDER, "durationS": value} for value in (0, -1, "12", None)),
+        *({**ORDER, "durationS": value} for value in (True, 1e9, [], {})),
+        json.dumps(ORDER).replace("12", "NaN"),
+        json.dumps(ORDER).replace("12", "1e999"),
+        "[]",
+        "no JSON",
+        "",
+    ]
+    for body in wrong:
+        status, reply = await fleet.begin(body)
+        assert (status, bool(reply["error"]["message"])) == (400, True), body
+    assert (await fleet.state())[0] == 404
+    assert (await fleet.state("unknown"))[0] == 404
+
+
+async def test_minority_acknowledges_no_order_and_serves_no_read(fleet):
+    assert (await fleet.begin(ORDER))[0] == 200
+    await fleet.stop_control(1)
+    await fleet.stop_control(2)
+    assert (await fleet.begin({**ORDER, "service": "desk"}))[0] == 503
+    assert (await fleet.state())[0] == 503
+
+
+async def test_deployment_without_rollouts_has_no_such_calls(tmp_path):
+    running = RolloutFleet(tmp_path)
+    running.bounds = None
+    await running.start()
+    try:
+        url = fleet_nodes.SEEDS[0]
+        address = f"http://{url}:{fleet_nodes.CONTROL_PORT}/v1/Other"
+        async with running.session.post(address) as response:
+            unknown = response.status, await response.json()
+        assert await running.begin(ORDER) == unknown
+        assert await running.state() == unknown
+    finally:
+        await running.close()
