--- /dev/null
+++ b/src/oriolejunction/controllers/rollout_allowances.py
@@ -0,0 +1,74 @@
+"""How many requests each instance may send to the target of a rollout.
+
+Load pattern: dozens of instances with very different traffic share an
+allowance of some tens of requests, while a service with three requests a
+second must still get enough answers of the target to be judged by.
+"""
+
+import collections.abc
+import math
+
+from oriolejunction import commands
+from oriolejunction.controllers import rollout_book
+from oriolejunction.controllers import rollout_tally
+from oriolejunction import node_settings
+
+# Part of the bound that allowances use. The rest covers requests that a
+# server got although the instance did not count them as sent.
+AIM = 0.7
+# Part of the tolerance that is given out at once. The rest is spread over the
+# time until the move and shows versions that turn bad late.
+FIRST_PART = 0.4
+# One request to start a stream, and one to continue it elsewhere.
+STEP = 2
+# At most this part of an instance's requests goes to the target, so that the
+# old versions' answers of the same time can be compared.
+MAX_TARGET_SHARE = 0.5
+# An instance that has not reported for longer may be lost.
+FRESH_MS = 1_500.0
+
+
+def limit(
+    bounds: node_settings.RolloutBounds, requests: int, progress: float
+) -> int:
+    """Return the highest sum of allowances now.
+
+    `requests` were sent to the service since the order; `progress` is the
+    part of the time until a move that has passed.
+    """
+    part = FIRST_PART + (1.0 - FIRST_PART) * min(1.0, progress)
+    return math.floor(
+        AIM
+        * (bounds.exposure_share * requests + bounds.exposure_tolerance * part)
+    )
+
+
+def next_grants(
+    rollout: rollout_book.Rollout,
+    instances: collections.abc.Iterable[rollout_tally.InstanceCounts],
+    spare: int,
+    now_ms: float,
+) -> tuple[commands.ExposureGrant, ...]:
+    """Return new allowances that add up to at most `spare` more.
+
+    They go to instances that have requests for the service and have used
+    what they hold, the ones with the least for their traffic first.
+    """
+    wanting = []
+    for counts in instances:
+        if now_ms - counts.received_ms > FRESH_MS:
+            continue
+        total = sum(counts.sent_by_software.values())
+        held = rollout.allowance(counts.instance, counts.boot)
+        sent = counts.sent_by_software.get(rollout.target, 0)
+        running = counts.running_by_software.get(rollout.target, 0)
+        if held - sent - running >= STEP or not total:
+            continue
+        if held > MAX_TARGET_SHARE * total:
+            continue
+        wanting.append((held / total, counts.instance, counts.boot, held))
+    wanting.sort()
+    return tuple(
+        commands.ExposureGrant(instance, boot, held + STEP)
+        for _, instance, boot, held in wanting[: max(0, spare) // STEP]
+    )
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -201,6 +201,18 @@
     REVERTED = "reverted"
 
 
+class RolloutVerdict(enum.Enum):
+    """What the answers so far say about the target of a rollout.
+
+    SUSPECT: too many bad answers for a move, too few to go back.
+    """
+
+    GOOD = "good"
+    UNDECIDED = "undecided"
+    SUSPECT = "suspect"
+    BAD = "bad"
+
+
 class RolloutRefusal(enum.Enum):
     """Why a command about a rollout was refused."""
 
