Tune the verdict and the end of rollouts on the model

On the model, good versions with 3 streams a second were rolled back for lack of answers, and versions that turned bad at two thirds of the time were completed. Allowances now start at 0.7 of the tolerance, reach instances without traffic, and the end comes after 0.8 of the time; a suspect target is rolled back then.

--- a/src/oriolejunction/controllers/rollout_allowances.py
+++ b/src/oriolejunction/controllers/rollout_allowances.py
@@ -18,12 +18,17 @@
 AIM = 0.7
 # Part of the tolerance that is given out at once. The rest is spread over the
 # time until the move and shows versions that turn bad late.
-FIRST_PART = 0.4
+FIRST_PART = 0.7
 # One request to start a stream, and one to continue it elsewhere.
 STEP = 2
 # At most this part of an instance's requests goes to the target, so that the
 # old versions' answers of the same time can be compared.
 MAX_TARGET_SHARE = 0.5
+# Instances without requests for the service get something after this time, up
+# to this part of the limit: one that gets a request every few seconds would
+# otherwise send its second request to the target when the time is over.
+IDLE_AFTER_MS = 1_000.0
+IDLE_PART = 0.5
 # An instance that has not reported for longer may be lost.
 FRESH_MS = 1_500.0
 
@@ -46,13 +51,14 @@
 def next_grants(
     rollout: rollout_book.Rollout,
     instances: collections.abc.Iterable[rollout_tally.InstanceCounts],
-    spare: int,
+    highest: int,
     now_ms: float,
+    elapsed_ms: float,
 ) -> tuple[commands.ExposureGrant, ...]:
-    """Return new allowances that add up to at most `spare` more.
+    """Return new allowances; all together add up to at most `highest`.
 
-    They go to instances that have requests for the service and have used
-    what they hold, the ones with the least for their traffic first.
+    They go to instances that have used what they hold, the ones with the
+    least for their traffic first, and the ones without traffic last.
     """
     wanting = []
     for counts in instances:
@@ -62,13 +68,17 @@
         held = rollout.allowance(counts.instance, counts.boot)
         sent = counts.sent_by_software.get(rollout.target, 0)
         running = counts.running_by_software.get(rollout.target, 0)
-        if held - sent - running >= STEP or not total:
+        if held - sent - running >= STEP or sent > MAX_TARGET_SHARE * total:
             continue
-        if held > MAX_TARGET_SHARE * total:
+        if not total and elapsed_ms < IDLE_AFTER_MS:
             continue
-        wanting.append((held / total, counts.instance, counts.boot, held))
-    wanting.sort()
-    return tuple(
-        commands.ExposureGrant(instance, boot, held + STEP)
-        for _, instance, boot, held in wanting[: max(0, spare) // STEP]
-    )
+        rank = (held / total if total else math.inf, counts.instance)
+        wanting.append((rank, total, counts.boot, held))
+    grants = []
+    granted = rollout.granted
+    for (_, instance), total, boot, held in sorted(wanting):
+        granted += STEP
+        if granted > (highest if total else highest * IDLE_PART):
+            break
+        grants.append(commands.ExposureGrant(instance, boot, held + STEP))
+    return tuple(grants)
--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -20,9 +20,13 @@
 
 # A move leaves this many times the mean duration of a request until the end.
 DURATIONS_LEFT = 1.5
-# Parts of the time asked: the earliest and latest planned move, the last time
-# for a move, and the end. A version may turn bad in the first half.
-EARLIEST_MOVE, LATEST_PLANNED_MOVE, LAST_MOVE, END = 0.45, 0.65, 0.75, 0.9
+# Parts of the time asked: the earliest and latest planned move, and the last
+# time for a move. A version may turn bad in the first half.
+EARLIEST_MOVE, LATEST_PLANNED_MOVE, LAST_MOVE = 0.45, 0.65, 0.75
+# Nothing can be taken back after the end, so it is not before MIN_END.
+# From END on, FEW_LEFT requests that still run on old servers no longer delay
+# the end; at LAST_END it is due, and those left break.
+MIN_END, END, LAST_END, FEW_LEFT = 0.8, 0.9, 0.96, 2
 # Time that taking back needs before the deadline, but not the first half.
 TAKE_BACK_MS = 3_000.0
 MIN_LAST_MOVE = 0.5
@@ -232,8 +236,9 @@
         grants = rollout_allowances.next_grants(
             rollout,
             seen.instances,
-            self.limit - rollout.granted,
+            self.limit,
             seen.now_ms,
+            seen.elapsed_ms,
         )
         if not grants:
             return None
@@ -272,25 +277,37 @@
             )
         running, sent = _old_work(seen, rollout.target)
         quiet_ms = self._old_quiet.for_ms(sent, seen.now_ms)
-        late = seen.elapsed_ms >= END * rollout.duration_ms
+        part = seen.elapsed_ms / rollout.duration_ms
         if seen.now_ms - self._started_ms < MIN_WATCH_MS:
             self.waits_for = "reports to a new leader"
             return None
-        if not running and quiet_ms >= SETTLE_MS and self._all_heard(seen):
-            return self._decide(
+        if self.finding.verdict is states.RolloutVerdict.SUSPECT:
+            self.waits_for = f"suspect: {self.finding.detail}"
+            if part < END:
+                return None
+            return self._move(
                 rollout,
-                states.RolloutState.COMPLETED,
-                "no work on old servers",
+                states.RolloutPhase.REVERTED,
+                f"no good verdict in time: {self.waits_for}",
                 window,
             )
         self.waits_for = f"{running} requests on old servers"
-        if late:
+        if part >= LAST_END or part >= END and running <= FEW_LEFT:
             return self._decide(
                 rollout,
                 states.RolloutState.COMPLETED,
                 f"time is up with {running} requests on old servers",
                 window,
             )
+        if part < MIN_END and not seen.in_force:
+            return None
+        if not running and quiet_ms >= SETTLE_MS and self._all_heard(seen):
+            return self._decide(
+                rollout,
+                states.RolloutState.COMPLETED,
+                "no work on old servers",
+                window,
+            )
         return None
 
     def _finish_reversal(
--- a/src/oriolejunction/controllers/rollout_verdict.py
+++ b/src/oriolejunction/controllers/rollout_verdict.py
@@ -23,7 +23,7 @@
 # Below these scores the target is bad, or too suspicious for a move. The
 # first is looked at some fifty times in a rollout, the second a few times.
 BAD_SCORE = 2e-4
-SUSPECT_SCORE = 0.02
+SUSPECT_SCORE = 0.1
 # Before any answer, one answer in ten is expected to be bad, with the weight
 # of five answers: no verdict comes from two or three alone.
 PRIOR_BAD, PRIOR_GOOD = 0.5, 4.5
@@ -31,7 +31,7 @@
 # placement and time, so that more of their answers don't count as certainty.
 # After the move they are from another time.
 MAX_OLD_ANSWERS = 200.0
-MAX_OLD_ANSWERS_MOVED = 60.0
+MAX_OLD_ANSWERS_MOVED = 120.0
 # The target's answers count up to this many; it bounds the computation.
 MAX_TARGET_ANSWERS = 300
 # A smaller excess of bad answers is no fault that users notice.
@@ -45,8 +45,8 @@
 MIN_OLD_LATENCIES = 5
 # A route with less of the traffic doesn't hold up a move.
 MAJOR_ROUTE_SHARE = 0.1
-ANSWERS_WANTED = 6
-ANSWERS_NEEDED = 3
+ANSWERS_WANTED = 8
+ANSWERS_NEEDED = 2
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/controllers/rollout_model.py
+++ b/tests/controllers/rollout_model.py
@@ -74,6 +74,7 @@
     def __init__(self, name, boot):
         self.name, self.boot = name, boot
         self.number = 0
+        self.first_events = []
         self.rows = {}
         self.running = []
         self.target_sent = self.target_running = 0
@@ -213,6 +214,11 @@
             assert self.exposed <= self.rollout.granted
 
     def end_requests(self, instance, now_ms):
+        first = instance.first_events
+        while first and first[0][0] <= now_ms:
+            _, _, software, route, latency = heapq.heappop(first)
+            row = instance.row(software, route)
+            row[3][rollout_latency.bucket_of(latency)] += 1
         while instance.running and instance.running[0][0] <= now_ms:
             _, _, software, route, failed, lost, latency, event_ms = (
                 heapq.heappop(instance.running)
@@ -228,8 +234,9 @@
                 if software == NEW:
                     self.count_bad(now_ms)
                 continue
-            row[3][rollout_latency.bucket_of(latency)] += 1
-            if event_ms:
+            if not event_ms:
+                row[3][rollout_latency.bucket_of(latency)] += 1
+            else:
                 row = instance.row(software, route, EVENT)
                 row[3][rollout_latency.bucket_of(event_ms)] += 1
 
@@ -284,6 +291,11 @@
         if lost:
             lasts_ms = min(lasts_ms, 400.0)
         instance.row(software, name)[0] += 1
+        if route.stream and not failed and latency < lasts_ms:
+            heapq.heappush(
+                instance.first_events,
+                (now_ms + latency, self.rng.random(), software, name, latency),
+            )
         heapq.heappush(
             instance.running,
             (
