Run rollouts on the control leader and tell entry instances of them

An acknowledged order had no effect. Counts reach the leader with reports and relays past the hub. WatchRequest.incarnation tells the allowances of a restarted instance apart.

--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -83,6 +83,19 @@
         """Return the state as applied so far."""
         return self._applier.state
 
+    @property
+    def applied_index(self) -> int:
+        """Return the index of the last log entry applied to the state."""
+        return self._applier.applied_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last log entry, applied or not.
+
+        On a leader, all that was ever committed has at most this index.
+        """
+        return 0 if self._core is None else self._core.state.log.last_index
+
     @property
     def leader_term(self) -> int | None:
         """Return the term that this replica leads, None on a follower."""
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -26,12 +26,14 @@
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
+from oriolejunction.peers import rollout_control
 from oriolejunction.peers import rollout_service
 from oriolejunction.peers import rpc
 from oriolejunction.peers import transport as transports
 from oriolejunction.platform import backend_list
 from oriolejunction.platform import configuration_document
 from oriolejunction.platform import operator_calls
+from oriolejunction import rollout_telemetry
 from oriolejunction import source_digest
 
 # A removed machine must have lost its vote 4 s after its successor started.
@@ -50,6 +52,7 @@
 
     def __init__(self, path: pathlib.Path) -> None:
         super().__init__(path, node_settings.ControlSettings)
+        self._registry = aioprometheus.Registry()
 
     async def start(self) -> None:
         """Open the listeners and form or join the control group."""
@@ -72,6 +75,7 @@
             LOG_LIMITS,
         )
         origins = stream_origins.OriginHub(self.clock)
+        control = self._new_rollout_control(settings)
         self._service = fleet_service.FleetService(
             fleet_service.FleetDependencies(
                 incarnation=secrets.token_hex(6),
@@ -82,6 +86,7 @@
                 listing=self.listing,
                 read_table=configuration_document.read_table,
                 stub_for=self._transport.stub_for,
+                rollouts=control,
             )
         )
         self._server = grpc.aio.server(options=rpc.SERVER_OPTIONS)
@@ -92,9 +97,19 @@
         origin_service.OriginService(
             origins, self._replica, self._transport.stub_for
         ).add_to(self._server)
-        self._rollouts = self._new_rollouts(settings)
-        if self._rollouts is not None:
-            self._rollouts.add_to(self._server)
+        rollouts = None
+        if control is not None:
+            rollouts = rollout_service.RolloutService(
+                rollout_service.RolloutDependencies(
+                    self._replica,
+                    self.clock,
+                    configuration_document.read_table,
+                    self._transport.stub_for,
+                    control.progress,
+                )
+            )
+            rollouts.add_to(self._server)
+            self.spawn(control.run)
         transports.PLAINTEXT.listen(self._server, settings.peer_listen)
         await self._server.start()
         self._replica.start()
@@ -104,11 +119,11 @@
         self.spawn(self._new_list_poller(settings).run)
         await self.listen(
             node_base.internal_runner(
-                operator_calls.application(self._service, self._rollouts)
+                operator_calls.application(self._service, rollouts)
             ),
             settings.operator_listen,
         )
-        await self.serve_status(aioprometheus.Registry(), self._status)
+        await self.serve_status(self._registry, self._status)
         _log.info(
             "control replica started",
             replica=self._replica.member.replica,
@@ -140,19 +155,21 @@
             voter_target=settings.voter_target,
         )
 
-    def _new_rollouts(
+    def _new_rollout_control(
         self, settings: node_settings.ControlSettings
-    ) -> rollout_service.RolloutService | None:
-        """Return the service of rollouts where the deployment has them."""
+    ) -> rollout_control.RolloutControl | None:
+        """Return the control of rollouts where the deployment has them."""
         if settings.rollouts is None:
             return None
-        return rollout_service.RolloutService(
-            rollout_service.RolloutDependencies(
+        metrics = rollout_telemetry.RolloutTelemetry()
+        self._registry = metrics.registry
+        return rollout_control.RolloutControl(
+            rollout_control.ControlDependencies(
                 self._replica,
                 self.clock,
-                configuration_document.read_table,
-                self._transport.stub_for,
-                progress=lambda rollout: None,
+                self.listing,
+                settings.rollouts,
+                metrics,
             )
         )
 
--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -354,12 +354,9 @@
         reason: str,
         window: rollout_verdict.Window,
     ) -> commands.MoveRollout:
+        evidence = self._evidence(window)
         return commands.MoveRollout(
-            rollout.service,
-            rollout.number,
-            phase,
-            reason,
-            self._evidence(window),
+            rollout.service, rollout.number, phase, reason, evidence
         )
 
     def _decide(
@@ -369,12 +366,9 @@
         reason: str,
         window: rollout_verdict.Window,
     ) -> commands.DecideRollout:
+        evidence = self._evidence(window)
         return commands.DecideRollout(
-            rollout.service,
-            rollout.number,
-            state,
-            reason,
-            self._evidence(window),
+            rollout.service, rollout.number, state, reason, evidence
         )
 
     def _evidence(self, window: rollout_verdict.Window) -> str:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -92,6 +92,7 @@
                 stub_for=self._channels.stub_for,
                 rng=self.rng,
                 on_move=self._deps.origins.resend,
+                incarnation=self._incarnation,
             )
         )
         self._deps.origins.connect(
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -177,11 +177,16 @@
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
-    """Reports and origins that one control replica relays to another."""
+    """Reports and origins that one control replica relays to another.
+
+    `log_index` is the sender's last one when it sends a listing as the
+    leader: orders of rollouts up to it may explain versions on the list.
+    """
 
     shares: tuple[EntryReport, ...]
     listing: ListingSnapshot | None = None
     origins: tuple[StreamOrigin, ...] = ()
+    log_index: int = -1
 
 
 class OriginsRequest(msgspec.Struct, frozen=True):
@@ -233,7 +238,7 @@
     """Long poll for changes since `seen`.
 
     `seen` is the change number of the last reply from the replica's
-    incarnation `boot`.
+    incarnation `boot`. `incarnation` is the instance's own, as in its reports.
     """
 
     instance: ids.InstanceId
@@ -241,6 +246,7 @@
     listing_digest: str
     seen: int
     boot: str = ""
+    incarnation: str = ""
 
 
 class WatchReply(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -26,6 +26,7 @@
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
+from oriolejunction.peers import rollout_control
 from oriolejunction.peers import rpc
 from oriolejunction import routing_table
 from oriolejunction import supervision
@@ -53,7 +54,7 @@
     """Dependencies of the fleet service.
 
     `incarnation` identifies this start of the replica; `stub_for` returns
-    a stub for a method at an address.
+    a stub for a method at an address. `rollouts` is None without rollouts.
     """
 
     incarnation: str
@@ -64,6 +65,7 @@
     listing: listing_store.ListingStore
     read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
+    rollouts: rollout_control.RolloutControl | None = None
 
 
 @dataclasses.dataclass
@@ -84,6 +86,7 @@
     def __init__(self, deps: FleetDependencies) -> None:
         self._deps = deps
         self._replica = deps.replica
+        self._rollouts = deps.rollouts
         self._replica.on_apply = self._on_applied
         self._changed = asyncio.Event()
         self._has_updates = asyncio.Event()
@@ -112,6 +115,8 @@
     def notify_listing(self) -> None:
         """Wake watches and relays after a read of the platform's list."""
         self._observe_software()
+        if self._rollouts:
+            self._rollouts.note_listing_read()
         self.notify_watches()
         for relay in self._relay_by_address.values():
             relay.has_updates.set()
@@ -205,9 +210,10 @@
                 listing = self._deps.listing.snapshot(digest_sent)
             if not reports and not origins and listing is None:
                 continue
+            index = self._replica.last_index
             try:
                 await call(
-                    fm.RelayRequest(reports, listing, origins),
+                    fm.RelayRequest(reports, listing, origins, index),
                     timeout=RELAY_TIMEOUT_S,
                 )
             except grpc.aio.AioRpcError as error:
@@ -234,6 +240,8 @@
         if self._deps.hub.put(request.share, direct=True):
             self.notify_watches()
             self._has_updates.set()
+        if self._rollouts and self._rollouts.observe((request.share,)):
+            self._has_updates.set()
         return fm.Acknowledgement()
 
     async def _relay(self, request: fm.RelayRequest) -> fm.Acknowledgement:
@@ -242,6 +250,8 @@
         for origin in request.origins:
             self._deps.origins.put(origin, direct=False)
         listing_changed = self._deps.listing.store_received(request.listing)
+        if self._rollouts:
+            self._rollouts.take_relay(request)
         if request.listing is not None:
             self._observe_software()
         if listing_changed or any(changed):
@@ -265,11 +275,12 @@
         return self._watch_reply(request)
 
     def _has_changed(self, request: fm.WatchRequest) -> bool:
-        return (
+        return bool(
             self._replica.state.table.version > request.table_version
             or self._deps.listing.digest != request.listing_digest
             or self._deps.hub.change_number != request.seen
             or self._deps.incarnation != request.boot
+            or (self._rollouts and self._rollouts.has_changed(request))
         )
 
     def _watch_reply(self, request: fm.WatchRequest) -> fm.WatchReply:
@@ -305,6 +316,7 @@
                 (member.address, member.zone)
                 for member in self._replica.membership.members()
             ),
+            rollouts=self._rollouts and self._rollouts.take_orders(request),
         )
 
     async def _publish(self, request: fm.PublishRequest) -> fm.PublishReply:
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -58,6 +58,7 @@
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
     rng: random.Random
     on_move: listeners.OnChange
+    incarnation: str = ""
 
 
 class FleetWatch:
@@ -165,6 +166,7 @@
             self._deps.listing.digest,
             self._seen,
             self._replica_incarnation,
+            self._deps.incarnation,
         )
         call = self._deps.stub_for(address, fleet_methods.WATCH)
         try:
--- a/tests/peers/test_fleet_service.py
+++ b/tests/peers/test_fleet_service.py
@@ -40,6 +40,7 @@
             table=published_table.PublishedTable()
         )
         self.leader_term = 1
+        self.last_index = 0
         self.on_apply = None
 
     def is_connected(self, silence_ms):
--- a/tests/test_rollout_nodes.py
+++ b/tests/test_rollout_nodes.py
@@ -1,10 +1,13 @@
 """Rollouts are ordered and read at real control replicas, on loopback."""
 
 import json
+import time
 
 import pytest
+import structlog
 
 from oriolejunction import control_wiring
+from oriolejunction import fleet_messages as fm
 from tests import test_fleet_nodes as fleet_nodes
 
 BOUNDS = {
@@ -135,3 +138,48 @@
         assert await running.state() == unknown
     finally:
         await running.close()
+
+
+async def test_instance_learns_the_order_through_any_replica(fleet):
+    """Fault: a replica that lags tells of a list but not of its orders."""
+    assert (await fleet.begin(ORDER))[0] == 200
+    request = fm.WatchRequest("entry", 7, "", -1, "", "boot-1")
+
+    async def all_know():
+        orders = [
+            node._service._watch_reply(request).rollouts
+            for node in fleet.control_by_number.values()
+        ]
+        return all(
+            each is not None and [order.target for order in each] == ["v2"]
+            for each in orders
+        )
+
+    await fleet.wait_until(all_know)
+    for number in (1, 2):
+        await fleet.stop_control(number)
+
+    async def unknown():
+        node = fleet.control_by_number[0]
+        return node._service._watch_reply(request).rollouts is None
+
+    await fleet.wait_until(unknown, 2.0)
+
+
+async def test_rollout_without_new_servers_is_rolled_back_in_time(fleet):
+    """Case: the new servers never appear."""
+    begun_s = time.monotonic()
+    assert (await fleet.begin({**ORDER, "durationS": 4}, 1))[0] == 200
+    with structlog.testing.capture_logs() as logs:
+
+        async def ended():
+            return (await fleet.state(number=2))[1]["state"] != "in_progress"
+
+        await fleet.wait_until(ended)
+    assert time.monotonic() - begun_s < 4.0
+    expected = {"state": "rolled_back", "to": "v2"}
+    assert await fleet.state() == (200, expected)
+    moved = [each for each in logs if each["event"] == "rollout ended"]
+    assert [each["state"] for each in moved] == ["rolled_back"]
+    assert "0 servers run the target" in moved[0]["reason"]
+    assert moved[0]["target_servers"] == 0
