--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -94,6 +94,7 @@
                 rng=self.rng,
                 on_move=self._deps.origins.resend,
                 on_reply=self._update_rollouts,
+                incarnation=self._incarnation,
             )
         )
         self._deps.origins.connect(
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -63,6 +63,7 @@
     on_reply: collections.abc.Callable[[fm.WatchReply, float], None] = (
         lambda reply, sent_ms: None
     )
+    incarnation: str = ""
 
 
 class FleetWatch:
@@ -170,6 +171,7 @@
             self._deps.listing.digest,
             self._seen,
             self._replica_incarnation,
+            self._deps.incarnation,
         )
         call = self._deps.stub_for(address, fleet_methods.WATCH)
         sent_ms = self._deps.clock.now_ms()
