Give stand-in servers software versions that may be bad

Rollouts need servers of two versions, of which one fails or slows a part of its answers: at once or later, only under load, or on one route only. Without such a fault the stand-ins answer as before.

Measured: tests/test_whole_path.py passes.

--- a/src/oriolejunction/standin/engine.py
+++ b/src/oriolejunction/standin/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import random
 import secrets
 
 from aiohttp import web
@@ -17,6 +18,7 @@
 from oriolejunction.standin import engine_orders
 from oriolejunction.standin import engine_stream
 from oriolejunction.standin import prefix_cache
+from oriolejunction.standin import version_faults
 
 STEP_BASE_MS = 5.0
 FINISHED_STREAM_TTL_MS = 5_000.0
@@ -32,6 +34,8 @@
     `slowdown` multiplies the duration of each step. Load reports are
     delayed by `report_lag_ms` and cache events by `cache_lag_ms`;
     `cache_event_loss` is the fraction of cache events that is lost.
+    `software` is the version of the engine's own software, and `fault` what
+    is wrong with it; its route is the model of a request.
     """
 
     engine_id: str
@@ -46,6 +50,8 @@
     cache_lag_ms: float = 500.0
     cache_event_loss: float = 0.1
     checks_fencing: bool = False
+    software: str = ""
+    fault: version_faults.VersionFault = version_faults.NO_FAULT
 
 
 class StandinEngine:
@@ -80,6 +86,9 @@
         )
         self._reports = engine_load.DelayedReports(options.report_lag_ms)
         self.requests_after_leaving: list[float] = []
+        self._rng = random.Random(options.engine_id)
+        self._started_ms = engine_load.now_ms()
+        self._steps = 0
         self._work_available = asyncio.Event()
         self._batch_task: asyncio.Task | None = None
 
@@ -150,8 +159,9 @@
         for stream in running:
             if self.faults.crash_if_poisoned(stream):
                 return
+        self._steps += 1
         for stream in running:
-            if stream.running:
+            if stream.running and not self._steps % stream.steps_per_token:
                 engine_stream.step(stream)
                 self.tokens_computed += 1
                 if stream.finished:
@@ -185,7 +195,17 @@
             return web.Response(
                 status=503, headers={engine_protocol.LEAVING_HEADER: "1"}
             )
+        answer = version_faults.draw(
+            self.options.fault,
+            engine_load.now_ms() - self._started_ms,
+            len(self._running()) + 1,
+            body.model,
+            self._rng,
+        )
+        if answer.fails:
+            return web.json_response({"error": "broken version"}, status=500)
         stream = engine_stream.open_stream(body)
+        stream.steps_per_token = round(answer.slowdown)
         self.requests_run += 1
         self.runs_by_prompt[body.prompt] += 1
         self._record_if_leaving()
--- a/src/oriolejunction/standin/engine_stream.py
+++ b/src/oriolejunction/standin/engine_stream.py
@@ -22,7 +22,8 @@
     """One attempt; it stays available for resumption after it finishes.
 
     `offset_by_position` holds the first token offset of each event.
-    `events_to_skip` counts the events that the skip fault still drops.
+    `events_to_skip` counts the events that the skip fault still drops, and
+    `steps_per_token` is above 1 if the engine's version slows the stream.
     """
 
     request: engine_protocol.GenerateRequest
@@ -36,6 +37,7 @@
     offset_by_position: list[int] = dataclasses.field(default_factory=list)
     first_offset: int = 0
     events_to_skip: int = 0
+    steps_per_token: int = 1
     finished: bool = False
     cancelled: bool = False
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
