Cover rare routes with canary requests, and add bench rollout

Trials in virtual time: with 20 streams a second over 24 instances, the target got 20 requests of one route and 1 of the other, so good versions were rolled back for lack of evidence; and one canary server, once full, sent all further canary requests back to the old version. An instance now keeps a send for a route that it draws, for up to 5 s, and full canary servers pass requests on to others.

The bench runs the gate of instances against the control leader's decisions with simulated servers, crashes, list and messages.

--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -8,6 +8,7 @@
 from oriolejunction.bench import raft
 from oriolejunction.bench import result
 from oriolejunction.bench import resume
+from oriolejunction.bench import rollout
 from oriolejunction.bench import routing
 from oriolejunction.bench import soak
 from oriolejunction import errors
@@ -29,6 +30,7 @@
     "poison": poison.run,
     "raft": raft.run,
     "resume": resume.run,
+    "rollout": rollout.run,
     "routing": routing.run,
     "soak": soak.run,
 }
--- a/src/oriolejunction/controllers/rollout_gate.py
+++ b/src/oriolejunction/controllers/rollout_gate.py
@@ -222,11 +222,12 @@
             return [servers]
         self._note_pause()
         begun_at = use.begun_at()
-        allowed = [
-            each
-            for each in servers
-            if self._is_allowed(each.service, each.software, begun_at)
-        ]
+        versions = {
+            software
+            for software in {each.software for each in servers}
+            if self._is_allowed(use.service, software, begun_at)
+        }
+        allowed = [each for each in servers if each.software in versions]
         rollout = self._rollout_by_service.get(use.service)
         if (
             rollout is None
@@ -244,7 +245,8 @@
             first = rollout_canary.canary_servers(
                 rollout.order.number, new, self._share
             )
-            return [first, old] if old else [first, new]
+            # Once they are full, others see load.
+            return [first, new, old]
         return [old or new]
 
     def _is_due(
@@ -253,7 +255,7 @@
         now_ms = self._clock.now_ms()
         return rollout.turns.is_due(
             use.route,
-            self._routes[use.service].names(),
+            self._routes[use.service].weights(now_ms),
             rollout.left(now_ms) // use.cost,
             now_ms,
         )
--- a/src/oriolejunction/controllers/rollout_use.py
+++ b/src/oriolejunction/controllers/rollout_use.py
@@ -86,10 +86,10 @@
 
     def grant(self, allowance: int, until_ms: float, now_ms: float) -> None:
         """Add an allowance; an earlier one holds until its own end."""
-        before = self.allowance(now_ms)
+        before = self.left(now_ms)
         known_ms = self._until_by_allowance.get(allowance, until_ms)
         self._until_by_allowance[allowance] = max(known_ms, until_ms)
-        if self.allowance(now_ms) > before:
+        if self.left(now_ms) > before == 0:
             self.turns.restart_wait(now_ms)
 
     def allowance(self, now_ms: float) -> int:
