--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -25,6 +25,7 @@
 from oriolejunction.questionnaire import checks
 from oriolejunction.questionnaire import fill
 from oriolejunction import request_trace
+from oriolejunction import rollout_client
 from oriolejunction import settings as instance_settings
 from oriolejunction import source_digest
 from oriolejunction.standin import engine as standin_engine
@@ -89,6 +90,39 @@
             sys.exit(1)
 
 
+class Rollouts:
+    """Move a service of a deployment to another software version.
+
+    REPLICAS are peer addresses of control replicas, separated by commas.
+    """
+
+    def begin(
+        self,
+        service: str,
+        version: str,
+        within: str,
+        replicas: str | None = None,
+    ) -> None:
+        """Order that SERVICE moves to VERSION, in a time such as 12s."""
+        duration_ms = rollout_client.parse_duration_ms(str(within))
+        number = asyncio.run(
+            rollout_client.begin(
+                _replica_addresses(replicas),
+                str(service),
+                str(version),
+                duration_ms,
+            )
+        )
+        print(f"rollout {number} of {service} to {version} is ordered")
+
+    def show(self, service: str, replicas: str | None = None) -> None:
+        """Show the newest rollout of SERVICE, with progress while it runs."""
+        status = asyncio.run(
+            rollout_client.read(_replica_addresses(replicas), str(service))
+        )
+        print(rollout_client.status_text(status))
+
+
 class Commands:
     """Serving system for long generations on engines that fail."""
 
@@ -96,6 +130,7 @@
         self.questionnaire = Questionnaire()
         self.settings = SettingsFiles()
         self.nodes = Nodes()
+        self.rollout = Rollouts()
 
     def serve(self, **flags: object) -> None:
         """Run one instance until SIGINT or SIGTERM."""
@@ -259,6 +294,19 @@
     return operator_client.OperatorClient(url, str(token))
 
 
+def _replica_addresses(replicas: object) -> list[str]:
+    """Return addresses from the flag, which may be parsed, or a variable."""
+    variable = instance_settings.ENVIRONMENT_PREFIX + "CONTROL_REPLICAS"
+    found = replicas or os.environ.get(variable)
+    if not found:
+        raise errors.Failure(
+            errors.BadSettings(f"--replicas / {variable}: is required")
+        )
+    if isinstance(found, (list, tuple)):
+        return [str(each) for each in found]
+    return [each.strip() for each in str(found).split(",")]
+
+
 async def _run_instance(settings: instance_settings.Settings) -> None:
     instance = wiring.Instance(settings, clocks.SystemClock())
     await instance.start()
--- a/src/oriolejunction/peers/rollout_service.py
+++ b/src/oriolejunction/peers/rollout_service.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 import grpc
+import msgspec
 import structlog
 
 from oriolejunction import clock as clocks
@@ -65,9 +66,13 @@
         )
 
     async def _serve_begin(self, request: rm.BeginRequest) -> rm.BeginReply:
+        if not request.forwarded:
+            return await self.begin(request)
         return await self._begin_here(request) or rm.BeginReply()
 
     async def _serve_read(self, request: rm.ReadRequest) -> rm.ReadReply:
+        if not request.forwarded:
+            return await self.read(request)
         return await self._read_here(request) or rm.ReadReply(confirmed=False)
 
     async def begin(self, request: rm.BeginRequest) -> rm.BeginReply:
@@ -119,6 +124,7 @@
 
     async def _call_leader(self, address, method, request):
         call = self._deps.stub_for(address, method)
+        request = msgspec.structs.replace(request, forwarded=True)
         try:
             return await call(request, timeout=ATTEMPT_TIMEOUT_S)
         except grpc.aio.AioRpcError as error:
--- a/src/oriolejunction/rollout_messages.py
+++ b/src/oriolejunction/rollout_messages.py
@@ -7,11 +7,15 @@
 
 
 class BeginRequest(msgspec.Struct, frozen=True):
-    """Ask the leader to move a service's requests to a software version."""
+    """Ask for a service's requests to move to a software version.
+
+    A control replica that isn't the leader sends it on with `forwarded` set.
+    """
 
     service: ids.ServiceName
     target: ids.SoftwareVersion
     duration_ms: float
+    forwarded: bool = False
 
 
 class BeginReply(msgspec.Struct, frozen=True):
@@ -32,9 +36,10 @@
 
 
 class ReadRequest(msgspec.Struct, frozen=True):
-    """Ask the leader for the newest rollout of a service."""
+    """Ask for the newest rollout of a service; see `BeginRequest`."""
 
     service: ids.ServiceName
+    forwarded: bool = False
 
 
 class RouteProgress(msgspec.Struct, frozen=True, array_like=True):
