Count latencies of streams while they still run

The time to the first event is counted at the event, and the time per event after 16 events.

Stream and path tests pass (39).

--- a/src/oriolejunction/bench/rollout_world.py
+++ b/src/oriolejunction/bench/rollout_world.py
@@ -18,6 +18,7 @@
 from oriolejunction.controllers import rollout_leader
 from oriolejunction.controllers import rollout_orders
 from oriolejunction.controllers import rollout_tally
+from oriolejunction.http import stream_timing
 from oriolejunction import ids
 from oriolejunction import states
 
@@ -341,21 +342,24 @@
 
         def record_first() -> None:
             if key in server.running and not answer.fails:
+                self._count_bad(answer)
                 counted.record_latency(ANSWER, answer.first_ms)
                 if setup.load.is_stream:
                     request.software = software
 
+        def record_gap() -> None:
+            if key in server.running:
+                counted.record_latency(EVENT, answer.event_ms)
+
         def end() -> None:
             if server.running.pop(key, None) is None:
                 return
-            self._count_bad(answer)
             counted.end()
             if answer.fails:
+                self._count_bad(answer)
                 counted.record_failure()
                 self._after(RETRY_MS, self._try, instance, request)
                 return
-            if answer.event_ms:
-                counted.record_latency(EVENT, answer.event_ms)
             instance.gate.close(request.use)
 
         def leave() -> None:
@@ -370,6 +374,9 @@
         server.running[key] = break_off
         self._after(answer.first_ms, record_first)
         self._after(answer.lasts_ms, end)
+        if answer.event_ms and not answer.fails:
+            counted_ms = (stream_timing.COUNTED_EVENTS - 1) * answer.event_ms
+            self._after(answer.first_ms + counted_ms, record_gap)
         if self.rng.random() < LEAVES_EARLY:
             self._after(self.rng.uniform(0.1, 1.0) * answer.lasts_ms, leave)
 
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -5,7 +5,10 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import rollout_sends
 
-# With fewer events, the time per event is mostly that of the network.
+# The time per event is counted once for each attempt, early enough to show a
+# slow version while its streams still run. With much fewer events, it is
+# mostly that of the network.
+COUNTED_EVENTS = 16
 MIN_COUNTED_EVENTS = 8
 # Shorter prompts count as this long: their prefill takes next to no time.
 MIN_PROMPT_TOKENS = 100
@@ -36,15 +39,21 @@
         One that was replaced, or ran into its deadline, at `replaced_ms`
         without an event would have taken at least until then.
         """
-        first_ms = replaced_ms if self.first_ms is None else self.first_ms
-        if first_ms is not None and self._prefill_tokens is not None:
+        if self.first_ms is None and replaced_ms is not None:
+            self._count_first(replaced_ms)
+        if MIN_COUNTED_EVENTS <= self._events < COUNTED_EVENTS:
+            self._count_gap()
+        self.rollout_send.end()
+
+    def _count_first(self, first_ms: float) -> None:
+        if self._prefill_tokens is not None:
             tokens = max(MIN_PROMPT_TOKENS, self._prefill_tokens)
             self.rollout_send.record_answer(
                 (first_ms - self._sent_ms) / tokens * 1_000
             )
-        if self._events >= MIN_COUNTED_EVENTS:
-            self.rollout_send.record_gap(self.wrote_ms / (self._events - 1))
-        self.rollout_send.end()
+
+    def _count_gap(self) -> None:
+        self.rollout_send.record_gap(self.wrote_ms / (self._events - 1))
 
     @property
     def wrote_ms(self) -> float | None:
@@ -56,8 +65,11 @@
         self._events += 1
         if self.first_ms is None:
             self.first_ms = now_ms
+            self._count_first(now_ms)
         had_begun = self.last_ms - self.first_ms >= part_guard.BEGUN_MS
         self.last_ms = now_ms
+        if self._events == COUNTED_EVENTS:
+            self._count_gap()
         return not had_begun and now_ms - self.first_ms >= part_guard.BEGUN_MS
 
 
