--- a/src/oriolejunction/controllers/rollout_canary.py
+++ b/src/oriolejunction/controllers/rollout_canary.py
@@ -3,9 +3,8 @@
 Load pattern: many instances may each send a few requests to the target, out
 of a request or less a second each, on routes of unequal demand. A version
 that is bad on one route only, or only under load, must be seen with these
-few. So an instance keeps its next send for a while for a route that it draws,
-one with little demand as often as one with much, and all instances send to
-the same few servers. An allowance is used as soon as its route comes,
+few. So a rare route may always use the next send, while a frequent one has to
+be drawn or to wait, and all instances send to the same few servers. An allowance is used as soon as its route comes,
 so that these servers see requests together.
 """
 
@@ -109,6 +108,9 @@
         spare = left // max(1, 2 * len(weights))
         if spare and self._sends[route] <= fewest + spare:
             return True
+        if weights.get(route, 0.0) * len(weights) <= sum(weights.values()):
+            # A route that is rarer than others always has its turn.
+            return True
         drawn = sorted(weights, key=lambda each: self._draw(each, weights))
         position = drawn.index(route) if route in weights else 0
         waited_ms = now_ms - self._since_ms
