--- a/src/oriolejunction/controllers/rollout_canary.py
+++ b/src/oriolejunction/controllers/rollout_canary.py
@@ -4,8 +4,9 @@
 of a request or less a second each, on routes of unequal demand. A version
 that is bad on one route only, or only under load, must be seen with these
 few. So a rare route may always use the next send, while a frequent one has to
-be drawn or to wait, and all instances send to the same few servers. An allowance is used as soon as its route comes,
-so that these servers see requests together.
+be drawn or to wait, and all instances send to the same few servers. An
+allowance is used as soon as its route comes, so that these servers see
+requests together.
 """
 
 import collections
