Judge rollouts by answers that arrived, and by all routes together

A version whose answers were all lost counted as good, since requests that ended were taken for answers. Of versions bad in 4 of 10 answers, some were moved to: the error rate was split evenly over many comparisons. It is now split by how likely a fault is, all routes are also compared together, and half of the tolerance is kept for later, except where requests are few.

--- a/src/oriolejunction/controllers/rollout_allowances.py
+++ b/src/oriolejunction/controllers/rollout_allowances.py
@@ -18,7 +18,12 @@
 AIM = 0.7
 # Part of the tolerance that is given out at once. The rest is spread over the
 # time until the move and shows versions that turn bad late.
-FIRST_PART = 0.7
+FIRST_PART = 0.5
+# The whole tolerance is given out at once to a service that gets at most this
+# many times the tolerance until the move, once a tenth of the time shows it:
+# its requests are the limit of what can be seen, not the tolerance.
+FEW_REQUESTS = 2.0
+RATE_KNOWN_AT = 0.1
 # One request to start a stream, and one to continue it elsewhere.
 STEP = 2
 # At most this part of an instance's requests goes to the target, so that the
@@ -29,8 +34,9 @@
 # otherwise send its second request to the target when the time is over.
 IDLE_AFTER_MS = 1_000.0
 IDLE_PART = 0.5
-# An instance that has not reported for longer may be lost.
-FRESH_MS = 1_500.0
+# An instance that has not reported for longer may be lost. Idle ones report
+# once a second, and relays add up to half a second.
+FRESH_MS = 2_000.0
 
 
 def limit(
@@ -42,6 +48,10 @@
     part of the time until a move that has passed.
     """
     part = FIRST_PART + (1.0 - FIRST_PART) * min(1.0, progress)
+    if progress >= RATE_KNOWN_AT:
+        few = FEW_REQUESTS * bounds.exposure_tolerance
+        if requests / min(1.0, progress) <= few:
+            part = 1.0
     return math.floor(
         AIM
         * (bounds.exposure_share * requests + bounds.exposure_tolerance * part)
--- a/src/oriolejunction/controllers/rollout_verdict.py
+++ b/src/oriolejunction/controllers/rollout_verdict.py
@@ -8,9 +8,10 @@
 
 The test: given the old versions' answers, the number of bad ones among n
 answers of the target has a beta-binomial distribution. The probability of as
-many as seen, times the number of comparisons, is the score. A bad answer is a
-failed one, or one that is slower than the old versions' by more than a factor
-at the same quantile. Rates of errors are in docs/design/rollouts.md.
+many as seen, divided by the comparison's part of the error rate, is the
+score. All routes are also compared together. A bad answer is a failed one, or
+one that is slower than the old versions' by more than a factor at the same
+quantile. Rates of errors are in docs/design/rollouts.md.
 """
 
 import collections.abc
@@ -34,15 +35,23 @@
 MAX_OLD_ANSWERS_MOVED = 120.0
 # The target's answers count up to this many; it bounds the computation.
 MAX_TARGET_ANSWERS = 300
-# A smaller excess of bad answers is no fault that users notice.
+# A smaller excess of bad answers is no fault that users notice. One server of
+# several that is slow for a while makes fewer answers slow than the second.
 MIN_EXCESS = 0.08
+MIN_SLOW_EXCESS = 0.15
 # Target servers see another load than the old ones, and buckets are coarse:
 # only answers slower by more buckets than this are slow (1.5 per bucket).
 SLOWER_BUCKETS = 1
-SLOWER_BUCKETS_MOVED = 2
 # Quantiles of the old latencies at which both versions are compared.
-QUANTILES = (0.5, 0.9, 1.0)
+QUANTILES = (0.5, 0.9, 0.97)
+POOLED_QUANTILE = 0.97
 MIN_OLD_LATENCIES = 5
+# Parts of the error rate by comparison; they add up to 1 with two measures.
+# Failures on all routes are the most likely fault.
+ALL_FAILURES_WEIGHT = 1 / 4
+ALL_LATENCIES_WEIGHT = 1 / 16
+FAILURES_WEIGHT = 1 / 4
+LATENCY_WEIGHT = 3 / 8 / (2 * len(QUANTILES))
 # A route with less of the traffic doesn't hold up a move.
 MAJOR_ROUTE_SHARE = 0.1
 ANSWERS_WANTED = 8
@@ -78,12 +87,13 @@
 
 
 def answers(counts: rollout_tally.VersionCounts) -> int:
-    """Return how many answers show whether they fail.
+    """Return how many answers arrived, good or failed.
 
-    A stream that has sent events counts before its end.
+    Lost ones say nothing, so a version whose answers are all lost is never
+    found good. A stream that has sent events counts before its end.
     """
     good = sum(counts.latencies.get(states.RolloutMeasure.ANSWER, ()))
-    return max(counts.ended, counts.failed + good)
+    return counts.failed + good
 
 
 def compare(windows: collections.abc.Iterable[Window], moved: bool) -> Finding:
@@ -94,15 +104,15 @@
     """
     worst = Finding()
     for window in windows:
-        tests = max(1, len(window)) * (1 + len(QUANTILES) * 2) + 1
+        routes = max(1, len(window))
         for route, pair in window.items():
-            for probability, detail in _route_tests(pair, moved):
-                score = probability * tests
+            for test in _route_tests(pair, moved):
+                score = test.score * routes
                 if score < worst.score:
-                    worst = Finding(score, f"route {route}: {detail}")
-        probability, detail = _test_all_failures(window, moved)
-        if probability * tests < worst.score:
-            worst = Finding(probability * tests, detail)
+                    worst = Finding(score, f"route {route}: {test.detail}")
+        for test in _tests_over_routes(window, moved):
+            if test.score < worst.score:
+                worst = test
     return worst
 
 
@@ -121,54 +131,113 @@
     return None
 
 
+@dataclasses.dataclass(frozen=True)
+class _Counts:
+    """Bad answers among all, at the target and at the old versions."""
+
+    bad: int
+    total: int
+    old_bad: int
+    old_total: int
+    min_excess: float = MIN_EXCESS
+
+
+def _failures(pair: RoutePair) -> _Counts:
+    return _Counts(
+        pair.target.failed,
+        answers(pair.target),
+        pair.old.failed,
+        answers(pair.old),
+    )
+
+
+def _slow(
+    pair: RoutePair,
+    measure: states.RolloutMeasure,
+    quantile: float,
+) -> _Counts | None:
+    """Count answers slower than a quantile of the old ones.
+
+    At the target only those count that are slower by more than a factor.
+    Return None with too few.
+    """
+    old = pair.old.latencies.get(measure, ())
+    target = pair.target.latencies.get(measure, ())
+    old_total, total = sum(old), sum(target)
+    if old_total < MIN_OLD_LATENCIES or not total:
+        return None
+    bucket = _quantile_bucket(old, quantile * old_total)
+    return _Counts(
+        sum(target[bucket + 1 + SLOWER_BUCKETS :]),
+        total,
+        sum(old[bucket + 1 :]),
+        old_total,
+        MIN_SLOW_EXCESS,
+    )
+
+
 def _route_tests(
     pair: RoutePair, moved: bool
-) -> collections.abc.Iterator[tuple[float, str]]:
-    """Yield the probability and a description of each comparison."""
-    count = answers(pair.target)
-    old_count = answers(pair.old)
-    yield (
-        _probability(
-            pair.target.failed, count, pair.old.failed, old_count, moved
-        ),
-        f"{pair.target.failed} of {count} failed,"
-        f" {pair.old.failed} of {old_count} at old versions",
+) -> collections.abc.Iterator[Finding]:
+    """Yield the comparisons of one route, with scores for one route."""
+    failures = _failures(pair)
+    if not failures.total:
+        return
+    yield Finding(
+        _probability(failures, moved) / FAILURES_WEIGHT,
+        f"{failures.bad} of {failures.total} failed, {failures.old_bad} of"
+        f" {failures.old_total} at old versions",
     )
-    shift = SLOWER_BUCKETS_MOVED if moved else SLOWER_BUCKETS
     for measure in states.RolloutMeasure:
-        old = pair.old.latencies.get(measure, ())
-        target = pair.target.latencies.get(measure, ())
-        old_total, total = sum(old), sum(target)
-        if old_total < MIN_OLD_LATENCIES or not total:
-            continue
         for quantile in QUANTILES:
-            bucket = _quantile_bucket(old, quantile * old_total)
-            slow_old = sum(old[bucket + 1 :])
-            slow = sum(target[bucket + 1 + shift :])
-            yield (
-                _probability(slow, total, slow_old, old_total, moved),
-                f"{slow} of {total} much slower than {old_total} at old"
-                f" versions at quantile {quantile}, {measure.name}",
-            )
-
-
-def _test_all_failures(window: Window, moved: bool) -> tuple[float, str]:
-    """Compare failures on all routes together, each with its own rate."""
-    expected, failed, total = 0.0, 0, 0
-    for pair in window.values():
-        count = answers(pair.target)
-        bad, good = _old_weights(pair.old.failed, answers(pair.old), moved)
-        rate = bad / (bad + good)
-        deviation = math.sqrt(rate * (1 - rate) / (bad + good + 1))
-        expected += count * (rate + deviation)
-        failed += pair.target.failed
-        total += count
-    detail = (
-        f"{failed} of {total} failed on all routes, {expected:.1f} expected"
+            slow = _slow(pair, measure, quantile)
+            if slow is not None:
+                yield Finding(
+                    _probability(slow, moved) / LATENCY_WEIGHT,
+                    f"{slow.bad} of {slow.total} much slower than"
+                    f" {slow.old_total} at old versions at quantile"
+                    f" {quantile}, {measure.name}",
+                )
+
+
+def _tests_over_routes(
+    window: Window, moved: bool
+) -> collections.abc.Iterator[Finding]:
+    """Yield the comparisons of all routes together, each at its own rate."""
+    pairs = [pair for pair in window.values() if answers(pair.target)]
+    yield _pooled(
+        [_failures(pair) for pair in pairs],
+        "failed",
+        ALL_FAILURES_WEIGHT,
+        moved,
+    )
+    for measure in states.RolloutMeasure:
+        slow = [_slow(pair, measure, POOLED_QUANTILE) for pair in pairs]
+        yield _pooled(
+            [each for each in slow if each is not None],
+            f"are much slower, {measure.name},",
+            ALL_LATENCIES_WEIGHT,
+            moved,
+        )
+
+
+def _pooled(
+    found: list[_Counts], what: str, weight: float, moved: bool
+) -> Finding:
+    expected, bad, total = 0.0, 0, 0
+    for each in found:
+        alpha, beta = _old_weights(each.old_bad, each.old_total, moved)
+        rate = alpha / (alpha + beta)
+        deviation = math.sqrt(rate * (1 - rate) / (alpha + beta + 1))
+        expected += each.total * (rate + deviation)
+        bad += each.bad
+        total += each.total
+    if not total or bad - expected < found[0].min_excess * total:
+        return Finding()
+    return Finding(
+        _poisson_tail(bad, expected) / weight,
+        f"{bad} of {total} {what} on all routes, {expected:.1f} expected",
     )
-    if not total or failed - expected < MIN_EXCESS * total:
-        return 1.0, detail
-    return _poisson_tail(failed, expected), detail
 
 
 def _poisson_tail(count: int, mean: float) -> float:
@@ -202,18 +271,17 @@
     )
 
 
-def _probability(
-    bad: int, count: int, old_bad: int, old_count: int, moved: bool
-) -> float:
+def _probability(counts: _Counts, moved: bool) -> float:
     """Return how probable that many bad answers are for a good version."""
-    old_rate = old_bad / old_count if old_count else 0.0
-    if not count or bad / count - old_rate < MIN_EXCESS:
+    bad, total = counts.bad, counts.total
+    old_rate = counts.old_bad / counts.old_total if counts.old_total else 0.0
+    if bad / total - old_rate < counts.min_excess:
         return 1.0
-    if count > MAX_TARGET_ANSWERS:
-        bad = bad * MAX_TARGET_ANSWERS // count
-        count = MAX_TARGET_ANSWERS
+    if total > MAX_TARGET_ANSWERS:
+        bad = bad * MAX_TARGET_ANSWERS // total
+        total = MAX_TARGET_ANSWERS
     return beta_binomial_tail(
-        bad, count, *_old_weights(old_bad, old_count, moved)
+        bad, total, *_old_weights(counts.old_bad, counts.old_total, moved)
     )
 
 
--- a/src/oriolejunction/peers/rollout_control.py
+++ b/src/oriolejunction/peers/rollout_control.py
@@ -30,6 +30,8 @@
 
 # Reports bring counts some ten times a second.
 STEP_INTERVAL_MS = 200.0
+# With thousands of routes a step takes long: at most a tenth of the time.
+INTERVAL_PER_STEP_TIME = 10.0
 COMMIT_TIMEOUT_S = 0.9
 # A replica that lost the leader answers as if current for this long.
 LEADER_TIMEOUT_MS = 500.0
@@ -61,6 +63,7 @@
         self._origin = rollout_orders.ListingOrigin()
         self._ttl_ms = rollout_orders.ttl_ms(deps.bounds.rollback_ms)
         self._term: int | None = None
+        self._took_ms = 0.0
         self._leader_by_number: dict[int, rollout_leader.RolloutLeader] = {}
         self._begun_ms: dict[int, float] = {}
         self._sent_by_instance: dict[
@@ -160,7 +163,10 @@
     async def run(self) -> None:
         """Lead the rollouts in progress until cancelled."""
         while True:
-            await self._deps.clock.sleep_ms(STEP_INTERVAL_MS)
+            await self._deps.clock.sleep_ms(
+                max(STEP_INTERVAL_MS, INTERVAL_PER_STEP_TIME * self._took_ms)
+            )
+            self._took_ms = 0.0
             running = self._book.in_progress()
             self._forget_ended(running)
             if not running or not await self._lead():
@@ -241,6 +247,7 @@
         seen = self._observation(rollout)
         step = leader.step(rollout, seen)
         self._deps.telemetry.record(rollout, seen.counts)
+        self._took_ms += self._deps.clock.now_ms() - seen.now_ms
         if step is None:
             return
         try:
--- a/tests/controllers/rollout_model.py
+++ b/tests/controllers/rollout_model.py
@@ -47,6 +47,7 @@
     """What is wrong with the new version from a time on."""
 
     fails: float = 0.0
+    loses: float = 0.0
     slower: float = 1.0
     part: float = 1.0
     from_ms: float = 0.0
@@ -279,6 +280,7 @@
             instance.target_running += 1
             if now_ms >= fault.from_ms and fault.route in (None, name):
                 failed = failed or self.rng.random() < fault.fails
+                lost = lost or self.rng.random() < fault.loses
                 if fault.slower > 1 and self.rng.random() < fault.part:
                     latency, event_ms = (
                         latency * fault.slower,
--- a/tests/controllers/test_rollout_leader.py
+++ b/tests/controllers/test_rollout_leader.py
@@ -128,3 +128,10 @@
     assert ends(runs) == {COMPLETED: 10}
     assert sum(each.broken for each in runs) == 0
     assert all(each.ended_ms <= 36_000 for each in runs)
+
+
+def test_version_whose_answers_are_all_lost_is_not_moved_to():
+    """Fault: answers without failures count as good although none arrived."""
+    runs = run(CALLS, models.Fault(loses=1.0), 10)
+    assert ends(runs) == {BACK: 10}
+    assert all("0 answers" in each.rollout.reason for each in runs)
