Merge rollouts: control replicas and entry instances

Replies that are encoded once carry the rollouts in the part of each receiver; the incarnation of a watch is its entry_boot.

--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -45,4 +45,5 @@
             blocked_parts=deps.parts.blocked(),
             limits=deps.intake.limits.named(),
             helpers=self._helpers(),
+            rollout_counts=deps.rollouts.counts.messages(),
         )
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -18,6 +18,7 @@
 from oriolejunction.controllers import graceful_shutdown
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction import entry_reports
+from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_state
 from oriolejunction.http import readiness
@@ -73,6 +74,7 @@
             ),
             ids.ZoneId(settings.zone),
             self.rng,
+            settings.rollouts and settings.rollouts.exposure_share,
         )
 
     async def start(self) -> None:
@@ -103,6 +105,7 @@
                 ),
                 rng=self.rng,
                 on_move=self._deps.origins.resend,
+                on_reply=self._update_rollouts,
             )
         )
         self._deps.origins.connect(
@@ -119,6 +122,7 @@
             self._deps.parts,
             self._deps.intake.limits,
             self._deps.budget,
+            self._deps.rollouts.counts,
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
@@ -226,6 +230,7 @@
             "suspects": self._deps.health.suspects(),
             "suspects_told": sorted(fleet.suspects),
             "loads": list(self._deps.own_loads.loads().values()),
+            "rollouts": self._deps.rollouts.status(),
         }
 
     def _helper_addresses(self) -> tuple[str, ...]:
@@ -249,6 +254,14 @@
             and bool(self._blackboard.backends.read().by_id)
         )
 
+    def _update_rollouts(self, reply: fm.WatchReply, sent_ms: float) -> None:
+        self._deps.rollouts.update(
+            reply.rollouts,
+            sent_ms,
+            reply.fresh,
+            self.listing.listed_in(reply.listing),
+        )
+
     def _drop_unlisted(self, snapshot) -> None:
         if not snapshot.by_id:
             return
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -25,6 +25,7 @@
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import listing_store
 from oriolejunction.peers import report_relays
+from oriolejunction.peers import rollout_control
 from oriolejunction.peers import rpc
 from oriolejunction.peers import watch_replies
 from oriolejunction.peers import watch_rounds
@@ -42,7 +43,7 @@
     """Dependencies of the fleet service.
 
     `incarnation` identifies this start of the replica; `stub_for` returns
-    a stub for a method at an address.
+    a stub for a method at an address. `rollouts` is None without rollouts.
     """
 
     incarnation: str
@@ -53,6 +54,7 @@
     listing: listing_store.ListingStore
     read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
+    rollouts: rollout_control.RolloutControl | None = None
 
 
 class FleetService:
@@ -61,6 +63,7 @@
     def __init__(self, deps: FleetDependencies) -> None:
         self._deps = deps
         self._replica = deps.replica
+        self._rollouts = deps.rollouts
         self._replica.on_apply = self._on_applied
         self._rounds = watch_rounds.WatchRounds(deps.clock)
         self._replies = watch_replies.WatchReplies(
@@ -69,6 +72,7 @@
             deps.clock,
             deps.hub,
             deps.listing,
+            deps.rollouts and deps.rollouts.take_orders,
         )
         deps.origins.on_change = lambda: self._relays.request(
             report_relays.LOAD_RELAY_MS
@@ -106,6 +110,8 @@
     def notify_listing(self) -> None:
         """Wake watches and relays after a read of the platform's list."""
         self._observe_software()
+        if self._rollouts:
+            self._rollouts.note_listing_read()
         if self._deps.listing.digest != self._listing_told:
             self._tell_listing()
             self._relays.request(report_relays.URGENT_RELAY_MS)
@@ -123,6 +129,9 @@
         if self._replica.state.table.version != self._followed_version:
             self._follow_table()
             self._rounds.request(watch_rounds.Urgency.NOW)
+        elif self._rollouts:
+            # Watches that wait check whether their rollouts have changed.
+            self._rounds.request(watch_rounds.Urgency.NOW)
 
     def _follow_table(self) -> None:
         """Keep origins for as long as the table in force needs them."""
@@ -154,6 +163,8 @@
 
     def _take_report(self, report: fm.EntryReport) -> None:
         urgency = self._put((report,), direct=True)
+        if self._rollouts and self._rollouts.observe((report,)):
+            self._relays.request(report_relays.LOAD_RELAY_MS)
         if urgency is not None:
             is_urgent = urgency is not watch_rounds.Urgency.LOADS
             self._relays.request(
@@ -167,6 +178,8 @@
         for origin in request.origins:
             self._deps.origins.put(origin, direct=False)
         listing_changed = self._deps.listing.store_received(request.listing)
+        if self._rollouts:
+            self._rollouts.take_relay(request)
         if request.listing is not None:
             self._observe_software()
         if listing_changed:
@@ -248,6 +261,7 @@
         if (
             self._replica.state.table.version > request.table_version
             or self._deps.listing.digest != request.listing_digest
+            or (self._rollouts and self._rollouts.has_changed(request))
         ):
             return watch_rounds.Urgency.NOW
         return self._urgency_since(request.seen)
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -43,7 +43,8 @@
     `seeds` returns the peer addresses of the control replicas that the
     settings name; `report` returns this instance's current report. `on_move`
     is called once another replica, or another incarnation, has answered.
-    `boot` is this incarnation of the instance.
+    `on_reply` is called with each reply, once its list is in use, and with
+    when it was asked for. `boot` is this incarnation of the instance.
     """
 
     instance: ids.InstanceId
@@ -58,6 +59,9 @@
     session: fleet_session.FleetSession
     rng: random.Random
     on_move: listeners.OnChange
+    on_reply: collections.abc.Callable[[fm.WatchReply, float], None] = (
+        lambda reply, sent_ms: None
+    )
 
 
 class FleetWatch:
@@ -164,6 +168,7 @@
             self._replica_incarnation,
             self._deps.boot,
         )
+        sent_ms = self._deps.clock.now_ms()
         try:
             reply = await self._deps.session.watch(address, request)
         except fleet_session.ReplicaLost as error:
@@ -172,7 +177,7 @@
             self.notify_report()
             await self._deps.clock.sleep_ms(RETRY_DELAY_MS)
             return
-        self._apply_reply(reply)
+        self._apply_reply(reply, sent_ms)
         if not reply.fresh:
             self._mark_failed(
                 address, "replica has lost touch with the leader"
@@ -191,7 +196,7 @@
         self._connected = False
         self._failed_at_ms[address] = now_ms
 
-    def _apply_reply(self, reply: fm.WatchReply) -> None:
+    def _apply_reply(self, reply: fm.WatchReply, sent_ms: float) -> None:
         if reply.replicas:
             self._zone_by_address = dict(reply.replicas)
         if reply.document is not None:
@@ -203,6 +208,7 @@
                 age_ms=clocks.round_age_ms(self._deps.listing.age_ms),
             )
         self.publish_listing()
+        self._deps.on_reply(reply, sent_ms)
         current = self._deps.blackboard.fleet.read()
         if reply.boot != self._replica_incarnation:
             self._deps.on_move()
--- a/src/oriolejunction/peers/report_relays.py
+++ b/src/oriolejunction/peers/report_relays.py
@@ -127,7 +127,9 @@
                 continue
             try:
                 await call(
-                    fm.RelayRequest(reports, listing, origins),
+                    fm.RelayRequest(
+                        reports, listing, origins, self._replica.last_index
+                    ),
                     timeout=RELAY_TIMEOUT_S,
                 )
             except grpc.aio.AioRpcError as error:
