--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -10,11 +10,13 @@
 """
 
 import collections
-import dataclasses
+
+import msgspec
 
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
+from oriolejunction import listeners
 
 # Leaves a reserve, since instances count requests and windows separately.
 SAFETY_FACTOR = 0.8
@@ -23,8 +25,7 @@
 SHARED_FRACTION = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class BudgetLimits:
+class BudgetLimits(msgspec.Struct, frozen=True):
     """The budget of the whole deployment in a sliding window."""
 
     ratio: float
@@ -38,6 +39,8 @@
     def __init__(self, clock: clocks.Clock, limits: BudgetLimits) -> None:
         self._clock = clock
         self._limits = limits
+        # Called at each resend, which the others must count soon.
+        self.on_change: listeners.OnChange = listeners.no_op
         self._requests: dict[ids.ServiceName, collections.deque[float]]
         self._requests = collections.defaultdict(collections.deque)
         self._resends: dict[ids.ServiceName, collections.deque[float]]
@@ -89,6 +92,7 @@
     def spend(self, service: ids.ServiceName) -> None:
         """Count a resend."""
         self._recent(self._resends[service]).append(self._clock.now_ms())
+        self.on_change()
 
     def give_back(self, service: ids.ServiceName) -> None:
         """Uncount the newest resend, which was not sent after all."""
--- a/tests/test_rollout_nodes.py
+++ b/tests/test_rollout_nodes.py
@@ -147,7 +147,7 @@
 
     async def all_know():
         orders = [
-            node._service._watch_reply(request).rollouts
+            node._rollout_control.orders_for(request)
             for node in fleet.control_by_number.values()
         ]
         return all(
@@ -161,7 +161,7 @@
 
     async def unknown():
         node = fleet.control_by_number[0]
-        return node._service._watch_reply(request).rollouts is None
+        return node._rollout_control.orders_for(request) is None
 
     await fleet.wait_until(unknown, 2.0)
 
