Test a rollout through real replicas whose leader is lost

Nothing showed that counts and orders pass through followers, and that a new leader goes on with the allowances of the former one.

Measured: tests/test_rollout_nodes.py -k leader_is_lost, 2 passed.

--- a/tests/test_rollout_nodes.py
+++ b/tests/test_rollout_nodes.py
@@ -1,13 +1,22 @@
 """Rollouts are ordered and read at real control replicas, on loopback."""
 
+import asyncio
+import contextlib
 import json
 import time
 
+from aiohttp import web
+import grpc
 import pytest
 import structlog
 
 from oriolejunction import control_wiring
+from oriolejunction.controllers import rollout_latency
 from oriolejunction import fleet_messages as fm
+from oriolejunction.peers import fleet_methods
+from oriolejunction.peers import rpc
+from oriolejunction.peers import transport as transports
+from oriolejunction import states
 from tests import test_fleet_nodes as fleet_nodes
 
 BOUNDS = {
@@ -18,10 +27,85 @@
 ORDER = {"service": "llm", "to": "v2", "durationS": 12}
 
 
+class Sender:
+    """An entry instance that acts on orders and reports what it counts.
+
+    Half of the target's answers fail if `is_bad`.
+    """
+
+    def __init__(self, name, address, is_bad):
+        self.name, self.is_bad = name, is_bad
+        self.channel = transports.PLAINTEXT.channel(address)
+        self.sent = {"v1": 0, "v2": 0}
+        self.order = None
+        self.number = 0
+
+    def report(self):
+        self.number += 1
+        rows = []
+        for software, sent in self.sent.items():
+            failed = sent // 2 if software == "v2" and self.is_bad else 0
+            latencies = [0] * rollout_latency.BUCKETS
+            latencies[7] = sent - failed
+            rows.append(
+                fm.RolloutCount(
+                    "llm",
+                    1,
+                    software,
+                    "r-1",
+                    states.RolloutMeasure.ANSWER,
+                    sent,
+                    sent,
+                    failed,
+                    tuple(latencies),
+                )
+            )
+        return fm.ReportRequest(
+            fm.EntryReport(
+                self.name, "b", self.number, rollout_counts=tuple(rows)
+            )
+        )
+
+    async def run(self):
+        report = rpc.make_stub(self.channel, fleet_methods.REPORT)
+        watch = rpc.make_stub(self.channel, fleet_methods.WATCH)
+        request = fm.WatchRequest(self.name, 7, "", -1, "", "b")
+        while True:
+            try:
+                reply = await watch(request, timeout=0.7)
+                if reply.rollouts:
+                    (self.order,) = reply.rollouts
+                    self.send(self.order)
+                await report(self.report(), timeout=0.7)
+            except grpc.aio.AioRpcError:
+                pass
+            await asyncio.sleep(0.08)
+
+    def send(self, order):
+        match order.phase:
+            case states.RolloutPhase.OBSERVING:
+                self.sent["v1"] += 3
+                if self.sent["v2"] < order.allowance:
+                    self.sent["v2"] += 1
+            case states.RolloutPhase.MOVING | states.RolloutPhase.DONE:
+                self.sent["v2"] += 3
+            case states.RolloutPhase.REVERTED:
+                self.sent["v1"] += 3
+
+
 class RolloutFleet(fleet_nodes.Fleet):
     """A fleet whose settings have rollouts, if `bounds` are given."""
 
     bounds = BOUNDS
+    has_new_servers = False
+
+    async def _list(self, request):
+        page = json.loads((await super()._list(request)).body)
+        (old,) = page["instances"]
+        old["version"] = "v1"
+        new = {**old, "id": "i-2", "version": "v2"}
+        page["instances"] = [old, new] if self.has_new_servers else [old]
+        return web.json_response(page)
 
     async def start_control(self, number, first_start=True):
         ip = fleet_nodes.SEEDS[number]
@@ -183,3 +267,60 @@
     assert [each["state"] for each in moved] == ["rolled_back"]
     assert "0 servers run the target" in moved[0]["reason"]
     assert moved[0]["target_servers"] == 0
+
+
+@contextlib.asynccontextmanager
+async def senders(is_bad, addresses):
+    running = [
+        Sender(
+            f"sender-{number}", f"{address}:{fleet_nodes.PEER_PORT}", is_bad
+        )
+        for number, address in enumerate(addresses)
+    ]
+    tasks = [asyncio.create_task(each.run()) for each in running]
+    try:
+        yield running
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for each in running:
+            await each.channel.close()
+
+
+@pytest.mark.parametrize("is_bad", [False, True])
+async def test_rollout_is_decided_although_its_leader_is_lost(fleet, is_bad):
+    """Fault: a new leader starts anew, or followers pass on no counts."""
+    fleet.has_new_servers = True
+    leader = next(
+        number
+        for number, node in fleet.control_by_number.items()
+        if node._replica.leader_term is not None
+    )
+    others = [n for n in range(3) if n != leader]
+    addresses = [fleet_nodes.SEEDS[others[n % 2]] for n in range(4)]
+    begun_s = time.monotonic()
+    assert (await fleet.begin({**ORDER, "durationS": 8}))[0] == 200
+    async with senders(is_bad, addresses) as running:
+
+        async def granted():
+            return sum(each.sent["v2"] for each in running) >= 4
+
+        await fleet.wait_until(granted, 3.0)
+        await fleet.stop_control(leader)
+
+        async def ended():
+            status, reply = await fleet.state(number=others[0])
+            return status == 200 and reply["state"] != "in_progress"
+
+        await fleet.wait_until(ended, 9.0)
+        assert time.monotonic() - begun_s < 8.0
+        _, reply = await fleet.state(number=others[1])
+        expected = "rolled_back" if is_bad else "completed"
+        assert reply == {"state": expected, "to": "v2"}
+        sent = sum(each.sent["v2"] for each in running)
+        await asyncio.sleep(0.6)
+        after = sum(each.sent["v2"] for each in running)
+        assert (after == sent) == is_bad
+        if is_bad:
+            assert sent <= 50
