Use the load that servers state in their answers

Calls went to the server with the fewest calls of one instance, whatever the servers themselves stated; the header Instance-Load was decoded, with three figures only, and read by nobody.

The load of each server is smoothed and loses weight with age. An instance draws two servers and takes the better one. A server that had no capacity is avoided for some 25 ms, and a call that was turned away is held back 20 ms before it goes elsewhere. The connection of a rejection is read and kept, and a non-idempotent call no longer closes connections that others can use.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -12,7 +12,9 @@
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import call_choice
 from oriolejunction.controllers.overload import placement
+from oriolejunction.controllers.overload import reported_loads
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -33,6 +35,7 @@
     speeds: engine_speeds.EngineSpeeds
     health: backend_health.BackendHealth
     intake: server_intake.ServerIntake
+    reported: reported_loads.ReportedLoads
     zone: ids.ZoneId
     rng: random.Random
 
@@ -50,8 +53,17 @@
             each
             for each in self._healthy(service, excluded)
             if self.intake.allows(each.backend_id)
+            and not self._full_ms(each.backend_id)
         ]
 
+    def _full_ms(self, backend_id: ids.BackendId) -> float:
+        """Return for how long a server has no capacity, 0 if it has some."""
+        if not self.reported.are_known:
+            return 0.0
+        return self.reported.full_ms(
+            backend_id, self.own_loads.calls(backend_id)
+        )
+
     def limited_wait_ms(
         self, service: ids.ServiceName, ahead: int
     ) -> tuple[float, float]:
@@ -66,6 +78,19 @@
             [each.backend_id for each in self._healthy(service)], ahead
         )
 
+    def full_wait_ms(self, service: ids.ServiceName) -> float:
+        """Return for how long all servers of a service have no capacity."""
+        if not self.reported.are_known:
+            return 0.0
+        return min(
+            (
+                self._full_ms(each.backend_id)
+                for each in self._healthy(service)
+                if self.intake.allows(each.backend_id)
+            ),
+            default=0.0,
+        )
+
     def _healthy(
         self,
         service: ids.ServiceName,
@@ -114,15 +139,24 @@
         idle = fm.BackendLoad(backend.backend_id, 0, 0, 0)
         mine = own.get(backend.backend_id, idle)
         theirs = others.get(backend.backend_id, idle)
+        streams = mine.streams + theirs.streams
+        event_ms = self.speeds.event_ms(backend.backend_id)
+        prefill_ms_per_k = self.speeds.prefill_ms_per_k(backend.backend_id)
+        load = self.reported.estimate(backend.backend_id)
+        if load is not None:
+            streams = max(streams, round(load.others))
+            if not self.speeds.is_fresh(backend.backend_id):
+                event_ms *= load.slowdown
+                prefill_ms_per_k *= load.slowdown
         return placement.Candidate(
             backend=backend,
-            streams=mine.streams + theirs.streams,
+            streams=streams,
             kv_tokens=mine.kv_tokens + theirs.kv_tokens,
             prefill_tokens=mine.prefill_tokens + theirs.prefill_tokens,
             kv_limit=capabilities.kv_tokens,
             slots=capabilities.slots,
-            event_ms=self.speeds.event_ms(backend.backend_id),
-            prefill_ms_per_k=self.speeds.prefill_ms_per_k(backend.backend_id),
+            event_ms=event_ms,
+            prefill_ms_per_k=prefill_ms_per_k,
             zone_failing=backend.zone in failing,
         )
 
@@ -138,13 +172,28 @@
     ) -> backends.Backend | None:
         """Return the backend server for a call to a plain service.
 
-        It is the one with the fewest calls of this instance. A server that
-        failed recently or is in another zone counts as having more.
+        Where servers state no load, it is the one with the fewest calls of
+        this instance. A server that failed recently or is in another zone
+        counts as having more.
         """
-        return min(
-            self.available(service, excluded),
-            key=self._call_cost,
-            default=None,
+        available = self.available(service, excluded)
+        if self.reported.are_known:
+            candidates = [self._call_candidate(each) for each in available]
+            if any(each.load is not None for each in candidates):
+                return call_choice.choose(
+                    candidates, self.zone, self.rng
+                ).backend
+        return min(available, key=self._call_cost, default=None)
+
+    def _call_candidate(
+        self, backend: backends.Backend
+    ) -> call_choice.CallCandidate:
+        backend_id = backend.backend_id
+        return call_choice.CallCandidate(
+            backend,
+            self.own_loads.calls(backend_id),
+            self.health.failure_rate(backend_id),
+            self.reported.estimate(backend_id),
         )
 
     def _call_cost(self, backend: backends.Backend) -> float:
--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -152,6 +152,11 @@
             return None
         return self._former_by_machine.get((backend.service, backend.address))
 
+    def is_fresh(self, backend_id: ids.BackendId) -> bool:
+        """Return whether this instance observed an engine's speed of late."""
+        own = self._own_by_id.get(backend_id)
+        return own is not None and self._is_fresh(own)
+
     def _is_fresh(self, estimate: SpeedEstimate) -> bool:
         age_ms = self._clock.now_ms() - estimate.observed_at_ms
         return age_ms <= FRESH_MS
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -262,6 +262,7 @@
         listed = set(snapshot.by_id)
         self._deps.health.retain_only(listed)
         self._deps.intake.retain_only(listed)
+        self._deps.view.reported.retain_only(listed)
         self._deps.speeds.update_listed(snapshot.by_id)
         addresses = {b.address for b in snapshot.by_id.values()}
         self._deps.pool.retain_only(addresses)
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -78,11 +78,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServerLoad:
-    """Load that a backend server reports in an answer."""
+    """Load that a backend server reports in an answer.
+
+    `slowdown` is how long work takes there now, 1.0 as usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -66,6 +66,7 @@
         self.address = address
         self.idle_since_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
+        self.announces_timeout = False
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -209,6 +210,7 @@
                         self.idle_limit_ms = (
                             KEEP_ALIVE_FRACTION * 1e3 * int(number)
                         )
+                        self.announces_timeout = True
 
     def _fail(self, why: str) -> None:
         if self._failure_reason is None:
--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 from oriolejunction import clock as clocks
 from oriolejunction.http import backend_connection
@@ -31,6 +32,8 @@
         self._idle_by_address: dict[
             str, collections.deque[backend_connection.BackendConnection]
         ] = collections.defaultdict(collections.deque)
+        # When a server last accepted a connection or ended an answer.
+        self._heard_ms_by_address: dict[str, float] = {}
 
     async def acquire(
         self,
@@ -41,18 +44,31 @@
     ) -> backend_connection.BackendConnection:
         """Return a connection idle for less than `max_idle_ms`, or a new one.
 
-        Raise `RequestNotSent` if none can be opened in time.
+        One that is idle for longer is used if its server announced for how
+        long it keeps connections, and its machine was heard from within
+        `max_idle_ms`. Raise `RequestNotSent` if none can be opened in time.
         """
         idle = self._idle_by_address[address]
         now_ms = self._clock.now_ms()
+        heard_ms_ago = now_ms - self._heard_ms_by_address.get(
+            address, -math.inf
+        )
         while idle:
             connection = idle.pop()
-            limit_ms = min(connection.idle_limit_ms, max_idle_ms)
+            idle_ms = now_ms - connection.idle_since_ms
             if not connection.usable:
                 continue
-            if now_ms - connection.idle_since_ms < limit_ms:
+            if idle_ms >= connection.idle_limit_ms:
+                connection.close()
+                continue
+            is_kept = connection.announces_timeout
+            if idle_ms < max_idle_ms or (
+                is_kept and heard_ms_ago < max_idle_ms
+            ):
                 return connection
-            connection.close()
+            # Requests that may be sent again can still use it.
+            idle.append(connection)
+            break
         return await self.connect(address, timeout_ms, tries)
 
     async def connect(
@@ -69,6 +85,7 @@
         if self._keep_alive:
             connection.detect_silence()
         self._on_connect(address, True)
+        self._heard_ms_by_address[address] = self._clock.now_ms()
         return connection
 
     def release(
@@ -79,17 +96,24 @@
         if not connection.usable or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
-        connection.idle_since_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        while idle and (now_ms - idle[0].idle_since_ms) >= (
+            idle[0].idle_limit_ms
+        ):
+            idle.popleft().close()
+        connection.idle_since_ms = now_ms
+        self._heard_ms_by_address[connection.address] = now_ms
         idle.append(connection)
 
     def close_address(self, address: str) -> None:
         """Close the idle connections to an address that was lost."""
+        self._heard_ms_by_address.pop(address, None)
         for connection in self._idle_by_address.pop(address, ()):
             connection.close()
 
     def retain_only(self, addresses: set[str]) -> None:
         """Close the connections to addresses that are no longer listed."""
-        for address in list(self._idle_by_address):
+        for address in {*self._idle_by_address, *self._heard_ms_by_address}:
             if address not in addresses:
                 self.close_address(address)
 
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -7,18 +7,23 @@
 
 import asyncio
 import dataclasses
+import math
 
 from aiohttp import web
 
 from oriolejunction import backends
+from oriolejunction.controllers.overload import call_hold
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
+from oriolejunction.http import backend_wait
+from oriolejunction.http import connection_recycling
 from oriolejunction.http import crash_records
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
+from oriolejunction.http import load_observation
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
@@ -61,6 +66,9 @@
         self._retryable = admitted.route.retryable
         self._last_failure: _BackendAnswer | None = None
         self._dispatches = 0
+        self._hold = call_hold.CallHold(
+            deps.clock, admitted.route.latency_goal_ms
+        )
         # When each server was sent the request; it has not answered since.
         self._unanswered_since_ms: dict[ids.BackendId, float] = {}
 
@@ -148,7 +156,7 @@
         return asyncio.create_task(self._run_attempt(backend))
 
     async def _wait_for_backend(self) -> backends.Backend | None:
-        return await gateway_common.wait_for_backend(
+        return await backend_wait.wait_for_backend(
             self._deps,
             self._admitted,
             self._attempts,
@@ -164,10 +172,12 @@
         )
 
     def _limited_wait_ms(self, ahead: int) -> float:
-        """Return the expected wait if all servers are at their limits."""
-        wait_ms, interval_ms = self._deps.view.limited_wait_ms(
-            self._admitted.service.name, ahead
-        )
+        """Return the expected wait if no server takes a call now."""
+        name = self._admitted.service.name
+        wait_ms, interval_ms = self._deps.view.limited_wait_ms(name, ahead)
+        if not wait_ms:
+            wait_ms = self._deps.view.full_wait_ms(name)
+            interval_ms = math.inf
         if wait_ms:
             self._attempts.expected_wait_ms = wait_ms
             self._attempts.return_interval_ms = interval_ms
@@ -178,6 +188,8 @@
 
         The request to it counts against its limit.
         """
+        if self._hold.remaining_ms():
+            return None
         name = self._admitted.service.name
         view = self._deps.view
         untried = view.choose_for_call(
@@ -186,6 +198,9 @@
         backend = untried or view.choose_for_call(name)
         if backend is not None:
             self._deps.intake.take(backend.backend_id)
+            trial_ms = view.reported.take(backend.backend_id)
+            if trial_ms:
+                load_observation.notify_later(self._deps.queue, trial_ms)
         return backend
 
     async def _run_attempt(
@@ -228,6 +243,8 @@
             gateway_common.observe_answer(deps, backend, head, sent_ms)
             if head.not_run:
                 self._handle_not_run(backend, head)
+                connection_recycling.recycle(deps, connection)
+                connection = None
                 return None
             engine_answers.require_matching_answer(head)
             body = await backend_connection.read_body(connection.read_chunk)
@@ -266,12 +283,20 @@
         self, backend: backends.Backend, head: gateway_messages.AnswerHead
     ) -> None:
         self._attempts.count_not_run()
+        load = self._deps.view.reported.estimate(backend.backend_id)
+        if head.has_no_room and load is not None:
+            self._hold.begin()
+            load_observation.notify_later(
+                self._deps.queue, self._hold.remaining_ms()
+            )
         gateway_common.log_decision(
             self._admitted,
             "server did not run it",
             backend=backend.backend_id,
             status=head.status,
             pause_ms=head.pause and head.pause.for_ms,
+            held_ms=round(self._hold.remaining_ms()),
+            load=load,
         )
         backend_checks.mark_replaced(self._deps, backend, head)
 
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -22,7 +22,6 @@
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import wait_forecast
-from oriolejunction.controllers.overload import wait_queue
 from oriolejunction.controllers import part_guard
 from oriolejunction.controllers import reachability
 from oriolejunction import errors
@@ -31,6 +30,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 from oriolejunction.http import isolation_check
+from oriolejunction.http import load_observation
 from oriolejunction.http import placement_queue
 from oriolejunction.http import report_probe
 from oriolejunction.http import stop_limit
@@ -40,8 +40,6 @@
 from oriolejunction import states
 from oriolejunction import telemetry
 
-# Shorter waits for a backend server are not logged.
-MIN_LOGGED_WAIT_MS = 20.0
 # Short, since any other instance can serve the request.
 LEAVING_RETRY_AFTER_MS = 20
 # Other engines would crash too, so a retry is of no use.
@@ -287,49 +285,6 @@
     )
 
 
-async def wait_for_backend(
-    deps: GatewayDependencies,
-    admitted: AdmittedRequest,
-    attempts: AttemptTracker,
-    wait_ms: float,
-    placement_request: placement_queue.PlacementRequest,
-    tokens: int = 0,
-    has_started: bool = False,
-    goal_until_ms: float = math.inf,
-    has_exclusions: bool = False,
-):
-    """Return the assignment of a request, None if there was none in time.
-
-    The request waits for `wait_ms` at most. It misses its latency goal if it
-    is placed after `goal_until_ms`.
-    """
-    now_ms = deps.clock.now_ms()
-    waiter = wait_queue.Waiter(
-        service=admitted.service.name,
-        workspace=admitted.workspace or wait_queue.NO_WORKSPACE,
-        started=has_started,
-        rank=admitted.rank,
-        tokens=tokens,
-        since_ms=min(now_ms, admitted.began_ms),
-        until_ms=now_ms + min(wait_ms, attempts.remaining_ms),
-        has_exclusions=has_exclusions or bool(attempts.excluded),
-        item=placement_request,
-        goal_until_ms=goal_until_ms,
-    )
-    assignment = await deps.queue.wait(waiter)
-    waited_ms = deps.clock.now_ms() - now_ms
-    if assignment is None or waited_ms >= MIN_LOGGED_WAIT_MS:
-        log_decision(
-            admitted,
-            "waited for a backend server",
-            placed=assignment is not None,
-            waited_ms=round(waited_ms),
-            rank=admitted.rank,
-            workspace=admitted.workspace,
-        )
-    return assignment
-
-
 def observe_answer(
     deps: GatewayDependencies,
     backend: backends.Backend,
@@ -338,6 +293,10 @@
 ) -> None:
     """Apply what a server says of itself in an answer."""
     is_replaced = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+    if not is_replaced:
+        load_observation.observe(
+            deps.view, deps.queue, deps.telemetry, backend, head, sent_ms
+        )
     if (head.echoes_request_id or head.not_run) and not is_replaced:
         deps.intake.limits.observe(
             backend.backend_id, backend.service, head.rate_limit, sent_ms
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -10,6 +10,7 @@
 from oriolejunction.controllers import crash_guard
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import reported_loads
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import server_limits
@@ -99,6 +100,7 @@
             speeds,
             health,
             intake,
+            reported_loads.ReportedLoads(clock, rng),
             zone,
             rng,
         ),
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -13,6 +13,7 @@
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_checks
+from oriolejunction.http import backend_wait
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stream_software
@@ -127,7 +128,7 @@
             / 1_000
             * self._deps.speeds.typical_prefill_ms_per_k()
         )
-        return await gateway_common.wait_for_backend(
+        return await backend_wait.wait_for_backend(
             self._deps,
             self._admitted,
             self._attempts,
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -75,6 +75,10 @@
 _NOT_RUN_STATUSES = frozenset((421,))
 # Each instance adds its own.
 _HEADERS_OF_INSTANCE = frozenset((b"date", b"server"))
+_MAX_DIGITS = 18
+# More requests or a larger factor in a server's load make no sense.
+_MAX_LOAD_COUNT = 1_000_000
+_MAX_SLOWDOWN = 1_000.0
 _DECIMAL = re.compile(rb"\d{1,300}(\.\d{0,300})?|\.\d{1,300}")
 
 
@@ -301,16 +305,30 @@
     if value is None:
         return None
     text = value.strip()
-    return int(text) if text.isdigit() else None
+    # Python refuses to convert thousands of digits.
+    readable = text.isdigit() and len(text) <= _MAX_DIGITS
+    return int(text) if readable else None
 
 
 def _parse_load(value: bytes | None) -> gateway_messages.ServerLoad | None:
     if value is None:
         return None
-    numbers = [_parse_int(field) for field in value.split(b",")]
-    if len(numbers) != 3 or None in numbers:
+    fields = value.split(b",")
+    counts = [_parse_int(field) for field in fields[:3]]
+    if len(counts) != 3 or None in counts or max(counts) > _MAX_LOAD_COUNT:
         return None
-    return gateway_messages.ServerLoad(*numbers)
+    # Further fields may be added; an unreadable fourth one says nothing.
+    slowdown = _parse_percent(fields[3]) if len(fields) > 3 else None
+    return gateway_messages.ServerLoad(*counts, slowdown or 1.0)
+
+
+def _parse_percent(value: bytes) -> float | None:
+    """Return a positive percentage as a factor, None if it is none."""
+    text = value.strip()
+    if not _DECIMAL.fullmatch(text):
+        return None
+    factor = float(text) / 100
+    return factor if 1 / _MAX_SLOWDOWN <= factor <= _MAX_SLOWDOWN else None
 
 
 def _parse_rate_limit(
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -122,6 +122,10 @@
             "oj_attempts_total",
             "Requests sent to backend servers, by service and event.",
         )
+        self.full_servers = self._counter(
+            "oj_full_servers_total",
+            "Times that a server had no capacity, by service.",
+        )
         self.first_piece_ms = aioprometheus.Histogram(
             "oj_first_piece_ms",
             "Time to the answer, for streams to the first event.",
--- /dev/null
+++ b/tests/controllers/overload/test_call_choice.py
@@ -0,0 +1,131 @@
+"""Choice of plain servers by stated loads, for many instances at once."""
+
+import random
+
+import pytest
+
+from oriolejunction import backends
+from oriolejunction import blackboard as blackboards
+from oriolejunction import clock as clocks
+from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import backend_view
+from oriolejunction.controllers import engine_speeds
+from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import reported_loads
+from oriolejunction.controllers.overload import server_intake
+from oriolejunction.controllers.overload import server_limits
+from oriolejunction.controllers.overload import server_pauses
+from oriolejunction import gateway_messages
+from oriolejunction import ids
+from tests.controllers.overload import call_simulation as simulation
+
+DESK = ids.ServiceName("desk")
+DURATION_MS = 8_000.0
+
+
+def run(choose, **load):
+    return simulation.Simulation(choose, **load).run(DURATION_MS)
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        {"per_s": 260.0, "speeds": (0.7, 0.7, 1.7, 1.0)},
+        {"per_s": 200.0, "speeds": (1.0, 1.0, 1.0, 4.0)},
+    ],
+)
+def test_slower_servers_get_fewer_calls(load):
+    """Load: 68 instances, one or two calls a second each, uneven servers."""
+    by_own = run(simulation.choose_by_own, waits=False, **load)
+    by_reported = run(simulation.choose_by_reported, **load)
+    assert by_reported.late < 0.6 * by_own.late
+    assert by_reported.most_by_server < by_own.most_by_server
+
+
+def test_instances_do_not_all_choose_the_same_server():
+    """Load: figures that are a second old, at 0.8 of the capacity."""
+    result = run(simulation.choose_by_reported, per_s=330.0)
+    assert result.rejections == 0
+    assert result.late < 0.03 * result.calls
+
+
+def test_calls_use_other_zones_before_they_wait_in_their_own():
+    """Load: one zone has twice the calls that its server can run."""
+    load = {"per_s": 260.0, "speeds": (1.0, 1.0, 1.0), "wave": 0.9}
+    by_own = run(simulation.choose_by_own, waits=False, **load)
+    by_reported = run(simulation.choose_by_reported, **load)
+    assert worst_zone(by_reported) > worst_zone(by_own)
+    calm = run(simulation.choose_by_reported, per_s=60.0, wave=0.0)
+    assert calm.cross_zone < 0.1 * calm.calls
+
+
+def worst_zone(result):
+    return min(
+        1 - result.late_by_zone[zone] / result.calls_by_zone[zone]
+        for zone in range(3)
+    )
+
+
+def test_calls_turned_away_in_a_burst_are_held_back_and_served():
+    """Load: bursts of more calls than all servers have room for."""
+    burst = {"per_s": 150.0, "burst": 140}
+    sent_on = run(simulation.choose_by_reported, waits=False, **burst)
+    held = run(simulation.choose_by_reported, hold_ms=20.0, **burst)
+    assert held.rejections < 0.7 * sent_on.rejections
+    assert held.failed < 0.2 * sent_on.failed
+
+
+def test_choices_without_stated_loads_are_as_before():
+    """Each choice, and the use of random numbers, must be the same."""
+    clock = clocks.ManualClock()
+    blackboard = blackboards.Blackboard()
+    listed = {
+        ids.BackendId(f"s{n}"): backends.Backend(
+            ids.BackendId(f"s{n}"), DESK, f"s{n}", ids.ZoneId(f"z{n % 3}")
+        )
+        for n in range(4)
+    }
+    blackboard.backends.claim_writer("test")(
+        backends.BackendSnapshot(listed, 0.0)
+    )
+    own, health = load_table.LoadTable(), backend_health.BackendHealth(clock)
+    rng, former_rng = random.Random(3), random.Random(3)
+    loads = reported_loads.ReportedLoads(clock, rng)
+    view = backend_view.BackendView(
+        blackboard,
+        own,
+        engine_speeds.EngineSpeeds(clock),
+        health,
+        server_intake.ServerIntake(
+            server_limits.ServerLimits(
+                clock, random.Random(4), lambda _: 1.0, lambda: True
+            ),
+            server_pauses.ServerPauses(clock, random.Random(4)),
+        ),
+        loads,
+        ids.ZoneId("z1"),
+        rng,
+    )
+
+    def former_cost(backend):
+        return (
+            own.calls(backend.backend_id)
+            + 4.0 * health.failure_rate(backend.backend_id)
+            + 0.4 * (backend.zone != "z1")
+            + former_rng.uniform(0, 0.2)
+        )
+
+    for step in range(500):
+        chosen = view.choose_for_call(DESK)
+        assert chosen is min(listed.values(), key=former_cost)
+        own.begin_call(chosen.backend_id)
+        if step % 3 == 0:
+            health.record_outcome(chosen.backend_id, step % 2 == 0)
+            own.end_call(chosen.backend_id)
+            loads.observe(chosen.backend_id, None, 0, step % 5 == 0, 0.0)
+        clock.advance(20)
+    assert rng.getstate() == former_rng.getstate()
+    loads.observe(
+        chosen.backend_id, gateway_messages.ServerLoad(1, 0, 6), 0, False, 0.0
+    )
+    assert loads.are_known
--- a/tests/platform/test_gateway_dialect.py
+++ b/tests/platform/test_gateway_dialect.py
@@ -165,6 +165,31 @@
     assert head(200, (b"instance-load", b"3,x,8")).load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8,250", (3, 0, 8, 2.5)),
+        (b" 3 , 0 ,8, 70.5 ,9,x", (3, 0, 8, 0.705)),
+        (b"3,0,8,", (3, 0, 8, 1.0)),
+        (b"3,0,8,fast", (3, 0, 8, 1.0)),
+        (b"3,0,8,-100", (3, 0, 8, 1.0)),
+        (b"3,0,8,0", (3, 0, 8, 1.0)),
+        (b"3,0,8,1e9", (3, 0, 8, 1.0)),
+        (b"3,0,8," + b"9" * 400, (3, 0, 8, 1.0)),
+        (b"3,0", None),
+        (b"", None),
+        (b"-3,0,8,100", None),
+        (b"busy", None),
+        (b"3,9999999999,8,100", None),
+        (b"9" * 5_000 + b",0,8", None),
+    ],
+)
+def test_load_of_a_server_is_read_in_any_form(value, load):
+    """Fault: a load with four figures was dropped; absurd ones raised."""
+    read = head(200, (b"instance-load", value)).load
+    assert read == (load and gateway_messages.ServerLoad(*load))
+
+
 def test_event_number_is_its_id():
     event = gateway_dialect.read_event(b"weight-versions: 4\nid: 9\ndata: x")
     assert (event.number, event.weights_version) == (9, 4)
