--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -10,6 +10,7 @@
 from oriolejunction.bench import resume
 from oriolejunction.bench import routing
 from oriolejunction.bench import soak
+from oriolejunction.bench import uneven_load
 from oriolejunction import errors
 
 Bench = collections.abc.Callable[
@@ -31,6 +32,7 @@
     "resume": resume.run,
     "routing": routing.run,
     "soak": soak.run,
+    "uneven-load": uneven_load.run,
 }
 
 
--- a/src/oriolejunction/bench/report.py
+++ b/src/oriolejunction/bench/report.py
@@ -14,6 +14,7 @@
     "routing": "Time to first token and between tokens, by routing policy",
     "admission": "Other workspaces while one offers ten times its share",
     "poison": "Engines lost to a request that crashes them",
+    "uneven-load": "Calls to a few plain servers, by what choices go by",
     "throughput": "Tokens a second of one process on one core",
     "config": "Time from accepting a change to in force everywhere",
     "ledger": "Non-idempotent calls: rate and added latency",
