--- a/src/oriolejunction/controllers/overload/call_choice.py
+++ b/src/oriolejunction/controllers/overload/call_choice.py
@@ -10,9 +10,10 @@
 """
 
 import collections.abc
-import dataclasses
 import random
 
+import msgspec
+
 from oriolejunction import backends
 from oriolejunction.controllers.overload import reported_loads
 
@@ -27,8 +28,7 @@
 DEFAULT_SLOTS = 1
 
 
-@dataclasses.dataclass(frozen=True)
-class CallCandidate:
+class CallCandidate(msgspec.Struct, frozen=True):
     """A plain server with its load, None where that is not known.
 
     `own` counts the calls of this instance on it.
@@ -57,7 +57,7 @@
         age_ms=reported_loads.MAX_AGE_MS,
     )
     return [
-        dataclasses.replace(each, load=each.load or typical)
+        msgspec.structs.replace(each, load=each.load or typical)
         for each in candidates
     ]
 
--- a/src/oriolejunction/controllers/overload/reported_loads.py
+++ b/src/oriolejunction/controllers/overload/reported_loads.py
@@ -14,10 +14,10 @@
 """
 
 import collections.abc
-import dataclasses
 import math
 import random
 
+import msgspec
 import structlog
 
 from oriolejunction import clock as clocks
@@ -75,8 +75,7 @@
             self.value += min(max(signal, MIN_GAIN), MAX_GAIN) * error
 
 
-@dataclasses.dataclass(frozen=True)
-class LoadEstimate:
+class LoadEstimate(msgspec.Struct, frozen=True):
     """What a server runs and holds for others now, as far as known.
 
     `slots` is 0 if the server states none. `slowdown` is 1 if work takes as
@@ -89,8 +88,7 @@
     age_ms: float
 
 
-@dataclasses.dataclass
-class _Server:
+class _Server(msgspec.Struct):
     """The readings of one server, less the work of this instance.
 
     `max_waiting` is the size of its queue as far as known: the waiting
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-import dataclasses
 import math
 
 from aiohttp import web
+import msgspec
 
 from oriolejunction import backends
 from oriolejunction.controllers.overload import call_hold
@@ -44,8 +44,7 @@
 MAX_DISPATCHES = 4
 
 
-@dataclasses.dataclass(frozen=True)
-class _BackendAnswer:
+class _BackendAnswer(msgspec.Struct, frozen=True):
     """A complete answer of a backend server."""
 
     head: gateway_messages.AnswerHead
