Place, order and reject streams of one service by their rank

Streams of rank 0 and rank 2 had the same priority at engines, waited behind less urgent ones that were near their deadline, and were told to wait for all that waited elsewhere. Where the requests of a service differ in rank, the priority follows the rank, the more urgent one is placed first, only requests at least as urgent count in the forecast, and engines are left to more urgent streams that other instances report as waiting (ServiceUse.waiting_by_rank).

A property test shows that the order of equal ranks is as before.

tests/controllers/overload/test_wait_queue.py, test_urgency.py and tests/http/test_placement_queue.py pass.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -4,6 +4,7 @@
 observed speeds and the suspicions into candidates for placement.
 """
 
+import math
 import random
 
 import msgspec
@@ -25,6 +26,8 @@
 FAILURE_PENALTY_CALLS = 4.0
 JITTER_CALLS = 0.2
 CROSS_ZONE_CALLS = 0.4
+# Streams on an engine that no instance reports count at this rate less.
+UNKNOWN_STREAMS_DECAY_MS = 1_000.0
 
 
 class BackendView(msgspec.Struct, frozen=True):
@@ -144,7 +147,12 @@
         prefill_ms_per_k = self.speeds.prefill_ms_per_k(backend.backend_id)
         load = self.reported.estimate(backend.backend_id)
         if load is not None:
-            streams = max(streams, round(load.others))
+            # Streams that no instance reports, such as abandoned ones, end
+            # soon.
+            unknown = max(0.0, load.others - streams)
+            streams += round(
+                unknown * math.exp(-load.age_ms / UNKNOWN_STREAMS_DECAY_MS)
+            )
             if not self.speeds.is_fresh(backend.backend_id):
                 event_ms *= load.slowdown
                 prefill_ms_per_k *= load.slowdown
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -25,6 +25,8 @@
 
 _Counts = tuple[int, ...]
 _REQUESTS, _RESENDS, _WAITING = range(3)
+# Where the waiting requests of rank 0 are counted; other ranks follow.
+_WAITING_RANK_0 = 3
 # Fields of a report whose items are merged over the instances.
 _MERGED_FIELDS = (
     "suspects",
@@ -190,14 +192,22 @@
         """Return what the other instances sent to each service."""
         self._expire_reports()
         others = self._uses - _uses(self._report_of(instance))
+        places_by_service = collections.defaultdict(set)
+        for service, place in others:
+            places_by_service[service].add(place)
         return tuple(
             fm.ServiceUse(
                 service,
                 others[service, _REQUESTS],
                 others[service, _RESENDS],
                 others[service, _WAITING],
+                tuple(
+                    (place - _WAITING_RANK_0, others[service, place])
+                    for place in sorted(places)
+                    if place >= _WAITING_RANK_0
+                ),
             )
-            for service in sorted({service for service, _ in others})
+            for service, places in sorted(places_by_service.items())
         )
 
     def _replace_uses(
@@ -332,6 +342,8 @@
         counts[use.service, _REQUESTS] = use.requests
         counts[use.service, _RESENDS] = use.resends
         counts[use.service, _WAITING] = use.waiting
+        for rank, count in use.waiting_by_rank:
+            counts[use.service, _WAITING_RANK_0 + rank] = count
     return counts
 
 
--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -97,9 +97,17 @@
             resends.pop()
 
     def uses(
-        self, waiting_by_service: dict[ids.ServiceName, int]
+        self,
+        waiting_by_service: dict[ids.ServiceName, int],
+        ranks_by_service: (
+            dict[ids.ServiceName, tuple[tuple[int, int], ...]] | None
+        ) = None,
     ) -> tuple[fm.ServiceUse, ...]:
-        """Return the counts of the current window, to be reported."""
+        """Return the counts of the current window, to be reported.
+
+        `ranks_by_service` holds the waiting requests of services whose
+        requests differ in rank, by rank.
+        """
         services = {*self._requests, *self._resends, *waiting_by_service}
         uses = (
             fm.ServiceUse(
@@ -107,6 +115,7 @@
                 len(self._recent(self._requests[service])),
                 len(self._recent(self._resends[service])),
                 waiting_by_service.get(service, 0),
+                (ranks_by_service or {}).get(service, ()),
             )
             for service in sorted(services)
         )
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -110,6 +110,7 @@
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
+        self._deps.queue.on_first_waiter = self._on_first_waiter
         self.spawn(self._watch.run)
         self.spawn(self._watch.run_reports)
         self.spawn(self._deps.origins.run)
@@ -247,7 +248,7 @@
             suspects=self._deps.health.suspects(),
             crashes=self._deps.guard.crashes(),
             speeds=self._deps.speeds.own_speeds(),
-            uses=self._deps.budget.uses(self._deps.queue.waiting_by_service()),
+            uses=self._service_uses(),
             answered=self._deps.guard.answered(),
             part_crashes=self._deps.parts.crashes(),
             cleared_parts=self._deps.parts.cleared(),
@@ -256,6 +257,30 @@
             helpers=self._helper_addresses(),
         )
 
+    def _service_uses(self) -> tuple[fm.ServiceUse, ...]:
+        queue = self._deps.queue
+        waiting = queue.waiting_by_service()
+        return self._deps.budget.uses(
+            waiting,
+            {
+                service: queue.waiting_by_rank(service)
+                for service in waiting
+                if len(self._ranks_of(service)) > 1
+            },
+        )
+
+    def _ranks_of(self, service: ids.ServiceName) -> tuple[int, ...]:
+        """Return the ranks of a service's requests, the urgent first."""
+        table = self._blackboard.table.read()
+        if table is None:
+            return ()
+        return table.ranks_by_service.get(service, ())
+
+    def _on_first_waiter(self, service: ids.ServiceName, rank: int) -> None:
+        """Let less urgent requests elsewhere leave capacity."""
+        if any(rank < other for other in self._ranks_of(service)):
+            self._watch.notify_report()
+
     def _drop_unlisted(self, snapshot) -> None:
         if not snapshot.by_id:
             return
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -67,13 +67,16 @@
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests to a service and resends of them in the last window.
 
-    `waiting` counts the requests that wait for a backend server now.
+    `waiting` counts the requests that wait for a backend server now. Where
+    the requests of a service differ in rank, `waiting_by_rank` holds a rank
+    and its count for each that waits.
     """
 
     service: ids.ServiceName
     requests: int
     resends: int
     waiting: int = 0
+    waiting_by_rank: tuple[tuple[int, int], ...] = ()
 
 
 class RolloutCount(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -257,6 +257,7 @@
             rank=rank,
             deadline_ms=deadline_ms,
             web_request=request,
+            service_ranks=table.ranks_by_service[service.name],
             is_probe=self._deps.parts.take_probe(caller_request.shared_parts),
             from_peer=self._serves_peers,
         )
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -82,7 +82,8 @@
     `deadline_ms` is the earlier of the caller's deadline and the end of the
     route's timeout, on this process's clock. A probe goes to one server
     although its prompt has a blocked part. One `from_peer` came to another
-    instance, which passed it on.
+    instance, which passed it on. `service_ranks` are the ranks of all
+    requests to the service, the most urgent first.
     """
 
     request: gateway_messages.CallerRequest
@@ -92,6 +93,7 @@
     rank: int
     deadline_ms: float
     web_request: web.Request
+    service_ranks: tuple[int, ...] = ()
     is_probe: bool = False
     from_peer: bool = False
 
--- a/src/oriolejunction/http/placement_queue.py
+++ b/src/oriolejunction/http/placement_queue.py
@@ -1,6 +1,7 @@
 """Holds requests until a backend server has capacity for them."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import math
@@ -57,6 +58,10 @@
         )
         self._poll_task: asyncio.Task | None = None
         self._capacity_changed = asyncio.Event()
+        # Called as a request is the first of its service and rank to wait.
+        self.on_first_waiter: collections.abc.Callable[
+            [ids.ServiceName, int], None
+        ] = lambda service, rank: None
 
     def notify_capacity(self) -> None:
         """Handle capacity that may have come free."""
@@ -76,10 +81,11 @@
                 or self._clock.now_ms() >= waiter.until_ms
             ):
                 return assignment
-        ahead = self._queue.count(waiter.service)
+        ahead = self._queue.count_ahead(waiter)
         if self._is_too_late(waiter, ahead):
             return None
         self._queue.add(waiter)
+        self._notify_if_first(waiter)
         # It may go before the others, or fit where they don't.
         self._capacity_changed.set()
         if self._poll_task is None:
@@ -102,6 +108,26 @@
             for service in self._queue.services()
         }
 
+    def waiting_by_rank(
+        self, service: ids.ServiceName
+    ) -> tuple[tuple[int, int], ...]:
+        """Return how many requests wait for a service, by rank.
+
+        Ranks below 0 are reported as 0.
+        """
+        counts: collections.Counter[int] = collections.Counter()
+        for rank, count in self._queue.count_by_rank(service).items():
+            counts[max(0, rank)] += count
+        return tuple(sorted(counts.items()))
+
+    def _notify_if_first(self, waiter: wait_queue.Waiter) -> None:
+        """Tell that requests of a rank begin to wait.
+
+        Less urgent ones at other instances then leave capacity to them.
+        """
+        if self._queue.count_by_rank(waiter.service)[waiter.rank] == 1:
+            self.on_first_waiter(waiter.service, waiter.rank)
+
     def _is_too_late(
         self, waiter: wait_queue.Waiter[PlacementRequest], ahead: int
     ) -> bool:
--- /dev/null
+++ b/src/oriolejunction/http/room_for_urgent.py
@@ -0,0 +1,60 @@
+"""Leaves engines to more urgent streams that wait at other instances."""
+
+import collections.abc
+
+from oriolejunction.controllers.overload import placement
+from oriolejunction.controllers.overload import urgency
+from oriolejunction.http import gateway_common
+
+# Fraction of the latency goal for which a new stream leaves engines to others.
+MAX_GOAL_FRACTION = 0.5
+
+
+class RoomForUrgent:
+    """Whether one stream leaves engines to more urgent ones."""
+
+    def __init__(
+        self,
+        deps: gateway_common.GatewayDependencies,
+        admitted: gateway_common.AdmittedRequest,
+        has_started: bool,
+    ) -> None:
+        self._deps = deps
+        self._admitted = admitted
+        self._is_concerned = (
+            not has_started and len(admitted.service_ranks) > 1
+        )
+        self._is_logged = False
+
+    def is_left(
+        self,
+        candidates: collections.abc.Iterable[placement.Candidate],
+        kv_tokens: int,
+    ) -> bool:
+        """Return whether more urgent streams elsewhere go first."""
+        if not self._is_concerned:
+            return False
+        now_ms = self._deps.clock.now_ms()
+        waited_ms = now_ms - self._admitted.began_ms
+        goal_ms = self._admitted.route.latency_goal_ms
+        if waited_ms > MAX_GOAL_FRACTION * goal_ms:
+            return False
+        fleet = self._deps.blackboard.fleet.read()
+        others = fleet.use_by_others(self._admitted.service.name, now_ms)
+        if others is None or not others.waiting_by_rank:
+            return False
+        fitting = sum(each.can_fit(kv_tokens) for each in candidates)
+        is_left = urgency.must_leave_room(
+            self._admitted.rank, dict(others.waiting_by_rank), fitting
+        )
+        if is_left and not self._is_logged:
+            self._is_logged = True
+            gateway_common.log_decision(
+                self._admitted,
+                "engines left to more urgent streams",
+                rank=self._admitted.rank,
+                fitting=fitting,
+                waiting_elsewhere=others.waiting_by_rank,
+                age_ms=round(now_ms - fleet.updated_at_ms),
+            )
+        return is_left
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -11,12 +11,14 @@
 from oriolejunction.controllers import event_answer
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import placement
+from oriolejunction.controllers.overload import urgency
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_wait
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
+from oriolejunction.http import room_for_urgent
 from oriolejunction.http import stream_software
 from oriolejunction import ids
 
@@ -26,8 +28,6 @@
 RESUME_WAIT_MS = 4_000.0
 # Tokens that a KV cache copy may lack when its source engine is lost.
 MAX_COPY_LAG_TOKENS = 200
-# Engines admit resumed streams before new ones, whose priority is 5.
-RESUMED_ENGINE_PRIORITY = 2
 
 
 class StreamPlan(msgspec.Struct, frozen=True):
@@ -91,7 +91,9 @@
         weights_version=answer.weights,
         kv_copy_to=plan.copy_backend and plan.copy_backend.address,
         kv_copy_from=plan.copy_source,
-        engine_priority=RESUMED_ENGINE_PRIORITY if resumed else None,
+        engine_priority=urgency.engine_priority(
+            admitted.rank, admitted.service_ranks, resumed
+        ),
     )
 
 
@@ -115,6 +117,9 @@
         self._answer = answer
         self.software = stream_software.StreamSoftware(deps, admitted, answer)
         self.last_copy_backend: backends.Backend | None = None
+        self._room = room_for_urgent.RoomForUrgent(
+            deps, admitted, has_started=bool(answer.last_event)
+        )
 
     async def plan(self, has_started: bool) -> StreamPlan | None:
         """Wait for an engine with capacity; return None if there is none.
@@ -210,6 +215,10 @@
         fleet = self._deps.blackboard.fleet.read()
         others = fleet.use_by_others(service.name, self._deps.clock.now_ms())
         waiting = others.waiting if others is not None else 0
+        if others is not None and others.waiting_by_rank:
+            waiting = urgency.waiting_ahead(
+                self._admitted.rank, dict(others.waiting_by_rank)
+            )
         wait_ms = wait_forecast.expected_wait_ms(ahead + waiting, interval_ms)
         self._attempts.expected_wait_ms = wait_ms
         self._attempts.return_interval_ms = interval_ms * fleet.entry_count
@@ -277,7 +286,7 @@
                 chosen.backend.address, self._admitted.request.request_id
             )
             tokens_to_prefill = MAX_COPY_LAG_TOKENS
-        else:
+        elif not self._room.is_left(candidates, requirements.kv_tokens):
             chosen = placement.choose_engine(
                 candidates, requirements, view.rng
             )
--- a/src/oriolejunction/routing_table.py
+++ b/src/oriolejunction/routing_table.py
@@ -125,6 +125,18 @@
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         return dict(by_host)
 
+    @functools.cached_property
+    def ranks_by_service(self) -> dict[ids.ServiceName, tuple[int, ...]]:
+        """Return the ranks of each service's requests, the urgent first."""
+        ranks = collections.defaultdict(set)
+        own = {w.rank for w in self.workspaces if w.rank is not None}
+        for route in self.routes:
+            for each in route.services:
+                ranks[each.service].add(route.rank)
+                if route.needs_key:
+                    ranks[each.service] |= own
+        return {service: tuple(sorted(ranks[service])) for service in ranks}
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path."""
         for route in self._routes_by_host.get(host, ()):
--- /dev/null
+++ b/tests/controllers/overload/test_urgency.py
@@ -0,0 +1,36 @@
+"""Order of streams at engines, and room left to more urgent ones."""
+
+from oriolejunction.controllers.overload import urgency
+
+
+def test_priorities_follow_ranks_and_resumed_streams_come_first():
+    """Fault: streams of rank 0 and 2 had the same priority."""
+    ranks = (0, 2)
+    in_order = [
+        urgency.engine_priority(0, ranks, resumed=True),
+        urgency.engine_priority(2, ranks, resumed=True),
+        urgency.engine_priority(0, ranks, resumed=False),
+        urgency.engine_priority(2, ranks, resumed=False),
+    ]
+    assert in_order == sorted(set(in_order))
+    many = tuple(range(20))
+    values = {
+        urgency.engine_priority(r, many, x) for r in many for x in (0, 1)
+    }
+    assert min(values) >= 0 and max(values) <= 9
+
+
+def test_priorities_of_equal_ranks_are_as_before():
+    assert urgency.engine_priority(2, (2,), resumed=True) == 2
+    assert urgency.engine_priority(2, (2,), resumed=False) is None
+
+
+def test_room_is_left_only_to_more_urgent_requests_that_fill_it():
+    """Load: urgent streams wait at one instance, others arrive elsewhere."""
+    waiting = {0: 3, 2: 40}
+    assert urgency.must_leave_room(2, waiting, fitting=3)
+    assert not urgency.must_leave_room(2, waiting, fitting=4)
+    assert not urgency.must_leave_room(0, waiting, fitting=1)
+    assert not urgency.must_leave_room(2, {2: 40}, fitting=0)
+    assert urgency.waiting_ahead(0, waiting) == 3
+    assert urgency.waiting_ahead(2, waiting) == 43
