--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -16,6 +16,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
+from oriolejunction import listeners
 
 # Leaves a reserve, since instances count requests and windows separately.
 SAFETY_FACTOR = 0.8
@@ -38,6 +39,8 @@
     def __init__(self, clock: clocks.Clock, limits: BudgetLimits) -> None:
         self._clock = clock
         self._limits = limits
+        # Called at each resend, which the others must count soon.
+        self.on_change: listeners.OnChange = listeners.no_op
         self._requests: dict[ids.ServiceName, collections.deque[float]]
         self._requests = collections.defaultdict(collections.deque)
         self._resends: dict[ids.ServiceName, collections.deque[float]]
@@ -89,6 +92,7 @@
     def spend(self, service: ids.ServiceName) -> None:
         """Count a resend."""
         self._recent(self._resends[service]).append(self._clock.now_ms())
+        self.on_change()
 
     def give_back(self, service: ids.ServiceName) -> None:
         """Uncount the newest resend, which was not sent after all."""
@@ -99,14 +103,14 @@
     def uses(
         self,
         waiting_by_service: dict[ids.ServiceName, int],
-        ranks_by_service: (
-            dict[ids.ServiceName, tuple[tuple[int, int], ...]] | None
+        urgent_by_service: (
+            dict[ids.ServiceName, tuple[int, int]] | None
         ) = None,
     ) -> tuple[fm.ServiceUse, ...]:
         """Return the counts of the current window, to be reported.
 
-        `ranks_by_service` holds the waiting requests of services whose
-        requests differ in rank, by rank.
+        `urgent_by_service` counts the waiting requests of the two most
+        urgent ranks of a service whose requests differ in rank.
         """
         services = {*self._requests, *self._resends, *waiting_by_service}
         uses = (
@@ -115,7 +119,7 @@
                 len(self._recent(self._requests[service])),
                 len(self._recent(self._resends[service])),
                 waiting_by_service.get(service, 0),
-                (ranks_by_service or {}).get(service, ()),
+                *(urgent_by_service or {}).get(service, ()),
             )
             for service in sorted(services)
         )
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -17,7 +17,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import graceful_shutdown
 from oriolejunction.controllers.overload import resend_budget
-from oriolejunction import fleet_messages as fm
+from oriolejunction import entry_reports
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_state
 from oriolejunction.http import readiness
@@ -53,7 +53,6 @@
             "fleet_wiring"
         )
         self._incarnation = secrets.token_hex(6)
-        self._report_number = 0
         self._stop_deadline_ms: float | None = None
         self._shutdown = graceful_shutdown.GracefulShutdown(
             self.clock,
@@ -79,15 +78,22 @@
         """Open the listeners and start watching the control replicas."""
         settings = self.settings_file.current
         self._channels = channels.ChannelPool()
+        reports = entry_reports.EntryReports(
+            self._deps,
+            ids.InstanceId(settings.instance_id),
+            self._incarnation,
+            self._helper_addresses,
+        )
         self._watch = fleet_watch.FleetWatch(
             fleet_watch.WatchDependencies(
-                instance=ids.InstanceId(settings.instance_id),
+                instance=reports.instance,
+                boot=reports.boot,
                 zone=ids.ZoneId(settings.zone),
                 clock=self.clock,
                 blackboard=self._blackboard,
                 listing=self.listing,
                 seeds=lambda: self.settings_file.current.seed_addresses(),
-                report=self._entry_report,
+                report=reports.next_report,
                 read_table=gateway_dialect.WIRE_FORMAT.read_table,
                 stub_for=self._channels.stub_for,
                 rng=self.rng,
@@ -101,16 +107,22 @@
         self._blackboard.fleet.changes().subscribe(
             lambda view: self._deps.speeds.update_reported(view.speed_by_id)
         )
+        self._deps.own_loads.on_change = self._watch.notify_loads
         for source in (
-            self._deps.own_loads,
             self._deps.health,
             self._deps.guard,
             self._deps.parts,
             self._deps.intake.limits,
+            self._deps.budget,
         ):
             source.on_change = self._watch.notify_report
+
+        def report_waiter(service: ids.ServiceName, rank: int) -> None:
+            if reports.is_urgent(service, rank):
+                self._watch.notify_report()
+
+        self._deps.queue.on_first_waiter = report_waiter
         self._deps.reached.on_change = self._on_reachability
-        self._deps.queue.on_first_waiter = self._on_first_waiter
         self.spawn(self._watch.run)
         self.spawn(self._watch.run_reports)
         self.spawn(self._deps.origins.run)
@@ -209,7 +221,7 @@
             "in_flight": self._shutdown.in_flight,
             "table_version": table and table.version,
             "backends": sorted(snapshot.by_id),
-            "list_age_ms": clocks.round_age_ms(now_ms - snapshot.read_at_ms),
+            "list_age_ms": clocks.round_age_ms(self.listing.age_ms),
             "others_age_ms": clocks.round_age_ms(now_ms - fleet.updated_at_ms),
             "entries": fleet.entry_count,
             "suspects": self._deps.health.suspects(),
@@ -238,49 +250,6 @@
             and bool(self._blackboard.backends.read().by_id)
         )
 
-    def _entry_report(self) -> fm.EntryReport:
-        self._report_number += 1
-        return fm.EntryReport(
-            instance=ids.InstanceId(self.settings_file.current.instance_id),
-            boot=self._incarnation,
-            number=self._report_number,
-            loads=tuple(self._deps.own_loads.loads().values()),
-            suspects=self._deps.health.suspects(),
-            crashes=self._deps.guard.crashes(),
-            speeds=self._deps.speeds.own_speeds(),
-            uses=self._service_uses(),
-            answered=self._deps.guard.answered(),
-            part_crashes=self._deps.parts.crashes(),
-            cleared_parts=self._deps.parts.cleared(),
-            blocked_parts=self._deps.parts.blocked(),
-            limits=self._deps.intake.limits.named(),
-            helpers=self._helper_addresses(),
-        )
-
-    def _service_uses(self) -> tuple[fm.ServiceUse, ...]:
-        queue = self._deps.queue
-        waiting = queue.waiting_by_service()
-        return self._deps.budget.uses(
-            waiting,
-            {
-                service: queue.waiting_by_rank(service)
-                for service in waiting
-                if len(self._ranks_of(service)) > 1
-            },
-        )
-
-    def _ranks_of(self, service: ids.ServiceName) -> tuple[int, ...]:
-        """Return the ranks of a service's requests, the urgent first."""
-        table = self._blackboard.table.read()
-        if table is None:
-            return ()
-        return table.ranks_by_service.get(service, ())
-
-    def _on_first_waiter(self, service: ids.ServiceName, rank: int) -> None:
-        """Let less urgent requests elsewhere leave capacity."""
-        if any(rank < other for other in self._ranks_of(service)):
-            self._watch.notify_report()
-
     def _drop_unlisted(self, snapshot) -> None:
         if not snapshot.by_id:
             return
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -34,6 +34,16 @@
     prefill_ms_per_k: float
 
 
+class SpeedSums(msgspec.Struct, frozen=True, array_like=True):
+    """Sums of speeds in tenths of ms, each with the number of its values."""
+
+    backend_id: ids.BackendId
+    event: int
+    event_count: int
+    prefill_per_k: int
+    prefill_per_k_count: int
+
+
 class EngineCrash(msgspec.Struct, frozen=True, array_like=True):
     """An engine that was lost while it started a request.
 
@@ -68,15 +78,16 @@
     """Requests to a service and resends of them in the last window.
 
     `waiting` counts the requests that wait for a backend server now. Where
-    the requests of a service differ in rank, `waiting_by_rank` holds a rank
-    and its count for each that waits.
+    the requests of a service differ in rank, `waiting_first` counts those of
+    the most urgent rank among them, and `waiting_second` those of the next.
     """
 
     service: ids.ServiceName
     requests: int
     resends: int
     waiting: int = 0
-    waiting_by_rank: tuple[tuple[int, int], ...] = ()
+    waiting_first: int = 0
+    waiting_second: int = 0
 
 
 class RolloutCount(msgspec.Struct, frozen=True, array_like=True):
@@ -236,7 +247,8 @@
     """Long poll for changes since `seen`.
 
     `seen` is the change number of the last reply from the replica's
-    incarnation `boot`.
+    incarnation `boot`. An instance that takes sums over all instances, and
+    subtracts its own share, sends its own incarnation as `entry_boot`.
     """
 
     instance: ids.InstanceId
@@ -244,6 +256,7 @@
     listing_digest: str
     seen: int
     boot: str = ""
+    entry_boot: str = ""
 
 
 class WatchReply(msgspec.Struct, frozen=True):
@@ -260,6 +273,12 @@
     `replicas` are the control replicas' peer addresses and availability
     zones. `rollouts` holds the newest rollout of each service that has had
     one, None where the deployment has none or the replica does not know.
+
+    With `own_number`, `loads`, `speed_sums` (instead of `speeds`) and `uses`
+    are sums over all entry instances, the receiver included with its report
+    of that number, or without any if it is 0. `has_observations` is then set
+    if the reply holds `suspects` and all else but loads, speeds and uses;
+    otherwise these are as in the reply before.
     """
 
     fresh: bool
@@ -283,6 +302,9 @@
     limits: tuple[NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
     rollouts: tuple[RolloutOrder, ...] | None = None
+    own_number: int | None = None
+    speed_sums: tuple[SpeedSums, ...] = ()
+    has_observations: bool = True
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/http/placement_queue.py
+++ b/src/oriolejunction/http/placement_queue.py
@@ -108,17 +108,11 @@
             for service in self._queue.services()
         }
 
-    def waiting_by_rank(
+    def count_by_rank(
         self, service: ids.ServiceName
-    ) -> tuple[tuple[int, int], ...]:
-        """Return how many requests wait for a service, by rank.
-
-        Ranks below 0 are reported as 0.
-        """
-        counts: collections.Counter[int] = collections.Counter()
-        for rank, count in self._queue.count_by_rank(service).items():
-            counts[max(0, rank)] += count
-        return tuple(sorted(counts.items()))
+    ) -> collections.Counter[int]:
+        """Return how many requests wait for a service, by rank."""
+        return self._queue.count_by_rank(service)
 
     def _notify_if_first(self, waiter: wait_queue.Waiter) -> None:
         """Tell that requests of a rank begin to wait.
--- a/src/oriolejunction/http/room_for_urgent.py
+++ b/src/oriolejunction/http/room_for_urgent.py
@@ -41,11 +41,11 @@
             return False
         fleet = self._deps.blackboard.fleet.read()
         others = fleet.use_by_others(self._admitted.service.name, now_ms)
-        if others is None or not others.waiting_by_rank:
+        if others is None or not others.waiting:
             return False
         fitting = sum(each.can_fit(kv_tokens) for each in candidates)
         is_left = urgency.must_leave_room(
-            self._admitted.rank, dict(others.waiting_by_rank), fitting
+            self._admitted.rank, self._admitted.service_ranks, others, fitting
         )
         if is_left and not self._is_logged:
             self._is_logged = True
@@ -54,7 +54,8 @@
                 "engines left to more urgent streams",
                 rank=self._admitted.rank,
                 fitting=fitting,
-                waiting_elsewhere=others.waiting_by_rank,
+                waiting_first=others.waiting_first,
+                waiting_second=others.waiting_second,
                 age_ms=round(now_ms - fleet.updated_at_ms),
             )
         return is_left
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -214,10 +214,10 @@
             return 0.0
         fleet = self._deps.blackboard.fleet.read()
         others = fleet.use_by_others(service.name, self._deps.clock.now_ms())
-        waiting = others.waiting if others is not None else 0
-        if others is not None and others.waiting_by_rank:
+        waiting = 0
+        if others is not None:
             waiting = urgency.waiting_ahead(
-                self._admitted.rank, dict(others.waiting_by_rank)
+                self._admitted.rank, self._admitted.service_ranks, others
             )
         wait_ms = wait_forecast.expected_wait_ms(ahead + waiting, interval_ms)
         self._attempts.expected_wait_ms = wait_ms
