Open fewer probes during a prefill, and keep urgent streams from full engines

A stream that waits for its first event was probed every 150 ms, each time over a new connection. With much time left to the latency goal, the interval is a tenth of it now, 500 ms at most; nothing changes for running streams and where little time is left.

A stream that may interrupt others (of an urgent rank, or resumed, where ranks differ) goes to an engine with room for two such streams, if there is one.

--- a/src/oriolejunction/controllers/overload/placement.py
+++ b/src/oriolejunction/controllers/overload/placement.py
@@ -124,6 +124,23 @@
     return score + candidate.backend.cold_ms
 
 
+def with_spare_room(
+    candidates: list[Candidate], kv_tokens: int
+) -> list[Candidate]:
+    """Return the engines with room for two such streams, all if there is none.
+
+    An urgent stream interrupts others at an engine that another instance
+    fills at the same moment.
+    """
+    roomy = [
+        each
+        for each in candidates
+        if each.can_fit(2 * kv_tokens)
+        and (not each.slots or each.streams + 1 < each.slots)
+    ]
+    return roomy or candidates
+
+
 def choose_engine(
     candidates: collections.abc.Iterable[Candidate],
     requirements: StreamRequirements,
--- a/src/oriolejunction/controllers/overload/urgency.py
+++ b/src/oriolejunction/controllers/overload/urgency.py
@@ -39,6 +39,13 @@
     return min(LAST_PRIORITY, FIRST_NEW_PRIORITY + place)
 
 
+def may_interrupt(
+    rank: int, ranks: collections.abc.Sequence[int], resumed: bool
+) -> bool:
+    """Return whether a stream interrupts others at an engine that is full."""
+    return len(ranks) > 1 and (resumed or rank < ranks[-1])
+
+
 def level(rank: int, ranks: collections.abc.Sequence[int]) -> int:
     """Return how many of a service's ranks are more urgent than one."""
     return sum(other < rank for other in ranks)
--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -18,8 +18,12 @@
 PROBE_DEVIATIONS = 5.0
 # Interval between probes while the engine passes them.
 REPROBE_MS = 150.0
-# Interval between probes while a stream waits for its first event.
+# Silence after which a stream that waits for its first event is probed.
 FIRST_PROBE_MS = 250.0
+# Each probe is a new connection, which costs the engine a ms. With much time
+# left to the latency goal, the intervals between probes are this part of it.
+REPROBE_GOAL_FRACTION = 0.1
+MAX_REPROBE_MS = 500.0
 # The peer's kernel answers a probe, so a busy engine answers in time.
 PROBE_TIMEOUT_MS = 60.0
 PROBE_ATTEMPTS = 2
@@ -51,12 +55,14 @@
 class StallLimits(msgspec.Struct, frozen=True):
     """Silence in ms after which an engine is probed, and then given up on.
 
-    After `report_ms` it is asked for its report.
+    After `report_ms` it is asked for its report. Probes that it passes are
+    repeated every `reprobe_ms`.
     """
 
     probe_ms: float
     give_up_ms: float
     report_ms: float = math.inf
+    reprobe_ms: float = REPROBE_MS
 
 
 def limits_between_events(
@@ -92,6 +98,10 @@
         give_up_ms = LAST_RESORT_FACTOR * expected_ms + LAST_RESORT_MARGIN_MS
     else:
         give_up_ms = unexplained_ms
+    reprobe_ms = REPROBE_GOAL_FRACTION * remaining_goal_ms
     return StallLimits(
-        FIRST_PROBE_MS, max(give_up_ms, latest_ms), unexplained_ms
+        FIRST_PROBE_MS,
+        max(give_up_ms, latest_ms),
+        unexplained_ms,
+        max(REPROBE_MS, min(reprobe_ms, MAX_REPROBE_MS)),
     )
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -266,7 +266,7 @@
                 raise EngineStalled(
                     f"silent for {silent_ms:.0f} ms and not reached"
                 )
-            probe_at_ms = clock.now_ms() - since_ms + stalls.REPROBE_MS
+            probe_at_ms = clock.now_ms() - since_ms + current.reprobe_ms
 
     async def _check_report(self, silent_ms: float) -> bool:
         """Return whether the engine reports that it works on the request.
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -287,8 +287,21 @@
             )
             tokens_to_prefill = MAX_COPY_LAG_TOKENS
         elif not self._room.is_left(candidates, requirements.kv_tokens):
+            may_interrupt = urgency.may_interrupt(
+                self._admitted.rank,
+                self._admitted.service_ranks,
+                resumed=self._answer.last_event > 0,
+            )
             chosen = placement.choose_engine(
-                candidates, requirements, view.rng
+                (
+                    placement.with_spare_room(
+                        candidates, requirements.kv_tokens
+                    )
+                    if may_interrupt
+                    else candidates
+                ),
+                requirements,
+                view.rng,
             )
         if chosen is None:
             return None
--- a/tests/controllers/overload/test_urgency.py
+++ b/tests/controllers/overload/test_urgency.py
@@ -1,5 +1,7 @@
 """Order of streams at engines, and room left to more urgent ones."""
 
+from oriolejunction import backends
+from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import urgency
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -44,3 +46,25 @@
     assert urgency.waiting_ahead(2, (2,), others) == 43
     assert urgency.count_urgent(ranks, {0: 3, 2: 40}) == (3, 40)
     assert urgency.count_urgent((2,), {2: 40}) == (0, 0)
+
+
+def test_stream_that_would_interrupt_others_goes_where_there_is_room():
+    """Load: two instances place streams on the same engine at once."""
+    zone = ids.ZoneId("z0")
+
+    def candidate(name, streams):
+        backend = backends.Backend(
+            ids.BackendId(name), ids.ServiceName("llm"), name, zone
+        )
+        return placement.Candidate(
+            backend, streams, streams * 9_000, 0, 88_000, 12, 32.0, 130.0
+        )
+
+    fuller, emptier = candidate("fuller", 8), candidate("emptier", 6)
+    assert fuller.can_fit(9_000)
+    assert placement.with_spare_room([fuller, emptier], 9_000) == [emptier]
+    assert placement.with_spare_room([fuller], 9_000) == [fuller]
+    assert urgency.may_interrupt(0, (0, 2), resumed=False)
+    assert urgency.may_interrupt(2, (0, 2), resumed=True)
+    assert not urgency.may_interrupt(2, (0, 2), resumed=False)
+    assert not urgency.may_interrupt(2, (2,), resumed=True)
--- a/tests/controllers/test_stalls.py
+++ b/tests/controllers/test_stalls.py
@@ -68,3 +68,14 @@
     """Load: two prompts reach an engine within a few ms of each other."""
     limits = stalls.limits_before_first(400.0, 4_500.0, 400.0)
     assert limits.give_up_ms > 400.0 + 1_400.0
+
+
+def test_prefill_is_probed_less_often_with_much_time_left():
+    """Fault: probes opened two connections for each request."""
+    relaxed = stalls.limits_before_first(1_200.0, 4_000.0, 1_100.0)
+    assert 350.0 < relaxed.reprobe_ms <= stalls.MAX_REPROBE_MS
+    for hurried_ms in (-1_000.0, 600.0, 1_500.0):
+        limits = stalls.limits_before_first(1_200.0, hurried_ms, 1_100.0)
+        assert limits.reprobe_ms == stalls.REPROBE_MS
+    decoding = stalls.limits_between_events(estimate([32.0]), 700.0)
+    assert decoding.reprobe_ms == stalls.REPROBE_MS
