--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -18,10 +18,11 @@
 PROBE_DEVIATIONS = 5.0
 # Interval between probes while the engine passes them.
 REPROBE_MS = 150.0
-# Silence after which a stream that waits for its first event is probed.
+# Least silence after which a stream that waits for its first event is probed.
 FIRST_PROBE_MS = 250.0
 # Each probe is a new connection, which costs the engine a ms. With much time
-# left to the latency goal, the intervals between probes are this part of it.
+# left to the latency goal, the time to the first probe and the intervals
+# between probes are this part of it.
 REPROBE_GOAL_FRACTION = 0.1
 MAX_REPROBE_MS = 500.0
 # The peer's kernel answers a probe, so a busy engine answers in time.
@@ -98,10 +99,12 @@
         give_up_ms = LAST_RESORT_FACTOR * expected_ms + LAST_RESORT_MARGIN_MS
     else:
         give_up_ms = unexplained_ms
-    reprobe_ms = REPROBE_GOAL_FRACTION * remaining_goal_ms
+    interval_ms = min(
+        REPROBE_GOAL_FRACTION * remaining_goal_ms, MAX_REPROBE_MS
+    )
     return StallLimits(
-        FIRST_PROBE_MS,
+        max(FIRST_PROBE_MS, interval_ms),
         max(give_up_ms, latest_ms),
         unexplained_ms,
-        max(REPROBE_MS, min(reprobe_ms, MAX_REPROBE_MS)),
+        max(REPROBE_MS, interval_ms),
     )
