Bound what an instance holds of bodies and unread answers

Each body and each unread answer was bounded by itself; an instance with 136 MB serves hundreds of them. With the new setting buffer_bytes, half of it is for bodies, of which a workspace may have half: a request beyond that is refused with 503 before anything has run. The other half is for answers: once it is used up, 16 KB of each are read ahead of the caller instead of 256 KB. Without the setting nothing changes.

--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 import pathlib
 import secrets
 
@@ -72,6 +73,7 @@
             ),
             ids.ZoneId(settings.zone),
             self.rng,
+            settings.buffer_bytes or math.inf,
         )
 
     async def start(self) -> None:
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -17,10 +17,14 @@
 import msgspec
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.http import bounded_body
 
 MAX_HEAD_BYTES = 65_536
 MAX_UNREAD_BYTES = 262_144
+# Used instead while all connections together hold too much. It is enough for
+# the events of a second.
+SCARCE_UNREAD_BYTES = 16_384
 # Parsed at once before other requests of this process have their turn.
 PARSED_BYTES = 4_096
 MAX_INTERIM_ANSWERS = 16
@@ -73,6 +77,8 @@
         self._waiter: asyncio.Future | None = None
         self._unread: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
+        self._is_paused = False
+        self.unread_budget = buffer_budget.BufferBudget()
         self._failure_reason: str | None = None
         self._busy = False
         self._keep_alive = True
@@ -110,10 +116,18 @@
         for start in range(0, len(data), PARSED_BYTES):
             self._unread.append(data[start : start + PARSED_BYTES])
         self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_UNREAD_BYTES:
+        self.unread_budget.add(len(data))
+        if self._unread_bytes > self._unread_limit():
+            self._is_paused = True
             self._transport.pause_reading()
         self._wake()
 
+    def _unread_limit(self) -> int:
+        """Return how many bytes are taken ahead of the caller now."""
+        if self.unread_budget.is_exceeded:
+            return SCARCE_UNREAD_BYTES
+        return MAX_UNREAD_BYTES
+
     def eof_received(self) -> bool:
         """Handle a clean end, which may complete an answer without length."""
         if self._busy and self._failure_reason is None:
@@ -174,6 +188,9 @@
 
     def close(self) -> None:
         """Close at once; the peer stops its work."""
+        self.unread_budget.add(-self._unread_bytes)
+        self._unread_bytes = 0
+        self._unread.clear()
         self._fail("closed by this instance")
         if self._transport is not None:
             self._transport.abort()
@@ -244,9 +261,10 @@
 
     def _take_unread(self) -> bytes:
         data = self._unread.popleft()
-        was_full = self._unread_bytes > MAX_UNREAD_BYTES
         self._unread_bytes -= len(data)
-        if was_full and self._unread_bytes <= MAX_UNREAD_BYTES:
+        self.unread_budget.add(-len(data))
+        if self._is_paused and self._unread_bytes <= self._unread_limit():
+            self._is_paused = False
             self._transport.resume_reading()
         return data
 
--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -5,6 +5,7 @@
 import math
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.http import backend_connection
 
 MAX_IDLE_PER_ADDRESS = 8
@@ -21,11 +22,14 @@
         clock: clocks.Clock,
         on_connect: ConnectionObserver = lambda address, is_open: None,
         keep_alive: bool = False,
+        unread: buffer_budget.BufferBudget | None = None,
     ) -> None:
         """Create a pool; `on_connect` learns of each new connection.
 
         With `keep_alive`, a peer that falls silent is detected by the kernel.
+        The unread bytes of all connections count against `unread`.
         """
+        self._unread = unread or buffer_budget.BufferBudget()
         self._clock = clock
         self._on_connect = on_connect
         self._keep_alive = keep_alive
@@ -82,6 +86,7 @@
         except backend_connection.RequestNotSent:
             self._on_connect(address, False)
             raise
+        connection.unread_budget = self._unread
         if self._keep_alive:
             connection.detect_silence()
         self._on_connect(address, True)
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.controllers.overload import deadline_estimates
 from oriolejunction import errors
 from oriolejunction import gateway_messages
@@ -17,6 +18,7 @@
 from oriolejunction.http import gateway_stream
 from oriolejunction.http import peer_forwarding
 from oriolejunction.http import replies
+from oriolejunction.http import request_body
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
 from oriolejunction import routing_table
@@ -34,7 +36,6 @@
 TABLE_POLL_MS = 20.0
 # Without a table, the caller's remaining time is not known.
 TABLE_RETURN_LIMIT_MS = 6_000.0
-NO_SERVICE = ids.ServiceName("")
 _log = structlog.get_logger(__name__)
 
 InFlightCounter = collections.abc.Callable[
@@ -115,10 +116,10 @@
                 _close_after_answer(request)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        with self._count_in_flight():
+        with self._count_in_flight(), self._deps.bodies.hold() as held:
             log_context = _RequestLogContext()
             try:
-                response = await self._serve(request, log_context)
+                response = await self._serve(request, log_context, held)
                 self._count_answer(
                     log_context, "answered", str(response.status)
                 )
@@ -132,12 +133,15 @@
             return response
 
     async def _serve(
-        self, request: web.BaseRequest, log_context: _RequestLogContext
+        self,
+        request: web.BaseRequest,
+        log_context: _RequestLogContext,
+        held: buffer_budget.HeldBytes,
     ) -> web.StreamResponse:
         now_ms = self._deps.clock.now_ms()
         try:
             async with self._deps.stop_limit.bound():
-                table, body = await self._receive(request, now_ms)
+                table, body = await self._receive(request, now_ms, held)
         except stop_limit.StopReached:
             raise errors.Failure(
                 errors.NotReady(
@@ -155,6 +159,8 @@
         log_context.request_id = caller_request.request_id
         log_context.table_version = table.version
         admitted = self._admit(table, caller_request, request, log_context)
+        if admitted.workspace and not held.assign(admitted.workspace):
+            raise request_body.no_memory("the workspace", self._deps.returns)
         relay = gateway_call.CallRelay
         if admitted.route.kind is states.RequestKind.STREAM:
             relay = gateway_stream.StreamRelay
@@ -181,7 +187,10 @@
         )
 
     async def _receive(
-        self, request: web.BaseRequest, received_ms: float
+        self,
+        request: web.BaseRequest,
+        received_ms: float,
+        held: buffer_budget.HeldBytes,
     ) -> tuple[routing_table.RoutingTable, bytes]:
         """Return the table in force and the body; raise `Failure`."""
         table = await self._wait_for_table(received_ms)
@@ -190,11 +199,13 @@
                 errors.NoTable(
                     "no configuration has reached this instance yet",
                     retry_after_ms=self._deps.returns.return_after_ms(
-                        NO_SERVICE, TABLE_RETURN_LIMIT_MS
+                        request_body.NO_SERVICE, TABLE_RETURN_LIMIT_MS
                     ),
                 )
             )
-        return table, await self._read_body(request, table.limits.body_bytes)
+        return table, await request_body.read(
+            request, table.limits.body_bytes, held, self._deps.returns
+        )
 
     async def _wait_for_table(
         self, received_ms: float
@@ -208,21 +219,6 @@
                 return table
             await clock.sleep_ms(TABLE_POLL_MS)
 
-    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
-        await _send_continue(request)
-        pieces = []
-        size = 0
-        async for piece in request.content.iter_any():
-            size += len(piece)
-            if size > limit:
-                raise errors.Failure(
-                    errors.RequestTooLarge(
-                        f"the body is larger than {limit} bytes"
-                    )
-                )
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def _admit(
         self,
         table: routing_table.RoutingTable,
@@ -381,14 +377,3 @@
     # A connection that is to be closed drops the rest of a body.
     if request.content.is_eof():
         request.protocol.close()
-
-
-async def _send_continue(request: web.BaseRequest) -> None:
-    """Answer `Expect: 100-continue`, unless the body arrives already."""
-    expectation = request.headers.get("Expect", "").lower()
-    has_arrived = request.content.total_bytes or not request.can_read_body
-    if expectation != "100-continue" or has_arrived:
-        return
-    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    # Only the final answer counts as output.
-    request.writer.output_size = 0
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -19,6 +19,7 @@
 from oriolejunction.controllers import crash_guard
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import wait_forecast
@@ -73,6 +74,7 @@
     returns: wait_forecast.ReturnSchedule
     stop_limit: stop_limit.StopLimit
     origins: origin_client.OriginClient
+    bodies: buffer_budget.BufferBudget
     background_tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
 
 
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -1,5 +1,6 @@
 """Creates the state that an instance serves its requests with."""
 
+import math
 import random
 
 from oriolejunction import blackboard as blackboards
@@ -10,6 +11,7 @@
 from oriolejunction.controllers import crash_guard
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.controllers.overload import reported_loads
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.controllers.overload import server_intake
@@ -38,8 +40,15 @@
     limits: resend_budget.BudgetLimits,
     zone: ids.ZoneId,
     rng: random.Random,
+    buffer_bytes: float = math.inf,
 ) -> gateway_common.GatewayDependencies:
-    """Return the dependencies of one instance, with empty state."""
+    """Return the dependencies of one instance, with empty state.
+
+    `buffer_bytes` is the memory for bodies and unread answers together.
+    """
+    unread = buffer_budget.BufferBudget(
+        (1.0 - buffer_budget.BODIES_FRACTION) * buffer_bytes
+    )
     own_loads = load_table.LoadTable()
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
@@ -64,7 +73,9 @@
     )
     queue = placement_queue.PlacementQueue(clock)
     reached = reachability.Reachability(clock)
-    pool = connection_pool.ConnectionPool(clock, reached.record_connection)
+    pool = connection_pool.ConnectionPool(
+        clock, reached.record_connection, unread=unread
+    )
     origins = origin_client.OriginClient(clock)
     blackboard.backends.changes().subscribe(
         lambda snapshot: origins.history.observe(snapshot.by_id.values())
@@ -88,7 +99,9 @@
         blackboard=blackboard,
         wire_format=wire_format,
         pool=pool,
-        peer_pool=connection_pool.ConnectionPool(clock, keep_alive=True),
+        peer_pool=connection_pool.ConnectionPool(
+            clock, keep_alive=True, unread=unread
+        ),
         isolation=isolation_check.IsolationCheck(
             clock, blackboard, pool, reached, rng
         ),
@@ -118,4 +131,7 @@
         returns=wait_forecast.ReturnSchedule(clock),
         stop_limit=stop_limit.StopLimit(),
         origins=origins,
+        bodies=buffer_budget.BufferBudget(
+            buffer_budget.BODIES_FRACTION * buffer_bytes
+        ),
     )
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -58,6 +58,8 @@
     `grace_ms` is the time between SIGTERM and SIGKILL. In any
     `retry_window_ms` the retry budget of a service allows `retry_ratio`
     retries per request plus `retry_extra`, over all instances.
+    `buffer_bytes` bounds what the instance holds of bodies and of answers
+    that callers have not read yet; without it, only each one is bounded.
     """
 
     caller_listen: settings.Address
@@ -67,6 +69,7 @@
     retry_ratio: PositiveFloat = 0.8
     retry_extra: PositiveFloat = 150.0
     retry_window_ms: PositiveFloat = 10_000.0
+    buffer_bytes: PositiveFloat | None = None
 
 
 class ControlSettings(_NodeSettings, frozen=True, kw_only=True):
