Hedge a call only at a server that has a free slot

A slow call was sent to a second server after 0.7 of its latency goal, also while all servers had queues: that lengthened the queues, and the second answer came no sooner. Where the chosen server states that it has no free slot, the call is hedged only after 1.4 of its goal, as its server may be lost. Servers that state no load are hedged to as before.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -193,6 +193,16 @@
                 ).backend
         return min(available, key=self._call_cost, default=None)
 
+    def has_free_slot(self, backend_id: ids.BackendId) -> bool:
+        """Return whether a call to a plain service would run at once.
+
+        It would, as far as known, if the server states no load or slots.
+        """
+        load = self.reported.estimate(backend_id)
+        if load is None or not load.slots:
+            return True
+        return load.others + self.own_loads.calls(backend_id) < load.slots
+
     def _call_candidate(
         self, backend: backends.Backend
     ) -> call_choice.CallCandidate:
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -65,6 +65,8 @@
         self._retryable = admitted.route.retryable
         self._last_failure: _BackendAnswer | None = None
         self._dispatches = 0
+        # Set once a hedged request was due.
+        self._may_queue_hedge = False
         self._hold = call_hold.CallHold(
             deps.clock, admitted.route.latency_goal_ms
         )
@@ -126,7 +128,7 @@
                     return answer
             if not done:
                 if self._attempts.may_send():
-                    backend = self._choose_backend()
+                    backend = self._choose_hedge()
                     if backend is not None:
                         tasks.add(self._start_attempt(backend))
             elif not tasks and not self._may_retry():
@@ -202,6 +204,28 @@
                 load_observation.notify_later(self._deps.queue, trial_ms)
         return backend
 
+    def _choose_hedge(self) -> backends.Backend | None:
+        """Return the server of a hedged request, None for none now.
+
+        A queue at the other server makes the answer no sooner, and hedged
+        requests lengthen it. Only a call that is late by far, whose server
+        may be lost, is hedged all the same.
+        """
+        may_queue, self._may_queue_hedge = self._may_queue_hedge, True
+        backend = self._choose_backend()
+        if backend is None or may_queue:
+            return backend
+        if self._deps.view.has_free_slot(backend.backend_id):
+            return backend
+        self._deps.intake.give_back(backend.backend_id)
+        gateway_common.log_decision(
+            self._admitted,
+            "call not hedged",
+            backend=backend.backend_id,
+            load=self._deps.view.reported.estimate(backend.backend_id),
+        )
+        return None
+
     async def _run_attempt(
         self, backend: backends.Backend
     ) -> _BackendAnswer | None:
--- a/tests/http/test_reported_loads.py
+++ b/tests/http/test_reported_loads.py
@@ -5,6 +5,7 @@
 import pytest
 
 from oriolejunction import clock as clocks
+from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 from tests import event_loops
@@ -84,6 +85,31 @@
         assert len(server.arrivals) < 2 * len(answers)
 
 
+@pytest.mark.parametrize(
+    ("load", "least_ms", "most_ms"),
+    [((2, 0, 6), 400.0, 700.0), ((6, 9, 6), 800.0, 1_200.0)],
+)
+async def test_call_is_hedged_early_only_at_a_server_with_a_free_slot(
+    load, least_ms, most_ms
+):
+    """Load: all servers are busy, and each slow call was sent twice."""
+    started_ms = []
+
+    async def behave(arrival):
+        started_ms.append(rig.clock.now_ms())
+        if len(started_ms) == 1:
+            await asyncio.sleep(30)
+        arrival.answer()
+
+    async with gateway_rig.running(desk=[behave, behave]) as rig:
+        for name in ("desk-0", "desk-1"):
+            rig.deps.view.reported.observe(
+                name, gateway_messages.ServerLoad(*load), 0, False, 0.0
+            )
+        assert await read(rig.ask("/look/1")) == (200, b"whole")
+    assert least_ms < started_ms[1] - started_ms[0] < most_ms
+
+
 class Connection(backend_connection.BackendConnection):
     """A connection that is open until it is closed."""
 
