--- a/src/oriolejunction/bench/uneven_load.py
+++ b/src/oriolejunction/bench/uneven_load.py
@@ -1,13 +1,17 @@
-"""Bench ``uneven-load``: calls to a few plain servers, in virtual time.
+"""Bench ``uneven-load``: calls to plain servers, and streams of two ranks.
 
-Each load is run twice: with choices by the calls of one instance, and by the
-loads that servers state. A load without the latter choosing worse is no
-violation; the tests state the bounds.
+Each load of calls is run twice in virtual time: with choices by the calls of
+one instance, and by the loads that servers state. Each load of streams is run
+without and with regard to their ranks. Nothing counts as a violation; the
+tests state the bounds.
 """
 
 from oriolejunction.bench import call_simulation
 from oriolejunction.bench import result
+from oriolejunction.bench import stream_simulation
 
+# Parts of the streams that the engines can run.
+STREAM_LOADS = (1.0, 1.1, 1.3)
 UNEVEN = (0.7, 0.7, 1.7, 1.0)
 LOADS: dict[str, dict] = {
     "even_120_per_s": {},
@@ -38,6 +42,15 @@
             )
             for choice, uses_loads in (("own", False), ("stated", True))
         }
+    for load in STREAM_LOADS:
+        figures[f"streams_{load}"] = {
+            choice: _stream_figures(
+                stream_simulation.Simulation(
+                    by_rank, seed=options.seed, load=load
+                ).run(options.seconds * 1e3)
+            )
+            for choice, by_rank in (("equal", False), ("by_rank", True))
+        }
     return result.BenchResult("uneven-load", options.seed, figures, 0)
 
 
@@ -55,3 +68,14 @@
         "most_on_a_server": outcome.most_by_server,
         "worst_zone_in_time": round(worst, 3),
     }
+
+
+def _stream_figures(outcome: stream_simulation.Outcome) -> dict[str, object]:
+    figures: dict[str, object] = {
+        "interruptions": outcome.interruptions,
+        "rejected": outcome.rejections,
+    }
+    for rank, count in sorted(outcome.streams.items()):
+        figures[f"rank_{rank}"] = count
+        figures[f"rank_{rank}_in_time"] = round(outcome.in_time_of(rank), 3)
+    return figures
--- a/tests/controllers/overload/test_urgency.py
+++ b/tests/controllers/overload/test_urgency.py
@@ -1,6 +1,7 @@
 """Order of streams at engines, and room left to more urgent ones."""
 
 from oriolejunction import backends
+from oriolejunction.bench import stream_simulation
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import urgency
 from oriolejunction import fleet_messages as fm
@@ -68,3 +69,14 @@
     assert urgency.may_interrupt(2, (0, 2), resumed=True)
     assert not urgency.may_interrupt(2, (0, 2), resumed=False)
     assert not urgency.may_interrupt(2, (2,), resumed=True)
+
+
+def test_urgent_streams_are_in_time_and_others_not_starved():
+    """Load: twelve instances send 1.3 times what the engines can run."""
+    equal = stream_simulation.Simulation(False, load=1.3).run(30_000.0)
+    by_rank = stream_simulation.Simulation(True, load=1.3).run(30_000.0)
+    assert by_rank.in_time_of(0) > max(0.95, equal.in_time_of(0) + 0.1)
+    assert by_rank.in_time_of(2) > equal.in_time_of(2) - 0.1
+    # Streams are seldom interrupted where not all engines are full.
+    calm = stream_simulation.Simulation(True, load=0.8).run(30_000.0)
+    assert calm.interruptions < 0.01 * calm.streams.total()
