--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -11,6 +11,7 @@
 from oriolejunction.bench import rollout
 from oriolejunction.bench import routing
 from oriolejunction.bench import soak
+from oriolejunction.bench import uneven_load
 from oriolejunction import errors
 
 Bench = collections.abc.Callable[
@@ -33,6 +34,7 @@
     "rollout": rollout.run,
     "routing": routing.run,
     "soak": soak.run,
+    "uneven-load": uneven_load.run,
 }
 
 
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -274,7 +274,7 @@
                 )
             now_ms = clock.now_ms()
             current = limits()
-            probe_at_ms = now_ms - since_ms + stalls.REPROBE_MS
+            probe_at_ms = now_ms - since_ms + current.reprobe_ms
 
     async def _check_report(self, silent_ms: float) -> bool:
         """Return whether the engine reports that it works on the request.
