Send nothing more to a server that says it leaves

What was seen: a server that leaves says so in all its answers, yet got streams, calls, copies and reports until the list showed it as draining; an instance that started again, or an older list, opened it once more.

Cause: the header Server-Leaving was read nowhere, and no state told the incarnations of a server apart.

Change: the adapter reads the header and born. server_departures keeps which incarnation leaves, beside limit and pause, and server_intake is asked for all paths. A later born ends it, in any order of arrival.

--- a/src/oriolejunction/backends.py
+++ b/src/oriolejunction/backends.py
@@ -10,7 +10,8 @@
 class Backend(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of a backend server; `address` is ``IP:PORT``.
 
-    Servers that state no software version share the empty one.
+    Servers that state no software version share the empty one. `born` is the
+    Unix time in ms at which the incarnation started, 0 if it is not known.
     """
 
     backend_id: ids.BackendId
@@ -21,6 +22,7 @@
     leaving: bool = False
     cold_ms: float = 0.0
     software: ids.SoftwareVersion = ids.SoftwareVersion("")
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -38,7 +38,11 @@
 
     def listed(self, service: ids.ServiceName) -> list[backends.Backend]:
         """Return the backend servers of a service that aren't leaving."""
-        return self.blackboard.backends.read().available_for(service)
+        return [
+            each
+            for each in self.blackboard.backends.read().available_for(service)
+            if not self.intake.departures.has_left(each.backend_id)
+        ]
 
     def available(
         self,
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import leaving_servers
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 
@@ -60,6 +61,7 @@
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
     limits: tuple[fm.NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
+    leaving: tuple[fm.LeavingServer, ...] = ()
 
 
 class _ChangeTrackedSums:
@@ -140,6 +142,8 @@
         self._uses = collections.Counter()
         # The addresses of all helpers, in an order of their own.
         self._ordered_helpers: list[str] = []
+        # These outlive the reports that hold them.
+        self._leaving = leaving_servers.LeavingServers(clock)
         self._oldest_delta_number = 0
         self._change_number = 0
 
@@ -168,8 +172,10 @@
         self._replace_uses(previous, report)
         if direct:
             self._unforwarded[report.instance] = report
+        has_new_leaving = self._leaving.put(report.leaving)
         if previous is not None and _content(previous) == _content(report):
-            return False
+            self._change_number += has_new_leaving
+            return has_new_leaving
         self._replace(previous, report)
         return True
 
@@ -238,6 +244,7 @@
                 if field != "helpers"
             },
             helpers=self._helpers_for(instance, own),
+            leaving=self._leaving.all(),
         )
 
     def _helpers_for(
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -107,6 +107,7 @@
             self._deps.guard,
             self._deps.parts,
             self._deps.intake.limits,
+            self._deps.intake.departures,
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
@@ -254,6 +255,7 @@
             blocked_parts=self._deps.parts.blocked(),
             limits=self._deps.intake.limits.named(),
             helpers=self._helper_addresses(),
+            leaving=self._deps.intake.departures.to_report(),
         )
 
     def _drop_unlisted(self, snapshot) -> None:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -64,6 +64,14 @@
     per_s: float
 
 
+class LeavingServer(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of a server that left `age_ms` ago; see `Backend`."""
+
+    backend_id: ids.BackendId
+    born: int
+    age_ms: float
+
+
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests to a service and resends of them in the last window.
 
@@ -125,6 +133,7 @@
     `limits` are those that servers name to the instance. `helpers` holds the
     address at which it serves requests of other instances, while it can.
     `rollout_counts` are those of the services that have had a rollout.
+    `leaving` are the servers known to leave, whichever instance found it.
     """
 
     instance: ids.InstanceId
@@ -142,6 +151,7 @@
     limits: tuple[NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
     rollout_counts: tuple[RolloutCount, ...] = ()
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -257,6 +267,7 @@
     `replicas` are the control replicas' peer addresses and availability
     zones. `rollouts` holds the newest rollout of each service that has had
     one, None where the deployment has none or the replica does not know.
+    `leaving` is complete whenever `seen` has changed.
     """
 
     fresh: bool
@@ -280,6 +291,7 @@
     limits: tuple[NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
     rollouts: tuple[RolloutOrder, ...] | None = None
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 class PublishRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -34,6 +34,7 @@
         default_factory=dict
     )
     helpers: tuple[str, ...] = ()
+    leaving: tuple[fm.LeavingServer, ...] = ()
     entry_count: int = 1
     use_by_service: dict[ids.ServiceName, fm.ServiceUse] = dataclasses.field(
         default_factory=dict
@@ -82,6 +83,7 @@
         },
         speed_by_id=speeds,
         helpers=tuple(reply.helpers),
+        leaving=tuple(reply.leaving),
     )
 
 
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -114,7 +114,8 @@
     it did not run the request. `weights_version` is that of the model.
     `rate_limit` is None if the server names none, `pause` if it asks for none.
     `falls_over_at` is the number of rejections in a second that a brittle
-    server does not survive, None if it is sound.
+    server does not survive, None if it is sound. `leaving` means that the
+    server wants no new requests any more.
     """
 
     status: int
@@ -127,6 +128,7 @@
     rate_limit: RateLimit | None = None
     pause: PauseRequest | None = None
     falls_over_at: int | None = None
+    leaving: bool = False
 
     @property
     def success(self) -> bool:
@@ -160,11 +162,13 @@
 class EngineReport:
     """Requests that an engine decodes, and how many have no token yet.
 
-    `before_first_event` counts the requests in its queue or in prefill.
+    `before_first_event` counts the requests in its queue or in prefill; `born`
+    is that of `Backend`.
     """
 
     before_first_event: int
     run_by_request: dict[ids.RequestId, ReportedRun]
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,7 +177,8 @@
 
     `read_request` raises `Failure` with `MalformedRequest`; `read_event`
     returns None for a block without an event number, and `read_report` for
-    a report that cannot be read. `read_pause` reads the head of any answer.
+    a report that cannot be read. `read_pause` and `read_leaving` read the head
+    of any answer.
     `forward_headers` and `read_peer_head` are for requests that one instance
     passes on to another.
     """
@@ -185,6 +190,7 @@
     read_head: collections.abc.Callable[..., AnswerHead]
     read_event: collections.abc.Callable[[bytes], NumberedEvent | None]
     read_pause: collections.abc.Callable[..., PauseRequest | None]
+    read_leaving: collections.abc.Callable[..., bool]
     forward_headers: collections.abc.Callable[..., list[tuple[bytes, bytes]]]
     read_peer_head: collections.abc.Callable[..., AnswerHead]
     read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -4,7 +4,6 @@
 import dataclasses
 import functools
 import hashlib
-import http
 import math
 
 from aiohttp import web
@@ -337,20 +336,9 @@
     sent_ms: float,
 ) -> None:
     """Apply what a server says of itself in an answer."""
-    is_replaced = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
-    if (head.echoes_request_id or head.not_run) and not is_replaced:
-        deps.intake.limits.observe(
-            backend.backend_id, backend.service, head.rate_limit, sent_ms
-        )
-    fragile = head.falls_over_at is not None and head.pause is None
-    if fragile and head.has_no_room:
-        deps.intake.pauses.observe_rejection(
-            backend.backend_id,
-            head.falls_over_at,
-            deps.blackboard.fleet.read().entry_count,
-        )
-    else:
-        deps.intake.pauses.observe(backend.backend_id, head.pause, sent_ms)
+    deps.intake.observe(
+        backend, head, sent_ms, deps.blackboard.fleet.read().entry_count
+    )
 
 
 def log_decision(
@@ -381,11 +369,11 @@
     connection = await deps.pool.acquire(
         dispatch.backend.address, connect_ms, connect_tries, max_idle_ms
     )
-    if deps.intake.pauses.is_paused(dispatch.backend.backend_id):
+    if deps.intake.refuses(dispatch.backend.backend_id):
         deps.pool.release(connection)
         log_decision(
             admitted,
-            "not sent to paused server",
+            "not sent to paused or leaving server",
             backend=dispatch.backend.backend_id,
         )
         raise attempt_errors.ServerPaused
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -11,6 +11,7 @@
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers.overload import server_departures
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import server_pauses
@@ -59,7 +60,9 @@
         clock, rng, share_of, hears_others
     )
     intake = server_intake.ServerIntake(
-        limit_table, server_pauses.ServerPauses(clock, rng)
+        limit_table,
+        server_pauses.ServerPauses(clock, rng),
+        server_departures.ServerDepartures(clock),
     )
     queue = placement_queue.PlacementQueue(clock)
     reached = reachability.Reachability(clock)
@@ -79,6 +82,10 @@
             fleet.limit_by_id, blackboard.backends.read().by_id
         )
     )
+    blackboard.backends.changes().subscribe(intake.departures.observe_listed)
+    blackboard.fleet.changes().subscribe(
+        lambda fleet: intake.departures.observe_reported(fleet.leaving)
+    )
     blackboard.table.changes().subscribe(origins.retention.follow)
     for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
         changes.subscribe(lambda _: queue.notify_capacity())
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -80,14 +80,7 @@
 
     def _start_probe(self, backend: backends.Backend) -> _Probe:
         asked_ms = self._clock.now_ms()
-
-        def observe(head: backend_connection.ResponseHead) -> None:
-            pause = self._wire_format.read_pause(head)
-            self._intake.pauses.observe(backend.backend_id, pause, asked_ms)
-
-        task = asyncio.create_task(
-            fetch_report(self._pool, self._wire_format, backend, observe)
-        )
+        task = asyncio.create_task(self._probe(backend, asked_ms))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self._probe_by_address.pop(backend.address, None)
@@ -95,6 +88,28 @@
         self._probe_by_address[backend.address] = probe
         return probe
 
+    async def _probe(
+        self, backend: backends.Backend, asked_ms: float
+    ) -> gateway_messages.EngineReport | None:
+        """Return an engine's report; apply what it says of its intake."""
+        departures = self._intake.departures
+        leaving = False
+
+        def observe(head: backend_connection.ResponseHead) -> None:
+            nonlocal leaving
+            pause = self._wire_format.read_pause(head)
+            self._intake.pauses.observe(backend.backend_id, pause, asked_ms)
+            leaving = self._wire_format.read_leaving(head)
+            if leaving:
+                departures.observe_answer(backend, asked_ms, "report")
+
+        report = await fetch_report(
+            self._pool, self._wire_format, backend, observe
+        )
+        if report is not None:
+            departures.observe_report(backend, report.born, leaving, asked_ms)
+        return report
+
     def _forget_old_probes(self) -> None:
         oldest_ms = self._clock.now_ms() - stalls.REPORT_INTERVAL_MS
         while self._probe_by_address:
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -298,6 +298,7 @@
             blocked_parts=update.blocked_parts,
             limits=update.limits,
             helpers=update.helpers,
+            leaving=update.leaving,
             speeds=update.speeds,
             entries=max(1, hub.entry_count()),
             uses=hub.uses_of_others(request.instance),
--- a/src/oriolejunction/platform/backend_list.py
+++ b/src/oriolejunction/platform/backend_list.py
@@ -16,6 +16,8 @@
 
 CALL_TIMEOUT_S = 1.0
 MAX_PAGES = 200
+# Any 64-bit integer; the messages between instances hold no larger one.
+MAX_BORN_MS = (1 << 63) - 1
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _log = structlog.get_logger(__name__)
 
@@ -31,6 +33,7 @@
     cold_remaining_ms: float = msgspec.field(
         name="coldRemainingMs", default=0.0
     )
+    born: object = 0
 
 
 class _Page(msgspec.Struct):
@@ -132,4 +135,14 @@
         leaving=leaving,
         cold_ms=entry.cold_remaining_ms,
         software=ids.SoftwareVersion(entry.version),
+        born=read_born(entry.born),
     )
+
+
+def read_born(value: object) -> int:
+    """Return a Unix time in whole ms, 0 if it cannot be read."""
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        return 0
+    return value if 0 < value <= MAX_BORN_MS else 0
--- a/src/oriolejunction/platform/engine_report.py
+++ b/src/oriolejunction/platform/engine_report.py
@@ -8,6 +8,7 @@
 
 from oriolejunction import gateway_messages
 from oriolejunction import ids
+from oriolejunction.platform import backend_list
 
 TARGET = "/v1/report"
 
@@ -18,6 +19,7 @@
     active: int = msgspec.field(name="activeRequests", default=0)
     # Each entry is [request id, tokens in memory, events made, priority].
     runs: list[msgspec.Raw] = []
+    born: object = 0
 
 
 _decode_report = msgspec.json.Decoder(_Report).decode
@@ -41,5 +43,7 @@
         )
     before_first_event = report.queued + report.active - len(report.runs)
     return gateway_messages.EngineReport(
-        max(0, before_first_event), run_by_request
+        max(0, before_first_event),
+        run_by_request,
+        backend_list.read_born(report.born),
     )
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -33,6 +33,8 @@
 RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 BRITTLE = b"server-brittle"
+# In all answers of a server that leaves.
+LEAVING = b"server-leaving"
 # Set by an instance that passes a request on to another.
 ATTEMPTS_LEFT = b"attempts-left"
 COPY_TO = b"kv-backup"
@@ -221,6 +223,7 @@
         rate_limit=_parse_rate_limit(head.get(RATE_LIMIT)),
         pause=read_pause(head),
         falls_over_at=_parse_int(head.get(BRITTLE)),
+        leaving=read_leaving(head),
     )
 
 
@@ -334,12 +337,18 @@
     return gateway_messages.PauseRequest(float(value) * 1e3)
 
 
+def read_leaving(head: backend_connection.ResponseHead) -> bool:
+    """Return whether any answer says that its server leaves."""
+    return (head.get(LEAVING) or b"").strip() not in (b"", b"0")
+
+
 WIRE_FORMAT = gateway_messages.WireFormat(
     read_request=read_request,
     dispatch_headers=dispatch_headers,
     read_head=read_head,
     read_event=read_event,
     read_pause=read_pause,
+    read_leaving=read_leaving,
     forward_headers=forward_headers,
     read_peer_head=read_peer_head,
     read_table=configuration_document.read_table,
--- a/tests/controllers/overload/test_server_pauses.py
+++ b/tests/controllers/overload/test_server_pauses.py
@@ -5,6 +5,7 @@
 import pytest
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import server_departures
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import server_pauses
@@ -112,7 +113,9 @@
     limits = server_limits.ServerLimits(
         clock, random.Random(1), lambda service: 1.0, lambda: True
     )
-    intake = server_intake.ServerIntake(limits, pauses)
+    intake = server_intake.ServerIntake(
+        limits, pauses, server_departures.ServerDepartures(clock)
+    )
     assert intake.expected_wait_ms([A, B], 0) == (0.0, 0.0)
     ask(pauses, clock, 4_000.0)
     assert intake.expected_wait_ms([A, B], 0) == (0.0, 0.0)
--- a/tests/controllers/test_fleet_hub.py
+++ b/tests/controllers/test_fleet_hub.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
+import pytest
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import fleet_hub
@@ -239,19 +240,51 @@
     assert first_update(hub, "n2").helpers == ()
 
 
-def test_report_is_read_by_an_older_replica_and_an_older_one_here():
-    """Load: instances and replicas of two versions during an update."""
+@pytest.mark.parametrize("newest", ["helpers", "rollout_counts", "leaving"])
+def test_report_is_read_by_an_older_replica_and_an_older_one_here(newest):
+    """Load: instances and replicas of two versions during an update.
+
+    The older version does not have the field `newest` and those after it.
+    """
     fields = msgspec.structs.fields(fm.EntryReport)
+    names = [field.name for field in fields]
+    count = names.index(newest)
     older = msgspec.defstruct(
         "OlderReport",
-        [(f.name, f.type, f.default) for f in fields[3:-1]],
+        [(f.name, f.type, f.default) for f in fields[3:count]],
         array_like=True,
     )
-    new = helper_report(1)
-    names = [field.name for field in fields[:-1]]
-    known = msgspec.msgpack.decode(msgspec.msgpack.encode(new), type=list)[
-        : len(names)
-    ]
-    assert msgspec.convert(known, fm.EntryReport).helpers == ()
+    new = msgspec.structs.replace(
+        helper_report(1), leaving=(fm.LeavingServer(ids.BackendId("e"), 1, 2),)
+    )
+    known = msgspec.msgpack.decode(msgspec.msgpack.encode(new), type=list)
+    assert getattr(msgspec.convert(known, fm.EntryReport), newest) == getattr(
+        new, newest
+    )
+    converted = msgspec.convert(known[:count], fm.EntryReport)
+    assert getattr(converted, newest) == ()
     longer = msgspec.msgpack.encode(msgspec.to_builtins(new)[3:])
     assert msgspec.msgpack.decode(longer, type=older).limits == ()
+
+
+def test_leaving_servers_outlive_the_report_and_its_instance():
+    """Fault: an instance that started again sent work to a server that left.
+
+    The other ones had not been told, or forgot it with its reports.
+    """
+    clock = clocks.ManualClock()
+    hub = fleet_hub.FleetHub(clock)
+    hub.put(report("a", 1), direct=True)
+    before = hub.change_number
+    server = fm.LeavingServer(ids.BackendId("e1"), 5, 20)
+    told = msgspec.structs.replace(report("a", 2), leaving=(server,))
+    assert hub.put(told, direct=True)
+    assert hub.change_number > before
+    # What others pass on is no news, and makes no updates.
+    passed_on = msgspec.structs.replace(told, number=3)
+    assert not hub.put(passed_on, direct=False)
+    hub.put(report("a", 1, boot="next"), direct=True)
+    clock.advance(fleet_hub.REPORT_TTL_MS + 1)
+    (left,) = first_update(hub, "a").leaving
+    assert (left.backend_id, left.born) == ("e1", 5)
+    assert left.age_ms == 20 + fleet_hub.REPORT_TTL_MS + 1
--- a/tests/http/test_report_probe.py
+++ b/tests/http/test_report_probe.py
@@ -8,10 +8,12 @@
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import server_departures
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import server_pauses
 from oriolejunction.controllers import stalls
+from oriolejunction import gateway_messages
 from oriolejunction.http import connection_pool
 from oriolejunction.http import report_probe
 from oriolejunction import ids
@@ -80,6 +82,7 @@
             clock, rng, lambda service: 1.0, lambda: True
         ),
         server_pauses.ServerPauses(clock, rng),
+        server_departures.ServerDepartures(clock),
     )
     reports = report_probe.EngineReports(clock, None, None, intake)
     ended, waiting = [
@@ -89,8 +92,9 @@
         await asyncio.sleep(0)
     ended.cancel()
     await asyncio.wait({ended})
-    probes[0].set_result("report")
-    assert (await waiting).report == "report"
+    report = gateway_messages.EngineReport(1, {})
+    probes[0].set_result(report)
+    assert (await waiting).report is report
     clock.advance(stalls.REPORT_INTERVAL_MS - 1)
     assert (await reports.read(ENGINE, 0.0)).asked_ms == 0.0
     clock.advance(1)
--- a/tests/platform/test_backend_list.py
+++ b/tests/platform/test_backend_list.py
@@ -1,5 +1,7 @@
 """The platform's list: invalid entries are skipped, others are used."""
 
+import json
+
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
@@ -87,3 +89,23 @@
     found = read(VALID_ENTRY, {**VALID_ENTRY, **change})
     assert found[0].backend_id == "i-1"
     assert len(found) <= 2
+
+
+@pytest.mark.parametrize(
+    ("value", "born"),
+    [
+        (1_700_000_000_123, 1_700_000_000_123),
+        (1.7e12, 1_700_000_000_000),
+        (None, 0),
+        ("soon", 0),
+        (-5, 0),
+        (True, 0),
+        (1 << 70, 0),
+        ({}, 0),
+    ],
+)
+def test_birth_of_a_server_is_read_where_it_can_be(value, born):
+    """Fault: a server with an unreadable birth was taken off the list."""
+    entry = json.dumps({**VALID_ENTRY, "born": value}).encode()
+    (found,) = backend_list.read_entries([msgspec.Raw(entry)])
+    assert found.born == born
--- a/tests/platform/test_engine_report.py
+++ b/tests/platform/test_engine_report.py
@@ -25,3 +25,11 @@
 @pytest.mark.parametrize("body", [b"", b"[]", b'{"runs":3}', b"\xff"])
 def test_unreadable_report_is_no_report(body):
     assert engine_report.read_report(body) is None
+
+
+@pytest.mark.parametrize(
+    ("body", "born"),
+    [(b'{"born":1700000000123}', 1_700_000_000_123), (b'{"born":"x"}', 0)],
+)
+def test_birth_of_the_engine_is_read(body, born):
+    assert engine_report.read_report(body).born == born
--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -12,7 +12,7 @@
     r"attempt-id|response-signature|not-executed|instance-load|kv-backup"
     r"|kv-from|kv-fetch|kv-move|token-counts|prompt-prefix|deadline-ms"
     r"|expected-instance|expected-version|weight-versions|x-api-key"
-    r"|instance-id:|cache-retention|pin-ms|length-hint"
+    r"|server-leaving|instance-id:|cache-retention|pin-ms|length-hint"
     r"|pathprefix|targetlatencyms|maxattempts|trafficsplit|targetgapms"
     r"|kvcachetokens|handlettls|apikeys|coldremainingms|pagetoken"
     r"|configuration\.replace|configuration\.read|/v1/report"
