--- a/src/oriolejunction/backends.py
+++ b/src/oriolejunction/backends.py
@@ -1,7 +1,5 @@
 """Backend servers as the platform lists them."""
 
-import dataclasses
-
 import msgspec
 
 from oriolejunction import ids
@@ -25,8 +23,7 @@
     born: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class BackendSnapshot:
+class BackendSnapshot(msgspec.Struct, frozen=True):
     """Listed backend servers, and when in ms the list was read."""
 
     by_id: dict[ids.BackendId, Backend]
