Resume no stream at a version that was only seen since a restart

What was seen elsewhere: all entry instances were killed while a release ran, and streams that callers took up were answered 200 with the text of the other version.

Cause: without a record, the only version in the histories was taken, also if instance and control replicas had started after the old version left. A record found without a majority counted.

Change: the only version counts if the list was read without a gap for as long as the stream may have begun.

--- a/src/oriolejunction/controllers/software_choice.py
+++ b/src/oriolejunction/controllers/software_choice.py
@@ -13,6 +13,11 @@
 from oriolejunction import ids
 from oriolejunction import states
 
+NO_VERSION = ids.SoftwareVersion("")
+# Records of a request that another instance passed on replace those of that
+# instance, which has numbered few changes of the version.
+FORWARDED_NUMBER = 1_000
+
 
 class Resumption(msgspec.Struct, frozen=True):
     """The version at which a caller's stream goes on, None if unknown."""
@@ -26,29 +31,42 @@
     own: fm.StreamOrigin | None,
     reply: fm.OriginReply | None,
     own_versions: collections.abc.Set[ids.SoftwareVersion],
+    own_covered_ms: float,
+    return_ms: float,
 ) -> Resumption:
     """Return the version at which a stream goes on that a caller takes up.
 
     `own` is this instance's record, `reply` that of the control replicas,
     None if none answered. A stream without a record may go on only if no
-    release was seen.
+    release was seen by a process that has known the list for `return_ms`, the
+    longest time since such a stream began; this instance has known it for
+    `own_covered_ms`. A record that a majority may have replaced counts only
+    if no other version was seen.
     """
+    unknown = Resumption(None, 0, states.OriginSource.UNKNOWN)
+    versions, covered_ms = set(own_versions), own_covered_ms
     if own is not None:
+        if own.ambiguous:
+            return unknown
         return Resumption(own.software, own.number, states.OriginSource.OWN)
-    versions = set(own_versions)
     if reply is not None:
-        if reply.origin is not None:
+        versions.update(reply.versions)
+        covered_ms = max(covered_ms, reply.covered_ms)
+        origin = reply.origin
+        if origin is not None:
+            is_current = reply.by_majority or versions == {origin.software}
+            if origin.ambiguous or not is_current:
+                return unknown
             return Resumption(
-                reply.origin.software,
-                reply.origin.number,
-                states.OriginSource.CONTROL,
+                origin.software, origin.number, states.OriginSource.CONTROL
             )
-        versions.update(reply.versions)
-    if len(versions) == 1:
-        return Resumption(
-            versions.pop(), 0, states.OriginSource.SINGLE_VERSION
-        )
-    return Resumption(None, 0, states.OriginSource.UNKNOWN)
+    if len(versions) != 1:
+        return unknown
+    (software,) = versions
+    # Servers that state no version are not told apart by any release.
+    if software != NO_VERSION and covered_ms < return_ms:
+        return unknown
+    return Resumption(software, 0, states.OriginSource.SINGLE_VERSION)
 
 
 class RecordedSoftware:
@@ -58,9 +76,9 @@
     a caller that comes back must find the version of the first event.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_number: int = 0) -> None:
         self.software: ids.SoftwareVersion | None = None
-        self._number = 0
+        self._number = first_number
         self._may_change = True
 
     def preferences(
--- a/src/oriolejunction/controllers/software_history.py
+++ b/src/oriolejunction/controllers/software_history.py
@@ -6,12 +6,16 @@
 """
 
 import collections.abc
+import math
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import origin_retention
 from oriolejunction import ids
 
+# A list that was not read for longer may have named a version meanwhile. The
+# platform keeps each server on it for longer.
+MAX_GAP_MS = 5_000.0
 _ServiceVersion = tuple[ids.ServiceName, ids.SoftwareVersion]
 
 
@@ -27,12 +31,22 @@
         self._retention = retention
         self._listed: set[_ServiceVersion] = set()
         self._seen_at_ms: dict[_ServiceVersion, float] = {}
+        # Since when the list was read without a gap, and its last read.
+        self._covered_since_ms: float | None = None
+        self._read_at_ms = 0.0
 
     def observe(
-        self, listed: collections.abc.Iterable[backends.Backend]
+        self,
+        listed: collections.abc.Iterable[backends.Backend],
+        read_at_ms: float,
     ) -> None:
-        """Take note of the current list of backend servers."""
+        """Take note of the list of backend servers read at `read_at_ms`."""
         now_ms = self._clock.now_ms()
+        if math.isfinite(read_at_ms):
+            gap_ms = read_at_ms - self._read_at_ms
+            if self._covered_since_ms is None or gap_ms > MAX_GAP_MS:
+                self._covered_since_ms = read_at_ms
+            self._read_at_ms = max(self._read_at_ms, read_at_ms)
         for each in self._listed:
             self._seen_at_ms[each] = now_ms
         self._listed = {(each.service, each.software) for each in listed}
@@ -43,6 +57,17 @@
             if now_ms - seen_ms <= kept_ms
         }
 
+    @property
+    def covered_ms(self) -> float:
+        """Return for how long all versions on the list are known."""
+        now_ms = self._clock.now_ms()
+        if (
+            self._covered_since_ms is None
+            or now_ms - self._read_at_ms > MAX_GAP_MS
+        ):
+            return 0.0
+        return now_ms - self._covered_since_ms
+
     def versions(
         self, service: ids.ServiceName
     ) -> frozenset[ids.SoftwareVersion]:
--- a/src/oriolejunction/controllers/stream_origins.py
+++ b/src/oriolejunction/controllers/stream_origins.py
@@ -28,6 +28,7 @@
 class _Record(msgspec.Struct, frozen=True, gc=False):
     software: ids.SoftwareVersion
     number: int
+    ambiguous: bool = False
 
 
 class OriginTable:
@@ -56,19 +57,24 @@
         """Record or renew an origin; return whether other replicas need it.
 
         They don't if the same origin was recorded a short time ago. One with
-        a lower number than that recorded is ignored.
+        a lower number than that recorded is ignored. Two versions under the
+        same number come from two instances; which of them began the answer is
+        not known.
         """
         request_id = origin.request_id
         previous = self.get(request_id)
         if previous is not None and origin.number < previous.number:
             return False
+        if previous is not None and _is_conflict(previous, origin):
+            origin = msgspec.structs.replace(origin, ambiguous=True)
         records, others = self._begun, self._ended
         if origin.ended:
             records, others = others, records
         others.remove(request_id)
         # Each message that is read has a text of its own.
         software = ids.SoftwareVersion(sys.intern(origin.software))
-        renewed = records.put(request_id, _Record(software, origin.number))
+        record = _Record(software, origin.number, origin.ambiguous)
+        renewed = records.put(request_id, record)
         self._drop_excess()
         return renewed or origin != previous
 
@@ -82,9 +88,15 @@
                     record.software,
                     record.number,
                     records is self._ended,
+                    record.ambiguous,
                 )
         return None
 
+    def remove(self, request_id: ids.RequestId) -> None:
+        """Remove the origin of a stream that has no event."""
+        self._begun.remove(request_id)
+        self._ended.remove(request_id)
+
     def all(self) -> tuple[fm.StreamOrigin, ...]:
         """Return all origins that have not expired."""
         return tuple(
@@ -93,6 +105,7 @@
                 record.software,
                 record.number,
                 records is self._ended,
+                record.ambiguous,
             )
             for records in (self._begun, self._ended)
             for request_id, record in records.items()
@@ -108,6 +121,12 @@
         self._drops.flush(max_bytes=MAX_BYTES)
 
 
+def _is_conflict(one: fm.StreamOrigin, other: fm.StreamOrigin) -> bool:
+    return one.number == other.number and (
+        one.software != other.software or one.ambiguous or other.ambiguous
+    )
+
+
 class OriginHub:
     """The origins and software versions that one control replica knows."""
 
@@ -140,6 +159,7 @@
         return fm.OriginReply(
             self._table.get(request_id),
             tuple(sorted(self.history.versions(service))),
+            covered_ms=self.history.covered_ms,
         )
 
 
@@ -148,12 +168,17 @@
 ) -> fm.OriginReply:
     """Return the newest origin and all versions of some replies."""
     replies = tuple(replies)
+    newest: fm.StreamOrigin | None = None
+    for each in replies:
+        if each.origin is None:
+            continue
+        if newest is None or each.origin.number > newest.number:
+            newest = each.origin
+        elif _is_conflict(newest, each.origin):
+            newest = msgspec.structs.replace(newest, ambiguous=True)
     return fm.OriginReply(
-        max(
-            (each.origin for each in replies if each.origin is not None),
-            key=lambda origin: origin.number,
-            default=None,
-        ),
+        newest,
         tuple(sorted({v for each in replies for v in each.versions})),
         any(each.by_majority for each in replies),
+        max((each.covered_ms for each in replies), default=0.0),
     )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -159,13 +159,16 @@
 
     `request_id` is that of the caller's request that begins the stream;
     `number` rises when its version changes before the first event. `ended`
-    is set once the caller was sent the whole answer.
+    is set once the caller was sent the whole answer. `ambiguous` means that
+    another version was recorded under the same number, so that the version
+    of the events is not known.
     """
 
     request_id: ids.RequestId
     software: ids.SoftwareVersion
     number: int
     ended: bool = False
+    ambiguous: bool = False
 
 
 class ListingSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -231,12 +234,14 @@
     """The origin, if known, and the software versions seen lately.
 
     `by_majority` means that a majority of the control replicas was asked, so
-    that the origin is the newest confirmed one.
+    that the origin is the newest confirmed one. `covered_ms` is the time for
+    which the versions are complete.
     """
 
     origin: StreamOrigin | None = None
     versions: tuple[ids.SoftwareVersion, ...] = ()
     by_majority: bool = False
+    covered_ms: float = 0.0
 
 
 class WatchRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -69,7 +69,9 @@
     pool = connection_pool.ConnectionPool(clock, reached.record_connection)
     origins = origin_client.OriginClient(clock)
     blackboard.backends.changes().subscribe(
-        lambda snapshot: origins.history.observe(snapshot.by_id.values())
+        lambda snapshot: origins.history.observe(
+            snapshot.by_id.values(), snapshot.read_at_ms
+        )
     )
     blackboard.fleet.changes().subscribe(
         lambda fleet: guard.update_reported(
--- a/src/oriolejunction/http/stream_software.py
+++ b/src/oriolejunction/http/stream_software.py
@@ -27,10 +27,13 @@
         self._deps = deps
         self._admitted = admitted
         self._answer = answer
-        self._recorded = software_choice.RecordedSoftware()
+        self._recorded = software_choice.RecordedSoftware(
+            software_choice.FORWARDED_NUMBER if admitted.from_peer else 0
+        )
         request = admitted.request
         resumed_id = request.resumes if request.last_event else None
         self.origin_id = resumed_id or request.request_id
+        self._run = (self, self.origin_id)
 
     async def resume(self) -> None:
         """Fix the version of a stream that its caller takes up again.
@@ -47,7 +50,11 @@
         if own is None:
             reply = await origins.lookup(self.origin_id, service)
         resumption = software_choice.choose_for_resumption(
-            own, reply, origins.history.versions(service)
+            own,
+            reply,
+            origins.history.versions(service),
+            origins.history.covered_ms,
+            origins.retention.kept_ms,
         )
         software = resumption.software
         listed = any(
@@ -61,21 +68,36 @@
             software=software,
             source=resumption.source.value,
             control_answered=reply is not None,
+            by_majority=reply is not None and reply.by_majority,
+            versions=sorted(origins.history.versions(service)),
+            told_versions=reply and reply.versions,
+            covered_ms=round(origins.history.covered_ms),
+            told_covered_ms=reply and round(reply.covered_ms),
             allowed=software is not None and listed,
         )
         if software is None:
             raise self._not_run("the stream's software version is not known")
-        if self._is_recordable:
-            origins.record(
-                fm.StreamOrigin(self.origin_id, software, resumption.number),
-                run=self,
-            )
+        self._record_resumed(software, resumption.number)
         if not listed:
             raise self._not_run(
                 f"no engine of software version {software!r} is listed"
             )
         self._answer.software = software
 
+    def _record_resumed(
+        self, software: ids.SoftwareVersion, number: int
+    ) -> None:
+        """Record the stream, also under the id of the request at hand.
+
+        A caller may name that one when it takes the stream up once more.
+        """
+        for request_id in (self.origin_id, self._admitted.request.request_id):
+            if self._is_recordable(request_id):
+                self._deps.origins.record(
+                    fm.StreamOrigin(request_id, software, number),
+                    run=(self, request_id),
+                )
+
     @property
     def excludes_engines(self) -> bool:
         """Return whether engines of other versions are listed."""
@@ -98,16 +120,16 @@
         if (
             self._answer.software is not None
             or software == self._recorded.software
-            or not self._is_recordable
+            or not self._is_recordable(self.origin_id)
         ):
             return True
         origins = self._deps.origins
         origin = self._recorded.next_origin(self.origin_id, software)
         if not self._recorded.is_change(software):
             self._recorded.software = software
-            origins.record(origin, run=self)
+            origins.record(origin, run=self._run)
             return True
-        is_confirmed = await origins.confirm(origin, run=self)
+        is_confirmed = await origins.confirm(origin, run=self._run)
         gateway_common.log_decision(
             self._admitted,
             "software version changes",
@@ -124,19 +146,20 @@
             self._recorded.next_origin(
                 self.origin_id, self._recorded.software
             ),
-            run=self,
+            run=self._run,
         )
         return False
 
     def end(self, is_complete: bool) -> None:
         """Renew the record no more, once the stream runs here no more."""
-        self._deps.origins.end(self, is_complete)
+        has_events = self._answer.last_event > 0
+        for request_id in (self.origin_id, self._admitted.request.request_id):
+            self._deps.origins.end((self, request_id), is_complete, has_events)
 
-    @property
-    def _is_recordable(self) -> bool:
+    def _is_recordable(self, request_id: ids.RequestId) -> bool:
         return (
             self._admitted.route.resumable
-            and 0 < len(self.origin_id) <= MAX_ID_LENGTH
+            and 0 < len(request_id) <= MAX_ID_LENGTH
         )
 
     def _not_run(self, message: str) -> errors.Failure:
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -117,7 +117,10 @@
             relay.has_updates.set()
 
     def _observe_software(self) -> None:
-        self._deps.origins.history.observe(self._deps.listing.backends)
+        listing = self._deps.listing
+        self._deps.origins.history.observe(
+            listing.backends, listing.read_at_ms
+        )
 
     def _on_applied(self) -> None:
         self._follow_table()
--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -73,13 +73,24 @@
         self._put(origin, run)
         self._send_soon(origin)
 
-    def end(self, run: collections.abc.Hashable, is_complete: bool) -> None:
+    def end(
+        self,
+        run: collections.abc.Hashable,
+        is_complete: bool,
+        has_events: bool = True,
+    ) -> None:
         """Renew a run's record no more.
 
-        If its answer is complete, the control replicas are told.
+        If its answer is complete, the control replicas are told. Without
+        events, another instance may begin the answer at another version.
         """
         origin, _ = self._timed_origin_by_run.pop(run, (None, 0.0))
-        if origin is not None and is_complete:
+        if origin is None:
+            return
+        if not has_events:
+            self._own.remove(origin.request_id)
+            self._unsent.discard(origin.request_id)
+        elif is_complete:
             ended = msgspec.structs.replace(origin, ended=True)
             self._own.put(ended)
             self._send_soon(ended)
--- a/tests/controllers/test_stream_origins.py
+++ b/tests/controllers/test_stream_origins.py
@@ -41,6 +41,37 @@
     assert not table.put(origin(4))
 
 
+@given(st.permutations(range(3)), st.booleans())
+def test_two_versions_under_one_number_are_ambiguous(order, ended):
+    """Fault: whichever record was relayed last decided the version.
+
+    An instance passed a request on that it had recorded at another version.
+    """
+    table = new_table(clocks.ManualClock())
+    records = (
+        fm.StreamOrigin("a1", "v1", 1),
+        fm.StreamOrigin("a1", "v2", 1, ended),
+        fm.StreamOrigin("a1", "v1", 1),
+    )
+    for index in order:
+        table.put(records[index])
+    assert table.get("a1").ambiguous
+    table.put(fm.StreamOrigin("a1", "v2", 2))
+    assert table.get("a1") == fm.StreamOrigin("a1", "v2", 2)
+
+
+def test_replies_with_two_versions_under_one_number_are_ambiguous():
+    replies = [
+        fm.OriginReply(fm.StreamOrigin("a1", software, number))
+        for software, number in (("v1", 1), ("v2", 1), ("v1", 0))
+    ]
+    assert stream_origins.join_replies(replies).origin.ambiguous
+    newer = fm.OriginReply(fm.StreamOrigin("a1", "v2", 2))
+    assert (
+        stream_origins.join_replies([*replies, newer]).origin == newer.origin
+    )
+
+
 def test_origins_expire_one_by_one():
     """Records of streams that are over stay, or those that run expire."""
     clock = clocks.ManualClock()
