--- a/tests/controllers/test_fleet_hub.py
+++ b/tests/controllers/test_fleet_hub.py
@@ -9,6 +9,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import fleet_hub
+from oriolejunction.controllers import tracked_sums
 from oriolejunction import fleet_messages as fm
 from oriolejunction import fleet_view
 from oriolejunction import ids
@@ -129,14 +130,14 @@
 
 def test_idle_backends_are_dropped_once_there_are_too_many():
     hub = fleet_hub.FleetHub(clocks.ManualClock())
-    for number in range(3 * fleet_hub.MAX_IDLE_BACKENDS):
+    for number in range(3 * tracked_sums.MAX_IDLE_BACKENDS):
         load = fm.BackendLoad(ids.BackendId(f"e{number}"), 1, 1, 1)
         hub.put(
             fm.EntryReport(ids.InstanceId("a"), "b", number, (load,)), True
         )
     update = hub.update_for(ids.InstanceId("x"), 1)
     assert update.complete
-    assert len(update.loads) <= fleet_hub.MAX_IDLE_BACKENDS + 1
+    assert len(update.loads) <= tracked_sums.MAX_IDLE_BACKENDS + 1
 
 
 def test_only_direct_reports_are_forwarded():
