Take no late copy of an answer for another request's

What was seen elsewhere: a server sent a second copy of an answer, and the next caller got it.

Cause here: callers got only answers with the id of their request, but a refusal counted without a look at its id, so that a call that ran could be sent again; answers of other instances were not matched; reports name no request, and any answer reads as a report without runs. A copy that had arrived unread lost the next call.

Change: a refusal of another request is no proof; peers' answers must match; reports and forwarded requests get connections of their own; the pool polls a connection for unread bytes before it is used again.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import collections.abc
+import select
 import socket
 
 import h11
@@ -130,6 +131,19 @@
         """Return whether a request may be sent on this connection now."""
         return self._failure_reason is None and not self._busy
 
+    def has_bytes_to_read(self) -> bool:
+        """Return whether bytes, or the end, arrived and were not read yet.
+
+        A server may send a second copy of an answer. What arrived before the
+        next request is sent does not answer it.
+        """
+        sock = self._transport and self._transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send(
         self,
         method: str,
--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -50,7 +50,10 @@
             limit_ms = min(connection.idle_limit_ms, max_idle_ms)
             if not connection.usable:
                 continue
-            if now_ms - connection.idle_since_ms < limit_ms:
+            if (
+                now_ms - connection.idle_since_ms < limit_ms
+                and not connection.has_bytes_to_read()
+            ):
                 return connection
             connection.close()
         return await self.connect(address, timeout_ms, tries)
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -22,7 +22,6 @@
 
 CONNECT_TIMEOUT_MS = 60.0
 CONNECT_TRIES = 2
-MAX_IDLE_MS = 2_000.0
 MAX_HELPERS = 3
 # The helper answers by the deadline itself.
 ANSWER_MARGIN_MS = 100.0
@@ -84,8 +83,8 @@
             pass
         finally:
             if answer is not None:
-                # One in use is closed, which ends the work.
-                self._deps.peer_pool.release(answer.connection)
+                # This ends the work, unless the answer is complete.
+                answer.connection.close()
         if begun is not None:
             return self._break_off(begun)
         if (
@@ -118,8 +117,10 @@
         connection = answer = None
         why = "refused"
         try:
-            connection = await deps.peer_pool.acquire(
-                address, CONNECT_TIMEOUT_MS, CONNECT_TRIES, MAX_IDLE_MS
+            # A helper's own refusal names no request, so that a late copy of
+            # one on a connection in use would say that this did not run.
+            connection = await deps.peer_pool.connect(
+                address, CONNECT_TIMEOUT_MS, CONNECT_TRIES
             )
             connection.send(
                 request.method,
@@ -153,6 +154,8 @@
                 self._possibly_run -= 1
                 self._refusal = (head, body)
                 return None
+            if head.signed or head.success:
+                engine_answers.require_matching_answer(head)
             answer = _PeerAnswer(connection, head, is_stream, body)
             return answer
         except backend_connection.RequestNotSent as error:
@@ -169,7 +172,7 @@
                     possibly_run=self._possibly_run,
                 )
                 if connection is not None:
-                    deps.peer_pool.release(connection)
+                    connection.close()
         return None
 
     async def _pass_on(
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -17,7 +17,6 @@
 REPORT_TIMEOUT_MS = 200.0
 CONNECT_TIMEOUT_MS = 60.0
 CONNECT_TRIES = 2
-MAX_CONNECTION_IDLE_MS = 1_000.0
 SUCCESS_STATUS = 200
 _log = structlog.get_logger(__name__)
 
@@ -130,11 +129,10 @@
     connection = None
     try:
         async with asyncio.timeout(REPORT_TIMEOUT_MS / 1e3):
-            connection = await pool.acquire(
-                backend.address,
-                CONNECT_TIMEOUT_MS,
-                CONNECT_TRIES,
-                MAX_CONNECTION_IDLE_MS,
+            # A report names no request, so that a late copy of an answer on
+            # a connection in use could be taken for it.
+            connection = await pool.connect(
+                backend.address, CONNECT_TIMEOUT_MS, CONNECT_TRIES
             )
             connection.send(
                 "GET",
@@ -158,7 +156,7 @@
         return None
     finally:
         if connection is not None:
-            pool.release(connection)
+            connection.close()
     if head.status != SUCCESS_STATUS:
         return None
     return wire_format.read_report(body)
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -205,7 +205,12 @@
     head: backend_connection.ResponseHead,
     request: gateway_messages.CallerRequest,
 ) -> gateway_messages.AnswerHead:
-    """Return the decoded status line and headers of an engine."""
+    """Return the decoded status line and headers of an engine.
+
+    A refusal of another request does not say that this one has not run.
+    """
+    echo = head.get(REQUEST_ID)
+    echoes_request_id = echo == request.request_id.encode("latin-1")
     return gateway_messages.AnswerHead(
         status=head.status,
         headers=tuple(
@@ -215,10 +220,12 @@
             # It is for this instance; other servers may take the request.
             and (name != RETRY_AFTER or head.status != _UNAVAILABLE_STATUS)
         ),
-        echoes_request_id=head.get(REQUEST_ID) == request.request_id.encode(),
+        echoes_request_id=echoes_request_id,
         signed=head.get(SIGNATURE) is not None,
-        not_run=head.get(NOT_RUN) is not None
-        or head.status in _NOT_RUN_STATUSES,
+        not_run=(
+            head.get(NOT_RUN) is not None or head.status in _NOT_RUN_STATUSES
+        )
+        and (echo is None or echoes_request_id),
         load=_parse_load(head.get(LOAD)),
         weights_version=_parse_int(head.get(WEIGHTS_VERSION)),
         rate_limit=_parse_rate_limit(head.get(RATE_LIMIT)),
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -184,6 +184,51 @@
             await asyncio.sleep(0.05)
 
 
+async def test_copy_that_arrived_before_the_next_request_loses_nothing():
+    """Fault: the next call was lost, though the copy had arrived before it.
+
+    The process had no time to read it.
+    """
+
+    async def behave(arrival):
+        arrival.answer(b"answer of " + arrival.headers["attempt-id"].encode())
+
+    async with gateway_rig.running(desk=[behave]) as rig:
+        assert (await read(rig.ask("/order/1", "a1")))[0] == 200
+        (server,) = rig.engines_by_service[gateway_rig.DESK]
+        acquire = rig.deps.pool.acquire
+
+        async def acquire_after_copy(*limits):
+            if len(server.arrivals) == 1:
+                server.arrivals[0].answer(b"late copy")
+            return await acquire(*limits)
+
+        rig.deps.pool.acquire = acquire_after_copy
+        status, body = await read(rig.ask("/order/1", "a2"))
+        assert (status, body) == (200, b"answer of a2")
+
+
+async def test_refusal_of_another_request_is_no_proof_for_this_one():
+    """Fault: a call that ran was sent again.
+
+    A copy of a refusal of the request before arrived in its place.
+    """
+
+    async def refuse_another(arrival):
+        arrival.headers["attempt-id"] = "another"
+        arrival.writer.write(
+            arrival.head(
+                "503 Full", b"Not-Executed: 1\r\nContent-Length: 0\r\n"
+            )
+        )
+
+    async with gateway_rig.running(desk=[refuse_another] * 2) as rig:
+        status, _ = await read(rig.ask("/order/1", "a1"))
+        servers = rig.engines_by_service[gateway_rig.DESK]
+        assert status == 502
+        assert sum(len(each.arrivals) for each in servers) == 1
+
+
 async def test_answer_without_length_is_complete_only_after_a_clean_end():
     async def unframed(arrival):
         arrival.writer.write(arrival.head() + b"to the end")
--- a/tests/http/test_peer_forwarding.py
+++ b/tests/http/test_peer_forwarding.py
@@ -164,11 +164,48 @@
 
 async def test_connection_to_a_helper_detects_its_silence(new_helpers):
     helpers = await new_helpers(calls.answer)
+    pool = helpers.rig.deps.peer_pool
+    connect, options = pool.connect, []
+
+    async def connect_and_look(*limits):
+        connection = await connect(*limits)
+        sock = connection._transport.get_extra_info("socket")
+        options.append(
+            (
+                sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+            )
+        )
+        return connection
+
+    pool.connect = connect_and_look
     await calls.read(helpers.rig.ask("/order/1"))
-    (idle,) = helpers.rig.deps.peer_pool._idle_by_address.values()
-    sock = idle[0]._transport.get_extra_info("socket")
-    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
-    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+    assert options == [(1, 1)]
+
+
+async def test_late_copy_of_a_refusal_refuses_no_other_request(new_helpers):
+    """Fault: a helper was asked again although the first one ran it.
+
+    A second copy of a refusal arrived after the next request was sent.
+    """
+    helpers = await new_helpers(refuse(NOT_READY))
+    for request_id in ("a1", "a2"):
+        async with helpers.rig.ask("/order/1", request_id) as response:
+            assert response.status == 503
+    first, second = helpers.arrivals
+    assert first.writer is not second.writer
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/order/1", "/brief/1"])
+async def test_answer_to_another_request_is_not_passed_on(new_helpers, path):
+    async def answer_another(arrival):
+        arrival.headers["attempt-id"] = "another"
+        arrival.answer(b"of another")
+
+    helpers = await new_helpers(answer_another)
+    async with helpers.rig.ask(path) as response:
+        assert response.status == 502
+        assert b"of another" not in await response.read()
 
 
 async def test_lookup_is_served_by_the_next_helper(new_helpers):
