Tell callers only what is proved after a lost answer

What was seen elsewhere: work that had run was run again after a lost answer, or its caller was told that it had not run.

After one server was lost, the 503 of the next one reached the caller, which means that nothing has run.

Change: an answer with the request's id is never a refusal; a failure that says not run is passed on only if no other server may have run it.

--- a/src/oriolejunction/http/engine_answers.py
+++ b/src/oriolejunction/http/engine_answers.py
@@ -6,6 +6,9 @@
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
 
+# With these, callers are told that the request has not run and never will.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 def require_matching_answer(head: gateway_messages.AnswerHead) -> None:
     """Raise `ConnectionBroken` for an answer to another request."""
@@ -15,6 +18,17 @@
         )
 
 
+def says_not_run_wrongly(
+    head: gateway_messages.AnswerHead, possibly_run: int
+) -> bool:
+    """Return whether a failure tells a caller that nothing has run.
+
+    Its server speaks for itself; of `possibly_run` servers, others may have
+    run the request.
+    """
+    return head.status in _NOT_RUN_STATUSES and possibly_run > 1
+
+
 def answer_headers(
     head: gateway_messages.AnswerHead,
 ) -> multidict.CIMultiDict[str]:
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -80,6 +80,10 @@
         finally:
             for task in tasks:
                 task.cancel()
+        if answer is not None and engine_answers.says_not_run_wrongly(
+            answer.head, self._attempts.possibly_run
+        ):
+            return self._give_up()
         if answer is None:
             if self._attempts.may_forward():
                 raise attempt_errors.InstanceIsolated(
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -391,7 +391,12 @@
             if transport is not None:
                 transport.close()
             return self._response
-        if self._engine_failure is not None:
+        if (
+            self._engine_failure is not None
+            and not engine_answers.says_not_run_wrongly(
+                self._engine_failure[0], self._attempts.possibly_run
+            )
+        ):
             return engine_answers.relayed_response(*self._engine_failure)
         raise errors.Failure(
             self._attempts.final_error("no engine could answer in time")
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -25,7 +25,8 @@
 MAX_HELPERS = 3
 # The helper answers by the deadline itself.
 ANSWER_MARGIN_MS = 100.0
-# With these an instance promises that the request has not run. It may hold
+# With these an instance promises that the request has not run, unless it
+# passes on a server's answer, which repeats the id of the request. It may hold
 # an older routing table than this one.
 _NOT_RUN_STATUSES = frozenset((401, 403, 404, 503))
 _FINAL_CODES = frozenset((errors.NoCapacity.code,))
@@ -150,11 +151,12 @@
                     body = await backend_connection.read_body(
                         connection.read_chunk
                     )
-            if not head.signed and head.status in _NOT_RUN_STATUSES:
+            is_own = not head.signed and not head.echoes_request_id
+            if is_own and head.status in _NOT_RUN_STATUSES:
                 self._possibly_run -= 1
                 self._refusal = (head, body)
                 return None
-            if head.signed or head.success:
+            if not is_own or head.success:
                 engine_answers.require_matching_answer(head)
             answer = _PeerAnswer(connection, head, is_stream, body)
             return answer
@@ -188,6 +190,12 @@
         if not answer.is_stream:
             if begun is not None:
                 return self._break_off(begun)
+            if engine_answers.says_not_run_wrongly(
+                answer.head, self._possibly_run
+            ):
+                raise errors.Failure(
+                    self._final_error("another server may have run it")
+                )
             return engine_answers.relayed_response(answer.head, answer.body)
         response = begun
         if response is None:
--- a/tests/http/test_gateway_call.py
+++ b/tests/http/test_gateway_call.py
@@ -229,6 +229,29 @@
         assert sum(len(each.arrivals) for each in servers) == 1
 
 
+@pytest.mark.parametrize(
+    ("path", "kind"), [("/look/1", "desk"), ("/brief/1", "llm")]
+)
+async def test_failure_does_not_say_not_run_for_a_server_that_may_have(
+    path, kind
+):
+    """Fault: the caller was told 503 although a lost server had run it."""
+
+    async def lose(arrival):
+        servers = rig.engines_by_service[
+            gateway_rig.DESK if kind == "desk" else gateway_rig.LLM
+        ]
+        if sum(len(each.arrivals) for each in servers) == 1:
+            arrival.reset()
+        else:
+            arrival.answer(b"no", "503 Busy")
+
+    async with gateway_rig.running(**{kind: [lose] * 2}) as rig:
+        status, _ = await read(rig.ask(path))
+        assert runs(rig) == 2 or kind == "llm"
+        assert status == 502
+
+
 async def test_answer_without_length_is_complete_only_after_a_clean_end():
     async def unframed(arrival):
         arrival.writer.write(arrival.head() + b"to the end")
--- a/tests/http/test_peer_forwarding.py
+++ b/tests/http/test_peer_forwarding.py
@@ -196,6 +196,25 @@
     assert first.writer is not second.writer
 
 
+async def test_answer_of_a_server_is_no_refusal_of_its_helper(new_helpers):
+    """Fault: an order went to a second server after the first one's answer.
+
+    The server's failure had the status of an instance's refusal.
+    """
+
+    async def fail_unsigned(arrival):
+        arrival.writer.write(
+            b"HTTP/1.1 503 Broken\r\nAttempt-Id: %s\r\n"
+            b"Content-Length: 0\r\n\r\n"
+            % arrival.headers["attempt-id"].encode()
+        )
+
+    helpers = await new_helpers(fail_unsigned, fail_unsigned)
+    async with helpers.rig.ask("/order/1") as response:
+        assert response.status == 503
+    assert len(helpers.arrivals) == 1
+
+
 @pytest.mark.parametrize("path", ["/look/1", "/order/1", "/brief/1"])
 async def test_answer_to_another_request_is_not_passed_on(new_helpers, path):
     async def answer_another(arrival):
