Answer requests that wait unread when an instance stops

What was seen elsewhere: requests that had just been accepted were cut off without an answer during a planned stop under load.

Cause here: once the load balancer had its time, the instance closed its listener with what waited in the backlog, and every connection without a running handler, though a request waited there to be read or to begin. SIGHUP ended a process that had not set its handler yet.

Change: unused_connections accepts what waits, gives requests the turns of the event loop that they need, and closes only connections without bytes to read. SIGHUP is ignored until the handler is set.

--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -184,10 +184,8 @@
 
     async def _stop_accepting(self) -> None:
         """Stop listening, so that callers reconnect to other instances."""
-        await self._caller_site.stop()
-        await self._peer_site.stop()
-        self._gateway.close_idle()
-        self._peer_gateway.close_idle()
+        await self._gateway.stop_accepting(self._caller_site)
+        await self._peer_gateway.stop_accepting(self._peer_site)
 
     def _on_reachability(self) -> None:
         """Let go of what was believed of servers before links were lost."""
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -18,6 +18,7 @@
 from oriolejunction.http import peer_forwarding
 from oriolejunction.http import replies
 from oriolejunction.http import stop_limit
+from oriolejunction.http import unused_connections
 from oriolejunction import ids
 from oriolejunction import routing_table
 from oriolejunction import states
@@ -90,15 +91,20 @@
         )
         return web.ServerRunner(self._server, shutdown_timeout=0.1)
 
-    def close_idle(self) -> None:
-        """Close idle connections now, busy ones after their answer."""
+    async def stop_accepting(self, site: web.BaseSite) -> None:
+        """Close a listener and idle connections, and cut off no request.
+
+        Busy connections are closed after their answer.
+        """
+        await unused_connections.stop_listening(site)
         self._is_closing = True
-        for connection in self._server.connections if self._server else ():
-            request = self._request_by_connection.get(connection)
-            if request is None:
-                connection.force_close()
-            else:
-                _close_after_answer(request)
+        for request in self._request_by_connection.values():
+            _close_after_answer(request)
+        await unused_connections.close_unused(self._idle_connections)
+
+    def _idle_connections(self) -> list[web.RequestHandler]:
+        busy = self._request_by_connection
+        return [each for each in self._server.connections if each not in busy]
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         transport = request.transport
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -59,6 +59,8 @@
     boot: str | None,
 ) -> None:
     """Load the modules of a role and run its node."""
+    # Its default action ends the process. The settings are read later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = _settings_path(boot)
     # Read before gRPC starts its threads.
     source_digest.running_sources()
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -304,6 +304,12 @@
                 await engine.close()
 
 
+async def stop_accepting(rig: Rig) -> None:
+    """Stop the gateway as an instance that leaves does."""
+    (site,) = rig.runner.sites
+    await rig.gateway.stop_accepting(site)
+
+
 @contextlib.asynccontextmanager
 async def running(llm=(), desk=(), in_force=None, budget=BUDGET):
     """Run a gateway in front of engines with the given behaviours."""
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -1,11 +1,14 @@
 """Settings of a node: addresses, voter target and refused values."""
 
 import json
+import signal
 
 import pytest
 
 from oriolejunction import errors
+from oriolejunction import node
 from oriolejunction import node_settings
+from oriolejunction import settings as instance_settings
 
 ENTRY = {
     "instance_id": "frontend-fukuoka-1",
@@ -68,3 +71,16 @@
 def test_missing_file_is_refused(tmp_path):
     with pytest.raises(errors.Failure):
         node_settings.load(tmp_path / "none", node_settings.EntrySettings)
+
+
+def test_hangup_before_the_settings_are_read_ends_no_node(monkeypatch):
+    """Fault: SIGHUP ended a process that had not begun to handle it."""
+    variable = instance_settings.ENVIRONMENT_PREFIX + "BOOT"
+    monkeypatch.delenv(variable, raising=False)
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        with pytest.raises(errors.Failure):
+            node.Commands().entry()
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
