Count only new events as progress of a stream

What was seen elsewhere: stalled streams that sent something now and then never ended, and slow but healthy ones were cut off.

Moved the record of a prefill to stream_plan.

--- a/src/oriolejunction/http/engine_answers.py
+++ b/src/oriolejunction/http/engine_answers.py
@@ -18,15 +18,13 @@
         )
 
 
-def says_not_run_wrongly(
-    head: gateway_messages.AnswerHead, possibly_run: int
-) -> bool:
-    """Return whether a failure tells a caller that nothing has run.
+def may_relay(head: gateway_messages.AnswerHead, possibly_run: int) -> bool:
+    """Return whether a failure is true for the caller.
 
-    Its server speaks for itself; of `possibly_run` servers, others may have
-    run the request.
+    A server that says that nothing has run speaks for itself; of
+    `possibly_run` servers, others may have run the request.
     """
-    return head.status in _NOT_RUN_STATUSES and possibly_run > 1
+    return head.status not in _NOT_RUN_STATUSES or possibly_run <= 1
 
 
 def answer_headers(
--- a/src/oriolejunction/http/event_reader.py
+++ b/src/oriolejunction/http/event_reader.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction.controllers import event_answer
 from oriolejunction import gateway_messages
 from oriolejunction.http import backend_connection
 
@@ -11,7 +12,11 @@
 
 
 class EventReader:
-    """Splits one answer into events; blocks without a number are dropped."""
+    """Splits one answer into events.
+
+    Blocks without a number are dropped, and so are events that the caller
+    has: an engine that sends only these makes no progress.
+    """
 
     def __init__(
         self,
@@ -21,7 +26,9 @@
         read_event: collections.abc.Callable[
             [bytes], gateway_messages.NumberedEvent | None
         ],
+        answer: event_answer.EventAnswer,
     ) -> None:
+        self._answer = answer
         self._read_chunk = read_chunk
         self._read_event = read_event
         self._incomplete = bytearray()
@@ -42,6 +49,7 @@
                 event
                 for block in self._split(chunk)
                 if (event := self._read_event(block)) is not None
+                and event.number > self._answer.last_event
             ]
             if events:
                 self._bytes_without_event = 0
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -80,7 +80,7 @@
         finally:
             for task in tasks:
                 task.cancel()
-        if answer is not None and engine_answers.says_not_run_wrongly(
+        if answer is not None and not engine_answers.may_relay(
             answer.head, self._attempts.possibly_run
         ):
             return self._give_up()
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -225,8 +225,9 @@
         if refusal is not None:
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
+        read_event = self._deps.wire_format.read_event
         events = event_reader.EventReader(
-            connection.read_chunk, self._deps.wire_format.read_event
+            connection.read_chunk, read_event, self._answer
         )
         while True:
             received = await reader.read(events.read, limits)
@@ -237,8 +238,8 @@
                 # Engines begin the KV cache copy at the first event, not
                 # during the prefill.
                 self._planner.last_copy_backend = plan.copy_backend
-                self._record_first_event(plan, now_ms - sent_ms)
-            else:
+                stream_plan.record_prefill(self._deps, plan, now_ms - sent_ms)
+            elif not timing.was_blocked:
                 self._deps.speeds.add_gap(
                     plan.backend.backend_id, now_ms - timing.last_ms
                 )
@@ -249,6 +250,7 @@
             # Without an event, the caller can still get another answer.
             await self._send_head(head)
             await self._deliver(attempt, received)
+            timing.record_delivery(clock.now_ms())
             limits = next_event_limits
         if events.is_within_event:
             raise backend_connection.ConnectionBroken(
@@ -277,15 +279,6 @@
         )
         return states.StreamAttemptEnd.COMPLETE
 
-    def _record_first_event(
-        self, plan: stream_plan.StreamPlan, took_ms: float
-    ) -> None:
-        self._deps.own_loads.mark_prefilled(plan.load_key)
-        if plan.has_idle_engine and plan.copy_source is None:
-            self._deps.speeds.add_prefill(
-                plan.backend.backend_id, plan.tokens_to_prefill, took_ms
-            )
-
     async def _deliver(
         self, attempt, events: list[gateway_messages.NumberedEvent]
     ) -> None:
@@ -391,13 +384,9 @@
             if transport is not None:
                 transport.close()
             return self._response
-        if (
-            self._engine_failure is not None
-            and not engine_answers.says_not_run_wrongly(
-                self._engine_failure[0], self._attempts.possibly_run
-            )
-        ):
-            return engine_answers.relayed_response(*self._engine_failure)
+        failure, ran = self._engine_failure, self._attempts.possibly_run
+        if failure and engine_answers.may_relay(failure[0], ran):
+            return engine_answers.relayed_response(*failure)
         raise errors.Failure(
             self._attempts.final_error("no engine could answer in time")
         )
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -190,9 +190,7 @@
         if not answer.is_stream:
             if begun is not None:
                 return self._break_off(begun)
-            if engine_answers.says_not_run_wrongly(
-                answer.head, self._possibly_run
-            ):
+            if not engine_answers.may_relay(answer.head, self._possibly_run):
                 raise errors.Failure(
                     self._final_error("another server may have run it")
                 )
@@ -205,12 +203,16 @@
             )
             response.enable_chunked_encoding()
             await response.prepare(self._admitted.web_request)
+        timeout_s = (self._remaining_ms + ANSWER_MARGIN_MS) / 1e3
+        read_chunk = answer.connection.read_chunk
         try:
-            while (piece := await answer.connection.read_chunk()) is not None:
-                await response.write(piece)
-        except backend_connection.ConnectionBroken as error:
+            # A helper that is frozen sends nothing, also no end.
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                while (piece := await read_chunk()) is not None:
+                    await response.write(piece)
+        except (backend_connection.ConnectionBroken, TimeoutError) as error:
             gateway_common.log_decision(
-                self._admitted, "answer broken off", why=str(error)
+                self._admitted, "answer broken off", why=repr(error)
             )
             return self._break_off(response)
         await response.write_eof()
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -94,6 +94,19 @@
     )
 
 
+def record_prefill(
+    deps: gateway_common.GatewayDependencies,
+    plan: StreamPlan,
+    took_ms: float,
+) -> None:
+    """Record that the first event of an attempt came after `took_ms`."""
+    deps.own_loads.mark_prefilled(plan.load_key)
+    if plan.has_idle_engine and plan.copy_source is None:
+        deps.speeds.add_prefill(
+            plan.backend.backend_id, plan.tokens_to_prefill, took_ms
+        )
+
+
 class StreamPlanner:
     """Plans the attempts of one stream.
 
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -3,6 +3,9 @@
 from oriolejunction.controllers import part_guard
 from oriolejunction.http import gateway_common
 
+# A write that takes longer waits until the caller reads.
+MAX_WRITE_MS = 5.0
+
 
 class AttemptTiming:
     """When one attempt's first and latest events arrived, in ms."""
@@ -10,6 +13,8 @@
     def __init__(self) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
+        # Whether the engine was not read while the caller was written to.
+        self.was_blocked = False
 
     @property
     def wrote_ms(self) -> float | None:
@@ -24,6 +29,10 @@
         self.last_ms = now_ms
         return not had_begun and now_ms - self.first_ms >= part_guard.BEGUN_MS
 
+    def record_delivery(self, now_ms: float) -> None:
+        """Record when the latest events were written to the caller."""
+        self.was_blocked = now_ms - self.last_ms > MAX_WRITE_MS
+
 
 class StreamTiming:
     """Time to the first event and longest gap between events, in ms."""
--- a/tests/http/test_endless_answers.py
+++ b/tests/http/test_endless_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from oriolejunction.controllers import event_answer
 from oriolejunction import errors
 from oriolejunction.http import backend_connection
 from oriolejunction.http import event_reader
@@ -196,7 +197,9 @@
         return next(chunks)
 
     reader = event_reader.EventReader(
-        read_chunk, gateway_dialect.WIRE_FORMAT.read_event
+        read_chunk,
+        gateway_dialect.WIRE_FORMAT.read_event,
+        event_answer.EventAnswer(),
     )
     numbers = []
     while (received := await reader.read()) is not None:
--- a/tests/http/test_peer_forwarding.py
+++ b/tests/http/test_peer_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import aiohttp
 import msgspec
 import pytest
 
@@ -250,6 +251,22 @@
             await response.read()
 
 
+async def test_stream_of_a_frozen_helper_ends_at_the_deadline(new_helpers):
+    """Fault: the answer of a helper that sends nothing more never ended."""
+
+    async def freeze(arrival):
+        arrival.begin()
+        arrival.events([1, 2])
+        await arrival.writer.drain()
+        await asyncio.sleep(20)
+
+    helpers = await new_helpers(freeze)
+    request = helpers.rig.ask("/brief/1", Deadline_Ms="600")
+    async with asyncio.timeout(2.0):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await calls.read(request)
+
+
 async def test_helper_stops_once_the_caller_is_gone(new_helpers):
     closed = asyncio.Event()
 
