--- a/src/oriolejunction/controllers/software_history.py
+++ b/src/oriolejunction/controllers/software_history.py
@@ -41,12 +41,8 @@
         read_at_ms: float,
     ) -> None:
         """Take note of the list of backend servers read at `read_at_ms`."""
+        self.mark_read(read_at_ms)
         now_ms = self._clock.now_ms()
-        if math.isfinite(read_at_ms):
-            gap_ms = read_at_ms - self._read_at_ms
-            if self._covered_since_ms is None or gap_ms > MAX_GAP_MS:
-                self._covered_since_ms = read_at_ms
-            self._read_at_ms = max(self._read_at_ms, read_at_ms)
         for each in self._listed:
             self._seen_at_ms[each] = now_ms
         self._listed = {(each.service, each.software) for each in listed}
@@ -57,6 +53,15 @@
             if now_ms - seen_ms <= kept_ms
         }
 
+    def mark_read(self, read_at_ms: float) -> None:
+        """Take note that the same list was read again at `read_at_ms`."""
+        if not math.isfinite(read_at_ms):
+            return
+        gap_ms = read_at_ms - self._read_at_ms
+        if self._covered_since_ms is None or gap_ms > MAX_GAP_MS:
+            self._covered_since_ms = read_at_ms
+        self._read_at_ms = max(self._read_at_ms, read_at_ms)
+
     @property
     def covered_ms(self) -> float:
         """Return for how long all versions on the list are known."""
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -106,7 +106,9 @@
             )
         )
         self._deps.origins.connect(
-            self._watch.replicas, self._channels.stub_for
+            self._watch.replicas,
+            self._channels.stub_for,
+            lambda: self.listing.read_at_ms,
         )
         self._blackboard.backends.changes().subscribe(self._drop_unlisted)
         self._blackboard.fleet.changes().subscribe(
--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 import grpc
 import msgspec
@@ -37,6 +38,10 @@
 StubFor = collections.abc.Callable[[str, rpc.Method], rpc.Handler]
 
 
+def _never() -> float:
+    return -math.inf
+
+
 class OriginClient:
     """The origins of this instance's streams, and access to all others."""
 
@@ -52,12 +57,22 @@
         self._has_unsent = asyncio.Event()
         self._replicas: Replicas = list
         self._stub_for: StubFor | None = None
+        self._list_read_at_ms = _never
         self.history = software_history.SoftwareHistory(clock, self.retention)
 
-    def connect(self, replicas: Replicas, stub_for: StubFor) -> None:
-        """Set the control replicas; `replicas` returns the best one first."""
+    def connect(
+        self,
+        replicas: Replicas,
+        stub_for: StubFor,
+        list_read_at_ms: collections.abc.Callable[[], float] = _never,
+    ) -> None:
+        """Set the control replicas; `replicas` returns the best one first.
+
+        `list_read_at_ms` returns when the platform's list was read last.
+        """
         self._replicas = replicas
         self._stub_for = stub_for
+        self._list_read_at_ms = list_read_at_ms
 
     def own(self, request_id: ids.RequestId) -> fm.StreamOrigin | None:
         """Return the origin of a stream that this instance has served."""
@@ -178,6 +193,7 @@
                 MIN_RENEWAL_CHECK_MS, min(MAX_RENEWAL_CHECK_MS, return_ms / 2)
             )
             await self._clock.sleep_ms(interval_ms)
+            self.history.mark_read(self._list_read_at_ms())
             last_ms = self._clock.now_ms() - return_ms + interval_ms
             for run, timed in list(self._timed_origin_by_run.items()):
                 origin, recorded_ms = timed
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -208,3 +208,18 @@
     assert await found_after(2 * return_ms) == (None, None)
     for task in tasks:
         task.cancel()
+
+
+async def test_versions_stay_complete_while_the_same_list_is_read_again():
+    """Fault: an unchanged list is published once, which looked like a gap."""
+    replicas = Replicas()
+    client = replicas.client("r0")
+    clock = replicas.clock
+    client.connect(lambda: [], replicas.stub_for, clock.now_ms)
+    task = asyncio.create_task(client.run_renewals())
+    await asyncio.sleep(20.0)
+    assert client.history.covered_ms > 18_000.0
+    client.connect(lambda: [], replicas.stub_for, lambda: 1.0)
+    await asyncio.sleep(6.0)
+    assert client.history.covered_ms == 0.0
+    task.cancel()
