Order the lists that control leaders read by term and number

What was seen elsewhere: an older list that arrived after a newer one put a server that had left in use again.

Cause here: the order came from the age alone. A sender that is paused after it has computed the age sends an older list as a newer one.

Change: a leader numbers its reads in its term; a list with a lower order is ignored. After the loss of all disks, terms begin anew: an instance's copy then gets old, it reads the list itself, and takes all orders again.

Result: test_list_that_was_held_up_replaces_no_newer_one passes; it could not be stated before.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -149,6 +149,7 @@
             lambda: True,
             self._service.notify_listing,
             self.rng,
+            lambda: self._replica.leader_term,
         )
 
     async def drain(self) -> None:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -182,11 +182,17 @@
 
 
 class ListingSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """The platform's list and its age; `backends` is None if unchanged."""
+    """The platform's list and its age; `backends` is None if unchanged.
+
+    A control leader numbers the lists that it reads in its `term`, so that
+    one that was held up on its way is known as older; 0 for other readers.
+    """
 
     age_ms: float
     digest: str
     backends: tuple[backends.Backend, ...] | None
+    term: int = 0
+    number: int = 0
 
 
 class Acknowledgement(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/peers/list_poller.py
+++ b/src/oriolejunction/peers/list_poller.py
@@ -47,7 +47,9 @@
         is_needed: collections.abc.Callable[[], bool],
         on_change: listeners.OnChange,
         rng: random.Random,
+        term: collections.abc.Callable[[], int | None] = lambda: None,
     ) -> None:
+        """Create a poller; `term` is that of this process as leader."""
         """Create the poller; `is_primary` is None if it never is."""
         self._clock = clock
         self._store = store
@@ -56,6 +58,7 @@
         self._is_needed = is_needed
         self._on_change = on_change
         self._rng = rng
+        self._term = term
         self._reachable = True
 
     async def run(self) -> None:
@@ -82,6 +85,7 @@
         return self._store.age_ms > STALE_AFTER_MS
 
     async def _fetch_list(self, session: aiohttp.ClientSession) -> None:
+        term = self._term()
         try:
             fetched = await self._fetch(session)
         except errors.Failure as failure:
@@ -96,7 +100,10 @@
         if not self._reachable:
             _log.info("list of backend servers regained", count=len(fetched))
         self._reachable = True
-        if self._store.store_fetched(fetched):
+        # One that led as the read began, and still leads.
+        if term != self._term():
+            term = None
+        if self._store.store_fetched(fetched, term or 0):
             _log.info(
                 "backend servers changed",
                 count=len(fetched),
--- a/src/oriolejunction/peers/listing_store.py
+++ b/src/oriolejunction/peers/listing_store.py
@@ -8,6 +8,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
 
+_NO_ORDER = (0, 0)
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -19,14 +20,24 @@
         self.backends: tuple[backends.Backend, ...] = ()
         self.digest = ""
         self.read_at_ms = float("-inf")
+        # Term and number of the stored list, see `ListingSnapshot`.
+        self._order = _NO_ORDER
+        self._reads = 0
 
     @property
     def age_ms(self) -> float:
         """Return how long ago the list was read."""
         return self._clock.now_ms() - self.read_at_ms
 
-    def store_fetched(self, fetched: tuple[backends.Backend, ...]) -> bool:
-        """Store a list read just now; return whether it changed."""
+    def store_fetched(
+        self, fetched: tuple[backends.Backend, ...], term: int = 0
+    ) -> bool:
+        """Store a list read just now; return whether it changed.
+
+        `term` is that of this process as control leader.
+        """
+        self._reads += 1
+        self._order = (term, self._reads) if term else _NO_ORDER
         # The remaining cold start time falls by itself: not a change.
         without_cold_ms = [
             msgspec.structs.replace(each, cold_ms=0.0) for each in fetched
@@ -41,21 +52,28 @@
     def store_received(self, listing: fm.ListingSnapshot | None) -> bool:
         """Store a list another process read; return whether it changed.
 
-        A list that was read earlier than the stored one is ignored.
+        A list that was read earlier than the stored one is ignored. Its age
+        is too low if its sender was paused, so its order counts first.
         """
         if listing is None:
             return False
+        order = (listing.term, listing.number)
+        has_orders = _NO_ORDER not in (order, self._order)
+        if has_orders and order <= self._order:
+            return False
         read_at_ms = self._clock.now_ms() - listing.age_ms
         if read_at_ms <= self.read_at_ms:
             return False
         if listing.backends is None:
             if listing.digest == self.digest:
                 self.read_at_ms = read_at_ms
+                self._order = order
             return False
         changed = listing.digest != self.digest
         self.backends = listing.backends
         self.digest = listing.digest
         self.read_at_ms = read_at_ms
+        self._order = order
         return changed
 
     def snapshot(self, known_digest: str) -> fm.ListingSnapshot | None:
@@ -67,5 +85,8 @@
             return None
         known = known_digest == self.digest
         return fm.ListingSnapshot(
-            self.age_ms, self.digest, None if known else self.backends
+            self.age_ms,
+            self.digest,
+            None if known else self.backends,
+            *self._order,
         )
--- a/tests/peers/test_listing_store.py
+++ b/tests/peers/test_listing_store.py
@@ -51,3 +51,32 @@
     clock.advance(500.0)
     store.store_received(fm.ListingSnapshot(0.0, "unknown", None))
     assert store.age_ms == 500.0
+
+
+def test_list_that_was_held_up_replaces_no_newer_one():
+    """Fault: a leader that was paused sent a list with a wrong age.
+
+    It was paused between the read of the list's age and the write.
+    """
+    clock = clocks.ManualClock(10_000.0)
+    reader = listing_store.ListingStore(clock)
+    other = listing_store.ListingStore(clock)
+    reader.store_fetched((backend("a"),), term=3)
+    held_up = reader.snapshot("")
+    clock.advance(500.0)
+    reader.store_fetched((backend("b"),), term=3)
+    assert other.store_received(reader.snapshot(""))
+    clock.advance(100.0)
+    assert not other.store_received(held_up)
+    assert other.backends == (backend("b"),)
+    # Lists of the next leader count, as do those read without one.
+    clock.advance(100.0)
+    next_reader = listing_store.ListingStore(clock)
+    next_reader.store_fetched((backend("c"),), term=4)
+    assert other.store_received(next_reader.snapshot(""))
+    clock.advance(100.0)
+    reader.store_fetched((backend("d"),), term=3)
+    assert not other.store_received(reader.snapshot(""))
+    reader.store_fetched((backend("e"),))
+    clock.advance(1.0)
+    assert other.store_received(reader.snapshot(""))
