Hold back the table of a control replica without a leader at a start

What was seen elsewhere: after a restart, a key that had been withdrawn was accepted again.

Cause here: an instance without a table put in force what the first replica sent, also one that had lost touch with the leader and held an older table.

Change: such a table is held back for 2 s, in which the instance asks the other replicas, and used only if none has a leader by then.

--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -33,6 +33,9 @@
 RETRY_DELAY_MS = 50.0
 # A replica that failed is the last choice for this long.
 AVOID_FAILED_MS = 3_000.0
+# Until then, the replicas elect a leader after all of them started again, and
+# the instance asks each of them.
+OLD_TABLE_WAIT_MS = 2_000.0
 _log = structlog.get_logger(__name__)
 
 
@@ -71,6 +74,8 @@
         self._seen = fm.NO_CHANGE_SEEN
         self._replica_incarnation = ""
         self._connected = False
+        # When a table was first held back, None without one.
+        self._old_table_since_ms: float | None = None
         self._published_backends: tuple[backends.Backend, ...] = ()
         self._report_pacer = pacers.Pacer(deps.clock, REPORT_INTERVAL_MS)
         self._others = fleet_sums.OthersSums(deps.clock)
@@ -194,7 +199,7 @@
     def _apply_reply(self, reply: fm.WatchReply) -> None:
         if reply.replicas:
             self._zone_by_address = dict(reply.replicas)
-        if reply.document is not None:
+        if reply.document is not None and self._may_apply_table(reply):
             self._apply_table(reply.document)
         if self._deps.listing.store_received(reply.listing):
             _log.info(
@@ -215,6 +220,26 @@
         self._seen, self._replica_incarnation = reply.seen, reply.boot
         self._write_fleet(view)
 
+    def _may_apply_table(self, reply: fm.WatchReply) -> bool:
+        """Return whether a reply's table may be in force.
+
+        A replica that has lost touch with the leader may hold a table whose
+        keys were withdrawn since. Without any other, it is used late.
+        """
+        if reply.fresh or self._deps.blackboard.table.read() is not None:
+            return True
+        now_ms = self._deps.clock.now_ms()
+        if self._old_table_since_ms is None:
+            self._old_table_since_ms = now_ms
+        waited_ms = now_ms - self._old_table_since_ms
+        _log.info(
+            "table of a replica without a leader",
+            version=reply.table_version,
+            waited_ms=round(waited_ms),
+            in_force=waited_ms >= OLD_TABLE_WAIT_MS,
+        )
+        return waited_ms >= OLD_TABLE_WAIT_MS
+
     def _apply_table(self, document: bytes) -> None:
         current = self._deps.blackboard.table.read()
         try:
