--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -10,8 +10,6 @@
 import collections
 import collections.abc
 import dataclasses
-import operator
-import typing
 
 import xxhash
 
@@ -24,7 +22,6 @@
 
 # An entry instance sends a report at least once a second.
 REPORT_TTL_MS = 3_000.0
-_Key = typing.TypeVar("_Key", bound=collections.abc.Hashable)
 _RESENDS = 1
 # Fields of a report whose items are merged over the instances.
 _MERGED_FIELDS = (
@@ -192,7 +189,7 @@
         """Return what the other instances sent to each service."""
         self._expire_reports()
         own = self._counts_of(instance).uses
-        others = _minus(self._uses, own)
+        others = report_counts.minus(self._uses, own)
         return tuple(
             fm.ServiceUse(service, *others[service])
             for service in sorted(others)
@@ -205,7 +202,9 @@
     ) -> None:
         if before != after:
             self.version += 1
-            self._uses = _minus(_plus(self._uses, after), before)
+            self._uses = report_counts.minus(
+                report_counts.plus(self._uses, after), before
+            )
 
     def sums(self, seen: int) -> FleetSums:
         """Return the sums over all instances that changed since `seen`."""
@@ -373,32 +372,6 @@
     return sum(use[_RESENDS] for use in counts.uses.values())
 
 
-def _plus(
-    left: dict[_Key, report_counts.Counts],
-    right: dict[_Key, report_counts.Counts],
-) -> dict[_Key, report_counts.Counts]:
-    total = dict(left)
-    for key, counts in right.items():
-        if key in total:
-            counts = tuple(map(operator.add, total[key], counts))
-        total[key] = counts
-    return total
-
-
-def _minus(
-    left: dict[_Key, report_counts.Counts],
-    right: dict[_Key, report_counts.Counts],
-) -> dict[_Key, report_counts.Counts]:
-    """Return the differences that are not all 0."""
-    total = dict(left)
-    for key, counts in right.items():
-        if key in total:
-            total[key] = tuple(map(operator.sub, total[key], counts))
-            if not any(total[key]):
-                del total[key]
-    return total
-
-
 def _items(report: fm.EntryReport | None, field: str) -> collections.Counter:
     return collections.Counter(
         getattr(report, field) if report is not None else ()
--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -45,5 +45,6 @@
             blocked_parts=deps.parts.blocked(),
             limits=deps.intake.limits.named(),
             helpers=self._helpers(),
+            rollout_counts=deps.rollouts.counts.messages(),
             leaving=deps.intake.departures.to_report(),
         )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -232,11 +232,16 @@
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
-    """Reports and origins that one control replica relays to another."""
+    """Reports and origins that one control replica relays to another.
+
+    `log_index` is the sender's last one when it sends a listing as the
+    leader: orders of rollouts up to it may explain versions on the list.
+    """
 
     shares: tuple[EntryReport, ...]
     listing: ListingSnapshot | None = None
     origins: tuple[StreamOrigin, ...] = ()
+    log_index: int = -1
 
 
 class OriginsRequest(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -14,6 +14,7 @@
 from oriolejunction.controllers import stalls
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
@@ -43,7 +44,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
@@ -72,6 +73,7 @@
             return self._give_up()
         finally:
             self._planner.software.end(self._is_complete)
+            self._deps.rollouts.close(self._attempts.rollout)
 
     async def _run_attempts(self) -> web.StreamResponse:
         await self._planner.software.resume()
@@ -127,7 +129,7 @@
         self, plan: stream_plan.StreamPlan, attempt
     ) -> states.StreamAttemptEnd:
         try:
-            connection = await gateway_common.open_and_send(
+            connection, rollout_send = await gateway_common.open_and_send(
                 self._deps,
                 self._admitted,
                 stream_plan.dispatch_of(
@@ -138,7 +140,7 @@
                 CONNECT_TRIES,
                 MAX_CONNECTION_IDLE_MS,
             )
-        except attempt_errors.ServerPaused:
+        except attempt_errors.SendWithheld:
             self._deps.intake.give_back(plan.backend.backend_id)
             return states.StreamAttemptEnd.REFUSED
         except backend_connection.RequestNotSent as error:
@@ -148,13 +150,18 @@
                 self._deps, plan.backend, why
             )
             return self._handle_loss(plan, why)
-        timing = stream_timing.AttemptTiming()
-        sent_ms = self._deps.clock.now_ms()
+        clock = self._deps.clock
+        sent_ms = clock.now_ms()
+        timing = stream_timing.AttemptTiming(
+            sent_ms, rollout_send, plan.fresh_tokens
+        )
+        replaced_ms = None
         try:
             return await self._read_answer(plan, connection, attempt, timing)
         except stall_detection.EngineReplaced as error:
             self._attempts.stalled.add(plan.backend.backend_id)
             self._next_plan = error.plan
+            replaced_ms = clock.now_ms()
             why = str(error)
         except (
             backend_connection.ConnectionBroken,
@@ -162,10 +169,12 @@
         ) as error:
             why = str(error)
         except stall_detection.DeadlineReached:
+            replaced_ms = clock.now_ms()
             return states.StreamAttemptEnd.LOST
         finally:
             # Closing stops the engine's work. After a clean end the
             # connection is back in the pool and must stay open.
+            timing.end(replaced_ms)
             if not connection.usable:
                 connection.close()
         lost = backend_checks.LostAttempt(
@@ -223,6 +232,8 @@
             lambda: reader.read(connection.read_chunk, next_event_limits),
         )
         if refusal is not None:
+            if refusal is states.StreamAttemptEnd.LOST and head.signed:
+                timing.rollout_send.record_failure()
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
         read_event = self._deps.wire_format.read_event
@@ -238,7 +249,7 @@
                 # Engines begin the KV cache copy at the first event, not
                 # during the prefill.
                 self._planner.last_copy_backend = plan.copy_backend
-                stream_plan.record_prefill(self._deps, plan, now_ms - sent_ms)
+                self._planner.record_first_event(plan, now_ms - sent_ms)
             elif not timing.was_blocked:
                 self._deps.speeds.add_gap(
                     plan.backend.backend_id, now_ms - timing.last_ms
@@ -266,16 +277,8 @@
             self._admitted.route.name, self._answer.last_event
         )
         crash_records.record_answer(self._deps, self._admitted)
-        gateway_common.log_decision(
-            self._admitted,
-            "stream complete",
-            backend=plan.backend.backend_id,
-            events=self._answer.delivered,
-            prompt_tokens=self._admitted.request.prompt_tokens,
-            attempts=self._attempts.sent,
-            first_ms=round(self._timing.first_ms),
-            longest_pause_ms=round(self._timing.longest_gap_ms),
-            took_ms=round(clock.now_ms() - self._admitted.request.received_ms),
+        self._timing.log_complete(
+            plan.backend, self._answer.delivered, self._attempts.sent
         )
         return states.StreamAttemptEnd.COMPLETE
 
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -1,20 +1,65 @@
 """Times of a stream's events as its caller sees them."""
 
+from oriolejunction import backends
 from oriolejunction.controllers import part_guard
+from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
+from oriolejunction.http import rollout_sends
+
+# The time per event is counted once for each attempt, early enough to show a
+# slow version while its streams still run. With much fewer events, it is
+# mostly that of the network.
+COUNTED_EVENTS = 16
+MIN_COUNTED_EVENTS = 8
+# Shorter prompts count as this long: their prefill takes next to no time.
+MIN_PROMPT_TOKENS = 100
 
 # A write that takes longer waits until the caller reads.
 MAX_WRITE_MS = 5.0
 
 
 class AttemptTiming:
-    """When one attempt's first and latest events arrived, in ms."""
+    """When one attempt's first and latest events arrived, in ms.
+
+    `prefill_tokens` is None if the attempt begins with a KV cache copy.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        sent_ms: float,
+        rollout_send: rollout_sends.RolloutSend,
+        prefill_tokens: int | None,
+    ) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
         # Whether the engine was not read while the caller was written to.
         self.was_blocked = False
+        self.rollout_send = rollout_send
+        self._sent_ms = sent_ms
+        self._prefill_tokens = prefill_tokens
+        self._events = 0
+
+    def end(self, replaced_ms: float | None) -> None:
+        """Count the attempt for its service's rollout.
+
+        One that was replaced, or ran into its deadline, at `replaced_ms`
+        without an event would have taken at least until then.
+        """
+        if self.first_ms is None and replaced_ms is not None:
+            self._count_first(replaced_ms)
+        if MIN_COUNTED_EVENTS <= self._events < COUNTED_EVENTS:
+            self._count_gap()
+        self.rollout_send.end()
+
+    def _count_first(self, first_ms: float) -> None:
+        if self._prefill_tokens is not None:
+            tokens = max(MIN_PROMPT_TOKENS, self._prefill_tokens)
+            self.rollout_send.record_answer(
+                (first_ms - self._sent_ms) / tokens * 1_000
+            )
+
+    def _count_gap(self) -> None:
+        self.rollout_send.record_gap(self.wrote_ms / (self._events - 1))
 
     @property
     def wrote_ms(self) -> float | None:
@@ -23,10 +68,14 @@
 
     def record_event(self, now_ms: float) -> bool:
         """Record an event; return whether the beginning is over with it."""
+        self._events += 1
         if self.first_ms is None:
             self.first_ms = now_ms
+            self._count_first(now_ms)
         had_begun = self.last_ms - self.first_ms >= part_guard.BEGUN_MS
         self.last_ms = now_ms
+        if self._events == COUNTED_EVENTS:
+            self._count_gap()
         return not had_begun and now_ms - self.first_ms >= part_guard.BEGUN_MS
 
     def record_delivery(self, now_ms: float) -> None:
@@ -40,7 +89,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
@@ -67,3 +116,20 @@
                 telemetry.resume_ms.observe(labels, gap_ms)
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_ms = now_ms
+
+    def log_complete(
+        self, backend: backends.Backend, events: int, attempts: int
+    ) -> None:
+        """Log that the caller has the whole answer."""
+        request = self._admitted.request
+        gateway_common.log_decision(
+            self._admitted,
+            "stream complete",
+            backend=backend.backend_id,
+            events=events,
+            prompt_tokens=request.prompt_tokens,
+            attempts=attempts,
+            first_ms=round(self.first_ms),
+            longest_pause_ms=round(self.longest_gap_ms),
+            took_ms=round(self._deps.clock.now_ms() - request.received_ms),
+        )
--- a/src/oriolejunction/states.py
+++ b/src/oriolejunction/states.py
@@ -54,6 +54,7 @@
     RESEND_BUDGET = "resend_budget"
     INSTANCE_STOPS = "instance_stops"
     NO_CAPACITY = "no_capacity"
+    VERSION_WITHDRAWN = "version_withdrawn"
 
 
 class LossCause(enum.Enum):
@@ -201,6 +202,27 @@
     REVERTED = "reverted"
 
 
+class RolloutVerdict(enum.Enum):
+    """What the answers so far say about the target of a rollout.
+
+    SUSPECT: too many bad answers for a move, too few to go back.
+    """
+
+    GOOD = "good"
+    UNDECIDED = "undecided"
+    SUSPECT = "suspect"
+    BAD = "bad"
+
+
+class RolloutRefusal(enum.Enum):
+    """Why a command about a rollout was refused."""
+
+    OTHER_IN_PROGRESS = "other_in_progress"
+    NOT_IN_PROGRESS = "not_in_progress"
+    WRONG_PHASE = "wrong_phase"
+    OVER_CEILING = "over_ceiling"
+
+
 class RolloutMeasure(enum.IntEnum):
     """What the latencies of a rollout count measure.
 
--- a/tests/peers/test_old_tables.py
+++ b/tests/peers/test_old_tables.py
@@ -54,7 +54,8 @@
             "r",
             routing_table.TableVersion(version),
             document=b"%d" % version,
-        )
+        ),
+        sent_ms=0.0,
     )
 
 
