Close no new incarnation for an answer from the former address

A choice made by the former list may be sent after the new list has come. If the server is listed at another address by then, its former process answered. The new test failed before and passes.

--- a/src/oriolejunction/controllers/overload/server_departures.py
+++ b/src/oriolejunction/controllers/overload/server_departures.py
@@ -65,11 +65,16 @@
         """Close a server that says in an answer that it leaves.
 
         The request was sent at `sent_ms`. An incarnation that became known
-        later did not give the answer.
+        later, or is listed at another address, did not give the answer.
         """
         known = self._incarnation_by_id.get(backend.backend_id)
+        listed = self._listed.get(backend.backend_id, backend)
         born = backend.born
-        if known is not None and known.since_ms <= sent_ms:
+        if (
+            known is not None
+            and known.since_ms <= sent_ms
+            and listed.address == backend.address
+        ):
             born = max(born, known.born)
         if self._close(backend.backend_id, born, sent_ms, source, True):
             self.on_change()
--- a/tests/controllers/overload/test_server_departures.py
+++ b/tests/controllers/overload/test_server_departures.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 
 from oriolejunction import backends
@@ -114,6 +115,16 @@
     assert not rig.is_open
 
 
+def test_answer_from_the_former_address_closes_nothing():
+    """Load: a choice made by the former list is sent after the new one."""
+    rig = Rig()
+    rig.list(1)
+    former = msgspec.structs.replace(server(1), address="2.2.2.2:2")
+    rig.list(2)
+    rig.departures.observe_answer(former, rig.clock.now_ms(), "answer")
+    assert rig.is_open
+
+
 def test_departure_is_told_while_the_server_is_listed_and_then_dropped():
     rig = Rig()
     rig.list(1)
