--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -34,6 +34,7 @@
         default_factory=dict
     )
     helpers: tuple[str, ...] = ()
+    leaving: tuple[fm.LeavingServer, ...] = ()
     entry_count: int = 1
     use_by_service: dict[ids.ServiceName, fm.ServiceUse] = msgspec.field(
         default_factory=dict
@@ -88,6 +89,7 @@
             for limit in sorted(reply.limits, reverse=True)
         },
         helpers=tuple(reply.helpers),
+        leaving=tuple(reply.leaving),
     )
 
 
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -13,6 +13,7 @@
 import collections
 import collections.abc
 import functools
+import select
 import socket
 import typing
 
@@ -155,6 +156,19 @@
         """Return whether a request may be sent on this connection now."""
         return self._failure_reason is None and not self._busy
 
+    def has_bytes_to_read(self) -> bool:
+        """Return whether bytes, or the end, arrived and were not read yet.
+
+        A server may send a second copy of an answer. What arrived before the
+        next request is sent does not answer it.
+        """
+        sock = self._transport and self._transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send(
         self,
         method: str,
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -95,6 +95,10 @@
         finally:
             for task in tasks:
                 task.cancel()
+        if answer is not None and not engine_answers.may_relay(
+            answer.head, self._attempts.possibly_run
+        ):
+            return self._give_up()
         if answer is None:
             if self._attempts.may_forward():
                 raise attempt_errors.InstanceIsolated(
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -14,6 +14,7 @@
 from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.controllers.overload import reported_loads
 from oriolejunction.controllers.overload import resend_budget
+from oriolejunction.controllers.overload import server_departures
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import server_pauses
@@ -75,7 +76,9 @@
         clock, rng, share_of, hears_others
     )
     intake = server_intake.ServerIntake(
-        limit_table, server_pauses.ServerPauses(clock, rng)
+        limit_table,
+        server_pauses.ServerPauses(clock, rng),
+        server_departures.ServerDepartures(clock),
     )
     queue = placement_queue.PlacementQueue(clock)
     rollouts.on_change = queue.notify_capacity
@@ -85,7 +88,9 @@
     )
     origins = origin_client.OriginClient(clock)
     blackboard.backends.changes().subscribe(
-        lambda snapshot: origins.history.observe(snapshot.by_id.values())
+        lambda snapshot: origins.history.observe(
+            snapshot.by_id.values(), snapshot.read_at_ms
+        )
     )
     blackboard.fleet.changes().subscribe(
         lambda fleet: guard.update_reported(
@@ -98,6 +103,10 @@
             fleet.limit_by_id, blackboard.backends.read().by_id
         )
     )
+    blackboard.backends.changes().subscribe(intake.departures.observe_listed)
+    blackboard.fleet.changes().subscribe(
+        lambda fleet: intake.departures.observe_reported(fleet.leaving)
+    )
     blackboard.backends.changes().subscribe(
         lambda snapshot: rollouts.observe_listed(snapshot.by_id)
     )
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -23,11 +23,11 @@
 
 CONNECT_TIMEOUT_MS = 60.0
 CONNECT_TRIES = 2
-MAX_IDLE_MS = 2_000.0
 MAX_HELPERS = 3
 # The helper answers by the deadline itself.
 ANSWER_MARGIN_MS = 100.0
-# With these an instance promises that the request has not run. It may hold
+# With these an instance promises that the request has not run, unless it
+# passes on a server's answer, which repeats the id of the request. It may hold
 # an older routing table than this one.
 _NOT_RUN_STATUSES = frozenset((401, 403, 404, 503))
 _FINAL_CODES = frozenset((errors.NoCapacity.code,))
@@ -85,8 +85,8 @@
             pass
         finally:
             if answer is not None:
-                # One in use is closed, which ends the work.
-                self._deps.peer_pool.release(answer.connection)
+                # This ends the work, unless the answer is complete.
+                answer.connection.close()
         if begun is not None:
             return self._break_off(begun)
         if (
@@ -119,8 +119,10 @@
         connection = answer = None
         why = "refused"
         try:
-            connection = await deps.peer_pool.acquire(
-                address, CONNECT_TIMEOUT_MS, CONNECT_TRIES, MAX_IDLE_MS
+            # A helper's own refusal names no request, so that a late copy of
+            # one on a connection in use would say that this did not run.
+            connection = await deps.peer_pool.connect(
+                address, CONNECT_TIMEOUT_MS, CONNECT_TRIES
             )
             connection.send(
                 request.method,
@@ -150,10 +152,13 @@
                     body = await backend_connection.read_body(
                         connection.read_chunk
                     )
-            if not head.signed and head.status in _NOT_RUN_STATUSES:
+            is_own = not head.signed and not head.echoes_request_id
+            if is_own and head.status in _NOT_RUN_STATUSES:
                 self._possibly_run -= 1
                 self._refusal = (head, body)
                 return None
+            if not is_own or head.success:
+                engine_answers.require_matching_answer(head)
             answer = _PeerAnswer(connection, head, is_stream, body)
             return answer
         except backend_connection.RequestNotSent as error:
@@ -170,7 +175,7 @@
                     possibly_run=self._possibly_run,
                 )
                 if connection is not None:
-                    deps.peer_pool.release(connection)
+                    connection.close()
         return None
 
     async def _pass_on(
@@ -186,6 +191,10 @@
         if not answer.is_stream:
             if begun is not None:
                 return self._break_off(begun)
+            if not engine_answers.may_relay(answer.head, self._possibly_run):
+                raise errors.Failure(
+                    self._final_error("another server may have run it")
+                )
             return engine_answers.relayed_response(answer.head, answer.body)
         response = begun
         if response is None:
@@ -195,12 +204,16 @@
             )
             response.enable_chunked_encoding()
             await response.prepare(self._admitted.web_request)
+        timeout_s = (self._remaining_ms + ANSWER_MARGIN_MS) / 1e3
+        read_chunk = answer.connection.read_chunk
         try:
-            while (piece := await answer.connection.read_chunk()) is not None:
-                await response.write(piece)
-        except backend_connection.ConnectionBroken as error:
+            # A helper that is frozen sends nothing, also no end.
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                while (piece := await read_chunk()) is not None:
+                    await response.write(piece)
+        except (backend_connection.ConnectionBroken, TimeoutError) as error:
             gateway_common.log_decision(
-                self._admitted, "answer broken off", why=str(error)
+                self._admitted, "answer broken off", why=repr(error)
             )
             return self._break_off(response)
         await response.write_eof()
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -1,5 +1,6 @@
 """Times of a stream's events as its caller sees them."""
 
+from oriolejunction import backends
 from oriolejunction.controllers import part_guard
 from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
@@ -13,6 +14,9 @@
 # Shorter prompts count as this long: their prefill takes next to no time.
 MIN_PROMPT_TOKENS = 100
 
+# A write that takes longer waits until the caller reads.
+MAX_WRITE_MS = 5.0
+
 
 class AttemptTiming:
     """When one attempt's first and latest events arrived, in ms.
@@ -28,6 +32,8 @@
     ) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
+        # Whether the engine was not read while the caller was written to.
+        self.was_blocked = False
         self.rollout_send = rollout_send
         self._sent_ms = sent_ms
         self._prefill_tokens = prefill_tokens
@@ -72,6 +78,10 @@
             self._count_gap()
         return not had_begun and now_ms - self.first_ms >= part_guard.BEGUN_MS
 
+    def record_delivery(self, now_ms: float) -> None:
+        """Record when the latest events were written to the caller."""
+        self.was_blocked = now_ms - self.last_ms > MAX_WRITE_MS
+
 
 class StreamTiming:
     """Time to the first event and longest gap between events, in ms."""
@@ -106,3 +116,20 @@
                 telemetry.resume_ms.observe(labels, gap_ms)
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_ms = now_ms
+
+    def log_complete(
+        self, backend: backends.Backend, events: int, attempts: int
+    ) -> None:
+        """Log that the caller has the whole answer."""
+        request = self._admitted.request
+        gateway_common.log_decision(
+            self._admitted,
+            "stream complete",
+            backend=backend.backend_id,
+            events=events,
+            prompt_tokens=request.prompt_tokens,
+            attempts=attempts,
+            first_ms=round(self.first_ms),
+            longest_pause_ms=round(self.longest_gap_ms),
+            took_ms=round(self._deps.clock.now_ms() - request.received_ms),
+        )
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -122,7 +122,10 @@
         self._rounds.request(watch_rounds.Urgency.NOW)
 
     def _observe_software(self) -> None:
-        self._deps.origins.history.observe(self._deps.listing.backends)
+        listing = self._deps.listing
+        self._deps.origins.history.observe(
+            listing.backends, listing.read_at_ms
+        )
 
     def _on_applied(self) -> None:
         if self._replica.state.table.version != self._followed_version:
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -34,6 +34,8 @@
 RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 BRITTLE = b"server-brittle"
+# In all answers of a server that leaves.
+LEAVING = b"server-leaving"
 # Set by an instance that passes a request on to another.
 ATTEMPTS_LEFT = b"attempts-left"
 COPY_TO = b"kv-backup"
@@ -207,7 +209,12 @@
     head: backend_connection.ResponseHead,
     request: gateway_messages.CallerRequest,
 ) -> gateway_messages.AnswerHead:
-    """Return the decoded status line and headers of an engine."""
+    """Return the decoded status line and headers of an engine.
+
+    A refusal of another request does not say that this one has not run.
+    """
+    echo = head.get(REQUEST_ID)
+    echoes_request_id = echo == request.request_id.encode("latin-1")
     return gateway_messages.AnswerHead(
         status=head.status,
         headers=tuple(
@@ -217,15 +224,18 @@
             # It is for this instance; other servers may take the request.
             and (name != RETRY_AFTER or head.status != _UNAVAILABLE_STATUS)
         ),
-        echoes_request_id=head.get(REQUEST_ID) == request.request_id.encode(),
+        echoes_request_id=echoes_request_id,
         signed=head.get(SIGNATURE) is not None,
-        not_run=head.get(NOT_RUN) is not None
-        or head.status in _NOT_RUN_STATUSES,
+        not_run=(
+            head.get(NOT_RUN) is not None or head.status in _NOT_RUN_STATUSES
+        )
+        and (echo is None or echoes_request_id),
         load=_parse_load(head.get(LOAD)),
         weights_version=_parse_int(head.get(WEIGHTS_VERSION)),
         rate_limit=_parse_rate_limit(head.get(RATE_LIMIT)),
         pause=read_pause(head),
         falls_over_at=_parse_int(head.get(BRITTLE)),
+        leaving=read_leaving(head),
     )
 
 
@@ -353,12 +363,18 @@
     return gateway_messages.PauseRequest(float(value) * 1e3)
 
 
+def read_leaving(head: backend_connection.ResponseHead) -> bool:
+    """Return whether any answer says that its server leaves."""
+    return (head.get(LEAVING) or b"").strip() not in (b"", b"0")
+
+
 WIRE_FORMAT = gateway_messages.WireFormat(
     read_request=read_request,
     dispatch_headers=dispatch_headers,
     read_head=read_head,
     read_event=read_event,
     read_pause=read_pause,
+    read_leaving=read_leaving,
     forward_headers=forward_headers,
     read_peer_head=read_peer_head,
     read_table=configuration_document.read_table,
