--- a/src/oriolejunction/http/chunked_body.py
+++ b/src/oriolejunction/http/chunked_body.py
@@ -47,6 +47,8 @@
         """
         if self._fault is not None:
             raise self._fault
+        if not self._buffer:
+            return b""
         content: list[bytearray] = []
         try:
             self._decode_into(content)
