--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -72,6 +72,7 @@
         b"wait-ms",
     )
 )
+_NOT_FORWARDED = HOP_BY_HOP | RESERVED_HEADERS
 _UNAVAILABLE_STATUS = 503
 _NOT_RUN_STATUSES = frozenset((421,))
 # Each instance adds its own.
@@ -88,7 +89,7 @@
 ) -> gateway_messages.CallerRequest:
     """Return a client's request; raise `Failure` with `MalformedRequest`."""
     by_name = {name.lower(): value for name, value in raw_headers}
-    hop_headers = _connection_headers(by_name)
+    dropped = _NOT_FORWARDED | _connection_headers(by_name)
     deadline_ms = _parse_number(by_name, DEADLINE)
     prompt, output = _parse_token_counts(by_name)
     key = by_name.get(KEY)
@@ -100,9 +101,7 @@
         headers=tuple(
             (name, value)
             for name, value in raw_headers
-            if name.lower() not in HOP_BY_HOP
-            and name.lower() not in RESERVED_HEADERS
-            and name.lower() not in hop_headers
+            if name.lower() not in dropped
         ),
         body=body,
         key=_decode_text(key) if key is not None else None,
