--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -169,6 +169,11 @@
         self._unforwarded.clear()
         return unforwarded
 
+    def is_newest(self, report: fm.EntryReport) -> bool:
+        """Return whether a report is an instance's newest, and not expired."""
+        self._expire_reports()
+        return self._report_of(report.instance) is report
+
     def entry_count(self) -> int:
         """Return how many entry instances have sent a report recently."""
         self._expire_reports()
@@ -316,9 +321,10 @@
         self._loads.replace(counts_before.loads, counts_after.loads, number)
         self._speeds.replace(counts_before.speeds, counts_after.speeds, number)
         for field, counts in self._merged.items():
-            old, new = _items(before, field), _items(after, field)
+            old, new = getattr(before, field, ()), getattr(after, field, ())
             if old != new:
                 self._observed_number = number
+                old, new = _items(before, field), _items(after, field)
                 self._merged[field] = counts - old + new
                 if field == "helpers":
                     self._ordered_helpers = sorted(
--- a/src/oriolejunction/peers/watch_replies.py
+++ b/src/oriolejunction/peers/watch_replies.py
@@ -16,6 +16,7 @@
 from oriolejunction.controllers import fleet_hub
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import listing_store
+from oriolejunction.peers import rollout_control
 
 # Five heartbeat intervals of the leader.
 LEADER_TIMEOUT_MS = 500.0
@@ -59,6 +60,7 @@
     clock: clocks.Clock
     hub: fleet_hub.FleetHub
     listing: listing_store.ListingStore
+    rollouts: rollout_control.NoRollouts = rollout_control.NoRollouts()
     _shared: dict[tuple, EncodedFields] = dataclasses.field(
         default_factory=dict
     )
@@ -79,6 +81,9 @@
                 request.instance, request.entry_boot
             )
         }
+        orders = self.rollouts.take_orders(request)
+        if orders is not None:
+            own["rollouts"] = orders
         if self.hub.has_observations_since(seen):
             own["helpers"] = self.hub.helpers_for(request.instance)
             parts.append(self._observations_for(request))
