--- a/src/oriolejunction/consensus/compaction.py
+++ b/src/oriolejunction/consensus/compaction.py
@@ -1,7 +1,8 @@
 """Replaces the start of a long log with a snapshot."""
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from oriolejunction.consensus import applier as appliers
 from oriolejunction.consensus import core as cores
@@ -10,8 +11,7 @@
 from oriolejunction.consensus import types
 
 
-@dataclasses.dataclass(frozen=True)
-class LogLimits:
+class LogLimits(msgspec.Struct, frozen=True):
     """Log size that triggers a snapshot; entries retained before it."""
 
     max_entries: int = 4_096
--- a/src/oriolejunction/consensus/core_state.py
+++ b/src/oriolejunction/consensus/core_state.py
@@ -1,8 +1,9 @@
 """State of one replica's core, and the actions it asks its driver for."""
 
-import dataclasses
 import random
 
+import msgspec
+
 from oriolejunction.consensus import log as logs
 from oriolejunction.consensus import types
 from oriolejunction.consensus import wire
@@ -10,8 +11,7 @@
 NEVER_MS = float("-inf")
 
 
-@dataclasses.dataclass(frozen=True)
-class Timing:
+class Timing(msgspec.Struct, frozen=True):
     """Intervals in ms; an election timeout is random within its range.
 
     Before its first contact with a leader since its start, a replica's
@@ -28,8 +28,7 @@
     lost_after_ms: float = 60_000.0
 
 
-@dataclasses.dataclass
-class Progress:
+class Progress(msgspec.Struct):
     """Replication progress of one member, the leader included."""
 
     next: int
@@ -39,8 +38,7 @@
     snapshot_sent_ms: float = NEVER_MS
 
 
-@dataclasses.dataclass(frozen=True)
-class PendingRead:
+class PendingRead(msgspec.Struct, frozen=True):
     """A read that waits until a majority confirms a round."""
 
     read_id: int
@@ -48,29 +46,25 @@
     index: int
 
 
-@dataclasses.dataclass(frozen=True)
-class ReadResult:
+class ReadResult(msgspec.Struct, frozen=True):
     """Index to apply before serving a read; None if not the leader."""
 
     read_id: int
     index: int | None
 
 
-@dataclasses.dataclass
-class Output:
+class Output(msgspec.Struct):
     """Actions for the driver, in order: `before_sync`, `writes`, the rest.
 
     `writes` are synced before the rest; the messages in `before_sync` are
     safe to send earlier.
     """
 
-    before_sync: list[wire.Message] = dataclasses.field(default_factory=list)
-    writes: list[types.Record] = dataclasses.field(default_factory=list)
-    messages: list[wire.Message] = dataclasses.field(default_factory=list)
-    reads: list[ReadResult] = dataclasses.field(default_factory=list)
-    snapshot_to: list[types.ReplicaId] = dataclasses.field(
-        default_factory=list
-    )
+    before_sync: list[wire.Message] = msgspec.field(default_factory=list)
+    writes: list[types.Record] = msgspec.field(default_factory=list)
+    messages: list[wire.Message] = msgspec.field(default_factory=list)
+    reads: list[ReadResult] = msgspec.field(default_factory=list)
+    snapshot_to: list[types.ReplicaId] = msgspec.field(default_factory=list)
 
     def is_empty(self) -> bool:
         """Return whether there is nothing to do."""
@@ -83,8 +77,7 @@
         )
 
 
-@dataclasses.dataclass
-class CoreState:
+class CoreState(msgspec.Struct):
     """All state of the core; term, vote and log survive a restart."""
 
     self_id: types.ReplicaId
@@ -100,19 +93,19 @@
     removed: bool = False
     leader_contact_ms: float = NEVER_MS
     election_due_ms: float = 0.0
-    votes: set[types.ReplicaId] = dataclasses.field(default_factory=set)
-    progress_by_id: dict[types.ReplicaId, Progress] = dataclasses.field(
+    votes: set[types.ReplicaId] = msgspec.field(default_factory=set)
+    progress_by_id: dict[types.ReplicaId, Progress] = msgspec.field(
         default_factory=dict
     )
     term_start_index: int = 0
     round: int = 0
     heartbeat_due_ms: float = 0.0
-    reads: list[PendingRead] = dataclasses.field(default_factory=list)
+    reads: list[PendingRead] = msgspec.field(default_factory=list)
     has_new_reads: bool = False
     has_new_entries: bool = False
     transfer_to: types.ReplicaId | None = None
     transfer_deadline_ms: float = NEVER_MS
-    output: Output = dataclasses.field(default_factory=Output)
+    output: Output = msgspec.field(default_factory=Output)
 
     def is_leader(self) -> bool:
         """Return whether this replica leads its term."""
--- a/src/oriolejunction/consensus/repair.py
+++ b/src/oriolejunction/consensus/repair.py
@@ -1,6 +1,6 @@
 """Repair of the group: which membership change is due next, if any."""
 
-import dataclasses
+import msgspec
 
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import membership as memberships
@@ -11,8 +11,7 @@
 MAX_LEARNERS = 4
 
 
-@dataclasses.dataclass(frozen=True)
-class MemberView:
+class MemberView(msgspec.Struct, frozen=True):
     """A member as seen by the leader: time without a reply, and its lag."""
 
     member: types.Member
