Take no bytes of an answer before a read's turn of the event loop

A read that was cancelled while it let other requests have their turn lost the bytes that it had just taken, so that a long answer was garbled. The turn now precedes the taking.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -81,6 +81,7 @@
         self._waiter: asyncio.Future | None = None
         self._unread: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
+        self._has_more = False
         self._failure_reason: str | None = None
         self._busy = False
         self._method = ""
@@ -171,10 +172,13 @@
         self.close()
         raise ConnectionBroken("too many interim answers")
 
-    async def read_chunk(self) -> bytes | None:
+    def read_chunk(self) -> collections.abc.Awaitable[bytes | None]:
         """Return the next part of the body, None at its clean end."""
         if self._chunked is not None:
-            return await self._read_chunked(self._chunked)
+            return self._read_chunked(self._chunked)
+        return self._read_by_h11()
+
+    async def _read_by_h11(self) -> bytes | None:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
@@ -290,16 +294,23 @@
     async def _receive(self) -> bytes:
         """Return the next received bytes, none at the end of the connection.
 
-        Raise `ConnectionBroken` if no more will come.
+        Raise `ConnectionBroken` if no more will come. A cancelled call takes
+        no bytes.
         """
+        if self._has_more:
+            # Other requests of this process have their turn.
+            self._has_more = False
+            await asyncio.sleep(0)
         while not self._unread:
             if self._failure_reason is not None:
                 raise ConnectionBroken(self._failure_reason)
-            await self._wait()
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
         data = self._take_unread()
-        if self._unread:
-            # Other requests of this process have their turn.
-            await asyncio.sleep(0)
+        self._has_more = bool(self._unread)
         return data
 
     def _take_unread(self) -> bytes:
@@ -310,14 +321,6 @@
             self._transport.resume_reading()
         return data
 
-    async def _wait(self) -> None:
-        """Wait until bytes arrive or the connection ends."""
-        self._waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-
 
 @functools.lru_cache(maxsize=32)
 def _request_of(method: str) -> h11.Request:
--- a/tests/http/test_backend_connection.py
+++ b/tests/http/test_backend_connection.py
@@ -1,6 +1,8 @@
 """Connections to backend servers from a process that is paused at times."""
 
 import asyncio
+import random
+from unittest import mock
 
 import pytest
 
@@ -36,3 +38,38 @@
     with pytest.raises(backend_connection.RequestNotSent):
         await backend_connection.connect(ADDRESS, 10.0, tries=2)
     assert len(tries) == expected
+
+
+@pytest.mark.parametrize("is_chunked", [True, False])
+async def test_cancelled_reads_lose_no_bytes(is_chunked):
+    """The limit of a wait may end it between two parts of a long answer."""
+    content = random.Random(1).randbytes(5 * backend_connection.PARSED_BYTES)
+    framing = b"Content-Length: %d\r\n\r\n%s" % (len(content), content)
+    if is_chunked:
+        framing = (
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+            % (
+                len(content),
+                content,
+            )
+        )
+    connection = backend_connection.BackendConnection("a:1")
+    connection.connection_made(mock.MagicMock())
+    connection.send("GET", "/", [(b"Host", b"a")], b"")
+    connection.data_received(b"HTTP/1.1 200 OK\r\n" + framing)
+    await connection.read_response_head()
+    received = []
+    cancelled = 0
+    for _ in range(100):
+        task = asyncio.create_task(connection.read_chunk())
+        await asyncio.sleep(0)
+        if task.done():
+            received.append(task.result())
+            if received[-1] is None:
+                break
+        else:
+            task.cancel()
+            await asyncio.wait([task])
+            cancelled += 1
+    assert b"".join(received[:-1]) == content
+    assert cancelled and connection.usable
