--- a/src/oriolejunction/controllers/overload/resend_budget.py
+++ b/src/oriolejunction/controllers/overload/resend_budget.py
@@ -101,9 +101,17 @@
             resends.pop()
 
     def uses(
-        self, waiting_by_service: dict[ids.ServiceName, int]
+        self,
+        waiting_by_service: dict[ids.ServiceName, int],
+        urgent_by_service: (
+            dict[ids.ServiceName, tuple[int, int]] | None
+        ) = None,
     ) -> tuple[fm.ServiceUse, ...]:
-        """Return the counts of the current window, to be reported."""
+        """Return the counts of the current window, to be reported.
+
+        `urgent_by_service` counts the waiting requests of the two most
+        urgent ranks of a service whose requests differ in rank.
+        """
         services = {*self._requests, *self._resends, *waiting_by_service}
         uses = (
             fm.ServiceUse(
@@ -111,6 +119,7 @@
                 len(self._recent(self._requests[service])),
                 len(self._recent(self._resends[service])),
                 waiting_by_service.get(service, 0),
+                *(urgent_by_service or {}).get(service, ()),
             )
             for service in sorted(services)
         )
--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction.controllers.overload import urgency
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway_common
 from oriolejunction import ids
@@ -38,7 +39,7 @@
             suspects=deps.health.suspects(),
             crashes=deps.guard.crashes(),
             speeds=deps.speeds.own_speeds(),
-            uses=deps.budget.uses(deps.queue.waiting_by_service()),
+            uses=self._uses(),
             answered=deps.guard.answered(),
             part_crashes=deps.parts.crashes(),
             cleared_parts=deps.parts.cleared(),
@@ -47,3 +48,24 @@
             helpers=self._helpers(),
             rollout_counts=deps.rollouts.counts.messages(),
         )
+
+    def _uses(self) -> tuple[fm.ServiceUse, ...]:
+        queue = self.deps.queue
+        waiting = queue.waiting_by_service()
+        urgent = {
+            service: urgency.count_urgent(
+                self._ranks_of(service), queue.count_by_rank(service)
+            )
+            for service in waiting
+        }
+        return self.deps.budget.uses(waiting, urgent)
+
+    def _ranks_of(self, service: ids.ServiceName) -> tuple[int, ...]:
+        """Return the ranks of a service's requests, the urgent first."""
+        table = self.deps.blackboard.table.read()
+        ranks = table.ranks_by_service if table is not None else {}
+        return ranks.get(service, ())
+
+    def is_urgent(self, service: ids.ServiceName, rank: int) -> bool:
+        """Return whether any request of a service has a later rank."""
+        return any(rank < other for other in self._ranks_of(service))
--- a/tests/http/test_stream_versions.py
+++ b/tests/http/test_stream_versions.py
@@ -16,7 +16,7 @@
 
 pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
 
-VERSIONS = ("v1", "v2", "v1")
+VERSIONS = ("v1", "v2", "v1", "v2")
 
 
 def list_engines(rig, versions):
@@ -87,7 +87,8 @@
 
 
 async def test_broken_stream_goes_on_at_its_software_version():
-    async with gateway_rig.running(llm=[breaks_once] * 3) as rig:
+    """Two engines of each version, so that either version can go on."""
+    async with gateway_rig.running(llm=[breaks_once] * 4) as rig:
         list_engines(rig, VERSIONS)
         for number in range(6):
             status, body = await streams.read(
