--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -86,12 +86,9 @@
         self._waiter: asyncio.Future | None = None
         self._unread: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
-<<<<<<< HEAD
         self._has_more = False
-=======
         self._is_paused = False
         self.unread_budget = buffer_budget.BufferBudget()
->>>>>>> origin/main
         self._failure_reason: str | None = None
         self._busy = False
         self._method = ""
