Skip what a watch reply leaves as it was

Each reply ran the guards against crashing requests and prompts and woke the queue of waiting requests, although most change only loads or nothing. The median event gap of an engine is computed once per gap, not for each report and candidate. Tests of the guards, of the queue and of streams pass.

--- a/src/oriolejunction/controllers/crash_guard.py
+++ b/src/oriolejunction/controllers/crash_guard.py
@@ -39,6 +39,9 @@
     retried: bool
 
 
+_REPORTED_FIELDS = ("suspects", "crashes_by_request", "answered")
+
+
 class CrashGuard:
     """Judges crashes by request; a fingerprint covers its path and body."""
 
@@ -66,6 +69,9 @@
         listed: dict[ids.BackendId, backends.Backend],
     ) -> None:
         """Apply what the other instances report of losses and crashes."""
+        if others.same_fields(self._others, _REPORTED_FIELDS):
+            self._others = others
+            return
         if others.suspects is not self._others.suspects:
             for backend_id in others.suspects - self._others.suspects:
                 backend = listed.get(backend_id)
--- a/src/oriolejunction/controllers/engine_speeds.py
+++ b/src/oriolejunction/controllers/engine_speeds.py
@@ -48,13 +48,24 @@
     )
     observed_at_ms: float = float("-inf")
     prefill_ms_per_k: float | None = None
+    # Until the next gap; placement and reports read it far more often.
+    median_gap_ms: float | None = None
+
+    def add_gap(self, gap_ms: float, now_ms: float) -> None:
+        """Record the time between two events."""
+        self.gaps.add(gap_ms)
+        self.recent_gaps_ms.append(gap_ms)
+        self.observed_at_ms = now_ms
+        self.median_gap_ms = None
 
     @property
     def event_ms(self) -> float | None:
         """Return the median event gap, None until there are enough gaps."""
         if len(self.recent_gaps_ms) < silence_detector.MIN_SAMPLES:
             return None
-        return statistics.median(self.recent_gaps_ms)
+        if self.median_gap_ms is None:
+            self.median_gap_ms = statistics.median(self.recent_gaps_ms)
+        return self.median_gap_ms
 
 
 class EngineSpeeds:
@@ -73,10 +84,7 @@
 
     def add_gap(self, backend_id: ids.BackendId, gap_ms: float) -> None:
         """Record the time between two events of a stream."""
-        own = self._own_estimate(backend_id)
-        own.gaps.add(gap_ms)
-        own.recent_gaps_ms.append(gap_ms)
-        own.observed_at_ms = self._clock.now_ms()
+        self._own_estimate(backend_id).add_gap(gap_ms, self._clock.now_ms())
 
     def add_prefill(
         self, backend_id: ids.BackendId, tokens: int, took_ms: float
--- a/src/oriolejunction/controllers/part_guard.py
+++ b/src/oriolejunction/controllers/part_guard.py
@@ -52,6 +52,7 @@
 MAX_REPORTED_CRASHES = 64
 MAX_CLEARED_PARTS = 2_048
 MAX_BLOCKS = 64
+_REPORTED_FIELDS = ("crashes_by_part", "cleared_parts", "blocked_parts")
 _log = structlog.get_logger(__name__)
 
 Parts = frozenset[ids.PromptPart]
@@ -144,6 +145,12 @@
 
     def update_reported(self, others: fleet_view.FleetView) -> None:
         """Apply what the other instances report."""
+        # Cleared parts outlive own crashes as time passes.
+        if not others.cleared_parts and others.same_fields(
+            self._others, _REPORTED_FIELDS
+        ):
+            self._others = others
+            return
         cleared = self.cleared()
         previous, self._others = self._others, others
         if others.crashes_by_part is not previous.crashes_by_part:
--- a/src/oriolejunction/fleet_view.py
+++ b/src/oriolejunction/fleet_view.py
@@ -1,6 +1,7 @@
 """An entry instance's view of the other entry instances."""
 
 import collections
+import collections.abc
 
 import msgspec
 
@@ -40,6 +41,17 @@
     )
     updated_at_ms: float = float("-inf")
 
+    def same_fields(
+        self, other: "FleetView", names: collections.abc.Iterable[str]
+    ) -> bool:
+        """Return whether a later view holds the same objects in fields.
+
+        A reply leaves the fields that it does not change as they are.
+        """
+        return all(
+            getattr(self, name) is getattr(other, name) for name in names
+        )
+
     def use_by_others(
         self, service: ids.ServiceName, now_ms: float
     ) -> fm.ServiceUse | None:
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -29,6 +29,8 @@
 from oriolejunction.peers import origin_client
 from oriolejunction import telemetry
 
+_PLACEMENT_FIELDS = ("load_by_id", "speed_by_id", "suspects", "limit_by_id")
+
 
 def new_dependencies(
     clock: clocks.Clock,
@@ -80,8 +82,8 @@
         )
     )
     blackboard.table.changes().subscribe(origins.retention.follow)
-    for changes in (blackboard.fleet.changes(), blackboard.backends.changes()):
-        changes.subscribe(lambda _: queue.notify_capacity())
+    blackboard.backends.changes().subscribe(lambda _: queue.notify_capacity())
+    blackboard.fleet.changes().subscribe(_CapacityChanges(queue).observe)
     return gateway_common.GatewayDependencies(
         clock=clock,
         blackboard=blackboard,
@@ -117,3 +119,21 @@
         stop_limit=stop_limit.StopLimit(),
         origins=origins,
     )
+
+
+class _CapacityChanges:
+    """Notifies the placement queue of views that may change a placement."""
+
+    def __init__(self, queue: placement_queue.PlacementQueue) -> None:
+        self._queue = queue
+        self._last = fleet_view.FleetView()
+
+    def observe(self, view: fleet_view.FleetView) -> None:
+        """Notify the queue if loads, speeds or suspects are others now.
+
+        The parts of limits follow the counts of requests, which each view
+        renews.
+        """
+        last, self._last = self._last, view
+        if view.limit_by_id or not view.same_fields(last, _PLACEMENT_FIELDS):
+            self._queue.notify_capacity()
