--- a/bench/fleet_replica.py
+++ b/bench/fleet_replica.py
@@ -37,6 +37,7 @@
 
 ENGINES = 60
 _SUMS = ("fleet_hub", "tracked_sums", "report_counts", "fleet_sums")
+_AWAITS_GRPC = ("_serve_session", "_read_session")
 SERVICE = ids.ServiceName("llm")
 
 
@@ -58,6 +59,7 @@
     """A replica that is in touch with a leader and has a table."""
 
     leader_term = None
+    last_index = 0
 
     def __init__(self, own: str, addresses: list[str]) -> None:
         members = tuple(
@@ -150,8 +152,8 @@
     """Return what the processor time of a function is spent on."""
     if "poll" in function:
         return "waiting"
-    # The event loop runs the compiled code of gRPC's tasks in a context.
-    if "/grpc/" in path or "_contextvars.Context" in function:
+    # The compiled code of gRPC counts to the function that awaits it.
+    if "/grpc/" in path or function in _AWAITS_GRPC or "Context" in function:
         return "calls and streams of gRPC"
     if "msgpack" in function:
         return "encoding"
