Test when an instance reports, with bounds in ms

Guards against urgent reports behind those of loads, reports at the rate of changes, and a list of servers that each reply writes anew.

--- a/tests/peers/test_watch_rounds.py
+++ b/tests/peers/test_watch_rounds.py
@@ -16,6 +16,10 @@
 
 pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
 running = test_fleet_service.running
+# Report, relay and round of a lost server take less than 100 ms in all.
+URGENT_LIMIT_MS = 30.0
+URGENT_RELAY_LIMIT_MS = 20.0
+RESEND_LIMIT_MS = 55.0
 SUSPECT = ids.BackendId("lost")
 
 
@@ -118,7 +122,7 @@
             service._report(report(number, suspects=(SUSPECT,))),
             lambda reply: reply.suspects == (SUSPECT,),
         )
-        assert delay_ms <= watch_rounds.URGENT_INTERVAL_MS + 1
+        assert delay_ms <= URGENT_LIMIT_MS
         await service._report(report(number))
         await asyncio.sleep(0.03)
     loads.cancel()
@@ -143,7 +147,7 @@
     for action in (publish(), read_list()):
         await asyncio.sleep(0.05)
         delay_ms = await reply_delay_ms(watch, action)
-        assert delay_ms <= watch_rounds.URGENT_INTERVAL_MS + 1
+        assert delay_ms <= URGENT_LIMIT_MS
 
 
 async def test_change_outside_the_reports_reaches_all_at_once(watched):
@@ -154,7 +158,7 @@
         service.notify_watches()
 
     delay_ms = await reply_delay_ms(watch, notify())
-    assert delay_ms <= watch_rounds.URGENT_INTERVAL_MS + 1
+    assert delay_ms <= URGENT_LIMIT_MS
     assert watch.replies[-1][1].has_observations
 
 
@@ -167,7 +171,7 @@
     delay_ms = await reply_delay_ms(
         watch, service._report(report(3, streams=3, resends=2))
     )
-    assert delay_ms <= watch_rounds.RESEND_INTERVAL_MS + 1
+    assert delay_ms <= RESEND_LIMIT_MS
 
 
 async def test_idle_watch_is_answered_within_the_long_poll(watched):
@@ -192,6 +196,6 @@
     ]
     assert len(relays) <= 500 / report_relays.LOAD_RELAY_MS + 2
     await service._report(report(1_001, suspects=(SUSPECT,)))
-    await asyncio.sleep(report_relays.URGENT_RELAY_MS / 1e3 + 0.001)
+    await asyncio.sleep(URGENT_RELAY_LIMIT_MS / 1e3)
     to, last = peers.relays[-1]
     assert last.shares[-1].suspects == (SUSPECT,)
