--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -77,13 +77,17 @@
 class ServiceUse(msgspec.Struct, frozen=True, array_like=True):
     """Requests to a service and resends of them in the last window.
 
-    `waiting` counts the requests that wait for a backend server now.
+    `waiting` counts the requests that wait for a backend server now. Where
+    the requests of a service differ in rank, `waiting_first` counts those of
+    the most urgent rank among them, and `waiting_second` those of the next.
     """
 
     service: ids.ServiceName
     requests: int
     resends: int
     waiting: int = 0
+    waiting_first: int = 0
+    waiting_second: int = 0
 
 
 class RolloutCount(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -75,11 +75,15 @@
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
-    """Load that a backend server reports in an answer."""
+    """Load that a backend server reports in an answer.
+
+    `slowdown` is how long work takes there now, 1.0 as usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 class RateLimit(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -6,20 +6,25 @@
 """
 
 import asyncio
+import math
 
 from aiohttp import web
 import msgspec
 
 from oriolejunction import backends
+from oriolejunction.controllers.overload import call_hold
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
+from oriolejunction.http import backend_wait
+from oriolejunction.http import connection_recycling
 from oriolejunction.http import crash_records
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
+from oriolejunction.http import load_observation
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
@@ -63,6 +68,11 @@
         self._dispatches = 0
         # Set once the request has its answer, or none will come in time.
         self._is_decided = False
+        # Set once a hedged request was due.
+        self._may_queue_hedge = False
+        self._hold = call_hold.CallHold(
+            deps.clock, admitted.route.latency_goal_ms
+        )
         # When each server was sent the request; it has not answered since.
         self._unanswered_since_ms: dict[ids.BackendId, float] = {}
 
@@ -123,7 +133,7 @@
                     return answer
             if not done:
                 if self._attempts.may_send():
-                    backend = self._choose_backend()
+                    backend = self._choose_hedge()
                     if backend is not None:
                         tasks.add(self._start_attempt(backend))
             elif not tasks and not self._may_retry():
@@ -152,7 +162,7 @@
         return asyncio.create_task(self._run_attempt(backend))
 
     async def _wait_for_backend(self) -> backends.Backend | None:
-        return await gateway_common.wait_for_backend(
+        return await backend_wait.wait_for_backend(
             self._deps,
             self._admitted,
             self._attempts,
@@ -168,10 +178,12 @@
         )
 
     def _limited_wait_ms(self, ahead: int) -> float:
-        """Return the expected wait if all servers are at their limits."""
-        wait_ms, interval_ms = self._deps.view.limited_wait_ms(
-            self._attempts.rollout, ahead
-        )
+        """Return the expected wait if no server takes a call now."""
+        use = self._attempts.rollout
+        wait_ms, interval_ms = self._deps.view.limited_wait_ms(use, ahead)
+        if not wait_ms:
+            wait_ms = self._deps.view.full_wait_ms(use)
+            interval_ms = math.inf
         if wait_ms:
             self._attempts.expected_wait_ms = wait_ms
             self._attempts.return_interval_ms = interval_ms
@@ -182,14 +194,41 @@
 
         The request to it counts against its limit.
         """
+        if self._hold.remaining_ms():
+            return None
         view = self._deps.view
         use = self._attempts.rollout
         untried = view.choose_for_call(use, frozenset(self._attempts.excluded))
         backend = untried or view.choose_for_call(use)
         if backend is not None:
             self._deps.intake.take(backend.backend_id)
+            trial_ms = view.reported.take(backend.backend_id)
+            if trial_ms:
+                load_observation.notify_later(self._deps.queue, trial_ms)
         return backend
 
+    def _choose_hedge(self) -> backends.Backend | None:
+        """Return the server of a hedged request, None for none now.
+
+        A queue at the other server makes the answer no sooner, and hedged
+        requests lengthen it. Only a call that is late by far, whose server
+        may be lost, is hedged all the same.
+        """
+        may_queue, self._may_queue_hedge = self._may_queue_hedge, True
+        backend = self._choose_backend()
+        if backend is None or may_queue:
+            return backend
+        if self._deps.view.has_free_slot(backend.backend_id):
+            return backend
+        self._deps.intake.give_back(backend.backend_id)
+        gateway_common.log_decision(
+            self._admitted,
+            "call not hedged",
+            backend=backend.backend_id,
+            load=self._deps.view.reported.estimate(backend.backend_id),
+        )
+        return None
+
     async def _run_attempt(
         self, backend: backends.Backend
     ) -> _BackendAnswer | None:
@@ -230,6 +269,8 @@
             gateway_common.observe_answer(deps, backend, head, sent_ms)
             if head.not_run:
                 self._handle_not_run(backend, head)
+                connection_recycling.recycle(deps, connection)
+                connection = None
                 return None
             engine_answers.require_matching_answer(head)
             body = await backend_connection.read_body(connection.read_chunk)
@@ -279,12 +320,20 @@
         self, backend: backends.Backend, head: gateway_messages.AnswerHead
     ) -> None:
         self._attempts.count_not_run()
+        load = self._deps.view.reported.estimate(backend.backend_id)
+        if head.has_no_room and load is not None:
+            self._hold.begin()
+            load_observation.notify_later(
+                self._deps.queue, self._hold.remaining_ms()
+            )
         gateway_common.log_decision(
             self._admitted,
             "server did not run it",
             backend=backend.backend_id,
             status=head.status,
             pause_ms=head.pause and head.pause.for_ms,
+            held_ms=round(self._hold.remaining_ms()),
+            load=load,
         )
         backend_checks.mark_replaced(self._deps, backend, head)
 
