--- a/src/oriolejunction/bench/plots.py
+++ b/src/oriolejunction/bench/plots.py
@@ -11,6 +11,8 @@
 RESUME_BOUND_MS = 3_000
 RESUME_FIGURE = "resume_p99_ms"
 EXTRA_FIGURE = "extra_tokens_per_useful_token"
+EXPOSURE_FIGURE = "exposure_part_worst"
+EXPOSURE_AIM = 0.7
 MAX_PANELS = 6
 
 Groups = dict[str, dict[str, float]]
@@ -34,6 +36,8 @@
         return _resume(numeric_groups(outcome.figures))
     if outcome.name == "capacity":
         return _capacity(outcome.figures)
+    if outcome.name == "rollout":
+        return _rollout(numeric_groups(outcome.figures))
     groups = numeric_groups(outcome.figures)
     if groups:
         return _panels(groups)
@@ -121,6 +125,32 @@
     return figure
 
 
+def _rollout(groups: Groups) -> figures.Figure:
+    figure = figures.Figure(figsize=SIZE_INCHES)
+    exposure, ends = figure.subplots(1, 2)
+    bad = {
+        name: numbers
+        for name, numbers in groups.items()
+        if EXPOSURE_FIGURE in numbers
+    }
+    exposure.bar(list(bad), [each[EXPOSURE_FIGURE] for each in bad.values()])
+    exposure.axhline(EXPOSURE_AIM, linestyle="--", color="grey")
+    exposure.set_ylabel("requests at the target, worst part of the bound")
+    bottom = [0.0] * len(groups)
+    for state in ("completed", "rolled_back", "in_progress"):
+        parts = [
+            numbers[state] / max(1.0, numbers["rollouts"])
+            for numbers in groups.values()
+        ]
+        ends.bar(list(groups), parts, bottom=bottom, label=state)
+        bottom = [low + part for low, part in zip(bottom, parts)]
+    ends.set_ylabel("part of the rollouts")
+    ends.legend(fontsize=7)
+    for axes in (exposure, ends):
+        axes.tick_params(axis="x", rotation=70, labelsize=7)
+    return figure
+
+
 def _capacity(outcome_figures: dict[str, object]) -> figures.Figure:
     families = (
         ("by_nodes", "leader", "lease holders of the control leader"),
