Note pauses at each watch reply, and report counts with the loads

Lists are written only when they change, so an idle instance took the time since its last request for a pause and held requests to old servers back for 0.4 s. Each request during a rollout asked for a report within 20 ms.

--- a/src/oriolejunction/controllers/rollout_gate.py
+++ b/src/oriolejunction/controllers/rollout_gate.py
@@ -98,7 +98,10 @@
         `is_current` tells that the replica is in touch with its leader;
         `listed` are the servers on the list of its reply.
         """
-        if not self.is_active or orders is None:
+        if not self.is_active:
+            return
+        self._note_pause()
+        if orders is None:
             return
         now_ms = self._clock.now_ms()
         for order in orders:
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -116,13 +116,14 @@
             lambda view: self._deps.speeds.update_reported(view.speed_by_id)
         )
         self._deps.own_loads.on_change = self._watch.notify_loads
+        # The control leader acts on the counts five times a second.
+        self._deps.rollouts.counts.on_change = self._watch.notify_loads
         for source in (
             self._deps.health,
             self._deps.guard,
             self._deps.parts,
             self._deps.intake.limits,
             self._deps.budget,
-            self._deps.rollouts.counts,
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
