Count a late first event before it comes

Operators of a slow version: its canary streams that had no event yet counted nothing, so its faster answers decided, and the rollout moved. A first event later than 2.5 times the usual prefill counts at once, as five times the usual.

--- a/src/oriolejunction/bench/rollout_world.py
+++ b/src/oriolejunction/bench/rollout_world.py
@@ -340,13 +340,22 @@
             self.rng,
         )
 
+        overdue_ms = stream_timing.OVERDUE_FACTOR * servers.PREFILL_MS
+        is_overdue = setup.load.is_stream and answer.first_ms > overdue_ms
+
         def record_first() -> None:
             if key in server.running and not answer.fails:
                 self._count_bad(answer)
-                counted.record_latency(ANSWER, answer.first_ms)
+                if not is_overdue:
+                    counted.record_latency(ANSWER, answer.first_ms)
                 if setup.load.is_stream:
                     request.software = software
 
+        def record_overdue() -> None:
+            if key in server.running:
+                latency_ms = overdue_ms * stream_timing.OVERDUE_COUNTS
+                counted.record_latency(ANSWER, latency_ms)
+
         def record_gap() -> None:
             if key in server.running:
                 counted.record_latency(EVENT, answer.event_ms)
@@ -373,6 +382,8 @@
 
         server.running[key] = break_off
         self._after(answer.first_ms, record_first)
+        if is_overdue:
+            self._after(overdue_ms, record_overdue)
         self._after(answer.lasts_ms, end)
         if answer.event_ms and not answer.fails:
             counted_ms = (stream_timing.COUNTED_EVENTS - 1) * answer.event_ms
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -152,9 +152,7 @@
             return self._handle_loss(plan, why)
         clock = self._deps.clock
         sent_ms = clock.now_ms()
-        timing = stream_timing.AttemptTiming(
-            sent_ms, rollout_send, plan.fresh_tokens
-        )
+        timing = stream_timing.AttemptTiming(self._deps, rollout_send, plan)
         replaced_ms = None
         try:
             return await self._read_answer(plan, connection, attempt, timing)
--- a/src/oriolejunction/http/rollout_sends.py
+++ b/src/oriolejunction/http/rollout_sends.py
@@ -28,6 +28,11 @@
         # None where there is no rollout.
         self._labels = labels
 
+    @property
+    def is_counted(self) -> bool:
+        """Return whether a rollout of the service is in progress."""
+        return self._labels is not None
+
     def record_failure(self) -> None:
         """Count an answer with the server's own error status."""
         self._counted.record_failure()
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -1,37 +1,54 @@
 """Times of a stream's events as its caller sees them."""
 
+import asyncio
+
 from oriolejunction.controllers import part_guard
 from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
 from oriolejunction.http import rollout_sends
+from oriolejunction.http import stream_plan
 
 # The time per event is counted once for each attempt, early enough to show a
 # slow version while its streams still run. With much fewer events, it is
 # mostly that of the network.
 COUNTED_EVENTS = 16
 MIN_COUNTED_EVENTS = 8
+# A first event that takes this many times as long as usual is counted before
+# it comes, as if it took twice the time so far: until then, a slow version
+# would show by its faster answers only.
+OVERDUE_FACTOR = 2.5
+OVERDUE_COUNTS = 2.0
 # Shorter prompts count as this long: their prefill takes next to no time.
 MIN_PROMPT_TOKENS = 100
 
 
 class AttemptTiming:
-    """When one attempt's first and latest events arrived, in ms.
-
-    `prefill_tokens` is None if the attempt begins with a KV cache copy.
-    """
+    """When one attempt's first and latest events arrived, in ms."""
 
     def __init__(
         self,
-        sent_ms: float,
+        deps: gateway_common.GatewayDependencies,
         rollout_send: rollout_sends.RolloutSend,
-        prefill_tokens: int | None,
+        plan: stream_plan.StreamPlan,
     ) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
         self.rollout_send = rollout_send
-        self._sent_ms = sent_ms
-        self._prefill_tokens = prefill_tokens
+        self._clock = deps.clock
+        self._sent_ms = deps.clock.now_ms()
+        self._tokens = max(MIN_PROMPT_TOKENS, plan.fresh_tokens or 0)
         self._events = 0
+        self._is_first_counted = plan.fresh_tokens is None
+        self._overdue: asyncio.TimerHandle | None = None
+        if rollout_send.is_counted and not self._is_first_counted:
+            usual_ms = (
+                (plan.candidate.prefill_tokens + self._tokens)
+                / 1_000
+                * deps.speeds.typical_prefill_ms_per_k()
+            )
+            self._overdue = asyncio.get_running_loop().call_later(
+                OVERDUE_FACTOR * usual_ms / 1e3, self._count_overdue
+            )
 
     def end(self, replaced_ms: float | None) -> None:
         """Count the attempt for its service's rollout.
@@ -39,17 +56,24 @@
         One that was replaced, or ran into its deadline, at `replaced_ms`
         without an event would have taken at least until then.
         """
+        if self._overdue is not None:
+            self._overdue.cancel()
         if self.first_ms is None and replaced_ms is not None:
             self._count_first(replaced_ms)
         if MIN_COUNTED_EVENTS <= self._events < COUNTED_EVENTS:
             self._count_gap()
         self.rollout_send.end()
 
+    def _count_overdue(self) -> None:
+        if self.first_ms is None:
+            waited_ms = self._clock.now_ms() - self._sent_ms
+            self._count_first(self._sent_ms + OVERDUE_COUNTS * waited_ms)
+
     def _count_first(self, first_ms: float) -> None:
-        if self._prefill_tokens is not None:
-            tokens = max(MIN_PROMPT_TOKENS, self._prefill_tokens)
+        if not self._is_first_counted:
+            self._is_first_counted = True
             self.rollout_send.record_answer(
-                (first_ms - self._sent_ms) / tokens * 1_000
+                (first_ms - self._sent_ms) / self._tokens * 1_000
             )
 
     def _count_gap(self) -> None:
--- a/tests/http/test_rollouts.py
+++ b/tests/http/test_rollouts.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from oriolejunction.controllers import rollout_latency
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction.platform import backend_list
@@ -282,3 +283,25 @@
             assert response.status == 200
         assert arrived(rig, DESK) == [3, 2]
         assert sent(rig) == {"v1": [3, 3, 0], "v2": [2, 2, 0]}
+
+
+async def test_a_late_first_event_counts_before_it_comes():
+    """Fails if a slow version shows by its fast answers only."""
+    rows = []
+
+    async def hang(arrival):
+        await asyncio.sleep(0.5)
+        rows.extend(rig.deps.rollouts.counts.messages())
+        await streams.complete(arrival)
+
+    async with running(llm=[hang]) as rig:
+        list_versions(rig, llm=["v1"])
+        order(rig, LLM, PHASE.OBSERVING)
+        usual_ms = rig.deps.speeds.typical_prefill_ms_per_k()
+        async with rig.ask("/brief/1", Token_Counts="400,80") as response:
+            await response.read()
+        (late,) = rows
+        bucket = late.latencies.index(1)
+        assert bucket >= rollout_latency.bucket_of(4.0 * usual_ms)
+        (after,) = rig.deps.rollouts.counts.messages()
+        assert after.latencies == late.latencies
