--- a/src/oriolejunction/peers/rollout_control.py
+++ b/src/oriolejunction/peers/rollout_control.py
@@ -53,7 +53,37 @@
     telemetry: rollout_telemetry.RolloutTelemetry
 
 
-class RolloutControl:
+class NoRollouts:
+    """What the fleet service asks, on a deployment without rollouts."""
+
+    def observe(
+        self, reports: collections.abc.Iterable[fm.EntryReport]
+    ) -> bool:
+        """Take the counts of reports; return whether any rose."""
+        return False
+
+    def note_listing_read(self) -> None:
+        """Record that this replica read the list of servers itself."""
+
+    def take_relay(self, request: fm.RelayRequest) -> None:
+        """Take counts, and from which log index on the list is known."""
+
+    def have_orders_changed(self) -> bool:
+        """Return whether any order has changed since the last call."""
+        return False
+
+    def has_changed(self, request: fm.WatchRequest) -> bool:
+        """Return whether an instance was last sent other orders."""
+        return False
+
+    def take_orders(
+        self, request: fm.WatchRequest
+    ) -> tuple[fm.RolloutOrder, ...] | None:
+        """Return the orders for an instance, and record them as sent."""
+        return None
+
+
+class RolloutControl(NoRollouts):
     """Leads the rollouts in progress, if its replica leads the group."""
 
     def __init__(self, deps: ControlDependencies) -> None:
@@ -64,6 +94,7 @@
         self._ttl_ms = rollout_orders.ttl_ms(deps.bounds.rollback_ms)
         self._term: int | None = None
         self._took_ms = 0.0
+        self._last_orders: list[tuple] = []
         self._leader_by_number: dict[int, rollout_leader.RolloutLeader] = {}
         self._begun_ms: dict[int, float] = {}
         self._sent_by_instance: dict[
@@ -110,8 +141,21 @@
             self._book, request.instance, request.entry_boot, self._ttl_ms
         )
 
+    def have_orders_changed(self) -> bool:
+        """Return whether any order has changed since the last call."""
+        orders = [
+            (each.number, each.phase, each.state, each.granted)
+            for each in self._book.newest_by_service.values()
+        ]
+        changed = orders != self._last_orders
+        self._last_orders = orders
+        return changed
+
     def has_changed(self, request: fm.WatchRequest) -> bool:
         """Return whether an instance was last sent other orders."""
+        if not request.entry_boot:
+            # An instance of an earlier version doesn't take orders.
+            return False
         orders = self.orders_for(request)
         return (
             orders is not None
--- a/src/oriolejunction/peers/watch_replies.py
+++ b/src/oriolejunction/peers/watch_replies.py
@@ -16,6 +16,7 @@
 from oriolejunction.controllers import fleet_hub
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import listing_store
+from oriolejunction.peers import rollout_control
 
 # Five heartbeat intervals of the leader.
 LEADER_TIMEOUT_MS = 500.0
@@ -52,23 +53,14 @@
 
 @dataclasses.dataclass
 class WatchReplies:
-    """Replies from the state of one replica, `incarnation`.
-
-    `rollouts_for` returns the rollouts for a watcher; it is None where the
-    deployment has none.
-    """
+    """Replies from the state of one replica, `incarnation`."""
 
     incarnation: str
     replica: raft_replica.RaftReplica
     clock: clocks.Clock
     hub: fleet_hub.FleetHub
     listing: listing_store.ListingStore
-    rollouts_for: (
-        collections.abc.Callable[
-            [fm.WatchRequest], tuple[fm.RolloutOrder, ...] | None
-        ]
-        | None
-    ) = None
+    rollouts: rollout_control.NoRollouts = rollout_control.NoRollouts()
     _shared: dict[tuple, EncodedFields] = dataclasses.field(
         default_factory=dict
     )
@@ -89,8 +81,9 @@
                 request.instance, request.entry_boot
             )
         }
-        if self.rollouts_for is not None:
-            own["rollouts"] = self.rollouts_for(request)
+        orders = self.rollouts.take_orders(request)
+        if orders is not None:
+            own["rollouts"] = orders
         if self.hub.has_observations_since(seen):
             own["helpers"] = self.hub.helpers_for(request.instance)
             parts.append(self._observations_for(request))
@@ -182,5 +175,4 @@
             helpers=update.helpers,
             speeds=update.speeds,
             uses=self.hub.uses_of_others(request.instance),
-            rollouts=self.rollouts_for and self.rollouts_for(request),
         )
