Renew no order by a replica out of touch with its leader

An instance that watched a control replica without contact to its leader took each of its replies as a new validity of the order, so it could go on sending to a target that the leader had taken back. Such replies now move phases forward only.

--- a/src/oriolejunction/controllers/rollout_gate.py
+++ b/src/oriolejunction/controllers/rollout_gate.py
@@ -105,15 +105,17 @@
             return
         now_ms = self._clock.now_ms()
         for order in orders:
-            self._apply(order, sent_ms, now_ms)
+            until_ms = sent_ms + order.ttl_ms if is_current else None
+            self._apply(order, until_ms, now_ms)
         if orders:
             self.on_change()
         if is_current:
             self._versions.vouch(sent_ms, listed)
 
     def _apply(
-        self, order: fm.RolloutOrder, sent_ms: float, now_ms: float
+        self, order: fm.RolloutOrder, until_ms: float | None, now_ms: float
     ) -> None:
+        """Apply an order that is valid until a time, None if it may be old."""
         current = self._rollout_by_service.get(order.service)
         if current is None or order.number > current.order.number:
             self._replace(current, order, now_ms)
@@ -127,10 +129,12 @@
             self._log_order(order)
         elif order.phase is not current.order.phase:
             return
+        if until_ms is None:
+            return
         current.heard_ms = now_ms
-        current.renew(sent_ms + order.ttl_ms)
+        current.renew(until_ms)
         if order.phase is states.RolloutPhase.OBSERVING:
-            current.grant(order.allowance, sent_ms + order.ttl_ms, now_ms)
+            current.grant(order.allowance, until_ms, now_ms)
         elif (
             current.is_over
             and now_ms - current.phase_since_ms > KEEP_COUNTS_MS
@@ -370,16 +374,7 @@
         """Return the newest order of each service, for the status page."""
         now_ms = self._clock.now_ms()
         return [
-            {
-                "service": service,
-                "number": each.order.number,
-                "target": each.order.target,
-                "phase": each.order.phase.value,
-                "allowance": each.allowance(now_ms),
-                "sent_to_target": each.sent,
-                "age_ms": clocks.round_age_ms(now_ms - each.heard_ms),
-            }
-            for service, each in self._rollout_by_service.items()
+            each.status(now_ms) for each in self._rollout_by_service.values()
         ]
 
     def facts(
--- a/src/oriolejunction/controllers/rollout_use.py
+++ b/src/oriolejunction/controllers/rollout_use.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from oriolejunction import clock as clocks
 from oriolejunction.controllers import rollout_canary
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -71,6 +72,18 @@
         """Return whether the rollout was completed or rolled back."""
         return self.order.phase in OVER
 
+    def status(self, now_ms: float) -> dict[str, object]:
+        """Return the order and its use for the status page."""
+        return {
+            "service": self.order.service,
+            "number": self.order.number,
+            "target": self.order.target,
+            "phase": self.order.phase.value,
+            "allowance": self.allowance(now_ms),
+            "sent_to_target": self.sent,
+            "age_ms": clocks.round_age_ms(now_ms - self.heard_ms),
+        }
+
     def is_behind(self, order: fm.RolloutOrder) -> bool:
         """Return whether an order of the same number has a later phase."""
         rank = _RANK_BY_PHASE[self.order.phase]
--- a/tests/controllers/test_rollout_gate.py
+++ b/tests/controllers/test_rollout_gate.py
@@ -198,6 +198,19 @@
     assert instance.versions() == [{NEW}]
 
 
+def test_a_replica_out_of_touch_renews_nothing():
+    """Fails if an order taken back by the leader stays in use."""
+    instance = Instance(OLD, NEW)
+    instance.hear(order(PHASE.OBSERVING, allowance=9), current=False)
+    assert not instance.send()
+    instance.hear(order(PHASE.MOVING))
+    instance.clock.advance(TTL_MS)
+    instance.hear(order(PHASE.MOVING), current=False)
+    assert not instance.send()
+    instance.hear(order(PHASE.REVERTED), current=False)
+    assert instance.versions() == [{OLD}]
+
+
 def test_a_version_waits_until_orders_are_heard():
     """Fails if the target gets requests before its order is known."""
     instance = Instance(OLD)
