--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import math
 import random
 
 import msgspec
@@ -14,7 +15,9 @@
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
+from oriolejunction.controllers.overload import call_choice
 from oriolejunction.controllers.overload import placement
+from oriolejunction.controllers.overload import reported_loads
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers import rollout_gate
 from oriolejunction.controllers import rollout_use
@@ -26,6 +29,8 @@
 FAILURE_PENALTY_CALLS = 4.0
 JITTER_CALLS = 0.2
 CROSS_ZONE_CALLS = 0.4
+# Streams on an engine that no instance reports count at this rate less.
+UNKNOWN_STREAMS_DECAY_MS = 1_000.0
 _IDLE = fm.BackendLoad(ids.BackendId(""), 0, 0, 0)
 
 
@@ -37,6 +42,7 @@
     speeds: engine_speeds.EngineSpeeds
     health: backend_health.BackendHealth
     intake: server_intake.ServerIntake
+    reported: reported_loads.ReportedLoads
     zone: ids.ZoneId
     rng: random.Random
     rollouts: rollout_gate.RolloutGate
@@ -56,6 +62,14 @@
         """
         return self.rollouts.tiers(use, self._open(use.service, excluded))
 
+    def _full_ms(self, backend_id: ids.BackendId) -> float:
+        """Return for how long a server has no capacity, 0 if it has some."""
+        if not self.reported.are_known:
+            return 0.0
+        return self.reported.full_ms(
+            backend_id, self.own_loads.calls(backend_id)
+        )
+
     def limited_wait_ms(
         self, use: rollout_use.RolloutUse, ahead: int
     ) -> tuple[float, float]:
@@ -78,8 +92,24 @@
             each
             for each in self._healthy(service, excluded)
             if self.intake.allows(each.backend_id)
+            and not self._full_ms(each.backend_id)
         ]
 
+    def full_wait_ms(self, use: rollout_use.RolloutUse) -> float:
+        """Return for how long all servers of a request have no capacity."""
+        if not self.reported.are_known:
+            return 0.0
+        tiers = self.rollouts.tiers(use, self._healthy(use.service))
+        return min(
+            (
+                self._full_ms(each.backend_id)
+                for tier in tiers
+                for each in tier
+                if self.intake.allows(each.backend_id)
+            ),
+            default=0.0,
+        )
+
     def _healthy(
         self,
         service: ids.ServiceName,
@@ -145,15 +175,29 @@
     ) -> placement.Candidate:
         mine = own.get(backend.backend_id, _IDLE)
         theirs = others.get(backend.backend_id, _IDLE)
+        streams = mine.streams + theirs.streams
+        event_ms = self.speeds.event_ms(backend.backend_id)
+        prefill_ms_per_k = self.speeds.prefill_ms_per_k(backend.backend_id)
+        load = self.reported.estimate(backend.backend_id)
+        if load is not None:
+            # Streams that no instance reports, such as abandoned ones, end
+            # soon.
+            unknown = max(0.0, load.others - streams)
+            streams += round(
+                unknown * math.exp(-load.age_ms / UNKNOWN_STREAMS_DECAY_MS)
+            )
+            if not self.speeds.is_fresh(backend.backend_id):
+                event_ms *= load.slowdown
+                prefill_ms_per_k *= load.slowdown
         return placement.Candidate(
             backend=backend,
-            streams=mine.streams + theirs.streams,
+            streams=streams,
             kv_tokens=mine.kv_tokens + theirs.kv_tokens,
             prefill_tokens=mine.prefill_tokens + theirs.prefill_tokens,
             kv_limit=capabilities.kv_tokens,
             slots=capabilities.slots,
-            event_ms=self.speeds.event_ms(backend.backend_id),
-            prefill_ms_per_k=self.speeds.prefill_ms_per_k(backend.backend_id),
+            event_ms=event_ms,
+            prefill_ms_per_k=prefill_ms_per_k,
             zone_failing=backend.zone in failing,
         )
 
@@ -169,14 +213,47 @@
     ) -> backends.Backend | None:
         """Return the backend server for a call to a plain service.
 
-        It is the one with the fewest calls of this instance. A server that
-        failed recently or is in another zone counts as having more.
+        Where servers state no load, it is the one with the fewest calls of
+        this instance. A server that failed recently or is in another zone
+        counts as having more.
         """
         for servers in self.available(use, excluded):
             if servers:
-                return min(servers, key=self._call_cost)
+                return self._choose_among(servers)
         return None
 
+    def _choose_among(
+        self, servers: list[backends.Backend]
+    ) -> backends.Backend:
+        if self.reported.are_known:
+            candidates = [self._call_candidate(each) for each in servers]
+            if any(each.load is not None for each in candidates):
+                return call_choice.choose(
+                    candidates, self.zone, self.rng
+                ).backend
+        return min(servers, key=self._call_cost)
+
+    def has_free_slot(self, backend_id: ids.BackendId) -> bool:
+        """Return whether a call to a plain service would run at once.
+
+        It would, as far as known, if the server states no load or slots.
+        """
+        load = self.reported.estimate(backend_id)
+        if load is None or not load.slots:
+            return True
+        return load.others + self.own_loads.calls(backend_id) < load.slots
+
+    def _call_candidate(
+        self, backend: backends.Backend
+    ) -> call_choice.CallCandidate:
+        backend_id = backend.backend_id
+        return call_choice.CallCandidate(
+            backend,
+            self.own_loads.calls(backend_id),
+            self.health.failure_rate(backend_id),
+            self.reported.estimate(backend_id),
+        )
+
     def _call_cost(self, backend: backends.Backend) -> float:
         backend_id = backend.backend_id
         return (
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 import pathlib
 import secrets
 
@@ -75,6 +76,7 @@
             ids.ZoneId(settings.zone),
             self.rng,
             settings.rollouts and settings.rollouts.exposure_share,
+            settings.buffer_bytes or math.inf,
         )
 
     async def start(self) -> None:
@@ -126,6 +128,12 @@
             self._deps.budget,
         ):
             source.on_change = self._watch.notify_report
+
+        def report_waiter(service: ids.ServiceName, rank: int) -> None:
+            if reports.is_urgent(service, rank):
+                self._watch.notify_report()
+
+        self._deps.queue.on_first_waiter = report_waiter
         self._deps.reached.on_change = self._on_reachability
         self.spawn(self._watch.run)
         self.spawn(self._watch.run_reports)
@@ -269,6 +277,7 @@
         listed = set(snapshot.by_id)
         self._deps.health.retain_only(listed)
         self._deps.intake.retain_only(listed)
+        self._deps.view.reported.retain_only(listed)
         self._deps.speeds.update_listed(snapshot.by_id)
         addresses = {b.address for b in snapshot.by_id.values()}
         self._deps.pool.retain_only(addresses)
--- a/src/oriolejunction/fleet_sums.py
+++ b/src/oriolejunction/fleet_sums.py
@@ -160,7 +160,7 @@
 ) -> dict[ids.ServiceName, fm.ServiceUse]:
     others: dict[ids.ServiceName, fm.ServiceUse] = {}
     for use in uses:
-        counts = (use.requests, use.resends, use.waiting)
+        counts = report_counts.use_counts(use)
         if (own_counts := own.uses.get(use.service)) is not None:
             counts = tuple(map(operator.sub, counts, own_counts))
         if any(counts):
