Bound the routes that a rollout compares, and report a good verdict

With a thousand routes of one service a step of the control leader took 160 ms, with 4,000 a second, which would cost it the leadership. More than 200 are now counted as one. Log lines of a move said undecided; they say good.

--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -68,20 +68,6 @@
     in_force: bool = False
 
 
-class _Quiet:
-    """How long a number has not changed."""
-
-    def __init__(self) -> None:
-        self._value: int | None = None
-        self._since_ms = 0.0
-
-    def for_ms(self, value: int, now_ms: float) -> float:
-        """Return how long the number has had this value."""
-        if value != self._value:
-            self._value, self._since_ms = value, now_ms
-        return now_ms - self._since_ms
-
-
 class RolloutLeader:
     """Leads one rollout; `finding` is the newest comparison."""
 
@@ -94,10 +80,20 @@
         self._history = rollout_windows.WindowHistory()
         self._running_ms = 0.0
         self._stepped_ms: float | None = None
-        self._target_quiet, self._old_quiet = _Quiet(), _Quiet()
+        self._target_quiet = rollout_windows.Quiet()
+        self._old_quiet = rollout_windows.Quiet()
         self.finding = rollout_verdict.Finding()
         self.waits_for = ""
         self.limit = 0
+        self._is_good = False
+
+    @property
+    def verdict(self) -> states.RolloutVerdict:
+        """Return what the answers so far say."""
+        found = self.finding.verdict
+        if self._is_good and found is states.RolloutVerdict.UNDECIDED:
+            return states.RolloutVerdict.GOOD
+        return found
 
     def step(
         self, rollout: rollout_book.Rollout, seen: Observation
@@ -172,6 +168,7 @@
             )
         self.waits_for = self._wait_reason(seen, window, planned_ms, last_ms)
         if not self.waits_for:
+            self._is_good = True
             return self._move(
                 rollout, states.RolloutPhase.MOVING, "good", window
             )
--- a/src/oriolejunction/controllers/rollout_tally.py
+++ b/src/oriolejunction/controllers/rollout_tally.py
@@ -12,6 +12,12 @@
 from oriolejunction import ids
 from oriolejunction import states
 
+# More routes of one service are counted as one, in the order of their first
+# request: a comparison of a thousand takes 160 ms, and the leader's heartbeats
+# wait for it.
+MAX_ROUTES = 200
+OTHER_ROUTES = "other routes"
+
 RolloutKey = tuple[ids.ServiceName, int]
 _LatencyKey = tuple[str, states.RolloutMeasure]
 
@@ -99,6 +105,7 @@
     def __init__(self) -> None:
         self._incarnations: dict[ids.InstanceId, dict[str, _Incarnation]] = {}
         self._sums: dict[RolloutKey, CountsByRoute] = {}
+        self._routes: dict[RolloutKey, set[str]] = {}
 
     def put(self, report: fm.EntryReport, now_ms: float) -> bool:
         """Store the counts of a report; return whether any rose."""
@@ -123,7 +130,7 @@
                 continue
             sums = self._sums.setdefault((row.service, row.number), {})
             counts = sums.setdefault(row.software, {}).setdefault(
-                row.route, VersionCounts()
+                self._known_route(row), VersionCounts()
             )
             if former is not None:
                 counts.add(former, -1)
@@ -132,6 +139,14 @@
             changed = True
         return changed
 
+    def _known_route(self, row: fm.RolloutCount) -> str:
+        routes = self._routes.setdefault((row.service, row.number), set())
+        if row.route not in routes:
+            if len(routes) >= MAX_ROUTES:
+                return OTHER_ROUTES
+            routes.add(row.route)
+        return row.route
+
     def sums(self, key: RolloutKey) -> CountsByRoute:
         """Return the sums by version and route of a rollout."""
         return self._sums.get(key, {})
@@ -164,7 +179,7 @@
         older than `oldest_ms`.
         """
         for key in self._sums.keys() - keys:
-            del self._sums[key]
+            del self._sums[key], self._routes[key]
         for instance, by_boot in list(self._incarnations.items()):
             for boot, known in list(by_boot.items()):
                 known.row_by_key = {
--- a/src/oriolejunction/controllers/rollout_windows.py
+++ b/src/oriolejunction/controllers/rollout_windows.py
@@ -56,6 +56,20 @@
         return [window, *(each for each in recent if each is not None)]
 
 
+class Quiet:
+    """How long a number has not changed."""
+
+    def __init__(self) -> None:
+        self._value: int | None = None
+        self._since_ms = 0.0
+
+    def for_ms(self, value: int, now_ms: float) -> float:
+        """Return how long the number has had this value."""
+        if value != self._value:
+            self._value, self._since_ms = value, now_ms
+        return now_ms - self._since_ms
+
+
 def copy_window(window: rollout_verdict.Window) -> rollout_verdict.Window:
     """Return a copy that later reports don't change."""
     return {
--- a/src/oriolejunction/peers/rollout_control.py
+++ b/src/oriolejunction/peers/rollout_control.py
@@ -184,7 +184,7 @@
         pairs = window.values()
         target_sent = sum(pair.target.sent for pair in pairs)
         return rm.Progress(
-            verdict=leader.finding.verdict.value,
+            verdict=leader.verdict.value,
             reason=leader.waits_for,
             instances=sum(1 for _ in self._tally.instances(key)),
             requests=target_sent + sum(pair.old.sent for pair in pairs),
@@ -348,7 +348,7 @@
                 log.info(
                     "rollout phase changed",
                     phase=step.phase.value,
-                    verdict=leader.finding.verdict.value,
+                    verdict=leader.verdict.value,
                     reason=step.reason,
                     evidence=step.evidence,
                 )
@@ -356,7 +356,7 @@
                 log.info(
                     "rollout ended",
                     state=step.state.value,
-                    verdict=leader.finding.verdict.value,
+                    verdict=leader.verdict.value,
                     reason=step.reason,
                     evidence=step.evidence,
                 )
--- a/tests/controllers/test_rollout_tally.py
+++ b/tests/controllers/test_rollout_tally.py
@@ -57,6 +57,18 @@
     assert (newest.boot, newest.sent_by_software) == ("c", {"v2": 2})
 
 
+def test_thousands_of_routes_are_counted_as_some_hundreds():
+    """Fault: the comparison delayed the leader's heartbeats by a second."""
+    rows = tuple(
+        fm.RolloutCount("desk", 1, "v2", f"r{n}", ANSWER, 1)
+        for n in range(3_000)
+    )
+    tally = tally_of(fm.EntryReport("a", "b", 1, rollout_counts=rows))
+    sums = tally.sums(KEY)["v2"]
+    assert len(sums) == rollout_tally.MAX_ROUTES + 1
+    assert sum(each.sent for each in sums.values()) == 3_000
+
+
 def test_counts_of_ended_rollouts_are_dropped():
     tally = tally_of(report(1, 5))
     tally.keep_only({KEY}, 1e9)
