--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -30,8 +30,9 @@
 # Time that taking back needs before the deadline, but not the first half.
 TAKE_BACK_MS = 3_000.0
 MIN_LAST_MOVE = 0.5
-# A watch reply, and the report after it, take less than this.
-PROPAGATION_MS = 300.0
+# A report that arrives this long after a change was sent by an instance that
+# knew it: a watch reply takes 100 ms, an old report in a relay 500 ms.
+PROPAGATION_MS = 600.0
 # Counts that do not rise for this long will not; a report comes at least once
 # a second and on each change.
 SETTLE_MS = 600.0
@@ -265,7 +266,7 @@
                 f"bad after the move: {self.finding.detail}",
                 window,
             )
-        if not seen.target_servers and not seen.in_force:
+        if seen.old_servers and not seen.target_servers:
             return self._move(
                 rollout,
                 states.RolloutPhase.REVERTED,
