Go back from a suspect version early enough for its deadline

On the model, one of 60 good versions was suspect at 0.9 of 12 s and rolled back after its deadline, since instances need up to 2 s to be heard. It is decided 2 s before the deadline now, not before 0.8 of the time.

Measured: tests/controllers/test_rollout_leader.py, 49 passed in 24 s; the model sends reports on changes and once a second as instances do.

--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -33,6 +33,9 @@
 # A report that arrives this long after a change was sent by an instance that
 # knew it: a watch reply takes 100 ms, an old report in a relay 500 ms.
 PROPAGATION_MS = 600.0
+# To go back takes this long unless an instance is lost. A target that is
+# suspect this long before the deadline is not completed.
+USUAL_TAKE_BACK_MS = 2_000.0
 # Counts that do not rise for this long will not; a report comes at least once
 # a second and on each change.
 SETTLE_MS = 600.0
@@ -281,7 +284,8 @@
             return None
         if self.finding.verdict is states.RolloutVerdict.SUSPECT:
             self.waits_for = f"suspect: {self.finding.detail}"
-            if part < END:
+            left_ms = rollout.duration_ms - seen.elapsed_ms
+            if part < MIN_END or left_ms > USUAL_TAKE_BACK_MS:
                 return None
             return self._move(
                 rollout,
--- a/src/oriolejunction/controllers/rollout_tally.py
+++ b/src/oriolejunction/controllers/rollout_tally.py
@@ -41,7 +41,8 @@
         sums = self.latencies.setdefault(row.measure, [])
         sums.extend([0] * (len(row.latencies) - len(sums)))
         for bucket, count in enumerate(row.latencies):
-            sums[bucket] += factor * count
+            if count:
+                sums[bucket] += factor * count
 
     def copy(self) -> "VersionCounts":
         """Return a copy that later reports don't change."""
--- a/tests/controllers/rollout_model.py
+++ b/tests/controllers/rollout_model.py
@@ -75,12 +75,14 @@
     def __init__(self, name, boot):
         self.name, self.boot = name, boot
         self.number = 0
+        self.changed = False
         self.first_events = []
         self.rows = {}
         self.running = []
         self.target_sent = self.target_running = 0
 
     def row(self, software, route, measure=ANSWER):
+        self.changed = True
         return self.rows.setdefault(
             (software, route, measure),
             [0, 0, 0, [0] * rollout_latency.BUCKETS],
@@ -88,6 +90,7 @@
 
     def report(self):
         self.number += 1
+        self.changed = False
         return fm.EntryReport(
             self.name,
             self.boot,
@@ -166,7 +169,8 @@
         for instance in self.instances:
             self.end_requests(instance, now_ms)
             self.send_requests(instance, now_ms)
-            if now_ms % (TICK_MS * 2) == 0:
+            # Reports go out on changes and once a second.
+            if now_ms % 100 == 0 and instance.changed or now_ms % 1_000 == 0:
                 self.tally.put(instance.report(), now_ms)
         self.check_exposure()
         for lost_ms in self.setup.leader_lost_ms:
