--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -18,6 +18,7 @@
 from oriolejunction.controllers import graceful_shutdown
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction import entry_reports
+from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_state
 from oriolejunction.http import readiness
@@ -25,6 +26,7 @@
 from oriolejunction import node_base
 from oriolejunction import node_settings
 from oriolejunction.peers import channels
+from oriolejunction.peers import fleet_session
 from oriolejunction.peers import fleet_watch
 from oriolejunction.peers import list_poller
 from oriolejunction.platform import backend_list
@@ -72,6 +74,7 @@
             ),
             ids.ZoneId(settings.zone),
             self.rng,
+            settings.rollouts and settings.rollouts.exposure_share,
         )
 
     async def start(self) -> None:
@@ -95,9 +98,14 @@
                 seeds=lambda: self.settings_file.current.seed_addresses(),
                 report=reports.next_report,
                 read_table=gateway_dialect.WIRE_FORMAT.read_table,
-                stub_for=self._channels.stub_for,
+                session=fleet_session.FleetSession(
+                    self.clock,
+                    self._channels.stub_for,
+                    self._channels.stream_to,
+                ),
                 rng=self.rng,
                 on_move=self._deps.origins.resend,
+                on_reply=self._update_rollouts,
             )
         )
         self._deps.origins.connect(
@@ -114,6 +122,7 @@
             self._deps.parts,
             self._deps.intake.limits,
             self._deps.budget,
+            self._deps.rollouts.counts,
         ):
             source.on_change = self._watch.notify_report
         self._deps.reached.on_change = self._on_reachability
@@ -129,7 +138,7 @@
                 functools.partial(
                     backend_list.fetch, address=settings.list_address
                 ),
-                lambda: False,
+                None,
                 lambda: self._blackboard.table.read() is not None,
                 self._watch.publish_listing,
                 self.rng,
@@ -221,6 +230,7 @@
             "suspects": self._deps.health.suspects(),
             "suspects_told": sorted(fleet.suspects),
             "loads": list(self._deps.own_loads.loads().values()),
+            "rollouts": self._deps.rollouts.status(),
         }
 
     def _helper_addresses(self) -> tuple[str, ...]:
@@ -244,6 +254,14 @@
             and bool(self._blackboard.backends.read().by_id)
         )
 
+    def _update_rollouts(self, reply: fm.WatchReply, sent_ms: float) -> None:
+        self._deps.rollouts.update(
+            reply.rollouts,
+            sent_ms,
+            reply.fresh,
+            self.listing.listed_in(reply.listing),
+        )
+
     def _drop_unlisted(self, snapshot) -> None:
         if not snapshot.by_id:
             return
