--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -26,7 +26,7 @@
 # Nothing can be taken back after the end, so it is not before MIN_END.
 # From END on, FEW_LEFT requests that still run on old servers no longer delay
 # the end; at LAST_END it is due, and those left break.
-MIN_END, END, LAST_END, FEW_LEFT = 0.8, 0.9, 0.96, 2
+MIN_END, END, LAST_END, FEW_LEFT = 0.8, 0.9, 0.93, 2
 # Time that taking back needs before the deadline, but not the first half.
 TAKE_BACK_MS = 3_000.0
 MIN_LAST_MOVE = 0.5
@@ -135,7 +135,8 @@
         """Return the planned and the last time for a move."""
         duration_ms = rollout.duration_ms
         ended = sum(pair.old.ended for pair in window.values())
-        mean_ms = self._running_ms / ended if ended else 0.0
+        # Requests from before the order make the count begin below zero.
+        mean_ms = self._running_ms / max(1, ended)
         last_ms = max(
             MIN_LAST_MOVE * duration_ms,
             min(LAST_MOVE * duration_ms, duration_ms - TAKE_BACK_MS),
@@ -204,17 +205,11 @@
         waited = (seen.elapsed_ms - planned_ms) / max(
             1.0, last_ms - planned_ms
         )
-        wanted = rollout_verdict.ANSWERS_WANTED - min(1.0, waited) * (
-            rollout_verdict.ANSWERS_WANTED - rollout_verdict.ANSWERS_NEEDED
-        )
-        missing = rollout_verdict.missing_evidence(window, wanted)
+        missing = rollout_verdict.missing_evidence(window, waited)
         if missing:
             return missing
         recent = self._history.since(window, seen.now_ms - RECENT_MS)
-        count = sum(
-            rollout_verdict.answers(pair.target)
-            for pair in (recent or window).values()
-        )
+        count = rollout_windows.target_answers(recent or window)
         if count < MIN_RECENT_ANSWERS and waited < 1.0:
             return f"{count} answers of late"
         return ""
@@ -282,7 +277,7 @@
         if seen.now_ms - self._started_ms < MIN_WATCH_MS:
             self.waits_for = "reports to a new leader"
             return None
-        if self.finding.verdict is states.RolloutVerdict.SUSPECT:
+        if self.finding.score < rollout_verdict.NOT_COMPLETED_SCORE:
             self.waits_for = f"suspect: {self.finding.detail}"
             left_ms = rollout.duration_ms - seen.elapsed_ms
             if part < MIN_END or left_ms > USUAL_TAKE_BACK_MS:
--- a/src/oriolejunction/controllers/rollout_verdict.py
+++ b/src/oriolejunction/controllers/rollout_verdict.py
@@ -25,6 +25,8 @@
 # first is looked at some fifty times in a rollout, the second a few times.
 BAD_SCORE = 2e-4
 SUSPECT_SCORE = 0.1
+# After the move it is looked at many times, with more answers.
+NOT_COMPLETED_SCORE = 0.075
 # Before any answer, one answer in ten is expected to be bad, with the weight
 # of five answers: no verdict comes from two or three alone.
 PRIOR_BAD, PRIOR_GOOD = 0.5, 4.5
@@ -52,8 +54,9 @@
 ALL_LATENCIES_WEIGHT = 1 / 16
 FAILURES_WEIGHT = 1 / 4
 LATENCY_WEIGHT = 3 / 8 / (2 * len(QUANTILES))
-# A route with less of the traffic doesn't hold up a move.
-MAJOR_ROUTE_SHARE = 0.1
+# A route with less of the traffic doesn't hold up a move; the second part is
+# that at the last time for one.
+MAJOR_ROUTE_SHARE, LAST_MAJOR_SHARE = 0.1, 0.3
 ANSWERS_WANTED = 8
 ANSWERS_NEEDED = 2
 
@@ -116,15 +119,21 @@
     return worst
 
 
-def missing_evidence(window: Window, wanted: float) -> str | None:
-    """Return which route lacks answers of the target, None if none does."""
+def missing_evidence(window: Window, waited: float) -> str | None:
+    """Return which route lacks answers of the target, None if none does.
+
+    `waited` is the part of the time for a move that has passed.
+    """
+    waited = min(1.0, max(0.0, waited))
+    major = MAJOR_ROUTE_SHARE + waited * (LAST_MAJOR_SHARE - MAJOR_ROUTE_SHARE)
+    wanted = ANSWERS_WANTED - waited * (ANSWERS_WANTED - ANSWERS_NEEDED)
     sent = sum(pair.old.sent + pair.target.sent for pair in window.values())
     found = 0
     for route, pair in sorted(window.items()):
         route_sent = pair.old.sent + pair.target.sent
         count = answers(pair.target)
         found += count
-        if route_sent >= MAJOR_ROUTE_SHARE * sent and count < wanted:
+        if route_sent >= major * sent and count < wanted:
             return f"{count} answers on route {route}, {wanted:.0f} wanted"
     if found < wanted:
         return f"{found} answers in all, {wanted:.0f} wanted"
--- a/src/oriolejunction/controllers/rollout_windows.py
+++ b/src/oriolejunction/controllers/rollout_windows.py
@@ -56,6 +56,13 @@
         return [window, *(each for each in recent if each is not None)]
 
 
+def target_answers(window: rollout_verdict.Window) -> int:
+    """Return how many answers of the target arrived."""
+    return sum(
+        rollout_verdict.answers(pair.target) for pair in window.values()
+    )
+
+
 class Quiet:
     """How long a number has not changed."""
 
