--- a/src/oriolejunction/controllers/report_counts.py
+++ b/src/oriolejunction/controllers/report_counts.py
@@ -43,10 +43,18 @@
     return ReportCounts(
         loads=counts_before.loads if same_loads else _loads(report),
         speeds=counts_before.speeds if same_speeds else _speeds(report),
-        uses={
-            use.service: (use.requests, use.resends, use.waiting)
-            for use in report.uses
-        },
+        uses={use.service: use_counts(use) for use in report.uses},
+    )
+
+
+def use_counts(use: fm.ServiceUse) -> Counts:
+    """Return the counts of what was sent to a service, in their order."""
+    return (
+        use.requests,
+        use.resends,
+        use.waiting,
+        use.waiting_first,
+        use.waiting_second,
     )
 
 
