Place streams where parts of their prompt are cached, if asked for

Callers saw an engine prefill a prompt whose first parts another engine still had in its KV cache. Cause: the choice of an engine ignored the parts that Prompt-Prefix states.

The tokens that an engine probably holds reduce the prefill in the cost of a placement. This takes effect only with the setting prompt_reuse_ms, which is absent by default.

--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -13,6 +13,7 @@
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
 from oriolejunction.controllers import backend_health
+from oriolejunction.controllers import cached_parts
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
 from oriolejunction.controllers.overload import call_choice
@@ -46,6 +47,8 @@
     zone: ids.ZoneId
     rng: random.Random
     rollouts: rollout_gate.RolloutGate
+    # None where the reuse of cached prompts is not asked for.
+    cached: cached_parts.CachedParts | None = None
 
     def listed(self, service: ids.ServiceName) -> list[backends.Backend]:
         """Return the backend servers of a service that aren't leaving."""
@@ -133,13 +136,14 @@
         use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
         software: ids.SoftwareVersion | None = None,
+        parts: cached_parts.Parts = (),
     ) -> collections.abc.Iterator[list[placement.Candidate]]:
         """Yield the engines of a service with all their known work.
 
         Those of the first list are preferred. With `software`, yield only
-        those of that software version.
+        those of that software version. `parts` are those of the prompt.
         """
-        candidate = self._candidate_maker(service)
+        candidate = self._candidate_maker(service, parts)
         for servers in self.available(use, excluded):
             yield [
                 candidate(each)
@@ -157,7 +161,7 @@
         return [candidate(each) for each in self._open(service.name, excluded)]
 
     def _candidate_maker(
-        self, service: routing_table.Service
+        self, service: routing_table.Service, parts: cached_parts.Parts = ()
     ) -> collections.abc.Callable[[backends.Backend], placement.Candidate]:
         own = self.own_loads.loads()
         fleet = self.blackboard.fleet.read()
@@ -166,7 +170,7 @@
             fleet.suspects | set(self.health.suspects()),
         )
         return lambda each: self._candidate(
-            each, service.engine, own, fleet.load_by_id, failing
+            each, service.engine, own, fleet.load_by_id, failing, parts
         )
 
     def _candidate(
@@ -176,6 +180,7 @@
         own: dict[ids.BackendId, fm.BackendLoad],
         others: dict[ids.BackendId, fm.BackendLoad],
         failing: frozenset[ids.ZoneId],
+        parts: cached_parts.Parts,
     ) -> placement.Candidate:
         mine = own.get(backend.backend_id, _IDLE)
         theirs = others.get(backend.backend_id, _IDLE)
@@ -193,18 +198,36 @@
             if not self.speeds.is_fresh(backend.backend_id):
                 event_ms *= load.slowdown
                 prefill_ms_per_k *= load.slowdown
+        kv_tokens = mine.kv_tokens + theirs.kv_tokens
+        cached_tokens = 0.0
+        if self.cached is not None and parts:
+            cached_tokens = self.cached.expected_tokens(
+                backend, parts, _room(capabilities.kv_tokens, kv_tokens)
+            )
         return placement.Candidate(
             backend=backend,
             streams=streams,
-            kv_tokens=mine.kv_tokens + theirs.kv_tokens,
+            kv_tokens=kv_tokens,
             prefill_tokens=mine.prefill_tokens + theirs.prefill_tokens,
             kv_limit=capabilities.kv_tokens,
             slots=capabilities.slots,
             event_ms=event_ms,
             prefill_ms_per_k=prefill_ms_per_k,
             zone_failing=backend.zone in failing,
+            cached_tokens=cached_tokens,
         )
 
+    def record_sent(
+        self, candidate: placement.Candidate, parts: cached_parts.Parts
+    ) -> None:
+        """Record that the prompt with these parts goes to an engine."""
+        if self.cached is not None:
+            self.cached.record_sent(
+                candidate.backend,
+                parts,
+                _room(candidate.kv_limit, candidate.kv_tokens),
+            )
+
     def others_prefill_tokens(self, backend_id: ids.BackendId) -> int:
         """Return the tokens that others have yet to prefill on an engine."""
         load = self.blackboard.fleet.read().load_by_id.get(backend_id)
@@ -266,3 +289,16 @@
             + CROSS_ZONE_CALLS * (backend.zone != self.zone)
             + self.rng.uniform(0, JITTER_CALLS)
         )
+
+    def forget_parts(
+        self, lost: collections.abc.Iterable[ids.BackendId]
+    ) -> None:
+        """Forget what engines had cached that are probably lost."""
+        if self.cached is not None:
+            for backend_id in lost:
+                self.cached.forget(backend_id)
+
+
+def _room(kv_limit: int, kv_tokens: int) -> float:
+    """Return the tokens that running requests leave free in a KV cache."""
+    return max(0, kv_limit - kv_tokens) if kv_limit else math.inf
--- a/src/oriolejunction/controllers/overload/placement.py
+++ b/src/oriolejunction/controllers/overload/placement.py
@@ -47,7 +47,8 @@
     """An engine with all its known work and its speed.
 
     A `kv_limit` or `slots` of 0 means no limit. `zone_failing` is set when
-    many engines of its zone were lost recently.
+    many engines of its zone were lost recently. `cached_tokens` of the prompt
+    are expected to need no prefill on this engine.
     """
 
     backend: backends.Backend
@@ -59,6 +60,7 @@
     event_ms: float
     prefill_ms_per_k: float
     zone_failing: bool = False
+    cached_tokens: float = 0.0
 
     def can_fit(self, kv_tokens: int) -> bool:
         """Return whether a stream of that size fits on the engine."""
@@ -100,9 +102,16 @@
     )
 
 
+def remaining_tokens(candidate: Candidate, prompt_tokens: int) -> float:
+    """Return the tokens of a prompt that an engine has yet to prefill."""
+    return max(0.0, prompt_tokens - candidate.cached_tokens)
+
+
 def first_event_ms(candidate: Candidate, prompt_tokens: int) -> float:
     """Return the expected time to the first event of a new stream."""
-    tokens = candidate.prefill_tokens + prompt_tokens
+    tokens = candidate.prefill_tokens + remaining_tokens(
+        candidate, prompt_tokens
+    )
     return tokens / 1_000 * candidate.prefill_ms_per_k
 
 
@@ -114,7 +123,9 @@
     """
     first_ms = first_event_ms(candidate, requirements.prompt_tokens)
     prefill_ms = (
-        requirements.prompt_tokens / 1_000 * candidate.prefill_ms_per_k
+        remaining_tokens(candidate, requirements.prompt_tokens)
+        / 1_000
+        * candidate.prefill_ms_per_k
     )
     score = first_ms + requirements.events * candidate.event_ms
     score += candidate.streams * DELAY_PER_PREFILL * prefill_ms
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -77,6 +77,7 @@
             self.rng,
             settings.rollouts and settings.rollouts.exposure_share,
             settings.buffer_bytes or math.inf,
+            settings.prompt_reuse_ms,
         )
 
     async def start(self) -> None:
--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -16,6 +16,10 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
+# A part of a prompt with its number of tokens.
+PartTokens = tuple[ids.PromptPart, int]
+
+
 class CallerRequest(msgspec.Struct, frozen=True):
     """One request or retry of a caller, with its complete body.
 
@@ -25,7 +29,8 @@
     forwarded unchanged. `shared_parts` are the parts of the prompt that other
     requests may have too, in order; its last part is not among them. If
     another instance passed the request on, `attempts_left` is the number of
-    servers that it may still go to.
+    servers that it may still go to. `parts` are all parts of the prompt with
+    their tokens, in order, up to the first that states none.
     """
 
     request_id: ids.RequestId
@@ -44,6 +49,7 @@
     prompt_digest: str = ""
     shared_parts: tuple[ids.PromptPart, ...] = ()
     attempts_left: float = math.inf
+    parts: tuple[PartTokens, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -57,6 +57,7 @@
         why=why,
     )
     deps.health.mark_lost(backend.backend_id)
+    deps.view.forget_parts((backend.backend_id,))
     deps.guard.record_loss(backend.backend_id, backend.zone)
     deps.pool.close_address(backend.address)
 
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -3,11 +3,14 @@
 import math
 import random
 
+import msgspec
+
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
 from oriolejunction.controllers import answer_lengths
 from oriolejunction.controllers import backend_health
 from oriolejunction.controllers import backend_view
+from oriolejunction.controllers import cached_parts
 from oriolejunction.controllers import crash_guard
 from oriolejunction.controllers import engine_speeds
 from oriolejunction.controllers import load_table
@@ -46,11 +49,14 @@
     rng: random.Random,
     exposure_share: float | None = None,
     buffer_bytes: float = math.inf,
+    prompt_reuse_ms: float | None = None,
 ) -> gateway_common.GatewayDependencies:
     """Return the dependencies of one instance, with empty state.
 
     `exposure_share` is that of rollouts, None where there are none.
     `buffer_bytes` is the memory for bodies and unread answers together.
+    `prompt_reuse_ms` is how long engines are expected to keep the parts of
+    prompts, None to ignore them.
     """
     # Without rollouts, the seed must give the same choices as before.
     salt = 0 if exposure_share is None else rng.getrandbits(32)
@@ -115,6 +121,24 @@
     blackboard.table.changes().subscribe(origins.retention.follow)
     blackboard.backends.changes().subscribe(lambda _: queue.notify_capacity())
     blackboard.fleet.changes().subscribe(_CapacityChanges(queue).observe)
+    view = backend_view.BackendView(
+        blackboard,
+        own_loads,
+        speeds,
+        health,
+        intake,
+        reported_loads.ReportedLoads(clock, rng),
+        zone,
+        rng,
+        rollouts,
+    )
+    if prompt_reuse_ms is not None:
+        view = msgspec.structs.replace(
+            view, cached=cached_parts.CachedParts(clock, prompt_reuse_ms)
+        )
+        blackboard.fleet.changes().subscribe(
+            lambda fleet: view.forget_parts(fleet.suspects)
+        )
     return gateway_common.GatewayDependencies(
         clock=clock,
         blackboard=blackboard,
@@ -128,17 +152,7 @@
         ),
         reached=reached,
         reports=report_probe.EngineReports(clock, pool, wire_format, intake),
-        view=backend_view.BackendView(
-            blackboard,
-            own_loads,
-            speeds,
-            health,
-            intake,
-            reported_loads.ReportedLoads(clock, rng),
-            zone,
-            rng,
-            rollouts,
-        ),
+        view=view,
         rollouts=rollouts,
         own_loads=own_loads,
         speeds=speeds,
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -118,6 +118,9 @@
             if not await self._planner.software.record(plan.backend):
                 self._deps.intake.give_back(plan.backend.backend_id)
                 return states.StreamAttemptEnd.REFUSED
+            self._deps.view.record_sent(
+                plan.candidate, self._admitted.request.parts
+            )
             return await self._send_and_read(plan, attempt)
         finally:
             self._answer.revoke(attempt)
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -61,6 +61,15 @@
         """Return whether no other prefill is known on the engine."""
         return not self.candidate.prefill_tokens
 
+    @property
+    def times_prefill(self) -> bool:
+        """Return whether the time to the first event is that of a prefill."""
+        return (
+            self.has_idle_engine
+            and self.fresh_tokens is not None
+            and not self.candidate.cached_tokens
+        )
+
 
 def log_placement(
     admitted: admitted_request.AdmittedRequest,
@@ -79,6 +88,7 @@
         after_event=after_event,
         streams=plan.candidate.streams,
         prefill=plan.candidate.prefill_tokens,
+        cached=round(plan.candidate.cached_tokens),
     )
 
 
@@ -256,7 +266,7 @@
     def record_first_event(self, plan: StreamPlan, took_ms: float) -> None:
         """Take note that an attempt's prefill has ended."""
         self._deps.own_loads.mark_prefilled(plan.load_key)
-        if plan.has_idle_engine and plan.fresh_tokens is not None:
+        if plan.times_prefill:
             self._deps.speeds.add_prefill(
                 plan.backend.backend_id, plan.tokens_to_prefill, took_ms
             )
@@ -296,7 +306,11 @@
     ) -> StreamPlan | None:
         """Return a plan with engines of a software version, None for any."""
         for candidates in self._deps.view.engine_candidates(
-            self._admitted.service, self._attempts.rollout, excluded, software
+            self._admitted.service,
+            self._attempts.rollout,
+            excluded,
+            software,
+            self._admitted.request.parts,
         ):
             plan = self._plan_among(candidates, excluded)
             if plan is not None:
@@ -361,11 +375,16 @@
         """Return the plan with its work counted on both engines."""
         self._deps.intake.take(chosen.backend.backend_id)
         own_loads = self._deps.own_loads
+        prefill_tokens = tokens_to_prefill
+        if source is None and chosen.cached_tokens:
+            prefill_tokens = round(
+                placement.remaining_tokens(chosen, tokens_to_prefill)
+            )
         load_key = own_loads.begin(
             load_table.LoadEntry(
                 chosen.backend.backend_id,
                 requirements.kv_tokens,
-                tokens_to_prefill,
+                prefill_tokens,
             )
         )
         copy_key = None
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -65,6 +65,8 @@
     retries per request plus `retry_extra`, over all instances.
     `buffer_bytes` bounds what the instance holds of bodies and of answers
     that callers have not read yet; without it, only each one is bounded.
+    `prompt_reuse_ms` is how long engines are expected to keep the parts of
+    prompts in their KV cache; without it, placement ignores that cache.
     """
 
     caller_listen: settings.Address
@@ -75,6 +77,7 @@
     retry_extra: PositiveFloat = 150.0
     retry_window_ms: PositiveFloat = 10_000.0
     buffer_bytes: PositiveFloat | None = None
+    prompt_reuse_ms: PositiveFloat | None = None
 
 
 class ControlSettings(_NodeSettings, frozen=True, kw_only=True):
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -122,6 +122,7 @@
         ],
         shared_parts=_parse_shared_parts(by_name.get(PROMPT, b"")),
         attempts_left=_parse_attempts_left(by_name.get(ATTEMPTS_LEFT)),
+        parts=tuple(_parse_parts(by_name.get(PROMPT, b""))),
     )
 
 
@@ -306,6 +307,18 @@
     return tuple(dict.fromkeys(ids.PromptPart(name) for name in names if name))
 
 
+def _parse_parts(
+    value: bytes,
+) -> collections.abc.Iterator[gateway_messages.PartTokens]:
+    """Yield the parts of a prompt up to the first without a token count."""
+    for part in value.split(b",") if value else ():
+        name, _, count = part.partition(b":")
+        tokens = _parse_int(count)
+        if not name.strip() or not tokens:
+            return
+        yield ids.PromptPart(_decode_text(name).strip().lower()), tokens
+
+
 def _parse_attempts_left(value: bytes | None) -> float:
     count = _parse_int(value)
     return math.inf if count is None else count
--- a/tests/platform/test_gateway_dialect.py
+++ b/tests/platform/test_gateway_dialect.py
@@ -48,6 +48,7 @@
     assert (read.last_event, read.key) == (12, "k")
     assert read.prompt_digest == "91bd:410"
     assert read.shared_parts == ("5c1e",)
+    assert read.parts == (("5c1e", 800), ("91bd", 410))
 
 
 def test_dispatch_forwards_client_headers_and_sets_reserved_ones():
