--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -4,6 +4,7 @@
 observed speeds and the suspicions into candidates for placement.
 """
 
+import collections.abc
 import math
 import random
 
@@ -18,6 +19,8 @@
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import reported_loads
 from oriolejunction.controllers.overload import server_intake
+from oriolejunction.controllers import rollout_gate
+from oriolejunction.controllers import rollout_use
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
 from oriolejunction import routing_table
@@ -28,6 +31,7 @@
 CROSS_ZONE_CALLS = 0.4
 # Streams on an engine that no instance reports count at this rate less.
 UNKNOWN_STREAMS_DECAY_MS = 1_000.0
+_IDLE = fm.BackendLoad(ids.BackendId(""), 0, 0, 0)
 
 
 class BackendView(msgspec.Struct, frozen=True):
@@ -41,6 +45,7 @@
     reported: reported_loads.ReportedLoads
     zone: ids.ZoneId
     rng: random.Random
+    rollouts: rollout_gate.RolloutGate
 
     def listed(self, service: ids.ServiceName) -> list[backends.Backend]:
         """Return the backend servers of a service that aren't leaving."""
@@ -48,16 +53,14 @@
 
     def available(
         self,
-        service: ids.ServiceName,
+        use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
-    ) -> list[backends.Backend]:
-        """Return the backend servers of a service that may receive work."""
-        return [
-            each
-            for each in self._healthy(service, excluded)
-            if self.intake.allows(each.backend_id)
-            and not self._full_ms(each.backend_id)
-        ]
+    ) -> list[list[backends.Backend]]:
+        """Return the backend servers that may receive a request.
+
+        Those of the first list are preferred, by the rollout of its service.
+        """
+        return self.rollouts.tiers(use, self._open(use.service, excluded))
 
     def _full_ms(self, backend_id: ids.BackendId) -> float:
         """Return for how long a server has no capacity, 0 if it has some."""
@@ -68,7 +71,7 @@
         )
 
     def limited_wait_ms(
-        self, service: ids.ServiceName, ahead: int
+        self, use: rollout_use.RolloutUse, ahead: int
     ) -> tuple[float, float]:
         """Return the wait that limits and pauses of servers cause.
 
@@ -77,23 +80,36 @@
         """
         if not self.intake.is_restricted:
             return 0.0, 0.0
+        tiers = self.rollouts.tiers(use, self._healthy(use.service))
         return self.intake.expected_wait_ms(
-            [each.backend_id for each in self._healthy(service)], ahead
+            [each.backend_id for tier in tiers for each in tier], ahead
         )
 
-    def full_wait_ms(self, service: ids.ServiceName) -> float:
-        """Return for how long all servers of a service have no capacity."""
+    def full_wait_ms(self, use: rollout_use.RolloutUse) -> float:
+        """Return for how long all servers for a call have no capacity."""
         if not self.reported.are_known:
             return 0.0
+        tiers = self.rollouts.tiers(use, self._healthy(use.service))
         return min(
             (
                 self._full_ms(each.backend_id)
-                for each in self._healthy(service)
+                for tier in tiers
+                for each in tier
                 if self.intake.allows(each.backend_id)
             ),
             default=0.0,
         )
 
+    def _open(
+        self, service: ids.ServiceName, excluded: frozenset[ids.BackendId]
+    ) -> list[backends.Backend]:
+        return [
+            each
+            for each in self._healthy(service, excluded)
+            if self.intake.allows(each.backend_id)
+            and not self._full_ms(each.backend_id)
+        ]
+
     def _healthy(
         self,
         service: ids.ServiceName,
@@ -110,26 +126,44 @@
     def engine_candidates(
         self,
         service: routing_table.Service,
+        use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
         software: ids.SoftwareVersion | None = None,
-    ) -> list[placement.Candidate]:
-        """Return the engines of a service with all their known work.
+    ) -> collections.abc.Iterator[list[placement.Candidate]]:
+        """Yield the engines of a service with all their known work.
 
-        With `software`, return only those of that software version.
+        Those of the first list are preferred. With `software`, yield only
+        those of that software version.
         """
+        candidate = self._candidate_maker(service)
+        for servers in self.available(use, excluded):
+            yield [
+                candidate(each)
+                for each in servers
+                if software is None or each.software == software
+            ]
+
+    def copy_candidates(
+        self,
+        service: routing_table.Service,
+        excluded: frozenset[ids.BackendId] = frozenset(),
+    ) -> list[placement.Candidate]:
+        """Return the engines that may store a KV cache copy."""
+        candidate = self._candidate_maker(service)
+        return [candidate(each) for each in self._open(service.name, excluded)]
+
+    def _candidate_maker(
+        self, service: routing_table.Service
+    ) -> collections.abc.Callable[[backends.Backend], placement.Candidate]:
         own = self.own_loads.loads()
         fleet = self.blackboard.fleet.read()
         failing = placement.failing_zones(
             self.listed(service.name),
             fleet.suspects | set(self.health.suspects()),
         )
-        return [
-            self._candidate(
-                each, service.engine, own, fleet.load_by_id, failing
-            )
-            for each in self.available(service.name, excluded)
-            if software is None or each.software == software
-        ]
+        return lambda each: self._candidate(
+            each, service.engine, own, fleet.load_by_id, failing
+        )
 
     def _candidate(
         self,
@@ -139,9 +173,8 @@
         others: dict[ids.BackendId, fm.BackendLoad],
         failing: frozenset[ids.ZoneId],
     ) -> placement.Candidate:
-        idle = fm.BackendLoad(backend.backend_id, 0, 0, 0)
-        mine = own.get(backend.backend_id, idle)
-        theirs = others.get(backend.backend_id, idle)
+        mine = own.get(backend.backend_id, _IDLE)
+        theirs = others.get(backend.backend_id, _IDLE)
         streams = mine.streams + theirs.streams
         event_ms = self.speeds.event_ms(backend.backend_id)
         prefill_ms_per_k = self.speeds.prefill_ms_per_k(backend.backend_id)
@@ -175,7 +208,7 @@
 
     def choose_for_call(
         self,
-        service: ids.ServiceName,
+        use: rollout_use.RolloutUse,
         excluded: frozenset[ids.BackendId] = frozenset(),
     ) -> backends.Backend | None:
         """Return the backend server for a call to a plain service.
@@ -184,14 +217,21 @@
         this instance. A server that failed recently or is in another zone
         counts as having more.
         """
-        available = self.available(service, excluded)
+        for servers in self.available(use, excluded):
+            if servers:
+                return self._choose_among(servers)
+        return None
+
+    def _choose_among(
+        self, servers: list[backends.Backend]
+    ) -> backends.Backend:
         if self.reported.are_known:
-            candidates = [self._call_candidate(each) for each in available]
+            candidates = [self._call_candidate(each) for each in servers]
             if any(each.load is not None for each in candidates):
                 return call_choice.choose(
                     candidates, self.zone, self.rng
                 ).backend
-        return min(available, key=self._call_cost, default=None)
+        return min(servers, key=self._call_cost)
 
     def has_free_slot(self, backend_id: ids.BackendId) -> bool:
         """Return whether a call to a plain service would run at once.
--- a/src/oriolejunction/http/backend_wait.py
+++ b/src/oriolejunction/http/backend_wait.py
@@ -3,6 +3,7 @@
 import math
 
 from oriolejunction.controllers.overload import wait_queue
+from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
 
@@ -12,7 +13,7 @@
 
 async def wait_for_backend(
     deps: gateway_common.GatewayDependencies,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     attempts: gateway_common.AttemptTracker,
     wait_ms: float,
     placement_request: placement_queue.PlacementRequest,
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -15,6 +15,7 @@
 from oriolejunction.controllers.overload import call_hold
 from oriolejunction import errors
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
@@ -57,7 +58,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
@@ -70,6 +71,8 @@
         self._hold = call_hold.CallHold(
             deps.clock, admitted.route.latency_goal_ms
         )
+        # Set once the request has its answer, or none will come in time.
+        self._is_decided = False
         # When each server was sent the request; it has not answered since.
         self._unanswered_since_ms: dict[ids.BackendId, float] = {}
 
@@ -82,7 +85,9 @@
                     max(0.0, self._attempts.remaining_ms) / 1e3
                 ):
                     answer = await self._best_answer(tasks)
+            self._is_decided = answer is not None
         except TimeoutError:
+            self._is_decided = True
             answer = None
         except stop_limit.StopReached:
             self._attempts.stopped = True
@@ -174,10 +179,10 @@
 
     def _limited_wait_ms(self, ahead: int) -> float:
         """Return the expected wait if no server takes a call now."""
-        name = self._admitted.service.name
-        wait_ms, interval_ms = self._deps.view.limited_wait_ms(name, ahead)
+        view, use = self._deps.view, self._attempts.rollout
+        wait_ms, interval_ms = view.limited_wait_ms(use, ahead)
         if not wait_ms:
-            wait_ms = self._deps.view.full_wait_ms(name)
+            wait_ms = view.full_wait_ms(use)
             interval_ms = math.inf
         if wait_ms:
             self._attempts.expected_wait_ms = wait_ms
@@ -191,12 +196,10 @@
         """
         if self._hold.remaining_ms():
             return None
-        name = self._admitted.service.name
         view = self._deps.view
-        untried = view.choose_for_call(
-            name, frozenset(self._attempts.excluded)
-        )
-        backend = untried or view.choose_for_call(name)
+        use = self._attempts.rollout
+        untried = view.choose_for_call(use, frozenset(self._attempts.excluded))
+        backend = untried or view.choose_for_call(use)
         if backend is not None:
             self._deps.intake.take(backend.backend_id)
             trial_ms = view.reported.take(backend.backend_id)
@@ -242,11 +245,11 @@
             workspace=self._admitted.workspace,
         )
         deps.own_loads.begin_call(backend.backend_id)
-        connection = None
+        connection = rollout_send = None
         try:
             self._attempts.opening += 1
             try:
-                connection = await gateway_common.open_and_send(
+                connection, rollout_send = await gateway_common.open_and_send(
                     deps,
                     self._admitted,
                     dispatch,
@@ -271,11 +274,20 @@
                 return None
             engine_answers.require_matching_answer(head)
             body = await backend_connection.read_body(connection.read_chunk)
+            if head.success:
+                rollout_send.record_answer(deps.clock.now_ms() - sent_ms)
+            elif head.signed:
+                rollout_send.record_failure()
             deps.health.mark_answered(backend.backend_id)
             deps.health.record_outcome(backend.backend_id, not head.success)
             deps.pool.release(connection)
             return _BackendAnswer(head, body)
-        except attempt_errors.ServerPaused:
+        except asyncio.CancelledError:
+            if self._is_decided and rollout_send is not None:
+                # The answer would have taken at least as long.
+                rollout_send.record_answer(deps.clock.now_ms() - sent_ms)
+            raise
+        except attempt_errors.SendWithheld:
             deps.intake.give_back(backend.backend_id)
         except backend_connection.RequestNotSent as error:
             deps.intake.give_back(backend.backend_id)
@@ -298,6 +310,8 @@
             )
         finally:
             deps.own_loads.end_call(backend.backend_id)
+            if rollout_send is not None:
+                rollout_send.end()
             if connection is not None and not connection.usable:
                 connection.close()
         return None
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -3,6 +3,7 @@
 Both have the software version that the stream has begun at.
 """
 
+import itertools
 import math
 
 import msgspec
@@ -14,6 +15,7 @@
 from oriolejunction.controllers.overload import urgency
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import gateway_messages
+from oriolejunction.http import admitted_request
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_wait
 from oriolejunction.http import gateway_common
@@ -49,6 +51,11 @@
         """Return the engine that runs the attempt."""
         return self.candidate.backend
 
+    @property
+    def fresh_tokens(self) -> int | None:
+        """Return the tokens to prefill, None with a KV cache copy."""
+        return None if self.copy_source else self.tokens_to_prefill
+
     @property
     def has_idle_engine(self) -> bool:
         """Return whether no other prefill is known on the engine."""
@@ -56,17 +63,18 @@
 
 
 def log_placement(
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     plan: StreamPlan,
     after_event: int,
 ) -> None:
     """Log the engine of an attempt that resumes after an event."""
+    backend = plan.backend
     gateway_common.log_decision(
         admitted,
         "stream placed",
-        backend=plan.backend.backend_id,
-        zone=plan.backend.zone,
-        software=plan.backend.software,
+        backend=backend.backend_id,
+        zone=backend.zone,
+        software=backend.software,
         copy=plan.copy_backend and plan.copy_backend.backend_id,
         from_copy=plan.copy_source is not None,
         after_event=after_event,
@@ -77,7 +85,7 @@
 
 def dispatch_of(
     plan: StreamPlan,
-    admitted: gateway_common.AdmittedRequest,
+    admitted: admitted_request.AdmittedRequest,
     attempts: gateway_common.AttemptTracker,
     answer: event_answer.EventAnswer,
 ) -> gateway_messages.Dispatch:
@@ -107,7 +115,7 @@
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
-        admitted: gateway_common.AdmittedRequest,
+        admitted: admitted_request.AdmittedRequest,
         attempts: gateway_common.AttemptTracker,
         answer: event_answer.EventAnswer,
     ) -> None:
@@ -115,11 +123,11 @@
         self._admitted = admitted
         self._attempts = attempts
         self._answer = answer
-        self.software = stream_software.StreamSoftware(deps, admitted, answer)
-        self.last_copy_backend: backends.Backend | None = None
-        self._room = room_for_urgent.RoomForUrgent(
-            deps, admitted, has_started=bool(answer.last_event)
+        self.software = stream_software.StreamSoftware(
+            deps, admitted, answer, attempts.rollout
         )
+        self.last_copy_backend: backends.Backend | None = None
+        self._room = room_for_urgent.Room(deps, admitted, answer)
 
     async def plan(self, has_started: bool) -> StreamPlan | None:
         """Wait for an engine with capacity; return None if there is none.
@@ -201,7 +209,7 @@
         """
         service = self._admitted.service
         limited_ms, limit_interval_ms = self._deps.view.limited_wait_ms(
-            service.name, ahead
+            self._attempts.rollout, ahead
         )
         if limited_ms:
             self._attempts.expected_wait_ms = limited_ms
@@ -214,11 +222,9 @@
             return 0.0
         fleet = self._deps.blackboard.fleet.read()
         others = fleet.use_by_others(service.name, self._deps.clock.now_ms())
-        waiting = 0
-        if others is not None:
-            waiting = urgency.waiting_ahead(
-                self._admitted.rank, self._admitted.service_ranks, others
-            )
+        waiting = urgency.waiting_ahead(
+            self._admitted.rank, self._admitted.service_ranks, others
+        )
         wait_ms = wait_forecast.expected_wait_ms(ahead + waiting, interval_ms)
         self._attempts.expected_wait_ms = wait_ms
         self._attempts.return_interval_ms = interval_ms * fleet.entry_count
@@ -227,8 +233,12 @@
     def _release_interval_ms(self) -> float:
         requirements = self._requirements()
         return wait_forecast.release_interval_ms(
-            self._deps.view.engine_candidates(
-                self._admitted.service, software=self._answer.software
+            itertools.chain.from_iterable(
+                self._deps.view.engine_candidates(
+                    self._admitted.service,
+                    self._attempts.rollout,
+                    software=self._answer.software,
+                )
             ),
             requirements.prompt_tokens,
             requirements.events,
@@ -240,6 +250,14 @@
         self._deps.own_loads.end(plan.copy_load_key)
         self._deps.queue.notify_capacity()
 
+    def record_first_event(self, plan: StreamPlan, took_ms: float) -> None:
+        """Take note that an attempt's prefill has ended."""
+        self._deps.own_loads.mark_prefilled(plan.load_key)
+        if plan.has_idle_engine and plan.fresh_tokens is not None:
+            self._deps.speeds.add_prefill(
+                plan.backend.backend_id, plan.tokens_to_prefill, took_ms
+            )
+
     def discard(self, plan: StreamPlan) -> None:
         """Undo a plan of `plan_reachable`."""
         self._return(plan)
@@ -274,11 +292,21 @@
         excluded: frozenset[ids.BackendId],
     ) -> StreamPlan | None:
         """Return a plan with engines of a software version, None for any."""
-        view = self._deps.view
-        candidates = view.engine_candidates(
-            self._admitted.service, excluded, software
-        )
-        requirements = self._requirements()
+        for candidates in self._deps.view.engine_candidates(
+            self._admitted.service, self._attempts.rollout, excluded, software
+        ):
+            plan = self._plan_among(candidates, excluded)
+            if plan is not None:
+                return plan
+        return None
+
+    def _plan_among(
+        self,
+        candidates: list[placement.Candidate],
+        excluded: frozenset[ids.BackendId],
+    ) -> StreamPlan | None:
+        """Return a plan with one of these engines."""
+        view, requirements = self._deps.view, self._requirements()
         chosen, source = self._find_copy_candidate(candidates), None
         tokens_to_prefill = requirements.prompt_tokens
         if chosen is not None:
@@ -286,27 +314,17 @@
                 chosen.backend.address, self._admitted.request.request_id
             )
             tokens_to_prefill = MAX_COPY_LAG_TOKENS
-        elif not self._room.is_left(candidates, requirements.kv_tokens):
-            may_interrupt = urgency.may_interrupt(
-                self._admitted.rank,
-                self._admitted.service_ranks,
-                resumed=self._answer.last_event > 0,
-            )
-            chosen = placement.choose_engine(
-                (
-                    placement.with_spare_room(
-                        candidates, requirements.kv_tokens
-                    )
-                    if may_interrupt
-                    else candidates
-                ),
-                requirements,
-                view.rng,
-            )
+        else:
+            chosen = self._room.choose(candidates, requirements)
         if chosen is None:
             return None
         copy = None
         if self._admitted.service.engine.stores_kv_copies:
+            if self._deps.rollouts.is_in_progress(self._admitted.service.name):
+                # A copy is no request: it may go to any engine of the version.
+                candidates = view.copy_candidates(
+                    self._admitted.service, excluded
+                )
             copy = placement.choose_kv_copy_engine(
                 candidates, requirements, chosen.backend, view.rng
             )
@@ -354,13 +372,11 @@
     def _find_copy_candidate(
         self, candidates: list[placement.Candidate]
     ) -> placement.Candidate | None:
-        if self.last_copy_backend is None:
+        wanted = self.last_copy_backend
+        if wanted is None:
             return None
         for candidate in candidates:
-            if (
-                candidate.backend.backend_id
-                == self.last_copy_backend.backend_id
-            ):
+            if candidate.backend.backend_id == wanted.backend_id:
                 return candidate
         self.last_copy_backend = None
         return None
@@ -374,14 +390,11 @@
             route.name, request.max_output_tokens / per_event
         )
         goal_at_ms = self._admitted.began_ms + route.latency_goal_ms
+        left_ms = goal_at_ms - self._deps.clock.now_ms()
         return placement.StreamRequirements(
             prompt_tokens=request.prompt_tokens + delivered * per_event,
             kv_tokens=request.prompt_tokens + request.max_output_tokens,
             zone=self._deps.view.zone,
             events=max(0.0, events - delivered),
-            first_event_ms=(
-                math.inf
-                if delivered
-                else goal_at_ms - self._deps.clock.now_ms()
-            ),
+            first_event_ms=math.inf if delivered else left_ms,
         )
--- a/src/oriolejunction/peers/watch_replies.py
+++ b/src/oriolejunction/peers/watch_replies.py
@@ -52,13 +52,23 @@
 
 @dataclasses.dataclass
 class WatchReplies:
-    """Replies from the state of one replica, `incarnation`."""
+    """Replies from the state of one replica, `incarnation`.
+
+    `rollouts_for` returns the rollouts for a watcher; it is None where the
+    deployment has none.
+    """
 
     incarnation: str
     replica: raft_replica.RaftReplica
     clock: clocks.Clock
     hub: fleet_hub.FleetHub
     listing: listing_store.ListingStore
+    rollouts_for: (
+        collections.abc.Callable[
+            [fm.WatchRequest], tuple[fm.RolloutOrder, ...] | None
+        ]
+        | None
+    ) = None
     _shared: dict[tuple, EncodedFields] = dataclasses.field(
         default_factory=dict
     )
@@ -79,6 +89,8 @@
                 request.instance, request.entry_boot
             )
         }
+        if self.rollouts_for is not None:
+            own["rollouts"] = self.rollouts_for(request)
         if self.hub.has_observations_since(seen):
             own["helpers"] = self.hub.helpers_for(request.instance)
             parts.append(self._observations_for(request))
@@ -170,4 +182,5 @@
             helpers=update.helpers,
             speeds=update.speeds,
             uses=self.hub.uses_of_others(request.instance),
+            rollouts=self.rollouts_for and self.rollouts_for(request),
         )
--- a/tests/controllers/overload/test_call_choice.py
+++ b/tests/controllers/overload/test_call_choice.py
@@ -16,6 +16,8 @@
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers.overload import server_limits
 from oriolejunction.controllers.overload import server_pauses
+from oriolejunction.controllers import rollout_gate
+from oriolejunction.controllers import rollout_use
 from oriolejunction import gateway_messages
 from oriolejunction import ids
 
@@ -103,7 +105,9 @@
         loads,
         ids.ZoneId("z1"),
         rng,
+        rollout_gate.RolloutGate(clock, None, 0),
     )
+    use = rollout_use.RolloutUse(DESK, "look", lambda: None)
 
     def former_cost(backend):
         return (
@@ -114,7 +118,7 @@
         )
 
     for step in range(500):
-        chosen = view.choose_for_call(DESK)
+        chosen = view.choose_for_call(use)
         assert chosen is min(listed.values(), key=former_cost)
         own.begin_call(chosen.backend_id)
         if step % 3 == 0:
