--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -75,7 +75,7 @@
             LOG_LIMITS,
         )
         origins = stream_origins.OriginHub(self.clock)
-        control = self._new_rollout_control(settings)
+        control = self._rollout_control = self._new_rollout_control(settings)
         self._service = fleet_service.FleetService(
             fleet_service.FleetDependencies(
                 incarnation=secrets.token_hex(6),
@@ -86,7 +86,7 @@
                 listing=self.listing,
                 read_table=configuration_document.read_table,
                 stub_for=self._transport.stub_for,
-                rollouts=control,
+                rollouts=control or rollout_control.NoRollouts(),
             )
         )
         self._server = grpc.aio.server(options=rpc.SERVER_OPTIONS)
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -43,7 +43,7 @@
     """Dependencies of the fleet service.
 
     `incarnation` identifies this start of the replica; `stub_for` returns
-    a stub for a method at an address. `rollouts` is None without rollouts.
+    a stub for a method at an address.
     """
 
     incarnation: str
@@ -54,7 +54,7 @@
     listing: listing_store.ListingStore
     read_table: collections.abc.Callable[[bytes], routing_table.RoutingTable]
     stub_for: collections.abc.Callable[[str, rpc.Method], rpc.Handler]
-    rollouts: rollout_control.RolloutControl | None = None
+    rollouts: rollout_control.NoRollouts = rollout_control.NoRollouts()
 
 
 class FleetService:
@@ -72,7 +72,7 @@
             deps.clock,
             deps.hub,
             deps.listing,
-            deps.rollouts and deps.rollouts.take_orders,
+            deps.rollouts,
         )
         deps.origins.on_change = lambda: self._relays.request(
             report_relays.LOAD_RELAY_MS
@@ -110,8 +110,7 @@
     def notify_listing(self) -> None:
         """Wake watches and relays after a read of the platform's list."""
         self._observe_software()
-        if self._rollouts:
-            self._rollouts.note_listing_read()
+        self._rollouts.note_listing_read()
         if self._deps.listing.digest != self._listing_told:
             self._tell_listing()
             self._relays.request(report_relays.URGENT_RELAY_MS)
@@ -129,8 +128,7 @@
         if self._replica.state.table.version != self._followed_version:
             self._follow_table()
             self._rounds.request(watch_rounds.Urgency.NOW)
-        elif self._rollouts:
-            # Watches that wait check whether their rollouts have changed.
+        if self._rollouts.have_orders_changed():
             self._rounds.request(watch_rounds.Urgency.NOW)
 
     def _follow_table(self) -> None:
@@ -163,7 +161,7 @@
 
     def _take_report(self, report: fm.EntryReport) -> None:
         urgency = self._put((report,), direct=True)
-        if self._rollouts and self._rollouts.observe((report,)):
+        if self._rollouts.observe((report,)):
             self._relays.request(report_relays.LOAD_RELAY_MS)
         if urgency is not None:
             is_urgent = urgency is not watch_rounds.Urgency.LOADS
@@ -178,8 +176,7 @@
         for origin in request.origins:
             self._deps.origins.put(origin, direct=False)
         listing_changed = self._deps.listing.store_received(request.listing)
-        if self._rollouts:
-            self._rollouts.take_relay(request)
+        self._rollouts.take_relay(request)
         if request.listing is not None:
             self._observe_software()
         if listing_changed:
@@ -261,7 +258,7 @@
         if (
             self._replica.state.table.version > request.table_version
             or self._deps.listing.digest != request.listing_digest
-            or (self._rollouts and self._rollouts.has_changed(request))
+            or self._rollouts.has_changed(request)
         ):
             return watch_rounds.Urgency.NOW
         return self._urgency_since(request.seen)
