--- a/tests/http/test_ranked_streams.py
+++ b/tests/http/test_ranked_streams.py
@@ -5,8 +5,10 @@
 import msgspec
 import pytest
 
+from oriolejunction import entry_reports
 from oriolejunction import fleet_messages as fm
 from oriolejunction import fleet_view
+from oriolejunction import ids
 from tests import event_loops
 from tests.platform import gateway_rig
 
@@ -73,3 +75,26 @@
         # It uses the slack that it has, and no more.
         waited_ms = await ask(rig, "/later/3", Deadline_Ms="3000")
         assert 0.4 * GOAL_MS < waited_ms < GOAL_MS
+
+
+async def test_waiting_streams_are_reported_by_rank():
+    """Fault: an instance whose report failed sent none at all."""
+    async with gateway_rig.running([stream], in_force=ranked_table()) as rig:
+        reports = entry_reports.EntryReports(
+            rig.deps, ids.InstanceId("i"), "boot", lambda: ()
+        )
+        assert not reports.next_report().uses
+        rig.deps.health.mark_lost("llm-0")
+        asked = [
+            asyncio.create_task(ask(rig, path, Deadline_Ms="3000"))
+            for path in ("/brief/1", "/later/2", "/later/3")
+        ]
+        await asyncio.sleep(0.1)
+        (use,) = reports.next_report().uses
+        waiting = (use.waiting, use.waiting_first, use.waiting_second)
+        assert waiting == (3, 1, 2)
+        assert reports.is_urgent(gateway_rig.LLM, 1)
+        assert not reports.is_urgent(gateway_rig.LLM, 4)
+        rig.deps.health.forget_suspects()
+        rig.deps.queue.notify_capacity()
+        await asyncio.gather(*asked)
