--- a/tests/controllers/overload/test_call_choice.py
+++ b/tests/controllers/overload/test_call_choice.py
@@ -107,7 +107,7 @@
         rng,
         rollout_gate.RolloutGate(clock, None, 0),
     )
-    use = rollout_use.RolloutUse(DESK, "look", lambda: None)
+    use = rollout_use.RolloutUse(DESK, "r", is_stream=False)
 
     def former_cost(backend):
         return (
