--- a/src/oriolejunction/controllers/backend_view.py
+++ b/src/oriolejunction/controllers/backend_view.py
@@ -89,18 +89,8 @@
             [each.backend_id for tier in tiers for each in tier], ahead
         )
 
-    def _open(
-        self, service: ids.ServiceName, excluded: frozenset[ids.BackendId]
-    ) -> list[backends.Backend]:
-        return [
-            each
-            for each in self._healthy(service, excluded)
-            if self.intake.allows(each.backend_id)
-            and not self._full_ms(each.backend_id)
-        ]
-
     def full_wait_ms(self, use: rollout_use.RolloutUse) -> float:
-        """Return for how long all servers of a request have no capacity."""
+        """Return for how long all servers for a call have no capacity."""
         if not self.reported.are_known:
             return 0.0
         tiers = self.rollouts.tiers(use, self._healthy(use.service))
@@ -114,6 +104,16 @@
             default=0.0,
         )
 
+    def _open(
+        self, service: ids.ServiceName, excluded: frozenset[ids.BackendId]
+    ) -> list[backends.Backend]:
+        return [
+            each
+            for each in self._healthy(service, excluded)
+            if self.intake.allows(each.backend_id)
+            and not self._full_ms(each.backend_id)
+        ]
+
     def _healthy(
         self,
         service: ids.ServiceName,
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -6,7 +6,7 @@
 unfit for reuse.
 
 A server may send bytes without end. They are parsed only as far as the answer
-is read, and no more than `MAX_UNREAD_BYTES` are taken from the socket before.
+is read, and a bounded number is taken from the socket before (`unread_bytes`).
 """
 
 import asyncio
@@ -21,18 +21,12 @@
 import msgspec
 
 from oriolejunction import clock as clocks
-from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.http import bounded_body
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
+from oriolejunction.http import unread_bytes
 
 MAX_HEAD_BYTES = 65_536
-MAX_UNREAD_BYTES = 262_144
-# Used instead while all connections together hold too much. It is enough for
-# the events of a second.
-SCARCE_UNREAD_BYTES = 16_384
-# Parsed at once before other requests of this process have their turn.
-PARSED_BYTES = 4_096
 MAX_INTERIM_ANSWERS = 16
 # Answers to these have no body, whatever their headers state (RFC 9112, 6.3).
 METHODS_WITHOUT_BODY = frozenset(("HEAD", "CONNECT"))
@@ -85,11 +79,9 @@
         self._chunked: chunked_body.ChunkedBody | None = None
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
-        self._unread: collections.deque[bytes] = collections.deque()
-        self._unread_bytes = 0
+        self.unread = unread_bytes.UnreadBytes()
         self._has_more = False
         self._is_paused = False
-        self.unread_budget = buffer_budget.BufferBudget()
         self._failure_reason: str | None = None
         self._busy = False
         self._method = ""
@@ -125,26 +117,17 @@
             self._fail("received bytes while no request was in progress")
             self._transport.abort()
             return
-        for start in range(0, len(data), PARSED_BYTES):
-            self._unread.append(data[start : start + PARSED_BYTES])
-        self._unread_bytes += len(data)
-        self.unread_budget.add(len(data))
-        if self._unread_bytes > self._unread_limit():
+        self.unread.add(data)
+        if self.unread.are_too_many:
             self._is_paused = True
             self._transport.pause_reading()
         self._wake()
 
-    def _unread_limit(self) -> int:
-        """Return how many bytes are taken ahead of the caller now."""
-        if self.unread_budget.is_exceeded:
-            return SCARCE_UNREAD_BYTES
-        return MAX_UNREAD_BYTES
-
     def eof_received(self) -> bool:
         """Handle a clean end, which may complete an answer without length."""
         if self._busy and self._failure_reason is None:
             # h11 takes no bytes for the end.
-            self._unread.append(b"")
+            self.unread.add_end()
         self._fail("closed by the peer")
         return False
 
@@ -218,9 +201,7 @@
 
     def close(self) -> None:
         """Close at once; the peer stops its work."""
-        self.unread_budget.add(-self._unread_bytes)
-        self._unread_bytes = 0
-        self._unread.clear()
+        self.unread.clear()
         self._fail("closed by this instance")
         if self._transport is not None:
             self._transport.abort()
@@ -267,7 +248,7 @@
             at_end
             and self._keep_alive
             and self._failure_reason is None
-            and not self._unread
+            and not self.unread
             and self._h11.our_state is h11.DONE
         )
         if not clean:
@@ -334,7 +315,7 @@
             # Other requests of this process have their turn.
             self._has_more = False
             await asyncio.sleep(0)
-        while not self._unread:
+        while not self.unread:
             if self._failure_reason is not None:
                 raise ConnectionBroken(self._failure_reason)
             self._waiter = asyncio.get_running_loop().create_future()
@@ -342,15 +323,9 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        data = self._take_unread()
-        self._has_more = bool(self._unread)
-        return data
-
-    def _take_unread(self) -> bytes:
-        data = self._unread.popleft()
-        self._unread_bytes -= len(data)
-        self.unread_budget.add(-len(data))
-        if self._is_paused and self._unread_bytes <= self._unread_limit():
+        data = self.unread.take()
+        self._has_more = bool(self.unread)
+        if self._is_paused and not self.unread.are_too_many:
             self._is_paused = False
             self._transport.resume_reading()
         return data
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -66,13 +66,13 @@
         self._retryable = admitted.route.retryable
         self._last_failure: _BackendAnswer | None = None
         self._dispatches = 0
-        # Set once the request has its answer, or none will come in time.
-        self._is_decided = False
         # Set once a hedged request was due.
         self._may_queue_hedge = False
         self._hold = call_hold.CallHold(
             deps.clock, admitted.route.latency_goal_ms
         )
+        # Set once the request has its answer, or none will come in time.
+        self._is_decided = False
         # When each server was sent the request; it has not answered since.
         self._unanswered_since_ms: dict[ids.BackendId, float] = {}
 
@@ -183,10 +183,10 @@
 
     def _limited_wait_ms(self, ahead: int) -> float:
         """Return the expected wait if no server takes a call now."""
-        use = self._attempts.rollout
-        wait_ms, interval_ms = self._deps.view.limited_wait_ms(use, ahead)
+        view, use = self._deps.view, self._attempts.rollout
+        wait_ms, interval_ms = view.limited_wait_ms(use, ahead)
         if not wait_ms:
-            wait_ms = self._deps.view.full_wait_ms(use)
+            wait_ms = view.full_wait_ms(use)
             interval_ms = math.inf
         if wait_ms:
             self._attempts.expected_wait_ms = wait_ms
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -151,14 +151,14 @@
             "oj_attempts_total",
             "Requests sent to backend servers, by service and event.",
         )
-        self.rollout_requests = self._counter(
-            "oj_rollout_requests_total",
-            "Requests during a rollout, by service, software and event.",
-        )
         self.full_servers = self._counter(
             "oj_full_servers_total",
             "Times that a server had no capacity, by service.",
         )
+        self.rollout_requests = self._counter(
+            "oj_rollout_requests_total",
+            "Requests during a rollout, by service, software and event.",
+        )
         self.first_piece_ms = aioprometheus.Histogram(
             "oj_first_piece_ms",
             "Time to the answer, for streams to the first event.",
