--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -13,7 +13,6 @@
 import collections
 import collections.abc
 import functools
-import select
 import socket
 import typing
 
@@ -21,12 +20,17 @@
 import msgspec
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.http import bounded_body
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
+from oriolejunction.http import unread_bytes
 
 MAX_HEAD_BYTES = 65_536
 MAX_UNREAD_BYTES = 262_144
+# Used instead while all connections together hold too much. It is enough for
+# the events of a second.
+SCARCE_UNREAD_BYTES = 16_384
 # Parsed at once before other requests of this process have their turn.
 PARSED_BYTES = 4_096
 MAX_INTERIM_ANSWERS = 16
@@ -75,6 +79,7 @@
         self.address = address
         self.idle_since_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
+        self.announces_timeout = False
         self._h11 = _new_h11()
         # Takes the place of h11 after the head of a chunked answer.
         self._chunked: chunked_body.ChunkedBody | None = None
@@ -82,6 +87,8 @@
         self._waiter: asyncio.Future | None = None
         self._unread: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
+        self._is_paused = False
+        self.unread_budget = buffer_budget.BufferBudget()
         self._failure_reason: str | None = None
         self._busy = False
         self._method = ""
@@ -120,10 +127,18 @@
         for start in range(0, len(data), PARSED_BYTES):
             self._unread.append(data[start : start + PARSED_BYTES])
         self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_UNREAD_BYTES:
+        self.unread_budget.add(len(data))
+        if self._unread_bytes > self._unread_limit():
+            self._is_paused = True
             self._transport.pause_reading()
         self._wake()
 
+    def _unread_limit(self) -> int:
+        """Return how many bytes are taken ahead of the caller now."""
+        if self.unread_budget.is_exceeded:
+            return SCARCE_UNREAD_BYTES
+        return MAX_UNREAD_BYTES
+
     def eof_received(self) -> bool:
         """Handle a clean end, which may complete an answer without length."""
         if self._busy and self._failure_reason is None:
@@ -142,17 +157,8 @@
         return self._failure_reason is None and not self._busy
 
     def has_bytes_to_read(self) -> bool:
-        """Return whether bytes, or the end, arrived and were not read yet.
-
-        A server may send a second copy of an answer. What arrived before the
-        next request is sent does not answer it.
-        """
-        sock = self._transport and self._transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        """Return whether bytes, or the end, have arrived and wait unread."""
+        return unread_bytes.are_waiting(self._transport)
 
     def send(
         self,
@@ -199,6 +205,9 @@
 
     def close(self) -> None:
         """Close at once; the peer stops its work."""
+        self.unread_budget.add(-self._unread_bytes)
+        self._unread_bytes = 0
+        self._unread.clear()
         self._fail("closed by this instance")
         if self._transport is not None:
             self._transport.abort()
@@ -273,6 +282,7 @@
                         self.idle_limit_ms = (
                             KEEP_ALIVE_FRACTION * 1e3 * int(number)
                         )
+                        self.announces_timeout = True
 
     def _fail(self, why: str) -> None:
         if self._failure_reason is None:
@@ -318,9 +328,10 @@
 
     def _take_unread(self) -> bytes:
         data = self._unread.popleft()
-        was_full = self._unread_bytes > MAX_UNREAD_BYTES
         self._unread_bytes -= len(data)
-        if was_full and self._unread_bytes <= MAX_UNREAD_BYTES:
+        self.unread_budget.add(-len(data))
+        if self._is_paused and self._unread_bytes <= self._unread_limit():
+            self._is_paused = False
             self._transport.resume_reading()
         return data
 
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -75,7 +75,7 @@
             deps.rollouts,
         )
         deps.origins.on_change = lambda: self._relays.request(
-            report_relays.LOAD_RELAY_MS
+            report_relays.ORIGIN_RELAY_MS
         )
         self._relays = report_relays.ReportRelays(
             deps.replica,
--- a/src/oriolejunction/telemetry.py
+++ b/src/oriolejunction/telemetry.py
@@ -155,6 +155,10 @@
             "oj_rollout_requests_total",
             "Requests during a rollout, by service, software and event.",
         )
+        self.full_servers = self._counter(
+            "oj_full_servers_total",
+            "Times that a server had no capacity, by service.",
+        )
         self.first_piece_ms = aioprometheus.Histogram(
             "oj_first_piece_ms",
             "Time to the answer, for streams to the first event.",
