--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -120,6 +120,8 @@
             lambda view: self._deps.speeds.update_reported(view.speed_by_id)
         )
         self._deps.own_loads.on_change = self._watch.notify_loads
+        # The control leader acts on the counts five times a second.
+        self._deps.rollouts.counts.on_change = self._watch.notify_loads
         for source in (
             self._deps.health,
             self._deps.guard,
@@ -127,7 +129,6 @@
             self._deps.intake.limits,
             self._deps.intake.departures,
             self._deps.budget,
-            self._deps.rollouts.counts,
         ):
             source.on_change = self._watch.notify_report
 
--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -62,10 +62,10 @@
             idle_ms = now_ms - connection.idle_since_ms
             if not connection.usable:
                 continue
-            if (
-                idle_ms >= connection.idle_limit_ms
-                or connection.has_bytes_to_read()
-            ):
+            if idle_ms >= connection.idle_limit_ms:
+                connection.close()
+                continue
+            if connection.has_bytes_to_read():
                 connection.close()
                 continue
             is_kept = connection.announces_timeout
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -258,7 +258,8 @@
     sent_ms: float,
 ) -> None:
     """Apply what a server says of itself in an answer."""
-    if head.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+    is_replaced = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+    if not is_replaced:
         load_observation.observe(
             deps.view, deps.queue, deps.telemetry, backend, head, sent_ms
         )
--- a/src/oriolejunction/peers/watch_replies.py
+++ b/src/oriolejunction/peers/watch_replies.py
@@ -113,7 +113,13 @@
     def _shared_fields(
         self, request: fm.WatchRequest, seen: int
     ) -> EncodedFields:
-        key = (seen, request.table_version, request.listing_digest)
+        key = (
+            seen,
+            request.table_version,
+            self.replica.state.table.version,
+            request.listing_digest,
+            self.listing.digest,
+        )
         fields = self._shared.get(key)
         if fields is None:
             sums = self.hub.sums(seen)
