--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -13,7 +13,6 @@
 import collections
 import collections.abc
 import functools
-import select
 import socket
 import typing
 
@@ -24,6 +23,7 @@
 from oriolejunction.http import bounded_body
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
+from oriolejunction.http import socket_bytes
 from oriolejunction.http import unread_bytes
 
 MAX_HEAD_BYTES = 65_536
@@ -141,17 +141,8 @@
         return self._failure_reason is None and not self._busy
 
     def has_bytes_to_read(self) -> bool:
-        """Return whether bytes, or the end, arrived and were not read yet.
-
-        A server may send a second copy of an answer. What arrived before the
-        next request is sent does not answer it.
-        """
-        sock = self._transport and self._transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        """Return whether bytes, or the end, have arrived and wait unread."""
+        return socket_bytes.are_waiting(self._transport)
 
     def send(
         self,
--- a/src/oriolejunction/peers/report_relays.py
+++ b/src/oriolejunction/peers/report_relays.py
@@ -25,9 +25,11 @@
 from oriolejunction import supervision
 
 # Least times between relays to a replica: for what instances must know within
-# 100 ms, and for loads and origins, which may be as old as the loads of the
-# replica's own watchers.
+# 100 ms, for origins, and for loads, which may be as old as the loads of the
+# replica's own watchers. An origin that is not relayed yet is lost if its
+# entry instance and one replica are, and its stream can't be taken up.
 URGENT_RELAY_MS = 15.0
+ORIGIN_RELAY_MS = 30.0
 LOAD_RELAY_MS = 100.0
 RELAY_INTERVAL_MS = 500.0
 RELAY_TIMEOUT_S = 0.5
@@ -70,6 +72,9 @@
 
     def request(self, interval_ms: float) -> None:
         """Relay once `interval_ms` have passed since the relay before."""
+        if not self._relay_by_address:
+            # The group may have formed since the last look at its members.
+            self._queue_relays()
         for relay in self._relay_by_address.values():
             relay.pacer.act_after(interval_ms)
 
