--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -89,7 +89,7 @@
         except backend_connection.RequestNotSent:
             self._on_connect(address, False)
             raise
-        connection.unread_budget = self._unread
+        connection.unread.budget = self._unread
         if self._keep_alive:
             connection.detect_silence()
         self._on_connect(address, True)
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -58,12 +58,12 @@
     `prompt_reuse_ms` is how long engines are expected to keep the parts of
     prompts, None to ignore them.
     """
-    # Without rollouts, the seed must give the same choices as before.
-    salt = 0 if exposure_share is None else rng.getrandbits(32)
-    rollouts = rollout_gate.RolloutGate(clock, exposure_share, salt)
     unread = buffer_budget.BufferBudget(
         (1.0 - buffer_budget.BODIES_FRACTION) * buffer_bytes
     )
+    # Without rollouts, the seed must give the same choices as before.
+    salt = 0 if exposure_share is None else rng.getrandbits(32)
+    rollouts = rollout_gate.RolloutGate(clock, exposure_share, salt)
     own_loads = load_table.LoadTable()
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
--- a/src/oriolejunction/http/room_for_urgent.py
+++ b/src/oriolejunction/http/room_for_urgent.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction.controllers import event_answer
 from oriolejunction.controllers.overload import placement
 from oriolejunction.controllers.overload import urgency
 from oriolejunction.http import admitted_request
@@ -11,29 +12,52 @@
 MAX_GOAL_FRACTION = 0.5
 
 
-class RoomForUrgent:
-    """Whether one stream leaves engines to more urgent ones."""
+class Room:
+    """The engines that one stream may take, and leaves to urgent ones."""
 
     def __init__(
         self,
         deps: gateway_common.GatewayDependencies,
         admitted: admitted_request.AdmittedRequest,
-        has_started: bool,
+        answer: event_answer.EventAnswer,
     ) -> None:
         self._deps = deps
         self._admitted = admitted
-        self._is_concerned = (
-            not has_started and len(admitted.service_ranks) > 1
-        )
+        self._answer = answer
         self._is_logged = False
 
-    def is_left(
+    @property
+    def _has_started(self) -> bool:
+        return self._answer.last_event > 0
+
+    def choose(
+        self,
+        candidates: list[placement.Candidate],
+        requirements: placement.StreamRequirements,
+    ) -> placement.Candidate | None:
+        """Return the engine for a stream, None if it has to wait."""
+        if self._is_left(candidates, requirements.kv_tokens):
+            return None
+        may_interrupt = urgency.may_interrupt(
+            self._admitted.rank,
+            self._admitted.service_ranks,
+            resumed=self._has_started,
+        )
+        if may_interrupt:
+            candidates = placement.with_spare_room(
+                candidates, requirements.kv_tokens
+            )
+        return placement.choose_engine(
+            candidates, requirements, self._deps.view.rng
+        )
+
+    def _is_left(
         self,
         candidates: collections.abc.Iterable[placement.Candidate],
         kv_tokens: int,
     ) -> bool:
         """Return whether more urgent streams elsewhere go first."""
-        if not self._is_concerned:
+        if self._has_started or len(self._admitted.service_ranks) < 2:
             return False
         now_ms = self._deps.clock.now_ms()
         waited_ms = now_ms - self._admitted.began_ms
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -77,12 +77,13 @@
     after_event: int,
 ) -> None:
     """Log the engine of an attempt that resumes after an event."""
+    backend = plan.backend
     gateway_common.log_decision(
         admitted,
         "stream placed",
-        backend=plan.backend.backend_id,
-        zone=plan.backend.zone,
-        software=plan.backend.software,
+        backend=backend.backend_id,
+        zone=backend.zone,
+        software=backend.software,
         copy=plan.copy_backend and plan.copy_backend.backend_id,
         from_copy=plan.copy_source is not None,
         after_event=after_event,
@@ -136,9 +137,7 @@
             deps, admitted, answer, attempts.rollout
         )
         self.last_copy_backend: backends.Backend | None = None
-        self._room = room_for_urgent.RoomForUrgent(
-            deps, admitted, has_started=bool(answer.last_event)
-        )
+        self._room = room_for_urgent.Room(deps, admitted, answer)
 
     async def plan(self, has_started: bool) -> StreamPlan | None:
         """Wait for an engine with capacity; return None if there is none.
@@ -233,11 +232,9 @@
             return 0.0
         fleet = self._deps.blackboard.fleet.read()
         others = fleet.use_by_others(service.name, self._deps.clock.now_ms())
-        waiting = 0
-        if others is not None:
-            waiting = urgency.waiting_ahead(
-                self._admitted.rank, self._admitted.service_ranks, others
-            )
+        waiting = urgency.waiting_ahead(
+            self._admitted.rank, self._admitted.service_ranks, others
+        )
         wait_ms = wait_forecast.expected_wait_ms(ahead + waiting, interval_ms)
         self._attempts.expected_wait_ms = wait_ms
         self._attempts.return_interval_ms = interval_ms * fleet.entry_count
@@ -331,23 +328,8 @@
                 chosen.backend.address, self._admitted.request.request_id
             )
             tokens_to_prefill = MAX_COPY_LAG_TOKENS
-        elif not self._room.is_left(candidates, requirements.kv_tokens):
-            may_interrupt = urgency.may_interrupt(
-                self._admitted.rank,
-                self._admitted.service_ranks,
-                resumed=self._answer.last_event > 0,
-            )
-            chosen = placement.choose_engine(
-                (
-                    placement.with_spare_room(
-                        candidates, requirements.kv_tokens
-                    )
-                    if may_interrupt
-                    else candidates
-                ),
-                requirements,
-                view.rng,
-            )
+        else:
+            chosen = self._room.choose(candidates, requirements)
         if chosen is None:
             return None
         copy = None
@@ -409,13 +391,11 @@
     def _find_copy_candidate(
         self, candidates: list[placement.Candidate]
     ) -> placement.Candidate | None:
-        if self.last_copy_backend is None:
+        wanted = self.last_copy_backend
+        if wanted is None:
             return None
         for candidate in candidates:
-            if (
-                candidate.backend.backend_id
-                == self.last_copy_backend.backend_id
-            ):
+            if candidate.backend.backend_id == wanted.backend_id:
                 return candidate
         self.last_copy_backend = None
         return None
@@ -429,14 +409,11 @@
             route.name, request.max_output_tokens / per_event
         )
         goal_at_ms = self._admitted.began_ms + route.latency_goal_ms
+        left_ms = goal_at_ms - self._deps.clock.now_ms()
         return placement.StreamRequirements(
             prompt_tokens=request.prompt_tokens + delivered * per_event,
             kv_tokens=request.prompt_tokens + request.max_output_tokens,
             zone=self._deps.view.zone,
             events=max(0.0, events - delivered),
-            first_event_ms=(
-                math.inf
-                if delivered
-                else goal_at_ms - self._deps.clock.now_ms()
-            ),
+            first_event_ms=math.inf if delivered else left_ms,
         )
--- a/tests/http/test_backend_connection.py
+++ b/tests/http/test_backend_connection.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oriolejunction.http import backend_connection
+from oriolejunction.http import unread_bytes
 from tests import event_loops
 
 pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
@@ -43,7 +44,7 @@
 @pytest.mark.parametrize("is_chunked", [True, False])
 async def test_cancelled_reads_lose_no_bytes(is_chunked):
     """The limit of a wait may end it between two parts of a long answer."""
-    content = random.Random(1).randbytes(5 * backend_connection.PARSED_BYTES)
+    content = random.Random(1).randbytes(5 * unread_bytes.PARSED_BYTES)
     framing = b"Content-Length: %d\r\n\r\n%s" % (len(content), content)
     if is_chunked:
         framing = (
