--- a/src/oriolejunction/bench/catalogue.py
+++ b/src/oriolejunction/bench/catalogue.py
@@ -5,6 +5,7 @@
 from oriolejunction.bench import admission
 from oriolejunction.bench import fencing
 from oriolejunction.bench import poison
+from oriolejunction.bench import prompt_cache
 from oriolejunction.bench import raft
 from oriolejunction.bench import result
 from oriolejunction.bench import resume
@@ -29,6 +30,7 @@
     "admission": admission.run,
     "fencing": fencing.run_bench,
     "poison": poison.run,
+    "prompt-cache": prompt_cache.run,
     "raft": raft.run,
     "resume": resume.run,
     "rollout": rollout.run,
