--- a/src/oriolejunction/bench/report.py
+++ b/src/oriolejunction/bench/report.py
@@ -22,6 +22,7 @@
     "capacity": "Control cost against size, and the target's budgets",
     "soak": "Long randomised run",
     "soak-processes": "Long randomised run of real processes",
+    "prompt-cache": "Placement without and with cached prompt parts",
     "rollout": "Exposure to bad versions, and time to complete, by kind",
     "raft": "Randomised run of the replicated log",
 }
