Let requests with the same beginning meet without messages

Callers of a deployment with many entry instances gained little from cached prompts, because each instance knew only the few prompts that it sent itself. A fifth of the engines, drawn by a hash that all instances share, now counts as holding a beginning with a chance of 0.5. Tests run: test_cached_parts.py, test_prompt_cache.py, test_gateway_state.py pass.

--- a/src/oriolejunction/bench/cache_simulation.py
+++ b/src/oriolejunction/bench/cache_simulation.py
@@ -113,13 +113,19 @@
     With `uses_cache`, instances place by what they sent to each engine.
     """
 
-    def __init__(self, uses_cache: bool, load: Load, seed: int = 1) -> None:
+    def __init__(
+        self,
+        uses_cache: bool,
+        load: Load,
+        seed: int = 1,
+        home_chance: float = cached_parts.HOME_CHANCE,
+    ) -> None:
         self.load, self.uses_cache = load, uses_cache
         self.demand, self.rng = random.Random(seed), random.Random(seed + 1)
         self.clock = clocks.ManualClock()
         self.engines = [Engine(n) for n in range(load.engines)]
         self.models = [
-            cached_parts.CachedParts(self.clock, REUSE_MS)
+            cached_parts.CachedParts(self.clock, REUSE_MS, home_chance)
             for _ in range(load.instances)
         ]
         self.reported: list[tuple[Stream, Engine]] = []
--- a/src/oriolejunction/bench/prompt_cache.py
+++ b/src/oriolejunction/bench/prompt_cache.py
@@ -16,6 +16,7 @@
     "zone_lost": {"skew": 1.1, "loses_zone": True, "per_s": 9.0},
     "holder_lost": {"hot": 0.6, "loses_holder": True},
     "memory_too_small": {"skew": 1.1, "kv_limit": 30_000, "per_s": 6.0},
+    "first_part_only": {"groups": 100_000},
     "one_instance": {"skew": 1.1, "instances": 1},
     "68_instances": {"skew": 1.1, "instances": 68},
 }
--- a/src/oriolejunction/controllers/cached_parts.py
+++ b/src/oriolejunction/controllers/cached_parts.py
@@ -7,13 +7,17 @@
 
 The estimate relies on what this instance sent. Prompts that other instances
 sent evict parts too, so the chance of a part falls with the time since its
-last use.
+last use. Many instances send few requests each, so each beginning of a prompt
+also has homes: engines drawn by a hash that is the same for all instances.
+They are taken to hold it with a fixed chance, so that the requests of all
+instances meet without messages between them.
 """
 
 import collections
 import collections.abc
 
 import msgspec
+import xxhash
 
 from oriolejunction import backends
 from oriolejunction import clock as clocks
@@ -28,6 +32,10 @@
 # Chance that a part is still there after the reuse window. A guess; nothing
 # reports evictions.
 CHANCE_AT_WINDOW = 0.5
+# Fraction of all engines that are homes of a beginning, and the chance that
+# one holds it; by the bench prompt-cache, see docs/design/cached-prompts.md.
+HOME_FRACTION = 0.2
+HOME_CHANCE = 0.5
 
 Parts = collections.abc.Sequence[gateway_messages.PartTokens]
 
@@ -76,10 +84,14 @@
 class CachedParts:
     """The parts that engines probably hold, by engine.
 
-    Parts are forgotten `reuse_ms` after their last use.
+    Parts are forgotten `reuse_ms` after their last use. A home holds all
+    parts but the last with `home_chance`.
     """
 
-    def __init__(self, clock: clocks.Clock, reuse_ms: float) -> None:
+    def __init__(
+        self, clock: clocks.Clock, reuse_ms: float, home_chance: float = 0.0
+    ) -> None:
+        self._home_chance = home_chance
         self._clock = clock
         self._reuse_ms = reuse_ms
         self._engine_by_id: collections.OrderedDict[
@@ -121,6 +133,24 @@
         A part is of use only if all parts before it are held too. This
         changes no state.
         """
+        return max(
+            self._sent_tokens(backend, parts, room),
+            self._home_tokens(backend.backend_id, parts, room),
+        )
+
+    def _home_tokens(
+        self, backend_id: ids.BackendId, parts: Parts, room: float
+    ) -> float:
+        if not self._home_chance or len(parts) < 2:
+            return 0.0
+        if not _is_home(backend_id, parts[-2][0]):
+            return 0.0
+        tokens = sum(tokens for _, tokens in parts[:-1])
+        return self._home_chance * tokens if tokens <= room else 0.0
+
+    def _sent_tokens(
+        self, backend: backends.Backend, parts: Parts, room: float
+    ) -> float:
         engine = self._engine_by_id.get(backend.backend_id)
         if (
             engine is None
@@ -143,5 +173,10 @@
         return expected
 
 
+def _is_home(backend_id: ids.BackendId, part: ids.PromptPart) -> bool:
+    digest = xxhash.xxh64_intdigest(f"{part}/{backend_id}".encode())
+    return digest < HOME_FRACTION * 2**64
+
+
 def _incarnation(backend: backends.Backend) -> tuple[str, int, str]:
     return backend.software, backend.born, backend.address
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -134,7 +134,10 @@
     )
     if prompt_reuse_ms is not None:
         view = msgspec.structs.replace(
-            view, cached=cached_parts.CachedParts(clock, prompt_reuse_ms)
+            view,
+            cached=cached_parts.CachedParts(
+                clock, prompt_reuse_ms, cached_parts.HOME_CHANCE
+            ),
         )
         blackboard.fleet.changes().subscribe(
             lambda fleet: view.forget_parts(fleet.suspects)
--- a/tests/controllers/test_cached_parts.py
+++ b/tests/controllers/test_cached_parts.py
@@ -122,3 +122,20 @@
         chosen_in_order.append(chosen.backend.backend_id)
     assert len(set(chosen_in_order)) > 1
     assert max(streams.values()) <= 8
+
+
+def test_homes_are_few_and_the_same_for_all_instances():
+    """Failure: instances that know nothing of each other scatter a part."""
+    engines = [
+        msgspec.structs.replace(ENGINE, backend_id=ids.BackendId(f"e{n}"))
+        for n in range(200)
+    ]
+    homes = []
+    for _ in range(2):
+        model = cached_parts.CachedParts(clocks.ManualClock(), REUSE_MS, 0.5)
+        tokens = [model.expected_tokens(e, PARTS, 88_000) for e in engines]
+        assert set(tokens) == {0.0, 500.0}
+        homes.append([e for e, count in zip(engines, tokens) if count])
+        assert not any(model.expected_tokens(e, PARTS, 900) for e in engines)
+    assert homes[0] == homes[1]
+    assert 20 <= len(homes[0]) <= 60
