End a reversal at once if nothing was ever allowed; shrink the platform part

A rollout of 4 s whose servers never appear was rolled back after 4.05 s once, since it waited for reports of instances that could not have sent anything.

--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -320,8 +320,12 @@
         quiet_ms = self._target_quiet.for_ms(sent, seen.now_ms)
         waited_ms = seen.now_ms - self._phase_since_ms
         self.waits_for = "instances to stop"
-        if waited_ms >= seen.hold_ms or (
-            quiet_ms >= SETTLE_MS and self._all_heard(seen)
+        # Without an allowance or a move nobody may have sent anything.
+        never_allowed = not rollout.granted and not seen.in_force
+        if (
+            never_allowed
+            or waited_ms >= seen.hold_ms
+            or (quiet_ms >= SETTLE_MS and self._all_heard(seen))
         ):
             return self._decide(
                 rollout,
--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -12,6 +12,7 @@
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import rollout_service
 from oriolejunction.platform import configuration_document
+from oriolejunction import rollout_errors
 from oriolejunction import rollout_messages as rm
 
 MAX_DOCUMENT_BYTES = 64 << 20
@@ -94,40 +95,19 @@
             body = _decode_rollout(await request.read())
         except (msgspec.DecodeError, ValueError) as error:
             raise errors.Failure(errors.MalformedRequest(str(error)))
-        reply = await rollouts.begin(
-            rm.BeginRequest(
-                ids.ServiceName(body.service),
-                ids.SoftwareVersion(body.to),
-                body.duration_s * 1e3,
-            )
+        order = rm.BeginRequest(
+            ids.ServiceName(body.service),
+            ids.SoftwareVersion(body.to),
+            body.duration_s * 1e3,
         )
-        if reply.unknown_service:
-            raise errors.Failure(
-                errors.MalformedRequest(f"unknown service {body.service!r}")
-            )
-        if reply.refusal is not None:
-            raise errors.Failure(errors.RolloutConflict(reply.refusal))
-        if reply.number is None:
-            raise errors.Failure(
-                errors.ChangeUnconfirmed("no majority confirmed the order")
-            )
+        rollout_errors.number_of(await rollouts.begin(order), order)
         return web.json_response({"service": body.service, "to": body.to})
 
     async def read(request: web.Request) -> web.Response:
-        name = request.match_info["service"]
-        reply = await rollouts.read(rm.ReadRequest(ids.ServiceName(name)))
-        if not reply.confirmed:
-            raise errors.Failure(
-                errors.ControlUnavailable(
-                    "no majority confirms which state is the newest"
-                )
-            )
-        if reply.rollout is None:
-            raise errors.Failure(
-                errors.UnknownRollout(f"no rollout of service {name!r}")
-            )
+        asked = rm.ReadRequest(ids.ServiceName(request.match_info["service"]))
+        found = rollout_errors.status_of(await rollouts.read(asked), asked)
         return web.json_response(
-            {"state": reply.rollout.state.value, "to": reply.rollout.target}
+            {"state": found.state.value, "to": found.target}
         )
 
     app.router.add_post(BEGIN_ROLLOUT, begin)
--- a/src/oriolejunction/rollout_client.py
+++ b/src/oriolejunction/rollout_client.py
@@ -10,6 +10,7 @@
 from oriolejunction.peers import channels
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import rpc
+from oriolejunction import rollout_errors
 from oriolejunction import rollout_messages as rm
 
 # A replica answers within 2 s, also while it finds no leader.
@@ -45,28 +46,19 @@
         request,
         lambda reply: reply.is_final,
     )
-    if reply.unknown_service:
-        raise errors.Failure(
-            errors.MalformedRequest(f"unknown service {service!r}")
-        )
-    if reply.refusal is not None:
-        raise errors.Failure(errors.RolloutConflict(reply.refusal))
-    return reply.number
+    return rollout_errors.number_of(reply, request)
 
 
 async def read(addresses: list[str], service: str) -> rm.RolloutStatus:
     """Return the newest rollout; raise `Failure` if there is none."""
+    request = rm.ReadRequest(ids.ServiceName(service))
     reply = await _call_any(
         addresses,
         fleet_methods.ROLLOUT_READ,
-        rm.ReadRequest(ids.ServiceName(service)),
+        request,
         lambda reply: reply.confirmed,
     )
-    if reply.rollout is None:
-        raise errors.Failure(
-            errors.UnknownRollout(f"no rollout of service {service!r}")
-        )
-    return reply.rollout
+    return rollout_errors.status_of(reply, request)
 
 
 async def _call_any(addresses: list[str], method: rpc.Method, request, is_ok):
