--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 import collections.abc
-import functools
 import socket
 import typing
 
@@ -21,11 +20,11 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers.overload import buffer_budget
+from oriolejunction.http import answer_parser
 from oriolejunction.http import bounded_body
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
 
-MAX_HEAD_BYTES = 65_536
 MAX_UNREAD_BYTES = 262_144
 # Used instead while all connections together hold too much. It is enough for
 # the events of a second.
@@ -33,10 +32,6 @@
 # Parsed at once before other requests of this process have their turn.
 PARSED_BYTES = 4_096
 MAX_INTERIM_ANSWERS = 16
-# Answers to these have no body, whatever their headers state (RFC 9112, 6.3).
-METHODS_WITHOUT_BODY = frozenset(("HEAD", "CONNECT"))
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
-_END_OF_REQUEST = h11.EndOfMessage()
 # The kernel closes a connection with data unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1_500
 # Connections idle for longer than this fraction of the peer's keep-alive
@@ -79,7 +74,7 @@
         self.idle_since_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self.announces_timeout = False
-        self._h11 = _new_h11()
+        self._h11 = answer_parser.new_parser()
         # Takes the place of h11 after the head of a chunked answer.
         self._chunked: chunked_body.ChunkedBody | None = None
         self._transport: asyncio.Transport | None = None
@@ -169,9 +164,7 @@
         encoded = request_head.encode_request(method, target, headers, body)
         self._busy = True
         self._method = method
-        # h11 needs to know only which method it reads the answer of.
-        self._h11.send(_request_of(method))
-        self._h11.send(_END_OF_REQUEST)
+        answer_parser.expect_answer(self._h11, method)
         self._transport.write(encoded)
 
     async def read_response_head(self) -> ResponseHead:
@@ -213,14 +206,10 @@
 
     def _begin_body(self, response: h11.Response) -> None:
         """Leave a chunked body to `chunked_body`."""
-        # h11 accepts no other transfer encoding.
-        is_chunked = (
-            self._method not in METHODS_WITHOUT_BODY
-            and response.status_code not in STATUSES_WITHOUT_BODY
-            and any(n == b"transfer-encoding" for n, _ in response.headers)
-        )
-        if is_chunked:
-            self._chunked = chunked_body.ChunkedBody(MAX_HEAD_BYTES)
+        if answer_parser.has_chunked_body(self._method, response):
+            self._chunked = chunked_body.ChunkedBody(
+                answer_parser.MAX_HEAD_BYTES
+            )
             received, _ = self._h11.trailing_data
             self._chunked.receive(received)
 
@@ -260,7 +249,7 @@
             self.close()
             return
         if self._chunked is not None:
-            self._h11 = _new_h11()
+            self._h11 = answer_parser.new_parser()
             self._chunked = None
         else:
             self._h11.start_next_cycle()
@@ -342,15 +331,6 @@
         return data
 
 
-@functools.lru_cache(maxsize=32)
-def _request_of(method: str) -> h11.Request:
-    return h11.Request(method=method, target="/", headers=[("Host", "-")])
-
-
-def _new_h11() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-
-
 async def connect(
     address: str, timeout_ms: float, tries: int = 1
 ) -> BackendConnection:
--- a/tests/http/test_backend_connection.py
+++ b/tests/http/test_backend_connection.py
@@ -73,3 +73,19 @@
             cancelled += 1
     assert b"".join(received[:-1]) == content
     assert cancelled and connection.usable
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", b"200 OK"), ("GET", b"304 Same")]
+)
+async def test_answer_without_body_ends_with_its_head(method, status):
+    """Its headers may state chunks, for which a caller would wait in vain."""
+    connection = backend_connection.BackendConnection("a:1")
+    connection.connection_made(mock.MagicMock())
+    connection.send(method, "/", [(b"Host", b"a")], b"")
+    connection.data_received(
+        b"HTTP/1.1 %s\r\nTransfer-Encoding: chunked\r\n\r\n" % status
+    )
+    await connection.read_response_head()
+    assert await connection.read_chunk() is None
+    assert connection.usable
