--- a/src/oriolejunction/controllers/report_counts.py
+++ b/src/oriolejunction/controllers/report_counts.py
@@ -4,7 +4,10 @@
 sums.
 """
 
+import collections.abc
 import functools
+import operator
+import typing
 
 import msgspec
 
@@ -12,6 +15,7 @@
 from oriolejunction import ids
 
 Counts = tuple[int, ...]
+_Key = typing.TypeVar("_Key", bound=collections.abc.Hashable)
 
 # Reports repeat the speeds of most engines; a hundred instances observe a few
 # thousand.
@@ -94,3 +98,30 @@
 def _mean(tenths: int, count: int) -> float:
     """Return the mean of values in tenths, 0 where none is known."""
     return round(tenths / count / 10, 1) if count else 0.0
+
+
+def plus(
+    left: dict[_Key, Counts],
+    right: dict[_Key, Counts],
+) -> dict[_Key, Counts]:
+    """Return the sums of the counts by key."""
+    total = dict(left)
+    for key, counts in right.items():
+        if key in total:
+            counts = tuple(map(operator.add, total[key], counts))
+        total[key] = counts
+    return total
+
+
+def minus(
+    left: dict[_Key, Counts],
+    right: dict[_Key, Counts],
+) -> dict[_Key, Counts]:
+    """Return the differences that are not all 0."""
+    total = dict(left)
+    for key, counts in right.items():
+        if key in total:
+            total[key] = tuple(map(operator.sub, total[key], counts))
+            if not any(total[key]):
+                del total[key]
+    return total
--- a/src/oriolejunction/controllers/rollout_leader.py
+++ b/src/oriolejunction/controllers/rollout_leader.py
@@ -26,12 +26,16 @@
 # Nothing can be taken back after the end, so it is not before MIN_END.
 # From END on, FEW_LEFT requests that still run on old servers no longer delay
 # the end; at LAST_END it is due, and those left break.
-MIN_END, END, LAST_END, FEW_LEFT = 0.8, 0.9, 0.96, 2
+MIN_END, END, LAST_END, FEW_LEFT = 0.8, 0.9, 0.93, 2
 # Time that taking back needs before the deadline, but not the first half.
 TAKE_BACK_MS = 3_000.0
 MIN_LAST_MOVE = 0.5
-# A watch reply, and the report after it, take less than this.
-PROPAGATION_MS = 300.0
+# A report that arrives this long after a change was sent by an instance that
+# knew it: a watch reply takes 100 ms, an old report in a relay 500 ms.
+PROPAGATION_MS = 600.0
+# To go back takes this long unless an instance is lost. A target that is
+# suspect this long before the deadline is not completed.
+USUAL_TAKE_BACK_MS = 2_000.0
 # Counts that do not rise for this long will not; a report comes at least once
 # a second and on each change.
 SETTLE_MS = 600.0
@@ -68,20 +72,6 @@
     in_force: bool = False
 
 
-class _Quiet:
-    """How long a number has not changed."""
-
-    def __init__(self) -> None:
-        self._value: int | None = None
-        self._since_ms = 0.0
-
-    def for_ms(self, value: int, now_ms: float) -> float:
-        """Return how long the number has had this value."""
-        if value != self._value:
-            self._value, self._since_ms = value, now_ms
-        return now_ms - self._since_ms
-
-
 class RolloutLeader:
     """Leads one rollout; `finding` is the newest comparison."""
 
@@ -94,10 +84,20 @@
         self._history = rollout_windows.WindowHistory()
         self._running_ms = 0.0
         self._stepped_ms: float | None = None
-        self._target_quiet, self._old_quiet = _Quiet(), _Quiet()
+        self._target_quiet = rollout_windows.Quiet()
+        self._old_quiet = rollout_windows.Quiet()
         self.finding = rollout_verdict.Finding()
         self.waits_for = ""
         self.limit = 0
+        self._is_good = False
+
+    @property
+    def verdict(self) -> states.RolloutVerdict:
+        """Return what the answers so far say."""
+        found = self.finding.verdict
+        if self._is_good and found is states.RolloutVerdict.UNDECIDED:
+            return states.RolloutVerdict.GOOD
+        return found
 
     def step(
         self, rollout: rollout_book.Rollout, seen: Observation
@@ -135,7 +135,8 @@
         """Return the planned and the last time for a move."""
         duration_ms = rollout.duration_ms
         ended = sum(pair.old.ended for pair in window.values())
-        mean_ms = self._running_ms / ended if ended else 0.0
+        # Requests from before the order make the count begin below zero.
+        mean_ms = self._running_ms / max(1, ended)
         last_ms = max(
             MIN_LAST_MOVE * duration_ms,
             min(LAST_MOVE * duration_ms, duration_ms - TAKE_BACK_MS),
@@ -172,6 +173,7 @@
             )
         self.waits_for = self._wait_reason(seen, window, planned_ms, last_ms)
         if not self.waits_for:
+            self._is_good = True
             return self._move(
                 rollout, states.RolloutPhase.MOVING, "good", window
             )
@@ -203,17 +205,11 @@
         waited = (seen.elapsed_ms - planned_ms) / max(
             1.0, last_ms - planned_ms
         )
-        wanted = rollout_verdict.ANSWERS_WANTED - min(1.0, waited) * (
-            rollout_verdict.ANSWERS_WANTED - rollout_verdict.ANSWERS_NEEDED
-        )
-        missing = rollout_verdict.missing_evidence(window, wanted)
+        missing = rollout_verdict.missing_evidence(window, waited)
         if missing:
             return missing
         recent = self._history.since(window, seen.now_ms - RECENT_MS)
-        count = sum(
-            rollout_verdict.answers(pair.target)
-            for pair in (recent or window).values()
-        )
+        count = rollout_windows.target_answers(recent or window)
         if count < MIN_RECENT_ANSWERS and waited < 1.0:
             return f"{count} answers of late"
         return ""
@@ -268,7 +264,7 @@
                 f"bad after the move: {self.finding.detail}",
                 window,
             )
-        if not seen.target_servers and not seen.in_force:
+        if seen.old_servers and not seen.target_servers:
             return self._move(
                 rollout,
                 states.RolloutPhase.REVERTED,
@@ -281,9 +277,10 @@
         if seen.now_ms - self._started_ms < MIN_WATCH_MS:
             self.waits_for = "reports to a new leader"
             return None
-        if self.finding.verdict is states.RolloutVerdict.SUSPECT:
+        if self.finding.score < rollout_verdict.NOT_COMPLETED_SCORE:
             self.waits_for = f"suspect: {self.finding.detail}"
-            if part < END:
+            left_ms = rollout.duration_ms - seen.elapsed_ms
+            if part < MIN_END or left_ms > USUAL_TAKE_BACK_MS:
                 return None
             return self._move(
                 rollout,
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -111,20 +111,24 @@
             )
         )
         self._deps.origins.connect(
-            self._watch.replicas, self._channels.stub_for
+            self._watch.replicas,
+            self._channels.stub_for,
+            lambda: self.listing.read_at_ms,
         )
         self._blackboard.backends.changes().subscribe(self._drop_unlisted)
         self._blackboard.fleet.changes().subscribe(
             lambda view: self._deps.speeds.update_reported(view.speed_by_id)
         )
         self._deps.own_loads.on_change = self._watch.notify_loads
+        # The control leader acts on the counts five times a second.
+        self._deps.rollouts.counts.on_change = self._watch.notify_loads
         for source in (
             self._deps.health,
             self._deps.guard,
             self._deps.parts,
             self._deps.intake.limits,
+            self._deps.intake.departures,
             self._deps.budget,
-            self._deps.rollouts.counts,
         ):
             source.on_change = self._watch.notify_report
 
@@ -200,10 +204,8 @@
 
     async def _stop_accepting(self) -> None:
         """Stop listening, so that callers reconnect to other instances."""
-        await self._caller_site.stop()
-        await self._peer_site.stop()
-        self._gateway.close_idle()
-        self._peer_gateway.close_idle()
+        await self._gateway.stop_accepting(self._caller_site)
+        await self._peer_gateway.stop_accepting(self._peer_site)
 
     def _on_reachability(self) -> None:
         """Let go of what was believed of servers before links were lost."""
--- a/tests/http/test_peer_forwarding.py
+++ b/tests/http/test_peer_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import aiohttp
 import msgspec
 import pytest
 
@@ -164,11 +165,67 @@
 
 async def test_connection_to_a_helper_detects_its_silence(new_helpers):
     helpers = await new_helpers(calls.answer)
+    pool = helpers.rig.deps.peer_pool
+    connect, options = pool.connect, []
+
+    async def connect_and_look(*limits):
+        connection = await connect(*limits)
+        sock = connection._transport.get_extra_info("socket")
+        options.append(
+            (
+                sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+            )
+        )
+        return connection
+
+    pool.connect = connect_and_look
     await calls.read(helpers.rig.ask("/order/1"))
-    (idle,) = helpers.rig.deps.peer_pool._idle_by_address.values()
-    sock = idle[0]._transport.get_extra_info("socket")
-    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
-    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+    assert options == [(1, 1)]
+
+
+async def test_late_copy_of_a_refusal_refuses_no_other_request(new_helpers):
+    """Fault: a helper was asked again although the first one ran it.
+
+    A second copy of a refusal arrived after the next request was sent.
+    """
+    helpers = await new_helpers(refuse(NOT_READY))
+    for request_id in ("a1", "a2"):
+        async with helpers.rig.ask("/order/1", request_id) as response:
+            assert response.status == 503
+    first, second = helpers.arrivals
+    assert first.writer is not second.writer
+
+
+async def test_answer_of_a_server_is_no_refusal_of_its_helper(new_helpers):
+    """Fault: an order went to a second server after the first one's answer.
+
+    The server's failure had the status of an instance's refusal.
+    """
+
+    async def fail_unsigned(arrival):
+        arrival.writer.write(
+            b"HTTP/1.1 503 Broken\r\nAttempt-Id: %s\r\n"
+            b"Content-Length: 0\r\n\r\n"
+            % arrival.headers["attempt-id"].encode()
+        )
+
+    helpers = await new_helpers(fail_unsigned, fail_unsigned)
+    async with helpers.rig.ask("/order/1") as response:
+        assert response.status == 503
+    assert len(helpers.arrivals) == 1
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/order/1", "/brief/1"])
+async def test_answer_to_another_request_is_not_passed_on(new_helpers, path):
+    async def answer_another(arrival):
+        arrival.headers["attempt-id"] = "another"
+        arrival.answer(b"of another")
+
+    helpers = await new_helpers(answer_another)
+    async with helpers.rig.ask(path) as response:
+        assert response.status == 502
+        assert b"of another" not in await response.read()
 
 
 async def test_lookup_is_served_by_the_next_helper(new_helpers):
@@ -194,6 +251,22 @@
             await response.read()
 
 
+async def test_stream_of_a_frozen_helper_ends_at_the_deadline(new_helpers):
+    """Fault: the answer of a helper that sends nothing more never ended."""
+
+    async def freeze(arrival):
+        arrival.begin()
+        arrival.events([1, 2])
+        await arrival.writer.drain()
+        await asyncio.sleep(20)
+
+    helpers = await new_helpers(freeze)
+    request = helpers.rig.ask("/brief/1", Deadline_Ms="600")
+    async with asyncio.timeout(2.0):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await calls.read(request)
+
+
 async def test_helper_stops_once_the_caller_is_gone(new_helpers):
     closed = asyncio.Event()
 
