--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -197,7 +197,7 @@
     def read_chunk(self) -> collections.abc.Awaitable[bytes | None]:
         """Return the next part of the body, None at its clean end."""
         if self._chunked is not None:
-            return self._read_chunked(self._chunked)
+            return self._read_chunked()
         return self._read_by_h11()
 
     async def _read_by_h11(self) -> bytes | None:
@@ -221,16 +221,12 @@
     def _begin_body(self, response: h11.Response) -> None:
         """Leave a chunked body to `chunked_body`."""
         if answer_parser.has_chunked_body(self._method, response):
-            self._chunked = chunked_body.ChunkedBody(
-                answer_parser.MAX_HEAD_BYTES
-            )
-            received, _ = self._h11.trailing_data
-            self._chunked.receive(received)
+            limit = answer_parser.MAX_HEAD_BYTES
+            self._chunked = chunked_body.ChunkedBody(limit)
+            self._chunked.receive(self._h11.trailing_data[0])
 
-    async def _read_chunked(
-        self, body: chunked_body.ChunkedBody
-    ) -> bytes | None:
-        """Return what `read_chunk` does."""
+    async def _read_chunked(self) -> bytes | None:
+        body = self._chunked
         while True:
             try:
                 content = body.decode()
