Read the dependencies of reports by their name

The node tests of rollouts found it.

Measured: tests/test_rollout_traffic_nodes.py and tests/test_fleet_nodes.py pass (13); without the change, both tests of the former fail.

--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -50,7 +50,7 @@
         )
 
     def _uses(self) -> tuple[fm.ServiceUse, ...]:
-        queue = self.deps.queue
+        queue = self._deps.queue
         waiting = queue.waiting_by_service()
         urgent = {
             service: urgency.count_urgent(
@@ -58,11 +58,11 @@
             )
             for service in waiting
         }
-        return self.deps.budget.uses(waiting, urgent)
+        return self._deps.budget.uses(waiting, urgent)
 
     def _ranks_of(self, service: ids.ServiceName) -> tuple[int, ...]:
         """Return the ranks of a service's requests, the urgent first."""
-        table = self.deps.blackboard.table.read()
+        table = self._deps.blackboard.table.read()
         ranks = table.ranks_by_service if table is not None else {}
         return ranks.get(service, ())
 
