--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -10,12 +10,11 @@
 import collections
 import collections.abc
 import dataclasses
-import operator
-import typing
 
 import xxhash
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import leaving_servers
 from oriolejunction.controllers import report_counts
 from oriolejunction.controllers import tracked_sums
 from oriolejunction import fleet_messages as fm
@@ -23,7 +22,6 @@
 
 # An entry instance sends a report at least once a second.
 REPORT_TTL_MS = 3_000.0
-_Key = typing.TypeVar("_Key", bound=collections.abc.Hashable)
 _RESENDS = 1
 # Fields of a report whose items are merged over the instances.
 _MERGED_FIELDS = (
@@ -75,6 +73,7 @@
     blocked_parts: tuple[tuple[ids.PromptPart, ...], ...] = ()
     limits: tuple[fm.NamedLimit, ...] = ()
     helpers: tuple[str, ...] = ()
+    leaving: tuple[fm.LeavingServer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,6 +102,8 @@
         self._uses: dict[ids.ServiceName, report_counts.Counts] = {}
         # The addresses of all helpers, in an order of their own.
         self._ordered_helpers: list[str] = []
+        # These outlive the reports that hold them.
+        self._leaving = leaving_servers.LeavingServers(clock)
         self._oldest_delta_number = 0
         self._change_number = 0
         # Rises also with changes that cause no update of their own.
@@ -156,8 +157,11 @@
         self._replace_uses(before.uses, counts.uses)
         if direct:
             self._unforwarded[report.instance] = report
+        has_new_leaving = self._leaving.put(report.leaving)
+        if has_new_leaving:
+            self.mark_changed()
         if previous is not None and _content(previous) == _content(report):
-            return False
+            return has_new_leaving
         self._replace(previous, before, report, counts)
         if _resends(counts) > _resends(before):
             self._resent_number = self._change_number
@@ -185,7 +189,7 @@
         """Return what the other instances sent to each service."""
         self._expire_reports()
         own = self._counts_of(instance).uses
-        others = _minus(self._uses, own)
+        others = report_counts.minus(self._uses, own)
         return tuple(
             fm.ServiceUse(service, *others[service])
             for service in sorted(others)
@@ -198,7 +202,9 @@
     ) -> None:
         if before != after:
             self.version += 1
-            self._uses = _minus(_plus(self._uses, after), before)
+            self._uses = report_counts.minus(
+                report_counts.plus(self._uses, after), before
+            )
 
     def sums(self, seen: int) -> FleetSums:
         """Return the sums over all instances that changed since `seen`."""
@@ -244,11 +250,12 @@
     ) -> dict[str, tuple]:
         """Return what all instances observe, without that of one alone."""
         own = self._report_of(instance)
-        return {
+        observations = {
             field: tuple(counts - _items(own, field) if own else counts)
             for field, counts in self._merged.items()
             if field != "helpers"
         }
+        return {**observations, "leaving": self._leaving.all()}
 
     def update_for(self, instance: ids.InstanceId, seen: int) -> FleetUpdate:
         """Return what changed since `seen` at the other instances.
@@ -365,32 +372,6 @@
     return sum(use[_RESENDS] for use in counts.uses.values())
 
 
-def _plus(
-    left: dict[_Key, report_counts.Counts],
-    right: dict[_Key, report_counts.Counts],
-) -> dict[_Key, report_counts.Counts]:
-    total = dict(left)
-    for key, counts in right.items():
-        if key in total:
-            counts = tuple(map(operator.add, total[key], counts))
-        total[key] = counts
-    return total
-
-
-def _minus(
-    left: dict[_Key, report_counts.Counts],
-    right: dict[_Key, report_counts.Counts],
-) -> dict[_Key, report_counts.Counts]:
-    """Return the differences that are not all 0."""
-    total = dict(left)
-    for key, counts in right.items():
-        if key in total:
-            total[key] = tuple(map(operator.sub, total[key], counts))
-            if not any(total[key]):
-                del total[key]
-    return total
-
-
 def _items(report: fm.EntryReport | None, field: str) -> collections.Counter:
     return collections.Counter(
         getattr(report, field) if report is not None else ()
--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -47,6 +47,7 @@
             limits=deps.intake.limits.named(),
             helpers=self._helpers(),
             rollout_counts=deps.rollouts.counts.messages(),
+            leaving=deps.intake.departures.to_report(),
         )
 
     def _uses(self) -> tuple[fm.ServiceUse, ...]:
--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -65,6 +65,9 @@
             if idle_ms >= connection.idle_limit_ms:
                 connection.close()
                 continue
+            if connection.has_bytes_to_read():
+                connection.close()
+                continue
             is_kept = connection.announces_timeout
             if idle_ms < max_idle_ms or (
                 is_kept and heard_ms_ago < max_idle_ms
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -234,8 +234,9 @@
                 timing.rollout_send.record_failure()
             return refusal
         self._deps.health.mark_answered(plan.backend.backend_id)
+        read_event = self._deps.wire_format.read_event
         events = event_reader.EventReader(
-            connection.read_chunk, self._deps.wire_format.read_event
+            connection.read_chunk, read_event, self._answer
         )
         while True:
             received = await reader.read(events.read, limits)
@@ -247,7 +248,7 @@
                 # during the prefill.
                 self._planner.last_copy_backend = plan.copy_backend
                 self._planner.record_first_event(plan, now_ms - sent_ms)
-            else:
+            elif not timing.was_blocked:
                 self._deps.speeds.add_gap(
                     plan.backend.backend_id, now_ms - timing.last_ms
                 )
@@ -258,6 +259,7 @@
             # Without an event, the caller can still get another answer.
             await self._send_head(head)
             await self._deliver(attempt, received)
+            timing.record_delivery(clock.now_ms())
             limits = next_event_limits
         if events.is_within_event:
             raise backend_connection.ConnectionBroken(
@@ -273,16 +275,8 @@
             self._admitted.route.name, self._answer.last_event
         )
         crash_records.record_answer(self._deps, self._admitted)
-        gateway_common.log_decision(
-            self._admitted,
-            "stream complete",
-            backend=plan.backend.backend_id,
-            events=self._answer.delivered,
-            prompt_tokens=self._admitted.request.prompt_tokens,
-            attempts=self._attempts.sent,
-            first_ms=round(self._timing.first_ms),
-            longest_pause_ms=round(self._timing.longest_gap_ms),
-            took_ms=round(clock.now_ms() - self._admitted.request.received_ms),
+        self._timing.log_complete(
+            plan.backend, self._answer.delivered, self._attempts.sent
         )
         return states.StreamAttemptEnd.COMPLETE
 
@@ -391,8 +385,9 @@
             if transport is not None:
                 transport.close()
             return self._response
-        if self._engine_failure is not None:
-            return engine_answers.relayed_response(*self._engine_failure)
+        failure, ran = self._engine_failure, self._attempts.possibly_run
+        if failure and engine_answers.may_relay(failure[0], ran):
+            return engine_answers.relayed_response(*failure)
         raise errors.Failure(
             self._attempts.final_error("no engine could answer in time")
         )
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from oriolejunction import backends
 from oriolejunction.controllers import part_guard
 from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
@@ -21,6 +22,9 @@
 # Shorter prompts count as this long: their prefill takes next to no time.
 MIN_PROMPT_TOKENS = 100
 
+# A write that takes longer waits until the caller reads.
+MAX_WRITE_MS = 5.0
+
 
 class AttemptTiming:
     """When one attempt's first and latest events arrived, in ms."""
@@ -33,6 +37,8 @@
     ) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
+        # Whether the engine was not read while the caller was written to.
+        self.was_blocked = False
         self.rollout_send = rollout_send
         self._clock = deps.clock
         self._sent_ms = deps.clock.now_ms()
@@ -96,6 +102,10 @@
             self._count_gap()
         return not had_begun and now_ms - self.first_ms >= part_guard.BEGUN_MS
 
+    def record_delivery(self, now_ms: float) -> None:
+        """Record when the latest events were written to the caller."""
+        self.was_blocked = now_ms - self.last_ms > MAX_WRITE_MS
+
 
 class StreamTiming:
     """Time to the first event and longest gap between events, in ms."""
@@ -130,3 +140,20 @@
                 telemetry.resume_ms.observe(labels, gap_ms)
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_ms = now_ms
+
+    def log_complete(
+        self, backend: backends.Backend, events: int, attempts: int
+    ) -> None:
+        """Log that the caller has the whole answer."""
+        request = self._admitted.request
+        gateway_common.log_decision(
+            self._admitted,
+            "stream complete",
+            backend=backend.backend_id,
+            events=events,
+            prompt_tokens=request.prompt_tokens,
+            attempts=attempts,
+            first_ms=round(self.first_ms),
+            longest_pause_ms=round(self.longest_gap_ms),
+            took_ms=round(self._deps.clock.now_ms() - request.received_ms),
+        )
