Keep the versions of servers on the disks of control replicas

Cause: since a stream without a record goes on only where the list has been known for longer than any stream lasts, nobody could tell after such a loss that there had been one version only.

Each control replica now stores the versions that the list names when they change, drops former ones only once the list has been known for long enough, and tells them with each lookup; a stream goes on if all replicas answer and have one version. A replica with a new disk, or that could not store a version, tells nothing. It is a file of its own and not a command of the log, which replicas of an earlier version could not read.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -16,6 +16,7 @@
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
+from oriolejunction.consensus import version_file
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import stream_origins
 from oriolejunction import node_base
@@ -74,7 +75,10 @@
             CONTROL_TIMING,
             LOG_LIMITS,
         )
-        origins = stream_origins.OriginHub(self.clock)
+        origins = stream_origins.OriginHub(
+            self.clock,
+            version_file.VersionFile(data_dir, settings.first_start),
+        )
         control = self._rollout_control = self._new_rollout_control(settings)
         self._service = fleet_service.FleetService(
             fleet_service.FleetDependencies(
--- a/src/oriolejunction/controllers/software_choice.py
+++ b/src/oriolejunction/controllers/software_choice.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import math
 
 import msgspec
 
@@ -39,7 +40,8 @@
     `own` is this instance's record, `reply` that of the control replicas,
     None if none answered. A stream without a record may go on only if no
     release was seen by a process that has known the list for `return_ms`, the
-    longest time since such a stream began; this instance has known it for
+    longest time since such a stream began, or if all control replicas have
+    only one version on their disks; this instance has known the list for
     `own_covered_ms`. A record that a majority may have replaced counts only
     if no other version was seen.
     """
@@ -52,6 +54,8 @@
     if reply is not None:
         versions.update(reply.versions)
         covered_ms = max(covered_ms, reply.covered_ms)
+        if reply.lasting:
+            covered_ms = math.inf
         origin = reply.origin
         if origin is not None:
             is_current = reply.by_majority or versions == {origin.software}
--- a/src/oriolejunction/controllers/software_history.py
+++ b/src/oriolejunction/controllers/software_history.py
@@ -77,14 +77,19 @@
         self, service: ids.ServiceName
     ) -> frozenset[ids.SoftwareVersion]:
         """Return a service's versions that streams may have begun at."""
+        return self.versions_by_service().get(service, frozenset())
+
+    def versions_by_service(
+        self,
+    ) -> dict[ids.ServiceName, frozenset[ids.SoftwareVersion]]:
+        """Return the versions that streams may have begun at."""
         oldest_ms = self._clock.now_ms() - self._retention.kept_ms
         recent = {
             each
             for each, seen_ms in self._seen_at_ms.items()
             if seen_ms >= oldest_ms
         }
-        return frozenset(
-            software
-            for name, software in self._listed | recent
-            if name == service
-        )
+        found: dict[ids.ServiceName, set[ids.SoftwareVersion]] = {}
+        for service, software in self._listed | recent:
+            found.setdefault(service, set()).add(software)
+        return {name: frozenset(each) for name, each in found.items()}
--- a/src/oriolejunction/controllers/stream_origins.py
+++ b/src/oriolejunction/controllers/stream_origins.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from oriolejunction import clock as clocks
+from oriolejunction.consensus import version_file
 from oriolejunction.controllers import aged_records
 from oriolejunction.controllers import drop_log
 from oriolejunction.controllers import origin_retention
@@ -130,8 +131,13 @@
 class OriginHub:
     """The origins and software versions that one control replica knows."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        stored: version_file.VersionFile | None = None,
+    ) -> None:
         self.retention = origin_retention.OriginRetention(clock)
+        self._stored = stored
         self._table = OriginTable(clock, self.retention)
         self._unforwarded: dict[ids.RequestId, fm.StreamOrigin] = {}
         self.history = software_history.SoftwareHistory(clock, self.retention)
@@ -152,14 +158,27 @@
         unforwarded, self._unforwarded = self._unforwarded, {}
         return unforwarded
 
+    def store_versions(self) -> None:
+        """Store the versions of the list, so that a restart keeps them."""
+        if self._stored is not None:
+            self._stored.store(
+                self.history.versions_by_service(),
+                self.history.covered_ms >= self.retention.kept_ms,
+            )
+
     def reply(
         self, request_id: ids.RequestId, service: ids.ServiceName
     ) -> fm.OriginReply:
         """Return what this replica knows of a stream."""
+        versions = self.history.versions(service)
+        stored = self._stored.versions if self._stored is not None else None
+        if stored is not None:
+            versions |= frozenset(stored.get(service, ()))
         return fm.OriginReply(
             self._table.get(request_id),
-            tuple(sorted(self.history.versions(service))),
+            tuple(sorted(versions)),
             covered_ms=self.history.covered_ms,
+            lasting=stored is not None,
         )
 
 
@@ -181,4 +200,5 @@
         tuple(sorted({v for each in replies for v in each.versions})),
         any(each.by_majority for each in replies),
         max((each.covered_ms for each in replies), default=0.0),
+        all(each.lasting for each in replies),
     )
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -286,13 +286,15 @@
 
     `by_majority` means that a majority of the control replicas was asked, so
     that the origin is the newest confirmed one. `covered_ms` is the time for
-    which the versions are complete.
+    which the versions are complete. `lasting` means that they are complete
+    whatever has restarted: all control replicas told those on their disks.
     """
 
     origin: StreamOrigin | None = None
     versions: tuple[ids.SoftwareVersion, ...] = ()
     by_majority: bool = False
     covered_ms: float = 0.0
+    lasting: bool = False
 
 
 class WatchReply(msgspec.Struct, frozen=True):
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -126,6 +126,7 @@
         self._deps.origins.history.observe(
             listing.backends, listing.read_at_ms
         )
+        self._deps.origins.store_versions()
 
     def _on_applied(self) -> None:
         if self._replica.state.table.version != self._followed_version:
--- a/src/oriolejunction/peers/origin_service.py
+++ b/src/oriolejunction/peers/origin_service.py
@@ -87,9 +87,12 @@
             ),
             is_known,
         )
+        joined = stream_origins.join_replies((own, *replies))
+        members = self._replica.membership.members()
         return msgspec.structs.replace(
-            stream_origins.join_replies((own, *replies)),
+            joined,
             by_majority=self._is_majority(replies),
+            lasting=joined.lasting and len(replies) + 1 >= len(members),
         )
 
     def _is_majority(self, replies: list) -> bool:
--- a/tests/controllers/test_software_choice.py
+++ b/tests/controllers/test_software_choice.py
@@ -116,3 +116,17 @@
     assert history.versions("desk") == set()
     clock.advance(retention.kept_ms + 1)
     assert history.versions("llm") == {"v2"}
+
+
+@pytest.mark.parametrize(
+    "versions, expected", [(("v1",), "v1"), (("v1", "v2"), None)]
+)
+def test_versions_on_all_disks_tell_what_was_listed_before_a_restart(
+    versions, expected
+):
+    """Load: all processes lose power while streams run."""
+    reply = fm.OriginReply(None, versions, True, 0.0, lasting=True)
+    choice = software_choice.choose_for_resumption(
+        None, reply, {"v1"}, 0.0, RETURN_MS
+    )
+    assert choice.software == expected
