--- a/src/oriolejunction/controllers/overload/urgency.py
+++ b/src/oriolejunction/controllers/overload/urgency.py
@@ -71,9 +71,13 @@
 
 
 def waiting_ahead(
-    rank: int, ranks: collections.abc.Sequence[int], others: fm.ServiceUse
+    rank: int,
+    ranks: collections.abc.Sequence[int],
+    others: fm.ServiceUse | None,
 ) -> int:
     """Return how many requests of others are as urgent as one, or more."""
+    if others is None:
+        return 0
     if len(ranks) < 2:
         return others.waiting
     return sum(_waiting_by_level(others)[: level(rank, ranks) + 1])
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -6,14 +6,12 @@
 unfit for reuse.
 
 A server may send bytes without end. They are parsed only as far as the answer
-is read, and no more than `MAX_UNREAD_BYTES` are taken from the socket before.
+is read, and a bounded number is taken from the socket before (`unread_bytes`).
 """
 
 import asyncio
 import collections
 import collections.abc
-import functools
-import select
 import socket
 import typing
 
@@ -21,23 +19,14 @@
 import msgspec
 
 from oriolejunction import clock as clocks
-from oriolejunction.controllers.overload import buffer_budget
+from oriolejunction.http import answer_parser
 from oriolejunction.http import bounded_body
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
+from oriolejunction.http import socket_bytes
+from oriolejunction.http import unread_bytes
 
-MAX_HEAD_BYTES = 65_536
-MAX_UNREAD_BYTES = 262_144
-# Used instead while all connections together hold too much. It is enough for
-# the events of a second.
-SCARCE_UNREAD_BYTES = 16_384
-# Parsed at once before other requests of this process have their turn.
-PARSED_BYTES = 4_096
 MAX_INTERIM_ANSWERS = 16
-# Answers to these have no body, whatever their headers state (RFC 9112, 6.3).
-METHODS_WITHOUT_BODY = frozenset(("HEAD", "CONNECT"))
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
-_END_OF_REQUEST = h11.EndOfMessage()
 # The kernel closes a connection with data unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 1_500
 # Connections idle for longer than this fraction of the peer's keep-alive
@@ -80,16 +69,14 @@
         self.idle_since_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self.announces_timeout = False
-        self._h11 = _new_h11()
+        self._h11 = answer_parser.new_parser()
         # Takes the place of h11 after the head of a chunked answer.
         self._chunked: chunked_body.ChunkedBody | None = None
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
-        self._unread: collections.deque[bytes] = collections.deque()
-        self._unread_bytes = 0
+        self.unread = unread_bytes.UnreadBytes()
         self._has_more = False
         self._is_paused = False
-        self.unread_budget = buffer_budget.BufferBudget()
         self._failure_reason: str | None = None
         self._busy = False
         self._method = ""
@@ -125,26 +112,17 @@
             self._fail("received bytes while no request was in progress")
             self._transport.abort()
             return
-        for start in range(0, len(data), PARSED_BYTES):
-            self._unread.append(data[start : start + PARSED_BYTES])
-        self._unread_bytes += len(data)
-        self.unread_budget.add(len(data))
-        if self._unread_bytes > self._unread_limit():
+        self.unread.add(data)
+        if self.unread.are_too_many:
             self._is_paused = True
             self._transport.pause_reading()
         self._wake()
 
-    def _unread_limit(self) -> int:
-        """Return how many bytes are taken ahead of the caller now."""
-        if self.unread_budget.is_exceeded:
-            return SCARCE_UNREAD_BYTES
-        return MAX_UNREAD_BYTES
-
     def eof_received(self) -> bool:
         """Handle a clean end, which may complete an answer without length."""
         if self._busy and self._failure_reason is None:
             # h11 takes no bytes for the end.
-            self._unread.append(b"")
+            self.unread.add_end()
         self._fail("closed by the peer")
         return False
 
@@ -158,17 +136,8 @@
         return self._failure_reason is None and not self._busy
 
     def has_bytes_to_read(self) -> bool:
-        """Return whether bytes, or the end, arrived and were not read yet.
-
-        A server may send a second copy of an answer. What arrived before the
-        next request is sent does not answer it.
-        """
-        sock = self._transport and self._transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        """Return whether bytes, or the end, have arrived and wait unread."""
+        return socket_bytes.are_waiting(self._transport)
 
     def send(
         self,
@@ -183,9 +152,7 @@
         encoded = request_head.encode_request(method, target, headers, body)
         self._busy = True
         self._method = method
-        # h11 needs to know only which method it reads the answer of.
-        self._h11.send(_request_of(method))
-        self._h11.send(_END_OF_REQUEST)
+        answer_parser.expect_answer(self._h11, method)
         self._transport.write(encoded)
 
     async def read_response_head(self) -> ResponseHead:
@@ -218,25 +185,17 @@
 
     def close(self) -> None:
         """Close at once; the peer stops its work."""
-        self.unread_budget.add(-self._unread_bytes)
-        self._unread_bytes = 0
-        self._unread.clear()
+        self.unread.clear()
         self._fail("closed by this instance")
         if self._transport is not None:
             self._transport.abort()
 
     def _begin_body(self, response: h11.Response) -> None:
         """Leave a chunked body to `chunked_body`."""
-        # h11 accepts no other transfer encoding.
-        is_chunked = (
-            self._method not in METHODS_WITHOUT_BODY
-            and response.status_code not in STATUSES_WITHOUT_BODY
-            and any(n == b"transfer-encoding" for n, _ in response.headers)
-        )
-        if is_chunked:
-            self._chunked = chunked_body.ChunkedBody(MAX_HEAD_BYTES)
-            received, _ = self._h11.trailing_data
-            self._chunked.receive(received)
+        if answer_parser.has_chunked_body(self._method, response):
+            limit = answer_parser.MAX_HEAD_BYTES
+            self._chunked = chunked_body.ChunkedBody(limit)
+            self._chunked.receive(self._h11.trailing_data[0])
 
     async def _read_chunked(
         self, body: chunked_body.ChunkedBody
@@ -267,14 +226,14 @@
             at_end
             and self._keep_alive
             and self._failure_reason is None
-            and not self._unread
+            and not self.unread
             and self._h11.our_state is h11.DONE
         )
         if not clean:
             self.close()
             return
         if self._chunked is not None:
-            self._h11 = _new_h11()
+            self._h11 = answer_parser.new_parser()
             self._chunked = None
         else:
             self._h11.start_next_cycle()
@@ -334,7 +293,7 @@
             # Other requests of this process have their turn.
             self._has_more = False
             await asyncio.sleep(0)
-        while not self._unread:
+        while not self.unread:
             if self._failure_reason is not None:
                 raise ConnectionBroken(self._failure_reason)
             self._waiter = asyncio.get_running_loop().create_future()
@@ -342,29 +301,14 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        data = self._take_unread()
-        self._has_more = bool(self._unread)
-        return data
-
-    def _take_unread(self) -> bytes:
-        data = self._unread.popleft()
-        self._unread_bytes -= len(data)
-        self.unread_budget.add(-len(data))
-        if self._is_paused and self._unread_bytes <= self._unread_limit():
+        data = self.unread.take()
+        self._has_more = bool(self.unread)
+        if self._is_paused and not self.unread.are_too_many:
             self._is_paused = False
             self._transport.resume_reading()
         return data
 
 
-@functools.lru_cache(maxsize=32)
-def _request_of(method: str) -> h11.Request:
-    return h11.Request(method=method, target="/", headers=[("Host", "-")])
-
-
-def _new_h11() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-
-
 async def connect(
     address: str, timeout_ms: float, tries: int = 1
 ) -> BackendConnection:
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -52,12 +52,12 @@
     `exposure_share` is that of rollouts, None where there are none.
     `buffer_bytes` is the memory for bodies and unread answers together.
     """
-    # Without rollouts, the seed must give the same choices as before.
-    salt = 0 if exposure_share is None else rng.getrandbits(32)
-    rollouts = rollout_gate.RolloutGate(clock, exposure_share, salt)
     unread = buffer_budget.BufferBudget(
         (1.0 - buffer_budget.BODIES_FRACTION) * buffer_bytes
     )
+    # Without rollouts, the seed must give the same choices as before.
+    salt = 0 if exposure_share is None else rng.getrandbits(32)
+    rollouts = rollout_gate.RolloutGate(clock, exposure_share, salt)
     own_loads = load_table.LoadTable()
     speeds = engine_speeds.EngineSpeeds(clock)
     health = backend_health.BackendHealth(clock)
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -75,7 +75,7 @@
             deps.rollouts,
         )
         deps.origins.on_change = lambda: self._relays.request(
-            report_relays.LOAD_RELAY_MS
+            report_relays.ORIGIN_RELAY_MS
         )
         self._relays = report_relays.ReportRelays(
             deps.replica,
@@ -126,6 +126,7 @@
         self._deps.origins.history.observe(
             listing.backends, listing.read_at_ms
         )
+        self._deps.origins.store_versions()
 
     def _on_applied(self) -> None:
         if self._replica.state.table.version != self._followed_version:
--- a/tests/http/test_backend_connection.py
+++ b/tests/http/test_backend_connection.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oriolejunction.http import backend_connection
+from oriolejunction.http import unread_bytes
 from tests import event_loops
 
 pytestmark = pytest.mark.asyncio(**event_loops.VIRTUAL)
@@ -43,7 +44,7 @@
 @pytest.mark.parametrize("is_chunked", [True, False])
 async def test_cancelled_reads_lose_no_bytes(is_chunked):
     """The limit of a wait may end it between two parts of a long answer."""
-    content = random.Random(1).randbytes(5 * backend_connection.PARSED_BYTES)
+    content = random.Random(1).randbytes(5 * unread_bytes.PARSED_BYTES)
     framing = b"Content-Length: %d\r\n\r\n%s" % (len(content), content)
     if is_chunked:
         framing = (
@@ -73,3 +74,19 @@
             cancelled += 1
     assert b"".join(received[:-1]) == content
     assert cancelled and connection.usable
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", b"200 OK"), ("GET", b"304 Same")]
+)
+async def test_answer_without_body_ends_with_its_head(method, status):
+    """Its headers may state chunks, for which a caller would wait in vain."""
+    connection = backend_connection.BackendConnection("a:1")
+    connection.connection_made(mock.MagicMock())
+    connection.send(method, "/", [(b"Host", b"a")], b"")
+    connection.data_received(
+        b"HTTP/1.1 %s\r\nTransfer-Encoding: chunked\r\n\r\n" % status
+    )
+    await connection.read_response_head()
+    assert await connection.read_chunk() is None
+    assert connection.usable
--- a/tests/http/test_held_memory.py
+++ b/tests/http/test_held_memory.py
@@ -74,7 +74,7 @@
 
     def new_connection():
         connection = backend_connection.BackendConnection("a:1")
-        connection.unread_budget = budget
+        connection.unread.budget = budget
         transport = Transport()
         connection.connection_made(transport)
         connection.send("GET", "/", [(b"Host", b"a")], b"")
