--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -34,15 +34,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class Transport(typing.Protocol):
-    """Sends messages to replicas; may lose, delay or repeat them."""
-
-    def send(
-        self, group: types.GroupId, message: wire.Message, address: str | None
-    ) -> None:
-        """Queue a message; `address` is the receiver's, if known."""
-
-
 class RaftReplica:
     """Commits commands through the group and applies them in order."""
 
@@ -50,7 +41,7 @@
         self,
         folder: pathlib.Path,
         member: typing.Callable[[types.ReplicaId], types.Member],
-        transport: Transport,
+        transport: replicas.Transport,
         clock: clocks.Clock,
         rng: random.Random,
         timing: core_state.Timing = core_state.Timing(),
@@ -395,17 +386,9 @@
     def _send_snapshot(
         self, core: cores.Core, replica: types.ReplicaId
     ) -> None:
-        state = core.state
-        if self._storage.snapshot is None:
-            return
-        self._send(
-            [
-                wire.InstallSnapshot(
-                    state.self_id,
-                    replica,
-                    state.term,
-                    self._storage.snapshot,
-                    state.round,
-                )
-            ]
-        )
+        state, snapshot = core.state, self._storage.snapshot
+        if snapshot is not None:
+            message = wire.InstallSnapshot(
+                state.self_id, replica, state.term, snapshot, state.round
+            )
+            self._send([message])
--- a/src/oriolejunction/consensus/replica.py
+++ b/src/oriolejunction/consensus/replica.py
@@ -3,6 +3,8 @@
 import typing
 
 from oriolejunction import commands
+from oriolejunction.consensus import types
+from oriolejunction.consensus import wire
 from oriolejunction.controllers import control_state
 from oriolejunction import messages
 
@@ -19,6 +21,15 @@
     """Leadership was lost while a command waited; it may be committed."""
 
 
+class Transport(typing.Protocol):
+    """Sends messages to replicas; may lose, delay or repeat them."""
+
+    def send(
+        self, group: types.GroupId, message: wire.Message, address: str | None
+    ) -> None:
+        """Queue a message; `address` is the receiver's, if known."""
+
+
 class Replica(typing.Protocol):
     """A replica of the control state."""
 
