--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -43,6 +43,7 @@
         ("caller_listen", "somewhere"),
         ("control_seeds", ["name:8748"]),
         ("grace_ms", -1),
+        ("prompt_reuse_ms", 0),
         ("instance_id", ""),
         ("ip", "host"),
         ("log_level", "loud"),
