Describe planned attempts of streams in a module of their own

A test that a hangup before the settings are read ends no node called the former command class; it runs the role as the command line does.

--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -26,6 +26,7 @@
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stall_handlers
 from oriolejunction.http import stop_limit
+from oriolejunction.http import stream_attempt
 from oriolejunction.http import stream_plan
 from oriolejunction.http import stream_timing
 from oriolejunction import states
@@ -61,7 +62,7 @@
         ) = None
         self._is_complete = False
         # The next attempt, where it was planned before the last one ended.
-        self._next_plan: stream_plan.StreamPlan | None = None
+        self._next_plan: stream_attempt.StreamPlan | None = None
 
     async def run(self) -> web.StreamResponse:
         """Serve the answer; raise `Failure` if it cannot begin."""
@@ -106,9 +107,9 @@
         ).serve(self._response)
 
     async def _run_attempt(
-        self, plan: stream_plan.StreamPlan
+        self, plan: stream_attempt.StreamPlan
     ) -> states.StreamAttemptEnd:
-        stream_plan.log_placement(
+        stream_attempt.log_placement(
             self._admitted, plan, self._answer.last_event
         )
         self._attempts.stalled.discard(plan.backend.backend_id)
@@ -129,13 +130,13 @@
                 self._attempts.cancel_reservation()
 
     async def _send_and_read(
-        self, plan: stream_plan.StreamPlan, attempt
+        self, plan: stream_attempt.StreamPlan, attempt
     ) -> states.StreamAttemptEnd:
         try:
             connection, rollout_send = await gateway_common.open_and_send(
                 self._deps,
                 self._admitted,
-                stream_plan.dispatch_of(
+                stream_attempt.dispatch_of(
                     plan, self._admitted, self._attempts, self._answer
                 ),
                 self._attempts,
@@ -191,7 +192,7 @@
 
     async def _read_answer(
         self,
-        plan: stream_plan.StreamPlan,
+        plan: stream_attempt.StreamPlan,
         connection: backend_connection.BackendConnection,
         attempt,
         timing: stream_timing.AttemptTiming,
@@ -315,7 +316,7 @@
 
     async def _check_refusal(
         self,
-        plan: stream_plan.StreamPlan,
+        plan: stream_attempt.StreamPlan,
         connection: backend_connection.BackendConnection,
         head: gateway_messages.AnswerHead,
         read_chunk: stall_detection.PieceReader[bytes | None],
@@ -338,7 +339,9 @@
         return states.StreamAttemptEnd.LOST
 
     def _handle_not_run(
-        self, plan: stream_plan.StreamPlan, head: gateway_messages.AnswerHead
+        self,
+        plan: stream_attempt.StreamPlan,
+        head: gateway_messages.AnswerHead,
     ) -> None:
         gateway_common.log_decision(
             self._admitted,
@@ -356,7 +359,7 @@
         backend_checks.mark_replaced(self._deps, plan.backend, head)
 
     def _handle_loss(
-        self, plan: stream_plan.StreamPlan, why: str
+        self, plan: stream_attempt.StreamPlan, why: str
     ) -> states.StreamAttemptEnd:
         self._attempts.count_lost()
         gateway_common.log_decision(
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -21,7 +21,7 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import repeated_task
 from oriolejunction.http import shared_timer
-from oriolejunction.http import stream_plan
+from oriolejunction.http import stream_attempt
 
 LimitsSource = collections.abc.Callable[[], stalls.StallLimits]
 Piece = typing.TypeVar("Piece")
@@ -51,7 +51,7 @@
 class EngineReplaced(Exception):
     """Another engine continues the answer of a stalled one, by `plan`."""
 
-    def __init__(self, why: str, plan: stream_plan.StreamPlan) -> None:
+    def __init__(self, why: str, plan: stream_attempt.StreamPlan) -> None:
         super().__init__(why)
         self.plan = plan
 
@@ -75,9 +75,9 @@
     on_stalled: collections.abc.Callable[[EngineStalled], None]
     on_continued: collections.abc.Callable[[], None]
     search: collections.abc.Callable[
-        [], collections.abc.Awaitable[stream_plan.StreamPlan | None]
+        [], collections.abc.Awaitable[stream_attempt.StreamPlan | None]
     ]
-    release: collections.abc.Callable[[stream_plan.StreamPlan], None]
+    release: collections.abc.Callable[[stream_attempt.StreamPlan], None]
 
 
 class StallDetectingReader:
@@ -310,7 +310,7 @@
 def first_event_limits(
     deps: gateway_common.GatewayDependencies,
     admitted: admitted_request.AdmittedRequest,
-    plan: stream_plan.StreamPlan,
+    plan: stream_attempt.StreamPlan,
     has_events: bool,
 ) -> LimitsSource:
     """Return the limits before the first event, computed for each probe.
--- a/src/oriolejunction/http/stall_handlers.py
+++ b/src/oriolejunction/http/stall_handlers.py
@@ -6,6 +6,7 @@
 from oriolejunction.http import backend_checks
 from oriolejunction.http import gateway_common
 from oriolejunction.http import stall_detection
+from oriolejunction.http import stream_attempt
 from oriolejunction.http import stream_plan
 
 
@@ -14,7 +15,7 @@
     admitted: admitted_request.AdmittedRequest,
     attempts: gateway_common.AttemptTracker,
     planner: stream_plan.StreamPlanner,
-    plan: stream_plan.StreamPlan,
+    plan: stream_attempt.StreamPlan,
     has_started: collections.abc.Callable[[], bool],
 ) -> stall_detection.StallHandlers:
     """Return the handlers of the attempt that runs by `plan`.
--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -6,7 +6,6 @@
 import itertools
 import math
 
-import msgspec
 
 from oriolejunction import backends
 from oriolejunction.controllers import event_answer
@@ -21,6 +20,7 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import placement_queue
 from oriolejunction.http import room_for_urgent
+from oriolejunction.http import stream_attempt
 from oriolejunction.http import stream_software
 from oriolejunction import ids
 
@@ -32,89 +32,6 @@
 MAX_COPY_LAG_TOKENS = 200
 
 
-class StreamPlan(msgspec.Struct, frozen=True):
-    """Where an attempt runs, where its KV cache is copied to and from.
-
-    The run keys identify the attempt's entries in the load table, one for
-    its engine and one for the engine that stores the copy.
-    """
-
-    candidate: placement.Candidate
-    copy_backend: backends.Backend | None
-    copy_source: gateway_messages.KvCopySource | None
-    tokens_to_prefill: int
-    load_key: int
-    copy_load_key: int | None
-
-    @property
-    def backend(self) -> backends.Backend:
-        """Return the engine that runs the attempt."""
-        return self.candidate.backend
-
-    @property
-    def fresh_tokens(self) -> int | None:
-        """Return the tokens to prefill, None with a KV cache copy."""
-        return None if self.copy_source else self.tokens_to_prefill
-
-    @property
-    def has_idle_engine(self) -> bool:
-        """Return whether no other prefill is known on the engine."""
-        return not self.candidate.prefill_tokens
-
-    @property
-    def times_prefill(self) -> bool:
-        """Return whether the time to the first event is that of a prefill."""
-        return (
-            self.has_idle_engine
-            and self.fresh_tokens is not None
-            and not self.candidate.cached_tokens
-        )
-
-
-def log_placement(
-    admitted: admitted_request.AdmittedRequest,
-    plan: StreamPlan,
-    after_event: int,
-) -> None:
-    """Log the engine of an attempt that resumes after an event."""
-    backend = plan.backend
-    gateway_common.log_decision(
-        admitted,
-        "stream placed",
-        backend=backend.backend_id,
-        zone=backend.zone,
-        software=backend.software,
-        copy=plan.copy_backend and plan.copy_backend.backend_id,
-        from_copy=plan.copy_source is not None,
-        after_event=after_event,
-        streams=plan.candidate.streams,
-        prefill=plan.candidate.prefill_tokens,
-        cached=round(plan.candidate.cached_tokens),
-    )
-
-
-def dispatch_of(
-    plan: StreamPlan,
-    admitted: admitted_request.AdmittedRequest,
-    attempts: gateway_common.AttemptTracker,
-    answer: event_answer.EventAnswer,
-) -> gateway_messages.Dispatch:
-    """Return what the engine of an attempt receives beside the request."""
-    resumed = answer.last_event > 0 or plan.copy_source is not None
-    return gateway_messages.Dispatch(
-        backend=plan.backend,
-        remaining_ms=attempts.remaining_ms,
-        workspace=admitted.workspace,
-        last_event=answer.last_event,
-        weights_version=answer.weights,
-        kv_copy_to=plan.copy_backend and plan.copy_backend.address,
-        kv_copy_from=plan.copy_source,
-        engine_priority=urgency.engine_priority(
-            admitted.rank, admitted.service_ranks, resumed
-        ),
-    )
-
-
 class StreamPlanner:
     """Plans the attempts of one stream.
 
@@ -139,7 +56,9 @@
         self.last_copy_backend: backends.Backend | None = None
         self._room = room_for_urgent.Room(deps, admitted, answer)
 
-    async def plan(self, has_started: bool) -> StreamPlan | None:
+    async def plan(
+        self, has_started: bool
+    ) -> stream_attempt.StreamPlan | None:
         """Wait for an engine with capacity; return None if there is none.
 
         `has_started` is set once the caller has the head of the answer.
@@ -172,7 +91,9 @@
             has_exclusions=self.software.excludes_engines,
         )
 
-    async def plan_reachable(self, has_started: bool) -> StreamPlan | None:
+    async def plan_reachable(
+        self, has_started: bool
+    ) -> stream_attempt.StreamPlan | None:
         """Return a plan on an engine that accepts a connection now.
 
         Its send is charged to the budget already.
@@ -254,13 +175,15 @@
             requirements.events,
         )
 
-    def release(self, plan: StreamPlan) -> None:
+    def release(self, plan: stream_attempt.StreamPlan) -> None:
         """Remove an attempt from the load of its engines."""
         self._deps.own_loads.end(plan.load_key)
         self._deps.own_loads.end(plan.copy_load_key)
         self._deps.queue.notify_capacity()
 
-    def record_first_event(self, plan: StreamPlan, took_ms: float) -> None:
+    def record_first_event(
+        self, plan: stream_attempt.StreamPlan, took_ms: float
+    ) -> None:
         """Take note that an attempt's prefill has ended."""
         self._deps.own_loads.mark_prefilled(plan.load_key)
         if plan.times_prefill:
@@ -268,17 +191,17 @@
                 plan.backend.backend_id, plan.tokens_to_prefill, took_ms
             )
 
-    def discard(self, plan: StreamPlan) -> None:
+    def discard(self, plan: stream_attempt.StreamPlan) -> None:
         """Undo a plan of `plan_reachable`."""
         self._return(plan)
         self._attempts.cancel_reservation()
 
-    def _return(self, plan: StreamPlan) -> None:
+    def _return(self, plan: stream_attempt.StreamPlan) -> None:
         """Undo a plan that nothing was sent by."""
         self.release(plan)
         self._deps.intake.give_back(plan.backend.backend_id)
 
-    def _try_plan(self) -> StreamPlan | None:
+    def _try_plan(self) -> stream_attempt.StreamPlan | None:
         excluded = self._attempts.excluded
         plan = self._plan_without(frozenset(excluded))
         if plan is None and self._attempts.stalled:
@@ -289,7 +212,7 @@
 
     def _plan_without(
         self, excluded: frozenset[ids.BackendId]
-    ) -> StreamPlan | None:
+    ) -> stream_attempt.StreamPlan | None:
         for software in self.software.preferences():
             plan = self._plan_at(software, excluded)
             if plan is not None:
@@ -300,7 +223,7 @@
         self,
         software: ids.SoftwareVersion | None,
         excluded: frozenset[ids.BackendId],
-    ) -> StreamPlan | None:
+    ) -> stream_attempt.StreamPlan | None:
         """Return a plan with engines of a software version, None for any."""
         for candidates in self._deps.view.engine_candidates(
             self._admitted.service,
@@ -318,7 +241,7 @@
         self,
         candidates: list[placement.Candidate],
         excluded: frozenset[ids.BackendId],
-    ) -> StreamPlan | None:
+    ) -> stream_attempt.StreamPlan | None:
         """Return a plan with one of these engines."""
         view, requirements = self._deps.view, self._requirements()
         chosen, source = self._find_copy_candidate(candidates), None
@@ -353,7 +276,7 @@
         source: gateway_messages.KvCopySource | None,
         requirements: placement.StreamRequirements,
         tokens_to_prefill: int,
-    ) -> StreamPlan:
+    ) -> stream_attempt.StreamPlan:
         """Return the plan with its work counted on both engines."""
         self._deps.intake.take(chosen.backend.backend_id)
         own_loads = self._deps.own_loads
@@ -379,7 +302,7 @@
                     is_kv_copy=True,
                 )
             )
-        return StreamPlan(
+        return stream_attempt.StreamPlan(
             chosen,
             copy and copy.backend,
             source,
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -7,7 +7,7 @@
 from oriolejunction.http import admitted_request
 from oriolejunction.http import gateway_common
 from oriolejunction.http import rollout_sends
-from oriolejunction.http import stream_plan
+from oriolejunction.http import stream_attempt
 
 # The time per event is counted once for each attempt, early enough to show a
 # slow version while its streams still run. With much fewer events, it is
@@ -33,7 +33,7 @@
         self,
         deps: gateway_common.GatewayDependencies,
         rollout_send: rollout_sends.RolloutSend,
-        plan: stream_plan.StreamPlan,
+        plan: stream_attempt.StreamPlan,
     ) -> None:
         self.first_ms: float | None = None
         self.last_ms = 0.0
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -81,7 +81,7 @@
     before = signal.getsignal(signal.SIGHUP)
     try:
         with pytest.raises(errors.Failure):
-            node.Commands().entry()
+            node._run_role(node.LOAD_BY_ROLE["entry"], None)
         assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
     finally:
         signal.signal(signal.SIGHUP, before)
