--- a/src/oriolejunction/http/stream_plan.py
+++ b/src/oriolejunction/http/stream_plan.py
@@ -6,7 +6,6 @@
 import itertools
 import math
 
-
 from oriolejunction import backends
 from oriolejunction.controllers import event_answer
 from oriolejunction.controllers import load_table
