Turn replies about the table into errors outside the adapter

What it raised for refused or unconfirmed tables names nothing on the wire and moves to publish_errors.

Measured: tests of wire names and fleet nodes.

--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -12,6 +12,7 @@
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import rollout_service
 from oriolejunction.platform import configuration_document
+from oriolejunction import publish_errors
 from oriolejunction import rollout_errors
 from oriolejunction import rollout_messages as rm
 
@@ -56,25 +57,12 @@
                 configuration_document.digest(document),
             )
         )
-        if reply.refusal is not None:
-            raise errors.Failure(errors.TableConflict(reply.refusal))
-        if not reply.done:
-            raise errors.Failure(
-                errors.ChangeUnconfirmed("no majority confirmed the change")
-            )
+        publish_errors.require_published(reply)
         return web.json_response({"version": table.version})
 
     async def read(request: web.Request) -> web.Response:
-        reply = await service.read()
-        if not reply.document:
-            raise errors.Failure(
-                errors.ControlUnavailable(
-                    "no majority confirms which configuration is the newest"
-                )
-            )
-        return web.Response(
-            body=reply.document, content_type="application/json"
-        )
+        document = publish_errors.document_of(await service.read())
+        return web.Response(body=document, content_type="application/json")
 
     app = web.Application(
         client_max_size=MAX_DOCUMENT_BYTES,
