Let instances know the loads of others sooner

Cause: reports, relays and rounds of loads alone kept distances of 100, 100 and 150 ms, so that an instance knew what others had placed up to 350 ms late, and sent a second prompt to the same engine. Ruled out: the records of versions (1 refusal).

The distances are 40, 40 and 60 ms now; with many watchers the round still grows, which bounds a replica's replies.

--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -28,7 +28,7 @@
 # Least times between reports: of what the others must know within 100 ms, and
 # of loads, which reach them with the replica's next load round.
 URGENT_REPORT_MS = 20.0
-LOAD_REPORT_MS = 100.0
+LOAD_REPORT_MS = 40.0
 REPORT_INTERVAL_MS = 1_000.0
 RETRY_DELAY_MS = 50.0
 # A replica that failed is the last choice for this long.
--- a/src/oriolejunction/peers/report_relays.py
+++ b/src/oriolejunction/peers/report_relays.py
@@ -30,7 +30,7 @@
 # entry instance and one replica are, and its stream can't be taken up.
 URGENT_RELAY_MS = 15.0
 ORIGIN_RELAY_MS = 30.0
-LOAD_RELAY_MS = 100.0
+LOAD_RELAY_MS = 40.0
 RELAY_INTERVAL_MS = 500.0
 RELAY_TIMEOUT_S = 0.5
 # Origins in one relay.
--- a/src/oriolejunction/peers/watch_rounds.py
+++ b/src/oriolejunction/peers/watch_rounds.py
@@ -22,9 +22,9 @@
 # The time in which the others' resends were known with 100 instances when
 # each change was answered; the resend budget holds half back for it.
 RESEND_INTERVAL_MS = 50.0
-# Placement tolerates loads that are 150 ms old; the engines' own reports lag
-# by several times as much.
-LOAD_INTERVAL_MS = 150.0
+# Instances that place streams by older loads send two prompts to one engine
+# at once, which delays both by a prefill.
+LOAD_INTERVAL_MS = 60.0
 # Bounds the replies of one replica to 400 a second.
 LOAD_INTERVAL_MS_PER_WATCH = 2.5
 MAX_LOAD_INTERVAL_MS = 300.0
