Log why a control replica has no group

Now it logs the reason when it changes, and the start line says whether it is a first start and which group the disk belongs to. No decision changes; tests/peers/test_raft_formation.py passes.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -131,6 +131,8 @@
         _log.info(
             "control replica started",
             replica=self._replica.member.replica,
+            group=self._replica.group,
+            first_start=settings.first_start,
             listen=settings.operator_listen,
             sources=source_digest.running_sources(),
         )
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -49,6 +49,7 @@
         self._addresses = addresses
         self._may_form = may_form
         self._voter_target = voter_target
+        self._logged_wait: dict[str, object] | None = None
 
     async def run(self) -> None:
         """Form, join and repair the group until cancelled."""
@@ -69,6 +70,27 @@
             await self._join_group(i.member.address for i in members)
         elif all(introductions) and self._may_create_group():
             await self._form_group([i.member for i in introductions])
+        else:
+            self._log_wait(introductions)
+
+    def _log_wait(
+        self, introductions: list[raft_messages.Introduction | None]
+    ) -> None:
+        """Log why this replica has no group and forms none, on changes."""
+        wait = {
+            "may_form": self._may_form,
+            "listed": self._addresses(),
+            "not_reached": [
+                address
+                for address, introduction in zip(
+                    self._addresses(), introductions
+                )
+                if introduction is None
+            ],
+        }
+        if wait != self._logged_wait:
+            self._logged_wait = wait
+            _log.warning("no group joined or formed", **wait)
 
     def _known_addresses(self) -> list[str]:
         members = self._replica.membership.members()
