Form the group although replicas start again before it exists

Cause: the permission to form the control group was the setting first_start of the running process, and only the first listed replica used it. The platform sets it at the very first start only. If that process ended before it had formed the group, within the first second, its next start had no permission, and nobody else had either.

Now the disk says that it dates from the first start, from before the slow imports on, until it belongs to a group. Any listed replica may form the group once all listed ones have answered that they have none, and a majority of the initial voters can't have formed one: enough of these have their first disks and no group. So two disks lost later still form no second group. Introduction and the identity file have a new optional field, which earlier builds ignore.

--- /dev/null
+++ b/src/oriolejunction/consensus/first_group.py
@@ -0,0 +1,43 @@
+"""Decides which replica forms the first group of a deployment.
+
+Load pattern: the replicas start for the first time together, and any of them
+may end, start again or lose its disk before the group is formed. A replica
+whose disk was lost later must never form a second group beside the first one.
+
+The members of a group that may have committed anything include a majority of
+the initial voters. None was formed if so many of these still have their first
+disks and no group that the others are no majority.
+"""
+
+import collections.abc
+
+from oriolejunction.consensus import raft_messages
+
+Introductions = collections.abc.Mapping[str, raft_messages.Introduction | None]
+
+
+def creator(
+    listed: collections.abc.Sequence[str], introductions: Introductions
+) -> str | None:
+    """Return the address of the replica that forms the group, if any may.
+
+    `introductions` holds the answers of the listed replicas and of the
+    initial voters by address. None of them belongs to a group.
+    """
+    if not all(introductions.get(address) for address in listed):
+        return None
+    for address in listed:
+        initial_voters = introductions[address].initial_voters
+        if initial_voters:
+            break
+    else:
+        return None
+    waiting = [
+        each
+        for each in initial_voters
+        if (introduction := introductions.get(each)) is not None
+        and introduction.initial_voters == initial_voters
+    ]
+    majority = len(initial_voters) // 2 + 1
+    others = len(initial_voters) - len(waiting)
+    return address if others < majority else None
--- a/src/oriolejunction/consensus/identity.py
+++ b/src/oriolejunction/consensus/identity.py
@@ -13,15 +13,23 @@
 
 
 class Identity(msgspec.Struct, frozen=True):
-    """Random id of this disk, and the group it belongs to, if any."""
+    """Random id of this disk, and the group it belongs to, if any.
+
+    `initial_voters` are the addresses of the replicas that form the group. A
+    disk has them if it dates from the first start of the deployment, and
+    until it belongs to a group.
+    """
 
     replica: types.ReplicaId
     group: types.GroupId | None = None
+    initial_voters: tuple[str, ...] = ()
 
 
-def new_identity() -> Identity:
+def new_identity(initial_voters: tuple[str, ...] = ()) -> Identity:
     """Return a new random identity, without a group."""
-    return Identity(types.ReplicaId(secrets.token_hex(8)))
+    return Identity(
+        types.ReplicaId(secrets.token_hex(8)), initial_voters=initial_voters
+    )
 
 
 def new_group_id() -> types.GroupId:
@@ -29,11 +37,16 @@
     return types.GroupId(secrets.token_hex(8))
 
 
-def load(folder: pathlib.Path) -> Identity:
+def load(
+    folder: pathlib.Path, initial_voters: tuple[str, ...] = ()
+) -> Identity:
     """Return the identity in a folder; an empty folder gets a new one.
 
-    Raise `Failure` with `CorruptLog` where it is damaged, or where it is
-    missing although the folder contains a log.
+    `initial_voters` is given at the first start of the deployment only. It is
+    stored, since this process may end before the group is formed.
+
+    Raise `Failure` with `CorruptLog` where the identity is damaged, or where
+    it is missing although the folder contains a log.
     """
     path = folder / FILE_NAME
     if not path.exists():
@@ -43,7 +56,7 @@
                     f"{folder.name}: a log without an identity file"
                 )
             )
-        identity = new_identity()
+        identity = new_identity(initial_voters)
         save(folder, identity)
         return identity
     body = segments.decode_frame(path.read_bytes(), 0)
@@ -51,7 +64,14 @@
         raise errors.Failure(
             errors.CorruptLog(f"{folder.name}: the identity file is damaged")
         )
-    return msgspec.msgpack.decode(body, type=Identity)
+    identity = msgspec.msgpack.decode(body, type=Identity)
+    is_unmarked = identity.group is None and not identity.initial_voters
+    if initial_voters and is_unmarked:
+        identity = msgspec.structs.replace(
+            identity, initial_voters=initial_voters
+        )
+        save(folder, identity)
+    return identity
 
 
 def save(folder: pathlib.Path, identity: Identity) -> None:
--- a/src/oriolejunction/consensus/raft_messages.py
+++ b/src/oriolejunction/consensus/raft_messages.py
@@ -28,10 +28,14 @@
 
 
 class Introduction(Request, frozen=True):
-    """Identity of the receiver; `group` is None on an empty disk."""
+    """Identity of the receiver; `group` is None on an empty disk.
+
+    `initial_voters` is that of `identity.Identity`.
+    """
 
     member: types.Member
     group: types.GroupId | None
+    initial_voters: tuple[str, ...] = ()
 
 
 class Form(Request, frozen=True):
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -17,6 +17,7 @@
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import group_changes
 from oriolejunction.consensus import identity as identities
+from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import storage as storages
 from oriolejunction.consensus import types
@@ -46,14 +47,20 @@
         rng: random.Random,
         timing: core_state.Timing = core_state.Timing(),
         limits: compaction.LogLimits = compaction.LogLimits(),
+        initial_voters: tuple[str, ...] = (),
     ) -> None:
+        """Open the replica in a folder.
+
+        `initial_voters` are the addresses of the replicas that may form the
+        group, given if it may not have been formed before.
+        """
         self._limits = limits
         self._folder = folder
         self._transport = transport
         self._clock = clock
         self._rng = rng
         self._timing = timing
-        self.identity = identities.load(folder)
+        self.identity = identities.load(folder, initial_voters)
         self.member = member(self.identity.replica)
         self._core: cores.Core | None = None
         self._storage: storages.Storage | None = None
@@ -99,6 +106,12 @@
         """Return the group that this replica belongs to, if any."""
         return self.identity.group
 
+    def introduction(self) -> raft_messages.Introduction:
+        """Return what other replicas are told of this one."""
+        return raft_messages.Introduction(
+            self.member, self.group, self.identity.initial_voters
+        )
+
     @property
     def membership(self) -> types.Membership:
         """Return the latest membership known here."""
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -74,10 +74,13 @@
             self.rng,
             CONTROL_TIMING,
             LOG_LIMITS,
+            settings.initial_voters(),
         )
+        # Until the group is formed, the deployment has served no stream.
+        is_new = bool(self._replica.identity.initial_voters)
         origins = stream_origins.OriginHub(
             self.clock,
-            version_file.VersionFile(data_dir, settings.first_start),
+            version_file.VersionFile(data_dir, is_new),
         )
         control = self._rollout_control = self._new_rollout_control(settings)
         self._service = fleet_service.FleetService(
@@ -157,7 +160,6 @@
             self._transport,
             self.clock,
             lambda: self.settings_file.current.seed_addresses(),
-            may_form=settings.first_start,
             voter_target=settings.voter_target,
         )
 
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -30,13 +30,17 @@
 _log = structlog.get_logger(__name__)
 
 
-def _load_entry() -> type["node_base.Node"]:
+def _load_entry(path: pathlib.Path) -> type["node_base.Node"]:
     from oriolejunction import entry_wiring
 
     return entry_wiring.EntryNode
 
 
-def _load_control() -> type["node_base.Node"]:
+def _load_control(path: pathlib.Path) -> type["node_base.Node"]:
+    from oriolejunction import control_disk
+
+    # Before the slow imports, during which the process may be ended.
+    control_disk.prepare(path)
     from oriolejunction import control_wiring
 
     return control_wiring.ControlNode
@@ -58,7 +62,7 @@
 
 
 def _run_role(
-    load: collections.abc.Callable[[], type["node_base.Node"]],
+    load: collections.abc.Callable[[pathlib.Path], type["node_base.Node"]],
     boot: str | None,
 ) -> None:
     """Load the modules of a role and run its node."""
@@ -71,7 +75,7 @@
     # speaks plain HTTP and gRPC only.
     os.environ.setdefault("SSL_CERT_FILE", os.devnull)
     gc.disable()
-    node_type = load()
+    node_type = load(path)
     # Modules are never collected.
     gc.freeze()
     gc.enable()
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -94,6 +94,10 @@
     first_start: bool
     losses_borne: typing.Annotated[int, msgspec.Meta(ge=0)] = 2
 
+    def initial_voters(self) -> tuple[str, ...]:
+        """Return the addresses of the replicas that may form the group."""
+        return self._seed_addresses if self.first_start else ()
+
     @property
     def voter_target(self) -> int:
         """Return the number of voters that tolerates the losses."""
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -1,8 +1,8 @@
 """Forms the Raft group at the first start, later joins and repairs it.
 
-Only the first of the listed replicas creates a group, and only after every
-listed replica has reported that its disk is empty. A replica whose disk was
-wiped therefore joins the existing group or waits. It never creates an empty
+One of the listed replicas (`first_group`) creates a group, and only after
+every listed replica has reported that it has none. A replica whose disk was
+wiped therefore joins the existing group or waits. No replica creates an empty
 group while another listed replica is a member or does not answer.
 """
 
@@ -13,6 +13,7 @@
 import structlog
 
 from oriolejunction import clock as clocks
+from oriolejunction.consensus import first_group
 from oriolejunction.consensus import identity as identities
 from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import raft_replica
@@ -35,19 +36,16 @@
         transport: raft_transport.RaftTransport,
         clock: clocks.Clock,
         addresses: collections.abc.Callable[[], list[str]],
-        may_form: bool = True,
         voter_target: int | None = None,
     ) -> None:
         """Look for the group at `addresses()`, which may change.
 
-        Without `may_form` the group exists already and is only joined.
         `voter_target` defaults to the number of initial voters.
         """
         self._replica = replica
         self._transport = transport
         self._clock = clock
         self._addresses = addresses
-        self._may_form = may_form
         self._voter_target = voter_target
         self._logged_wait: dict[str, object] | None = None
 
@@ -64,28 +62,29 @@
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
     async def _find_group(self) -> None:
-        introductions = await self._introductions()
-        members = [i for i in introductions if i and i.group]
+        listed = self._addresses()
+        introductions = await self._introductions(listed)
+        members = [i for i in introductions.values() if i and i.group]
         if members:
             await self._join_group(i.member.address for i in members)
-        elif all(introductions) and self._may_create_group():
-            await self._form_group([i.member for i in introductions])
+            return
+        creator = first_group.creator(listed, introductions)
+        if creator == self._replica.member.address:
+            await self._form_group([introductions[a].member for a in listed])
         else:
-            self._log_wait(introductions)
+            self._log_wait(introductions, creator)
 
     def _log_wait(
-        self, introductions: list[raft_messages.Introduction | None]
+        self, introductions: first_group.Introductions, creator: str | None
     ) -> None:
         """Log why this replica has no group and forms none, on changes."""
         wait = {
-            "may_form": self._may_form,
-            "listed": self._addresses(),
-            "not_reached": [
+            "creator": creator,
+            "not_reached": [a for a, i in introductions.items() if i is None],
+            "first_disks": [
                 address
-                for address, introduction in zip(
-                    self._addresses(), introductions
-                )
-                if introduction is None
+                for address, introduction in introductions.items()
+                if introduction is not None and introduction.initial_voters
             ],
         }
         if wait != self._logged_wait:
@@ -96,26 +95,22 @@
         members = self._replica.membership.members()
         return [*(m.address for m in members), *self._addresses()]
 
-    def _may_create_group(self) -> bool:
-        return (
-            self._may_form
-            and self._addresses()[0] == self._replica.member.address
-        )
-
     async def _introductions(
-        self,
-    ) -> list[raft_messages.Introduction | None]:
-        return await asyncio.gather(
-            *(self._introduction(address) for address in self._addresses())
+        self, listed: list[str]
+    ) -> first_group.Introductions:
+        """Return the answers of the listed replicas and initial voters."""
+        initial_voters = self._replica.identity.initial_voters
+        addresses = dict.fromkeys((*listed, *initial_voters))
+        found = await asyncio.gather(
+            *(self._introduction(address) for address in addresses)
         )
+        return dict(zip(addresses, found))
 
     async def _introduction(
         self, address: str
     ) -> raft_messages.Introduction | None:
         if address == self._replica.member.address:
-            return raft_messages.Introduction(
-                self._replica.member, self._replica.group
-            )
+            return self._replica.introduction()
         return await self._call(
             address, raft_methods.HELLO, raft_messages.Hello()
         )
--- a/src/oriolejunction/peers/raft_service.py
+++ b/src/oriolejunction/peers/raft_service.py
@@ -76,9 +76,7 @@
     async def _hello(
         self, request: raft_messages.Hello
     ) -> raft_messages.Introduction:
-        return raft_messages.Introduction(
-            self._replica.member, self._replica.group
-        )
+        return self._replica.introduction()
 
     async def _form(self, request: raft_messages.Form) -> raft_messages.Formed:
         return raft_messages.Formed(
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -207,6 +207,7 @@
             transport,
             self.clock,
             random.Random(),
+            initial_voters=tuple(self._control_addresses()),
         )
         raft_service.RaftService(self._replica, transport).add_to(self._server)
         control_service.ControlService(
@@ -216,12 +217,15 @@
             self._replica,
             transport,
             self.clock,
-            lambda: list(self.settings.control_address_by_id().values()),
+            self._control_addresses,
         )
         self._replica.start()
         self._tasks.append(asyncio.create_task(formation.run()))
         self._raft_transport = transport
 
+    def _control_addresses(self) -> list[str]:
+        return list(self.settings.control_address_by_id().values())
+
     def _new_leader_executor(
         self, instance_id: ids.InstanceId
     ) -> leader_executor.LeaderExecutor:
--- a/tests/peers/test_raft_formation.py
+++ b/tests/peers/test_raft_formation.py
@@ -6,6 +6,7 @@
 import pytest
 
 from oriolejunction import clock as clocks
+from oriolejunction.consensus import identity
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
 from oriolejunction.peers import raft_formation
@@ -26,15 +27,16 @@
     def send(self, group, message, address):
         """Drop all Raft messages."""
 
-    def open(self, name):
+    def open(self, name, initial_voters=NAMES):
         folder = self.root / name
-        folder.mkdir()
+        folder.mkdir(exist_ok=True)
         self.replica_by_name[name] = raft_replica.RaftReplica(
             folder,
             lambda replica: types.Member(replica, name, name, name),
             self,
             clocks.ManualClock(),
             random.Random(1),
+            initial_voters=initial_voters,
         )
 
     def formation(self, name):
@@ -102,6 +104,17 @@
     assert network.groups() == [None, None, "old"]
 
 
+async def test_group_is_formed_though_the_first_listed_disk_is_new(network):
+    await network.replica_by_name["a"].close()
+    (network.root / "a" / identity.FILE_NAME).unlink()
+    network.open("a", initial_voters=())
+    await network.formation("a")._find_group()
+    assert network.groups() == [None, None, None]
+    await network.formation("b")._find_group()
+    assert len(set(network.groups())) == 1
+    assert network.groups()[0] is not None
+
+
 async def test_partly_formed_group_is_completed_by_identity(network):
     replicas = network.replica_by_name
     members = tuple(r.member for r in replicas.values())
--- a/tests/test_first_start_nodes.py
+++ b/tests/test_first_start_nodes.py
@@ -1,7 +1,11 @@
 """Control replicas that start again before their group is formed."""
 
+import asyncio
+import sys
+
 import pytest
 
+from oriolejunction.consensus import identity
 from tests import test_fleet_nodes
 
 
@@ -37,3 +41,24 @@
     for number in range(3):
         await fleet.start_control(number, first_start=False)
     await fleet.publish_until_accepted(test_fleet_nodes.document(version=7))
+
+
+async def test_disk_is_known_as_new_before_the_slow_imports(tmp_path):
+    settings = test_fleet_nodes.settings(
+        tmp_path,
+        "core-0",
+        ip=test_fleet_nodes.SEEDS[0],
+        operator_listen=f"{test_fleet_nodes.SEEDS[0]}:1",
+        data_dir=str(tmp_path / "disk"),
+        first_start=True,
+    )
+    program = (
+        "import pathlib, sys; from oriolejunction import control_disk;"
+        f" control_disk.prepare(pathlib.Path({str(settings)!r}));"
+        " sys.exit('grpc' in sys.modules or 'aiohttp' in sys.modules)"
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", program
+    )
+    assert await process.wait() == 0
+    assert len(identity.load(tmp_path / "disk").initial_voters) == 3
