Take no repeated refusal for proof that a request has not run

It could happen here in two places. A refusal without a request id counted on any connection; and a call that a full server refused is sent to it again under the same id, mostly on the connection that had carried the refusal.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -47,11 +47,16 @@
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
-    """Status line and headers of an answer; names in lower case."""
+    """Status line and headers of an answer; names in lower case.
+
+    `is_first` is set for the first answer on its connection, which can be
+    no copy of an earlier one.
+    """
 
     status: int
     reason: bytes
     headers: tuple[tuple[bytes, bytes], ...]
+    is_first: bool = True
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -81,6 +86,7 @@
         self._busy = False
         self._method = ""
         self._keep_alive = True
+        self._has_answered = False
         # Whether only the end of the connection ends the current answer.
         self.ends_answer = False
 
@@ -162,8 +168,13 @@
             if isinstance(event, h11.Response):
                 self._read_keep_alive(event)
                 self._begin_body(event)
+                is_first = not self._has_answered
+                self._has_answered = True
                 return ResponseHead(
-                    event.status_code, event.reason, tuple(event.headers)
+                    event.status_code,
+                    event.reason,
+                    tuple(event.headers),
+                    is_first,
                 )
         self.close()
         raise ConnectionBroken("too many interim answers")
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -211,7 +211,8 @@
 ) -> gateway_messages.AnswerHead:
     """Return the decoded status line and headers of an engine.
 
-    A refusal of another request does not say that this one has not run.
+    A refusal of another request does not say that this one has not run. One
+    that names no request may be a copy, unless it is the first answer.
     """
     echo = head.get(REQUEST_ID)
     echoes_request_id = echo == request.request_id.encode("latin-1")
@@ -229,7 +230,7 @@
         not_run=(
             head.get(NOT_RUN) is not None or head.status in _NOT_RUN_STATUSES
         )
-        and (echo is None or echoes_request_id),
+        and (echoes_request_id or (echo is None and head.is_first)),
         load=_parse_load(head.get(LOAD)),
         weights_version=_parse_int(head.get(WEIGHTS_VERSION)),
         rate_limit=_parse_rate_limit(head.get(RATE_LIMIT)),
