Complete no stream that ends with bytes that are no event

Now an answer that ends with such a block has broken off, unless the block is an SSE comment, as heartbeats are. Another engine gets the rest, or the caller's connection is closed without a last chunk.

--- a/src/oriolejunction/http/event_reader.py
+++ b/src/oriolejunction/http/event_reader.py
@@ -15,7 +15,9 @@
     """Splits one answer into events.
 
     Blocks without a number are dropped, and so are events that the caller
-    has: an engine that sends only these makes no progress.
+    has: an engine that sends only these makes no progress. An answer is not
+    complete if it ends with such a block, which may tell of an error, unless
+    that is a comment.
     """
 
     def __init__(
@@ -33,11 +35,17 @@
         self._read_event = read_event
         self._incomplete = bytearray()
         self._bytes_without_event = 0
+        # Since the last numbered event.
+        self._has_other_block = False
 
     @property
-    def is_within_event(self) -> bool:
-        """Return whether the bytes so far end inside an event."""
-        return bool(self._incomplete.strip())
+    def why_incomplete(self) -> str | None:
+        """Return why the answer is not complete if it ends here."""
+        if self._incomplete.strip():
+            return "the stream ended within an event"
+        if self._has_other_block:
+            return "the stream ended with bytes that are no event"
+        return None
 
     async def read(self) -> list[gateway_messages.NumberedEvent] | None:
         """Return the next events, None at the end of the answer.
@@ -45,12 +53,15 @@
         Raise `ConnectionBroken` for bytes that are no event.
         """
         while (chunk := await self._read_chunk()) is not None:
-            events = [
-                event
-                for block in self._split(chunk)
-                if (event := self._read_event(block)) is not None
-                and event.number > self._answer.last_event
-            ]
+            events = []
+            for block in self._split(chunk):
+                event = self._read_event(block)
+                if event is not None:
+                    self._has_other_block = False
+                    if event.number > self._answer.last_event:
+                        events.append(event)
+                elif not _is_comment(block):
+                    self._has_other_block = True
             if events:
                 self._bytes_without_event = 0
                 return events
@@ -72,3 +83,11 @@
         blocks = bytes(self._incomplete[:end]).split(_SEPARATOR)
         del self._incomplete[: end + len(_SEPARATOR)]
         return blocks
+
+
+def _is_comment(block: bytes) -> bool:
+    """Return whether a block has nothing but comments, such as heartbeats."""
+    return all(
+        line.startswith(b":") or not line.strip()
+        for line in block.split(b"\n")
+    )
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -265,10 +265,8 @@
             await self._deliver(attempt, received)
             timing.record_delivery(clock.now_ms())
             limits = next_event_limits
-        if events.is_within_event:
-            raise backend_connection.ConnectionBroken(
-                "the stream ended within an event"
-            )
+        if events.why_incomplete is not None:
+            raise backend_connection.ConnectionBroken(events.why_incomplete)
         if connection.ends_answer:
             await backend_checks.check_unframed_end(
                 self._deps, plan.backend, self._answer.last_event
--- a/tests/http/test_endless_answers.py
+++ b/tests/http/test_endless_answers.py
@@ -205,4 +205,4 @@
     while (received := await reader.read()) is not None:
         numbers += [event.number for event in received]
     assert numbers == events
-    assert not reader.is_within_event
+    assert reader.why_incomplete is None
