--- a/tests/controllers/overload/test_server_pauses.py
+++ b/tests/controllers/overload/test_server_pauses.py
@@ -159,3 +159,16 @@
     pauses.observe_rejection(A, 0, 1_000)
     longest_ms = server_pauses.MIN_REST_MS + server_pauses.MAX_REST_MS
     assert server_pauses.MIN_REST_MS <= pauses.remaining_ms(A) <= longest_ms
+
+
+def test_pause_outlives_a_list_without_its_server(pauses, clock):
+    """Fault: a server that one list did not name was sent requests again."""
+    ask(pauses, clock, 3_000.0)
+    clock.advance(100)
+    pauses.retain_only(())
+    pauses.retain_only((A,))
+    clock.advance(500)
+    assert pauses.is_paused(A) and not pauses.allows(A)
+    clock.advance(2_400 + server_pauses.MAX_SPREAD_MS)
+    pauses.retain_only(())
+    assert not pauses.are_known
