Keep a server's pause when one list leaves the server out

A list may lack a server that still runs, as when its entry can't be read.

Now a pause of an unlisted server is dropped only once it is over.

--- a/src/oriolejunction/controllers/overload/server_pauses.py
+++ b/src/oriolejunction/controllers/overload/server_pauses.py
@@ -160,7 +160,10 @@
     def retain_only(
         self, listed: collections.abc.Container[ids.BackendId]
     ) -> None:
-        """Drop servers that are no longer listed."""
+        """Drop servers that are no longer listed, once their pause is over.
+
+        A list may leave a server out for once.
+        """
         for backend_id in list(self._pause_by_id):
-            if backend_id not in listed:
+            if backend_id not in listed and self.allows(backend_id):
                 del self._pause_by_id[backend_id]
--- a/tests/controllers/overload/test_server_pauses.py
+++ b/tests/controllers/overload/test_server_pauses.py
@@ -105,6 +105,9 @@
 
 def test_pauses_of_unlisted_servers_are_dropped(pauses, clock):
     ask(pauses, clock, 1_000.0)
+    clock.advance(1_000.0 + server_pauses.MAX_SPREAD_MS)
+    pauses.retain_only({A})
+    assert pauses.are_known
     pauses.retain_only({B})
     assert not pauses.are_known
 
