--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,10 +11,12 @@
 from tests.soak import soak as soaks
 
 
-async def _run_seed(seed: int, length_s: float, folder: str) -> list[str]:
+async def _run_seed(
+    seed: int, length_s: float, folder: str, interrupt_start: bool
+) -> list[str]:
     path = pathlib.Path(folder) / str(seed)
     path.mkdir()
-    soak = soaks.Soak(path, seed)
+    soak = soaks.Soak(path, seed, interrupt_start)
     violations = await soak.run(length_s)
     print(f"seed {seed}: {soak.summary()}")
     for violation in violations[:10]:
@@ -22,7 +24,9 @@
     return violations
 
 
-async def _run_seeds(first, count, length_s, jobs, folder) -> int:
+async def _run_seeds(
+    first, count, length_s, jobs, folder, interrupt_start
+) -> int:
     # SIGTERM cancels the soaks, so that they end the processes they started.
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM, asyncio.current_task().cancel
@@ -31,18 +35,29 @@
 
     async def run_one(seed: int) -> bool:
         async with job_limit:
-            return bool(await _run_seed(seed, length_s, folder))
+            return bool(
+                await _run_seed(seed, length_s, folder, interrupt_start)
+            )
 
     seeds = range(first, first + count)
     return sum(await asyncio.gather(*(run_one(seed) for seed in seeds)))
 
 
 def main(
-    first: int = 1, count: int = 50, seconds: float = 12.0, jobs: int = 3
+    first: int = 1,
+    count: int = 50,
+    seconds: float = 12.0,
+    jobs: int = 3,
+    interrupt_start: bool = False,
 ) -> None:
-    """Run COUNT seeds from FIRST on; the logs of all are kept on disk."""
+    """Run COUNT seeds from FIRST on; the logs of all are kept on disk.
+
+    With --interrupt_start, one control replica is killed at the first start.
+    """
     folder = tempfile.mkdtemp(prefix="soak-")
-    failed_seeds = asyncio.run(_run_seeds(first, count, seconds, jobs, folder))
+    failed_seeds = asyncio.run(
+        _run_seeds(first, count, seconds, jobs, folder, interrupt_start)
+    )
     print(f"{count} seeds, {failed_seeds} broken; logs in {folder}")
     sys.exit(bool(failed_seeds))
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,14 +27,24 @@
 }
 PATH_BY_KIND = {"stream": "/pufi/1", "order": "/order/1", "look": "/look/1"}
 # A log line with one of these texts reports a fault of the program itself.
+# A group is formed within this time.
+FIRST_START_S = 1.5
 ERROR_PATTERNS = ("Traceback", "work failed", "invariant", "never retrieved")
 
 
 class Soak:
     """Runs the faults of one seed under load and checks the guarantees."""
 
-    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, seed: int, interrupt_start: bool = False
+    ) -> None:
+        """Prepare the soak of a seed.
+
+        With `interrupt_start`, a control replica is killed while all start
+        for the first time.
+        """
         self._seed = seed
+        self._interrupt_start = interrupt_start
         self._rng = random.Random(seed + 1)
         self._fleet = fleets.Fleet(folder, seed)
         self._observations = self._fleet.observations
@@ -47,6 +57,8 @@
         timeout = aiohttp.ClientTimeout(total=12.0)
         try:
             await self._fleet.start()
+            if self._interrupt_start:
+                await self._kill_starting_control()
             async with aiohttp.ClientSession(timeout=timeout) as session:
                 self._session = session
                 await self._wait_until_all_served("after the start")
@@ -84,6 +96,14 @@
                 )
         return self._observations.violations()
 
+    async def _kill_starting_control(self) -> None:
+        rng = random.Random(self._seed + 2)
+        await asyncio.sleep(rng.uniform(0.0, FIRST_START_S))
+        self._fleet.clear_first_start()
+        node = rng.choice(self._fleet.controls)
+        await node.kill()
+        await node.start()
+
     def summary(self) -> str:
         """Return counts of requests, versions and reads."""
         statuses: dict[str, int] = {}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,11 @@
     assert await soaks.Soak(tmp_path, seed).run(LENGTH_S) == []
 
 
+async def test_guarantees_hold_after_an_interrupted_first_start(tmp_path):
+    soak = soaks.Soak(tmp_path, 4, interrupt_start=True)
+    assert await soak.run(LENGTH_S) == []
+
+
 # Seed 5: the proxy forwarded bytes after others that it had dropped.
 # Seed 104: the platform's list could not be read at startup, and the task
 # that reads it ended.
