--- a/src/oriolejunction/consensus/first_group.py
+++ b/src/oriolejunction/consensus/first_group.py
@@ -32,11 +32,12 @@
             break
     else:
         return None
+    # Each replica may list them in an order of its own.
     waiting = [
         each
         for each in initial_voters
         if (introduction := introductions.get(each)) is not None
-        and introduction.initial_voters == initial_voters
+        and set(introduction.initial_voters) == set(initial_voters)
     ]
     majority = len(initial_voters) // 2 + 1
     others = len(initial_voters) - len(waiting)
--- a/tests/consensus/test_first_group.py
+++ b/tests/consensus/test_first_group.py
@@ -46,6 +46,14 @@
     assert creator(("d", "e", "f"), "de", "f") is None
 
 
+def test_initial_voters_may_be_listed_in_any_order():
+    found = {
+        each: introduction(each, (each, *(n for n in INITIAL if n != each)))
+        for each in INITIAL
+    }
+    assert first_group.creator(INITIAL, found) == "a"
+
+
 def test_single_replica_forms_its_group():
     found = {"a": introduction("a", ("a",))}
     assert first_group.creator(("a",), found) == "a"
