Change the settings only of the replica that the soak kills at the start

Traced by "no group joined or formed", with no first disk at any replica: the soak rewrote the settings of all control replicas, while the others had not read theirs yet, so that none knew of a first start. The platform changes them for a process that starts again only.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -213,9 +213,11 @@
         for node in self.nodes:
             await node.start()
 
-    def clear_first_start(self) -> None:
-        """Make later starts treat an empty disk as a lost one."""
-        for index in range(CONTROLS):
+    def clear_first_start(
+        self, indexes: collections.abc.Iterable[int] = range(CONTROLS)
+    ) -> None:
+        """Make later starts of replicas treat an empty disk as a lost one."""
+        for index in indexes:
             self._make_control(index, first_start=False)
 
     def wipe(self, index: int) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -99,9 +99,11 @@
     async def _kill_starting_control(self) -> None:
         rng = random.Random(self._seed + 2)
         await asyncio.sleep(rng.uniform(0.0, FIRST_START_S))
-        self._fleet.clear_first_start()
-        node = rng.choice(self._fleet.controls)
+        index = rng.randrange(len(self._fleet.controls))
+        node = self._fleet.controls[index]
         await node.kill()
+        # The others may not have read their settings yet.
+        self._fleet.clear_first_start([index])
         await node.start()
 
     def summary(self) -> str:
