Build the introduction of a replica where it is sent

No behaviour changes; test_raft_formation.py, test_first_group.py, test_raft_replica.py and test_first_start_nodes.py pass.

--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -17,7 +17,6 @@
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import group_changes
 from oriolejunction.consensus import identity as identities
-from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import storage as storages
 from oriolejunction.consensus import types
@@ -106,12 +105,6 @@
         """Return the group that this replica belongs to, if any."""
         return self.identity.group
 
-    def introduction(self) -> raft_messages.Introduction:
-        """Return what other replicas are told of this one."""
-        return raft_messages.Introduction(
-            self.member, self.group, self.identity.initial_voters
-        )
-
     @property
     def membership(self) -> types.Membership:
         """Return the latest membership known here."""
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -19,6 +19,7 @@
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import types
 from oriolejunction.peers import raft_methods
+from oriolejunction.peers import raft_service
 from oriolejunction.peers import raft_transport
 
 POLL_INTERVAL_MS = 200
@@ -110,7 +111,7 @@
         self, address: str
     ) -> raft_messages.Introduction | None:
         if address == self._replica.member.address:
-            return self._replica.introduction()
+            return raft_service.introduction_of(self._replica)
         return await self._call(
             address, raft_methods.HELLO, raft_messages.Hello()
         )
--- a/src/oriolejunction/peers/raft_service.py
+++ b/src/oriolejunction/peers/raft_service.py
@@ -13,6 +13,15 @@
 AUDIT_PAGE_ENTRIES = 256
 
 
+def introduction_of(
+    replica: raft_replica.RaftReplica,
+) -> raft_messages.Introduction:
+    """Return what other replicas are told of one."""
+    return raft_messages.Introduction(
+        replica.member, replica.group, replica.identity.initial_voters
+    )
+
+
 class RaftService:
     """Passes calls of other replicas to the local one."""
 
@@ -76,7 +85,7 @@
     async def _hello(
         self, request: raft_messages.Hello
     ) -> raft_messages.Introduction:
-        return self._replica.introduction()
+        return introduction_of(self._replica)
 
     async def _form(self, request: raft_messages.Form) -> raft_messages.Formed:
         return raft_messages.Formed(
