Keep a server's limit when one list leaves the server out

ServerLimits.retain_only dropped a limit as soon as one list of servers did not name its server, and the next list opened it to all that each instance had.

A limit of an unlisted server is now dropped once it has ended by itself, 64 s after it was last named at most (60 s of MAX_HOLD_MS and four doublings), which bounds the memory.

test_limit_outlives_a_list_without_its_server failed before. So did test_new_incarnation_has_no_limit, which asserted the drop by one list; it now asserts that the new id is free at once, and that the former one is kept while it is listed and dropped once its limit has ended. 151 tests of tests/controllers/overload pass.

--- a/src/oriolejunction/controllers/overload/server_intake.py
+++ b/src/oriolejunction/controllers/overload/server_intake.py
@@ -117,6 +117,6 @@
     def retain_only(
         self, listed: collections.abc.Container[ids.BackendId]
     ) -> None:
-        """Drop servers that are no longer listed."""
+        """Drop servers that are no longer listed and ask for nothing now."""
         self.limits.retain_only(listed)
         self.pauses.retain_only(listed)
--- a/src/oriolejunction/controllers/overload/server_limits.py
+++ b/src/oriolejunction/controllers/overload/server_limits.py
@@ -153,7 +153,7 @@
         limit = self._limit_by_id.get(backend_id)
         if limit is None:
             return True
-        if self._growth(limit) >= MAX_GROWTH:
+        if self._has_ended(limit):
             del self._limit_by_id[backend_id]
             _log.info("limit of server lifted", backend=backend_id)
             return True
@@ -203,9 +203,12 @@
     def retain_only(
         self, listed: collections.abc.Container[ids.BackendId]
     ) -> None:
-        """Drop servers that are no longer listed."""
-        for backend_id in list(self._limit_by_id):
-            if backend_id not in listed:
+        """Drop servers that are no longer listed, once their limit has ended.
+
+        A list may leave a server out for once.
+        """
+        for backend_id, limit in list(self._limit_by_id.items()):
+            if backend_id not in listed and self._has_ended(limit):
                 del self._limit_by_id[backend_id]
 
     def _renew(
@@ -253,6 +256,9 @@
         stale_ms = seen_ms_ago - self._hold_ms(limit)
         return 2.0 ** max(0.0, min(1e3, stale_ms / DOUBLING_MS))
 
+    def _has_ended(self, limit: _Limit) -> bool:
+        return self._growth(limit) >= MAX_GROWTH
+
     def _rate_per_ms(self, limit: _Limit) -> float:
         rate = limit.per_s / 1e3 * self._share(limit.service)
         return rate * min(MAX_GROWTH, self._growth(limit))
--- a/tests/controllers/overload/test_server_limits.py
+++ b/tests/controllers/overload/test_server_limits.py
@@ -1,6 +1,7 @@
 """Limits that servers name bind all instances together."""
 
 import bisect
+import math
 import random
 
 import hypothesis
@@ -20,6 +21,7 @@
 SERVER, OTHER = ids.BackendId("desk-0"), ids.BackendId("desk-1")
 WINDOW_MS = 4_000.0
 ANSWER_MS = 45.0
+MAX_RISE_MS = server_limits.DOUBLING_MS * math.log2(server_limits.MAX_GROWTH)
 LISTED = {
     SERVER: backends.Backend(SERVER, DESK, "127.0.0.1:1", ids.ZoneId("z"))
 }
@@ -281,7 +283,23 @@
     assert not limits.allows(SERVER)
     assert limits.allows(OTHER)
     limits.retain_only({OTHER})
-    assert limits.allows(SERVER)
+    assert limits.allows(OTHER)
+    clock.advance(server_limits.MAX_HOLD_MS + MAX_RISE_MS)
+    limits.retain_only({SERVER})
+    assert limits.are_known
+    limits.retain_only({OTHER})
+    assert not limits.are_known
+
+
+def test_limit_outlives_a_list_without_its_server():
+    """Fault: a server that one list did not name was sent requests again."""
+    clock = clocks.ManualClock(1_000.0)
+    limits = new_limits(clock)
+    observe(limits, named(0.5), 1_000.0)
+    limits.retain_only({OTHER})
+    limits.retain_only({SERVER, OTHER})
+    assert not limits.allows(SERVER)
+    assert limits.named() == (fm.NamedLimit(SERVER, 0.5),)
 
 
 def test_request_that_was_not_sent_is_given_back():
