--- a/tests/test_first_start_nodes.py
+++ b/tests/test_first_start_nodes.py
@@ -9,6 +9,11 @@
 from tests import test_fleet_nodes
 
 
+# The platform's requests begin 12 s after the machines start.
+FORMED_WITHIN_S = 8.0
+DOCUMENT = test_fleet_nodes.document(version=7)
+
+
 @pytest.fixture
 async def fleet(tmp_path, monkeypatch):
     """Return a fleet whose control replicas are started by the test."""
@@ -30,7 +35,7 @@
     await fleet.start_control(0, first_start=False)
     await fleet.start_control(1)
     await fleet.start_control(2)
-    await fleet.publish_until_accepted(test_fleet_nodes.document(version=7))
+    await fleet.publish_until_accepted(DOCUMENT)
 
 
 async def test_all_replicas_started_again_form_the_group(fleet):
@@ -40,7 +45,21 @@
         await fleet.stop_control(number)
     for number in range(3):
         await fleet.start_control(number, first_start=False)
-    await fleet.publish_until_accepted(test_fleet_nodes.document(version=7))
+    await fleet.publish_until_accepted(DOCUMENT)
+
+
+async def test_group_is_formed_though_a_listed_replica_does_not_answer(fleet):
+    for number in (1, 2):
+        await fleet.start_control(number)
+    async with asyncio.timeout(FORMED_WITHIN_S):
+        while await fleet.publish(DOCUMENT, number=1) != 200:
+            await asyncio.sleep(0.05)
+    await fleet.start_control(0)
+
+    async def is_read_back():
+        return (await fleet.read())[0] == 200
+
+    await fleet.wait_until(is_read_back)
 
 
 async def test_disk_is_known_as_new_before_the_slow_imports(tmp_path):
