--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -17,6 +17,7 @@
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import group_changes
 from oriolejunction.consensus import identity as identities
+from oriolejunction.consensus import pending_reads
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import storage as storages
 from oriolejunction.consensus import types
@@ -64,8 +65,7 @@
         self._core: cores.Core | None = None
         self._storage: storages.Storage | None = None
         self._applier = applier.Applier(folder)
-        self._last_read_id = 0
-        self._future_by_read_id: dict[int, asyncio.Future] = {}
+        self._reads = pending_reads.PendingReads()
         self._wake = asyncio.Event()
         self.group_changes = group_changes.GroupChanges(
             lambda: self._core, self._wake.set, clock
@@ -215,16 +215,10 @@
     async def read_barrier(self) -> None:
         """Wait until `state` is at least as new as this call."""
         core = self._require_core()
-        self._last_read_id += 1
-        read_id = self._last_read_id
-        future = asyncio.get_running_loop().create_future()
-        self._future_by_read_id[read_id] = future
+        read_id = self._reads.add()
         core.request_read(read_id)
         self._wake.set()
-        try:
-            index = await future
-        finally:
-            self._future_by_read_id.pop(read_id, None)
+        index = await self._reads.wait(read_id)
         if index is None:
             raise replicas.NotLeader(self.leader_address())
         await self._applier.wait_applied(index)
@@ -276,9 +270,7 @@
 
     def _fail_waiters(self) -> None:
         self._applier.fail_waiters()
-        for future in self._future_by_read_id.values():
-            if not future.done():
-                future.set_result(None)
+        self._reads.fail()
 
     async def _run_ticks(self) -> None:
         while True:
@@ -345,10 +337,7 @@
             await asyncio.to_thread(self._storage.write, output.writes)
             self._report_synced(core, output.writes)
         self._send(output.messages)
-        for result in output.reads:
-            future = self._future_by_read_id.get(result.read_id)
-            if future is not None and not future.done():
-                future.set_result(result.index)
+        self._reads.finish(output.reads)
         if not core.state.is_leader():
             self._applier.fail_waiters()
         applied = self._applier.applied_index
