Form the first group without a listed replica that does not answer

Cause: at the first start, the control group was formed only once each of the three listed replicas had answered. One machine without power or cut off kept all others waiting, although the deployment bears the loss of two.

Now a replica that has looked for a group for 3 s forms it with those that answer, by the rule of before: a majority of the initial voters must have their first disks and no group. So no second group can commit, whether a disk is lost later or two replicas are cut off from each other. A replica that is left with a group that committed nothing joins the other one, as a learner. On the product's own path an empty disk proves no first start, and all listed replicas are waited for as before.

The record of software versions counts as complete by the setting first_start again: the disk alone no longer proves that no stream was served yet.

--- a/src/oriolejunction/consensus/first_group.py
+++ b/src/oriolejunction/consensus/first_group.py
@@ -6,7 +6,10 @@
 
 The members of a group that may have committed anything include a majority of
 the initial voters. None was formed if so many of these still have their first
-disks and no group that the others are no majority.
+disks and no group that the others are no majority. Where that is known, the
+group can also be formed without a replica that does not answer. If two
+replicas that are cut off from each other then form one each, a majority of the
+initial voters belongs to one of them at most, and only that one can commit.
 """
 
 import collections.abc
@@ -17,16 +20,20 @@
 
 
 def creator(
-    listed: collections.abc.Sequence[str], introductions: Introductions
+    listed: collections.abc.Sequence[str],
+    introductions: Introductions,
+    all_must_answer: bool = True,
 ) -> str | None:
     """Return the address of the replica that forms the group, if any may.
 
     `introductions` holds the answers of the listed replicas and of the
-    initial voters by address. None of them belongs to a group.
+    initial voters by address. None of them belongs to a group. Unless
+    `all_must_answer`, listed replicas without an answer are left out.
     """
-    if not all(introductions.get(address) for address in listed):
+    answering = [each for each in listed if introductions.get(each)]
+    if all_must_answer and len(answering) < len(listed):
         return None
-    for address in listed:
+    for address in answering:
         initial_voters = introductions[address].initial_voters
         if initial_voters:
             break
--- a/src/oriolejunction/consensus/group_changes.py
+++ b/src/oriolejunction/consensus/group_changes.py
@@ -73,6 +73,28 @@
         log = core.state.log
         return log.entry(1).membership if log.last_index else None
 
+    def has_committed_nothing(self) -> bool:
+        """Return whether the log has at most the entry that forms a group."""
+        core = self._core()
+        if core is None:
+            return False
+        return core.state.commit == 0 and core.state.log.last_index <= 1
+
+    def needs_rejoin(self, silence_ms: float) -> bool:
+        """Return whether the replica should ask to be added as a learner.
+
+        It should while no leader contacts it, and it has no vote or its group
+        has committed nothing: another group may have been formed.
+        """
+        core = self._core()
+        if core is None:
+            return True
+        state = core.state
+        has_vote = state.is_voter() and not state.removed
+        if has_vote and not self.has_committed_nothing():
+            return False
+        return self._clock.now_ms() - state.leader_contact_ms > silence_ms
+
     def add_learner(self, member: types.Member) -> bool:
         """As the leader, add a learner; return whether it is committed."""
         core = self._leader_core()
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -71,6 +71,8 @@
             lambda: self._core, self._wake.set, clock
         )
         self.on_apply: listeners.OnChange = listeners.no_op
+        # The group to join in place of one that committed nothing.
+        self._next_group: types.GroupId | None = None
         self._tasks: list[asyncio.Task] = []
         if self.identity.group is not None:
             self._open_core(storages.Storage.load(folder))
@@ -141,9 +143,16 @@
             self._wake.set()
 
     def join_as_learner(self, group: types.GroupId) -> None:
-        """Follow a group that added this replica as a learner."""
+        """Follow a group that added this replica as a learner.
+
+        A replica leaves its own group only if this committed nothing.
+        """
         if self.identity.group is None:
             self._join_group(group, ())
+        elif group != self.identity.group:
+            if self.group_changes.has_committed_nothing():
+                self._next_group = group
+                self._wake.set()
 
     def _join_group(
         self, group: types.GroupId, records: tuple[types.Record, ...]
@@ -154,6 +163,13 @@
         self._open_core(storage)
         self._wake.set()
 
+    def _change_group(self, group: types.GroupId) -> None:
+        _log.warning("group changes", left=self.identity.group, joins=group)
+        self._fail_waiters()
+        self._storage.close()
+        self._join_group(group, ())
+        self._next_group = None
+
     def _open_core(self, storage: storages.Storage) -> None:
         commit = 0
         if storage.snapshot is not None:
@@ -189,18 +205,6 @@
             return state.has_recent_quorum(silence_ms)
         return state.now_ms - state.leader_contact_ms <= silence_ms
 
-    def needs_rejoin(self, silence_ms: float) -> bool:
-        """Return whether this replica should ask to be added as a learner.
-
-        It should while it has no vote and no leader contacts it.
-        """
-        if self._core is None:
-            return True
-        state = self._core.state
-        if state.is_voter() and not state.removed:
-            return False
-        return self._clock.now_ms() - state.leader_contact_ms > silence_ms
-
     async def propose(
         self, command: commands.Command
     ) -> commands.CommandResult:
@@ -292,6 +296,8 @@
                 if self._core is None:
                     continue
                 try:
+                    if self._next_group is not None:
+                        self._change_group(self._next_group)
                     await self._process_output(self._core)
                 except OSError as error:
                     await self._recover_disk(error)
--- a/src/oriolejunction/consensus/storage.py
+++ b/src/oriolejunction/consensus/storage.py
@@ -54,8 +54,11 @@
         folder: pathlib.Path,
         records: collections.abc.Iterable[types.Record] = (),
     ) -> "Storage":
-        """Return new storage for a replica that has none yet."""
+        """Return new storage for a replica; former storage is replaced."""
         storage = cls(folder)
+        former = max(folder.glob(_SEGMENT_GLOB), default=None)
+        if former is not None:
+            storage._segment_number = _number_of(former)
         storage._start_segment((Base(0, 0, EMPTY_MEMBERSHIP, 0), *records))
         storage._replay_records((*records,))
         return storage
@@ -95,7 +98,7 @@
             )
         for body in bodies:
             self._replay_records(_decoder.decode(body))
-        self._segment_number = int(path.stem.removeprefix("wal-"))
+        self._segment_number = _number_of(path)
         self._file = path.open("ab")
         if end < len(data):
             self._file.truncate(end)
@@ -233,3 +236,7 @@
         if self._file is not None:
             self._file.close()
             self._file = None
+
+
+def _number_of(segment: pathlib.Path) -> int:
+    return int(segment.stem.removeprefix("wal-"))
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -45,6 +45,8 @@
 LOG_LIMITS = compaction.LogLimits(
     max_entries=1_024, max_bytes=8 << 20, retained=32
 )
+# A process that ends during its start is back by then.
+FORM_WITHOUT_MS = 3_000.0
 _log = structlog.get_logger(__name__)
 
 
@@ -76,11 +78,11 @@
             LOG_LIMITS,
             settings.initial_voters(),
         )
-        # Until the group is formed, the deployment has served no stream.
-        is_new = bool(self._replica.identity.initial_voters)
+        # Not if only the disk dates from the first start: the group may have
+        # been formed without it since.
         origins = stream_origins.OriginHub(
             self.clock,
-            version_file.VersionFile(data_dir, is_new),
+            version_file.VersionFile(data_dir, settings.first_start),
         )
         control = self._rollout_control = self._new_rollout_control(settings)
         self._service = fleet_service.FleetService(
@@ -161,6 +163,7 @@
             self.clock,
             lambda: self.settings_file.current.seed_addresses(),
             voter_target=settings.voter_target,
+            form_without_ms=FORM_WITHOUT_MS,
         )
 
     def _new_rollout_control(
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -3,11 +3,13 @@
 One of the listed replicas (`first_group`) creates a group, and only after
 every listed replica has reported that it has none. A replica whose disk was
 wiped therefore joins the existing group or waits. No replica creates an empty
-group while another listed replica is a member or does not answer.
+group while another listed replica is a member or does not answer; the latter
+may be left out where disks tell that they date from the first start.
 """
 
 import asyncio
 import collections.abc
+import math
 
 import grpc
 import structlog
@@ -38,16 +40,21 @@
         clock: clocks.Clock,
         addresses: collections.abc.Callable[[], list[str]],
         voter_target: int | None = None,
+        form_without_ms: float = math.inf,
     ) -> None:
         """Look for the group at `addresses()`, which may change.
 
-        `voter_target` defaults to the number of initial voters.
+        `voter_target` defaults to the number of initial voters. The group is
+        formed without a listed replica that has not answered after
+        `form_without_ms`. That is safe only where `initial_voters` of an
+        identity prove that its disk was never lost.
         """
         self._replica = replica
         self._transport = transport
         self._clock = clock
         self._addresses = addresses
         self._voter_target = voter_target
+        self._all_needed_until_ms = clock.now_ms() + form_without_ms
         self._logged_wait: dict[str, object] | None = None
 
     async def run(self) -> None:
@@ -55,7 +62,7 @@
         while True:
             if self._replica.group is None:
                 await self._find_group()
-            elif self._replica.needs_rejoin(REJOIN_AFTER_MS):
+            elif self._replica.group_changes.needs_rejoin(REJOIN_AFTER_MS):
                 await self._join_group(self._known_addresses())
             if self._replica.leader_address() is None:
                 await self._send_formation()
@@ -69,9 +76,14 @@
         if members:
             await self._join_group(i.member.address for i in members)
             return
-        creator = first_group.creator(listed, introductions)
+        creator = first_group.creator(
+            listed,
+            introductions,
+            self._clock.now_ms() < self._all_needed_until_ms,
+        )
         if creator == self._replica.member.address:
-            await self._form_group([introductions[a].member for a in listed])
+            answers = (introductions[address] for address in listed)
+            await self._form_group([i.member for i in answers if i])
         else:
             self._log_wait(introductions, creator)
 
--- a/tests/consensus/test_first_group.py
+++ b/tests/consensus/test_first_group.py
@@ -15,10 +15,10 @@
     return raft_messages.Introduction(member, None, initial_voters)
 
 
-def creator(listed, first_disks, new_disks=()):
+def creator(listed, first_disks, new_disks=(), all_must_answer=True):
     found = {each: introduction(each, INITIAL) for each in first_disks}
     found |= {each: introduction(each) for each in new_disks}
-    return first_group.creator(listed, found)
+    return first_group.creator(listed, found, all_must_answer)
 
 
 @pytest.mark.parametrize(
@@ -38,6 +38,24 @@
     assert creator(INITIAL, first_disks, new_disks) == expected
 
 
+@pytest.mark.parametrize(
+    ("first_disks", "new_disks", "expected"),
+    (
+        ("bc", "", "b"),
+        ("ab", "", "a"),
+        # Two of three may have formed a group and lost it, or have one.
+        ("c", "a", None),
+        ("c", "", None),
+        ("", "bc", None),
+    ),
+)
+def test_majority_is_needed_to_leave_out_a_silent_replica(
+    first_disks, new_disks, expected
+):
+    found = creator(INITIAL, first_disks, new_disks, all_must_answer=False)
+    assert found == expected
+
+
 def test_replica_listed_later_may_take_part():
     assert creator(("d", "b", "c"), "bc", "d") == "b"
 
--- a/tests/peers/test_raft_formation.py
+++ b/tests/peers/test_raft_formation.py
@@ -1,5 +1,6 @@
 """A group is formed only if all listed replicas have empty disks."""
 
+import math
 import random
 
 import grpc
@@ -21,6 +22,7 @@
 
     def __init__(self, root):
         self.root = root
+        self.clock = clocks.ManualClock()
         self.replica_by_name = {}
         self.unreachable = set()
 
@@ -34,17 +36,18 @@
             folder,
             lambda replica: types.Member(replica, name, name, name),
             self,
-            clocks.ManualClock(),
+            self.clock,
             random.Random(1),
             initial_voters=initial_voters,
         )
 
-    def formation(self, name):
+    def formation(self, name, form_without_ms=math.inf):
         return raft_formation.GroupFormation(
             self.replica_by_name[name],
             self,
-            clocks.ManualClock(),
+            self.clock,
             lambda: NAMES,
+            form_without_ms=form_without_ms,
         )
 
     def stub_for(self, address, method):
@@ -93,6 +96,27 @@
     assert network.groups() == [None, None, None]
 
 
+async def test_group_is_formed_without_a_silent_replica_after_a_while(network):
+    network.unreachable.add("a")
+    formation = network.formation("b", form_without_ms=1_000.0)
+    await formation._find_group()
+    assert network.groups() == [None, None, None]
+    network.clock.advance(1_000.0)
+    await formation._find_group()
+    lacking, group, other = network.groups()
+    assert lacking is None and group is not None and other == group
+
+
+async def test_wiped_replica_forms_no_group_without_a_silent_one(network):
+    await network.replica_by_name["b"].close()
+    (network.root / "b" / identity.FILE_NAME).unlink()
+    network.open("b", initial_voters=())
+    network.unreachable.add("a")
+    for name in ("b", "c"):
+        await network.formation(name, form_without_ms=0.0)._find_group()
+    assert network.groups() == [None, None, None]
+
+
 async def test_two_wiped_replicas_form_no_second_group(network):
     replica = network.replica_by_name["c"]
     replica.form_group(
