--- a/tests/http/test_heads_that_break_off.py
+++ b/tests/http/test_heads_that_break_off.py
@@ -97,8 +97,10 @@
         writer.close()
 
     server, address = await gateway_rig.listen(serve)
-    async with server:
+    try:
         yield address
+    finally:
+        server.close()
 
 
 @HEADS
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -107,11 +107,38 @@
     writer.transport.abort()
 
 
-async def listen(on_connection) -> tuple[asyncio.Server, str]:
+class Listener:
+    """A server on loopback; its connections end with it.
+
+    A connection that outlives its event loop raises when it is collected.
+    """
+
+    def __init__(self, on_connection) -> None:
+        self._on_connection = on_connection
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen at a free port; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.append(writer)
+        await self._on_connection(reader, writer)
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+async def listen(on_connection) -> tuple[Listener, str]:
     """Serve connections at a free loopback port; return its address."""
-    server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    return server, f"127.0.0.1:{port}"
+    listener = Listener(on_connection)
+    return listener, await listener.start()
 
 
 class Engine:
@@ -126,7 +153,7 @@
         self.arrivals: list[Arrival] = []
         self.address = ""
         self.report: bytes | None = None
-        self._server: asyncio.Server | None = None
+        self._server: Listener | None = None
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -45,8 +45,8 @@
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
-        self._server.close()
         self.reset_connections()
+        self._server.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/test_event_loops.py
+++ b/tests/test_event_loops.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests import event_loops
+from tests.platform import gateway_rig
 
 PAUSE_S = 0.3
 
@@ -13,13 +14,15 @@
 @pytest.mark.asyncio(**event_loops.PAUSELESS)
 async def test_pause_does_not_end_a_wait_for_what_has_come():
     """Fault: a timer that a pause made late won over the data."""
-    server = await asyncio.start_server(
-        lambda reader, writer: writer.write(b"come"), "127.0.0.1", 0
-    )
-    port = server.sockets[0].getsockname()[1]
+
+    async def serve(reader, writer):
+        writer.write(b"come")
+
+    server, address = await gateway_rig.listen(serve)
+    host, port = address.split(":")
     start_s = asyncio.get_running_loop().time()
     async with asyncio.timeout(PAUSE_S / 2):
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection(host, port)
         time.sleep(PAUSE_S)
         assert await reader.readexactly(4) == b"come"
     assert asyncio.get_running_loop().time() - start_s < PAUSE_S / 2
