--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,9 +1,12 @@
 """Run soaks by hand: ``python -m tests.soak --first 1 --count 50``."""
 
 import asyncio
+import io
 import pathlib
 import signal
+import subprocess
 import sys
+import tarfile
 import tempfile
 
 import fire
@@ -12,11 +15,11 @@
 
 
 async def _run_seed(
-    seed: int, length_s: float, folder: str, interrupt_start: bool
+    seed: int, length_s: float, folder: str, options: dict[str, object]
 ) -> list[str]:
     path = pathlib.Path(folder) / str(seed)
     path.mkdir()
-    soak = soaks.Soak(path, seed, interrupt_start)
+    soak = soaks.Soak(path, seed, **options)
     violations = await soak.run(length_s)
     print(f"seed {seed}: {soak.summary()}")
     for violation in violations[:10]:
@@ -24,9 +27,7 @@
     return violations
 
 
-async def _run_seeds(
-    first, count, length_s, jobs, folder, interrupt_start
-) -> int:
+async def _run_seeds(first, count, length_s, jobs, folder, options) -> int:
     # SIGTERM cancels the soaks, so that they end the processes they started.
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM, asyncio.current_task().cancel
@@ -35,28 +36,46 @@
 
     async def run_one(seed: int) -> bool:
         async with job_limit:
-            return bool(
-                await _run_seed(seed, length_s, folder, interrupt_start)
-            )
+            return bool(await _run_seed(seed, length_s, folder, options))
 
     seeds = range(first, first + count)
     return sum(await asyncio.gather(*(run_one(seed) for seed in seeds)))
 
 
+def _extract(commit: str, folder: str) -> str:
+    """Write the packages of a commit to a folder; return its path."""
+    archive = subprocess.run(
+        ["git", "archive", commit, "src"], check=True, capture_output=True
+    )
+    target = pathlib.Path(folder) / "former"
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as files:
+        files.extractall(target, filter="data")
+    return str(target / "src")
+
+
 def main(
     first: int = 1,
     count: int = 50,
     seconds: float = 12.0,
     jobs: int = 3,
     interrupt_start: bool = False,
+    pauses: bool = True,
+    update_from: str | None = None,
 ) -> None:
     """Run COUNT seeds from FIRST on; the logs of all are kept on disk.
 
     With --interrupt_start, one control replica is killed at the first start.
+    With --nopauses, no server asks for a pause. With --update_from COMMIT,
+    all nodes begin with the sources of that commit and are updated.
     """
     folder = tempfile.mkdtemp(prefix="soak-")
+    options = {
+        "interrupt_start": interrupt_start,
+        "asks_for_pauses": pauses,
+        "former_source": update_from and _extract(str(update_from), folder),
+    }
     failed_seeds = asyncio.run(
-        _run_seeds(first, count, seconds, jobs, folder, interrupt_start)
+        _run_seeds(first, count, seconds, jobs, folder, options)
     )
     print(f"{count} seeds, {failed_seeds} broken; logs in {folder}")
     sys.exit(bool(failed_seeds))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import json
 import os
 import pathlib
@@ -23,6 +24,9 @@
 GRACE_MS = 6_000
 CONTROLS, ENTRIES, ENGINES, CALL_SERVERS, ZONES = 3, 3, 4, 2, 2
 HOST = "ficu95.example"
+OWN_SOURCE = "src"
+# Time for which a server wants no request of the instance that it rejects.
+PAUSE_S = 1.5
 # A stopping process that outlasts its grace period by 1 s is killed.
 EXIT_TIMEOUT_S = GRACE_MS / 1e3 + 1.0
 
@@ -80,7 +84,7 @@
     is_paused: bool = False
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     # Where the node's package is, and how Python is to run it.
-    source: str = "src"
+    source: str = OWN_SOURCE
     python_options: tuple[str, ...] = ()
 
     async def start(self) -> None:
@@ -124,14 +128,17 @@
         ]
         self.entries = [self._make_entry(index) for index in range(ENTRIES)]
         self.engines = [
-            gateway_rig.Engine(f"i-llm-{index}", self._serve_stream)
+            self._make_server(f"i-llm-{index}", self._serve_stream)
             for index in range(ENGINES)
         ]
         self.call_servers = [
-            gateway_rig.Engine(f"i-desk-{index}", self._serve_call)
+            self._make_server(f"i-desk-{index}", self._serve_call)
             for index in range(CALL_SERVERS)
         ]
+        # Names of the servers that ask for pauses now.
+        self.resting: set[str] = set()
         self.fault_proxies: list[proxies.FaultProxy] = []
+        self.proxy_by_name: dict[str, proxies.FaultProxy] = {}
         self.unlisted: set[str] = set()
         self._listed_servers: list[dict] = []
         app = web.Application()
@@ -181,6 +188,13 @@
         )
         return Node(name, "entry", ip, path, self._folder / f"{name}.log")
 
+    def _make_server(
+        self, name: str, behave: gateway_rig.Behaviour
+    ) -> gateway_rig.Engine:
+        return gateway_rig.Engine(
+            name, functools.partial(self._serve, name, behave)
+        )
+
     @property
     def nodes(self) -> list[Node]:
         """Return all processes."""
@@ -197,6 +211,7 @@
                 proxy = proxies.FaultProxy(server.address)
                 await proxy.start()
                 self.fault_proxies.append(proxy)
+                self.proxy_by_name[server.name] = proxy
                 self._listed_servers.append(
                     {
                         "id": server.name,
@@ -251,6 +266,27 @@
         ]
         return web.json_response({"instances": listed, "next": None})
 
+    async def _serve(
+        self,
+        name: str,
+        behave: gateway_rig.Behaviour,
+        arrival: gateway_rig.Arrival,
+    ) -> None:
+        """Serve a request, unless the server asks for pauses now."""
+        seen = self.observations
+        now_s = asyncio.get_running_loop().time()
+        sender = seen.sender_by_id[arrival.headers["attempt-id"]]
+        seen.arrivals.append(guarantees.Arrival(now_s, name, sender))
+        if name not in self.resting:
+            await behave(arrival)
+            return
+        arrival.refuse(b"Retry-After: %.1f\r\n" % PAUSE_S)
+        # The instance may never read an answer that is delayed or lost.
+        if self.proxy_by_name[name].faults == proxies.LinkFaults():
+            seen.pauses.append(
+                guarantees.Pause(now_s, now_s + PAUSE_S, name, sender)
+            )
+
     async def _serve_stream(self, arrival: gateway_rig.Arrival) -> None:
         self.observations.runs_by_id[arrival.headers["attempt-id"]] += 1
         first = int(arrival.headers.get("last-event-id", 0)) + 1
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -30,6 +30,33 @@
     content: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Sender:
+    """The start of an entry instance that was sent a request."""
+
+    name: str
+    boot: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Pause:
+    """A server asked an instance for a pause at `at_s`, until `until_s`."""
+
+    at_s: float
+    until_s: float
+    server: str
+    sender: Sender
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request of an instance reached a server."""
+
+    at_s: float
+    server: str
+    sender: Sender
+
+
 @dataclasses.dataclass
 class Observations:
     """Everything that was observed while a soak ran."""
@@ -43,6 +70,11 @@
         default_factory=list
     )
     failures: list[str] = dataclasses.field(default_factory=list)
+    sender_by_id: dict[str, Sender] = dataclasses.field(default_factory=dict)
+    pauses: list[Pause] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    # Starts of instances that were killed or paused.
+    disturbed: set[Sender] = dataclasses.field(default_factory=set)
 
     def violations(self) -> list[str]:
         """Return a description of each violated guarantee."""
@@ -50,6 +82,7 @@
             *self.failures,
             *self._answer_violations(),
             *self._read_violations(),
+            *self._pause_violations(),
         ]
 
     def _answer_violations(self) -> list[str]:
@@ -69,6 +102,25 @@
                     violations.append(f"{name} looks complete but is not")
         return violations
 
+    def _pause_violations(self) -> list[str]:
+        violations = []
+        for pause in self.pauses:
+            if pause.sender in self.disturbed:
+                continue
+            count = sum(
+                arrival.server == pause.server
+                and arrival.sender == pause.sender
+                and pause.at_s + IN_FLIGHT_S < arrival.at_s < pause.until_s
+                for arrival in self.arrivals
+            )
+            if count > MAX_IN_PAUSE:
+                violations.append(
+                    f"{pause.server} got {count} requests of start"
+                    f" {pause.sender.boot} of {pause.sender.name} in a pause"
+                    f" asked for at {pause.at_s:.2f} s"
+                )
+        return violations
+
     def _read_violations(self) -> list[str]:
         violations = []
         content_by_version: dict[int, str] = {}
@@ -95,6 +147,10 @@
 
 
 EVENTS_PER_STREAM = 12
+# By the operators' rule on pauses, what comes sooner was under way, and this
+# many more may come.
+IN_FLIGHT_S = 0.5
+MAX_IN_PAUSE = 2
 
 
 def expected_stream(after: int = 0) -> bytes:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -40,6 +40,60 @@
     duration_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class ScheduledRest:
+    """The numbered server asks for pauses from `at_s` on."""
+
+    at_s: float
+    server: int
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Replacement:
+    """The numbered node is stopped or killed, and starts with a build."""
+
+    node: int
+    is_new_build: bool
+    is_killed: bool
+    wait_s: float
+
+
+def draw_rests(seed: int, length_s: float) -> list[ScheduledRest]:
+    """Return when servers ask for pauses, in order; they may overlap."""
+    rng = random.Random(seed + 3)
+    rests: list[ScheduledRest] = []
+    at_s = rng.uniform(0.5, 1.5)
+    while at_s < length_s:
+        rests.append(
+            ScheduledRest(at_s, rng.randrange(60), rng.uniform(0.5, 3.0))
+        )
+        at_s += rng.uniform(0.2, 2.0)
+    return rests
+
+
+def draw_update(seed: int, controls: int, nodes: int) -> list[Replacement]:
+    """Return how all nodes get a new build, the first being `controls`.
+
+    Control replicas or the others may come first, or both are mixed. Some
+    updates are taken back half-way before they are completed.
+    """
+    rng = random.Random(seed + 4)
+    order = list(range(nodes))
+    rng.shuffle(order)
+    control_first = rng.choice([True, False, None])
+    if control_first is not None:
+        order.sort(key=lambda node: (node < controls) is not control_first)
+    steps = [(node, True) for node in order]
+    if rng.random() < 0.4:
+        half = steps[: nodes // 2]
+        steps = [*half, *((node, False) for node, _ in half), *steps]
+    return [
+        Replacement(node, is_new, rng.random() < 0.3, rng.uniform(0.2, 1.0))
+        for node, is_new in steps
+    ]
+
+
 def draw_faults(seed: int, length_s: float) -> list[ScheduledFault]:
     """Return the faults of a seed in order; they may overlap and repeat."""
     rng = random.Random(seed)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,15 +36,25 @@
     """Runs the faults of one seed under load and checks the guarantees."""
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, interrupt_start: bool = False
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        interrupt_start: bool = False,
+        asks_for_pauses: bool = False,
+        former_source: str | None = None,
     ) -> None:
         """Prepare the soak of a seed.
 
         With `interrupt_start`, a control replica is killed while all start
-        for the first time.
+        for the first time. With `asks_for_pauses`, servers ask for pauses
+        now and then. With `former_source`, the folder of another build's
+        packages, all nodes start with it and are updated one after the
+        other, in place of other faults.
         """
         self._seed = seed
         self._interrupt_start = interrupt_start
+        self._asks_for_pauses = asks_for_pauses
+        self._former_source = former_source
         self._rng = random.Random(seed + 1)
         self._fleet = fleets.Fleet(folder, seed)
         self._observations = self._fleet.observations
@@ -56,6 +66,9 @@
         """Run for `length_s` and return the violated guarantees."""
         timeout = aiohttp.ClientTimeout(total=12.0)
         try:
+            if self._former_source is not None:
+                for node in self._fleet.nodes:
+                    node.source = self._former_source
             await self._fleet.start()
             if self._interrupt_start:
                 await self._kill_starting_control()
@@ -72,9 +85,7 @@
                         self._read_repeatedly,
                     )
                 ]
-                await self._inject_all(
-                    schedule.draw_faults(self._seed, length_s)
-                )
+                await self._disrupt(length_s)
                 await self._wait_until_all_served("after the last fault")
                 await self._check_fault_free_period()
                 for task in background:
@@ -89,6 +100,11 @@
                     )
         finally:
             await self._fleet.close()
+        self._observations.disturbed = {
+            guarantees.Sender(node.name, boot)
+            for node in self._fleet.entries
+            for boot in node.disturbed_boots
+        }
         for name, line in self._fleet.log_lines():
             if any(pattern in line for pattern in ERROR_PATTERNS):
                 self._observations.failures.append(
@@ -115,8 +131,49 @@
         return (
             f"{len(self._observations.answers)} requests,"
             f" {len(self._observations.acknowledged)} versions acknowledged,"
-            f" {len(self._observations.reads)} read; {statuses}"
+            f" {len(self._observations.reads)} read,"
+            f" {len(self._observations.pauses)} pauses asked for; {statuses}"
+        )
+
+    async def _disrupt(self, length_s: float) -> None:
+        """Inject the faults of the seed, or update all nodes."""
+        work = []
+        if self._former_source is None:
+            faults = schedule.draw_faults(self._seed, length_s)
+            work.append(self._inject_all(faults))
+        else:
+            work.append(self._update_all())
+        if self._asks_for_pauses:
+            rests = schedule.draw_rests(self._seed, length_s)
+            work.extend(self._let_rest(rest) for rest in rests)
+        await asyncio.gather(*work)
+
+    async def _let_rest(self, rest: schedule.ScheduledRest) -> None:
+        servers = [*self._fleet.engines, *self._fleet.call_servers]
+        name = servers[rest.server % len(servers)].name
+        await asyncio.sleep(rest.at_s)
+        self._fleet.resting.add(name)
+        await asyncio.sleep(rest.duration_s)
+        self._fleet.resting.discard(name)
+
+    async def _update_all(self) -> None:
+        nodes = self._fleet.nodes
+        steps = schedule.draw_update(
+            self._seed, len(self._fleet.controls), len(nodes)
         )
+        for step in steps:
+            node = nodes[step.node]
+            async with node.lock:
+                if step.is_killed:
+                    await node.kill()
+                else:
+                    await self._stop(node)
+                source = fleets.OWN_SOURCE
+                if not step.is_new_build:
+                    source = self._former_source
+                node.source = source
+                await node.start()
+            await asyncio.sleep(step.wait_s)
 
     async def _inject_all(self, events: list[schedule.ScheduledFault]) -> None:
         loop = asyncio.get_running_loop()
@@ -245,6 +302,8 @@
         self._request_count += 1
         request_id = f"{kind}-{self._request_count}"
         boot = node.boot
+        sender = guarantees.Sender(node.name, boot)
+        self._observations.sender_by_id[request_id] = sender
         undisturbed = (
             not node.lock.locked() or boot not in node.disturbed_boots
         )
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -71,3 +71,28 @@
         reads=[guarantees.Read(0.5, 3.0, 8, "x")], acknowledged=[(1.0, 9)]
     )
     assert observations.violations() == []
+
+
+@pytest.mark.parametrize(
+    ("late_s", "boot", "disturbed", "is_broken"),
+    [
+        (0.6, 1, 9, True),
+        # Under way when the server asked, or after the pause.
+        (0.4, 1, 9, False),
+        (2.1, 1, 9, False),
+        # The instance had started again, or was killed or paused.
+        (0.6, 2, 9, False),
+        (0.6, 1, 1, False),
+    ],
+)
+def test_requests_in_a_pause_are_reported(late_s, boot, disturbed, is_broken):
+    asked = guarantees.Sender("entry-0", 1)
+    later = guarantees.Sender("entry-0", boot)
+    observations = guarantees.Observations(
+        pauses=[guarantees.Pause(10.0, 12.0, "i-1", asked)],
+        arrivals=[guarantees.Arrival(10.0 + late_s, "i-1", later)] * 3,
+        disturbed={guarantees.Sender("entry-0", disturbed)},
+    )
+    assert bool(observations.violations()) == is_broken
+    del observations.arrivals[0]
+    assert observations.violations() == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,11 @@
     assert await soak.run(LENGTH_S) == []
 
 
+async def test_pauses_that_servers_ask_for_are_kept_under_faults(tmp_path):
+    soak = soaks.Soak(tmp_path, 3, asks_for_pauses=True)
+    assert await soak.run(LENGTH_S) == []
+
+
 # Seed 5: the proxy forwarded bytes after others that it had dropped.
 # Seed 104: the platform's list could not be read at startup, and the task
 # that reads it ended.
@@ -31,3 +36,12 @@
     assert schedule.draw_faults(5, 30.0) != schedule.draw_faults(6, 30.0)
     kinds = {e.fault for n in range(20) for e in schedule.draw_faults(n, 30.0)}
     assert kinds == set(schedule.Fault)
+    assert schedule.draw_rests(5, 30.0) == schedule.draw_rests(5, 30.0)
+
+
+def test_each_update_ends_with_the_new_build_everywhere():
+    for seed in range(20):
+        steps = schedule.draw_update(seed, controls=2, nodes=5)
+        assert steps == schedule.draw_update(seed, controls=2, nodes=5)
+        is_new_by_node = {step.node: step.is_new_build for step in steps}
+        assert is_new_by_node == dict.fromkeys(range(5), True)
