Propose rollouts only if all members of the group can apply them

A rollout that an operator ordered in the middle of an update was committed by a leader of the newer build, and each replica of the older one stopped as it applied it ("control replica stopped"), and again after each restart.

An introduction now states which commands its replica can apply, 0 for earlier builds. A leader asks all members before it proposes a new rollout; while one lacks the commands, or never answered, the order is answered 503 and can be sent again. Copies of an order in the log are acknowledged as before.

--- a/src/oriolejunction/commands.py
+++ b/src/oriolejunction/commands.py
@@ -11,6 +11,11 @@
 from oriolejunction import routing_table
 from oriolejunction import states
 
+# Rises with each kind of command that earlier builds can't apply: these would
+# stop at it. Such a command is proposed only if all members of the group can.
+PROTOCOL = 1
+ROLLOUT_PROTOCOL = 1
+
 
 class SubmitDraft(message_base.Message, frozen=True):
     """Store the configuration generated from answers as a draft."""
--- a/src/oriolejunction/consensus/raft_messages.py
+++ b/src/oriolejunction/consensus/raft_messages.py
@@ -30,12 +30,14 @@
 class Introduction(Request, frozen=True):
     """Identity of the receiver; `group` is None on an empty disk.
 
-    `initial_voters` is that of `identity.Identity`.
+    `initial_voters` is that of `identity.Identity`. `protocol` tells which
+    commands the receiver can apply (`commands.PROTOCOL`).
     """
 
     member: types.Member
     group: types.GroupId | None
     initial_voters: tuple[str, ...] = ()
+    protocol: int = 0
 
 
 class Form(Request, frozen=True):
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -23,6 +23,7 @@
 from oriolejunction import node_settings
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import list_poller
+from oriolejunction.peers import member_protocols
 from oriolejunction.peers import origin_service
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
@@ -115,6 +116,9 @@
                     configuration_document.read_table,
                     self._transport.stub_for,
                     control.progress,
+                    member_protocols.MemberProtocols(
+                        self._replica, self._transport.stub_for
+                    ).can_apply,
                 )
             )
             rollouts.add_to(self._server)
--- a/src/oriolejunction/peers/raft_service.py
+++ b/src/oriolejunction/peers/raft_service.py
@@ -2,6 +2,7 @@
 
 import grpc
 
+from oriolejunction import commands
 from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import replica as replicas
@@ -18,7 +19,10 @@
 ) -> raft_messages.Introduction:
     """Return what other replicas are told of one."""
     return raft_messages.Introduction(
-        replica.member, replica.group, replica.identity.initial_voters
+        replica.member,
+        replica.group,
+        replica.identity.initial_voters,
+        commands.PROTOCOL,
     )
 
 
--- a/src/oriolejunction/peers/rollout_service.py
+++ b/src/oriolejunction/peers/rollout_service.py
@@ -36,7 +36,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class RolloutDependencies:
-    """Dependencies of the service; `progress` is known on the leader."""
+    """Dependencies of the service; `progress` is known on the leader.
+
+    `can_apply` returns whether all members of the group can apply the
+    commands of a protocol.
+    """
 
     replica: raft_replica.RaftReplica
     clock: clocks.Clock
@@ -45,6 +49,7 @@
     progress: collections.abc.Callable[
         [rollout_book.Rollout], rm.Progress | None
     ]
+    can_apply: collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
 
 
 class RolloutService:
@@ -162,6 +167,8 @@
         if not rollout_book.is_copy(replica.state.rollouts, command):
             if request.service not in self._known_services():
                 return rm.BeginReply(unknown_service=True)
+            if not await self._deps.can_apply(commands.ROLLOUT_PROTOCOL):
+                return None
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
                 result = await replica.propose(command)
--- a/tests/test_rollout_nodes.py
+++ b/tests/test_rollout_nodes.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 import grpc
+import msgspec
 import pytest
 import structlog
 
@@ -14,6 +15,7 @@
 from oriolejunction.controllers import rollout_latency
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import fleet_methods
+from oriolejunction.peers import raft_service
 from oriolejunction.peers import rpc
 from oriolejunction.peers import transport as transports
 from oriolejunction import states
@@ -179,6 +181,28 @@
     assert max(numbers) == 1
 
 
+async def test_member_of_an_earlier_build_is_sent_no_rollout(
+    fleet, monkeypatch
+):
+    """Fault: a replica stopped at a command that its build can't decode."""
+    introduction_of = raft_service.introduction_of
+
+    def of_an_earlier_build(replica):
+        introduction = introduction_of(replica)
+        if replica.member.instance != "core-2":
+            return introduction
+        return msgspec.structs.replace(introduction, protocol=0)
+
+    with monkeypatch.context() as patched:
+        patched.setattr(raft_service, "introduction_of", of_an_earlier_build)
+        for number in range(3):
+            assert (await fleet.begin(ORDER, number))[0] == 503
+        await fleet.publish_until_accepted(fleet_nodes.document(version=8))
+    for node in fleet.control_by_number.values():
+        assert node._replica.state.rollouts.last_number == 0
+    assert (await fleet.begin(ORDER))[0] == 200
+
+
 async def test_wrong_orders_are_refused_and_change_nothing(fleet):
     wrong = [
         {**ORDER, "service": "unknown"},
