--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,16 +1,14 @@
 """Run soaks by hand: ``python -m tests.soak --first 1 --count 50``."""
 
 import asyncio
-import io
 import pathlib
 import signal
-import subprocess
 import sys
-import tarfile
 import tempfile
 
 import fire
 
+from tests import former_build
 from tests.soak import soak as soaks
 
 
@@ -42,17 +40,6 @@
     return sum(await asyncio.gather(*(run_one(seed) for seed in seeds)))
 
 
-def _extract(commit: str, folder: str) -> str:
-    """Write the packages of a commit to a folder; return its path."""
-    archive = subprocess.run(
-        ["git", "archive", commit, "src"], check=True, capture_output=True
-    )
-    target = pathlib.Path(folder) / "former"
-    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as files:
-        files.extractall(target, filter="data")
-    return str(target / "src")
-
-
 def main(
     first: int = 1,
     count: int = 50,
@@ -72,7 +59,10 @@
     options = {
         "interrupt_start": interrupt_start,
         "asks_for_pauses": pauses,
-        "former_source": update_from and _extract(str(update_from), folder),
+        "former_source": update_from
+        and former_build.extract(
+            str(update_from), pathlib.Path(folder) / "former"
+        ),
     }
     failed_seeds = asyncio.run(
         _run_seeds(first, count, seconds, jobs, folder, options)
