Begin rollouts only once all entry instances know them

Reports of instances now state the protocol that they know, 0 for earlier builds, and a rollout begins only once all instances that report, and all members of the group, know it.

--- a/src/oriolejunction/commands.py
+++ b/src/oriolejunction/commands.py
@@ -11,8 +11,9 @@
 from oriolejunction import routing_table
 from oriolejunction import states
 
-# Rises with each kind of command that earlier builds can't apply: these would
-# stop at it. Such a command is proposed only if all members of the group can.
+# Rises with each kind of command that earlier builds can't apply, since their
+# replicas stop at it, or whose effect their entry instances don't know. Such a
+# command is proposed only once all processes state this protocol.
 PROTOCOL = 1
 ROLLOUT_PROTOCOL = 1
 
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -21,9 +21,9 @@
 from oriolejunction.controllers import stream_origins
 from oriolejunction import node_base
 from oriolejunction import node_settings
+from oriolejunction.peers import fleet_protocols
 from oriolejunction.peers import fleet_service
 from oriolejunction.peers import list_poller
-from oriolejunction.peers import member_protocols
 from oriolejunction.peers import origin_service
 from oriolejunction.peers import raft_formation
 from oriolejunction.peers import raft_service
@@ -85,13 +85,14 @@
             self.clock,
             version_file.VersionFile(data_dir, settings.first_start),
         )
+        hub = fleet_hub.FleetHub(self.clock)
         control = self._rollout_control = self._new_rollout_control(settings)
         self._service = fleet_service.FleetService(
             fleet_service.FleetDependencies(
                 incarnation=secrets.token_hex(6),
                 replica=self._replica,
                 clock=self.clock,
-                hub=fleet_hub.FleetHub(self.clock),
+                hub=hub,
                 origins=origins,
                 listing=self.listing,
                 read_table=configuration_document.read_table,
@@ -109,6 +110,10 @@
         ).add_to(self._server)
         rollouts = None
         if control is not None:
+            protocols = fleet_protocols.FleetProtocols(
+                self._replica, self._transport.stub_for, hub, self.clock
+            )
+            self.spawn(protocols.run)
             rollouts = rollout_service.RolloutService(
                 rollout_service.RolloutDependencies(
                     self._replica,
@@ -116,9 +121,7 @@
                     configuration_document.read_table,
                     self._transport.stub_for,
                     control.progress,
-                    member_protocols.MemberProtocols(
-                        self._replica, self._transport.stub_for
-                    ).can_apply,
+                    protocols.is_known_to_all,
                 )
             )
             rollouts.add_to(self._server)
--- a/src/oriolejunction/controllers/fleet_hub.py
+++ b/src/oriolejunction/controllers/fleet_hub.py
@@ -183,6 +183,15 @@
         self._expire_reports()
         return len(self._known_by_instance)
 
+    def instances_before(self, protocol: int) -> tuple[ids.InstanceId, ...]:
+        """Return the entry instances that don't know a protocol."""
+        self._expire_reports()
+        return tuple(
+            instance
+            for instance, known in self._known_by_instance.items()
+            if known.report.protocol < protocol
+        )
+
     def uses_of_others(
         self, instance: ids.InstanceId
     ) -> tuple[fm.ServiceUse, ...]:
--- a/src/oriolejunction/entry_reports.py
+++ b/src/oriolejunction/entry_reports.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from oriolejunction import commands
 from oriolejunction.controllers.overload import urgency
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import gateway_common
@@ -48,6 +49,7 @@
             helpers=self._helpers(),
             rollout_counts=deps.rollouts.counts.messages(),
             leaving=deps.intake.departures.to_report(),
+            protocol=commands.PROTOCOL,
         )
 
     def _uses(self) -> tuple[fm.ServiceUse, ...]:
--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -148,6 +148,8 @@
     address at which it serves requests of other instances, while it can.
     `rollout_counts` are those of the services that have had a rollout.
     `leaving` are the servers known to leave, whichever instance found it.
+    `protocol` tells which orders of control replicas the instance can follow
+    (`commands.PROTOCOL`).
     """
 
     instance: ids.InstanceId
@@ -166,6 +168,7 @@
     helpers: tuple[str, ...] = ()
     rollout_counts: tuple[RolloutCount, ...] = ()
     leaving: tuple[LeavingServer, ...] = ()
+    protocol: int = 0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/peers/rollout_service.py
+++ b/src/oriolejunction/peers/rollout_service.py
@@ -38,8 +38,8 @@
 class RolloutDependencies:
     """Dependencies of the service; `progress` is known on the leader.
 
-    `can_apply` returns whether all members of the group can apply the
-    commands of a protocol.
+    `is_known_to_all` returns whether all members of the group and all entry
+    instances know a protocol.
     """
 
     replica: raft_replica.RaftReplica
@@ -49,7 +49,9 @@
     progress: collections.abc.Callable[
         [rollout_book.Rollout], rm.Progress | None
     ]
-    can_apply: collections.abc.Callable[[int], collections.abc.Awaitable[bool]]
+    is_known_to_all: collections.abc.Callable[
+        [int], collections.abc.Awaitable[bool]
+    ]
 
 
 class RolloutService:
@@ -167,7 +169,7 @@
         if not rollout_book.is_copy(replica.state.rollouts, command):
             if request.service not in self._known_services():
                 return rm.BeginReply(unknown_service=True)
-            if not await self._deps.can_apply(commands.ROLLOUT_PROTOCOL):
+            if not await self._deps.is_known_to_all(commands.ROLLOUT_PROTOCOL):
                 return None
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
--- a/tests/test_rollout_nodes.py
+++ b/tests/test_rollout_nodes.py
@@ -11,6 +11,7 @@
 import pytest
 import structlog
 
+from oriolejunction import commands
 from oriolejunction import control_wiring
 from oriolejunction.controllers import rollout_latency
 from oriolejunction import fleet_messages as fm
@@ -35,6 +36,8 @@
     Half of the target's answers fail if `is_bad`.
     """
 
+    protocol = commands.PROTOCOL
+
     def __init__(self, name, address, is_bad):
         self.name, self.is_bad = name, is_bad
         self.channel = transports.PLAINTEXT.channel(address)
@@ -64,7 +67,11 @@
             )
         return fm.ReportRequest(
             fm.EntryReport(
-                self.name, "b", self.number, rollout_counts=tuple(rows)
+                self.name,
+                "b",
+                self.number,
+                rollout_counts=tuple(rows),
+                protocol=self.protocol,
             )
         )
 
@@ -203,6 +210,25 @@
     assert (await fleet.begin(ORDER))[0] == 200
 
 
+async def test_no_rollout_begins_beside_an_earlier_entry_instance(fleet):
+    """Fault: it sends to the new version what it likes, and counts nothing."""
+    nodes = fleet.control_by_number.values()
+
+    async def is_known():
+        hubs = [node._service._deps.hub for node in nodes]
+        return all(hub.instances_before(commands.PROTOCOL) for hub in hubs)
+
+    async def is_accepted():
+        return (await fleet.begin(ORDER, 2))[0] == 200
+
+    async with senders(False, [fleet_nodes.SEEDS[1]]) as (earlier,):
+        earlier.protocol = 0
+        await fleet.wait_until(is_known)
+        assert (await fleet.begin(ORDER))[0] == 503
+        earlier.protocol = commands.PROTOCOL
+        await fleet.wait_until(is_accepted)
+
+
 async def test_wrong_orders_are_refused_and_change_nothing(fleet):
     wrong = [
         {**ORDER, "service": "unknown"},
--- a/tests/updates/test_recorded_builds.py
+++ b/tests/updates/test_recorded_builds.py
@@ -12,7 +12,7 @@
 FOLDER = pathlib.Path(__file__).parent / "recorded"
 RECORDED = sorted(FOLDER.glob("*.json"))
 # Earlier builds can't apply these, or read the results. They are proposed
-# only once all members of the group can (`peers/member_protocols.py`).
+# only once all processes know them (`peers/fleet_protocols.py`).
 GATED_COMMANDS = {
     commands.BeginRollout,
     commands.DecideRollout,
