Leave a silent replica out only where no second group could commit

Now the members of the first group are the initial voters that answer, and a majority of the members must be one of the initial voters too. A replica that was told to change its group looks once more whether its own has committed anything before it does.

test_groups_of_two_parts_cannot_both_commit failed before in 4 of its 6 cases; tests/consensus, tests/peers, test_first_start_nodes.py and test_fleet_nodes.py pass (173).

--- a/src/oriolejunction/consensus/first_group.py
+++ b/src/oriolejunction/consensus/first_group.py
@@ -6,10 +6,12 @@
 
 The members of a group that may have committed anything include a majority of
 the initial voters. None was formed if so many of these still have their first
-disks and no group that the others are no majority. Where that is known, the
-group can also be formed without a replica that does not answer. If two
-replicas that are cut off from each other then form one each, a majority of the
-initial voters belongs to one of them at most, and only that one can commit.
+disks and no group that the others are no majority.
+
+The group can also be formed without an initial voter that does not answer, if
+a majority of its members is a majority of the initial voters too. If replicas
+that are cut off from each other then form one each, only one of them can
+commit, since a replica belongs to one group.
 """
 
 import collections.abc
@@ -26,9 +28,10 @@
 ) -> str | None:
     """Return the address of the replica that forms the group, if any may.
 
-    `introductions` holds the answers of the listed replicas and of the
-    initial voters by address. None of them belongs to a group. Unless
-    `all_must_answer`, listed replicas without an answer are left out.
+    The members are the initial voters that answer. `introductions` holds the
+    answers of the listed replicas and of the initial voters by address. None
+    of them belongs to a group. Unless `all_must_answer`, the group may be
+    formed although a listed replica does not answer.
     """
     answering = [each for each in listed if introductions.get(each)]
     if all_must_answer and len(answering) < len(listed):
@@ -46,6 +49,13 @@
         if (introduction := introductions.get(each)) is not None
         and set(introduction.initial_voters) == set(initial_voters)
     ]
-    majority = len(initial_voters) // 2 + 1
+    majority = _majority(len(initial_voters))
     others = len(initial_voters) - len(waiting)
-    return address if others < majority else None
+    members = [each for each in initial_voters if introductions.get(each)]
+    if others >= majority or _majority(len(members)) < majority:
+        return None
+    return address
+
+
+def _majority(count: int) -> int:
+    return count // 2 + 1
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -164,11 +164,13 @@
         self._wake.set()
 
     def _change_group(self, group: types.GroupId) -> None:
+        self._next_group = None
+        if not self.group_changes.has_committed_nothing():
+            return
         _log.warning("group changes", left=self.identity.group, joins=group)
         self._fail_waiters()
         self._storage.close()
         self._join_group(group, ())
-        self._next_group = None
 
     def _open_core(self, storage: storages.Storage) -> None:
         commit = 0
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -82,7 +82,8 @@
             self._clock.now_ms() < self._all_needed_until_ms,
         )
         if creator == self._replica.member.address:
-            answers = (introductions[address] for address in listed)
+            voters = self._replica.identity.initial_voters
+            answers = (introductions[address] for address in voters)
             await self._form_group([i.member for i in answers if i])
         else:
             self._log_wait(introductions, creator)
--- a/tests/consensus/test_first_group.py
+++ b/tests/consensus/test_first_group.py
@@ -56,6 +56,23 @@
     assert found == expected
 
 
+@pytest.mark.parametrize(
+    ("initial", "answering", "expected"),
+    (
+        ("ab", "a", None),
+        ("abc", "ab", "a"),
+        # Three of four could commit with two, and the others too.
+        ("abcd", "abc", None),
+        ("abcd", "ab", None),
+        ("abcde", "abcd", "a"),
+        ("abcde", "abc", None),
+    ),
+)
+def test_groups_of_two_parts_cannot_both_commit(initial, answering, expected):
+    found = {each: introduction(each, tuple(initial)) for each in answering}
+    assert first_group.creator(initial, found, False) == expected
+
+
 def test_replica_listed_later_may_take_part():
     assert creator(("d", "b", "c"), "bc", "d") == "b"
 
