Abort test connections that are accepted as their server closes

By reading: a connection whose handler had not begun, or which was accepted after the server had closed, was unknown to the server of the test rig. It is registered as it is made now, and aborted if the server has closed.

--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -115,6 +115,7 @@
 
     def __init__(self, on_connection) -> None:
         self._on_connection = on_connection
+        self._is_closed = False
         self._writers: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
@@ -124,12 +125,16 @@
         port = self._server.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
 
-    async def _serve(self, reader, writer) -> None:
+    def _serve(self, reader, writer) -> collections.abc.Coroutine:
         self._writers.append(writer)
-        await self._on_connection(reader, writer)
+        if self._is_closed:
+            # It was being accepted when the server closed.
+            writer.transport.abort()
+        return self._on_connection(reader, writer)
 
     def close(self) -> None:
         """Stop at once."""
+        self._is_closed = True
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
