Import all modules of a control replica before native threads run

Found now: each control replica still read three modules beside 12 threads, grpc._utilities as it built its handlers and concurrent.futures.thread and queue at its first write to the disk. That is before the group is formed, when the end of a process did most harm in.

No crash was seen, so that it is not shown that these reads cause one.

Change: control replicas import these modules before gRPC is used.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -55,6 +55,7 @@
     """A control replica of a deployment."""
 
     def __init__(self, path: pathlib.Path) -> None:
+        rpc.load_lazy_modules()
         super().__init__(path, node_settings.ControlSettings)
         self._registry = aioprometheus.Registry()
 
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import importlib
 import typing
 
 import grpc
@@ -97,6 +98,16 @@
     )
 
 
+def load_lazy_modules() -> None:
+    """Import what asyncio and gRPC otherwise import while they are used.
+
+    gRPC's threads run by then, and processes have crashed as they read files
+    beside these.
+    """
+    importlib.import_module("concurrent.futures.thread")
+    grpc.unary_unary_rpc_method_handler(None)
+
+
 def _rpc_handler(method: Method, handler: Handler) -> grpc.RpcMethodHandler:
     async def behavior(request, context):
         return await handler(request)
