Replace nodes by new machines during an update in the soak

The draws of seeds without the option are unchanged. The summary has the longest time between two accepted versions.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -48,17 +48,20 @@
     interrupt_start: bool = False,
     pauses: bool = True,
     update_from: str | None = None,
+    new_machines: bool = False,
 ) -> None:
     """Run COUNT seeds from FIRST on; the logs of all are kept on disk.
 
     With --interrupt_start, one control replica is killed at the first start.
     With --nopauses, no server asks for a pause. With --update_from COMMIT,
-    all nodes begin with the sources of that commit and are updated.
+    all nodes begin with the sources of that commit and are updated; with
+    --new_machines, most of them by machines with other addresses and disks.
     """
     folder = tempfile.mkdtemp(prefix="soak-")
     options = {
         "interrupt_start": interrupt_start,
         "asks_for_pauses": pauses,
+        "new_machines": new_machines,
         "former_source": update_from
         and former_build.extract(
             str(update_from), pathlib.Path(folder) / "former"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -74,6 +74,7 @@
     name: str
     role: str
     ip: str
+    zone: str
     settings: pathlib.Path
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
@@ -122,11 +123,16 @@
         self._folder = folder
         self._subnet = f"{loopback.SOAK_NETWORK}.{number % 250}"
         self._list_address = f"{self._subnet}.250:{LIST_PORT}"
+        self._seeds = [self._control_ip(index) for index in range(CONTROLS)]
         self.controls = [
-            self._make_control(index, first_start=True)
+            self._make_control(index, f"z{index}", first_start=True)
             for index in range(CONTROLS)
         ]
-        self.entries = [self._make_entry(index) for index in range(ENTRIES)]
+        self.entries = [
+            self._make_entry(index, f"z{index}") for index in range(ENTRIES)
+        ]
+        # Nodes that were replaced by new machines.
+        self.removed: list[Node] = []
         self.engines = [
             self._make_server(f"i-llm-{index}", self._serve_stream)
             for index in range(ENGINES)
@@ -145,48 +151,76 @@
         app.router.add_get("/instances", self._serve_list)
         self._list_runner = web.AppRunner(app, access_log=None)
 
+    def _control_ip(self, index: int) -> str:
+        return f"{self._subnet}.{index + 1}"
+
     def _write_settings(
-        self, name: str, ip: str, **fields: object
+        self, name: str, ip: str, zone: str, **fields: object
     ) -> pathlib.Path:
         path = self._folder / f"{name}.json"
         content = {
             "instance_id": name,
-            "zone": f"z{name[-1]}",
+            "zone": zone,
             "ip": ip,
             "peer_port": PEER_PORT,
-            "control_seeds": [
-                f"{self._subnet}.{index + 1}:{CONTROL_PORT}"
-                for index in range(CONTROLS)
-            ],
+            "control_seeds": self._seed_addresses(),
             "list_address": self._list_address,
             "metrics_listen": f"{ip}:{STATUS_PORT}",
             **fields,
         }
-        path.write_text(json.dumps(content))
+        _replace_text(path, json.dumps(content))
         return path
 
-    def _make_control(self, index: int, first_start: bool) -> Node:
-        name, ip = f"core-{index}", f"{self._subnet}.{index + 1}"
+    def _seed_addresses(self) -> list[str]:
+        return [f"{ip}:{CONTROL_PORT}" for ip in self._seeds]
+
+    def _make_control(self, index: int, zone: str, first_start: bool) -> Node:
+        name, ip = f"core-{index}", self._control_ip(index)
         path = self._write_settings(
             name,
             ip,
+            zone,
             operator_listen=f"{ip}:{CONTROL_PORT}",
             data_dir=str(self._folder / f"disk-{index}"),
             first_start=first_start,
             losses_borne=1,
         )
-        return Node(name, "control", ip, path, self._folder / f"{name}.log")
+        log = self._folder / f"{name}.log"
+        return Node(name, "control", ip, zone, path, log)
 
-    def _make_entry(self, index: int) -> Node:
-        name, ip = f"entry-{index}", f"{self._subnet}.{index + 11}"
+    def _make_entry(self, index: int, zone: str) -> Node:
+        name, ip = f"entry-{index}", f"{self._subnet}.{index + 41}"
         path = self._write_settings(
             name,
             ip,
+            zone,
             caller_listen=f"{ip}:{ENTRY_PORT}",
             ready_listen=f"{ip}:{READY_PORT}",
             grace_ms=GRACE_MS,
         )
-        return Node(name, "entry", ip, path, self._folder / f"{name}.log")
+        log = self._folder / f"{name}.log"
+        return Node(name, "entry", ip, zone, path, log)
+
+    def replace_machine(self, old: Node) -> Node:
+        """Put a new node in the place of one, without starting it.
+
+        It has an address and, if it is a control replica, an empty disk of
+        its own. The seeds in the settings of all nodes follow.
+        """
+        number = len(self.nodes) + len(self.removed)
+        if old.role == "entry":
+            new = self._make_entry(number, old.zone)
+            self.entries[self.entries.index(old)] = new
+        else:
+            self._seeds[self._seeds.index(old.ip)] = self._control_ip(number)
+            new = self._make_control(number, old.zone, first_start=False)
+            self.controls[self.controls.index(old)] = new
+        self.removed.append(old)
+        for node in [*self.nodes, old]:
+            content = json.loads(node.settings.read_text())
+            content["control_seeds"] = self._seed_addresses()
+            _replace_text(node.settings, json.dumps(content))
+        return new
 
     def _make_server(
         self, name: str, behave: gateway_rig.Behaviour
@@ -233,7 +267,8 @@
     ) -> None:
         """Make later starts of replicas treat an empty disk as a lost one."""
         for index in indexes:
-            self._make_control(index, first_start=False)
+            zone = self.controls[index].zone
+            self._make_control(index, zone, first_start=False)
 
     def wipe(self, index: int) -> None:
         """Delete the data of a control replica that does not run."""
@@ -242,7 +277,7 @@
 
     async def close(self) -> None:
         """Kill the processes by their own handles and close the servers."""
-        for node in self.nodes:
+        for node in [*self.nodes, *self.removed]:
             if node.process is not None and node.process.returncode is None:
                 node.process.kill()
                 await node.process.wait()
@@ -256,7 +291,7 @@
 
     def log_lines(self) -> collections.abc.Iterator[tuple[str, str]]:
         """Yield the name of a process and a line of its log, for all lines."""
-        for node in self.nodes:
+        for node in [*self.nodes, *self.removed]:
             for line in node.log.read_text(errors="replace").splitlines():
                 yield node.name, line
 
@@ -308,3 +343,10 @@
             arrival.answer(b"failed", "500 Failed")
         else:
             arrival.answer(b"done")
+
+
+def _replace_text(path: pathlib.Path, text: str) -> None:
+    """Write a file that its readers see whole at any time."""
+    part = path.with_suffix(".part")
+    part.write_text(text)
+    part.replace(path)
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +86,14 @@
             *self._pause_violations(),
         ]
 
+    def longest_without_version_s(self) -> float:
+        """Return the longest time between two acknowledged versions."""
+        times_s = [at_s for at_s, _ in self.acknowledged]
+        return max(
+            (after - at for at, after in itertools.pairwise(times_s)),
+            default=0.0,
+        )
+
     def _answer_violations(self) -> list[str]:
         violations = []
         for answer in self.answers:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -51,12 +51,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Replacement:
-    """The numbered node is stopped or killed, and starts with a build."""
+    """The numbered node is stopped or killed, and starts with a build.
+
+    With `is_new_machine`, it starts at a new address, with an empty disk.
+    """
 
     node: int
     is_new_build: bool
     is_killed: bool
     wait_s: float
+    is_new_machine: bool = False
 
 
 def draw_rests(seed: int, length_s: float) -> list[ScheduledRest]:
@@ -72,13 +76,17 @@
     return rests
 
 
-def draw_update(seed: int, controls: int, nodes: int) -> list[Replacement]:
+def draw_update(
+    seed: int, controls: int, nodes: int, new_machines: bool = False
+) -> list[Replacement]:
     """Return how all nodes get a new build, the first being `controls`.
 
     Control replicas or the others may come first, or both are mixed. Some
-    updates are taken back half-way before they are completed.
+    updates are taken back half-way before they are completed. With
+    `new_machines`, most nodes are replaced by new machines.
     """
     rng = random.Random(seed + 4)
+    machine_rng = random.Random(seed + 5)
     order = list(range(nodes))
     rng.shuffle(order)
     control_first = rng.choice([True, False, None])
@@ -89,7 +97,13 @@
         half = steps[: nodes // 2]
         steps = [*half, *((node, False) for node, _ in half), *steps]
     return [
-        Replacement(node, is_new, rng.random() < 0.3, rng.uniform(0.2, 1.0))
+        Replacement(
+            node,
+            is_new,
+            rng.random() < 0.3,
+            rng.uniform(0.2, 1.0),
+            new_machines and machine_rng.random() < 0.7,
+        )
         for node, is_new in steps
     ]
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,6 +42,7 @@
         interrupt_start: bool = False,
         asks_for_pauses: bool = False,
         former_source: str | None = None,
+        new_machines: bool = False,
     ) -> None:
         """Prepare the soak of a seed.
 
@@ -49,12 +50,14 @@
         for the first time. With `asks_for_pauses`, servers ask for pauses
         now and then. With `former_source`, the folder of another build's
         packages, all nodes start with it and are updated one after the
-        other, in place of other faults.
+        other, in place of other faults; with `new_machines`, most of them
+        are replaced by machines with other addresses and empty disks.
         """
         self._seed = seed
         self._interrupt_start = interrupt_start
         self._asks_for_pauses = asks_for_pauses
         self._former_source = former_source
+        self._new_machines = new_machines
         self._rng = random.Random(seed + 1)
         self._fleet = fleets.Fleet(folder, seed)
         self._observations = self._fleet.observations
@@ -102,7 +105,7 @@
             await self._fleet.close()
         self._observations.disturbed = {
             guarantees.Sender(node.name, boot)
-            for node in self._fleet.entries
+            for node in [*self._fleet.entries, *self._fleet.removed]
             for boot in node.disturbed_boots
         }
         for name, line in self._fleet.log_lines():
@@ -132,7 +135,9 @@
             f"{len(self._observations.answers)} requests,"
             f" {len(self._observations.acknowledged)} versions acknowledged,"
             f" {len(self._observations.reads)} read,"
-            f" {len(self._observations.pauses)} pauses asked for; {statuses}"
+            f" {len(self._observations.pauses)} pauses asked for,"
+            f" {self._observations.longest_without_version_s():.1f} s at most"
+            f" without a new version; {statuses}"
         )
 
     async def _disrupt(self, length_s: float) -> None:
@@ -157,24 +162,76 @@
         self._fleet.resting.discard(name)
 
     async def _update_all(self) -> None:
-        nodes = self._fleet.nodes
+        fleet = self._fleet
         steps = schedule.draw_update(
-            self._seed, len(self._fleet.controls), len(nodes)
+            self._seed,
+            len(fleet.controls),
+            len(fleet.nodes),
+            self._new_machines,
         )
         for step in steps:
-            node = nodes[step.node]
-            async with node.lock:
-                if step.is_killed:
-                    await node.kill()
-                else:
-                    await self._stop(node)
-                source = fleets.OWN_SOURCE
-                if not step.is_new_build:
-                    source = self._former_source
-                node.source = source
-                await node.start()
+            node = fleet.nodes[step.node]
+            source = fleets.OWN_SOURCE
+            if not step.is_new_build:
+                source = self._former_source
+            if step.is_new_machine:
+                await self._replace_machine(node, source, step)
+            else:
+                await self._restart(node, source, step)
             await asyncio.sleep(step.wait_s)
 
+    async def _restart(
+        self, node: fleets.Node, source: str, step: schedule.Replacement
+    ) -> None:
+        async with node.lock:
+            if step.is_killed:
+                await node.kill()
+            else:
+                await self._stop(node)
+            node.source = source
+            await node.start()
+
+    async def _replace_machine(
+        self, old: fleets.Node, source: str, step: schedule.Replacement
+    ) -> None:
+        """Start a new machine, after the old one was lost or before it stops.
+
+        The next step comes once the group has the new replica as a voter.
+        """
+        async with old.lock:
+            if step.is_killed:
+                await old.kill()
+            new = self._fleet.replace_machine(old)
+            new.source = source
+            await new.start()
+            if not step.is_killed:
+                await asyncio.sleep(step.wait_s)
+                await self._stop(old)
+        if new in self._fleet.controls:
+            await self._wait_until_repaired()
+
+    async def _wait_until_repaired(self) -> None:
+        names = {node.name for node in self._fleet.controls}
+        try:
+            async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+                while await self._read_voters() != names:
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            self._observations.failures.append(
+                f"{sorted(names)} are not the voters"
+                f" {RECOVERY_TIMEOUT_S:.0f} s after a machine was replaced"
+            )
+
+    async def _read_voters(self) -> set[str]:
+        """Return the names of the voters, as any control replica has them."""
+        node = self._rng.choice(self._fleet.controls)
+        url = f"http://{node.ip}:{fleets.STATUS_PORT}/status"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self._session.get(url) as response:
+                members = (await response.json())["members"]
+                return {m["instance"] for m in members if m["votes"]}
+        return set()
+
     async def _inject_all(self, events: list[schedule.ScheduledFault]) -> None:
         loop = asyncio.get_running_loop()
         start_s = loop.time()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -45,3 +45,6 @@
         assert steps == schedule.draw_update(seed, controls=2, nodes=5)
         is_new_by_node = {step.node: step.is_new_build for step in steps}
         assert is_new_by_node == dict.fromkeys(range(5), True)
+        assert not any(step.is_new_machine for step in steps)
+        replaced = schedule.draw_update(seed, 2, 5, new_machines=True)
+        assert any(step.is_new_machine for step in replaced)
