--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,9 +26,9 @@
     "Token-Counts": "100,96",
 }
 PATH_BY_KIND = {"stream": "/pufi/1", "order": "/order/1", "look": "/look/1"}
-# A log line with one of these texts reports a fault of the program itself.
 # A group is formed within this time.
 FIRST_START_S = 1.5
+# A log line with one of these texts reports a fault of the program itself.
 ERROR_PATTERNS = ("Traceback", "work failed", "invariant", "never retrieved")
 
 
