Log bytes, durations, attempts and versions of tables and watches

Each watch without a reply is logged with its attempt, duration and the table held; replicas log which table they apply and send, with its bytes; `table in force` says how long the reply took, how long it was read, and the attempt. No logic is changed.

--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -141,6 +141,11 @@
         if published.version == self._followed_version:
             return
         self._followed_version = published.version
+        _log.info(
+            "table applied",
+            version=published.version,
+            bytes=len(published.document),
+        )
         try:
             table = self._deps.read_table(published.document)
         except errors.Failure as failure:
--- a/src/oriolejunction/peers/fleet_watch.py
+++ b/src/oriolejunction/peers/fleet_watch.py
@@ -78,6 +78,8 @@
         self._seen = fm.NO_CHANGE_SEEN
         self._replica_incarnation = ""
         self._connected = False
+        # Watches in a row that got no reply.
+        self._failures = 0
         # When a table was first held back, None without one.
         self._old_table_since_ms: float | None = None
         self._published_backends: tuple[backends.Backend, ...] = ()
@@ -177,12 +179,14 @@
         try:
             reply = await self._deps.session.watch(address, request)
         except fleet_session.ReplicaLost as error:
+            self._log_failure(request, address, sent_ms, str(error))
             self._mark_failed(address, str(error))
             # Reports that were on their way may be lost, too.
             self.notify_report()
             await self._deps.clock.sleep_ms(RETRY_DELAY_MS)
             return
         self._apply_reply(reply, sent_ms)
+        self._failures = 0
         if not reply.fresh:
             self._mark_failed(
                 address, "replica has lost touch with the leader"
@@ -194,6 +198,19 @@
         self._connected = True
         self._failed_at_ms.pop(address, None)
 
+    def _log_failure(
+        self, request: fm.WatchRequest, address: str, sent_ms: float, why: str
+    ) -> None:
+        self._failures += 1
+        _log.warning(
+            "watch got no reply",
+            replica=address,
+            why=why,
+            attempt=self._failures,
+            waited_ms=round(self._deps.clock.now_ms() - sent_ms),
+            table_version=request.table_version,
+        )
+
     def _mark_failed(self, address: str, why: str) -> None:
         now_ms = self._deps.clock.now_ms()
         if self._connected:
@@ -205,7 +222,7 @@
         if reply.replicas:
             self._zone_by_address = dict(reply.replicas)
         if reply.document is not None and self._may_apply_table(reply):
-            self._apply_table(reply.document)
+            self._apply_table(reply.document, sent_ms)
         if self._deps.listing.store_received(reply.listing):
             _log.info(
                 "backend servers changed",
@@ -246,7 +263,8 @@
         )
         return waited_ms >= OLD_TABLE_WAIT_MS
 
-    def _apply_table(self, document: bytes) -> None:
+    def _apply_table(self, document: bytes, sent_ms: float) -> None:
+        received_ms = self._deps.clock.now_ms()
         current = self._deps.blackboard.table.read()
         try:
             table = self._deps.read_table(document)
@@ -263,4 +281,9 @@
             version=table.version,
             routes=len(table.routes),
             workspaces=len(table.workspaces),
+            before=current and current.version,
+            bytes=len(document),
+            waited_ms=round(received_ms - sent_ms),
+            read_ms=round(self._deps.clock.now_ms() - received_ms),
+            attempt=self._failures + 1,
         )
--- a/src/oriolejunction/peers/watch_replies.py
+++ b/src/oriolejunction/peers/watch_replies.py
@@ -10,6 +10,7 @@
 import typing
 
 import msgspec
+import structlog
 
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import raft_replica
@@ -26,6 +27,7 @@
 # Format codes of MessagePack maps.
 _FIXMAP, _FIXMAP_MASK, _MAP16 = 0x80, 0x0F, 0xDE
 _encode = msgspec.msgpack.Encoder().encode
+_log = structlog.get_logger(__name__)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,6 +73,7 @@
         self, request: fm.WatchRequest
     ) -> fm.WatchReply | msgspec.Raw:
         """Return the reply, encoded if the watcher takes sums over all."""
+        self._log_table(request)
         if not request.entry_boot:
             return self._reply_without_own(request)
         self._drop_outdated()
@@ -97,6 +100,17 @@
             return fm.NO_CHANGE_SEEN
         return request.seen
 
+    def _log_table(self, request: fm.WatchRequest) -> None:
+        table = self.replica.state.table
+        if table.version > request.table_version:
+            _log.info(
+                "table sent",
+                to=request.instance,
+                version=table.version,
+                held=request.table_version,
+                bytes=len(table.document),
+            )
+
     def _drop_outdated(self) -> None:
         """Drop what was encoded before a change, or too long ago."""
         # Reports that are too old change the version.
--- a/tests/peers/test_fleet_watch.py
+++ b/tests/peers/test_fleet_watch.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+import structlog
 
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
@@ -29,10 +30,13 @@
     def __init__(self):
         self.reported_ms = []
         self.failures = 0
+        self.is_silent = False
         self.listing = fm.ListingSnapshot(5.0, "digest", (BACKEND,))
 
     async def watch(self, address, request):
         await asyncio.sleep(0.01)
+        if self.is_silent:
+            raise fleet_session.ReplicaLost("made up")
         listing, self.listing = self.listing, fm.ListingSnapshot(
             5.0, "digest", None
         )
@@ -125,3 +129,15 @@
     session.listing = fm.ListingSnapshot(0.0, "other", ())
     await asyncio.sleep(0.1)
     assert [list(snapshot.by_id) for snapshot in written] == [["e1"], []]
+
+
+async def test_each_watch_without_a_reply_is_logged(watching):
+    """A repeated failure must be told from one that lasts."""
+    _, session, _ = watching
+    session.is_silent = True
+    with structlog.testing.capture_logs() as lines:
+        await asyncio.sleep(0.5)
+    failed = [each for each in lines if each["event"] == "watch got no reply"]
+    assert [each["attempt"] for each in failed[:3]] == [1, 2, 3]
+    assert failed[0]["table_version"] == routing_table.NO_TABLE
+    assert all(each["waited_ms"] >= 10 for each in failed)
