--- /dev/null
+++ b/tests/test_thin_link_nodes.py
@@ -0,0 +1,91 @@
+"""Large tables come into force at instances whose links are thin and full."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from tests import thin_link
+
+# Of a change that was acknowledged.
+APPLY_LIMIT_S = 2.5
+LARGE_ROUTES = 1_532
+# For each route; the link takes several times as long as a watch may.
+INCOMPRESSIBLE_BYTES = 300
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    deployment = thin_link.Deployment(tmp_path)
+    await deployment.start()
+    deployment.publish(thin_link.document(1, routes=10))
+    await deployment.wait_for(1, APPLY_LIMIT_S)
+    yield deployment
+    await deployment.close()
+
+
+def unanswered_watches(lines):
+    return [each for each in lines if each["event"] == "watch got no reply"]
+
+
+async def test_large_table_comes_into_force_in_time(deployment):
+    deployment.publish(thin_link.document(2, LARGE_ROUTES))
+    await deployment.wait_for(2, APPLY_LIMIT_S)
+
+
+async def test_key_taken_away_after_a_large_table_is_refused_in_time(
+    deployment,
+):
+    deployment.publish(thin_link.document(2, LARGE_ROUTES))
+    await asyncio.sleep(0.4)
+    deployment.publish(thin_link.document(3, LARGE_ROUTES, tenants=[]))
+    await deployment.wait_for(3, APPLY_LIMIT_S)
+    assert not deployment.table().workspaces
+
+
+async def test_transfer_has_no_time_limit_of_its_own(deployment):
+    """Watches are answered meanwhile, so that a silent replica is noticed."""
+    document = thin_link.document(2, LARGE_ROUTES, INCOMPRESSIBLE_BYTES)
+    needed_s = len(document) / thin_link.BYTES_PER_S
+    with structlog.testing.capture_logs() as lines:
+        deployment.publish(document)
+        await deployment.wait_for(2, 1.5 * needed_s)
+    assert not unanswered_watches(lines)
+
+
+async def test_transfer_that_is_cut_off_does_not_begin_anew(deployment):
+    """Fault: connections are reset three times in the middle of it."""
+    document = thin_link.document(2, LARGE_ROUTES, INCOMPRESSIBLE_BYTES)
+    needed_s = len(document) / thin_link.BYTES_PER_S
+    deployment.publish(document)
+    for _ in range(3):
+        await asyncio.sleep(needed_s / 5)
+        for control in deployment.controls:
+            control.proxy.reset_connections()
+    await deployment.wait_for(2, needed_s)
+    assert deployment.link.total_bytes < 1.25 * len(document)
+
+
+async def test_silent_replica_is_left_in_the_middle_of_a_transfer(deployment):
+    document = thin_link.document(2, LARGE_ROUTES, INCOMPRESSIBLE_BYTES)
+    needed_s = len(document) / thin_link.BYTES_PER_S
+    deployment.publish(document)
+    await asyncio.sleep(needed_s / 2)
+    current = deployment.entry._watch.replicas()[0]
+    for control in deployment.controls:
+        control.proxy.is_silent = control.replica.member.address == current
+    await deployment.wait_for(2, needed_s / 2 + APPLY_LIMIT_S)
+    assert deployment.link.total_bytes < 1.25 * len(document)
+
+
+async def test_large_tables_in_a_row_end_with_the_newest(deployment):
+    """Load: each comes before the one before could arrive."""
+    for version in range(2, 8):
+        deployment.publish(
+            thin_link.document(version, LARGE_ROUTES + version, 100)
+        )
+        await asyncio.sleep(0.3)
+    needed_s = (
+        len(thin_link.document(7, LARGE_ROUTES, 100)) / thin_link.BYTES_PER_S
+    )
+    await deployment.wait_for(7, 2 * needed_s + APPLY_LIMIT_S)
