Compress large watch replies for instances of earlier builds

During an update, instances of the former build still take the document in the reply to a watch, within 0.7 s.

Change: replies of 4 KB and more on a stream are compressed by gRPC, whose clients of all builds accept that; it applies to lists of backend servers too. For instances of earlier builds this moves the limit and does not remove it.

test_instance_of_an_earlier_build_gets_a_large_table fails without the change and passes with it; tests/peers, tests/test_fleet_nodes.py and tests/test_thin_link_nodes.py pass.

--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -37,6 +37,10 @@
 FIRST_REPLY_MS = 5.0
 PUBLISH_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 0.8
+# Replies with a list or, for earlier builds, a document; smaller ones take one
+# to three packets.
+COMPRESSED_FROM_BYTES = 4_096
+_encode = msgspec.msgpack.Encoder().encode
 _log = structlog.get_logger(__name__)
 
 
@@ -253,10 +257,14 @@
     async def _serve_session(self, context: grpc.aio.ServicerContext) -> None:
         """Take reports and answer watches on one stream."""
         watches: asyncio.Queue[fm.WatchRequest | None] = asyncio.Queue()
+        context.set_compression(grpc.Compression.Gzip)
         reader = asyncio.create_task(self._read_session(context, watches))
         try:
             while (request := await watches.get()) is not None:
-                await context.write(await self._watch(request))
+                reply = _encode(await self._watch(request))
+                if len(reply) < COMPRESSED_FROM_BYTES:
+                    context.disable_next_message_compression()
+                await context.write(msgspec.Raw(reply))
             await reader
         finally:
             reader.cancel()
--- a/tests/test_thin_link_nodes.py
+++ b/tests/test_thin_link_nodes.py
@@ -7,9 +7,15 @@
 import pytest
 import structlog
 
+from oriolejunction import clock as clocks
+from oriolejunction import fleet_messages as fm
+from oriolejunction import ids
+from oriolejunction.peers import channels
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import fleet_service
+from oriolejunction.peers import fleet_session
 from oriolejunction.peers import rpc
+from oriolejunction import routing_table
 from tests import thin_link
 
 # Of a change that was acknowledged.
@@ -141,3 +147,20 @@
     await deployment.wait_for(2, APPLY_LIMIT_S)
     deployment.publish(thin_link.document(3, LARGE_ROUTES, tenants=[]))
     await deployment.wait_for(3, APPLY_LIMIT_S)
+
+
+async def test_instance_of_an_earlier_build_gets_a_large_table(deployment):
+    """It takes the document in a reply, within the time limit of a watch."""
+    deployment.publish(thin_link.document(2, LARGE_ROUTES))
+    pool = channels.ChannelPool()
+    session = fleet_session.FleetSession(
+        clocks.SystemClock(), pool.stub_for, pool.stream_to
+    )
+    request = fm.WatchRequest(
+        ids.InstanceId("earlier"), routing_table.TableVersion(1), "", -1
+    )
+    address = deployment.controls[0].replica.member.address
+    reply = await session.watch(address, request)
+    assert reply.document == thin_link.document(2, LARGE_ROUTES)
+    session.close()
+    await pool.close()
