--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -31,6 +31,7 @@
 from oriolejunction.peers import rollout_control
 from oriolejunction.peers import rollout_service
 from oriolejunction.peers import rpc
+from oriolejunction.peers import table_publication
 from oriolejunction.peers import transport as transports
 from oriolejunction.platform import backend_list
 from oriolejunction.platform import configuration_document
@@ -106,6 +107,10 @@
             self._server
         )
         self._service.add_to(self._server)
+        publication = table_publication.TablePublication(
+            self._replica, self._transport.stub_for
+        )
+        publication.add_to(self._server)
         origin_service.OriginService(
             origins, self._replica, self._transport.stub_for
         ).add_to(self._server)
@@ -136,7 +141,7 @@
         self.spawn(self._new_list_poller(settings).run)
         await self.listen(
             node_base.internal_runner(
-                operator_calls.application(self._service, rollouts)
+                operator_calls.application(publication, rollouts)
             ),
             settings.operator_listen,
         )
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -1,8 +1,7 @@
 """The Fleet gRPC service of a control replica.
 
 Entry instances send their reports and watch for changes. Control replicas
-relay reports, origins of streams and the platform's list to each other, and
-forward documents and reads to the leader.
+relay reports, origins of streams and the platform's list to each other.
 """
 
 import asyncio
@@ -14,11 +13,8 @@
 import structlog
 
 from oriolejunction import clock as clocks
-from oriolejunction import commands
 from oriolejunction.consensus import raft_replica
-from oriolejunction.consensus import replica as replicas
 from oriolejunction.controllers import fleet_hub
-from oriolejunction.controllers import published_table
 from oriolejunction.controllers import stream_origins
 from oriolejunction.controllers import table_pieces
 from oriolejunction import errors
@@ -35,8 +31,6 @@
 
 # The first reply of an instance, which may arrive with those of others.
 FIRST_REPLY_MS = 5.0
-PUBLISH_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = 0.8
 # Replies with a list or, for earlier builds, a document; smaller ones take one
 # to three packets.
 COMPRESSED_FROM_BYTES = 4_096
@@ -64,7 +58,7 @@
 
 
 class FleetService:
-    """Serves reports, watches, relays between replicas and publishing."""
+    """Serves reports, watches, tables and relays between replicas."""
 
     def __init__(self, deps: FleetDependencies) -> None:
         self._deps = deps
@@ -104,8 +98,6 @@
                 fleet_methods.RELAY: self._relay,
                 fleet_methods.WATCH: self._watch,
                 fleet_methods.TABLE: self._table,
-                fleet_methods.PUBLISH: self._publish,
-                fleet_methods.READ: self._read,
             },
             {fleet_methods.SESSION: self._serve_session},
         )
@@ -294,86 +286,6 @@
             return watch_rounds.Urgency.NOW
         return self._urgency_since(request.seen)
 
-    async def _publish(self, request: fm.PublishRequest) -> fm.PublishReply:
-        return await self.publish(request, forward=False)
-
-    async def _read(self, request: fm.ReadRequest) -> fm.ReadReply:
-        return await self.read(forward=False)
-
-    async def publish(
-        self, request: fm.PublishRequest, forward: bool = True
-    ) -> fm.PublishReply:
-        """Commit a document here or forward it to the leader.
-
-        A document that is already committed is acknowledged without another
-        log entry.
-        """
-        table = self._replica.state.table
-        if published_table.is_already_published(
-            table, request.version, request.digest
-        ):
-            return fm.PublishReply(done=True)
-        command = commands.PublishTable(
-            request.version, request.document, request.digest
-        )
-        try:
-            result = await self._replica.propose(command)
-        except replicas.OutcomeUnknown:
-            return fm.PublishReply(unknown=True)
-        except replicas.NotLeader as error:
-            if not forward or error.hint is None:
-                return fm.PublishReply(unknown=True)
-            return await self._call_leader(
-                error.hint,
-                fleet_methods.PUBLISH,
-                request,
-                PUBLISH_TIMEOUT_S,
-                fm.PublishReply(unknown=True),
-            )
-        if isinstance(result, commands.TableRefused):
-            return fm.PublishReply(refusal=result.reason)
-        _log.info("table published", version=request.version)
-        return fm.PublishReply(done=True)
-
-    async def read(self, forward: bool = True) -> fm.ReadReply:
-        """Return the newest document, confirmed by a majority.
-
-        Without that confirmation the reply contains no document.
-        """
-        unconfirmed = fm.ReadReply(self._replica.state.table.version, None)
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                await self._replica.read_barrier()
-        except TimeoutError:
-            return unconfirmed
-        except replicas.NotLeader as error:
-            if not forward or error.hint is None:
-                return unconfirmed
-            return await self._call_leader(
-                error.hint,
-                fleet_methods.READ,
-                fm.ReadRequest(),
-                READ_TIMEOUT_S,
-                unconfirmed,
-            )
-        table = self._replica.state.table
-        return fm.ReadReply(table.version, table.document)
-
-    async def _call_leader(
-        self, address, method, request, timeout_s, fallback
-    ):
-        call = self._deps.stub_for(address, method)
-        try:
-            return await call(request, timeout=timeout_s)
-        except grpc.aio.AioRpcError as error:
-            _log.warning(
-                "control leader did not answer",
-                method=method.name,
-                address=address,
-                code=error.code().name,
-            )
-            return fallback
-
 
 def _known_version(
     request: fm.WatchRequest,
--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -9,8 +9,8 @@
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import replies
 from oriolejunction import ids
-from oriolejunction.peers import fleet_service
 from oriolejunction.peers import rollout_service
+from oriolejunction.peers import table_publication
 from oriolejunction.platform import configuration_document
 from oriolejunction import publish_errors
 from oriolejunction import rollout_errors
@@ -39,7 +39,7 @@
 
 
 def application(
-    service: fleet_service.FleetService,
+    publication: table_publication.TablePublication,
     rollouts: rollout_service.RolloutService | None = None,
 ) -> web.Application:
     """Return the HTTP application that serves the operator's calls.
@@ -50,7 +50,7 @@
     async def replace(request: web.Request) -> web.Response:
         document = await request.read()
         table = configuration_document.read_table(document)
-        reply = await service.publish(
+        reply = await publication.publish(
             fm.PublishRequest(
                 table.version,
                 document,
@@ -61,7 +61,7 @@
         return web.json_response({"version": table.version})
 
     async def read(request: web.Request) -> web.Response:
-        document = publish_errors.document_of(await service.read())
+        document = publish_errors.document_of(await publication.read())
         return web.Response(body=document, content_type="application/json")
 
     app = web.Application(
