Confirm a read at the leader without sending the document back

Change: a follower names the version that it has, and the leader confirms it without the document. A leader of an earlier build sends the whole, as before; a follower that is behind gets it.

test_leader_confirms_a_version_without_its_document fails without the change; tests/test_fleet_nodes.py and tests/updates pass.

--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -374,11 +374,20 @@
 
 
 class ReadRequest(msgspec.Struct, frozen=True):
-    """Ask the leader for the newest document."""
+    """Ask the leader for the newest document.
+
+    The sender has the documents up to `held_version` itself.
+    """
+
+    held_version: routing_table.TableVersion = routing_table.NO_TABLE
 
 
 class ReadReply(msgspec.Struct, frozen=True):
-    """The newest document, None where the receiver can't confirm it."""
+    """The newest document, None where the receiver can't confirm it.
+
+    It is also None if the sender has it: the newest version is `confirmed`.
+    """
 
     version: routing_table.TableVersion
     document: bytes | None
+    confirmed: bool = False
--- a/src/oriolejunction/peers/table_publication.py
+++ b/src/oriolejunction/peers/table_publication.py
@@ -47,7 +47,10 @@
         return await self.publish(request, forward=False)
 
     async def _read(self, request: fm.ReadRequest) -> fm.ReadReply:
-        return await self.read(forward=False)
+        reply = await self.read(forward=False)
+        if reply.document is None or reply.version > request.held_version:
+            return reply
+        return fm.ReadReply(reply.version, None, confirmed=True)
 
     async def publish(
         self, request: fm.PublishRequest, forward: bool = True
@@ -98,14 +101,24 @@
         except replicas.NotLeader as error:
             if not forward or error.hint is None:
                 return unconfirmed
-            return await self._call_leader(
-                error.hint,
-                fleet_methods.READ,
-                fm.ReadRequest(),
-                READ_TIMEOUT_S,
-                unconfirmed,
-            )
+            return await self._read_at_leader(error.hint, unconfirmed)
+        table = self._replica.state.table
+        return fm.ReadReply(table.version, table.document)
+
+    async def _read_at_leader(
+        self, address: str, unconfirmed: fm.ReadReply
+    ) -> fm.ReadReply:
+        """Have the leader confirm the newest table, which this may have."""
+        reply = await self._call_leader(
+            address,
+            fleet_methods.READ,
+            fm.ReadRequest(self._replica.state.table.version),
+            READ_TIMEOUT_S,
+            unconfirmed,
+        )
         table = self._replica.state.table
+        if not reply.confirmed or table.version < reply.version:
+            return reply
         return fm.ReadReply(table.version, table.document)
 
     async def _call_leader(
