Let the time limits of large log messages and documents grow with their size

Change: the limit of a batch, and of a document on its way to the leader, grows with its bytes at the rate of the thinnest link known.

What remains: heartbeats wait behind a batch on its way, so that a follower on such a link counts as disconnected meanwhile.

--- a/src/oriolejunction/peers/raft_transport.py
+++ b/src/oriolejunction/peers/raft_transport.py
@@ -14,7 +14,10 @@
 from oriolejunction.peers import transport as transports
 
 QUEUE_LIMIT = 512
+# Of a small batch.
 DELIVER_TIMEOUT_S = 1.0
+# A batch ends with the message that reaches this size.
+MAX_BATCH_BYTES = 1 << 20
 
 
 class RaftTransport:
@@ -63,7 +66,9 @@
         try:
             await call(
                 raft_messages.Deliver(group, self._address, tuple(batch)),
-                timeout=DELIVER_TIMEOUT_S,
+                timeout=rpc.transfer_timeout_s(
+                    DELIVER_TIMEOUT_S, sum(map(_content_bytes, batch))
+                ),
             )
         except grpc.aio.AioRpcError:
             return
@@ -95,10 +100,29 @@
             self._wake.clear()
             while self._pending:
                 group = self._pending[0][0]
-                batch = [message for _, message in self._pending]
-                self._pending.clear()
-                await self._transport.deliver(self._address, group, batch)
+                await self._transport.deliver(
+                    self._address, group, self._next_batch()
+                )
+
+    def _next_batch(self) -> list[wire.Message]:
+        batch: list[wire.Message] = []
+        batch_bytes = 0
+        while self._pending and batch_bytes < MAX_BATCH_BYTES:
+            _, message = self._pending.popleft()
+            batch.append(message)
+            batch_bytes += _content_bytes(message)
+        return batch
 
     async def close(self) -> None:
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
+
+
+def _content_bytes(message: wire.Message) -> int:
+    """Return the size of the entries or the snapshot in a message."""
+    match message:
+        case wire.AppendRequest():
+            return sum(len(each.command or b"") for each in message.entries)
+        case wire.InstallSnapshot():
+            return len(message.snapshot.body)
+    return 0
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_MS = 500
 # Short, so that a restarted peer is reached soon after it listens.
 MAX_BACKOFF_MS = 300
+# What a link of 3.75 Mbit/s carries that is three quarters full.
+SLOW_LINK_BYTES_PER_S = 117_000.0
 
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
@@ -48,6 +50,14 @@
 )
 
 
+def transfer_timeout_s(timeout_s: float, byte_count: int) -> float:
+    """Return the time limit of a call with a request of some size.
+
+    `timeout_s` is the limit of a small one.
+    """
+    return timeout_s + byte_count / SLOW_LINK_BYTES_PER_S
+
+
 class Method(msgspec.Struct, typing.Generic[Request, Reply], frozen=True):
     """A unary gRPC method between the system's processes."""
 
--- a/src/oriolejunction/peers/table_publication.py
+++ b/src/oriolejunction/peers/table_publication.py
@@ -79,7 +79,9 @@
                 error.hint,
                 fleet_methods.PUBLISH,
                 request,
-                PUBLISH_TIMEOUT_S,
+                rpc.transfer_timeout_s(
+                    PUBLISH_TIMEOUT_S, len(request.document)
+                ),
                 fm.PublishReply(unknown=True),
             )
         if isinstance(result, commands.TableRefused):
--- a/tests/thin_link.py
+++ b/tests/thin_link.py
@@ -53,11 +53,17 @@
 
 
 class LinkProxy:
-    """Relays connections to one control replica over a link."""
+    """Relays connections to one process over a link.
 
-    def __init__(self, link: ThinLink, target_port: int) -> None:
+    The link carries what the process sends or, with `is_upload`, receives.
+    """
+
+    def __init__(
+        self, link: ThinLink, target_port: int, is_upload: bool = False
+    ) -> None:
         self._link = link
         self._target_port = target_port
+        self._is_upload = is_upload
         self._tasks: set[asyncio.Task] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self.is_silent = False
@@ -90,16 +96,19 @@
                 sock=sock, limit=_CHUNK_BYTES
             )
             self._writers |= {writer, target_writer}
+            up, down = None, self._link
+            if self._is_upload:
+                up, down = down, up
             await asyncio.gather(
-                self._copy(reader, target_writer),
-                self._copy(target_reader, writer, self._link),
+                self._copy(reader, target_writer, up),
+                self._copy(target_reader, writer, down),
             )
         for each in (writer, locals().get("target_writer")):
             if each is not None:
                 self._writers.discard(each)
                 each.close()
 
-    async def _copy(self, reader, writer, link: ThinLink | None = None):
+    async def _copy(self, reader, writer, link: ThinLink | None):
         while data := await reader.read(_CHUNK_BYTES):
             if link is not None:
                 await link.transmit(len(data))
