Send fewer records in a call after one that got no answer

What callers could see: 503 for a stream that is taken up elsewhere, because its software version was never recorded; and instances that place streams by loads of long ago.

Change: the number of records in a call halves when it gets no answer, and rises by an eighth when it does. The limits of the calls are unchanged.

test_many_origins_reach_a_replica_over_a_thin_link and test_many_records_are_relayed_to_a_slow_replica fail without the change and pass with it; tests/peers, tests/controllers and tests/test_stream_kill_nodes.py pass.

--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -14,6 +14,7 @@
 import structlog
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers import batch_limit
 from oriolejunction.controllers import origin_backlog
 from oriolejunction.controllers import origin_retention
 from oriolejunction.controllers import software_history
@@ -55,6 +56,7 @@
         ] = {}
         self._unsent = origin_backlog.OriginBacklog(clock)
         self._has_unsent = asyncio.Event()
+        self._batch_limit = batch_limit.BatchLimit(MAX_BATCH)
         self._replicas: Replicas = list
         self._stub_for: StubFor | None = None
         self._list_read_at_ms = _never
@@ -175,8 +177,10 @@
         while True:
             await self._has_unsent.wait()
             await self._clock.sleep_ms(BATCH_MS)
-            batch = self._unsent.take(MAX_BATCH)
-            if not await self._send(fm.OriginsRequest(batch)):
+            batch = self._unsent.take(self._batch_limit.current)
+            is_sent = await self._send(fm.OriginsRequest(batch))
+            self._batch_limit.record(len(batch), is_sent)
+            if not is_sent:
                 self._unsent.put_back(batch)
                 await self._clock.sleep_ms(RETRY_DELAY_MS)
             if not self._unsent:
--- a/src/oriolejunction/peers/report_relays.py
+++ b/src/oriolejunction/peers/report_relays.py
@@ -8,12 +8,14 @@
 import collections.abc
 import dataclasses
 import functools
+import itertools
 
 import grpc
 import structlog
 
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import raft_replica
+from oriolejunction.controllers import batch_limit
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import origin_backlog
 from oriolejunction.controllers import stream_origins
@@ -33,8 +35,8 @@
 LOAD_RELAY_MS = 40.0
 RELAY_INTERVAL_MS = 500.0
 RELAY_TIMEOUT_S = 0.5
-# Origins in one relay.
-MAX_ORIGIN_BATCH = 10_000
+# Reports or origins in one relay.
+MAX_BATCH = 10_000
 _log = structlog.get_logger(__name__)
 
 
@@ -48,6 +50,18 @@
     reports: dict[str, fm.EntryReport] = dataclasses.field(
         default_factory=dict
     )
+    limit: batch_limit.BatchLimit = dataclasses.field(
+        default_factory=lambda: batch_limit.BatchLimit(MAX_BATCH)
+    )
+
+    def take_reports(self) -> tuple[fm.EntryReport, ...]:
+        """Remove and return the oldest reports, up to the limit."""
+        taken = tuple(
+            itertools.islice(self.reports.values(), self.limit.current)
+        )
+        for report in taken:
+            del self.reports[report.instance]
+        return taken
 
 
 class ReportRelays:
@@ -122,9 +136,9 @@
         while True:
             await relay.pacer.wait()
             self._queue_relays()
-            reports = tuple(relay.reports.values())
-            relay.reports.clear()
-            origins = relay.origins.take(MAX_ORIGIN_BATCH)
+            reports = relay.take_reports()
+            origins = relay.origins.take(relay.limit.current)
+            count = max(len(reports), len(origins))
             listing = None
             if self._replica.leader_term is not None:
                 listing = self._listing.snapshot(digest_sent)
@@ -142,10 +156,12 @@
                     "relay not sent", to=address, code=error.code().name
                 )
                 digest_sent = ""
+                relay.limit.record(count, False)
                 relay.origins.put_back(origins)
                 self._put_back(relay, reports)
                 continue
-            if relay.origins:
+            relay.limit.record(count, True)
+            if relay.origins or relay.reports:
                 relay.pacer.act_after(URGENT_RELAY_MS)
             if listing is not None:
                 digest_sent = listing.digest
--- a/tests/peers/test_fleet_service.py
+++ b/tests/peers/test_fleet_service.py
@@ -55,6 +55,8 @@
     def __init__(self):
         self.relays = []
         self.failures = 0
+        # How long a record takes on the way to a replica.
+        self.ms_per_record = 0.0
 
     def stub_for(self, address, method):
         async def call(relay, timeout):
@@ -67,6 +69,15 @@
                     grpc.aio.Metadata(),
                     grpc.aio.Metadata(),
                 )
+            records = len(relay.shares) + len(relay.origins)
+            needed_s = records * self.ms_per_record / 1e3
+            await asyncio.sleep(min(needed_s, timeout))
+            if needed_s > timeout:
+                raise grpc.aio.AioRpcError(
+                    grpc.StatusCode.DEADLINE_EXCEEDED,
+                    grpc.aio.Metadata(),
+                    grpc.aio.Metadata(),
+                )
             self.relays.append((address, relay))
             return fm.Acknowledgement()
 
@@ -137,6 +148,22 @@
     assert relayed_to(peers, OTHER) == [1]
 
 
+async def test_many_records_are_relayed_to_a_slow_replica(running):
+    """Load: they pile up while the other replica can't be reached."""
+    service, peers, _ = running
+    # All of them need several times as long as a call may take.
+    peers.ms_per_record, count = 2.0, 500
+    for number in range(count):
+        await service._report(report_request(1, 1, f"i{number}"))
+        service._deps.origins.put(
+            fm.StreamOrigin(f"a{number}", "v1", 1), direct=True
+        )
+    await asyncio.sleep(2.5 * 2 * count * peers.ms_per_record / 1e3)
+    relays = [relay for to, relay in peers.relays if to == OTHER]
+    assert sum(len(relay.origins) for relay in relays) == count
+    assert sum(len(relay.shares) for relay in relays) == count
+
+
 async def test_idle_report_is_relayed_before_it_expires(running):
     service, peers, _ = running
     for number in (1, 2):
--- a/tests/peers/test_stream_origins.py
+++ b/tests/peers/test_stream_origins.py
@@ -29,6 +29,8 @@
         self.lost = set()
         # Reached by entry instances, but not by the other replicas.
         self.cut_off = set()
+        # How long a record takes on the way.
+        self.ms_per_origin = 0.0
         self.service_by_address = {}
         for address in ADDRESSES:
             self.restart(address)
@@ -50,11 +52,20 @@
             is_cut = source and {source, address} & self.cut_off
             if address in self.lost or is_cut:
                 raise grpc.aio.AioRpcError(grpc.StatusCode.UNAVAILABLE, (), ())
+            await self.transmit(request, timeout)
             service = self.service_by_address[address]
             return await getattr(service, method.name.lower())(request)
 
         return call
 
+    async def transmit(self, request, timeout_s):
+        needed_s = len(getattr(request, "origins", ())) * self.ms_per_origin
+        await asyncio.sleep(min(needed_s / 1e3, timeout_s))
+        if needed_s / 1e3 > timeout_s:
+            raise grpc.aio.AioRpcError(
+                grpc.StatusCode.DEADLINE_EXCEEDED, (), ()
+            )
+
     def put_at_all(self, origin):
         for service in self.service_by_address.values():
             service._hub.put(origin, direct=False)
@@ -223,3 +234,20 @@
     await asyncio.sleep(6.0)
     assert client.history.covered_ms == 0.0
     task.cancel()
+
+
+async def test_many_origins_reach_a_replica_over_a_thin_link():
+    """Load: all records are sent again after a move to another replica."""
+    replicas = Replicas()
+    # All of them need longer than a call may take.
+    replicas.ms_per_origin = 1.0
+    client = replicas.client("r0")
+    count = 600
+    for number in range(count):
+        client.record(fm.StreamOrigin(f"a{number}", "v1", 1), number)
+    task = asyncio.create_task(client.run())
+    await asyncio.sleep(3 * count * replicas.ms_per_origin / 1e3)
+    task.cancel()
+    assert len(replicas.service_by_address["r0"]._hub.take_unforwarded()) == (
+        count
+    )
