Read the other entries of a list, whatever one of them holds

Reported from elsewhere: one odd entry in the list, nested very deeply or with a number or port out of range; the machines that read the list ended again and again, or stopped following it.

What could happen here: the list was read no more, by any process, while an entry was nested 100,000 deep (`RecursionError`), held `slots` of 400 digits (`OverflowError` as the list is sent on), half of a surrogate pair or a token that is no JSON. Port 99999 was used.

Change: if a page can't be read as a whole, its items are found by brackets and strings alone and read one by one. Entries with numbers, addresses or names that no server can have are skipped. The list of the product's own interface is read in the same way. Pages are fetched by a module of their own, so that platform/ stays small.

--- a/src/oriolejunction/http/fetch_errors.py
+++ b/src/oriolejunction/http/fetch_errors.py
@@ -1,12 +1,13 @@
 """Errors of fetching JSON from outside systems."""
 
 import aiohttp
-import msgspec
+
+from oriolejunction import tolerant_json
 
 # Raised by an HTTP request or by the decoding of its answer.
 FETCH_ERRORS = (
     aiohttp.ClientError,
-    msgspec.DecodeError,
     OSError,
     TimeoutError,
+    *tolerant_json.DECODE_ERRORS,
 )
--- a/src/oriolejunction/http/platform_list.py
+++ b/src/oriolejunction/http/platform_list.py
@@ -10,6 +10,7 @@
 from oriolejunction.http import fetch_errors
 from oriolejunction import ids
 from oriolejunction import states
+from oriolejunction import tolerant_json
 
 POLL_INTERVAL_MS = 1_000
 REQUEST_TIMEOUT_S = 1.0
@@ -23,7 +24,8 @@
     state: states.ListedState
 
 
-_decode = msgspec.json.Decoder(list[ListedInstance]).decode
+_decode = msgspec.json.Decoder(ListedInstance).decode
+_decode_list = msgspec.json.Decoder(list[msgspec.Raw]).decode
 
 
 class PlatformListPoller:
@@ -63,10 +65,34 @@
         try:
             async with self._session.get(self._url) as response:
                 response.raise_for_status()
-                listed = _decode(await bounded_body.read(response))
+                listed = read_list(await bounded_body.read(response))
         except fetch_errors.FETCH_ERRORS as error:
             _log.warning("no platform list", why=repr(error))
             return
         self._membership.observe_list(
             {entry.name: entry.state for entry in listed}
         )
+
+
+def read_list(data: bytes) -> list[ListedInstance]:
+    """Return the entries that can be read; raise `msgspec.DecodeError`.
+
+    Whatever one entry holds must not make the others unreadable.
+    """
+    try:
+        entries = _decode_list(data)
+    except tolerant_json.DECODE_ERRORS:
+        entries, _ = tolerant_json.split_items(data)
+    listed, faults = [], []
+    for entry in entries:
+        try:
+            listed.append(_decode(entry))
+        except tolerant_json.DECODE_ERRORS as error:
+            faults.append(str(error))
+    if faults:
+        _log.warning(
+            "entries of the platform list not read",
+            count=len(faults),
+            why=faults[0],
+        )
+    return listed
--- a/src/oriolejunction/platform/backend_list.py
+++ b/src/oriolejunction/platform/backend_list.py
@@ -1,38 +1,51 @@
 """The platform's list of backend servers.
 
-Entries may come from different writers, so an entry that can't be read is
-skipped and the others are used.
+Entries may come from different writers, so an entry that can't be read, or
+holds what no server can have, is skipped and the others are used.
 """
 
+import typing
+
 import aiohttp
 import msgspec
 import structlog
 
 from oriolejunction import backends
-from oriolejunction import errors
-from oriolejunction.http import bounded_body
-from oriolejunction.http import fetch_errors
+from oriolejunction.http import paged_list
 from oriolejunction import ids
-
-CALL_TIMEOUT_S = 1.0
-MAX_PAGES = 200
+from oriolejunction import settings
+from oriolejunction import tolerant_json
+
+# More requests at once, or a longer cold start, make no sense.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000.0
+MAX_NAME_CHARACTERS = 256
+# How many unreadable entries of a page are logged.
+MAX_LOGGED = 3
 # Any 64-bit integer; the messages between instances hold no larger one.
 MAX_BORN_MS = (1 << 63) - 1
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _log = structlog.get_logger(__name__)
 
 
+_Name = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)
+]
+
+
 class _Entry(msgspec.Struct):
-    id: str
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 0
-    version: str = ""
-    cold_remaining_ms: float = msgspec.field(
-        name="coldRemainingMs", default=0.0
-    )
+    id: _Name
+    service: _Name
+    address: _Name
+    zone: _Name
+    state: _Name
+    slots: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 0
+    version: typing.Annotated[
+        str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)
+    ] = ""
+    cold_remaining_ms: typing.Annotated[
+        float, msgspec.Meta(ge=0.0, le=MAX_COLD_MS)
+    ] = msgspec.field(name="coldRemainingMs", default=0.0)
     born: object = 0
 
 
@@ -50,89 +63,66 @@
     session: aiohttp.ClientSession, address: str
 ) -> tuple[backends.Backend, ...]:
     """Return the complete list; raise `Failure` with `ListUnavailable`."""
-    found: list[backends.Backend] = []
-    token = None
-    try:
-        for _ in range(MAX_PAGES):
-            page = await _fetch_page(session, address, token)
-            found += read_entries(page.instances)
-            token = page.next
-            if token is None:
-                return tuple(found)
-    except fetch_errors.FETCH_ERRORS as error:
-        raise errors.Failure(errors.ListUnavailable(repr(error)))
-    raise errors.Failure(errors.ListUnavailable("the list has too many pages"))
-
-
-async def _fetch_page(
-    session: aiohttp.ClientSession, address: str, token: str | None
-) -> _Page:
-    params = {"pageToken": token} if token else {}
-    async with session.get(
-        f"http://{address}/instances",
-        params=params,
-        timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
-    ) as response:
-        if response.status != 200:
-            raise errors.Failure(
-                errors.ListUnavailable(f"status {response.status}")
-            )
-        return read_page(await bounded_body.read(response))
+
+    def read(data: bytes) -> tuple[list[backends.Backend], str | None]:
+        page = read_page(data)
+        return read_entries(page.instances), page.next
+
+    return await paged_list.fetch(
+        session, f"http://{address}/instances", "pageToken", read
+    )
 
 
 def read_page(data: bytes) -> _Page:
     """Return a page; raise `msgspec.DecodeError`.
 
-    Invalid UTF-8 in one entry must not make the others unreadable.
+    Whatever one entry holds must not make the others unreadable.
     """
     try:
         return _decode_page(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return _decode_page(data.decode("utf-8", "replace").encode())
+    except tolerant_json.DECODE_ERRORS:
+        entries, rest = tolerant_json.split_items(data, "instances")
+        following = _decode_page(rest).next
+        return _Page([msgspec.Raw(each) for each in entries], following)
 
 
 def read_entries(
     entries: list[msgspec.Raw],
 ) -> list[backends.Backend]:
     """Return the backend servers of the entries that can be read."""
-    found = []
+    found, faults = [], []
     for entry in entries:
-        backend = _read_entry(entry)
-        if backend is not None:
-            found.append(backend)
+        try:
+            found.append(_read_entry(entry))
+        except tolerant_json.DECODE_ERRORS as error:
+            faults.append(str(error) or type(error).__name__)
+    if faults:
+        _log.warning(
+            "entries name no usable backend server",
+            count=len(faults),
+            of=len(entries),
+            why=faults[:MAX_LOGGED],
+        )
     return found
 
 
-def _read_entry(raw: msgspec.Raw) -> backends.Backend | None:
-    try:
-        entry = _decode_entry(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        _log.warning("unreadable entry in the list", why=str(error))
-        return None
-    leaving = _LEAVING_BY_STATE.get(entry.state)
-    host, _, port = entry.address.rpartition(":")
-    readable = "\ufffd" not in entry.id + entry.service + entry.zone
-    if (
-        leaving is None
-        or not readable
-        or not entry.id
-        or not host
-        or not port.isdigit()
-    ):
-        _log.warning(
-            "entry names no usable backend server",
-            id=entry.id,
-            state=entry.state,
-            address=entry.address,
-        )
-        return None
+def _read_entry(raw: msgspec.Raw) -> backends.Backend:
+    """Return the server of an entry, or raise one of `DECODE_ERRORS`."""
+    entry = _decode_entry(raw)
+    if "\ufffd" in entry.id + entry.service + entry.zone:
+        raise ValueError("a name is not UTF-8")
+    if entry.state not in _LEAVING_BY_STATE:
+        raise ValueError(f"{entry.id}: unknown state {entry.state!r}")
+    host, port = settings.split_address(entry.address)
+    if not port or entry.address != f"{host}:{port}":
+        raise ValueError(f"{entry.id}: no address in {entry.address!r}")
     return backends.Backend(
         backend_id=ids.BackendId(entry.id),
         service=ids.ServiceName(entry.service),
         address=entry.address,
         zone=ids.ZoneId(entry.zone),
         slots=entry.slots,
-        leaving=leaving,
+        leaving=_LEAVING_BY_STATE[entry.state],
         cold_ms=entry.cold_remaining_ms,
         software=ids.SoftwareVersion(entry.version),
         born=read_born(entry.born),
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -15,6 +15,7 @@
 from oriolejunction import source_digest
 from tests import loopback
 from tests.platform import gateway_rig
+from tests.platform import odd_json
 from tests.platform import test_configuration_document
 
 PEER_PORT = 17_200
@@ -77,6 +78,9 @@
     def __init__(self, tmp_path):
         self.tmp_path = tmp_path
         self.control_by_number = {}
+        # As JSON, and further entries of the list.
+        self.odd_entry = None
+        self.listed = ["i-1"]
         self.engine = gateway_rig.Engine("i-1", self._finish_stream)
         self.session = None
 
@@ -99,20 +103,23 @@
         self.session = aiohttp.ClientSession()
 
     async def _list(self, request):
-        return web.json_response(
+        listed = [
             {
-                "instances": [
-                    {
-                        "id": "i-1",
-                        "service": "llm",
-                        "address": self.engine.address,
-                        "zone": "z",
-                        "state": "ready",
-                        "slots": 8,
-                    }
-                ],
-                "next": None,
+                "id": name,
+                "service": "llm",
+                "address": self.engine.address,
+                "zone": "z",
+                "state": "ready",
+                "slots": 8,
             }
+            for name in self.listed
+        ]
+        entries = [json.dumps(each).encode() for each in listed]
+        if self.odd_entry is not None:
+            entries.insert(0, self.odd_entry)
+        return web.Response(
+            body=b'{"instances":[%s],"next":null}' % b",".join(entries),
+            content_type="application/json",
         )
 
     async def start_control(self, number, first_start=True):
@@ -393,3 +400,29 @@
         in ("entry instance started", "control replica started")
     ]
     assert digests == [source_digest.source_digest()] * 4
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [*odd_json.DEEP, b"9" * 400, b'"\\ud800"', b"tru"],
+    ids=["list", "object", "number", "text", "token"],
+)
+async def test_list_is_followed_whatever_one_entry_holds(fleet, odd):
+    """Fault: the readers of the list ended, or followed it no more."""
+    entry = {"service": "llm", "zone": "z", "state": "ready", "id": "i-odd"}
+    fleet.odd_entry = odd_json.changed(
+        {**entry, "address": fleet.engine.address},
+        {"slots": odd, "other": odd},
+    )
+    await fleet.publish_until_accepted(document(version=7))
+    fleet.listed = ["i-1", "i-2"]
+
+    async def follows():
+        nodes = [fleet.entry, *fleet.control_by_number.values()]
+        return all(
+            {each.backend_id for each in node.listing.backends}
+            >= {"i-1", "i-2"}
+            for node in nodes
+        )
+
+    await fleet.wait_until(follows, 4.0)
