Refuse configurations with values nested too deeply or out of range

What operators saw: 500, with no clear answer, for a document nested 100,000 deep, with a version of 400 digits, or with a number of 5,000 digits in an unknown field; the same document is then sent again. Weights of 1e308 were taken, and no service could be drawn for their route.

Cause: only the decoder's own errors counted as a refusal; `RecursionError`, the digest's errors and `OverflowError` at the proposal did not. Numbers had no bounds.

Change: 400 for what is nested too deeply; each number has bounds, and 422 beyond them; the digest falls back to the bytes of the document.

--- a/src/oriolejunction/fleet_messages.py
+++ b/src/oriolejunction/fleet_messages.py
@@ -16,7 +16,7 @@
 # Change number of a watcher that has received no reply yet.
 NO_CHANGE_SEEN = -1
 # Above the version of any table.
-NO_DOCUMENTS = routing_table.TableVersion((1 << 63) - 1)
+NO_DOCUMENTS = routing_table.TableVersion(routing_table.MAX_VERSION + 1)
 
 
 class BackendLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oriolejunction/platform/configuration_document.py
+++ b/src/oriolejunction/platform/configuration_document.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import typing
 
 import msgspec
 
@@ -12,11 +13,20 @@
 from oriolejunction import ids
 from oriolejunction import routing_table
 from oriolejunction import states
+from oriolejunction import tolerant_json
+
+# Beyond what any deployment has, and far from the limits of arithmetic.
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+_Rank = typing.Annotated[int, msgspec.Meta(ge=-(10**6), le=10**6)]
+_Version = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=routing_table.MAX_VERSION)
+]
 
 
 class _WeightedService(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _Route(msgspec.Struct):
@@ -25,54 +35,54 @@
     path_prefix: str = msgspec.field(name="pathPrefix")
     # Only the kind decides whether requests may be retried, never a name.
     kind: str
-    timeout_ms: float = msgspec.field(name="timeoutMs")
+    timeout_ms: _Amount = msgspec.field(name="timeoutMs")
     service: str | None = None
     traffic_split: list[_WeightedService] | None = msgspec.field(
         name="trafficSplit", default=None
     )
-    target_latency_ms: float = msgspec.field(
+    target_latency_ms: _Amount = msgspec.field(
         name="targetLatencyMs", default=0.0
     )
     # Here "priority" is the rank among routes, 0 first.
-    priority: int = 5
-    max_attempts: int = msgspec.field(name="maxAttempts", default=1)
+    priority: _Rank = 5
+    max_attempts: _Count = msgspec.field(name="maxAttempts", default=1)
     anonymous: bool = False
     resumable: bool = False
-    target_gap_ms: float | None = msgspec.field(
+    target_gap_ms: _Amount | None = msgspec.field(
         name="targetGapMs", default=None
     )
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 0
-    kv_cache_tokens: int = msgspec.field(name="kvCacheTokens", default=0)
+    slots: _Count = 0
+    kv_cache_tokens: _Count = msgspec.field(name="kvCacheTokens", default=0)
     # Tokens in one event of a stream.
-    stride: int = 1
+    stride: _Count = 1
     backups: bool = False
-    handle_ttl_s: float = msgspec.field(name="handleTtlS", default=0.0)
+    handle_ttl_s: _Amount = msgspec.field(name="handleTtlS", default=0.0)
 
 
 class _Service(msgspec.Struct):
     name: str
-    connection_limit: int = msgspec.field(name="connectionLimit", default=0)
+    connection_limit: _Count = msgspec.field(name="connectionLimit", default=0)
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = msgspec.field(name="maxHeaderBytes")
-    max_body_bytes: int = msgspec.field(name="maxBodyBytes")
-    header_timeout_ms: float = msgspec.field(name="headerTimeoutMs")
-    idle_timeout_ms: float = msgspec.field(name="idleTimeoutMs")
+    max_header_bytes: _Count = msgspec.field(name="maxHeaderBytes")
+    max_body_bytes: _Count = msgspec.field(name="maxBodyBytes")
+    header_timeout_ms: _Amount = msgspec.field(name="headerTimeoutMs")
+    idle_timeout_ms: _Amount = msgspec.field(name="idleTimeoutMs")
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = msgspec.field(name="apiKeys")
-    priority: int | None = None
+    priority: _Rank | None = None
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -90,12 +100,15 @@
 def read_table(document: bytes) -> routing_table.RoutingTable:
     """Return the table of a document.
 
-    Raise `Failure` with `UnfitTable`, whose message lists the faults.
+    Raise `Failure` with `UnfitTable`, whose message lists the faults, or with
+    `MalformedRequest` for values nested too deeply.
     """
     try:
         decoded = _decode(document)
         table = _convert_table(decoded)
-    except (msgspec.DecodeError, ValueError) as error:
+    except RecursionError:
+        raise errors.Failure(errors.MalformedRequest("nested too deeply"))
+    except ValueError as error:
         raise errors.Failure(errors.UnfitTable(str(error)))
     faults = routing_table.find_faults(table)
     if faults:
@@ -104,9 +117,15 @@
 
 
 def digest(document: bytes) -> str:
-    """Return a digest of the content that ignores the order of fields."""
-    content = msgspec.json.decode(document)
-    canonical = msgspec.json.encode(content, order="sorted")
+    """Return a digest of the content that ignores the order of fields.
+
+    The order counts if an unknown field holds what can't be decoded.
+    """
+    try:
+        content = msgspec.json.decode(document)
+        canonical = msgspec.json.encode(content, order="sorted")
+    except tolerant_json.DECODE_ERRORS:
+        canonical = document
     return hashlib.sha256(canonical).hexdigest()
 
 
--- a/src/oriolejunction/routing_table.py
+++ b/src/oriolejunction/routing_table.py
@@ -16,6 +16,8 @@
 
 TableVersion = typing.NewType("TableVersion", int)
 NO_TABLE = TableVersion(-1)
+# Messages hold 64-bit integers, of which the highest stands for no version.
+MAX_VERSION = TableVersion((1 << 63) - 2)
 
 
 class WeightedService(msgspec.Struct, frozen=True):
