Treat values nested too deeply as unreadable in all decoders of outside input

What callers and operators could see: 500 for a body or order nested 100,000 deep; a stream that ends with an error of the instance instead of going on at another engine; probes of an engine that end with an exception. Numbers of 400 digits in an engine's report or event were taken and raised `OverflowError` where they are sent on.

Cause: `RecursionError` is no decoding error, and numbers had no bounds.

--- a/src/oriolejunction/engine_protocol.py
+++ b/src/oriolejunction/engine_protocol.py
@@ -10,6 +10,7 @@
 from oriolejunction import commands
 from oriolejunction import ids
 from oriolejunction import states
+from oriolejunction import tolerant_json
 
 LEAVING_HEADER = "X-Engine-Leaving"
 
@@ -47,12 +48,12 @@
 
     generation: ids.GenerationId
     attempt: ids.AttemptNumber
-    offset: int
-    ids: tuple[int, ...] = ()
+    offset: tolerant_json.Count
+    ids: tuple[tolerant_json.Count, ...] = ()
     text: str = ""
     safe: bool = True
     finish_reason: states.FinishReason | None = None
-    prompt_tokens: int = 0
+    prompt_tokens: tolerant_json.Count = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -64,14 +65,14 @@
 
     engine_id: ids.EngineId
     incarnation: str
-    running: int
-    waiting: int
-    tokens_per_s: float
+    running: tolerant_json.Count
+    waiting: tolerant_json.Count
+    tokens_per_s: tolerant_json.Amount
     leaving: bool = False
-    age_ms: float = 0.0
-    max_running: int = 0
-    kv_tokens: int = 0
-    kv_limit_tokens: int = 0
+    age_ms: tolerant_json.Amount = 0.0
+    max_running: tolerant_json.Count = 0
+    kv_tokens: tolerant_json.Count = 0
+    kv_limit_tokens: tolerant_json.Count = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/oriolejunction/http/engine_client.py
+++ b/src/oriolejunction/http/engine_client.py
@@ -12,6 +12,7 @@
 from oriolejunction import errors
 from oriolejunction import ids
 from oriolejunction import states
+from oriolejunction import tolerant_json
 
 CANCEL_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
@@ -41,7 +42,7 @@
             continue
         try:
             events.append(_decode_event(block[6:]))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except tolerant_json.DECODE_ERRORS as error:
             raise errors.Failure(
                 errors.AttemptLost(
                     f"bad event: {error}", cause=states.LossCause.MALFORMED
--- a/src/oriolejunction/http/openai_answers.py
+++ b/src/oriolejunction/http/openai_answers.py
@@ -9,6 +9,7 @@
 from oriolejunction.controllers import sampling
 from oriolejunction import errors
 from oriolejunction import ids
+from oriolejunction import tolerant_json
 
 DONE_EVENT = b"data: [DONE]\n\n"
 SEED_HEADER = "X-Seed"
@@ -18,7 +19,7 @@
     """Return the code in the body of an error reply, None without one."""
     try:
         return orjson.loads(body)["error"]["code"]
-    except (orjson.JSONDecodeError, KeyError, TypeError):
+    except (*tolerant_json.DECODE_ERRORS, KeyError, TypeError):
         return None
 
 
--- a/src/oriolejunction/http/openai_requests.py
+++ b/src/oriolejunction/http/openai_requests.py
@@ -11,6 +11,7 @@
 from oriolejunction import engine_protocol
 from oriolejunction import errors
 from oriolejunction import ids
+from oriolejunction import tolerant_json
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 1 << 17
@@ -69,7 +70,7 @@
     """Return the valid body or raise `Failure` with `MalformedRequest`."""
     try:
         body = _decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except tolerant_json.DECODE_ERRORS as error:
         raise _malformed(str(error))
     if chat and not body.messages:
         raise _malformed("messages are required")
--- a/src/oriolejunction/http/operators.py
+++ b/src/oriolejunction/http/operators.py
@@ -21,6 +21,7 @@
 from oriolejunction.questionnaire import differences
 from oriolejunction.questionnaire import generate
 from oriolejunction.questionnaire import safety_reductions
+from oriolejunction import tolerant_json
 
 MAX_ANSWERS_BYTES = 4 << 20
 _OPERATOR_KEY = web.RequestKey("operator", str)
@@ -195,7 +196,7 @@
 def _change_request(data: bytes) -> ChangeRequest:
     try:
         return msgspec.json.decode(data, type=ChangeRequest)
-    except msgspec.DecodeError as error:
+    except tolerant_json.DECODE_ERRORS as error:
         raise errors.Failure(errors.MalformedRequest(str(error)))
 
 
--- a/src/oriolejunction/http/order_client.py
+++ b/src/oriolejunction/http/order_client.py
@@ -12,6 +12,7 @@
 from oriolejunction import engine_protocol
 from oriolejunction import errors
 from oriolejunction.http import bounded_body
+from oriolejunction.http import fetch_errors
 
 OBSERVE_TIMEOUT_S = 1.0
 _encode = msgspec.json.Encoder().encode
@@ -45,12 +46,7 @@
                     return None
                 response.raise_for_status()
                 holdings = _decode_holdings(await bounded_body.read(response))
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ) as error:
+        except fetch_errors.FETCH_ERRORS as error:
             raise errors.Failure(errors.NoEngine(repr(error)))
         return order_executor.EngineHoldings(holdings.loaded, holdings.busy)
 
--- a/src/oriolejunction/platform/configuration_document.py
+++ b/src/oriolejunction/platform/configuration_document.py
@@ -15,9 +15,8 @@
 from oriolejunction import states
 from oriolejunction import tolerant_json
 
-# Beyond what any deployment has, and far from the limits of arithmetic.
-_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
-_Amount = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+_Count = tolerant_json.Count
+_Amount = tolerant_json.Amount
 _Rank = typing.Annotated[int, msgspec.Meta(ge=-(10**6), le=10**6)]
 _Version = typing.Annotated[
     int, msgspec.Meta(ge=0, le=routing_table.MAX_VERSION)
@@ -29,55 +28,49 @@
     weight: _Amount
 
 
-class _Route(msgspec.Struct):
+class _Route(msgspec.Struct, rename="camel"):
     name: str
     host: str
-    path_prefix: str = msgspec.field(name="pathPrefix")
+    path_prefix: str
     # Only the kind decides whether requests may be retried, never a name.
     kind: str
-    timeout_ms: _Amount = msgspec.field(name="timeoutMs")
+    timeout_ms: _Amount
     service: str | None = None
-    traffic_split: list[_WeightedService] | None = msgspec.field(
-        name="trafficSplit", default=None
-    )
-    target_latency_ms: _Amount = msgspec.field(
-        name="targetLatencyMs", default=0.0
-    )
+    traffic_split: list[_WeightedService] | None = None
+    target_latency_ms: _Amount = 0.0
     # Here "priority" is the rank among routes, 0 first.
     priority: _Rank = 5
-    max_attempts: _Count = msgspec.field(name="maxAttempts", default=1)
+    max_attempts: _Count = 1
     anonymous: bool = False
     resumable: bool = False
-    target_gap_ms: _Amount | None = msgspec.field(
-        name="targetGapMs", default=None
-    )
+    target_gap_ms: _Amount | None = None
 
 
-class _Engine(msgspec.Struct):
+class _Engine(msgspec.Struct, rename="camel"):
     slots: _Count = 0
-    kv_cache_tokens: _Count = msgspec.field(name="kvCacheTokens", default=0)
+    kv_cache_tokens: _Count = 0
     # Tokens in one event of a stream.
     stride: _Count = 1
     backups: bool = False
-    handle_ttl_s: _Amount = msgspec.field(name="handleTtlS", default=0.0)
+    handle_ttl_s: _Amount = 0.0
 
 
-class _Service(msgspec.Struct):
+class _Service(msgspec.Struct, rename="camel"):
     name: str
-    connection_limit: _Count = msgspec.field(name="connectionLimit", default=0)
+    connection_limit: _Count = 0
     engine: _Engine | None = None
 
 
-class _Limits(msgspec.Struct):
-    max_header_bytes: _Count = msgspec.field(name="maxHeaderBytes")
-    max_body_bytes: _Count = msgspec.field(name="maxBodyBytes")
-    header_timeout_ms: _Amount = msgspec.field(name="headerTimeoutMs")
-    idle_timeout_ms: _Amount = msgspec.field(name="idleTimeoutMs")
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_ms: _Amount
+    idle_timeout_ms: _Amount
 
 
-class _Tenant(msgspec.Struct):
+class _Tenant(msgspec.Struct, rename="camel"):
     name: str
-    api_keys: list[str] = msgspec.field(name="apiKeys")
+    api_keys: list[str]
     priority: _Rank | None = None
 
 
--- a/src/oriolejunction/platform/engine_report.py
+++ b/src/oriolejunction/platform/engine_report.py
@@ -9,34 +9,41 @@
 from oriolejunction import gateway_messages
 from oriolejunction import ids
 from oriolejunction.platform import backend_list
+from oriolejunction import tolerant_json
 
 TARGET = "/v1/report"
 
 
 class _Report(msgspec.Struct):
-    queued: int = msgspec.field(name="queuedRequests", default=0)
+    queued: tolerant_json.Count = msgspec.field(
+        name="queuedRequests", default=0
+    )
     # Includes requests in prefill, which `runs` does not list yet.
-    active: int = msgspec.field(name="activeRequests", default=0)
+    active: tolerant_json.Count = msgspec.field(
+        name="activeRequests", default=0
+    )
     # Each entry is [request id, tokens in memory, events made, priority].
     runs: list[msgspec.Raw] = []
     born: object = 0
 
 
 _decode_report = msgspec.json.Decoder(_Report).decode
-_decode_run = msgspec.json.Decoder(tuple[str, int, int, int]).decode
+_decode_run = msgspec.json.Decoder(
+    tuple[str, tolerant_json.Count, tolerant_json.Count, int]
+).decode
 
 
 def read_report(body: bytes) -> gateway_messages.EngineReport | None:
     """Return a report, None if it cannot be read."""
     try:
         report = _decode_report(body)
-    except msgspec.DecodeError:
+    except tolerant_json.DECODE_ERRORS:
         return None
     run_by_request = {}
     for entry in report.runs:
         try:
             request_id, kv_tokens, events, _ = _decode_run(entry)
-        except msgspec.DecodeError:
+        except tolerant_json.DECODE_ERRORS:
             continue
         run_by_request[ids.RequestId(request_id)] = (
             gateway_messages.ReportedRun(kv_tokens, events)
--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -15,6 +15,7 @@
 from oriolejunction import publish_errors
 from oriolejunction import rollout_errors
 from oriolejunction import rollout_messages as rm
+from oriolejunction import tolerant_json
 
 MAX_DOCUMENT_BYTES = 64 << 20
 REPLACE = "/v1/Configuration.Replace"
@@ -81,7 +82,7 @@
     async def begin(request: web.Request) -> web.Response:
         try:
             body = _decode_rollout(await request.read())
-        except (msgspec.DecodeError, ValueError) as error:
+        except tolerant_json.DECODE_ERRORS as error:
             raise errors.Failure(errors.MalformedRequest(str(error)))
         order = rm.BeginRequest(
             ids.ServiceName(body.service),
--- a/src/oriolejunction/questionnaire/answers.py
+++ b/src/oriolejunction/questionnaire/answers.py
@@ -8,6 +8,7 @@
 from oriolejunction import configuration
 from oriolejunction import errors
 from oriolejunction import states
+from oriolejunction import tolerant_json
 
 KEY_DIGEST_PREFIX = "sha256:"
 
@@ -69,7 +70,7 @@
     """
     try:
         return msgspec.toml.decode(text, type=Answers)
-    except (msgspec.DecodeError, ValueError) as error:
+    except tolerant_json.DECODE_ERRORS as error:
         raise errors.Failure(errors.FaultyAnswers(_format_fault(str(error))))
 
 
--- a/src/oriolejunction/tolerant_json.py
+++ b/src/oriolejunction/tolerant_json.py
@@ -6,6 +6,7 @@
 
 import itertools
 import re
+import typing
 
 import msgspec
 
@@ -14,6 +15,10 @@
 # than the stack.
 DECODE_ERRORS = (ValueError, OverflowError, RecursionError)
 _STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
+# Beyond what any outside system has, and far from the limits of arithmetic
+# and of the messages between processes.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+Amount = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 # Strings, brackets and commas; all else lies in between.
 _TOKEN = re.compile(_STRING + rb"|[\[\]{},]", re.DOTALL)
 # Within an item: strings, and runs of brackets as they open or close, with the
