Take a stream up without a record only if a majority knows the versions

An answer of control replicas that are no majority was trusted in the same way.

Change: only what a majority of the control replicas tells counts as current; otherwise the stream is not run, 503. Up to three replicas are looked up, since two of five may have no majority.

--- a/src/oriolejunction/controllers/software_choice.py
+++ b/src/oriolejunction/controllers/software_choice.py
@@ -38,27 +38,31 @@
     """Return the version at which a stream goes on that a caller takes up.
 
     `own` is this instance's record, `reply` that of the control replicas,
-    None if none answered. A stream without a record may go on only if no
-    release was seen by a process that has known the list for `return_ms`, the
-    longest time since such a stream began, or if all control replicas have
-    only one version on their disks; this instance has known the list for
-    `own_covered_ms`. A record that a majority may have replaced counts only
-    if no other version was seen.
+    None if none answered. All else that this instance knows may be out of
+    step: engines of a new version may have joined, and begun the stream,
+    since it last heard of the list. So only what a majority of the control
+    replicas tells is current.
+
+    A stream without a record may go on only if no release was seen by a
+    process that has known the list for `return_ms`, the longest time since
+    such a stream began, or if all control replicas have only one version on
+    their disks; this instance has known the list for `own_covered_ms`.
     """
     unknown = Resumption(None, 0, states.OriginSource.UNKNOWN)
-    versions, covered_ms = set(own_versions), own_covered_ms
     if own is not None:
         if own.ambiguous:
             return unknown
         return Resumption(own.software, own.number, states.OriginSource.OWN)
+    versions, covered_ms = set(own_versions), own_covered_ms
+    is_current = False
     if reply is not None:
         versions.update(reply.versions)
         covered_ms = max(covered_ms, reply.covered_ms)
         if reply.lasting:
             covered_ms = math.inf
+        is_current = reply.by_majority
         origin = reply.origin
         if origin is not None:
-            is_current = reply.by_majority or versions == {origin.software}
             if origin.ambiguous or not is_current:
                 return unknown
             return Resumption(
@@ -68,8 +72,9 @@
         return unknown
     (software,) = versions
     # Servers that state no version are not told apart by any release.
-    if software != NO_VERSION and covered_ms < return_ms:
-        return unknown
+    if software != NO_VERSION:
+        if not is_current or covered_ms < return_ms:
+            return unknown
     return Resumption(software, 0, states.OriginSource.SINGLE_VERSION)
 
 
--- a/src/oriolejunction/peers/origin_client.py
+++ b/src/oriolejunction/peers/origin_client.py
@@ -33,6 +33,8 @@
 MIN_RENEWAL_CHECK_MS = 50.0
 # Replicas that are asked before a call counts as failed.
 MAX_REPLICAS_ASKED = 2
+# Two may be on the side of a partition that has no majority of five.
+MAX_REPLICAS_LOOKED_UP = 3
 _log = structlog.get_logger(__name__)
 
 Replicas = collections.abc.Callable[[], list[str]]
@@ -157,10 +159,10 @@
     ) -> fm.OriginReply | None:
         """Return what the control replicas know, None if none answers.
 
-        Where the first one can't ask a majority, another one is asked too.
+        Where the first one can't ask a majority, others are asked too.
         """
         replies: list[fm.OriginReply] = []
-        for address in self._replicas()[:MAX_REPLICAS_ASKED]:
+        for address in self._replicas()[:MAX_REPLICAS_LOOKED_UP]:
             reply = await self._ask(
                 address,
                 fleet_methods.ORIGIN_LOOKUP,
--- a/tests/controllers/test_software_choice.py
+++ b/tests/controllers/test_software_choice.py
@@ -32,11 +32,18 @@
         ),
         (
             None,
-            fm.OriginReply(None, ("v1",), **FULL),
+            fm.OriginReply(None, ("v1",), **SURE, **FULL),
             {"v1"},
             ("v1", 0, SOURCE.SINGLE_VERSION),
         ),
-        (None, fm.OriginReply(None, ("v1", "v2"), **FULL), {"v1"}, None),
+        (
+            None,
+            fm.OriginReply(None, ("v1", "v2"), **SURE, **FULL),
+            {"v1"},
+            None,
+        ),
+        # The replicas that answer may be out of step with this instance.
+        (None, fm.OriginReply(None, ("v1",), **FULL), {"v1"}, None),
         (None, None, {"v1", "v2"}, None),
         (None, None, set(), None),
         # An instance, or all replicas, that started again know no version
@@ -48,7 +55,7 @@
         (None, None, {""}, ("", 0, SOURCE.SINGLE_VERSION)),
         # A majority may have recorded a change that these replicas lack.
         (None, fm.OriginReply(ORIGIN), {"v1", "v2"}, None),
-        (None, fm.OriginReply(ORIGIN), {"v1"}, ("v1", 3, SOURCE.CONTROL)),
+        (None, fm.OriginReply(ORIGIN), {"v1"}, None),
         # Two instances recorded different versions under one number.
         (AMBIGUOUS, None, {"v1"}, None),
         (None, fm.OriginReply(AMBIGUOUS, **SURE), {"v1"}, None),
@@ -63,11 +70,14 @@
     assert source is choice.source
 
 
-def test_instance_that_knows_the_list_for_long_resumes_by_itself():
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_instance_out_of_step_resumes_nothing_by_itself(is_answered):
+    """Fault: engines of a new version had joined since it read the list."""
+    reply = fm.OriginReply(by_majority=True) if is_answered else None
     choice = software_choice.choose_for_resumption(
-        None, None, {"v1"}, RETURN_MS, RETURN_MS
+        None, reply, {"v1"}, RETURN_MS, RETURN_MS
     )
-    assert choice.software == "v1"
+    assert choice.software == ("v1" if is_answered else None)
 
 
 def test_versions_are_complete_only_while_the_list_is_read():
--- a/tests/test_fleet_nodes.py
+++ b/tests/test_fleet_nodes.py
@@ -59,14 +59,14 @@
     )
 
 
-def entry(tmp_path):
+def entry(tmp_path, name="entry", ip=ENTRY):
     return entry_wiring.EntryNode(
         settings(
             tmp_path,
-            "entry",
-            ip=ENTRY,
-            caller_listen=f"{ENTRY}:{ENTRY_PORT}",
-            ready_listen=f"{ENTRY}:{READY_PORT}",
+            name,
+            ip=ip,
+            caller_listen=f"{ip}:{ENTRY_PORT}",
+            ready_listen=f"{ip}:{READY_PORT}",
             grace_ms=6_000,
         )
     )
