Name the pieces after documents, which may be tables or configurations

The product's own configuration is to be sent in the same way as routing tables. No behaviour changes. tests/controllers/test_document_transfer.py, tests/test_thin_link_nodes.py and tests/peers pass.

--- a/src/oriolejunction/controllers/table_transfer.py
+++ b/src/oriolejunction/controllers/document_transfer.py
@@ -1,4 +1,4 @@
-"""Puts the pieces of a routing table's document together.
+"""Puts the pieces of a routing table or a configuration together.
 
 Load pattern: the pieces come over a link that is nearly full, from control
 replicas of which one or another is lost on the way. What has arrived is kept,
@@ -8,9 +8,8 @@
 import dataclasses
 import zlib
 
-from oriolejunction.controllers import table_pieces
-from oriolejunction import routing_table
-from oriolejunction import table_messages
+from oriolejunction.controllers import document_pieces
+from oriolejunction import document_messages
 
 # A piece takes 0.14 s on a link of 3.75 Mbit/s that is three quarters full.
 FIRST_TIMEOUT_MS = 1_000.0
@@ -27,13 +26,13 @@
 class ReceivedDocument:
     """A whole document, and what its transfer took."""
 
-    version: routing_table.TableVersion
-    document: bytes
+    version: int
+    content: bytes
     pieces: int
     compressed_bytes: int
 
 
-class TableTransfer:
+class DocumentTransfer:
     """The document that is being received, if any."""
 
     def __init__(self) -> None:
@@ -41,7 +40,7 @@
         self._clear()
 
     def _clear(self) -> None:
-        self.version = routing_table.NO_TABLE
+        self.version = document_messages.NO_VERSION
         self.size = 0
         self._pieces = 0
         self._compressed_bytes = 0
@@ -58,13 +57,11 @@
         """Return the time limit of the next piece."""
         return min(MAX_TIMEOUT_MS, FIRST_TIMEOUT_MS * 2.0**self._failures)
 
-    def next_request(
-        self, held: routing_table.TableVersion
-    ) -> table_messages.TableRequest:
+    def next_request(self, held: int) -> document_messages.PieceRequest:
         """Return the request for the next piece."""
         if self.version <= held:
             self._clear()
-        return table_messages.TableRequest(
+        return document_messages.PieceRequest(
             held, self.version, self._digest, len(self._received)
         )
 
@@ -72,7 +69,9 @@
         """Count a piece that did not arrive in time."""
         self._failures += 1
 
-    def add(self, piece: table_messages.TablePiece) -> ReceivedDocument | None:
+    def add(
+        self, piece: document_messages.DocumentPiece
+    ) -> ReceivedDocument | None:
         """Add a piece; return the document once it is complete.
 
         Raise `PieceRejected` for a piece that does not fit, after which the
@@ -85,7 +84,7 @@
             raise
 
     def _add(
-        self, piece: table_messages.TablePiece
+        self, piece: document_messages.DocumentPiece
     ) -> ReceivedDocument | None:
         if (piece.version, piece.digest) != (self.version, self._digest):
             self._clear()
@@ -107,7 +106,7 @@
             self._pieces,
             self._compressed_bytes,
         )
-        if table_pieces.digest_of(received.document) != self._digest:
+        if document_pieces.digest_of(received.content) != self._digest:
             raise PieceRejected("another digest")
         self._clear()
         return received
@@ -118,7 +117,7 @@
     decompress = zlib.decompressobj()
     try:
         part = decompress.decompress(
-            data, table_pieces.MAX_DOCUMENT_PART_BYTES
+            data, document_pieces.MAX_DOCUMENT_PART_BYTES
         )
     except zlib.error as error:
         raise PieceRejected(str(error)) from error
--- a/src/oriolejunction/peers/fleet_service.py
+++ b/src/oriolejunction/peers/fleet_service.py
@@ -14,9 +14,10 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.consensus import raft_replica
+from oriolejunction.controllers import document_pieces
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import stream_origins
-from oriolejunction.controllers import table_pieces
+from oriolejunction import document_messages
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
 from oriolejunction.peers import fleet_methods
@@ -27,7 +28,6 @@
 from oriolejunction.peers import watch_replies
 from oriolejunction.peers import watch_rounds
 from oriolejunction import routing_table
-from oriolejunction import table_messages
 
 # The first reply of an instance, which may arrive with those of others.
 FIRST_REPLY_MS = 5.0
@@ -86,7 +86,7 @@
             deps.stub_for,
         )
         self._followed_version = routing_table.NO_TABLE
-        self._pieces = table_pieces.TablePieces()
+        self._pieces = document_pieces.DocumentPieces()
         self._listing_told = ""
 
     def add_to(self, server: grpc.aio.Server) -> None:
@@ -238,8 +238,8 @@
                 return self._replies.reply_to(request)
 
     async def _table(
-        self, request: table_messages.TableRequest
-    ) -> table_messages.TablePiece:
+        self, request: document_messages.PieceRequest
+    ) -> document_messages.DocumentPiece:
         self._follow_table()
         return self._pieces.next_piece(
             request,
--- a/src/oriolejunction/peers/table_follower.py
+++ b/src/oriolejunction/peers/table_follower.py
@@ -15,7 +15,7 @@
 
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
-from oriolejunction.controllers import table_transfer
+from oriolejunction.controllers import document_transfer
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -63,7 +63,7 @@
 
     def __init__(self, deps: FollowerDependencies) -> None:
         self._deps = deps
-        self._transfer = table_transfer.TableTransfer()
+        self._transfer = document_transfer.DocumentTransfer()
         # The newest version that a replica has.
         self.announced = routing_table.NO_TABLE
         self._is_behind = asyncio.Event()
@@ -154,7 +154,7 @@
                 self._transfer.record_timeout()
             self._record_failure(address, error.code().name)
             return False
-        except table_transfer.PieceRejected as error:
+        except document_transfer.PieceRejected as error:
             self._record_failure(address, str(error))
             return False
         self._record_progress()
@@ -162,11 +162,11 @@
             self._log_received(
                 address,
                 received.version,
-                bytes=len(received.document),
+                bytes=len(received.content),
                 compressed_bytes=received.compressed_bytes,
                 pieces=received.pieces,
             )
-            self._offer(received.version, received.document, piece.fresh)
+            self._offer(received.version, received.content, piece.fresh)
         return True
 
     async def _fetch_whole_from(self, address: str) -> bool:
--- a/tests/controllers/test_table_transfer.py
+++ b/tests/controllers/test_document_transfer.py
@@ -7,8 +7,8 @@
 import msgspec
 import pytest
 
-from oriolejunction.controllers import table_pieces
-from oriolejunction.controllers import table_transfer
+from oriolejunction.controllers import document_pieces
+from oriolejunction.controllers import document_transfer
 from oriolejunction import routing_table
 
 NOTHING_HELD = routing_table.NO_TABLE
@@ -23,7 +23,7 @@
 
 
 def replica(*versions):
-    pieces = table_pieces.TablePieces()
+    pieces = document_pieces.DocumentPieces()
     for version in versions:
         pieces.add(routing_table.TableVersion(version), document(version))
     return pieces
@@ -41,30 +41,30 @@
 
 @pytest.fixture
 def transfer():
-    return table_transfer.TableTransfer()
+    return document_transfer.DocumentTransfer()
 
 
 @pytest.fixture
 def small_pieces(monkeypatch):
     """Cut documents into pieces of 1 KB, as if they were large."""
-    monkeypatch.setattr(table_pieces, "MAX_PIECE_BYTES", 1_024)
-    monkeypatch.setattr(table_pieces, "MAX_DOCUMENT_PART_BYTES", 4_096)
+    monkeypatch.setattr(document_pieces, "MAX_PIECE_BYTES", 1_024)
+    monkeypatch.setattr(document_pieces, "MAX_DOCUMENT_PART_BYTES", 4_096)
 
 
 def test_large_document_arrives_in_small_pieces(transfer):
-    pieces = table_pieces.TablePieces()
+    pieces = document_pieces.DocumentPieces()
     content = b"".join(b"%x" % (n**9 % 1_000_003) for n in range(2 * 10**5))
     pieces.add(routing_table.TableVersion(5), content)
     piece = pieces.next_piece(transfer.next_request(NOTHING_HELD), True)
-    assert len(piece.data) <= table_pieces.MAX_PIECE_BYTES
+    assert len(piece.data) <= document_pieces.MAX_PIECE_BYTES
     received = receive_all(transfer, pieces)
-    assert received.document == content
+    assert received.content == content
     assert received.pieces > 5
 
 
 def test_piece_bounds_what_does_not_compress(transfer):
     piece = replica(3).next_piece(transfer.next_request(NOTHING_HELD), True)
-    assert len(piece.data) <= table_pieces.MAX_PIECE_BYTES + 64
+    assert len(piece.data) <= document_pieces.MAX_PIECE_BYTES + 64
 
 
 @pytest.mark.usefixtures("small_pieces")
@@ -74,7 +74,7 @@
     before = transfer.received_bytes
     assert receive(transfer, second) is None
     assert transfer.received_bytes > before > 0
-    assert receive_all(transfer, first).document == document(3)
+    assert receive_all(transfer, first).content == document(3)
 
 
 @pytest.mark.usefixtures("small_pieces")
@@ -106,7 +106,7 @@
 def test_replica_without_the_version_begins_its_newest(transfer):
     """Fault: a replica restarts, and knows its newest table only."""
     receive(transfer, replica(2))
-    assert receive_all(transfer, replica(3)).document == document(3)
+    assert receive_all(transfer, replica(3)).content == document(3)
 
 
 def test_replica_without_a_newer_table_sends_none(transfer):
@@ -119,10 +119,10 @@
 
 @pytest.mark.usefixtures("small_pieces")
 def test_memory_of_earlier_versions_is_bounded(monkeypatch):
-    monkeypatch.setattr(table_pieces, "MAX_EARLIER_BYTES", 100_000)
+    monkeypatch.setattr(document_pieces, "MAX_EARLIER_BYTES", 100_000)
     pieces = replica(*range(40))
-    assert sum(len(t.document) for t in pieces._tables.values()) <= 200_000
-    assert 39 in pieces._tables
+    assert sum(len(t.content) for t in pieces._documents.values()) <= 200_000
+    assert 39 in pieces._documents
 
 
 @pytest.mark.usefixtures("small_pieces")
@@ -145,9 +145,9 @@
     pieces = replica(3)
     receive(transfer, pieces)
     piece = pieces.next_piece(transfer.next_request(NOTHING_HELD), True)
-    with pytest.raises(table_transfer.PieceRejected):
+    with pytest.raises(document_transfer.PieceRejected):
         transfer.add(msgspec.structs.replace(piece, **change))
-    assert receive_all(transfer, pieces).document == document(3)
+    assert receive_all(transfer, pieces).content == document(3)
 
 
 @pytest.mark.usefixtures("small_pieces")
@@ -155,9 +155,9 @@
     pieces = replica(3)
     request = transfer.next_request(NOTHING_HELD)
     digest = pieces.next_piece(request, True).digest
-    for table in pieces._tables.values():
-        table.document = table.document[:-1] + b"?"
-    with pytest.raises(table_transfer.PieceRejected, match="digest"):
+    for each in pieces._documents.values():
+        each.content = each.content[:-1] + b"?"
+    with pytest.raises(document_transfer.PieceRejected, match="digest"):
         receive_all(transfer, pieces)
     assert transfer.next_request(NOTHING_HELD).digest != digest
 
@@ -190,8 +190,8 @@
 def test_versions_rise_and_are_whole_whatever_is_lost(steps):
     """Any order of commits, pieces, losses, repeats, moves and restarts."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(table_pieces, "MAX_PIECE_BYTES", 1_024)
-        patch.setattr(table_pieces, "MAX_DOCUMENT_PART_BYTES", 4_096)
+        patch.setattr(document_pieces, "MAX_PIECE_BYTES", 1_024)
+        patch.setattr(document_pieces, "MAX_DOCUMENT_PART_BYTES", 4_096)
         run_steps(steps)
 
 
@@ -199,7 +199,7 @@
     committed, held = [0], NOTHING_HELD
     applied = [1, 1, 1]
     replicas = [replica(0) for _ in applied]
-    transfer = table_transfer.TableTransfer()
+    transfer = document_transfer.DocumentTransfer()
 
     def take(piece):
         nonlocal held
@@ -207,10 +207,10 @@
             return
         try:
             received = transfer.add(piece)
-        except table_transfer.PieceRejected:
+        except document_transfer.PieceRejected:
             return
         if received is not None:
-            assert received.document == document(received.version)
+            assert received.content == document(received.version)
             assert received.version > held
             held = received.version
 
