Fetch the product's own configuration in pieces, apart from the lease

Change: a renewal announces the revision; the instance fetches its encoded content in the pieces that routing tables use, and renews its lease meanwhile. Leaders of earlier builds send it with the renewal, and instances of earlier builds get it so.

--- a/src/oriolejunction/messages.py
+++ b/src/oriolejunction/messages.py
@@ -5,6 +5,7 @@
 
 from oriolejunction import commands
 from oriolejunction import configuration
+from oriolejunction import document_messages
 from oriolejunction import ids
 from oriolejunction import message_base
 from oriolejunction import states
@@ -48,7 +49,8 @@
 class RenewRequest(message_base.Message, frozen=True):
     """Renew a configuration lease and report the applied revision.
 
-    `known_peers` is the digest of the lease holders known to the sender.
+    `known_peers` is the digest of the lease holders known to the sender. One
+    that `fetches_content` asks for the content by calls of their own.
     """
 
     instance: ids.InstanceId
@@ -58,6 +60,7 @@
     leaving: bool = False
     peer_address: str = ""
     known_peers: int = 0
+    fetches_content: bool = False
 
 
 class PeerInstance(message_base.Message, frozen=True):
@@ -71,7 +74,7 @@
 
 
 class RenewReply(message_base.Message, frozen=True):
-    """The latest revision; its content if the sender is behind.
+    """The latest revision; its content if the sender takes it here.
 
     A read barrier confirmed the revision. `lease_ms` counts from the time
     at which the request was sent. `peers` lists the lease holders if their
@@ -87,6 +90,14 @@
     peers_digest: int = 0
 
 
+class ContentReply(message_base.Message, frozen=True):
+    """A piece of the encoded configuration of a newer revision."""
+
+    piece: document_messages.DocumentPiece | None
+    not_leader: bool = False
+    leader_hint: str | None = None
+
+
 class StatusRequest(message_base.Message, frozen=True):
     """Ask for the revision in force on each instance."""
 
--- a/src/oriolejunction/peers/control_client.py
+++ b/src/oriolejunction/peers/control_client.py
@@ -5,6 +5,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction import commands
+from oriolejunction import document_messages
 from oriolejunction import errors
 from oriolejunction import ids
 from oriolejunction import messages
@@ -86,6 +87,16 @@
         """Renew a configuration lease."""
         return await self._call(methods.RENEW, request)
 
+    async def content(
+        self, request: document_messages.PieceRequest, timeout_ms: float
+    ) -> document_messages.DocumentPiece:
+        """Return the next piece of a newer configuration."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        reply = await self._call(
+            methods.CONTENT, request, deadline_ms, timeout_ms
+        )
+        return reply.piece
+
     async def status(self) -> messages.StatusReply:
         """Return the revision in force on each instance."""
         return await self._call(methods.STATUS, messages.StatusRequest())
--- a/src/oriolejunction/peers/control_service.py
+++ b/src/oriolejunction/peers/control_service.py
@@ -1,11 +1,14 @@
 """gRPC service of a control replica."""
 
 import grpc
+import msgspec
 
 from oriolejunction import clock as clocks
 from oriolejunction import commands
 from oriolejunction.consensus import replica as replicas
+from oriolejunction.controllers import document_pieces
 from oriolejunction.controllers import lease_table
+from oriolejunction import document_messages
 from oriolejunction import ids
 from oriolejunction import messages
 from oriolejunction.peers import methods
@@ -30,6 +33,8 @@
         self._clock = clock
         self._leases_term: int | None = None
         self._leases = lease_table.new_table(0.0, ids.NO_REVISION)
+        self._pieces = document_pieces.DocumentPieces()
+        self._offered = ids.NO_REVISION
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve on a gRPC server."""
@@ -38,6 +43,7 @@
             {
                 methods.PROPOSE: self._propose,
                 methods.RENEW: self._renew,
+                methods.CONTENT: self._content,
                 methods.STATUS: self._status,
                 methods.AUDIT: self._audit,
                 methods.IN_FORCE: self._in_force,
@@ -122,15 +128,36 @@
         lease_table.renew(self._leases, request, now_ms)
         peers = lease_table.live_peers(self._leases, now_ms)
         peers_known = peers is None or request.known_peers == peers.digest
-        is_outdated = request.applied < history.revision
+        takes_content = (
+            request.applied < history.revision and not request.fetches_content
+        )
         return messages.RenewReply(
             revision=history.revision,
-            configuration=history.content if is_outdated else None,
+            configuration=history.content if takes_content else None,
             lease_ms=lease_table.LEASE_MS,
             peers=None if peers_known else peers.instances,
             peers_digest=request.known_peers if peers_known else peers.digest,
         )
 
+    async def _content(
+        self, request: document_messages.PieceRequest
+    ) -> messages.ContentReply:
+        try:
+            await self._confirm_leadership()
+        except replicas.NotLeader as error:
+            return messages.ContentReply(
+                None, not_leader=True, leader_hint=error.hint
+            )
+        history = self._replica.state.history
+        if history.revision > self._offered:
+            self._offered = history.revision
+            self._pieces.add(
+                history.revision, msgspec.msgpack.encode(history.content)
+            )
+        return messages.ContentReply(
+            self._pieces.next_piece(request, is_fresh=True)
+        )
+
     async def _status(
         self, request: messages.StatusRequest
     ) -> messages.StatusReply:
--- a/src/oriolejunction/peers/methods.py
+++ b/src/oriolejunction/peers/methods.py
@@ -1,5 +1,6 @@
 """gRPC methods of the Control and Gossip services."""
 
+from oriolejunction import document_messages
 from oriolejunction import gossip_wire
 from oriolejunction import messages
 from oriolejunction.peers import rpc
@@ -10,6 +11,12 @@
 RENEW = rpc.Method(
     "Control", "Renew", messages.RenewRequest, messages.RenewReply
 )
+CONTENT = rpc.Method(
+    "Control",
+    "Content",
+    document_messages.PieceRequest,
+    messages.ContentReply,
+)
 STATUS = rpc.Method(
     "Control", "Status", messages.StatusRequest, messages.StatusReply
 )
