--- a/tests/test_thin_link_nodes.py
+++ b/tests/test_thin_link_nodes.py
@@ -1,12 +1,14 @@
 """Large tables come into force at instances whose links are thin and full."""
 
 import asyncio
+import random
 
 import grpc
 import msgspec
 import pytest
 import structlog
 
+from oriolejunction import backends
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
@@ -164,3 +166,56 @@
     assert reply.document == thin_link.document(2, LARGE_ROUTES)
     session.close()
     await pool.close()
+
+
+async def test_list_and_loads_of_the_aim_fit_into_a_reply(deployment):
+    """Load: an instance moves to another replica, which tells it all.
+
+    There are 1,100 servers, and the link has 3.75 Mbit/s.
+    """
+    rng = random.Random(1)
+    listed = tuple(
+        backends.Backend(
+            ids.BackendId(f"i-{rng.randrange(16 ** 10):010x}"),
+            ids.ServiceName("llm"),
+            f"10.0.{number // 250}.{number % 250}:8743",
+            ids.ZoneId("z"),
+            12,
+            software=ids.SoftwareVersion("v1"),
+            born=1_767_000_000_000 + rng.randrange(10**8),
+        )
+        for number in range(1_100)
+    )
+    loads = tuple(
+        fm.BackendLoad(
+            each.backend_id,
+            rng.randrange(12),
+            rng.randrange(88_000),
+            rng.randrange(9_000),
+        )
+        for each in listed
+    )
+    speeds = tuple(
+        fm.EngineSpeed(each.backend_id, 30.0 * rng.random(), 99 * rng.random())
+        for each in listed
+    )
+    report = fm.EntryReport(
+        ids.InstanceId("other"), "b", 1, loads, speeds=speeds
+    )
+    for control in deployment.controls:
+        control.service._deps.listing.store_fetched(listed)
+        control.service._deps.hub.put(report, direct=False)
+    deployment.link.bytes_per_s /= 2
+    with structlog.testing.capture_logs() as lines:
+        for control in deployment.controls:
+            control.proxy.reset_connections()
+        board = deployment.entry._blackboard
+        async with asyncio.timeout(3.0):
+            while len(board.backends.read().by_id) < len(listed) or len(
+                board.fleet.read().load_by_id
+            ) < len(listed):
+                await asyncio.sleep(0.01)
+    late = [
+        each for each in unanswered_watches(lines) if "time" in each["why"]
+    ]
+    assert not late
