Let go of a routing table that only running requests still hold

What operators could see: a process over its memory limit after a series of large changes. Each request held the table that was in force when it came until its end, 25 s later for a stream: 0.84 MB with 1,532 routes, 3.3 MB with 6,000.

Change: a request keeps its route and service only.

test_table_is_not_held_by_the_requests_it_was_in_force_for fails without the change for streams, lookups and orders, and passes with it.

--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -146,6 +146,26 @@
         log_context: _RequestLogContext,
         held: buffer_budget.HeldBytes,
     ) -> web.StreamResponse:
+        admitted = await self._receive_admitted(request, log_context, held)
+        relay = gateway_call.CallRelay
+        if admitted.route.kind is states.RequestKind.STREAM:
+            relay = gateway_stream.StreamRelay
+        try:
+            return await relay(self._deps, admitted).run()
+        except attempt_errors.InstanceIsolated as isolated:
+            return await self._serve_isolated(admitted, isolated.possibly_run)
+
+    async def _receive_admitted(
+        self,
+        request: web.BaseRequest,
+        log_context: _RequestLogContext,
+        held: buffer_budget.HeldBytes,
+    ) -> admitted_request.AdmittedRequest:
+        """Return a whole request that may be served; raise `Failure`.
+
+        Only its route is kept of the table, so that a table is not held in
+        memory until the last request ends that it was in force for.
+        """
         now_ms = self._deps.clock.now_ms()
         try:
             async with self._deps.stop_limit.bound():
@@ -169,13 +189,7 @@
         admitted = self._admit(table, caller_request, request, log_context)
         if admitted.workspace and not held.assign(admitted.workspace):
             raise request_body.no_memory("the workspace", self._deps.returns)
-        relay = gateway_call.CallRelay
-        if admitted.route.kind is states.RequestKind.STREAM:
-            relay = gateway_stream.StreamRelay
-        try:
-            return await relay(self._deps, admitted).run()
-        except attempt_errors.InstanceIsolated as isolated:
-            return await self._serve_isolated(admitted, isolated.possibly_run)
+        return admitted
 
     async def _serve_isolated(
         self, admitted: admitted_request.AdmittedRequest, possibly_run: int
--- a/tests/http/test_held_memory.py
+++ b/tests/http/test_held_memory.py
@@ -1,13 +1,18 @@
 """Bodies and unread answers are bounded over all requests."""
 
 import asyncio
+import gc
+import weakref
 
+import msgspec
 import pytest
 
 from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.http import backend_connection
 from oriolejunction import ids
+from oriolejunction import routing_table
 from tests import event_loops
+from tests.http import test_gateway_stream as streams
 from tests.platform import gateway_rig
 
 pytestmark = pytest.mark.asyncio(**event_loops.PAUSELESS)
@@ -100,3 +105,27 @@
     other.close()
     assert budget.used_bytes == 0
     await asyncio.sleep(0)
+
+
+class WatchedTable(routing_table.RoutingTable, frozen=True, weakref=True):
+    """A table that tells when nothing holds it any more."""
+
+
+@pytest.mark.parametrize("path", ["/brief/1", "/look/1", "/order/1"])
+async def test_table_is_not_held_by_the_requests_it_was_in_force_for(path):
+    """Load: large tables follow each other while long streams run."""
+    async with gateway_rig.running(
+        llm=[streams.hang], desk=[streams.hang]
+    ) as rig:
+        fields = msgspec.structs.asdict(gateway_rig.table(2))
+        first = WatchedTable(**fields)
+        held = weakref.ref(first)
+        rig.put_in_force(first)
+        del first
+        asked = asyncio.create_task(streams.read(rig.ask(path)))
+        await asyncio.sleep(0.2)
+        rig.put_in_force(gateway_rig.table(3))
+        gc.collect()
+        assert not asked.done()
+        assert held() is None
+        asked.cancel()
