--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 import fire
 
 from tests import former_build
+from tests.soak import fleet as fleets
 from tests.soak import soak as soaks
 
 
@@ -49,6 +50,9 @@
     pauses: bool = True,
     update_from: str | None = None,
     new_machines: bool = False,
+    large_tables: bool = False,
+    odd_entries: bool = False,
+    entries: int = fleets.ENTRIES,
 ) -> None:
     """Run COUNT seeds from FIRST on; the logs of all are kept on disk.
 
@@ -56,12 +60,18 @@
     With --nopauses, no server asks for a pause. With --update_from COMMIT,
     all nodes begin with the sources of that commit and are updated; with
     --new_machines, most of them by machines with other addresses and disks.
+    With --large_tables, some versions have thousands of routes; with
+    --odd_entries, the list has an entry now and then that can't be read.
+    --entries N starts N entry instances.
     """
     folder = tempfile.mkdtemp(prefix="soak-")
     options = {
         "interrupt_start": interrupt_start,
         "asks_for_pauses": pauses,
         "new_machines": new_machines,
+        "has_large_tables": large_tables,
+        "has_odd_entries": odd_entries,
+        "entries": entries,
         "former_source": update_from
         and former_build.extract(
             str(update_from), pathlib.Path(folder) / "former"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -31,8 +31,8 @@
 EXIT_TIMEOUT_S = GRACE_MS / 1e3 + 1.0
 
 
-def document(version: int, marker: str = "") -> dict:
-    """Return a configuration document with one route of each kind.
+def document(version: int, marker: str = "", more_routes: int = 0) -> dict:
+    """Return a configuration document with one route of each kind, and more.
 
     `marker` distinguishes documents of the same version.
     """
@@ -62,6 +62,10 @@
             "kind": "idempotent",
             "maxAttempts": 2,
         },
+        *(
+            {**call, "name": f"r-{number}", "pathPrefix": f"/more/{number}/"}
+            for number in range(more_routes)
+        ),
     ]
     base["services"] = [llm, {**desk, "connectionLimit": 100}]
     return base
@@ -117,7 +121,9 @@
 class Fleet:
     """Processes, backend servers behind proxies and the platform's list."""
 
-    def __init__(self, folder: pathlib.Path, number: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, number: int, entries: int = ENTRIES
+    ) -> None:
         """Use a subnet for each number, so that fleets can run at once."""
         self.observations = guarantees.Observations()
         self._folder = folder
@@ -129,7 +135,8 @@
             for index in range(CONTROLS)
         ]
         self.entries = [
-            self._make_entry(index, f"z{index}") for index in range(ENTRIES)
+            self._make_entry(index, f"z{index % ENTRIES}")
+            for index in range(entries)
         ]
         # Nodes that were replaced by new machines.
         self.removed: list[Node] = []
@@ -146,6 +153,8 @@
         self.fault_proxies: list[proxies.FaultProxy] = []
         self.proxy_by_name: dict[str, proxies.FaultProxy] = {}
         self.unlisted: set[str] = set()
+        # JSON that stands among the entries of the list.
+        self.odd_entry: bytes | None = None
         self._listed_servers: list[dict] = []
         app = web.Application()
         app.router.add_get("/instances", self._serve_list)
@@ -299,7 +308,13 @@
         listed = [
             i for i in self._listed_servers if i["id"] not in self.unlisted
         ]
-        return web.json_response({"instances": listed, "next": None})
+        entries = [json.dumps(each).encode() for each in listed]
+        if self.odd_entry is not None:
+            entries.insert(len(entries) // 2, self.odd_entry)
+        return web.Response(
+            body=b'{"instances":[%s],"next":null}' % b",".join(entries),
+            content_type="application/json",
+        )
 
     async def _serve(
         self,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from tests.platform import odd_json
 from tests.soak import fleet as fleets
 from tests.soak import guarantees
 from tests.soak import schedule
@@ -18,6 +19,7 @@
 # The operators require that all is served this soon after the last fault.
 RECOVERY_TIMEOUT_S = 15.0
 FAULT_FREE_S = 1.0
+MAX_MORE_ROUTES = 3_000
 # The operators require that a version is in force within this time.
 IN_FORCE_TIMEOUT_S = 2.5
 HEADERS = {
@@ -43,6 +45,9 @@
         asks_for_pauses: bool = False,
         former_source: str | None = None,
         new_machines: bool = False,
+        has_large_tables: bool = False,
+        has_odd_entries: bool = False,
+        entries: int = fleets.ENTRIES,
     ) -> None:
         """Prepare the soak of a seed.
 
@@ -51,15 +56,19 @@
         now and then. With `former_source`, the folder of another build's
         packages, all nodes start with it and are updated one after the
         other, in place of other faults; with `new_machines`, most of them
-        are replaced by machines with other addresses and empty disks.
+        are replaced by machines with other addresses and empty disks. With
+        `has_large_tables`, some versions have thousands of routes. With
+        `has_odd_entries`, the list has one that can't be read now and then.
         """
         self._seed = seed
         self._interrupt_start = interrupt_start
         self._asks_for_pauses = asks_for_pauses
         self._former_source = former_source
         self._new_machines = new_machines
+        self._has_large_tables = has_large_tables
+        self._has_odd_entries = has_odd_entries
         self._rng = random.Random(seed + 1)
-        self._fleet = fleets.Fleet(folder, seed)
+        self._fleet = fleets.Fleet(folder, seed, entries)
         self._observations = self._fleet.observations
         self._request_count = 0
         self._version = 7
@@ -151,8 +160,19 @@
         if self._asks_for_pauses:
             rests = schedule.draw_rests(self._seed, length_s)
             work.extend(self._let_rest(rest) for rest in rests)
+        if self._has_odd_entries:
+            work.append(self._change_odd_entry(length_s))
         await asyncio.gather(*work)
 
+    async def _change_odd_entry(self, length_s: float) -> None:
+        rng = random.Random(self._seed + 6)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + length_s
+        while loop.time() < end_s:
+            self._fleet.odd_entry = rng.choice((None, *odd_json.ODD))
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+        self._fleet.odd_entry = None
+
     async def _let_rest(self, rest: schedule.ScheduledRest) -> None:
         servers = [*self._fleet.engines, *self._fleet.call_servers]
         name = servers[rest.server % len(servers)].name
@@ -269,7 +289,7 @@
                     )
                 )
             case _ if fault.value.endswith("_entry"):
-                index = event.target % fleets.ENTRIES
+                index = event.target % len(fleet.entries)
                 await self._inject_process_fault(fleet.entries[index], event)
             case _ if fault.value.endswith("_control"):
                 index = event.target % fleets.CONTROLS
@@ -403,13 +423,21 @@
                 self._version = max(self._version, version)
             await asyncio.sleep(MAX_PUBLISH_INTERVAL_S * self._rng.random())
 
+    def _more_routes(self, version: int) -> int:
+        """Return how many routes a version has besides those that serve."""
+        if not self._has_large_tables or version % 3:
+            return 0
+        return random.Random(version).randrange(MAX_MORE_ROUTES)
+
     async def _publish(self, version: int, marker: str = "") -> bool:
         node = self._rng.choice(self._fleet.controls)
         url = f"http://{node.ip}:{fleets.CONTROL_PORT}"
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self._session.post(
                 f"{url}/v1/Configuration.Replace",
-                json=fleets.document(version, marker),
+                json=fleets.document(
+                    version, marker, self._more_routes(version)
+                ),
             ) as response:
                 if response.status == 200:
                     now_s = asyncio.get_running_loop().time()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,12 @@
     assert await soak.run(LENGTH_S) == []
 
 
+async def test_large_tables_and_odd_entries_under_faults(tmp_path):
+    """Load: versions of thousands of routes follow each other."""
+    soak = soaks.Soak(tmp_path, 6, has_large_tables=True, has_odd_entries=True)
+    assert await soak.run(LENGTH_S) == []
+
+
 # Seed 5: the proxy forwarded bytes after others that it had dropped.
 # Seed 104: the platform's list could not be read at startup, and the task
 # that reads it ended.
