Add a bench of tables that reach many instances over thin links

A change with up to 1,532 routes must be in force everywhere within 2.5 s.

The proxies moved from tests/ to bench/, without a change.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 		--compressed '.[report]'
 
 # Benches that need real processes; the others run inside the binary.
-PROCESS_BENCHES := config ledger throughput capacity soak-processes
+PROCESS_BENCHES := config config-spread ledger throughput capacity soak-processes
 BENCH_MODULE = $(if $(filter $(NAME),$(PROCESS_BENCHES)),bench,oriolejunction bench)
 
 bench: setup
--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -2,6 +2,7 @@
 
 from bench import capacity
 from bench import config
+from bench import config_spread
 from bench import ledger
 from bench import soak
 from bench import throughput
@@ -11,6 +12,7 @@
 BENCH_BY_NAME: dict[str, shipped.Bench] = {
     "capacity": capacity.run,
     "config": config.run,
+    "config-spread": config_spread.run,
     "throughput": throughput.run,
     "ledger": ledger.run,
     "soak-processes": soak.run,
--- a/bench/fleet_replica.py
+++ b/bench/fleet_replica.py
@@ -89,13 +89,14 @@
     def __init__(self, own: str, addresses: list[str]) -> None:
         clock = clocks.SystemClock()
         self._own = own
+        self.follower = Follower(own, addresses)
         self._channels = channels.ChannelPool()
         listing = listing_store.ListingStore(clock)
         listing.store_fetched(engines())
         self.service = fleet_service.FleetService(
             fleet_service.FleetDependencies(
                 incarnation=f"boot-{own}",
-                replica=Follower(own, addresses),
+                replica=self.follower,
                 clock=clock,
                 hub=fleet_hub.FleetHub(clock),
                 origins=stream_origins.OriginHub(clock),
--- a/bench/fleet_watchers.py
+++ b/bench/fleet_watchers.py
@@ -102,6 +102,17 @@
         board.fleet.changes().subscribe(
             lambda view: self.deps.speeds.update_reported(view.speed_by_id)
         )
+        self.board = board
+        self._tables = table_follower.TableFollower(
+            table_follower.FollowerDependencies(
+                reports.instance,
+                clock,
+                board,
+                gateway_dialect.WIRE_FORMAT.read_table,
+                lambda: seed,
+                self._channels.stub_for,
+            )
+        )
         self._watch = fleet_watch.FleetWatch(
             fleet_watch.WatchDependencies(
                 instance=reports.instance,
@@ -112,16 +123,7 @@
                 listing=listing_store.ListingStore(clock),
                 seeds=lambda: seed,
                 report=reports.next_report,
-                tables=table_follower.TableFollower(
-                    table_follower.FollowerDependencies(
-                        reports.instance,
-                        clock,
-                        board,
-                        gateway_dialect.WIRE_FORMAT.read_table,
-                        lambda: seed,
-                        self._channels.stub_for,
-                    )
-                ),
+                tables=self._tables,
                 session=_CountingSession(self._channels, calls),
                 rng=self._rng,
                 on_move=lambda: None,
@@ -136,6 +138,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._watch.run())
             group.create_task(self._watch.run_reports())
+            group.create_task(self._tables.run())
             while True:
                 await asyncio.sleep(self._rng.expovariate(STREAMS_PER_S))
                 group.create_task(self._run_stream())
--- a/src/oriolejunction/bench/report.py
+++ b/src/oriolejunction/bench/report.py
@@ -17,6 +17,7 @@
     "uneven-load": "Calls to a few plain servers, by what choices go by",
     "throughput": "Tokens a second of one process on one core",
     "config": "Time from accepting a change to in force everywhere",
+    "config-spread": "Tables of many routes over thin links",
     "ledger": "Non-idempotent calls: rate and added latency",
     "fencing": "Orders to engines from two executors",
     "capacity": "Control cost against size, and the target's budgets",
--- a/tests/peers/test_configuration_watch.py
+++ b/tests/peers/test_configuration_watch.py
@@ -7,6 +7,7 @@
 import grpc
 import pytest
 
+from bench import thin_link as links
 from oriolejunction import blackboard as blackboards
 from oriolejunction import clock as clocks
 from oriolejunction import configuration
@@ -140,8 +141,8 @@
         self.service.add_to(self.server)
         port = self.server.add_insecure_port("127.0.0.1:0")
         await self.server.start()
-        link = thin_link.ThinLink(thin_link.BYTES_PER_S)
-        self.proxy = thin_link.LinkProxy(link, port)
+        link = links.ThinLink(thin_link.BYTES_PER_S)
+        self.proxy = links.LinkProxy(link, port)
         await self.proxy.start(*ADDRESS)
         self.control = control_client.ControlClient(
             {ids.InstanceId("core"): "{}:{}".format(*ADDRESS)}
--- a/tests/peers/test_raft_transport.py
+++ b/tests/peers/test_raft_transport.py
@@ -5,6 +5,7 @@
 import grpc
 import pytest
 
+from bench import thin_link as links
 from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import types
 from oriolejunction.consensus import wire
@@ -35,8 +36,8 @@
     rpc.add_methods(server, {raft_methods.DELIVER: deliver})
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    link = thin_link.ThinLink(thin_link.BYTES_PER_S)
-    proxy = thin_link.LinkProxy(link, port, is_upload=True)
+    link = links.ThinLink(thin_link.BYTES_PER_S)
+    proxy = links.LinkProxy(link, port, is_upload=True)
     await proxy.start(*ADDRESS)
     yield received
     await proxy.close()
--- a/tests/thin_link.py
+++ b/tests/thin_link.py
@@ -1,16 +1,15 @@
 """An entry instance whose link to the control replicas is thin."""
 
 import asyncio
-import contextlib
 import json
 import pathlib
 import random
-import socket
 import types
 
 import grpc
 import msgspec
 
+from bench import thin_link
 from oriolejunction.consensus import types as raft_types
 from oriolejunction.controllers import fleet_hub
 from oriolejunction.controllers import published_table
@@ -32,91 +31,6 @@
 PEER_PORT, CALLER_PORT, READY_PORT = 17_210, 17_212, 17_213
 ENTRY = loopback.node_address(30)
 PROXIES = [loopback.node_address(number) for number in (31, 32, 33)]
-_CHUNK_BYTES = 4_096
-
-
-class ThinLink:
-    """The link on which an instance receives, in the order of sending."""
-
-    def __init__(self, bytes_per_s: float) -> None:
-        self.bytes_per_s = bytes_per_s
-        self.total_bytes = 0
-        self._free_at_s = 0.0
-
-    async def transmit(self, count: int) -> None:
-        """Wait until the link has carried some more bytes."""
-        now_s = asyncio.get_running_loop().time()
-        begin_s = max(now_s, self._free_at_s)
-        self._free_at_s = begin_s + count / self.bytes_per_s
-        self.total_bytes += count
-        await asyncio.sleep(self._free_at_s - now_s)
-
-
-class LinkProxy:
-    """Relays connections to one process over a link.
-
-    The link carries what the process sends or, with `is_upload`, receives.
-    """
-
-    def __init__(
-        self, link: ThinLink, target_port: int, is_upload: bool = False
-    ) -> None:
-        self._link = link
-        self._target_port = target_port
-        self._is_upload = is_upload
-        self._tasks: set[asyncio.Task] = set()
-        self._writers: set[asyncio.StreamWriter] = set()
-        self.is_silent = False
-
-    async def start(self, host: str, port: int) -> None:
-        self._server = await asyncio.start_server(self._relay, host, port)
-
-    def reset_connections(self) -> None:
-        for writer in list(self._writers):
-            gateway_rig.reset(writer)
-
-    async def close(self) -> None:
-        self._server.close()
-        self.reset_connections()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _relay(self, reader, writer) -> None:
-        self._tasks.add(asyncio.current_task())
-        # What the link has not carried yet waits at its sender.
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * _CHUNK_BYTES)
-        sock.setblocking(False)
-        with contextlib.suppress(OSError):
-            await asyncio.get_running_loop().sock_connect(
-                sock, ("127.0.0.1", self._target_port)
-            )
-            target_reader, target_writer = await asyncio.open_connection(
-                sock=sock, limit=_CHUNK_BYTES
-            )
-            self._writers |= {writer, target_writer}
-            up, down = None, self._link
-            if self._is_upload:
-                up, down = down, up
-            await asyncio.gather(
-                self._copy(reader, target_writer, up),
-                self._copy(target_reader, writer, down),
-            )
-        for each in (writer, locals().get("target_writer")):
-            if each is not None:
-                self._writers.discard(each)
-                each.close()
-
-    async def _copy(self, reader, writer, link: ThinLink | None):
-        while data := await reader.read(_CHUNK_BYTES):
-            if link is not None:
-                await link.transmit(len(data))
-            while self.is_silent:
-                await asyncio.sleep(0.01)
-            writer.write(data)
-            await writer.drain()
-        writer.write_eof()
 
 
 class _Replica:
@@ -153,7 +67,7 @@
 
     service_type = fleet_service.FleetService
 
-    def __init__(self, number: int, link: ThinLink) -> None:
+    def __init__(self, number: int, link: thin_link.ThinLink) -> None:
         self._number = number
         self._link = link
         self.replica = _Replica(number)
@@ -177,7 +91,7 @@
         port = self.server.add_insecure_port("127.0.0.1:0")
         await self.server.start()
         self._task = asyncio.create_task(self.service.run())
-        self.proxy = LinkProxy(self._link, port)
+        self.proxy = thin_link.LinkProxy(self._link, port)
         await self.proxy.start(PROXIES[self._number], PEER_PORT)
 
     def apply(self, document: bytes) -> None:
@@ -201,7 +115,7 @@
 
     def __init__(self, folder: pathlib.Path, control_type=Control) -> None:
         self._folder = folder
-        self.link = ThinLink(BYTES_PER_S)
+        self.link = thin_link.ThinLink(BYTES_PER_S)
         self.controls = [
             control_type(number, self.link) for number in range(len(PROXIES))
         ]
