Bound the retained log of a control replica by its bytes

What operators could see: changes that take a quarter of a second more each, a full disk of a control replica, or one over its memory limit, after a series of large configurations: 32 entries were retained whatever their size, and written anew with each change once they exceeded 8 MB.

Change: entries are retained up to 2 MB, and four at least.

test_log_of_large_documents_is_bounded_by_its_bytes fails without the change and passes with it; tests/consensus pass.

--- a/src/oriolejunction/consensus/compaction.py
+++ b/src/oriolejunction/consensus/compaction.py
@@ -10,13 +10,22 @@
 from oriolejunction.consensus import storage as storages
 from oriolejunction.consensus import types
 
+# Whatever their size, so that a member that is a little behind needs no
+# snapshot.
+MIN_RETAINED = 4
+
 
 class LogLimits(msgspec.Struct, frozen=True):
-    """Log size that triggers a snapshot; entries retained before it."""
+    """Log size that triggers a snapshot; entries retained before it.
+
+    Fewer are retained where they exceed `retained_bytes`, which are written
+    anew with each snapshot.
+    """
 
     max_entries: int = 4_096
     max_bytes: int = 32 << 20
     retained: int = 512
+    retained_bytes: int = 8 << 20
 
 
 async def compact(
@@ -32,10 +41,11 @@
     """
     state = core.state
     index = applier.applied_index
-    is_long = _needs_compaction(state, storage, index, limits)
-    if not is_long or state.output.writes:
+    if not _is_long(state, storage, index, limits) or state.output.writes:
+        return
+    base_index = _first_retained(state, index, limits) - 1
+    if base_index == state.log.base_index:
         return
-    base_index = max(state.log.base_index, index - limits.retained)
     core.compact(base_index)
     snapshot, base = _snapshot_at(
         state, index, base_index, applier.snapshot_body()
@@ -48,7 +58,7 @@
     )
 
 
-def _needs_compaction(
+def _is_long(
     state: core_state.CoreState,
     storage: storages.Storage,
     index: int,
@@ -58,10 +68,24 @@
     return (
         entries >= limits.max_entries
         or storage.segment_bytes >= limits.max_bytes
-        and entries > limits.retained
     )
 
 
+def _first_retained(
+    state: core_state.CoreState, index: int, limits: LogLimits
+) -> int:
+    """Return the index of the first entry to retain up to `index`."""
+    oldest = max(state.log.base_index, index - limits.retained) + 1
+    first, retained_bytes = index + 1, 0
+    while first > oldest:
+        retained_bytes += len(state.log.entry(first - 1).command or b"")
+        is_enough = index - first + 1 >= MIN_RETAINED
+        if is_enough and retained_bytes > limits.retained_bytes:
+            break
+        first -= 1
+    return first
+
+
 def _snapshot_at(
     state: core_state.CoreState, index: int, base_index: int, body: bytes
 ) -> tuple[types.Snapshot, storages.Base]:
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -43,9 +43,12 @@
 CONTROL_TIMING = core_state.Timing(
     first_election_ms=300.0, lost_after_ms=2_500.0
 )
-# Configuration documents with many routes reach 100 KB.
+# Configuration documents with thousands of routes reach some MB.
 LOG_LIMITS = compaction.LogLimits(
-    max_entries=1_024, max_bytes=8 << 20, retained=32
+    max_entries=1_024,
+    max_bytes=8 << 20,
+    retained=32,
+    retained_bytes=2 << 20,
 )
 # A process that ends during its start is back by then.
 FORM_WITHOUT_MS = 3_000.0
