Show operators which instances have an older table, and why

Metrics are not there yet.

test_operators_see_which_table_is_late_and_why is new; tests/peers, tests/test_fleet_nodes.py and tests/test_operator_pages.py pass.

--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -231,7 +231,6 @@
 
     def _status(self) -> dict[str, object]:
         now_ms = self.clock.now_ms()
-        table = self._blackboard.table.read()
         snapshot = self._blackboard.backends.read()
         fleet = self._blackboard.fleet.read()
         return {
@@ -240,8 +239,7 @@
             "ready": self._is_ready(),
             "isolated": self._deps.isolation.is_isolated,
             "in_flight": self._shutdown.in_flight,
-            "table_version": table and table.version,
-            "table_announced": self._tables.announced,
+            **self._tables.status(),
             "backends": sorted(snapshot.by_id),
             "list_age_ms": clocks.round_age_ms(self.listing.age_ms),
             "others_age_ms": clocks.round_age_ms(now_ms - fleet.updated_at_ms),
--- a/src/oriolejunction/node_client.py
+++ b/src/oriolejunction/node_client.py
@@ -36,7 +36,7 @@
 
 
 def status_table(by_address: dict[str, dict[str, object]]) -> str:
-    """Return a line for each node, and one if table versions differ.
+    """Return a line for each node, and for what differs from the newest table.
 
     Raise `Failure` with `BadSettings` if there is no node.
     """
@@ -62,4 +62,18 @@
     }
     if len(versions) > 1:
         lines.append(f"table versions differ: {sorted(versions, key=str)}")
+    lines += filter(None, map(_lateness, by_address.values()))
     return "\n".join(lines)
+
+
+def _lateness(status: dict[str, object]) -> str:
+    """Return for how long and why a node has an older table, if it does."""
+    if not status.get("table_behind_ms"):
+        return ""
+    return (
+        f"{status['instance']} has version {status['table_version']} still,"
+        f" {status['table_announced']} is announced since"
+        f" {status['table_behind_ms']} ms,"
+        f" {status['table_bytes_left']} bytes are left"
+        f" ({status['table_failure'] or 'no failure'})"
+    )
--- a/src/oriolejunction/peers/table_follower.py
+++ b/src/oriolejunction/peers/table_follower.py
@@ -74,6 +74,10 @@
         # Failed requests since the transfer began, and in a row.
         self._failures = 0
         self._failures_in_row = 0
+        # Since when the table in force is, and a newer one is announced.
+        self._in_force_since_ms = deps.clock.now_ms()
+        self._behind_since_ms: float | None = None
+        self._last_failure = ""
         # Replicas that were asked in vain since the last piece.
         self._failed: set[str] = set()
         self._write_table = deps.blackboard.table.claim_writer(
@@ -86,9 +90,31 @@
         table = self._deps.blackboard.table.read()
         return routing_table.NO_TABLE if table is None else table.version
 
+    def status(self) -> dict[str, object]:
+        """Return what operators may ask about the table, by name."""
+        now_ms = self._deps.clock.now_ms()
+        behind_since_ms = self._behind_since_ms
+        is_behind = self._needs_document() and behind_since_ms is not None
+        return {
+            "table_version": (
+                None if self.held == routing_table.NO_TABLE else self.held
+            ),
+            "table_age_ms": round(now_ms - self._in_force_since_ms),
+            "table_announced": self.announced,
+            "table_behind_ms": (
+                round(now_ms - behind_since_ms) if is_behind else 0
+            ),
+            "table_bytes_left": (
+                self._transfer.size - self._transfer.received_bytes
+            ),
+            "table_failure": self._last_failure if is_behind else "",
+        }
+
     def observe(self, reply: fm.WatchReply) -> None:
         """Take note of the version that a control replica has."""
         if reply.table_version > self.announced:
+            if not self._needs_document():
+                self._behind_since_ms = self._deps.clock.now_ms()
             self.announced = reply.table_version
             self._failed.clear()
             self._failures_in_row = 0
@@ -193,6 +219,7 @@
     def _record_failure(self, address: str, why: str) -> None:
         self._failed.add(address)
         self._failures += 1
+        self._last_failure = f"{address}: {why}"
         _log.warning(
             "table not received",
             replica=address,
@@ -280,6 +307,7 @@
                 return
             invariants.require_rising_revision(current.version, table.version)
         self._write_table(table)
+        self._in_force_since_ms = self._deps.clock.now_ms()
         _log.info(
             "table in force",
             version=table.version,
--- a/tests/test_thin_link_nodes.py
+++ b/tests/test_thin_link_nodes.py
@@ -12,6 +12,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction import fleet_messages as fm
 from oriolejunction import ids
+from oriolejunction import node_client
 from oriolejunction.peers import channels
 from oriolejunction.peers import fleet_methods
 from oriolejunction.peers import fleet_service
@@ -92,6 +93,28 @@
     assert not unanswered_watches(lines)
 
 
+async def test_operators_see_which_table_is_late_and_why(deployment):
+    document = thin_link.document(2, LARGE_ROUTES, INCOMPRESSIBLE_BYTES)
+    needed_s = len(document) / thin_link.BYTES_PER_S
+    deployment.publish(document)
+    await asyncio.sleep(needed_s / 3)
+    for control in deployment.controls:
+        control.proxy.reset_connections()
+    await asyncio.sleep(0.1)
+    status = deployment.entry._status()
+    assert (status["table_version"], status["table_announced"]) == (1, 2)
+    assert status["table_behind_ms"] > needed_s / 4 * 1e3
+    assert 0 < status["table_bytes_left"] < len(document)
+    shown = node_client.status_table({"10.0.0.1:1": status})
+    assert "entry has version 1 still, 2 is announced since" in shown
+    assert "UNAVAILABLE" in shown
+    await deployment.wait_for(2, needed_s)
+    status = deployment.entry._status()
+    assert status["table_behind_ms"] == status["table_bytes_left"] == 0
+    assert status["table_age_ms"] < 1_000
+    assert "still" not in node_client.status_table({"10.0.0.1:1": status})
+
+
 async def test_transfer_that_is_cut_off_does_not_begin_anew(deployment):
     """Fault: connections are reset three times in the middle of it."""
     document = thin_link.document(2, LARGE_ROUTES, INCOMPRESSIBLE_BYTES)
