--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -276,6 +276,51 @@
     }
 
 
+def add_streams(content: dict) -> dict:
+    """Add a route of streams that may be resumed, and its service."""
+    content["routes"].append(
+        {
+            "name": "summary",
+            "host": "ficu95.example",
+            "pathPrefix": "/summary/",
+            "kind": "streaming",
+            "timeoutMs": 25000,
+            "targetLatencyMs": 4500,
+            "priority": 1,
+            "service": "redactor",
+            "maxAttempts": 5,
+            "anonymous": False,
+            "sticky": True,
+            "resumable": True,
+            "targetGapMs": 700,
+        }
+    )
+    content["services"].append(
+        {
+            "name": "redactor",
+            "healthPath": "/health",
+            "connectionLimit": 180,
+            "protocol": "h1",
+            "tls": False,
+            "engine": {
+                "slots": 16,
+                "kvCacheTokens": 88000,
+                "kvBytes": 18432,
+                "linkMbps": 180000.0,
+                "moves": False,
+                "backups": False,
+                "stride": 8,
+                "most": 12,
+                "pinMs": 4000.0,
+                "holdMs": 2000.0,
+                "handleTtlS": 4.0,
+                "models": [{"name": "m"}],
+            },
+        }
+    )
+    return content
+
+
 def _free_network() -> tuple[str, list[int]]:
     """Return a subnet of loopback, and ports that are free there."""
     numbers = (*range(1, 10), *range(101, 110), 250)
