--- a/review/5/case.py
+++ b/review/more/frozen-stream/case.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
 from standins import deployment as deployments  # noqa: E402
 from standins import engine as engines  # noqa: E402
