--- a/review/more/frozen-stream/case.py
+++ b/review/more/frozen-stream/case.py
@@ -125,9 +125,7 @@
 
 def main() -> None:
     """Play the case in a temporary folder."""
-    record = deployments.Record(
-        pathlib.Path(__file__).with_name("record.txt")
-    )
+    record = deployments.Record(pathlib.Path(__file__).with_name("record.txt"))
     with tempfile.TemporaryDirectory() as folder:
         try:
             status = asyncio.run(play(pathlib.Path(folder), record))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -14,6 +14,8 @@
 from standins import wire
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Where the build of the deploy file puts the program and its libraries.
+PACKAGES = ROOT / "target" / "deps"
 ZONES = ("a", "b", "c", "d")
 GRACE_S = 8.0
 
@@ -49,6 +51,8 @@
     """Machines, the platform's list and the operator's API."""
 
     def __init__(self, folder: pathlib.Path, record: Record) -> None:
+        if not (PACKAGES / "oriolejunction").exists():
+            raise CannotRun("the build of the deploy file is missing")
         self.folder, self.record = folder, record
         self.subnet, self.ports = _free_network()
         self.peer, self.control, self.client, self.ready = self.ports[:4]
@@ -149,7 +153,7 @@
                 "PATH": os.environ.get("PATH", ""),
                 "HOME": str(self.folder),
                 "LANG": "C.UTF-8",
-                "PYTHONPATH": str(ROOT / "target" / "deps"),
+                "PYTHONPATH": str(PACKAGES),
                 "ORIOLEJUNCTION_BOOT": str(path),
             },
         )
