Show that a failed close ends a control replica

The log of the play shows "control replica stopped" at 6.22 s, 1 ms after "disk lost", with an OSError from Storage.close inside the handler of the first one.

The new test gives one replica a real file that refuses writes, by the limit on the size of files.

--- a/tests/consensus/test_disk_failure.py
+++ b/tests/consensus/test_disk_failure.py
@@ -1,10 +1,12 @@
 """A control replica whose disk refuses writes for a while."""
 
 import asyncio
+import contextlib
 import errno
 import random
 
 import pytest
+import structlog
 
 from oriolejunction import clock as clocks
 from oriolejunction import commands
@@ -12,6 +14,7 @@
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import types
 from oriolejunction import routing_table
+from tests import full_disk
 
 
 class NullTransport:
@@ -70,3 +73,21 @@
     await restarted.read_barrier()
     assert restarted.state.table.version == 3
     await restarted.close()
+
+
+async def test_replica_resumes_after_its_file_could_not_be_closed(tmp_path):
+    """Fault: the bytes of a refused write were written again by `close`."""
+    replica = open_replica(tmp_path)
+    replica.start()
+    membership = types.Membership((replica.member,), voter_target=1)
+    replica.form_group(types.GroupId("g"), membership)
+    await wait_until(lambda: replica.leader_term is not None)
+    await replica.propose(publish(1))
+    with structlog.testing.capture_logs(), full_disk.refused_writes():
+        with pytest.raises((replicas.OutcomeUnknown, replicas.NotLeader)):
+            await asyncio.wait_for(replica.propose(publish(2)), 3)
+        await asyncio.sleep(0.7)
+    await wait_until(lambda: replica.leader_term is not None)
+    await replica.propose(publish(3))
+    assert replica.state.table.version == 3
+    await replica.close()
