Keep no bytes of a failed write for the close of a file

Cause: the log was a buffered file. A record smaller than the buffer that could not be flushed stayed in it, and RaftReplica._recover_disk wrote it once more by closing the file, outside the part that catches OSError. The task of the replica ended; its process went on.

The log is written without a buffer of its own, so that closing it writes nothing, and an error of the close itself is logged and ends nothing.

--- a/src/oriolejunction/consensus/segments.py
+++ b/src/oriolejunction/consensus/segments.py
@@ -1,12 +1,16 @@
 """Checksummed frames for append-only files, and durable file writes."""
 
+import io
 import os
 import pathlib
 import zlib
 
+import structlog
+
 from oriolejunction import errors
 
 HEADER_BYTES = 8
+_log = structlog.get_logger(__name__)
 
 
 def encode_frame(body: bytes) -> bytes:
@@ -52,6 +56,29 @@
     return bodies, position
 
 
+def open_append(path: pathlib.Path) -> io.FileIO:
+    """Open a file to append to, without a buffer.
+
+    Closing a buffered file writes what a failed write left in its buffer.
+    """
+    return path.open("ab", buffering=0)
+
+
+def append(file: io.FileIO, data: bytes) -> None:
+    """Write all data; raise `OSError`, after which a part may be written."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[file.write(rest) :]
+
+
+def close_file(file: io.FileIO) -> None:
+    """Close a file; log an `OSError`, after which it is closed too."""
+    try:
+        file.close()
+    except OSError as error:
+        _log.warning("file closed with an error", why=repr(error))
+
+
 def write_durably(path: pathlib.Path, data: bytes) -> None:
     """Replace a file so that a crash leaves the old one or the new one."""
     temporary = path.with_suffix(path.suffix + ".tmp")
--- a/src/oriolejunction/consensus/storage.py
+++ b/src/oriolejunction/consensus/storage.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import io
 import os
 import pathlib
 
@@ -45,7 +46,7 @@
         self.snapshot: types.Snapshot | None = None
         self.segment_bytes = 0
         self._segment_number = 0
-        self._file = None
+        self._file: io.FileIO | None = None
         self.sync_count = 0
 
     @classmethod
@@ -99,7 +100,7 @@
         for body in bodies:
             self._replay_records(_decoder.decode(body))
         self._segment_number = _number_of(path)
-        self._file = path.open("ab")
+        self._file = segments.open_append(path)
         if end < len(data):
             self._file.truncate(end)
             os.fsync(self._file.fileno())
@@ -175,8 +176,7 @@
         if not batch:
             return
         data = segments.encode_frame(_encoder.encode(tuple(batch)))
-        self._file.write(data)
-        self._file.flush()
+        segments.append(self._file, data)
         os.fdatasync(self._file.fileno())
         self.segment_bytes += len(data)
         self.sync_count += 1
@@ -223,18 +223,17 @@
         path = self._folder / f"wal-{self._segment_number:08}.log"
         data = segments.encode_frame(_encoder.encode(tuple(records)))
         segments.write_durably(path, data)
-        if self._file is not None:
-            self._file.close()
-        self._file = path.open("ab")
+        self.close()
+        self._file = segments.open_append(path)
         self.segment_bytes = len(data)
         for old_path in sorted(self._folder.glob(_SEGMENT_GLOB)):
             if old_path < path:
                 old_path.unlink()
 
     def close(self) -> None:
-        """Close the file."""
+        """Close the file; an error of the disk doesn't prevent it."""
         if self._file is not None:
-            self._file.close()
+            segments.close_file(self._file)
             self._file = None
 
 
--- a/tests/consensus/test_disk_failure.py
+++ b/tests/consensus/test_disk_failure.py
@@ -1,7 +1,6 @@
 """A control replica whose disk refuses writes for a while."""
 
 import asyncio
-import contextlib
 import errno
 import random
 
