Join a group only once the identity is stored

A machine whose disk was lost, and full when it came back, never voted again, so that the next lost machines ended the group.

If storing it failed, the replica had a group without a log; it asked to join again and again, and each answer was dropped, since the group was the one it held.

The group is set after it is stored. Reopening the files after a failed write moves to consensus/disk_recovery.py.

test_replica_joins_after_its_group_could_not_be_stored failed before (has_committed_nothing was False: no log) and passes.

--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -15,6 +15,7 @@
 from oriolejunction.consensus import compaction
 from oriolejunction.consensus import core as cores
 from oriolejunction.consensus import core_state
+from oriolejunction.consensus import disk_recovery
 from oriolejunction.consensus import group_changes
 from oriolejunction.consensus import identity as identities
 from oriolejunction.consensus import pending_reads
@@ -30,7 +31,6 @@
 # its deadline moves earlier during the wait, as in a new group.
 MIN_TICK_MS = 20.0
 MAX_TICK_MS = 100.0
-DISK_RETRY_MS = 500
 _encoder = msgspec.msgpack.Encoder()
 _log = structlog.get_logger(__name__)
 
@@ -157,9 +157,14 @@
     def _join_group(
         self, group: types.GroupId, records: tuple[types.Record, ...]
     ) -> None:
+        identity = identities.Identity(self.identity.replica, group)
         storage = storages.Storage.create(self._folder, records)
-        self.identity = identities.Identity(self.identity.replica, group)
-        identities.save(self._folder, self.identity)
+        try:
+            identities.save(self._folder, identity)
+        except OSError:
+            storage.close()
+            raise
+        self.identity = identity
         self._open_core(storage)
         self._wake.set()
 
@@ -312,28 +317,12 @@
             raise
 
     async def _recover_disk(self, error: OSError) -> None:
-        """Resume, as after a restart, once the disk can be written again.
-
-        After a failed write or sync the disk's content is unknown, so this
-        replica must acknowledge nothing before all that it loads from the
-        disk is written and synced anew.
-        """
+        """Resume, as after a restart, once the disk can be written again."""
         _log.error("disk lost", why=repr(error))
         self._core = None
         self._fail_waiters()
         self._storage.close()
-        while self._core is None:
-            await self._clock.sleep_ms(DISK_RETRY_MS)
-            try:
-                storage = await asyncio.to_thread(
-                    storages.Storage.load, self._folder
-                )
-                await asyncio.to_thread(storage.rewrite)
-            except OSError as retry_error:
-                _log.warning("disk still lost", why=repr(retry_error))
-                continue
-            self._open_core(storage)
-        _log.warning("disk regained", index=self._core.state.log.last_index)
+        self._open_core(await disk_recovery.reload(self._folder, self._clock))
 
     async def _process_output(self, core: cores.Core) -> None:
         core.tick(self._clock.now_ms())
--- a/tests/consensus/test_disk_failure.py
+++ b/tests/consensus/test_disk_failure.py
@@ -9,6 +9,7 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction import commands
+from oriolejunction.consensus import identity as identities
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import types
@@ -45,13 +46,18 @@
             await asyncio.sleep(0.01)
 
 
-async def test_replica_resumes_after_disk_failure(tmp_path):
-    """Load: a full disk refuses every write, then has free space again."""
-    replica = open_replica(tmp_path)
+async def open_group_of_one(folder):
+    replica = open_replica(folder)
     replica.start()
     membership = types.Membership((replica.member,), voter_target=1)
     replica.form_group(types.GroupId("g"), membership)
     await wait_until(lambda: replica.leader_term is not None)
+    return replica
+
+
+async def test_replica_resumes_after_disk_failure(tmp_path):
+    """Load: a full disk refuses every write, then has free space again."""
+    replica = await open_group_of_one(tmp_path)
     await replica.propose(publish(1))
 
     def fail_write(records):
@@ -76,11 +82,7 @@
 
 async def test_replica_resumes_after_its_file_could_not_be_closed(tmp_path):
     """Fault: the bytes of a refused write were written again by `close`."""
-    replica = open_replica(tmp_path)
-    replica.start()
-    membership = types.Membership((replica.member,), voter_target=1)
-    replica.form_group(types.GroupId("g"), membership)
-    await wait_until(lambda: replica.leader_term is not None)
+    replica = await open_group_of_one(tmp_path)
     await replica.propose(publish(1))
     with structlog.testing.capture_logs(), full_disk.refused_writes():
         with pytest.raises((replicas.OutcomeUnknown, replicas.NotLeader)):
@@ -90,3 +92,23 @@
     await replica.propose(publish(3))
     assert replica.state.table.version == 3
     await replica.close()
+
+
+async def test_replica_joins_after_its_group_could_not_be_stored(
+    tmp_path, monkeypatch
+):
+    """Fault: it had joined in memory only, and never asked again."""
+    replica = open_replica(tmp_path)
+
+    def fail_save(folder, identity):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(identities, "save", fail_save)
+        with pytest.raises(OSError):
+            replica.join_as_learner(types.GroupId("g"))
+    replica.join_as_learner(types.GroupId("g"))
+    # It has a log, if an empty one, and a restart keeps the group.
+    assert replica.group_changes.has_committed_nothing()
+    assert identities.load(tmp_path).group == "g"
+    await replica.close()
