Keep audit entries that the disk refuses until it takes them

A replica whose disk was full at the wrong moment applied no change any more, though its process ran: changes stayed without an acknowledgement once the group needed it.

Cause: the audit log was a buffered file. An entry above the size of the buffer was written at once; if that failed, the entry was lost, and the next one did not follow the last ("entry 22 follows entry 20", CorruptLog), which ended the replica's task. A part of the lost entry stayed in the file.

Entries are kept in memory until the file has taken all of their bytes; a write continues where the last one ended. An applied command isn't applied again after such a failure, and a replica resumes once its audit log is synced too.

test_audit_entry_survives_a_full_disk failed before with the message above.

--- a/src/oriolejunction/consensus/applier.py
+++ b/src/oriolejunction/consensus/applier.py
@@ -45,7 +45,11 @@
         self._waiters: list[tuple[int, asyncio.Future]] = []
 
     def apply(self, entry: types.Entry) -> None:
-        """Apply the entry after `applied_index`."""
+        """Apply the entry after `applied_index`.
+
+        It counts as applied although an `OSError` of the audit log is raised;
+        its waiters are then left to `fail_waiters`.
+        """
         invariants.require(
             "applied_in_order",
             entry.index == self.applied_index + 1,
@@ -56,8 +60,8 @@
         if entry.command is not None:
             command = _decoder.decode(entry.command)
             result = control_state.apply(self.state, command)
-            self._append_audit()
         self.applied_index = entry.index
+        self._append_audit()
         self._resolve_result(entry, result)
         self._resolve_applied()
 
--- a/src/oriolejunction/consensus/audit_file.py
+++ b/src/oriolejunction/consensus/audit_file.py
@@ -3,6 +3,7 @@
 import collections.abc
 import os
 import pathlib
+import threading
 
 import msgspec
 
@@ -23,7 +24,10 @@
         self._path = folder / FILE_NAME
         self._sparse_offsets: list[int] = []
         self.last_number = 0
-        self._file = self._path.open("ab")
+        self._file = segments.open_append(self._path)
+        # Frames, or the end of one, that the disk has not taken yet.
+        self._unwritten = bytearray()
+        self._writing = threading.Lock()
         self._end_offset = 0
         self._scan()
 
@@ -40,13 +44,23 @@
     def append_missing(
         self, entries: collections.abc.Sequence[messages.AuditEntry]
     ) -> None:
-        """Append the entries that the file does not have yet."""
-        for entry in entries[_first_after(entries, self.last_number) :]:
-            self._require_next(entry)
-            data = segments.encode_frame(_encoder.encode(entry))
-            self._file.write(data)
-            self._advance(entry, len(data))
-        self._file.flush()
+        """Append the entries that the file does not have yet.
+
+        After an `OSError`, those that could not be written are kept for the
+        next call, or for `sync`.
+        """
+        with self._writing:
+            for entry in entries[_first_after(entries, self.last_number) :]:
+                self._require_next(entry)
+                data = segments.encode_frame(_encoder.encode(entry))
+                self._unwritten += data
+                self._advance(entry, len(data))
+            self._write()
+
+    def _write(self) -> None:
+        while self._unwritten:
+            count = self._file.write(self._unwritten)
+            del self._unwritten[:count]
 
     def _require_next(self, entry: messages.AuditEntry) -> None:
         if entry.number != self.last_number + 1:
@@ -64,7 +78,10 @@
         self.last_number = entry.number
 
     def read(self, start: int, limit: int) -> tuple[messages.AuditEntry, ...]:
-        """Return up to `limit` entries after number `start`."""
+        """Return up to `limit` entries after number `start`.
+
+        Those that are not written yet are left out.
+        """
         start = max(0, start)
         if start >= self.last_number or limit <= 0:
             return ()
@@ -85,11 +102,13 @@
 
     def sync(self) -> None:
         """Make all entries durable; raise `OSError`."""
+        with self._writing:
+            self._write()
         os.fsync(self._file.fileno())
 
     def close(self) -> None:
-        """Close the file."""
-        self._file.close()
+        """Close the file; entries not synced are in the replica's log."""
+        segments.close_file(self._file)
 
 
 def _first_after(
--- a/src/oriolejunction/consensus/disk_recovery.py
+++ b/src/oriolejunction/consensus/disk_recovery.py
@@ -6,6 +6,7 @@
 import structlog
 
 from oriolejunction import clock as clocks
+from oriolejunction.consensus import audit_file
 from oriolejunction.consensus import storage as storages
 
 DISK_RETRY_MS = 500
@@ -13,7 +14,9 @@
 
 
 async def reload(
-    folder: pathlib.Path, clock: clocks.Clock
+    folder: pathlib.Path,
+    clock: clocks.Clock,
+    audit_log: audit_file.AuditFile,
 ) -> storages.Storage:
     """Return what is on the disk, as after a restart, once it takes writes.
 
@@ -23,6 +26,7 @@
     while True:
         await clock.sleep_ms(DISK_RETRY_MS)
         try:
+            await asyncio.to_thread(audit_log.sync)
             storage = await asyncio.to_thread(storages.Storage.load, folder)
             await asyncio.to_thread(storage.rewrite)
         except OSError as error:
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -322,7 +322,11 @@
         self._core = None
         self._fail_waiters()
         self._storage.close()
-        self._open_core(await disk_recovery.reload(self._folder, self._clock))
+        self._open_core(
+            await disk_recovery.reload(
+                self._folder, self._clock, self._applier.audit_log
+            )
+        )
 
     async def _process_output(self, core: cores.Core) -> None:
         core.tick(self._clock.now_ms())
--- a/tests/consensus/test_disk_failure.py
+++ b/tests/consensus/test_disk_failure.py
@@ -9,13 +9,21 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction import commands
+from oriolejunction import configuration
+from oriolejunction.consensus import compaction
 from oriolejunction.consensus import identity as identities
 from oriolejunction.consensus import raft_replica
 from oriolejunction.consensus import replica as replicas
 from oriolejunction.consensus import types
+from oriolejunction import ids
 from oriolejunction import routing_table
+from oriolejunction import states
 from tests import full_disk
 
+EMPTY = configuration.Configuration(
+    states.Objective.LATENCY, (), (), (), (), (), 1
+)
+
 
 class NullTransport:
     """A transport for a group of one."""
@@ -31,6 +39,7 @@
         NullTransport(),
         clocks.SystemClock(),
         random.Random(1),
+        limits=compaction.LogLimits(max_entries=8, retained=1),
     )
 
 
@@ -46,6 +55,20 @@
             await asyncio.sleep(0.01)
 
 
+def submit(number, answers="answers"):
+    name = f"draft-{number}"
+    return commands.SubmitDraft(
+        operation_id=ids.OperationId(name),
+        draft_id=ids.DraftId(name),
+        base_revision=ids.Revision(0),
+        operator="operator",
+        at_ms=number,
+        configuration=EMPTY,
+        answers_toml=answers,
+        differences=(),
+    )
+
+
 async def open_group_of_one(folder):
     replica = open_replica(folder)
     replica.start()
@@ -94,6 +117,28 @@
     await replica.close()
 
 
+async def test_audit_entry_survives_a_full_disk(tmp_path):
+    """Fault: an entry that could not be written whole was left out."""
+    replica = await open_group_of_one(tmp_path)
+    answers = "#" * 20_000
+    for number in range(1, 21):
+        await replica.propose(submit(number, answers))
+    size = (tmp_path / "audit.log").stat().st_size
+    refused = full_disk.refused_writes(size + 10_000)
+    with structlog.testing.capture_logs(), refused:
+        with pytest.raises((replicas.OutcomeUnknown, replicas.NotLeader)):
+            await asyncio.wait_for(replica.propose(submit(21, answers)), 3)
+        await asyncio.sleep(0.7)
+    await wait_until(lambda: replica.leader_term is not None)
+    await replica.propose(submit(22, answers))
+    await replica.close()
+
+    restarted = open_replica(tmp_path)
+    numbers = [each.number for each in await restarted.audit(0, 100)]
+    assert numbers == list(range(1, 23))
+    await restarted.close()
+
+
 async def test_replica_joins_after_its_group_could_not_be_stored(
     tmp_path, monkeypatch
 ):
