End the process with the task of its control replica

Cause: RaftReplica._run is a task of its own; its end was logged and nobody waited for it.

A replica that can't go on reports it; a node of a deployment then closes and exits with 1, an instance of the product finishes its requests first.

test_process_ends_with_the_task_of_its_replica (a real process whose log is gone and whose disk is full) failed before, after 10 s without an end.

--- a/src/oriolejunction/cli.py
+++ b/src/oriolejunction/cli.py
@@ -310,9 +310,12 @@
 async def _run_instance(settings: instance_settings.Settings) -> None:
     instance = wiring.Instance(settings, clocks.SystemClock())
     await instance.start()
-    await stop_signals.stop_event().wait()
+    stop = stop_signals.stop_event()
+    has_failed = await stop_signals.wait_for_end(stop, instance.failed)
     await instance.drain()
     await instance.stop()
+    if has_failed:
+        sys.exit(1)
 
 
 async def _run_local() -> None:
--- a/src/oriolejunction/consensus/raft_replica.py
+++ b/src/oriolejunction/consensus/raft_replica.py
@@ -71,6 +71,8 @@
             lambda: self._core, self._wake.set, clock
         )
         self.on_apply: listeners.OnChange = listeners.no_op
+        # The process must end then, so that a new one starts from the disk.
+        self.on_failure: listeners.OnChange = listeners.no_op
         # The group to join in place of one that committed nothing.
         self._next_group: types.GroupId | None = None
         self._tasks: list[asyncio.Task] = []
@@ -314,7 +316,7 @@
             _log.exception("control replica stopped")
             self._core = None
             self._fail_waiters()
-            raise
+            self.on_failure()
 
     async def _recover_disk(self, error: OSError) -> None:
         """Resume, as after a restart, once the disk can be written again."""
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -84,6 +84,7 @@
             LOG_LIMITS,
             settings.initial_voters(),
         )
+        self._replica.on_failure = self.failed.set
         # Not if only the disk dates from the first start: the group may have
         # been formed without it since.
         origins = stream_origins.OriginHub(
--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -79,7 +79,8 @@
     # Modules are never collected.
     gc.freeze()
     gc.enable()
-    asyncio.run(_run(node_type(path)))
+    if asyncio.run(_run(node_type(path))):
+        sys.exit(1)
 
 
 def _settings_path(boot: str | None) -> pathlib.Path:
@@ -92,7 +93,8 @@
     return pathlib.Path(found)
 
 
-async def _run(node: "node_base.Node") -> None:
+async def _run(node: "node_base.Node") -> bool:
+    """Run a node until it is stopped or fails; return whether it failed."""
     settings = node.settings_file.current
     log_writer = node_logs.configure(
         settings.log_level, instance=settings.instance_id, zone=settings.zone
@@ -103,9 +105,11 @@
         signal.SIGHUP, node.settings_file.reload
     )
     await node.start()
-    await stop.wait()
-    await node.drain()
+    has_failed = await stop_signals.wait_for_end(stop, node.failed)
+    if not has_failed:
+        await node.drain()
     await node.close()
+    return has_failed
 
 
 def main() -> None:
--- a/src/oriolejunction/node_base.py
+++ b/src/oriolejunction/node_base.py
@@ -30,6 +30,8 @@
         self.rng = random.Random()
         self.listing = listing_store.ListingStore(self.clock)
         self.dropped_log_lines: collections.abc.Callable[[], int] = lambda: 0
+        # Set if a part has failed without which the process must not go on.
+        self.failed = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.BaseRunner] = []
 
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -68,6 +68,8 @@
         self._write_state = self.blackboard.instance_state.claim_writer(
             "wiring"
         )
+        # Set if a part has failed without which the process must not go on.
+        self.failed = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.AppRunner] = []
         self._server: grpc.aio.Server | None = None
@@ -209,6 +211,7 @@
             random.Random(),
             initial_voters=tuple(self._control_addresses()),
         )
+        self._replica.on_failure = self.failed.set
         raft_service.RaftService(self._replica, transport).add_to(self._server)
         control_service.ControlService(
             instance_id, self._replica, self.clock
