Test that full disks in turns leave the group as strong as before

Three real control processes, whose files are limited in size from outside, twice each, with versions published meanwhile; then one is killed, so that a change needs both others.

--- a/tests/test_full_disk_nodes.py
+++ b/tests/test_full_disk_nodes.py
@@ -1,93 +1,18 @@
 """Real control processes whose disks refuse writes."""
 
 import asyncio
-import json
-import os
-import sys
 
-import aiohttp
 import pytest
 
-from tests import full_disk
-from tests import test_fleet_nodes
+from tests import control_processes
 
 EXIT_WITHIN_S = 10.0
-FORMED_WITHIN_S = 8.0
-
-
-class Controls:
-    """Control processes, each with a disk and an address of its own."""
-
-    def __init__(self, folder, count):
-        self._folder = folder
-        self._seeds = test_fleet_nodes.SEEDS[:count]
-        self.process_by_number = {}
-
-    def disk(self, number):
-        return self._folder / f"disk-{number}"
-
-    async def start(self, number, first_start=True):
-        ip = self._seeds[number]
-        port = test_fleet_nodes.CONTROL_PORT
-        path = test_fleet_nodes.settings(
-            self._folder,
-            f"core-{number}",
-            ip=ip,
-            operator_listen=f"{ip}:{port}",
-            control_seeds=[f"{seed}:{port}" for seed in self._seeds],
-            data_dir=str(self.disk(number)),
-            first_start=first_start,
-            losses_borne=(len(self._seeds) - 1) // 2,
-        )
-        self.process_by_number[number] = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "oriolejunction.node", "control"),
-            str(path),
-            stdout=asyncio.subprocess.DEVNULL,
-            env={**os.environ, "PYTHONPATH": "src"},
-        )
-
-    async def close(self):
-        for process in self.process_by_number.values():
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-
-    async def publish(self, number, version, limit_s):
-        """Publish a version until it is acknowledged."""
-        ip = self._seeds[number]
-        url = (
-            f"http://{ip}:{test_fleet_nodes.CONTROL_PORT}"
-            "/v1/Configuration.Replace"
-        )
-        content = test_fleet_nodes.document(version=version)
-        async with asyncio.timeout(limit_s), aiohttp.ClientSession() as asker:
-            while True:
-                try:
-                    async with asker.post(url, json=content) as response:
-                        if response.status == 200:
-                            return
-                except aiohttp.ClientError:
-                    pass
-                await asyncio.sleep(0.05)
-
-    async def voters(self, number):
-        """Return the names of the voters as a process knows them."""
-        ip = self._seeds[number]
-        url = f"http://{ip}:{test_fleet_nodes.STATUS_PORT}/status"
-        async with aiohttp.ClientSession() as asker:
-            async with asker.get(url) as response:
-                members = json.loads(await response.read())["members"]
-        return {each["instance"] for each in members if each["votes"]}
-
-    def refused_writes(self, number):
-        return full_disk.refused_writes(
-            process_id=self.process_by_number[number].pid
-        )
+FORMED_WITHIN_S = control_processes.FORMED_WITHIN_S
 
 
 @pytest.fixture
 async def single(tmp_path):
-    running = Controls(tmp_path, 1)
+    running = control_processes.Controls(tmp_path, 1)
     await running.start(0)
     yield running
     await running.close()
@@ -107,3 +32,33 @@
             await single.publish(0, 8, 0.5)
     async with asyncio.timeout(EXIT_WITHIN_S):
         assert await process.wait() != 0
+
+
+@pytest.fixture
+async def three(tmp_path):
+    running = control_processes.Controls(tmp_path, 3)
+    for number in range(3):
+        await running.start(number)
+    yield running
+    await running.close()
+
+
+async def test_group_works_after_each_disk_was_full_in_turn(three):
+    """Fault: replicas whose disks had been full took part no more.
+
+    Load: one disk after the other is full for a while, never two at once,
+    and twice on each machine.
+    """
+    version = 7
+    await three.publish(0, version, FORMED_WITHIN_S)
+    for number in [0, 1, 2, 2, 0, 1]:
+        with three.refused_writes(number):
+            for _ in range(3):
+                version += 1
+                await three.publish((number + 1) % 3, version, 4.0)
+                await asyncio.sleep(0.3)
+        await asyncio.sleep(1.5)
+    await three.kill(0)
+    # Two replicas are left: a change needs both.
+    await three.publish(1, version + 1, 4.0)
+    await three.publish(2, version + 2, 4.0)
