Hand the vote of a leaving control replica to its successor

Cause: a planned stop handed over leadership only. The old machine's vote was taken once it had been silent for 2.5 s, and its successor, a learner that had caught up seconds before, got none until then: with two more losses, two of five voters were left.

A replica that gets SIGTERM asks the leader to replace it (Raft/Leave) and stops once that is committed, or after 2 s; without a learner it keeps its vote for its next start. A voter that ends without a signal is replaced once it has been silent for 0.7 s, as a leader is, if a learner has caught up; a learner is still removed after 2.5 s only.

--- a/src/oriolejunction/consensus/core_state.py
+++ b/src/oriolejunction/consensus/core_state.py
@@ -26,6 +26,8 @@
     election_max_ms: float = 1_400.0
     first_election_ms: float = 1_400.0
     lost_after_ms: float = 60_000.0
+    replaced_after_ms: float = 3_000.0
+    learner_lost_after_ms: float = 60_000.0
 
 
 class Progress(msgspec.Struct):
--- a/src/oriolejunction/consensus/group_changes.py
+++ b/src/oriolejunction/consensus/group_changes.py
@@ -16,6 +16,8 @@
 
 TRANSFER_POLL_MS = 20
 TRANSFER_TIMEOUT_MS = 2_000
+# A replica that leaves asks again more often than this.
+LEAVING_KEPT_MS = 2_000.0
 _log = structlog.get_logger(__name__)
 
 
@@ -35,6 +37,8 @@
         self._core = core
         self._wake = wake
         self._clock = clock
+        # Replicas whose processes are about to stop, as the leader knows.
+        self._leaving_until_ms: dict[types.ReplicaId, float] = {}
 
     @property
     def membership(self) -> types.Membership:
@@ -116,7 +120,7 @@
         core = self._leader_core()
         if core is None:
             return
-        change = repair.next_change(core.state)
+        change = repair.next_change(core.state, self._leaving())
         if change is not None and core.propose_membership(change):
             _log.warning(
                 "membership changes",
@@ -125,6 +129,40 @@
             )
             self._wake()
 
+    def release(self, replica: types.ReplicaId) -> bool:
+        """As the leader, replace a voter whose process is about to stop.
+
+        Return whether that is committed, or there is no learner to replace
+        it with: then it keeps its vote, which it needs after a restart.
+        """
+        core = self._leader_core()
+        if core is None:
+            raise replicas.NotLeader(self.leader_address())
+        state = core.state
+        _, committed = state.log.membership_at(state.commit)
+        if replica not in committed.voter_ids():
+            return True
+        now_ms = self._clock.now_ms()
+        self._leaving_until_ms[replica] = now_ms + LEAVING_KEPT_MS
+        latest = state.log.membership
+        has_successor = len(latest.voters) > latest.voter_target or any(
+            learner.replica not in self._leaving()
+            for learner in latest.learners
+        )
+        if replica in latest.voter_ids() and not has_successor:
+            return True
+        self.repair()
+        return False
+
+    def _leaving(self) -> frozenset[types.ReplicaId]:
+        now_ms = self._clock.now_ms()
+        self._leaving_until_ms = {
+            replica: until_ms
+            for replica, until_ms in self._leaving_until_ms.items()
+            if until_ms > now_ms
+        }
+        return frozenset(self._leaving_until_ms)
+
     async def transfer_leadership(self) -> None:
         """Transfer leadership to the most caught-up voter."""
         deadline_ms = self._clock.now_ms() + TRANSFER_TIMEOUT_MS
--- a/src/oriolejunction/consensus/raft_messages.py
+++ b/src/oriolejunction/consensus/raft_messages.py
@@ -53,6 +53,19 @@
     group: types.GroupId | None
 
 
+class Leave(Request, frozen=True):
+    """Ask the leader to replace a voter whose process is about to stop."""
+
+    replica: types.ReplicaId
+
+
+class LeaveReply(Request, frozen=True):
+    """The sender may stop if `done`; else it asks again, at the leader."""
+
+    done: bool
+    leader_address: str | None = None
+
+
 class Join(Request, frozen=True):
     """Ask the leader to add a learner."""
 
--- a/src/oriolejunction/consensus/repair.py
+++ b/src/oriolejunction/consensus/repair.py
@@ -1,13 +1,16 @@
 """Repair of the group: which membership change is due next, if any."""
 
+import collections.abc
+
 import msgspec
 
 from oriolejunction.consensus import core_state
 from oriolejunction.consensus import membership as memberships
 from oriolejunction.consensus import types
 
-REPLACE_AFTER_MS = 3_000.0
-LEARNER_ALIVE_MS = 1_000.0
+# Five heartbeats; less than the silence after which a voter is replaced, so
+# that a leader that stood still finds no learner to replace the others with.
+ALIVE_MS = 500.0
 MAX_LEARNERS = 4
 
 
@@ -39,44 +42,52 @@
     return state.now_ms - state.progress_by_id[replica].last_reply_ms
 
 
-def next_change(state: core_state.CoreState) -> types.Membership | None:
+def next_change(
+    state: core_state.CoreState,
+    leaving: collections.abc.Set[types.ReplicaId] = frozenset(),
+) -> types.Membership | None:
     """Return the membership that the leader should propose now, if any.
 
     One step at a time. With more voters than the target, one is removed,
-    lost ones first. For a lost or missing voter a caught-up learner is
-    promoted before the lost one is removed. Lost learners are removed.
+    those that leave or are lost first. For a leaving, lost or missing voter a
+    caught-up learner is promoted before that voter is removed. Lost learners
+    are removed.
     """
     current = state.log.membership
     views = member_views(state)
     voters = [v for v in views if v.member in current.voters]
     learners = [v for v in views if v.member in current.learners]
     if len(voters) > current.voter_target:
-        surplus = _voter_to_remove(state, voters)
+        surplus = _voter_to_remove(state, voters, leaving)
         if surplus is None:
             return None
         return memberships.without_member(current, surplus.member.replica)
-    candidate = _learner_to_promote(learners, voters)
-    lost_ms = state.timing.lost_after_ms
-    lost = [v for v in voters if is_lost(v, current, lost_ms)]
-    if candidate and (lost or len(voters) < current.voter_target):
+    candidate = _learner_to_promote(
+        [v for v in learners if v.member.replica not in leaving], voters
+    )
+    needs_voter = len(voters) < current.voter_target or any(
+        v.member.replica in leaving or is_lost(v, state) for v in voters
+    )
+    if candidate and needs_voter:
         return memberships.with_promoted(current, candidate.member.replica)
     for view in learners:
-        if is_lost(view, current, lost_ms):
+        if is_lost(view, state):
             return memberships.without_member(current, view.member.replica)
     return None
 
 
-def is_lost(
-    view: MemberView, current: types.Membership, lost_after_ms: float
-) -> bool:
-    """Return whether a member should be replaced.
+def is_lost(view: MemberView, state: core_state.CoreState) -> bool:
+    """Return whether a member is silent for so long that it is replaced.
 
-    A new identity on the same instance proves that the old disk is lost, so
-    a short silence is enough; otherwise a silent member may be paused or
-    partitioned.
+    A new identity on the same instance proves that the old disk is lost;
+    otherwise a silent member may be paused or partitioned.
     """
-    replaced = _is_replaced(view.member, current)
-    limit_ms = REPLACE_AFTER_MS if replaced else lost_after_ms
+    current, timing = state.log.membership, state.timing
+    limit_ms = timing.lost_after_ms
+    if view.member in current.learners:
+        limit_ms = timing.learner_lost_after_ms
+    if _is_replaced(view.member, current):
+        limit_ms = min(limit_ms, timing.replaced_after_ms)
     return view.silence_ms > limit_ms
 
 
@@ -97,22 +108,27 @@
 
 
 def _voter_to_remove(
-    state: core_state.CoreState, voters: list[MemberView]
+    state: core_state.CoreState,
+    voters: list[MemberView],
+    leaving: collections.abc.Set[types.ReplicaId],
 ) -> MemberView | None:
-    """Return the voter to remove: a replaced one, a silent one, or any.
+    """Return a voter that leaves, a replaced one, a lost one, or any.
 
-    Of the silent ones it is the longest silent, of any voters one in the
-    zone with the most. A new leader has no replies yet, so the time without
-    a reply proves nothing before each voter has replied to it.
+    Of the lost ones it is the longest silent, of any voters one in the zone
+    with the most. A new leader has no replies yet, so the time without a reply
+    proves nothing before each voter has replied to it.
     """
     current = state.log.membership
     others = [v for v in voters if v.member.replica != state.self_id]
-    silent = [v for v in others if v.silence_ms > REPLACE_AFTER_MS]
+    for view in others:
+        if view.member.replica in leaving:
+            return view
     for view in others:
         if _is_replaced(view.member, current):
             return view
-    if silent:
-        return max(silent, key=lambda view: view.silence_ms)
+    lost = [v for v in others if is_lost(v, state)]
+    if lost:
+        return max(lost, key=lambda view: view.silence_ms)
     if all(state.progress_by_id[v.member.replica].round for v in others):
         return max(others, key=lambda view: _zone_count(view, voters))
     return None
@@ -125,13 +141,11 @@
 def _learner_to_promote(
     learners: list[MemberView], voters: list[MemberView]
 ) -> MemberView | None:
-    alive_zones = {
-        v.member.zone for v in voters if v.silence_ms < LEARNER_ALIVE_MS
-    }
+    alive_zones = {v.member.zone for v in voters if v.silence_ms < ALIVE_MS}
     ready = [
         view
         for view in learners
-        if view.entries_behind <= 0 and view.silence_ms < LEARNER_ALIVE_MS
+        if view.entries_behind <= 0 and view.silence_ms < ALIVE_MS
     ]
     if not ready:
         return None
--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -39,9 +39,12 @@
 from oriolejunction import rollout_telemetry
 from oriolejunction import source_digest
 
-# A removed machine must have lost its vote 4 s after its successor started.
+# A removed machine must have lost its vote 4 s after its successor started. A
+# voter is replaced once it is as silent as a leader that others replace.
 CONTROL_TIMING = core_state.Timing(
-    first_election_ms=300.0, lost_after_ms=2_500.0
+    first_election_ms=300.0,
+    lost_after_ms=core_state.Timing().election_min_ms,
+    learner_lost_after_ms=2_500.0,
 )
 # Configuration documents with thousands of routes reach some MB.
 LOG_LIMITS = compaction.LogLimits(
@@ -139,7 +142,8 @@
         transports.PLAINTEXT.listen(self._server, settings.peer_listen)
         await self._server.start()
         self._replica.start()
-        self.spawn(self._new_formation(settings).run)
+        self._formation = self._new_formation(settings)
+        self.spawn(self._formation.run)
         self.spawn(self._service.run)
         self.spawn(functools.partial(self.settings_file.watch, self.clock))
         self.spawn(self._new_list_poller(settings).run)
@@ -218,9 +222,9 @@
         )
 
     async def drain(self) -> None:
-        """Transfer leadership, so that no election has to be awaited."""
+        """Hand over leadership and the vote before the process stops."""
         _log.info("control replica leaving")
-        await self._replica.group_changes.transfer_leadership()
+        await self._formation.leave()
 
     async def close(self) -> None:
         """Close the listeners, the replica and its connections at once."""
--- a/src/oriolejunction/peers/raft_formation.py
+++ b/src/oriolejunction/peers/raft_formation.py
@@ -27,6 +27,9 @@
 POLL_INTERVAL_MS = 200
 CALL_TIMEOUT_S = 0.5
 REJOIN_AFTER_MS = 2_000.0
+# Enough for two changes of the membership in a group that is sound.
+LEAVE_TIMEOUT_MS = 2_000.0
+LEAVE_POLL_MS = 50
 _log = structlog.get_logger(__name__)
 
 
@@ -69,6 +72,29 @@
             self._replica.group_changes.repair()
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
+    async def leave(self) -> None:
+        """Before a planned stop, hand over leadership and the vote.
+
+        The vote goes to a learner that has caught up. Without one the
+        replica keeps it, since its process may start again.
+        """
+        replica = self._replica
+        await replica.group_changes.transfer_leadership()
+        if replica.member.replica not in replica.membership.voter_ids():
+            return
+        request = raft_messages.Leave(replica.member.replica)
+        deadline_ms = self._clock.now_ms() + LEAVE_TIMEOUT_MS
+        while self._clock.now_ms() < deadline_ms:
+            leader = replica.leader_address()
+            if leader is not None:
+                reply = await self._call(leader, raft_methods.LEAVE, request)
+                if reply is not None and reply.done:
+                    return
+            await self._clock.sleep_ms(LEAVE_POLL_MS)
+        _log.warning(
+            "stopping with a vote", leader=self._replica.leader_address()
+        )
+
     async def _find_group(self) -> None:
         listed = self._addresses()
         introductions = await self._introductions(listed)
--- a/src/oriolejunction/peers/raft_methods.py
+++ b/src/oriolejunction/peers/raft_methods.py
@@ -11,6 +11,9 @@
 )
 FORM = rpc.Method("Raft", "Form", raft_messages.Form, raft_messages.Formed)
 JOIN = rpc.Method("Raft", "Join", raft_messages.Join, raft_messages.JoinReply)
+LEAVE = rpc.Method(
+    "Raft", "Leave", raft_messages.Leave, raft_messages.LeaveReply
+)
 FETCH_AUDIT = rpc.Method(
     "Raft", "FetchAudit", raft_messages.FetchAudit, raft_messages.AuditPage
 )
--- a/src/oriolejunction/peers/raft_service.py
+++ b/src/oriolejunction/peers/raft_service.py
@@ -46,6 +46,7 @@
                 raft_methods.HELLO: self._hello,
                 raft_methods.FORM: self._form,
                 raft_methods.JOIN: self._join,
+                raft_methods.LEAVE: self._leave,
                 raft_methods.FETCH_AUDIT: self._fetch_audit,
             },
         )
@@ -105,6 +106,15 @@
             return raft_messages.JoinReply(False, leader_address=error.hint)
         return raft_messages.JoinReply(accepted, self._replica.group)
 
+    async def _leave(
+        self, request: raft_messages.Leave
+    ) -> raft_messages.LeaveReply:
+        try:
+            done = self._replica.group_changes.release(request.replica)
+        except replicas.NotLeader as error:
+            return raft_messages.LeaveReply(False, error.hint)
+        return raft_messages.LeaveReply(done)
+
     async def _fetch_audit(
         self, request: raft_messages.FetchAudit
     ) -> raft_messages.AuditPage:
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -159,7 +159,7 @@
         while self._service_calls.pending:
             await self.clock.sleep_ms(graceful_shutdown.POLL_MS)
         if self._replica is not None:
-            await self._replica.group_changes.transfer_leadership()
+            await self._formation.leave()
 
     async def stop(self) -> None:
         """Close listeners, tasks and clients without draining."""
@@ -216,14 +216,14 @@
         control_service.ControlService(
             instance_id, self._replica, self.clock
         ).add_to(self._server)
-        formation = raft_formation.GroupFormation(
+        self._formation = raft_formation.GroupFormation(
             self._replica,
             transport,
             self.clock,
             self._control_addresses,
         )
         self._replica.start()
-        self._tasks.append(asyncio.create_task(formation.run()))
+        self._tasks.append(asyncio.create_task(self._formation.run()))
         self._raft_transport = transport
 
     def _control_addresses(self) -> list[str]:
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -79,7 +79,7 @@
     _commit_membership(core, memberships.with_learner(START, returned))
     last = core.state.log.last_index
     now_ms = 0.0
-    while now_ms <= repair.REPLACE_AFTER_MS:
+    while now_ms <= core.state.timing.replaced_after_ms:
         assert repair.next_change(core.state) is None
         now_ms += 600.0
         core.tick(now_ms)
@@ -98,3 +98,33 @@
     _commit_all(core)
     assert core.propose_membership(oversized)
     assert repair.next_change(core.state) is None
+
+
+def _replies(core, now_ms, names):
+    core.tick(now_ms)
+    core.take_output()
+    last, current = core.state.log.last_index, core.state.round
+    core.on_synced(last, 1)
+    for name in names:
+        core.step(wire.AppendReply(name, "a", 1, True, last, current))
+
+
+def test_leaving_voter_is_replaced_by_a_learner_at_once():
+    core = _leader()
+    _commit_all(core)
+    _commit_membership(core, memberships.with_learner(START, _member("d")))
+    _replies(core, 0.0, "bcd")
+    assert repair.next_change(core.state) is None
+    promoted = repair.next_change(core.state, {"b"})
+    assert promoted.voter_ids() == {"a", "b", "c", "d"}
+    assert core.propose_membership(promoted)
+    shrunk = repair.next_change(core.state, {"b"})
+    assert shrunk.voter_ids() == {"a", "c", "d"}
+
+
+def test_voter_that_leaves_is_kept_if_no_learner_can_replace_it():
+    """It has its vote again when its process is back."""
+    core = _leader()
+    _commit_all(core)
+    _replies(core, 0.0, "bc")
+    assert repair.next_change(core.state, {"b"}) is None
