Remove no live voter while a silent one may be lost

With one voter too many, the leader removed a live one by zone if the silent one had been so for less than the limit; the dead one kept its vote, and the group bore one loss less.

test_no_live_voter_is_removed_while_another_may_be_lost failed before: the voter b was removed while c had been silent for 0.8 s.

--- a/src/oriolejunction/consensus/repair.py
+++ b/src/oriolejunction/consensus/repair.py
@@ -115,8 +115,8 @@
     """Return a voter that leaves, a replaced one, a lost one, or any.
 
     Of the lost ones it is the longest silent, of any voters one in the zone
-    with the most. A new leader has no replies yet, so the time without a reply
-    proves nothing before each voter has replied to it.
+    with the most. None is returned while a voter is silent that may be lost,
+    or has not replied to a new leader: a live one would be removed instead.
     """
     current = state.log.membership
     others = [v for v in voters if v.member.replica != state.self_id]
@@ -129,7 +129,11 @@
     lost = [v for v in others if is_lost(v, state)]
     if lost:
         return max(lost, key=lambda view: view.silence_ms)
-    if all(state.progress_by_id[v.member.replica].round for v in others):
+    if all(
+        state.progress_by_id[v.member.replica].round
+        and v.silence_ms < ALIVE_MS
+        for v in others
+    ):
         return max(others, key=lambda view: _zone_count(view, voters))
     return None
 
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -109,6 +109,22 @@
         core.step(wire.AppendReply(name, "a", 1, True, last, current))
 
 
+def test_no_live_voter_is_removed_while_another_may_be_lost():
+    """Fault: a live voter was removed, and the dead one kept its vote."""
+    oversized = types.Membership(tuple(map(_member, "abcd")), voter_target=3)
+    core = _leader()
+    _commit_all(core)
+    assert core.propose_membership(oversized)
+    _replies(core, 0.0, "bcd")
+    for now_ms in (400.0, 800.0):
+        _replies(core, now_ms, "bd")
+    assert repair.next_change(core.state) is None
+    while now_ms <= core.state.timing.lost_after_ms:
+        now_ms += 600.0
+        _replies(core, now_ms, "bd")
+    assert repair.next_change(core.state).voter_ids() == {"a", "b", "d"}
+
+
 def test_leaving_voter_is_replaced_by_a_learner_at_once():
     core = _leader()
     _commit_all(core)
