Bound the memory of all answers that servers send without end

Cause: a call's answer was held up to 8 MB, whatever others held.

Answers without a stated length are held up to 3 MB each and 16 MB together; those that state theirs are passed on beyond 256 KB as the caller reads them. Bodies of engines' reports and of errors have smaller limits.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -20,7 +20,6 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.http import answer_parser
-from oriolejunction.http import bounded_body
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
 from oriolejunction.http import socket_bytes
@@ -89,6 +88,8 @@
         self._has_answered = False
         # Whether only the end of the connection ends the current answer.
         self.ends_answer = False
+        # What the current answer states, None if it states no length.
+        self.stated_length: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set socket options; called by asyncio."""
@@ -255,7 +256,10 @@
             name in (b"content-length", b"transfer-encoding")
             for name, _ in response.headers
         )
+        self.stated_length = None
         for name, value in response.headers:
+            if name == b"content-length":
+                self.stated_length = int(value)
             if name == b"connection" and b"close" in value.lower():
                 self._keep_alive = False
             if name == b"keep-alive":
@@ -359,20 +363,3 @@
             lambda: BackendConnection(address), host, int(port)
         )
     return connection
-
-
-async def read_body(
-    read_chunk: collections.abc.Callable[
-        [], collections.abc.Awaitable[bytes | None]
-    ],
-) -> bytes:
-    """Return the rest of an answer; raise what `read_chunk` raises.
-
-    Raise `ConnectionBroken` for one that is larger than allowed.
-    """
-    body = bytearray()
-    while (piece := await read_chunk()) is not None:
-        body += piece
-        if len(body) > bounded_body.MAX_BODY_BYTES:
-            raise ConnectionBroken("the answer is too large")
-    return bytes(body)
--- a/src/oriolejunction/http/connection_recycling.py
+++ b/src/oriolejunction/http/connection_recycling.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from oriolejunction.http import answer_body
 from oriolejunction.http import backend_connection
 from oriolejunction.http import gateway_common
 
@@ -25,7 +26,7 @@
     async def read_rest() -> None:
         try:
             async with asyncio.timeout(READ_TIMEOUT_MS / 1e3):
-                await backend_connection.read_body(connection.read_chunk)
+                await answer_body.read(connection.read_chunk)
         except (TimeoutError, backend_connection.ConnectionBroken) as error:
             _log.info(
                 "connection not kept",
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -9,7 +9,6 @@
 import math
 
 from aiohttp import web
-import msgspec
 
 from oriolejunction import backends
 from oriolejunction.controllers.overload import call_hold
@@ -24,6 +23,7 @@
 from oriolejunction.http import crash_records
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
+from oriolejunction.http import large_answer
 from oriolejunction.http import load_observation
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stop_limit
@@ -45,13 +45,6 @@
 MAX_DISPATCHES = 4
 
 
-class _BackendAnswer(msgspec.Struct, frozen=True):
-    """A complete answer of a backend server."""
-
-    head: gateway_messages.AnswerHead
-    body: bytes
-
-
 class CallRelay:
     """Relays one call to a plain service."""
 
@@ -64,7 +57,7 @@
         self._admitted = admitted
         self._attempts = gateway_common.AttemptTracker(deps, admitted)
         self._retryable = admitted.route.retryable
-        self._last_failure: _BackendAnswer | None = None
+        self._last_failure: large_answer.HeldAnswer | None = None
         self._dispatches = 0
         # Set once a hedged request was due.
         self._may_queue_hedge = False
@@ -79,6 +72,7 @@
     async def run(self) -> web.StreamResponse:
         """Return the answer; raise `Failure` if there is none."""
         tasks: set[asyncio.Task] = set()
+        answer = None
         try:
             async with self._deps.stop_limit.bound():
                 async with asyncio.timeout(
@@ -88,16 +82,17 @@
             self._is_decided = answer is not None
         except TimeoutError:
             self._is_decided = True
-            answer = None
         except stop_limit.StopReached:
             self._attempts.stopped = True
-            answer = None
         finally:
             for task in tasks:
-                task.cancel()
+                large_answer.give_up(task)
+            if self._last_failure not in (None, answer):
+                self._last_failure.close()
         if answer is not None and not engine_answers.may_relay(
             answer.head, self._attempts.possibly_run
         ):
+            answer.close()
             return self._give_up()
         if answer is None:
             if self._attempts.may_forward():
@@ -108,11 +103,24 @@
         if answer.head.success:
             crash_records.record_answer(self._deps, self._admitted)
         self._record_answer(answer)
+        if answer.rest is not None:
+            return await self._pass_on(answer)
         return engine_answers.relayed_response(answer.head, answer.body)
 
+    async def _pass_on(
+        self, answer: large_answer.HeldAnswer
+    ) -> web.StreamResponse:
+        try:
+            return await large_answer.pass_on(
+                self._admitted, answer, self._attempts.remaining_ms
+            )
+        finally:
+            # Closes it unless its answer has ended.
+            self._deps.pool.release(answer.rest)
+
     async def _best_answer(
         self, tasks: set[asyncio.Task]
-    ) -> _BackendAnswer | None:
+    ) -> large_answer.HeldAnswer | None:
         """Return the first success, else the last failed answer."""
         while True:
             if self._attempts.may_forward():
@@ -128,11 +136,17 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
-                tasks.discard(task)
                 answer = task.result()
                 if answer is not None and answer.head.success:
+                    # `run` ends the others.
+                    tasks.discard(task)
                     return answer
-                self._last_failure = answer or self._last_failure
+            for task in done:
+                tasks.discard(task)
+                answer = task.result()
+                self._last_failure = large_answer.newer(
+                    self._last_failure, answer
+                )
                 if answer is not None and not self._retryable:
                     return answer
             if not done:
@@ -235,7 +249,7 @@
 
     async def _run_attempt(
         self, backend: backends.Backend
-    ) -> _BackendAnswer | None:
+    ) -> large_answer.HeldAnswer | None:
         """Return the answer of one server, None without a valid one."""
         deps = self._deps
         max_idle_ms = (
@@ -277,15 +291,17 @@
                 connection = None
                 return None
             engine_answers.require_matching_answer(head)
-            body = await backend_connection.read_body(connection.read_chunk)
+            answer = await large_answer.read(head, connection, deps.answers)
             if head.success:
                 rollout_send.record_answer(deps.clock.now_ms() - sent_ms)
             elif head.signed:
                 rollout_send.record_failure()
             deps.health.mark_answered(backend.backend_id)
             deps.health.record_outcome(backend.backend_id, not head.success)
-            deps.pool.release(connection)
-            return _BackendAnswer(head, body)
+            if answer.rest is None:
+                deps.pool.release(connection)
+            connection = None
+            return answer
         except asyncio.CancelledError:
             if self._is_decided and rollout_send is not None:
                 # The answer would have taken at least as long.
@@ -341,7 +357,7 @@
         )
         backend_checks.mark_replaced(self._deps, backend, head)
 
-    def _record_answer(self, answer: _BackendAnswer) -> None:
+    def _record_answer(self, answer: large_answer.HeldAnswer) -> None:
         took_ms = (
             self._deps.clock.now_ms() - self._admitted.request.received_ms
         )
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -76,6 +76,7 @@
     stop_limit: stop_limit.StopLimit
     origins: origin_client.OriginClient
     bodies: buffer_budget.BufferBudget
+    answers: buffer_budget.BufferBudget
     background_tasks: set[asyncio.Task] = msgspec.field(default_factory=set)
 
 
--- a/src/oriolejunction/http/gateway_state.py
+++ b/src/oriolejunction/http/gateway_state.py
@@ -27,6 +27,7 @@
 from oriolejunction.controllers import rollout_gate
 from oriolejunction import fleet_view
 from oriolejunction import gateway_messages
+from oriolejunction.http import answer_body
 from oriolejunction.http import connection_pool
 from oriolejunction.http import gateway_common
 from oriolejunction.http import isolation_check
@@ -174,6 +175,7 @@
         bodies=buffer_budget.BufferBudget(
             buffer_budget.BODIES_FRACTION * buffer_bytes
         ),
+        answers=buffer_budget.BufferBudget(answer_body.MAX_HELD_BYTES),
     )
 
 
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -15,6 +15,7 @@
 from oriolejunction import errors
 from oriolejunction import gateway_messages
 from oriolejunction.http import admitted_request
+from oriolejunction.http import answer_body
 from oriolejunction.http import attempt_errors
 from oriolejunction.http import backend_checks
 from oriolejunction.http import backend_connection
@@ -328,7 +329,7 @@
         engine_answers.require_matching_answer(head)
         if head.success:
             return None
-        body = await backend_connection.read_body(read_chunk)
+        body = await answer_body.read(read_chunk)
         self._deps.pool.release(connection)
         self._deps.health.record_outcome(plan.backend.backend_id, failed=True)
         self._attempts.excluded.add(plan.backend.backend_id)
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -16,6 +16,7 @@
 from oriolejunction.http import backend_connection
 from oriolejunction.http import engine_answers
 from oriolejunction.http import gateway_common
+from oriolejunction.http import large_answer
 from oriolejunction.http import openai_answers
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
@@ -34,11 +35,14 @@
 
 
 class _PeerAnswer(msgspec.Struct, frozen=True):
-    """Answer of another instance; the body of a stream is yet to be read."""
+    """Answer of another instance.
+
+    With `has_rest`, it is a stream, or has a part after `body`.
+    """
 
     connection: backend_connection.BackendConnection
     head: gateway_messages.AnswerHead
-    is_stream: bool
+    has_rest: bool
     body: bytes
 
 
@@ -143,15 +147,16 @@
                 head = deps.wire_format.read_peer_head(
                     await connection.read_response_head(), request
                 )
-                is_stream = (
+                has_rest = (
                     head.success
                     and self._admitted.route.kind is states.RequestKind.STREAM
                 )
                 body = b""
-                if not is_stream:
-                    body = await backend_connection.read_body(
-                        connection.read_chunk
+                if not has_rest:
+                    held = await large_answer.read(
+                        head, connection, deps.answers
                     )
+                    body, has_rest = held.body, held.rest is not None
             is_own = not head.signed and not head.echoes_request_id
             if is_own and head.status in _NOT_RUN_STATUSES:
                 self._possibly_run -= 1
@@ -159,7 +164,7 @@
                 return None
             if not is_own or head.success:
                 engine_answers.require_matching_answer(head)
-            answer = _PeerAnswer(connection, head, is_stream, body)
+            answer = _PeerAnswer(connection, head, has_rest, body)
             return answer
         except backend_connection.RequestNotSent as error:
             why = f"not reached: {error}"
@@ -188,7 +193,7 @@
             status=answer.head.status,
             after_event=self._last_event,
         )
-        if not answer.is_stream:
+        if not answer.has_rest:
             if begun is not None:
                 return self._break_off(begun)
             if not engine_answers.may_relay(answer.head, self._possibly_run):
@@ -202,13 +207,18 @@
                 status=answer.head.status,
                 headers=engine_answers.answer_headers(answer.head),
             )
-            response.enable_chunked_encoding()
+            if answer.body:
+                response.content_length = answer.connection.stated_length
+            else:
+                response.enable_chunked_encoding()
             await response.prepare(self._admitted.web_request)
         timeout_s = (self._remaining_ms + ANSWER_MARGIN_MS) / 1e3
         read_chunk = answer.connection.read_chunk
         try:
             # A helper that is frozen sends nothing, also no end.
             async with asyncio.timeout(max(0.0, timeout_s)):
+                if answer.body:
+                    await response.write(answer.body)
                 while (piece := await read_chunk()) is not None:
                     await response.write(piece)
         except (backend_connection.ConnectionBroken, TimeoutError) as error:
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -11,10 +11,13 @@
 from oriolejunction.controllers.overload import server_intake
 from oriolejunction.controllers import stalls
 from oriolejunction import gateway_messages
+from oriolejunction.http import answer_body
 from oriolejunction.http import backend_connection
 from oriolejunction.http import connection_pool
 
 REPORT_TIMEOUT_MS = 200.0
+# A report has some 100 bytes for each request that its engine runs.
+MAX_REPORT_BYTES = 1 << 20
 CONNECT_TIMEOUT_MS = 60.0
 CONNECT_TRIES = 2
 SUCCESS_STATUS = 200
@@ -142,7 +145,9 @@
             )
             head = await connection.read_response_head()
             on_head(head)
-            body = await backend_connection.read_body(connection.read_chunk)
+            body = await answer_body.read(
+                connection.read_chunk, MAX_REPORT_BYTES
+            )
     except (
         TimeoutError,
         backend_connection.RequestNotSent,
