Promise not run only where the server has stated it

Cause: engine_answers.may_relay passed a single server's status on whatever its headers stated. PROTOCOL.md: only Not-Executed states that a request has not run. Such an answer never reaches may_relay, since another server is asked then; so these statuses are never passed on, and the caller gets 502, unknown.

--- a/src/oriolejunction/http/engine_answers.py
+++ b/src/oriolejunction/http/engine_answers.py
@@ -18,13 +18,13 @@
         )
 
 
-def may_relay(head: gateway_messages.AnswerHead, possibly_run: int) -> bool:
-    """Return whether a failure is true for the caller.
+def may_relay(head: gateway_messages.AnswerHead) -> bool:
+    """Return whether a server's answer is true for the caller.
 
-    A server that says that nothing has run speaks for itself; of
-    `possibly_run` servers, others may have run the request.
+    A status that promises that nothing has run is not: a server that has not
+    run a request says so by a header, and then another is asked.
     """
-    return head.status not in _NOT_RUN_STATUSES or possibly_run <= 1
+    return head.status not in _NOT_RUN_STATUSES
 
 
 def answer_headers(
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -89,9 +89,7 @@
                 large_answer.give_up(task)
             if self._last_failure not in (None, answer):
                 self._last_failure.close()
-        if answer is not None and not engine_answers.may_relay(
-            answer.head, self._attempts.possibly_run
-        ):
+        if answer is not None and not engine_answers.may_relay(answer.head):
             answer.close()
             return self._give_up()
         if answer is None:
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -390,8 +390,8 @@
             if transport is not None:
                 transport.close()
             return self._response
-        failure, ran = self._engine_failure, self._attempts.possibly_run
-        if failure and engine_answers.may_relay(failure[0], ran):
+        failure = self._engine_failure
+        if failure and engine_answers.may_relay(failure[0]):
             return engine_answers.relayed_response(*failure)
         raise errors.Failure(
             self._attempts.final_error("no engine could answer in time")
--- a/src/oriolejunction/http/peer_forwarding.py
+++ b/src/oriolejunction/http/peer_forwarding.py
@@ -196,7 +196,7 @@
         if not answer.has_rest:
             if begun is not None:
                 return self._break_off(begun)
-            if not engine_answers.may_relay(answer.head, self._possibly_run):
+            if not engine_answers.may_relay(answer.head):
                 raise errors.Failure(
                     self._final_error("another server may have run it")
                 )
