--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -53,6 +53,8 @@
     large_tables: bool = False,
     odd_entries: bool = False,
     entries: int = fleets.ENTRIES,
+    stopped_servers: bool = False,
+    full_disks: bool = False,
 ) -> None:
     """Run COUNT seeds from FIRST on; the logs of all are kept on disk.
 
@@ -62,7 +64,9 @@
     --new_machines, most of them by machines with other addresses and disks.
     With --large_tables, some versions have thousands of routes; with
     --odd_entries, the list has an entry now and then that can't be read.
-    --entries N starts N entry instances.
+    --entries N starts N entry instances. With --stopped_servers, servers are
+    processes, which signals stop now and then; with --full_disks, the disks
+    of control replicas refuse writes in turns.
     """
     folder = tempfile.mkdtemp(prefix="soak-")
     options = {
@@ -72,6 +76,8 @@
         "has_large_tables": large_tables,
         "has_odd_entries": odd_entries,
         "entries": entries,
+        "stops_servers": stopped_servers,
+        "fills_disks": full_disks,
         "former_source": update_from
         and former_build.extract(
             str(update_from), pathlib.Path(folder) / "former"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,6 +18,7 @@
 from tests.platform import test_configuration_document
 from tests.soak import fault_proxy as proxies
 from tests.soak import guarantees
+from tests.soak import server_process
 
 PEER_PORT, CONTROL_PORT, ENTRY_PORT = 17_300, 17_301, 17_302
 READY_PORT, LIST_PORT, STATUS_PORT = 17_303, 17_304, 17_305
@@ -122,9 +123,18 @@
     """Processes, backend servers behind proxies and the platform's list."""
 
     def __init__(
-        self, folder: pathlib.Path, number: int, entries: int = ENTRIES
+        self,
+        folder: pathlib.Path,
+        number: int,
+        entries: int = ENTRIES,
+        has_server_processes: bool = False,
     ) -> None:
-        """Use a subnet for each number, so that fleets can run at once."""
+        """Use a subnet for each number, so that fleets can run at once.
+
+        With `has_server_processes`, the servers are processes, which nodes
+        reach without a proxy.
+        """
+        self._has_server_processes = has_server_processes
         self.observations = guarantees.Observations()
         self._folder = folder
         self._subnet = f"{loopback.SOAK_NETWORK}.{number % 250}"
@@ -141,11 +151,11 @@
         # Nodes that were replaced by new machines.
         self.removed: list[Node] = []
         self.engines = [
-            self._make_server(f"i-llm-{index}", self._serve_stream)
+            self._make_server(f"i-llm-{index}", "stream")
             for index in range(ENGINES)
         ]
         self.call_servers = [
-            self._make_server(f"i-desk-{index}", self._serve_call)
+            self._make_server(f"i-desk-{index}", "call")
             for index in range(CALL_SERVERS)
         ]
         # Names of the servers that ask for pauses now.
@@ -232,12 +242,19 @@
         return new
 
     def _make_server(
-        self, name: str, behave: gateway_rig.Behaviour
-    ) -> gateway_rig.Engine:
+        self, name: str, kind: str
+    ) -> gateway_rig.Engine | server_process.ServerProcess:
+        if self._has_server_processes:
+            return server_process.ServerProcess(name, kind, self._record_run)
+        work = server_process.Work(functools.partial(self._record_run, name))
+        behave = work.serve_call if kind == "call" else work.serve_stream
         return gateway_rig.Engine(
             name, functools.partial(self._serve, name, behave)
         )
 
+    def _record_run(self, server: str, request_id: str) -> None:
+        self.observations.runs_by_id[request_id] += 1
+
     @property
     def nodes(self) -> list[Node]:
         """Return all processes."""
@@ -259,7 +276,11 @@
                     {
                         "id": server.name,
                         "service": service,
-                        "address": proxy.address,
+                        "address": (
+                            server.address
+                            if self._has_server_processes
+                            else proxy.address
+                        ),
                         "zone": f"z{index % ZONES}",
                         "state": "ready",
                         "slots": 16,
@@ -337,28 +358,6 @@
                 guarantees.Pause(now_s, now_s + PAUSE_S, name, sender)
             )
 
-    async def _serve_stream(self, arrival: gateway_rig.Arrival) -> None:
-        self.observations.runs_by_id[arrival.headers["attempt-id"]] += 1
-        first = int(arrival.headers.get("last-event-id", 0)) + 1
-        arrival.begin()
-        for number in range(first, guarantees.EVENTS_PER_STREAM + 1):
-            arrival.events([number])
-            await arrival.writer.drain()
-            await asyncio.sleep(0.02)
-        arrival.end()
-
-    async def _serve_call(self, arrival: gateway_rig.Arrival) -> None:
-        number = int(arrival.headers["attempt-id"].rsplit("-", 1)[1])
-        if number % 11 == 0:
-            arrival.refuse()
-            return
-        self.observations.runs_by_id[arrival.headers["attempt-id"]] += 1
-        await asyncio.sleep(0.01)
-        if number % 13 == 0:
-            arrival.answer(b"failed", "500 Failed")
-        else:
-            arrival.answer(b"done")
-
 
 def _replace_text(path: pathlib.Path, text: str) -> None:
     """Write a file that its readers see whole at any time."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -76,6 +76,59 @@
     return rests
 
 
+@dataclasses.dataclass(frozen=True)
+class ScheduledStop:
+    """Servers, by number, that are stopped by a signal from `at_s` on."""
+
+    at_s: float
+    servers: tuple[int, ...]
+    duration_s: float
+
+
+def draw_stops(
+    seed: int, length_s: float, servers: int
+) -> list[ScheduledStop]:
+    """Return when servers are stopped for about a second, one by one or all.
+
+    A server is not stopped again before it has gone on.
+    """
+    rng = random.Random(seed + 7)
+    stops: list[ScheduledStop] = []
+    at_s = rng.uniform(0.2, 1.0)
+    while at_s < length_s:
+        count = rng.choice([1, servers // 2, servers])
+        chosen = tuple(rng.sample(range(servers), count))
+        stop = ScheduledStop(at_s, chosen, rng.uniform(0.5, 1.4))
+        stops.append(stop)
+        at_s += stop.duration_s + rng.uniform(0.3, 1.5)
+    return stops
+
+
+@dataclasses.dataclass(frozen=True)
+class ScheduledFullDisk:
+    """The disk of the numbered replica refuses writes from `at_s` on."""
+
+    at_s: float
+    replica: int
+    duration_s: float
+
+
+def draw_full_disks(
+    seed: int, length_s: float, replicas: int
+) -> list[ScheduledFullDisk]:
+    """Return which disks are full and when, never two at once."""
+    rng = random.Random(seed + 8)
+    disks: list[ScheduledFullDisk] = []
+    at_s = rng.uniform(0.2, 1.0)
+    while at_s < length_s:
+        disk = ScheduledFullDisk(
+            at_s, rng.randrange(replicas), rng.uniform(0.3, 1.5)
+        )
+        disks.append(disk)
+        at_s += disk.duration_s + rng.uniform(0.5, 1.5)
+    return disks
+
+
 def draw_update(
     seed: int, controls: int, nodes: int, new_machines: bool = False
 ) -> list[Replacement]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from tests import full_disk
 from tests.platform import odd_json
 from tests.soak import fleet as fleets
 from tests.soak import guarantees
@@ -48,6 +49,8 @@
         has_large_tables: bool = False,
         has_odd_entries: bool = False,
         entries: int = fleets.ENTRIES,
+        stops_servers: bool = False,
+        fills_disks: bool = False,
     ) -> None:
         """Prepare the soak of a seed.
 
@@ -59,6 +62,8 @@
         are replaced by machines with other addresses and empty disks. With
         `has_large_tables`, some versions have thousands of routes. With
         `has_odd_entries`, the list has one that can't be read now and then.
+        With `stops_servers`, servers are processes, which signals stop. With
+        `fills_disks`, disks of control replicas refuse writes in turns.
         """
         self._seed = seed
         self._interrupt_start = interrupt_start
@@ -68,7 +73,9 @@
         self._has_large_tables = has_large_tables
         self._has_odd_entries = has_odd_entries
         self._rng = random.Random(seed + 1)
-        self._fleet = fleets.Fleet(folder, seed, entries)
+        self._stops_servers = stops_servers
+        self._fills_disks = fills_disks
+        self._fleet = fleets.Fleet(folder, seed, entries, stops_servers)
         self._observations = self._fleet.observations
         self._request_count = 0
         self._version = 7
@@ -162,8 +169,40 @@
             work.extend(self._let_rest(rest) for rest in rests)
         if self._has_odd_entries:
             work.append(self._change_odd_entry(length_s))
+        if self._stops_servers:
+            work.append(self._stop_servers(length_s))
+        if self._fills_disks:
+            work.append(self._fill_disks(length_s))
         await asyncio.gather(*work)
 
+    async def _stop_servers(self, length_s: float) -> None:
+        servers = [*self._fleet.engines, *self._fleet.call_servers]
+        start_s = asyncio.get_running_loop().time()
+        for stop in schedule.draw_stops(self._seed, length_s, len(servers)):
+            await self._sleep_until(start_s + stop.at_s)
+            await asyncio.gather(
+                *(
+                    servers[number].stop_for(stop.duration_s)
+                    for number in stop.servers
+                )
+            )
+
+    async def _fill_disks(self, length_s: float) -> None:
+        controls = self._fleet.controls
+        start_s = asyncio.get_running_loop().time()
+        for disk in schedule.draw_full_disks(
+            self._seed, length_s, len(controls)
+        ):
+            await self._sleep_until(start_s + disk.at_s)
+            process = controls[disk.replica].process
+            with contextlib.suppress(ProcessLookupError):
+                with full_disk.refused_writes(process_id=process.pid):
+                    await asyncio.sleep(disk.duration_s)
+
+    async def _sleep_until(self, at_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, at_s - loop.time()))
+
     async def _change_odd_entry(self, length_s: float) -> None:
         rng = random.Random(self._seed + 6)
         loop = asyncio.get_running_loop()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -54,3 +54,21 @@
         assert not any(step.is_new_machine for step in steps)
         replaced = schedule.draw_update(seed, 2, 5, new_machines=True)
         assert any(step.is_new_machine for step in replaced)
+
+
+async def test_stopped_servers_and_full_disks_under_faults(tmp_path):
+    """Load: servers stand still for a second, and go on with what waited."""
+    soak = soaks.Soak(tmp_path, 7, stops_servers=True, fills_disks=True)
+    assert await soak.run(LENGTH_S) == []
+
+
+def test_stops_and_full_disks_follow_each_other():
+    for seed in range(20):
+        stops = schedule.draw_stops(seed, 20.0, servers=6)
+        disks = schedule.draw_full_disks(seed, 20.0, replicas=3)
+        for events in (stops, disks):
+            ends_s = [each.at_s + each.duration_s for each in events]
+            assert all(
+                end_s < later.at_s for end_s, later in zip(ends_s, events[1:])
+            )
+        assert {len(each.servers) for each in stops} <= {1, 3, 6}
--- a/tests/test_endless_bytes_nodes.py
+++ b/tests/test_endless_bytes_nodes.py
@@ -100,10 +100,10 @@
 
     async def _serve(self, name, behave, arrival):
         if self.shape is None:
-            if behave == self._serve_call:
-                arrival.answer(b"done")
-            else:
+            if arrival.target.startswith("/pufi"):
                 await behave(arrival)
+            else:
+                arrival.answer(b"done")
             return
         head, piece = self.shape(arrival)
         arrival.writer.write(head)
