Take no part of an unframed call's answer for the whole

Cause: the kernel of a crashed process closes its connections as a clean end does. Streams ask then whether the server can be reached; calls didn't.

The check is made for calls too, where the answer really ended with its connection.

test_part_of_an_answer_is_no_success_after_a_crash and the test of retryable calls failed before (200 with the part) and pass.

--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -161,16 +161,15 @@
 async def check_unframed_end(
     deps: gateway_common.GatewayDependencies,
     backend: backends.Backend,
-    last_event: int,
 ) -> None:
-    """Raise `ConnectionBroken` if a stream may have been broken off.
+    """Raise `ConnectionBroken` if an answer may have been broken off.
 
-    Its engine marked the end only by closing the connection, which a crash
+    Its server marked the end only by closing the connection, which a crash
     does too.
     """
-    if not last_event or not await is_reachable(deps, backend):
+    if not await is_reachable(deps, backend):
         raise backend_connection.ConnectionBroken(
-            "the stream ended with its connection, maybe too early"
+            "the answer ended with its connection, maybe too early"
         )
 
 
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -290,6 +290,8 @@
                 return None
             engine_answers.require_matching_answer(head)
             answer = await large_answer.read(head, connection, deps.answers)
+            if connection.ends_answer and not connection.usable:
+                await backend_checks.check_unframed_end(deps, backend)
             if head.success:
                 rollout_send.record_answer(deps.clock.now_ms() - sent_ms)
             elif head.signed:
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -269,9 +269,9 @@
         if events.why_incomplete is not None:
             raise backend_connection.ConnectionBroken(events.why_incomplete)
         if connection.ends_answer:
-            await backend_checks.check_unframed_end(
-                self._deps, plan.backend, self._answer.last_event
-            )
+            if not self._answer.last_event:
+                raise backend_connection.ConnectionBroken("no event")
+            await backend_checks.check_unframed_end(self._deps, plan.backend)
         await self._send_head(head)
         self._deps.pool.release(connection)
         self._deps.lengths.add(
