Replace connections to replicas on which calls do not end

tests/peers/test_silent_channels.py failed before (the sender hung, and no channel could be renewed); tests/peers/test_raft_transport.py passes as before.

--- a/src/oriolejunction/peers/channels.py
+++ b/src/oriolejunction/peers/channels.py
@@ -1,5 +1,7 @@
 """gRPC channels to other instances, one per address."""
 
+import asyncio
+
 import grpc
 
 from oriolejunction.peers import rpc
@@ -15,6 +17,7 @@
         self._transport = transport
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
         self._stubs: dict[tuple[str, rpc.Method], rpc.Handler] = {}
+        self._closing: set[asyncio.Task] = set()
 
     def stub_for(self, address: str, method: rpc.Method) -> rpc.Handler:
         """Return a stub for `method` at `address`."""
@@ -37,6 +40,21 @@
             self._channel_by_address[address] = channel
         return channel
 
+    def renew(self, address: str) -> None:
+        """Have the next call open a new connection to an address.
+
+        Calls and streams on the old one end.
+        """
+        channel = self._channel_by_address.pop(address, None)
+        if channel is None:
+            return
+        self._stubs = {
+            key: stub for key, stub in self._stubs.items() if key[0] != address
+        }
+        task = asyncio.create_task(channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channel_by_address.values():
--- a/src/oriolejunction/peers/raft_transport.py
+++ b/src/oriolejunction/peers/raft_transport.py
@@ -4,6 +4,7 @@
 import collections
 
 import grpc
+import structlog
 
 from oriolejunction.consensus import raft_messages
 from oriolejunction.consensus import types
@@ -16,8 +17,11 @@
 QUEUE_LIMIT = 512
 # Of a small batch.
 DELIVER_TIMEOUT_S = 1.0
+# gRPC may end a call late, or never if its connection has gone silent.
+OWN_LIMIT_MARGIN_S = 0.2
 # A batch ends with the message that reaches this size.
 MAX_BATCH_BYTES = 1 << 20
+_log = structlog.get_logger(__name__)
 
 
 class RaftTransport:
@@ -61,17 +65,30 @@
     async def deliver(
         self, address: str, group: types.GroupId, batch: list[wire.Message]
     ) -> None:
-        """Send one batch; if that fails, its messages are lost."""
+        """Send one batch; if that fails, its messages are lost.
+
+        A connection on which a call does not end in time is replaced: it may
+        stay silent for good while new ones work.
+        """
         call = self.stub_for(address, raft_methods.DELIVER)
+        limit_s = rpc.transfer_timeout_s(
+            DELIVER_TIMEOUT_S, sum(map(_content_bytes, batch))
+        )
         try:
-            await call(
-                raft_messages.Deliver(group, self._address, tuple(batch)),
-                timeout=rpc.transfer_timeout_s(
-                    DELIVER_TIMEOUT_S, sum(map(_content_bytes, batch))
-                ),
-            )
-        except grpc.aio.AioRpcError:
+            async with asyncio.timeout(limit_s + OWN_LIMIT_MARGIN_S):
+                await call(
+                    raft_messages.Deliver(group, self._address, tuple(batch)),
+                    timeout=limit_s,
+                )
             return
+        except grpc.aio.AioRpcError as error:
+            if error.code() is not grpc.StatusCode.DEADLINE_EXCEEDED:
+                return
+            why = error.code().name
+        except TimeoutError:
+            why = "the call did not end"
+        _log.warning("connection to replica replaced", to=address, why=why)
+        self._channels.renew(address)
 
     async def close(self) -> None:
         """Stop the senders and close the channels."""
