--- a/src/oriolejunction/consensus/storage.py
+++ b/src/oriolejunction/consensus/storage.py
@@ -139,10 +139,11 @@
         if snapshot is None:
             return
         if self.log.term_at(snapshot.index) != snapshot.term:
-            self._reset_to(snapshot)
+            self.log.reset(snapshot)
+            self._start_after(snapshot)
 
-    def _reset_to(self, snapshot: types.Snapshot) -> None:
-        self.log.reset(snapshot)
+    def _start_after(self, snapshot: types.Snapshot) -> None:
+        """Start a segment whose first entry follows a snapshot."""
         self._start_segment(
             (
                 Base(
@@ -156,7 +157,11 @@
         )
 
     def write(self, records: collections.abc.Sequence[types.Record]) -> None:
-        """Write records in order and sync them; raise `OSError`."""
+        """Write records in order and sync them; raise `OSError`.
+
+        The log in memory has changed already, and changes while a thread
+        writes.
+        """
         batch: list[types.Record] = []
         for record in records:
             if isinstance(record, types.HardState):
@@ -167,7 +172,7 @@
             self._write_batch(batch)
             batch = []
             self._save_snapshot(record)
-            self._reset_to(record)
+            self._start_after(record)
         self._write_batch(batch)
 
     def _write_batch(
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -82,6 +82,29 @@
     assert (reloaded.log.base_index, reloaded.log.last_index) == (9, 10)
 
 
+def test_entry_appended_while_a_snapshot_is_written_is_kept(tmp_path):
+    """Fault: it was on disk only, and its index was written twice later.
+
+    A new leader's entries arrive while a thread writes the snapshot.
+    """
+    storage = storages.Storage.create(tmp_path)
+    snapshot = types.Snapshot(9, 2, types.Membership(()), 1, b"state")
+    later = types.Entry(10, 3, b"later")
+    save = storage._save_snapshot
+
+    def append_meanwhile(record):
+        save(record)
+        storage.log.append((later,))
+
+    storage._save_snapshot = append_meanwhile
+    storage.log.reset(snapshot)
+    storage.write([types.HardState(2, None), snapshot])
+    assert storage.log.last_index == 10
+    storage.write([types.AppendEntries((later,))])
+    storage.close()
+    assert storages.Storage.load(tmp_path).log.last_index == 10
+
+
 def _audit_entry(number):
     return messages.AuditEntry(
         number=number,
