Restart background tasks of an instance that fail

An instance of the product whose disk was full as it formed or joined its group never did so later: changes stayed refused, while its process ran.

Cause: wiring.Instance and serving.Serving ran their background tasks without supervision, unlike nodes of a deployment; an OSError of one ended it for good. They run under run_supervised now.

test_group_is_formed_after_its_task_failed failed before (the OSError came out at the instance's stop, no group was formed) and passes, as do the tests of the whole path and the examples.

--- a/src/oriolejunction/serving.py
+++ b/src/oriolejunction/serving.py
@@ -30,6 +30,7 @@
 from oriolejunction.peers import gossip_service
 from oriolejunction.peers import gossip_state
 from oriolejunction.peers import transport as transports
+from oriolejunction import supervision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +60,7 @@
         transport: transports.PeerTransport,
         options: ServingOptions,
     ) -> None:
+        self._clock = clock
         self.membership = memberships.Membership(blackboard, clock)
         self.dispatches = dispatch_state.Dispatches(clock)
         self.caches = prefix_caches.PrefixCaches(clock)
@@ -134,7 +136,12 @@
             self.gate,
             self.gossip,
         )
-        return [asyncio.create_task(each.run()) for each in components]
+        return [
+            asyncio.create_task(
+                supervision.run_supervised(each.run, self._clock)
+            )
+            for each in components
+        ]
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/oriolejunction/wiring.py
+++ b/src/oriolejunction/wiring.py
@@ -40,6 +40,7 @@
 from oriolejunction import settings as instance_settings
 from oriolejunction import source_digest
 from oriolejunction import states
+from oriolejunction import supervision
 from oriolejunction import telemetry as metrics
 
 STOP_TIMEOUT_S = 0.1
@@ -122,16 +123,12 @@
             self._control,
             settings.peer_listen,
         )
-        self._tasks.append(asyncio.create_task(watch.run()))
+        self._spawn(watch.run)
         self._orders = order_client.OrderClient()
         if self._replica is not None:
-            self._tasks.append(
-                asyncio.create_task(
-                    self._new_leader_executor(instance_id).run()
-                )
-            )
+            self._spawn(self._new_leader_executor(instance_id).run)
         self._tasks.extend(self.serving.start())
-        self._tasks.append(asyncio.create_task(self._journal_service.run()))
+        self._spawn(self._journal_service.run)
         caller_app = callers.application(
             self._caller_dependencies(instance_id)
         )
@@ -153,6 +150,12 @@
             sources=source_digest.source_digest(),
         )
 
+    def _spawn(self, work: supervision.Work) -> None:
+        """Run a background task, restarted on failure, until `stop`."""
+        self._tasks.append(
+            asyncio.create_task(supervision.run_supervised(work, self.clock))
+        )
+
     async def drain(self) -> None:
         """Finish all requests in flight, then transfer control leadership."""
         await self._graceful_shutdown.run()
@@ -223,7 +226,7 @@
             self._control_addresses,
         )
         self._replica.start()
-        self._tasks.append(asyncio.create_task(self._formation.run()))
+        self._spawn(self._formation.run)
         self._raft_transport = transport
 
     def _control_addresses(self) -> list[str]:
