Ask an unframed answer's server after its sockets are closed

Cause: the kernel closes the sockets of an ended process one after the other, the answer's before the listener, so that a connection opened in between succeeded. The check waits for 20 ms first, for calls and streams.

test_listener_that_closes_after_the_connection_is_no_sign_of_life failed before (200) and passes.

--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -22,6 +22,8 @@
 RECHECK_DELAY_MS = 400.0
 MIN_RESTART_MS = 800.0
 MAX_LOGGED_PARTS = 16
+# The kernel closes the sockets of an ended process one after the other.
+TEARDOWN_MS = 20.0
 _log = structlog.get_logger(__name__)
 
 
@@ -164,9 +166,10 @@
 ) -> None:
     """Raise `ConnectionBroken` if an answer may have been broken off.
 
-    Its server marked the end only by closing the connection, which a crash
-    does too.
+    Its server marked the end only by closing the connection, which the kernel
+    does for a crashed process too, before it closes the listener.
     """
+    await deps.clock.sleep_ms(TEARDOWN_MS)
     if not await is_reachable(deps, backend):
         raise backend_connection.ConnectionBroken(
             "the answer ended with its connection, maybe too early"
--- a/tests/http/test_unframed_answers.py
+++ b/tests/http/test_unframed_answers.py
@@ -1,5 +1,7 @@
 """Answers without a length end with their connection, or with their server."""
 
+import asyncio
+
 import pytest
 
 from tests import event_loops
@@ -45,3 +47,23 @@
 
     async with gateway_rig.running(desk=[behave]) as rig:
         assert await calls.read(rig.ask("/order/1")) == (200, b"whole")
+
+
+async def test_listener_that_closes_after_the_connection_is_no_sign_of_life():
+    """Fault: the server was asked while the kernel still ended its process."""
+
+    async def behave(arrival):
+        engine = next(
+            e
+            for e in rig.engines_by_service[gateway_rig.DESK]
+            if arrival in e.arrivals
+        )
+        arrival.writer.write(arrival.head() + b"a part")
+        await arrival.writer.drain()
+        arrival.writer.close()
+        await asyncio.sleep(0.005)
+        engine._server._server.close()
+
+    async with gateway_rig.running(desk=[behave]) as rig:
+        status, _ = await calls.read(rig.ask("/order/1"))
+    assert status == 502
