Cancel no other call when a connection of the log is replaced

Found by reading: closing a channel cancels its other calls with CancelledError, which run_supervised does not catch, so that a replica's task that forms and repairs the group, or asks for a stream's origin, could have ended for good while its process went on.

Messages of the log have channels of their own now; each address has at most one call on them, which has ended when the channel is replaced.

test_replaced_connection_cancels_no_other_call fails on the code before (it has no such channels).

--- a/src/oriolejunction/peers/raft_transport.py
+++ b/src/oriolejunction/peers/raft_transport.py
@@ -34,6 +34,8 @@
     ) -> None:
         self._address = address
         self._channels = channels.ChannelPool(transport)
+        # Replacing one of these must not cancel other calls.
+        self._log_channels = channels.ChannelPool(transport)
         self._address_by_replica: dict[types.ReplicaId, str] = {}
         self._queue_by_address: dict[str, _SendQueue] = {}
 
@@ -70,7 +72,7 @@
         A connection on which a call does not end in time is replaced: it may
         stay silent for good while new ones work.
         """
-        call = self.stub_for(address, raft_methods.DELIVER)
+        call = self._log_channels.stub_for(address, raft_methods.DELIVER)
         limit_s = rpc.transfer_timeout_s(
             DELIVER_TIMEOUT_S, sum(map(_content_bytes, batch))
         )
@@ -88,13 +90,14 @@
         except TimeoutError:
             why = "the call did not end"
         _log.warning("connection to replica replaced", to=address, why=why)
-        self._channels.renew(address)
+        self._log_channels.renew(address)
 
     async def close(self) -> None:
         """Stop the senders and close the channels."""
         for queue in self._queue_by_address.values():
             await queue.close()
         await self._channels.close()
+        await self._log_channels.close()
 
 
 class _SendQueue:
--- a/tests/peers/test_silent_channels.py
+++ b/tests/peers/test_silent_channels.py
@@ -32,7 +32,7 @@
 
         return answer if calls else hang
 
-    monkeypatch.setattr(transport, "stub_for", stub_for)
+    monkeypatch.setattr(transport._log_channels, "stub_for", stub_for)
     monkeypatch.setattr(raft_transport, "DELIVER_TIMEOUT_S", 0.1)
     transport.send(GROUP, message(), ADDRESS)
     await asyncio.sleep(0)
@@ -42,11 +42,13 @@
     await transport.close()
 
 
-async def test_stub_of_a_renewed_channel_is_another_one():
+async def test_replaced_connection_cancels_no_other_call():
+    """Fault: the cancelled call ended the task that awaited it."""
     transport = raft_transport.RaftTransport("127.0.0.1:2")
     method = raft_transport.raft_methods.DELIVER
-    first = transport.stub_for(ADDRESS, method)
-    assert transport.stub_for(ADDRESS, method) is first
-    transport._channels.renew(ADDRESS)
-    assert transport.stub_for(ADDRESS, method) is not first
+    other = transport.stub_for(ADDRESS, method)
+    first = transport._log_channels.stub_for(ADDRESS, method)
+    transport._log_channels.renew(ADDRESS)
+    assert transport._log_channels.stub_for(ADDRESS, method) is not first
+    assert transport.stub_for(ADDRESS, method) is other
     await transport.close()
