--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -245,8 +245,13 @@
         self, name: str, kind: str
     ) -> gateway_rig.Engine | server_process.ServerProcess:
         if self._has_server_processes:
-            return server_process.ServerProcess(name, kind, self._record_run)
-        work = server_process.Work(functools.partial(self._record_run, name))
+            return server_process.ServerProcess(
+                name, kind, self._record_run, self._record_stream
+            )
+        work = server_process.Work(
+            functools.partial(self._record_run, name),
+            functools.partial(self._record_stream, name),
+        )
         behave = work.serve_call if kind == "call" else work.serve_stream
         return gateway_rig.Engine(
             name, functools.partial(self._serve, name, behave)
@@ -255,6 +260,13 @@
     def _record_run(self, server: str, request_id: str) -> None:
         self.observations.runs_by_id[request_id] += 1
 
+    def _record_stream(
+        self, server: str, request_id: str, began_s: float, ended_s: float
+    ) -> None:
+        self.observations.stream_runs.append(
+            guarantees.StreamRun(request_id, server, began_s, ended_s)
+        )
+
     @property
     def nodes(self) -> list[Node]:
         """Return all processes."""
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -58,6 +58,16 @@
     sender: Sender
 
 
+@dataclasses.dataclass(frozen=True)
+class StreamRun:
+    """An engine worked on a stream, or on the rest of one."""
+
+    request_id: str
+    server: str
+    began_s: float
+    ended_s: float
+
+
 @dataclasses.dataclass
 class Observations:
     """Everything that was observed while a soak ran."""
@@ -74,6 +84,7 @@
     sender_by_id: dict[str, Sender] = dataclasses.field(default_factory=dict)
     pauses: list[Pause] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    stream_runs: list[StreamRun] = dataclasses.field(default_factory=list)
     # Starts of instances that were killed or paused.
     disturbed: set[Sender] = dataclasses.field(default_factory=set)
 
@@ -86,6 +97,29 @@
             *self._pause_violations(),
         ]
 
+    def overlapping_runs(self) -> list[str]:
+        """Return the streams that two engines worked on for too long.
+
+        A server that was stopped meanwhile can't notice that its connection
+        was closed.
+        """
+        found = []
+        runs_by_id = collections.defaultdict(list)
+        for run in self.stream_runs:
+            runs_by_id[run.request_id].append(run)
+        for request_id, runs in runs_by_id.items():
+            if self.sender_by_id.get(request_id) in self.disturbed:
+                continue
+            runs.sort(key=lambda run: run.began_s)
+            for earlier, later in itertools.pairwise(runs):
+                both_s = earlier.ended_s - later.began_s
+                if both_s > MAX_OVERLAP_S:
+                    found.append(
+                        f"{earlier.server} worked on {request_id} for"
+                        f" {both_s:.2f} s after {later.server} began"
+                    )
+        return found
+
     def longest_without_version_s(self) -> float:
         """Return the longest time between two acknowledged versions."""
         times_s = [at_s for at_s, _ in self.acknowledged]
@@ -159,6 +193,8 @@
 # By the operators' rule on pauses, what comes sooner was under way, and this
 # many more may come.
 IN_FLIGHT_S = 0.5
+# By the operators' rule on streams that go on at another engine.
+MAX_OVERLAP_S = 0.4
 MAX_IN_PAUSE = 2
 
 
--- a/tests/soak/server_process.py
+++ b/tests/soak/server_process.py
@@ -2,7 +2,7 @@
 
 While it is stopped, the kernel still accepts connections for it and takes
 their bytes. It prints its address, then the id of each request that it begins
-to run.
+to run, and once more with both times when it ends a stream.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 import json
 import signal
 import sys
+import time
 
 from tests.platform import gateway_rig
 from tests.soak import guarantees
@@ -28,10 +29,17 @@
         name: str,
         kind: str,
         on_run: collections.abc.Callable[[str, str], None],
+        on_stream_end: collections.abc.Callable[
+            [str, str, float, float], None
+        ],
     ) -> None:
-        """Call `on_run` with the server's name and each request's id."""
+        """Call `on_run` with the server's name and each request's id.
+
+        `on_stream_end` gets the times of the run as well.
+        """
         self.name, self.address = name, ""
         self._kind, self._on_run = kind, on_run
+        self._on_stream_end = on_stream_end
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task | None = None
 
@@ -48,7 +56,11 @@
 
     async def _read(self) -> None:
         async for line in self._process.stdout:
-            self._on_run(self.name, json.loads(line))
+            request_id, *times_s = json.loads(line)
+            if times_s:
+                self._on_stream_end(self.name, request_id, *times_s)
+            else:
+                self._on_run(self.name, request_id)
 
     async def stop_for(self, duration_s: float) -> None:
         """Stop the process by a signal, and let it go on later."""
@@ -67,9 +79,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Work:
-    """The runs of one server; `report` tells of each."""
+    """The runs of one server; `report` tells of each when it begins.
+
+    `report_end` tells when a stream's run began and ended.
+    """
 
     report: collections.abc.Callable[[str], None]
+    report_end: collections.abc.Callable[[str, float, float], None]
 
     async def serve_call(self, arrival: gateway_rig.Arrival) -> None:
         """Run a call, or turn it away without running it."""
@@ -87,18 +103,23 @@
 
     async def serve_stream(self, arrival: gateway_rig.Arrival) -> None:
         """Send the events of a stream after the last one that arrived."""
-        self.report(arrival.headers["attempt-id"])
+        request_id = arrival.headers["attempt-id"]
+        self.report(request_id)
+        began_s = time.monotonic()
         first = int(arrival.headers.get("last-event-id", 0)) + 1
-        arrival.begin()
-        for number in range(first, guarantees.EVENTS_PER_STREAM + 1):
-            arrival.events([number])
-            await arrival.writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
-        arrival.end()
+        try:
+            arrival.begin()
+            for number in range(first, guarantees.EVENTS_PER_STREAM + 1):
+                arrival.events([number])
+                await arrival.writer.drain()
+                await asyncio.sleep(EVENT_INTERVAL_S)
+            arrival.end()
+        finally:
+            self.report_end(request_id, began_s, time.monotonic())
 
 
 async def _serve(name: str, kind: str) -> None:
-    work = Work(_print_run)
+    work = Work(_print_run, _print_run)
     behave = {"call": work.serve_call, "stream": work.serve_stream}[kind]
     server = gateway_rig.Engine(name, behave)
     await server.start()
@@ -107,8 +128,8 @@
         await asyncio.Event().wait()
 
 
-def _print_run(request_id: str) -> None:
-    print(json.dumps(request_id), flush=True)
+def _print_run(request_id: str, *times_s: float) -> None:
+    print(json.dumps([request_id, *times_s]), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -96,3 +96,16 @@
     assert bool(observations.violations()) == is_broken
     del observations.arrivals[0]
     assert observations.violations() == []
+
+
+def test_stream_at_two_engines_for_too_long_is_reported():
+    observations = guarantees.Observations(
+        stream_runs=[
+            guarantees.StreamRun("a-1", "i-0", 1.0, 3.0),
+            guarantees.StreamRun("a-1", "i-1", 2.5, 3.5),
+            guarantees.StreamRun("a-2", "i-0", 1.0, 2.0),
+            guarantees.StreamRun("a-2", "i-1", 1.7, 2.5),
+        ]
+    )
+    (overlap,) = observations.overlapping_runs()
+    assert "i-0 worked on a-1 for 0.50 s after i-1 began" in overlap
