Move a stream from a silent engine once its process answers

A stopped process does not read the close; it went on with its run 0.43 to 0.70 s after the other had begun.

Cause: an ordered end of work was taken for a confirmed one.

Change: an engine that accepts connections is asked for its report when it is given up on. Any answer shows that its process runs, so that the close ends its work. Without one, the stream moves after 1,200 ms of silence, so that a pause of 1.6 s stays within the 400 ms of the rule. The soak checks the rule.

--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -4,6 +4,9 @@
 looks the same for a while during the prefill of another stream. A new
 connection tells them apart within a round trip, so the probe comes early, and
 an engine that passes it is given up on late.
+
+A sound engine may also stand still for a second or so. Its kernel still accepts
+connections, but it ends no work whose connection was closed until it goes on.
 """
 
 import math
@@ -51,17 +54,24 @@
 # goal, taking this multiple of its expected time plus this margin.
 ELSEWHERE_FACTOR = 1.5
 ELSEWHERE_MARGIN_MS = 400.0
+# Sound engines stand still "for a second or so" (operators), and may work on a
+# stream for 400 ms after another engine has taken it over (rule TWICE).
+MAX_STANDSTILL_MS = 1_600.0
+MAX_OVERLAP_MS = 400.0
+MAX_UNRESPONSIVE_MS = MAX_STANDSTILL_MS - MAX_OVERLAP_MS
 
 
 class StallLimits(msgspec.Struct, frozen=True):
     """Silence in ms after which an engine is probed, and then given up on.
 
     After `report_ms` it is asked for its report. Probes that it passes are
-    repeated every `reprobe_ms`.
+    repeated every `reprobe_ms`. One that is given up on and accepts
+    connections, but answers nothing, is replaced after `unresponsive_ms`.
     """
 
     probe_ms: float
     give_up_ms: float
+    unresponsive_ms: float
     report_ms: float = math.inf
     reprobe_ms: float = REPROBE_MS
 
@@ -72,12 +82,17 @@
     """Return the limits of a stream that has produced events."""
     max_gap_ms = max_event_gap_ms or DEFAULT_MAX_EVENT_GAP_MS
     if gaps.samples < silence_detector.MIN_SAMPLES:
-        return StallLimits(MAX_PROBE_MS / 2, GIVE_UP_FRACTION * max_gap_ms)
+        return StallLimits(
+            MAX_PROBE_MS / 2,
+            GIVE_UP_FRACTION * max_gap_ms,
+            MAX_UNRESPONSIVE_MS,
+        )
     probe_ms = gaps.mean_ms + PROBE_DEVIATIONS * gaps.deviation_ms
     give_up_ms = gaps.mean_ms + GIVE_UP_DEVIATIONS * gaps.deviation_ms
     return StallLimits(
         min(MAX_PROBE_MS, max(MIN_PROBE_MS, probe_ms)),
         min(MAX_GIVE_UP_MS, max(GIVE_UP_FRACTION * max_gap_ms, give_up_ms)),
+        MAX_UNRESPONSIVE_MS,
     )
 
 
@@ -102,9 +117,12 @@
     interval_ms = min(
         REPROBE_GOAL_FRACTION * remaining_goal_ms, MAX_REPROBE_MS
     )
+    give_up_ms = max(give_up_ms, latest_ms)
     return StallLimits(
         max(FIRST_PROBE_MS, interval_ms),
-        max(give_up_ms, latest_ms),
+        give_up_ms,
+        # It may have stood still since the end of a long prefill only.
+        give_up_ms + MAX_UNRESPONSIVE_MS,
         unexplained_ms,
         max(REPROBE_MS, interval_ms),
     )
--- a/src/oriolejunction/http/report_probe.py
+++ b/src/oriolejunction/http/report_probe.py
@@ -25,14 +25,18 @@
 
 
 class ReportReading(msgspec.Struct, frozen=True):
-    """An engine's report, None if it gave none, and when it was asked."""
+    """An engine's report, None if it gave none, and when it was asked.
+
+    `has_answered` is set if it gave any answer, so that its process runs.
+    """
 
     report: gateway_messages.EngineReport | None
     asked_ms: float
+    has_answered: bool
 
 
 class _Probe(msgspec.Struct, frozen=True):
-    task: asyncio.Task[gateway_messages.EngineReport | None]
+    task: asyncio.Task[ReportReading]
     asked_ms: float
 
 
@@ -71,12 +75,11 @@
                     backend=backend.backend_id,
                     why="takes no request now",
                 )
-                return ReportReading(None, self._clock.now_ms())
+                return ReportReading(None, self._clock.now_ms(), False)
             self._intake.take(backend.backend_id)
             probe = self._start_probe(backend)
         # Others may wait for the same report.
-        report = await asyncio.shield(probe.task)
-        return ReportReading(report, probe.asked_ms)
+        return await asyncio.shield(probe.task)
 
     def _start_probe(self, backend: backends.Backend) -> _Probe:
         asked_ms = self._clock.now_ms()
@@ -90,13 +93,14 @@
 
     async def _probe(
         self, backend: backends.Backend, asked_ms: float
-    ) -> gateway_messages.EngineReport | None:
+    ) -> ReportReading:
         """Return an engine's report; apply what it says of its intake."""
         departures = self._intake.departures
-        leaving = False
+        leaving = has_answered = False
 
         def observe(head: backend_connection.ResponseHead) -> None:
-            nonlocal leaving
+            nonlocal leaving, has_answered
+            has_answered = True
             pause = self._wire_format.read_pause(head)
             self._intake.pauses.observe(backend.backend_id, pause, asked_ms)
             leaving = self._wire_format.read_leaving(head)
@@ -108,7 +112,7 @@
         )
         if report is not None:
             departures.observe_report(backend, report.born, leaving, asked_ms)
-        return report
+        return ReportReading(report, asked_ms, has_answered)
 
     def _forget_old_probes(self) -> None:
         oldest_ms = self._clock.now_ms() - stalls.REPORT_INTERVAL_MS
--- a/src/oriolejunction/http/stall_detection.py
+++ b/src/oriolejunction/http/stall_detection.py
@@ -3,6 +3,10 @@
 A silent engine is probed. If it is unreachable or silent for too long, another
 engine is searched for while the connection stays open: an engine that is only
 silent for a while completes an answer that no other engine can take.
+
+A closed connection ends an engine's work only if its process runs. So one that
+accepts connections is replaced once it has answered something, or was silent
+for longer than a sound engine stands still.
 """
 
 import asyncio
@@ -37,15 +41,21 @@
     """An engine sent nothing for too long, or failed a probe.
 
     `has_events` is set if the engine reports events that did not arrive,
-    `gone` if it reports that it does not run the request.
+    `gone` if it reports that it does not run the request, `may_stand_still`
+    if it accepts connections and has not answered a report.
     """
 
     def __init__(
-        self, why: str, has_events: bool = False, gone: bool = False
+        self,
+        why: str,
+        has_events: bool = False,
+        gone: bool = False,
+        may_stand_still: bool = False,
     ) -> None:
         super().__init__(why)
         self.has_events = has_events
         self.gone = gone
+        self.may_stand_still = may_stand_still
 
 
 class EngineReplaced(Exception):
@@ -99,6 +109,9 @@
         self._first_event = first_event
         self._handlers = handlers
         self._timer = shared_timer.SharedTimer()
+        # Whether the engine would not notice now that its connection is
+        # closed, since its process has shown no sign of life.
+        self._may_stand_still = False
 
     async def read(
         self, read_piece: PieceReader[Piece], limits: LimitsSource
@@ -128,6 +141,7 @@
         clock = self._deps.clock
         self._log_stall("engine stalled", since_ms, why=str(stall))
         self._handlers.on_stalled(stall)
+        self._may_stand_still = stall.may_stand_still
         piece_task = asyncio.ensure_future(read_piece())
         search = repeated_task.RepeatedTask(
             clock, self._handlers.search, stalls.SEARCH_INTERVAL_MS
@@ -136,7 +150,9 @@
             clock,
             lambda: self._gone_grace_ms(clock.now_ms() - since_ms),
             stalls.REPORT_INTERVAL_MS,
-            first_ms=stalls.REPORT_INTERVAL_MS,
+            first_ms=(
+                0.0 if stall.may_stand_still else stalls.REPORT_INTERVAL_MS
+            ),
         )
         grace_ms = GONE_GRACE_MS if stall.gone else math.inf
         gone_since_ms = clock.now_ms()
@@ -144,7 +160,13 @@
             while not piece_task.done():
                 if self._attempts.remaining_ms <= 0:
                     raise DeadlineReached
-                await self._wait_for_any(piece_task, search, check)
+                hold_ms = since_ms + limits().unresponsive_ms - clock.now_ms()
+                if self._may_stand_still and hold_ms > 0:
+                    await self._wait_for_any(hold_ms, piece_task, check)
+                else:
+                    await self._wait_for_any(
+                        GONE_GRACE_MS, piece_task, search, check
+                    )
                 plan = search.take()
                 if plan is not None:
                     if not piece_task.done():
@@ -177,12 +199,13 @@
 
     async def _wait_for_any(
         self,
+        max_ms: float,
         piece_task: asyncio.Future,
         *repeated: repeated_task.RepeatedTask,
     ) -> None:
-        """Wait for the piece, a repeated task, or the deadline."""
+        """Wait for the piece, a repeated task, `max_ms` or the deadline."""
         tasks = {piece_task}
-        wait_ms = min(self._attempts.remaining_ms, GONE_GRACE_MS)
+        wait_ms = min(self._attempts.remaining_ms, max_ms)
         for each in repeated:
             wait_ms = min(wait_ms, each.start_if_due())
             if each.task is not None:
@@ -203,6 +226,10 @@
             await self._check_report(silent_ms)
         except EngineStalled as stall:
             return GONE_GRACE_MS if stall.gone else math.inf
+        if self._may_stand_still:
+            self._may_stand_still = await backend_checks.is_reachable(
+                self._deps, self._backend
+            )
         listed = self._deps.blackboard.backends.read().by_id
         if self._backend.backend_id in listed:
             return math.inf
@@ -265,7 +292,9 @@
                 is_working = await self._check_report(silent_ms)
                 next_report_ms = silent_ms + stalls.REPORT_INTERVAL_MS
             if silent_ms >= current.give_up_ms and not is_working:
-                raise EngineStalled(f"silent for {silent_ms:.0f} ms")
+                raise EngineStalled(
+                    f"silent for {silent_ms:.0f} ms", may_stand_still=True
+                )
             if not await backend_checks.is_reachable(
                 self._deps, self._backend
             ):
@@ -299,7 +328,10 @@
             progress=progress.value,
             silent_ms=round(silent_ms),
             asked_ms_ago=round(self._deps.clock.now_ms() - reading.asked_ms),
+            answered=reading.has_answered,
         )
+        if reading.has_answered:
+            self._may_stand_still = False
         if progress is run_progress.RunProgress.ANSWER_LOST:
             raise EngineStalled("the engine's events were lost", True)
         if progress is run_progress.RunProgress.GONE:
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -95,6 +95,7 @@
             *self._answer_violations(),
             *self._read_violations(),
             *self._pause_violations(),
+            *self.overlapping_runs(),
         ]
 
     def overlapping_runs(self) -> list[str]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -153,9 +153,7 @@
             f" {len(self._observations.reads)} read,"
             f" {len(self._observations.pauses)} pauses asked for,"
             f" {self._observations.longest_without_version_s():.1f} s at most"
-            f" without a new version; {statuses};"
-            f" {len(self._observations.overlapping_runs())} streams at two"
-            " engines for too long"
+            f" without a new version; {statuses}"
         )
 
     async def _disrupt(self, length_s: float) -> None:
