--- a/src/oriolejunction/controllers/stalls.py
+++ b/src/oriolejunction/controllers/stalls.py
@@ -5,8 +5,9 @@
 connection tells them apart within a round trip, so the probe comes early, and
 an engine that passes it is given up on late.
 
-A sound engine may also stand still for a second or so. Its kernel still accepts
-connections, but it ends no work whose connection was closed until it goes on.
+A sound engine may also stand still for a second or so. Its kernel still
+accepts connections, but it ends no work whose connection was closed until it
+goes on.
 """
 
 import math
