Bound what clients make a listener hold before a request is whole

Cause: only single lines and connections were bounded, by the library, and not their sum, nor the work for their bytes.

Change: a guard for each listener of both programs bounds connections, unfinished requests and their bytes in all. The oldest unfinished request yields, since an ordinary caller ends its own within a few turns. Long requests are parsed by turns; the operators' time limits are enforced; the body of a lost connection is dropped at once; few connections are accepted in a turn.

--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -148,10 +148,12 @@
         self.spawn(functools.partial(self.settings_file.watch, self.clock))
         self.spawn(self._new_list_poller(settings).run)
         await self.listen(
+            "operators",
             node_base.internal_runner(
                 operator_calls.application(publication, rollouts)
             ),
             settings.operator_listen,
+            settings.arrival_limits(),
         )
         await self.serve_status(self._registry, self._status)
         _log.info(
--- a/src/oriolejunction/entry_wiring.py
+++ b/src/oriolejunction/entry_wiring.py
@@ -33,6 +33,7 @@
 from oriolejunction.peers import table_follower
 from oriolejunction.platform import backend_list
 from oriolejunction.platform import gateway_dialect
+from oriolejunction import routing_table
 from oriolejunction import source_digest
 from oriolejunction import states
 
@@ -173,7 +174,11 @@
             self._deps, self._shutdown.track_request, time_to_exit_ms
         )
         self._caller_site = await self.listen(
-            self._gateway.runner(), settings.caller_listen
+            "callers",
+            self._gateway.runner(),
+            settings.caller_listen,
+            settings.arrival_limits(),
+            self._caller_limits,
         )
         self._peer_gateway = gateway.Gateway(
             self._deps,
@@ -182,9 +187,14 @@
             serves_peers=True,
         )
         self._peer_site = await self.listen(
-            self._peer_gateway.runner(), settings.peer_listen
+            "peers",
+            self._peer_gateway.runner(),
+            settings.peer_listen,
+            settings.arrival_limits(),
+            self._caller_limits,
         )
         await self.listen(
+            "readiness",
             node_base.internal_runner(readiness.application(self._is_ready)),
             settings.ready_listen,
         )
@@ -220,6 +230,10 @@
         await self._gateway.stop_accepting(self._caller_site)
         await self._peer_gateway.stop_accepting(self._peer_site)
 
+    def _caller_limits(self) -> routing_table.CallerLimits:
+        table = self._blackboard.table.read()
+        return table.limits if table else routing_table.CallerLimits()
+
     def _on_reachability(self) -> None:
         """Let go of what was believed of servers before links were lost."""
         if self._deps.isolation.is_isolated:
--- a/src/oriolejunction/http/gateway.py
+++ b/src/oriolejunction/http/gateway.py
@@ -17,6 +17,8 @@
 from oriolejunction.http import gateway_call
 from oriolejunction.http import gateway_common
 from oriolejunction.http import gateway_stream
+from oriolejunction.http import guarded_connection
+from oriolejunction.http import listener_guard
 from oriolejunction.http import peer_forwarding
 from oriolejunction.http import replies
 from oriolejunction.http import request_body
@@ -91,6 +93,8 @@
             max_field_size=MAX_HEADER_BYTES,
             max_headers=MAX_HEADERS,
             auto_decompress=False,
+            lingering_time=guarded_connection.LINGER_S,
+            read_bufsize=listener_guard.READ_BYTES,
         )
         return web.ServerRunner(self._server, shutdown_timeout=0.1)
 
--- a/src/oriolejunction/http/replies.py
+++ b/src/oriolejunction/http/replies.py
@@ -46,6 +46,9 @@
         return error_response(failure.error)
     except web.HTTPRequestEntityTooLarge as error:
         return error_response(errors.RequestTooLarge(error.text or ""))
+    except ConnectionError as error:
+        # Nobody gets this answer: the client has left, or had to yield.
+        return error_response(errors.MalformedRequest(str(error)))
     except web.HTTPNotFound:
         return error_response(errors.MalformedRequest("no such path"))
 
--- a/src/oriolejunction/http/request_body.py
+++ b/src/oriolejunction/http/request_body.py
@@ -1,5 +1,7 @@
 """Reads the bodies of callers' requests, within the instance's memory."""
 
+import collections.abc
+
 from aiohttp import web
 
 from oriolejunction.controllers.overload import buffer_budget
@@ -20,20 +22,41 @@
 ) -> bytes:
     """Return a request's body; raise `Failure` if it must not be held."""
     await _send_continue(request)
-    pieces = []
+
+    def hold(count: int) -> None:
+        if not held.add(count):
+            raise no_memory("this instance", returns)
+
+    return await read_up_to(request, limit_bytes, hold)
+
+
+async def read_up_to(
+    request: web.BaseRequest,
+    limit_bytes: int,
+    on_piece: collections.abc.Callable[[int], None] = lambda count: None,
+) -> bytes:
+    """Return a request's body; raise `Failure` if it is too large.
+
+    `on_piece` gets the size of each piece, and may raise.
+    """
+    pieces: list[bytes] = []
     size = 0
-    async for piece in request.content.iter_any():
-        size += len(piece)
-        if size > limit_bytes:
-            raise errors.Failure(
-                errors.RequestTooLarge(
-                    f"the body is larger than {limit_bytes} bytes"
+    try:
+        async for piece in request.content.iter_any():
+            size += len(piece)
+            if size > limit_bytes:
+                raise errors.Failure(
+                    errors.RequestTooLarge(
+                        f"the body is larger than {limit_bytes} bytes"
+                    )
                 )
-            )
-        if not held.add(len(piece)):
-            raise no_memory("this instance", returns)
-        pieces.append(piece)
-    return b"".join(pieces)
+            on_piece(len(piece))
+            pieces.append(piece)
+        return b"".join(pieces)
+    finally:
+        # An error keeps this frame, and aiohttp keeps the error, until the
+        # garbage collector finds their cycle.
+        pieces.clear()
 
 
 def no_memory(
--- a/src/oriolejunction/http/unused_connections.py
+++ b/src/oriolejunction/http/unused_connections.py
@@ -28,6 +28,10 @@
     Those that wait are reset by the kernel.
     """
     await _turns()
+    for _ in range(MAX_TURNS):
+        if not _has_waiting(site):
+            break
+        await asyncio.sleep(0)
     await site.stop()
 
 
@@ -52,6 +56,14 @@
         await _turns()
 
 
+def _has_waiting(site: web.BaseSite) -> bool:
+    """Return whether connections wait to be accepted."""
+    poll = select.poll()
+    for sock in site._server.sockets:
+        poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 async def _turns() -> None:
     for _ in range(QUIET_TURNS):
         await asyncio.sleep(0)
--- a/src/oriolejunction/node_base.py
+++ b/src/oriolejunction/node_base.py
@@ -1,6 +1,7 @@
 """Listeners and background tasks that all nodes of a deployment share."""
 
 import asyncio
+import collections
 import collections.abc
 import pathlib
 import random
@@ -9,8 +10,12 @@
 import aioprometheus
 
 from oriolejunction import clock as clocks
+from oriolejunction.controllers.overload import arrivals
+from oriolejunction.http import guarded_connection
+from oriolejunction.http import listener_guard
 from oriolejunction.http import node_status
 from oriolejunction.peers import listing_store
+from oriolejunction import routing_table
 from oriolejunction import settings as addresses
 from oriolejunction import settings_file
 from oriolejunction import supervision
@@ -18,7 +23,10 @@
 # Time for operators' requests in flight when a node stops; a request that
 # never arrives completely must not delay the exit.
 CLOSE_TIMEOUT_S = 0.3
-LISTEN_BACKLOG = 1_024
+# Of a listener for readiness, or metrics and status: its clients are few.
+INTERNAL_LIMITS = arrivals.ArrivalLimits(
+    max_connections=32, max_arriving=16, max_bytes=1 << 20
+)
 
 
 class Node:
@@ -34,6 +42,7 @@
         self.failed = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.BaseRunner] = []
+        self._guards: list[listener_guard.ListenerGuard] = []
 
     def spawn(self, work: supervision.Work) -> None:
         """Run a background task, restarted on failure, until `close`."""
@@ -43,18 +52,37 @@
         self._tasks.append(task)
 
     async def listen(
-        self, runner: web.BaseRunner, address: str
-    ) -> web.TCPSite:
-        """Serve at ``IP:PORT``."""
+        self,
+        name: str,
+        runner: web.BaseRunner,
+        address: str,
+        limits: arrivals.ArrivalLimits = INTERNAL_LIMITS,
+        caller_limits: listener_guard.CallerLimitsSource = (
+            routing_table.CallerLimits
+        ),
+    ) -> web.BaseSite:
+        """Serve at ``IP:PORT``; `name` stands in logs and metrics."""
         host, port = addresses.split_address(address)
         await runner.setup()
-        site = web.TCPSite(
-            runner, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
-        )
+        guard = listener_guard.ListenerGuard(name, limits, caller_limits)
+        site = listener_guard.GuardedSite(runner, host, port, guard)
         await site.start()
         self._runners.append(runner)
+        if not self._guards:
+            self.spawn(self._sweep_connections)
+        self._guards.append(guard)
         return site
 
+    async def _sweep_connections(self) -> None:
+        while True:
+            await self.clock.sleep_ms(listener_guard.SWEEP_INTERVAL_MS)
+            for guard in self._guards:
+                guard.sweep()
+
+    def _connections_closed(self) -> dict[str, collections.Counter[str]]:
+        """Return how many connections each listener has closed, and why."""
+        return {each.name: each.closed_by_reason for each in self._guards}
+
     async def serve_status(
         self, registry: aioprometheus.Registry, status: node_status.Status
     ) -> None:
@@ -62,9 +90,12 @@
         address = self.settings_file.current.metrics_listen
         if address is not None:
             app = node_status.application(
-                registry, status, lambda: self.dropped_log_lines()
+                registry,
+                status,
+                lambda: self.dropped_log_lines(),
+                self._connections_closed,
             )
-            await self.listen(internal_runner(app), address)
+            await self.listen("status", internal_runner(app), address)
 
     async def start(self) -> None:
         """Open the listeners; implemented by each role."""
@@ -86,5 +117,9 @@
 def internal_runner(app: web.Application) -> web.AppRunner:
     """Return a runner for a listener that doesn't serve callers."""
     return web.AppRunner(
-        app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+        app,
+        access_log=None,
+        shutdown_timeout=CLOSE_TIMEOUT_S,
+        lingering_time=guarded_connection.LINGER_S,
+        read_bufsize=listener_guard.READ_BYTES,
     )
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -10,11 +10,13 @@
 
 import msgspec
 
+from oriolejunction.controllers.overload import arrivals
 from oriolejunction import errors
 from oriolejunction import settings
 
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0.0)]
+PositiveInt = typing.Annotated[int, msgspec.Meta(gt=0)]
 
 
 class RolloutBounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -30,6 +32,14 @@
 
 
 class _NodeSettings(msgspec.Struct, frozen=True, kw_only=True, dict=True):
+    """Settings of all nodes.
+
+    A listener for callers, other instances or operators has at most
+    `max_connections`; of these, `max_arriving` may have a request that has
+    begun and not ended, which hold `arriving_bytes` together. Beyond that,
+    the oldest of them are closed.
+    """
+
     instance_id: settings.Name
     zone: settings.Name
     ip: str
@@ -39,6 +49,17 @@
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
     # Absent where the deployment has no rollouts.
     rollouts: RolloutBounds | None = None
+    # The smallest machine has 88 MB and 1,638 descriptors. An idle node takes
+    # 55 MB, and the largest request has 4 MB.
+    max_connections: PositiveInt = 512
+    max_arriving: PositiveInt = 128
+    arriving_bytes: PositiveInt = 8 << 20
+
+    def arrival_limits(self) -> arrivals.ArrivalLimits:
+        """Return the limits of a listener on unfinished requests."""
+        return arrivals.ArrivalLimits(
+            self.max_connections, self.max_arriving, self.arriving_bytes
+        )
 
     def seed_addresses(self) -> list[str]:
         """Return the addresses where the control seeds listen for peers."""
@@ -90,6 +111,8 @@
 
     operator_listen: settings.Address
     metrics_listen: settings.Address | None = None
+    # Operators send documents of up to 64 MB.
+    arriving_bytes: PositiveInt = 68 << 20
     data_dir: str
     first_start: bool
     losses_borne: typing.Annotated[int, msgspec.Meta(ge=0)] = 2
--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -8,6 +8,7 @@
 from oriolejunction import errors
 from oriolejunction import fleet_messages as fm
 from oriolejunction.http import replies
+from oriolejunction.http import request_body
 from oriolejunction import ids
 from oriolejunction.peers import rollout_service
 from oriolejunction.peers import table_publication
@@ -49,7 +50,7 @@
     """
 
     async def replace(request: web.Request) -> web.Response:
-        document = await request.read()
+        document = await request_body.read_up_to(request, MAX_DOCUMENT_BYTES)
         table = configuration_document.read_table(document)
         reply = await publication.publish(
             fm.PublishRequest(
@@ -81,7 +82,9 @@
 ) -> None:
     async def begin(request: web.Request) -> web.Response:
         try:
-            body = _decode_rollout(await request.read())
+            body = _decode_rollout(
+                await request_body.read_up_to(request, MAX_DOCUMENT_BYTES)
+            )
         except tolerant_json.DECODE_ERRORS as error:
             raise errors.Failure(errors.MalformedRequest(str(error)))
         order = rm.BeginRequest(
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -24,6 +24,7 @@
     start: bytes
     piece: bytes
     count: int
+    reads_answers: bool = True
 
 
 def shapes(path: bytes) -> dict[str, Shape]:
@@ -53,6 +54,12 @@
         "header lines": Shape(head, header_lines, endless),
         "empty lines": Shape(b"", b"\r\n" * (PIECE_BYTES // 2), endless),
         "silence": Shape(b"", b"", 0),
+        "unread answers": Shape(
+            b"",
+            b"GET /none HTTP/1.1\r\nHost: x\r\n\r\n" * 1_000,
+            endless,
+            reads_answers=False,
+        ),
     }
 
 
@@ -83,6 +90,9 @@
         reader, writer = await asyncio.open_connection(*self._address)
         sending = asyncio.create_task(self._send(writer))
         try:
+            if not self._shape.reads_answers:
+                await sending
+                await asyncio.Event().wait()
             # Returns when the connection is closed.
             while await reader.read(PIECE_BYTES):
                 pass
--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -9,13 +9,14 @@
 import struct
 
 import aiohttp
-from aiohttp import web
 
 from oriolejunction import backends
 from oriolejunction import blackboard as blackboards
+from oriolejunction.controllers.overload import arrivals
 from oriolejunction.controllers.overload import resend_budget
 from oriolejunction.http import gateway
 from oriolejunction.http import gateway_state
+from oriolejunction.http import listener_guard
 from oriolejunction import ids
 from oriolejunction.platform import engine_report
 from oriolejunction.platform import gateway_dialect
@@ -29,6 +30,7 @@
 DESK = ids.ServiceName("desk")
 SIGNATURE = b"Response-Signature: s1\r\n"
 UNREACHABLE_ADDRESS = "127.0.0.1:1"
+ARRIVAL_LIMITS = arrivals.ArrivalLimits(500, 100, 8 << 20)
 BUDGET = resend_budget.BudgetLimits(0.8, 150.0, 10_000.0)
 
 
@@ -303,7 +305,10 @@
         )
         self.runner = self.gateway.runner()
         await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        self.guard = listener_guard.ListenerGuard("callers", ARRIVAL_LIMITS)
+        site = listener_guard.GuardedSite(
+            self.runner, "127.0.0.1", 0, self.guard
+        )
         await site.start()
         self.port = site._server.sockets[0].getsockname()[1]
         self.session = aiohttp.ClientSession()
--- a/tests/test_client_crowd_nodes.py
+++ b/tests/test_client_crowd_nodes.py
@@ -205,6 +205,17 @@
     )
 
 
+@pytest.mark.parametrize("name", ["header line", "silence"])
+async def test_control_peers_answer_beside_a_crowd(fleet, session, name):
+    """Fault: as above, where control replicas serve other nodes by gRPC."""
+    await check_bounds(
+        fleet.controls[0],
+        fleets.PEER_PORT,
+        client_crowd.shapes(b"/")[name],
+        lambda: publish(session, fleet),
+    )
+
+
 async def test_connection_that_sends_only_empty_lines_is_closed(
     fleet, session
 ):
