--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -37,7 +37,16 @@
 class Servers(fleets.Fleet):
     """A fleet whose streams have as many events as the request asks for."""
 
-    async def _serve_stream(self, arrival: gateway_rig.Arrival) -> None:
+    async def _serve(
+        self,
+        name: str,
+        behave: gateway_rig.Behaviour,
+        arrival: gateway_rig.Arrival,
+    ) -> None:
+        if EVENTS_HEADER.lower() not in arrival.headers:
+            await asyncio.sleep(0.01)
+            arrival.answer(b"done" * 100)
+            return
         arrival.begin()
         count = int(arrival.headers[EVENTS_HEADER.lower()])
         for number in range(1, count + 1):
@@ -46,10 +55,6 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         arrival.end()
 
-    async def _serve_call(self, arrival: gateway_rig.Arrival) -> None:
-        await asyncio.sleep(0.01)
-        arrival.answer(b"done" * 100)
-
 
 class Callers:
     """Sends requests to one entry instance at a steady rate."""
