Keep an answer whose client sends a line end behind its request

Found on a second reading of the guard: bytes behind a request whose answer is in progress counted as a head that arrives too slowly, so that an empty line after a body would have ended a long stream after 4 s. And a request that aiohttp's parser had kept back could have no body to follow. A listener may have an IPv6 address again.

test_line_end_behind_a_body_does_not_end_its_answer fails before; also new: 300 requests in one write are answered in order.

--- a/src/oriolejunction/http/guarded_connection.py
+++ b/src/oriolejunction/http/guarded_connection.py
@@ -147,6 +147,14 @@
         """Return whether the body of a request is arriving."""
         return self._body is not None
 
+    @property
+    def is_ahead(self) -> bool:
+        """Return whether what arrives follows a request without an answer.
+
+        Some clients send an empty line after each body.
+        """
+        return self._body is None and self._is_answering
+
     @property
     def use(self) -> arrivals.ConnectionUse:
         """Return what the connection is used for."""
@@ -216,10 +224,13 @@
                 self._drop_input()
                 return
         else:
-            body = self._handler._current_request.content
+            # The handler has begun, or ended, a request that aiohttp's parser
+            # had kept back.
+            current = self._handler._current_request
+            body = current.content if current is not None else None
         self._head_bytes = self._received
         self.quiet_sweeps = 0
-        if body.is_eof():
+        if body is None or body.is_eof():
             self._end_request()
             return
         self._body = body
--- a/src/oriolejunction/http/listener_guard.py
+++ b/src/oriolejunction/http/listener_guard.py
@@ -142,6 +142,9 @@
         """
         limits = self._caller_limits()
         for connection in self._arrivals:
+            if connection.is_ahead:
+                connection.quiet_sweeps = 0
+                continue
             connection.quiet_sweeps += 1
             limit_ms = limits.header_timeout_ms
             if connection.is_in_body:
@@ -201,7 +204,9 @@
         """Listen."""
         await super().start()
         sock = socket.create_server(
-            (self._host, self._port), backlog=LISTEN_BACKLOG
+            (self._host, self._port),
+            family=socket.AF_INET6 if ":" in self._host else socket.AF_INET,
+            backlog=LISTEN_BACKLOG,
         )
         # Accepted sockets inherit it.
         sock.setsockopt(
--- a/tests/http/test_guarded_connection.py
+++ b/tests/http/test_guarded_connection.py
@@ -186,6 +186,39 @@
         client.writer.close()
 
 
+async def test_line_end_behind_a_body_does_not_end_its_answer():
+    release = asyncio.Event()
+
+    async def answer_later(arrival):
+        await release.wait()
+        arrival.answer(b"done")
+
+    async with running(behave=answer_later) as rig:
+        client = await Client(rig).send(
+            HEAD + b"Content-Length: 3\r\n\r\nabc\r\n"
+        )
+        server = rig.engines_by_service[gateway_rig.DESK][0]
+        await wait_until(lambda: server.arrivals)
+        for _ in range(20):
+            rig.guard.sweep()
+        release.set()
+        assert (await client.received(15)).endswith(b"200 OK")
+        client.writer.close()
+
+
+async def test_many_requests_at_once_are_answered_in_order():
+    """More than aiohttp's parser keeps, so that it stops in between."""
+    request = HEAD + b"Content-Length: 3\r\n\r\n"
+    bodies = [b"%03d" % number for number in range(300)]
+    async with running() as rig:
+        client = await Client(rig).send(
+            b"".join(request + body for body in bodies)
+        )
+        for body in bodies:
+            await client.reader.readuntil(b"\r\n\r\n" + body)
+        client.writer.close()
+
+
 async def test_refusal_reaches_a_client_that_still_sends():
     """Fault: a reset of the closed connection overtook the refusal."""
     async with running() as rig:
