Send the line end behind a body by itself in its test

Sent after the request, it is, and the test fails without the change ("assert False": the connection was closed) and passes with it.

--- a/tests/http/test_guarded_connection.py
+++ b/tests/http/test_guarded_connection.py
@@ -194,11 +194,11 @@
         arrival.answer(b"done")
 
     async with running(behave=answer_later) as rig:
-        client = await Client(rig).send(
-            HEAD + b"Content-Length: 3\r\n\r\nabc\r\n"
-        )
+        client = await Client(rig).send(HEAD + b"Content-Length: 3\r\n\r\nabc")
         server = rig.engines_by_service[gateway_rig.DESK][0]
         await wait_until(lambda: server.arrivals)
+        client.writer.write(b"\r\n")
+        await wait_until(lambda: list(rig.guard._arrivals))
         for _ in range(20):
             rig.guard.sweep()
         release.set()
