--- a/src/oriolejunction/control_wiring.py
+++ b/src/oriolejunction/control_wiring.py
@@ -109,7 +109,9 @@
                 rollouts=control or rollout_control.NoRollouts(),
             )
         )
-        self._server = grpc.aio.server(options=rpc.SERVER_OPTIONS)
+        self._server = grpc.aio.server(
+            options=rpc.server_options(settings.max_connections)
+        )
         raft_service.RaftService(self._replica, self._transport).add_to(
             self._server
         )
--- a/src/oriolejunction/node_settings.py
+++ b/src/oriolejunction/node_settings.py
@@ -111,6 +111,8 @@
 
     operator_listen: settings.Address
     metrics_listen: settings.Address | None = None
+    # A replica has 4,096 descriptors, and may serve all entry instances.
+    max_connections: PositiveInt = 1_024
     # Operators send documents of up to 64 MB.
     arriving_bytes: PositiveInt = 68 << 20
     data_dir: str
--- a/src/oriolejunction/peers/rpc.py
+++ b/src/oriolejunction/peers/rpc.py
@@ -27,6 +27,10 @@
 # What a link of 3.75 Mbit/s carries that is three quarters full.
 SLOW_LINK_BYTES_PER_S = 117_000.0
 
+# For the first frames of a connection, which nodes send at once. Links that
+# lose packets resend them within 3 s.
+HANDSHAKE_TIMEOUT_MS = 5_000
+
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
     ("grpc.max_receive_message_length", 64 << 20),
@@ -50,6 +54,15 @@
 )
 
 
+def server_options(max_connections: int) -> tuple[tuple[str, int], ...]:
+    """Return the options of a server with a limit on its connections."""
+    return (
+        *SERVER_OPTIONS,
+        ("grpc.max_allowed_incoming_connections", max_connections),
+        ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    )
+
+
 def transfer_timeout_s(timeout_s: float, byte_count: int) -> float:
     """Return the time limit of a call with a request of some size.
 
