--- a/src/oriolejunction/http/request_body.py
+++ b/src/oriolejunction/http/request_body.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from oriolejunction.controllers import document_transfer
 from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.controllers.overload import wait_forecast
 from oriolejunction import errors
@@ -59,6 +60,11 @@
         pieces.clear()
 
 
+async def read_document(request: web.BaseRequest) -> bytes:
+    """Return what an operator has sent; raise `Failure` if it is too large."""
+    return await read_up_to(request, document_transfer.MAX_DOCUMENT_BYTES)
+
+
 def no_memory(
     who: str, returns: wait_forecast.ReturnSchedule
 ) -> errors.Failure:
--- a/src/oriolejunction/platform/operator_calls.py
+++ b/src/oriolejunction/platform/operator_calls.py
@@ -18,7 +18,6 @@
 from oriolejunction import rollout_messages as rm
 from oriolejunction import tolerant_json
 
-MAX_DOCUMENT_BYTES = 64 << 20
 REPLACE = "/v1/Configuration.Replace"
 READ = "/v1/Configuration.Read"
 BEGIN_ROLLOUT = "/v1/Rollouts.Begin"
@@ -50,7 +49,7 @@
     """
 
     async def replace(request: web.Request) -> web.Response:
-        document = await request_body.read_up_to(request, MAX_DOCUMENT_BYTES)
+        document = await request_body.read_document(request)
         table = configuration_document.read_table(document)
         reply = await publication.publish(
             fm.PublishRequest(
@@ -66,10 +65,7 @@
         document = publish_errors.document_of(await publication.read())
         return web.Response(body=document, content_type="application/json")
 
-    app = web.Application(
-        client_max_size=MAX_DOCUMENT_BYTES,
-        middlewares=[replies.error_middleware],
-    )
+    app = web.Application(middlewares=[replies.error_middleware])
     app.router.add_post(REPLACE, replace)
     app.router.add_get(READ, read)
     if rollouts is not None:
@@ -82,9 +78,7 @@
 ) -> None:
     async def begin(request: web.Request) -> web.Response:
         try:
-            body = _decode_rollout(
-                await request_body.read_up_to(request, MAX_DOCUMENT_BYTES)
-            )
+            body = _decode_rollout(await request_body.read_document(request))
         except tolerant_json.DECODE_ERRORS as error:
             raise errors.Failure(errors.MalformedRequest(str(error)))
         order = rm.BeginRequest(
--- a/tests/http/test_stream_progress.py
+++ b/tests/http/test_stream_progress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from aiohttp import web
 import pytest
 
 from oriolejunction.controllers import silence_detector
@@ -84,16 +85,14 @@
             added.append(gap_ms),
             add_gap(backend_id, gap_ms),
         )
-        write = gateway_rig.web.StreamResponse.write
+        write = web.StreamResponse.write
 
         async def write_slowly(response, data):
             await asyncio.sleep(0.2)
             await write(response, data)
 
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(
-                gateway_rig.web.StreamResponse, "write", write_slowly
-            )
+            patch.setattr(web.StreamResponse, "write", write_slowly)
             answer = await streams.read(rig.ask("/brief/1"))
         assert answer == (200, streams.ALL_EVENTS)
         assert max(added, default=0.0) < 150.0
