Log on which connection a server turned a request away

The log lines did not tell whether the connection of a refusal had carried the same request before, nor which request an answer named that did not match. `server did not run it` has `connection` and `was_carried`, `call broken off` the status and the named request.

--- a/src/oriolejunction/gateway_messages.py
+++ b/src/oriolejunction/gateway_messages.py
@@ -119,7 +119,8 @@
     `rate_limit` is None if the server names none, `pause` if it asks for none.
     `falls_over_at` is the number of rejections in a second that a brittle
     server does not survive, None if it is sound. `leaving` means that the
-    server wants no new requests any more.
+    server wants no new requests any more. `names` is the id of the request
+    that it names, None if it names none.
     """
 
     status: int
@@ -133,6 +134,7 @@
     pause: PauseRequest | None = None
     falls_over_at: int | None = None
     leaving: bool = False
+    names: ids.RequestId | None = None
 
     @property
     def success(self) -> bool:
--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 import collections.abc
+import itertools
 import socket
 import typing
 
@@ -20,10 +21,12 @@
 
 from oriolejunction import clock as clocks
 from oriolejunction.http import answer_parser
+from oriolejunction.http import carried_requests
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
 from oriolejunction.http import socket_bytes
 from oriolejunction.http import unread_bytes
+from oriolejunction import ids
 
 MAX_INTERIM_ANSWERS = 16
 # The kernel closes a connection with data unacknowledged for this long.
@@ -35,6 +38,7 @@
 MAX_LATE_TRIES = 2
 # Used if the peer announces no keep-alive timeout.
 DEFAULT_IDLE_LIMIT_MS = 2_000.0
+_numbers = itertools.count(1)
 
 
 class RequestNotSent(Exception):
@@ -70,6 +74,11 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        # Tells connections apart in log lines.
+        self.number = next(_numbers)
+        self.carried = carried_requests.CarriedRequests()
+        # Whether it had carried the request in progress before.
+        self.was_carried = False
         self.idle_since_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self.announces_timeout = False
@@ -152,10 +161,14 @@
         target: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
+        request_id: ids.RequestId | None = None,
     ) -> None:
         """Write a complete request to the transport."""
         if not self.usable:
             raise RequestNotSent(self._failure_reason or "busy")
+        if request_id is not None:
+            self.was_carried = request_id in self.carried
+            self.carried.add(request_id)
         encoded = request_head.encode_request(method, target, headers, body)
         self._busy = True
         self._method = method
--- a/src/oriolejunction/http/engine_answers.py
+++ b/src/oriolejunction/http/engine_answers.py
@@ -14,7 +14,8 @@
     """Raise `ConnectionBroken` for an answer to another request."""
     if not head.echoes_request_id or (head.success and not head.signed):
         raise backend_connection.ConnectionBroken(
-            "the answer does not match the request"
+            f"the answer does not match the request: {head.status} for"
+            f" {head.names}"
         )
 
 
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -284,7 +284,7 @@
             self._unanswered_since_ms.pop(backend.backend_id, None)
             gateway_common.observe_answer(deps, backend, head, sent_ms)
             if head.not_run:
-                self._handle_not_run(backend, head)
+                self._handle_not_run(backend, head, connection)
                 connection_recycling.recycle(deps, connection)
                 connection = None
                 return None
@@ -337,7 +337,10 @@
         return None
 
     def _handle_not_run(
-        self, backend: backends.Backend, head: gateway_messages.AnswerHead
+        self,
+        backend: backends.Backend,
+        head: gateway_messages.AnswerHead,
+        connection: backend_connection.BackendConnection,
     ) -> None:
         self._attempts.count_not_run()
         load = self._deps.view.reported.estimate(backend.backend_id)
@@ -354,6 +357,8 @@
             pause_ms=head.pause and head.pause.for_ms,
             held_ms=round(self._hold.remaining_ms()),
             load=load,
+            connection=connection.number,
+            was_carried=connection.was_carried,
         )
         backend_checks.mark_replaced(self._deps, backend, head)
 
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -339,6 +339,7 @@
         admitted.request.target,
         deps.wire_format.dispatch_headers(admitted.request, dispatch),
         admitted.request.body,
+        admitted.request.request_id,
     )
     attempts.count_sent()
     attempts.sent_to.add(dispatch.backend.backend_id)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -323,7 +323,7 @@
         """Return how an attempt ended, None if its stream begins."""
         if head.not_run:
             self._attempts.count_not_run()
-            self._handle_not_run(plan, head)
+            self._handle_not_run(plan, head, connection)
             connection.close()
             return states.StreamAttemptEnd.REFUSED
         engine_answers.require_matching_answer(head)
@@ -341,6 +341,7 @@
         self,
         plan: stream_attempt.StreamPlan,
         head: gateway_messages.AnswerHead,
+        connection: backend_connection.BackendConnection,
     ) -> None:
         gateway_common.log_decision(
             self._admitted,
@@ -349,6 +350,7 @@
             status=head.status,
             pause_ms=head.pause and head.pause.for_ms,
             from_copy=plan.copy_source is not None,
+            connection=connection.number,
         )
         self._planner.last_copy_backend = None
         if plan.copy_source is not None:
--- a/src/oriolejunction/platform/gateway_dialect.py
+++ b/src/oriolejunction/platform/gateway_dialect.py
@@ -237,6 +237,7 @@
         pause=read_pause(head),
         falls_over_at=_parse_int(head.get(BRITTLE)),
         leaving=read_leaving(head),
+        names=None if echo is None else ids.RequestId(_decode_text(echo)),
     )
 
 
