Show that a repeated refusal makes an order run twice

The soak gets servers that write refusals and some other answers twice, are killed, and are back at their address under a new id while the list still shows the former one.

--- a/tests/platform/gateway_rig.py
+++ b/tests/platform/gateway_rig.py
@@ -121,9 +121,11 @@
         self._writers: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> str:
-        """Listen at a free port; return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        """Listen, if no port is given at a free one; return the address."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
         port = self._server.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
 
@@ -142,10 +144,10 @@
             writer.transport.abort()
 
 
-async def listen(on_connection) -> tuple[Listener, str]:
-    """Serve connections at a free loopback port; return its address."""
+async def listen(on_connection, port: int = 0) -> tuple[Listener, str]:
+    """Serve connections at a loopback port, 0 for a free one."""
     listener = Listener(on_connection)
-    return listener, await listener.start()
+    return listener, await listener.start(port)
 
 
 class Engine:
@@ -163,9 +165,9 @@
         self._server: Listener | None = None
         self._tasks: set[asyncio.Task] = set()
 
-    async def start(self) -> None:
-        """Listen on loopback."""
-        self._server, self.address = await listen(self._serve_connection)
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback, if no port is given at a free one."""
+        self._server, self.address = await listen(self._serve_connection, port)
 
     async def _serve_connection(self, reader, writer) -> None:
         self._tasks.add(asyncio.current_task())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -55,6 +55,7 @@
     entries: int = fleets.ENTRIES,
     stopped_servers: bool = False,
     full_disks: bool = False,
+    repeated_answers: bool = False,
 ) -> None:
     """Run COUNT seeds from FIRST on; the logs of all are kept on disk.
 
@@ -66,7 +67,8 @@
     --odd_entries, the list has an entry now and then that can't be read.
     --entries N starts N entry instances. With --stopped_servers, servers are
     processes, which signals stop now and then; with --full_disks, the disks
-    of control replicas refuse writes in turns.
+    of control replicas refuse writes in turns. With --repeated_answers,
+    servers of calls write some answers twice, and restart under new ids.
     """
     folder = tempfile.mkdtemp(prefix="soak-")
     options = {
@@ -78,6 +80,7 @@
         "entries": entries,
         "stops_servers": stopped_servers,
         "fills_disks": full_disks,
+        "repeats_answers": repeated_answers,
         "former_source": update_from
         and former_build.extract(
             str(update_from), pathlib.Path(folder) / "former"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -128,11 +128,13 @@
         number: int,
         entries: int = ENTRIES,
         has_server_processes: bool = False,
+        repeats_answers: bool = False,
     ) -> None:
         """Use a subnet for each number, so that fleets can run at once.
 
         With `has_server_processes`, the servers are processes, which nodes
-        reach without a proxy.
+        reach without a proxy. With `repeats_answers`, those of calls write
+        some answers twice.
         """
         self._has_server_processes = has_server_processes
         self.observations = guarantees.Observations()
@@ -155,7 +157,9 @@
             for index in range(ENGINES)
         ]
         self.call_servers = [
-            self._make_server(f"i-desk-{index}", "call")
+            self._make_server(
+                f"i-desk-{index}", "repeating" if repeats_answers else "call"
+            )
             for index in range(CALL_SERVERS)
         ]
         # Names of the servers that ask for pauses now.
@@ -166,6 +170,7 @@
         # JSON that stands among the entries of the list.
         self.odd_entry: bytes | None = None
         self._listed_servers: list[dict] = []
+        self._starting: dict[str, asyncio.Lock] = {}
         app = web.Application()
         app.router.add_get("/instances", self._serve_list)
         self._list_runner = web.AppRunner(app, access_log=None)
@@ -280,6 +285,7 @@
         ):
             for index, server in enumerate(servers):
                 await server.start()
+                self._starting[server.name] = asyncio.Lock()
                 proxy = proxies.FaultProxy(server.address)
                 await proxy.start()
                 self.fault_proxies.append(proxy)
@@ -304,6 +310,24 @@
         for node in self.nodes:
             await node.start()
 
+    async def restart_server(
+        self, server: server_process.ServerProcess, lag_s: float
+    ) -> None:
+        """Kill a server, which is back at its address under a new id.
+
+        The list shows the former entry beside the new one for `lag_s`.
+        """
+        async with self._starting[server.name]:
+            former = next(
+                entry
+                for entry in self._listed_servers
+                if entry["id"] == server.server_id
+            )
+            await server.restart()
+            self._listed_servers.append({**former, "id": server.server_id})
+        await asyncio.sleep(lag_s)
+        self._listed_servers.remove(former)
+
     def clear_first_start(
         self, indexes: collections.abc.Iterable[int] = range(CONTROLS)
     ) -> None:
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -144,6 +144,9 @@
             if answer.kind == "stream" and answer.status == 200:
                 if answer.body != expected_stream():
                     violations.append(f"{name} looks complete but is not")
+            if answer.status == 200 and answer.body.startswith(b"done "):
+                if answer.body != call_body(answer.request_id):
+                    violations.append(f"{name} got the answer of another")
         return violations
 
     def _pause_violations(self) -> list[str]:
@@ -199,6 +202,11 @@
 MAX_IN_PAUSE = 2
 
 
+def call_body(request_id: str) -> bytes:
+    """Return the answer of a server that repeats answers to a call."""
+    return b"done " + request_id.encode()
+
+
 def expected_stream(after: int = 0) -> bytes:
     """Return the body of a stream with the events after number `after`."""
     return b"".join(
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -104,6 +104,35 @@
     return stops
 
 
+@dataclasses.dataclass(frozen=True)
+class ScheduledRestart:
+    """The numbered server is killed at `at_s`, and back under a new id.
+
+    The list shows its former id for `lag_s` more.
+    """
+
+    at_s: float
+    server: int
+    lag_s: float
+
+
+def draw_restarts(
+    seed: int, length_s: float, servers: int
+) -> list[ScheduledRestart]:
+    """Return when servers restart, in order; some soon after each other."""
+    rng = random.Random(seed + 9)
+    restarts: list[ScheduledRestart] = []
+    at_s = rng.uniform(0.2, 1.0)
+    while at_s < length_s:
+        restarts.append(
+            ScheduledRestart(
+                at_s, rng.randrange(servers), rng.uniform(1.0, 3.0)
+            )
+        )
+        at_s += rng.uniform(0.3, 1.5)
+    return restarts
+
+
 @dataclasses.dataclass(frozen=True)
 class ScheduledFullDisk:
     """The disk of the numbered replica refuses writes from `at_s` on."""
--- a/tests/soak/server_process.py
+++ b/tests/soak/server_process.py
@@ -16,6 +16,7 @@
 
 from tests.platform import gateway_rig
 from tests.soak import guarantees
+from tests.soak import repeated_answers
 
 EVENT_INTERVAL_S = 0.02
 CALL_S = 0.01
@@ -35,9 +36,13 @@
     ) -> None:
         """Call `on_run` with the server's name and each request's id.
 
-        `on_stream_end` gets the times of the run as well.
+        `on_stream_end` gets the times of the run as well. A server of the
+        kind "repeating" repeats answers; see `repeated_answers`.
         """
         self.name, self.address = name, ""
+        # Changes with each restart.
+        self.server_id = name
+        self._starts = 0
         self._kind, self._on_run = kind, on_run
         self._on_stream_end = on_stream_end
         self._process: asyncio.subprocess.Process | None = None
@@ -45,9 +50,10 @@
 
     async def start(self) -> None:
         """Start the process and wait until it listens."""
+        port = self.address.rpartition(":")[2] or "0"
         self._process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "tests.soak.server_process"),
-            *(self.name, self._kind),
+            *(self.server_id, self._kind, port),
             stdout=asyncio.subprocess.PIPE,
         )
         line = await self._process.stdout.readline()
@@ -62,6 +68,13 @@
             else:
                 self._on_run(self.name, request_id)
 
+    async def restart(self) -> None:
+        """Kill the process, and start it at its address under a new id."""
+        await self.close()
+        self._starts += 1
+        self.server_id = f"{self.name}+{self._starts}"
+        await self.start()
+
     async def stop_for(self, duration_s: float) -> None:
         """Stop the process by a signal, and let it go on later."""
         self._process.send_signal(signal.SIGSTOP)
@@ -118,11 +131,17 @@
             self.report_end(request_id, began_s, time.monotonic())
 
 
-async def _serve(name: str, kind: str) -> None:
+async def _serve(server_id: str, kind: str, port: str) -> None:
     work = Work(_print_run, _print_run)
-    behave = {"call": work.serve_call, "stream": work.serve_stream}[kind]
-    server = gateway_rig.Engine(name, behave)
-    await server.start()
+    behave = {
+        "call": work.serve_call,
+        "stream": work.serve_stream,
+        "repeating": repeated_answers.RepeatingServer(
+            server_id, _print_run
+        ).serve,
+    }[kind]
+    server = gateway_rig.Engine(server_id, behave)
+    await server.start(int(port))
     print(server.address, flush=True)
     with contextlib.suppress(asyncio.CancelledError):
         await asyncio.Event().wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 from tests.soak import schedule
 
 REQUEST_INTERVAL_S = 0.025
+ORDERS_AMONG_REPEATED = 5
 MAX_PUBLISH_INTERVAL_S = 0.15
 # The operators require that all is served this soon after the last fault.
 RECOVERY_TIMEOUT_S = 15.0
@@ -51,6 +52,7 @@
         entries: int = fleets.ENTRIES,
         stops_servers: bool = False,
         fills_disks: bool = False,
+        repeats_answers: bool = False,
     ) -> None:
         """Prepare the soak of a seed.
 
@@ -63,7 +65,9 @@
         `has_large_tables`, some versions have thousands of routes. With
         `has_odd_entries`, the list has one that can't be read now and then.
         With `stops_servers`, servers are processes, which signals stop. With
-        `fills_disks`, disks of control replicas refuse writes in turns.
+        `fills_disks`, disks of control replicas refuse writes in turns. With
+        `repeats_answers`, servers are processes; those of calls write some
+        answers twice, are killed, and come back under new ids.
         """
         self._seed = seed
         self._interrupt_start = interrupt_start
@@ -75,9 +79,21 @@
         self._rng = random.Random(seed + 1)
         self._stops_servers = stops_servers
         self._fills_disks = fills_disks
-        self._fleet = fleets.Fleet(folder, seed, entries, stops_servers)
+        self._repeats_answers = repeats_answers
+        self._fleet = fleets.Fleet(
+            folder,
+            seed,
+            entries,
+            stops_servers or repeats_answers,
+            repeats_answers,
+        )
         self._observations = self._fleet.observations
         self._request_count = 0
+        self._kinds, self._interval_s = list(PATH_BY_KIND), REQUEST_INTERVAL_S
+        if repeats_answers:
+            # Most requests are orders, so that copies meet some.
+            self._kinds += ["order"] * ORDERS_AMONG_REPEATED
+            self._interval_s /= 2
         self._version = 7
         self._tasks: set[asyncio.Task] = set()
 
@@ -173,6 +189,8 @@
             work.append(self._stop_servers(length_s))
         if self._fills_disks:
             work.append(self._fill_disks(length_s))
+        if self._repeats_answers:
+            work.append(self._restart_servers(length_s))
         await asyncio.gather(*work)
 
     async def _stop_servers(self, length_s: float) -> None:
@@ -187,6 +205,20 @@
                 )
             )
 
+    async def _restart_servers(self, length_s: float) -> None:
+        servers = self._fleet.call_servers
+        start_s = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as restarts:
+            for restart in schedule.draw_restarts(
+                self._seed, length_s, len(servers)
+            ):
+                await self._sleep_until(start_s + restart.at_s)
+                restarts.create_task(
+                    self._fleet.restart_server(
+                        servers[restart.server], restart.lag_s
+                    )
+                )
+
     async def _fill_disks(self, length_s: float) -> None:
         controls = self._fleet.controls
         start_s = asyncio.get_running_loop().time()
@@ -406,12 +438,12 @@
 
     async def _send_requests(self) -> None:
         while True:
-            kind = self._rng.choice(list(PATH_BY_KIND))
+            kind = self._rng.choice(self._kinds)
             node = self._rng.choice(self._fleet.entries)
             task = asyncio.create_task(self._send_request(kind, node))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(REQUEST_INTERVAL_S)
+            await asyncio.sleep(self._interval_s)
 
     async def _send_request(self, kind: str, node: fleets.Node) -> int | None:
         """Send one request; return its status, None if it got no answer."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -72,3 +72,20 @@
                 end_s < later.at_s for end_s, later in zip(ends_s, events[1:])
             )
         assert {len(each.servers) for each in stops} <= {1, 3, 6}
+
+
+# Each of these seeds had orders that ran twice.
+@pytest.mark.parametrize("seed", [62002, 62010])
+async def test_repeated_answers_of_restarted_servers(tmp_path, seed):
+    """Load: refusals come twice, and servers are back under new ids."""
+    soak = soaks.Soak(tmp_path, seed, repeats_answers=True)
+    assert await soak.run(LENGTH_S) == []
+
+
+def test_restarts_of_servers_overlap():
+    restarts = schedule.draw_restarts(1, 20.0, servers=2)
+    assert any(
+        later.at_s < earlier.at_s + earlier.lag_s
+        for earlier, later in zip(restarts, restarts[1:])
+        if earlier.server == later.server
+    )
