Send a request only once on each connection to a server

The connection belongs to an address: a server that is back there has another id, and a second tracker of the process knows of no refusal.

The connection now records the requests that it has carried, the pool hands a request no connection that carried it, and `send` refuses to. So an answer that names a request is about its one sending there, whoever sent it.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -77,8 +77,6 @@
         # Tells connections apart in log lines.
         self.number = next(_numbers)
         self.carried = carried_requests.CarriedRequests()
-        # Whether it had carried the request in progress before.
-        self.was_carried = False
         self.idle_since_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self.announces_timeout = False
@@ -163,12 +161,17 @@
         body: bytes,
         request_id: ids.RequestId | None = None,
     ) -> None:
-        """Write a complete request to the transport."""
+        """Write a complete request to the transport.
+
+        A connection carries each `request_id` once, as copies of the first
+        answer would be taken for the second. Raise `RequestNotSent`.
+        """
         if not self.usable:
             raise RequestNotSent(self._failure_reason or "busy")
         if request_id is not None:
-            self.was_carried = request_id in self.carried
-            self.carried.add(request_id)
+            if request_id in self.carried:
+                raise RequestNotSent("the connection has carried it before")
+            self.carried.add(request_id, method)
         encoded = request_head.encode_request(method, target, headers, body)
         self._busy = True
         self._method = method
--- a/src/oriolejunction/http/connection_pool.py
+++ b/src/oriolejunction/http/connection_pool.py
@@ -7,6 +7,7 @@
 from oriolejunction import clock as clocks
 from oriolejunction.controllers.overload import buffer_budget
 from oriolejunction.http import backend_connection
+from oriolejunction import ids
 
 MAX_IDLE_PER_ADDRESS = 8
 
@@ -45,18 +46,30 @@
         timeout_ms: float,
         tries: int,
         max_idle_ms: float,
+        request_id: ids.RequestId,
     ) -> backend_connection.BackendConnection:
         """Return a connection idle for less than `max_idle_ms`, or a new one.
 
         One that is idle for longer is used if its server announced for how
         long it keeps connections, and its machine was heard from within
-        `max_idle_ms`. Raise `RequestNotSent` if none can be opened in time.
+        `max_idle_ms`. None has carried the request before. Raise
+        `RequestNotSent` if none can be opened in time.
         """
+        connection = self._take_idle(address, max_idle_ms, request_id)
+        if connection is not None:
+            return connection
+        return await self.connect(address, timeout_ms, tries)
+
+    def _take_idle(
+        self, address: str, max_idle_ms: float, request_id: ids.RequestId
+    ) -> backend_connection.BackendConnection | None:
         idle = self._idle_by_address[address]
         now_ms = self._clock.now_ms()
         heard_ms_ago = now_ms - self._heard_ms_by_address.get(
             address, -math.inf
         )
+        found = None
+        has_carried = []
         while idle:
             connection = idle.pop()
             idle_ms = now_ms - connection.idle_since_ms
@@ -68,15 +81,20 @@
             if connection.has_bytes_to_read():
                 connection.close()
                 continue
+            if request_id in connection.carried:
+                has_carried.append(connection)
+                continue
             is_kept = connection.announces_timeout
             if idle_ms < max_idle_ms or (
                 is_kept and heard_ms_ago < max_idle_ms
             ):
-                return connection
-            # Requests that may be sent again can still use it.
-            idle.append(connection)
+                found = connection
+            else:
+                # Requests that may be sent again can still use it.
+                idle.append(connection)
             break
-        return await self.connect(address, timeout_ms, tries)
+        idle.extend(reversed(has_carried))
+        return found
 
     async def connect(
         self, address: str, timeout_ms: float, tries: int
@@ -101,7 +119,8 @@
     ) -> None:
         """Pool a connection whose answer ended cleanly; close any other."""
         idle = self._idle_by_address[connection.address]
-        if not connection.usable or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        is_kept = connection.usable and not connection.carried.are_too_many
+        if not is_kept or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
         now_ms = self._clock.now_ms()
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -358,7 +358,6 @@
             held_ms=round(self._hold.remaining_ms()),
             load=load,
             connection=connection.number,
-            was_carried=connection.was_carried,
         )
         backend_checks.mark_replaced(self._deps, backend, head)
 
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -107,8 +107,6 @@
         self.opening = 0
         self.stopped = False
         self.excluded: set[ids.BackendId] = set()
-        # Servers that were sent the request.
-        self.sent_to: set[ids.BackendId] = set()
         # Excluded for their silence only: tried again if no other is left.
         self.stalled: set[ids.BackendId] = set()
         # Whether the next send is charged to the budget already.
@@ -305,16 +303,13 @@
 
     Raise `RequestNotSent` or `SendWithheld` if no byte of it was sent.
     """
-    address = dispatch.backend.address
-    if dispatch.backend.backend_id in attempts.sent_to:
-        # A copy of this server's earlier refusal would name this request too.
-        connection = await deps.pool.connect(
-            address, connect_ms, connect_tries
-        )
-    else:
-        connection = await deps.pool.acquire(
-            address, connect_ms, connect_tries, max_idle_ms
-        )
+    connection = await deps.pool.acquire(
+        dispatch.backend.address,
+        connect_ms,
+        connect_tries,
+        max_idle_ms,
+        admitted.request.request_id,
+    )
     if deps.intake.refuses(dispatch.backend.backend_id):
         deps.pool.release(connection)
         log_decision(
@@ -342,5 +337,4 @@
         admitted.request.request_id,
     )
     attempts.count_sent()
-    attempts.sent_to.add(dispatch.backend.backend_id)
     return connection, rollout_send
--- a/tests/http/test_reported_loads.py
+++ b/tests/http/test_reported_loads.py
@@ -137,15 +137,15 @@
     older = Connection(announces_timeout)
     pool.release(older)
     clock.advance(600)
-    new = await pool.acquire("a:1", 50.0, 1, 500.0)
+    new = await pool.acquire("a:1", 50.0, 1, 500.0, "a1")
     assert new is not older
     clock.advance(100)
     # The machine was heard from 100 ms ago.
-    reused = await pool.acquire("a:1", 50.0, 1, 500.0)
+    reused = await pool.acquire("a:1", 50.0, 1, 500.0, "a1")
     assert (reused is older) == announces_timeout
     if not announces_timeout:
-        assert await pool.acquire("a:1", 50.0, 1, 4_000.0) is older
+        assert await pool.acquire("a:1", 50.0, 1, 4_000.0, "a1") is older
     pool.release(older)
     clock.advance(2_000)
-    assert await pool.acquire("a:1", 50.0, 1, 4_000.0) is not older
+    assert await pool.acquire("a:1", 50.0, 1, 4_000.0, "a1") is not older
     assert not older.usable
