Read past copies of earlier answers on a connection

Cause: the copy of an earlier answer came first on the connection; its id told that it was no answer to the request, which then counted as broken off, while the answer stood behind the copy. A copy also counted as a statement of its server: a copied 503 with Retry-After paused it once more, a copied 421 or Server-Leaving took it out of use.

An answer that names another request which this connection has carried is now dropped with its body, and the next answer is read; the connection is not used again. This needs an end that is clear (a length or chunks, and no HEAD request among the two), and is bounded to 4 copies and 256 KiB. Anything else that names no or another request breaks the attempt off, as before. What an answer states of its server counts only if it names the request, or none.

The setting of socket options moves to a module of its own.

--- a/src/oriolejunction/http/backend_connection.py
+++ b/src/oriolejunction/http/backend_connection.py
@@ -13,7 +13,6 @@
 import collections
 import collections.abc
 import itertools
-import socket
 import typing
 
 import h11
@@ -25,12 +24,11 @@
 from oriolejunction.http import chunked_body
 from oriolejunction.http import request_head
 from oriolejunction.http import socket_bytes
+from oriolejunction.http import socket_options
 from oriolejunction.http import unread_bytes
 from oriolejunction import ids
 
 MAX_INTERIM_ANSWERS = 16
-# The kernel closes a connection with data unacknowledged for this long.
-TCP_USER_TIMEOUT_MS = 1_500
 # Connections idle for longer than this fraction of the peer's keep-alive
 # timeout may be closed by the peer while a request is on its way.
 KEEP_ALIVE_FRACTION = 0.5
@@ -93,6 +91,8 @@
         self._method = ""
         self._keep_alive = True
         self._has_answered = False
+        # Whether another answer to the same request follows the current one.
+        self._has_next = False
         # Whether only the end of the connection ends the current answer.
         self.ends_answer = False
         # What the current answer states, None if it states no length.
@@ -101,24 +101,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set socket options; called by asyncio."""
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                TCP_USER_TIMEOUT_MS,
-            )
+        socket_options.set_for_requests(transport)
 
     def detect_silence(self) -> None:
         """Let the kernel notice a peer that is gone without a word."""
-        sock = self._transport and self._transport.get_extra_info("socket")
-        if sock is None:
-            return
-        # TCP_USER_TIMEOUT decides when the probes give up.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
-            sock.setsockopt(socket.IPPROTO_TCP, option, 1)
+        socket_options.detect_silence(self._transport)
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes; fail if no request is in progress."""
@@ -211,6 +198,18 @@
                 self._finish_response()
                 return None
 
+    def expect_another_answer(self, names: ids.RequestId) -> None:
+        """Let another answer follow the current one, which is a copy.
+
+        It repeats the answer to the request that it names. The connection is
+        not used again. Raise `ConnectionBroken` if the copy has no clear end.
+        """
+        if self.ends_answer or not self._keep_alive:
+            self._fail_unreadable("a copy that ends with its connection")
+        if not self.carried.has_framing_of(names, self._method):
+            self._fail_unreadable("a copy whose end is not known")
+        self._has_next = True
+
     def close(self) -> None:
         """Close at once; the peer stops its work."""
         self.unread.clear()
@@ -244,7 +243,24 @@
                 self._fail_unreadable("the answer ended within its body")
             body.receive(data)
 
+    def _begin_next_answer(self) -> None:
+        """Parse what follows a copy as the answer to the same request."""
+        self._has_next = self._keep_alive = False
+        trailing, is_closed = self._h11.trailing_data
+        if self._chunked is not None:
+            trailing, is_closed = self._chunked.unread, False
+        self._h11 = answer_parser.new_parser()
+        self._chunked = None
+        answer_parser.expect_answer(self._h11, self._method)
+        if trailing:
+            self._h11.receive_data(trailing)
+        if is_closed:
+            self._h11.receive_data(b"")
+
     def _finish_response(self) -> None:
+        if self._has_next:
+            self._begin_next_answer()
+            return
         if self._chunked is not None:
             at_end = not self._chunked.has_unread
         else:
--- a/src/oriolejunction/http/carried_requests.py
+++ b/src/oriolejunction/http/carried_requests.py
@@ -33,6 +33,11 @@
         """Return whether the connection may carry no more."""
         return len(self._has_body_by_hash) >= MAX_CARRIED
 
+    def has_framing_of(self, request_id: ids.RequestId, method: str) -> bool:
+        """Return whether an answer to a request ends as one to `method`."""
+        has_body = self._has_body_by_hash[hash(request_id)]
+        return has_body == _may_have_body(method)
+
 
 def _may_have_body(method: str) -> bool:
     return method not in answer_parser.METHODS_WITHOUT_BODY
--- a/src/oriolejunction/http/chunked_body.py
+++ b/src/oriolejunction/http/chunked_body.py
@@ -36,6 +36,11 @@
         """Return whether bytes remain that were not decoded."""
         return bool(self._buffer)
 
+    @property
+    def unread(self) -> bytes:
+        """Return the bytes that were not decoded."""
+        return bytes(self._buffer)
+
     def receive(self, data: bytes) -> None:
         """Add received bytes."""
         self._buffer += data
--- a/src/oriolejunction/http/gateway_call.py
+++ b/src/oriolejunction/http/gateway_call.py
@@ -25,6 +25,7 @@
 from oriolejunction.http import gateway_common
 from oriolejunction.http import large_answer
 from oriolejunction.http import load_observation
+from oriolejunction.http import own_answer
 from oriolejunction.http import placement_queue
 from oriolejunction.http import stop_limit
 from oriolejunction import ids
@@ -278,9 +279,9 @@
                 self._attempts.opening -= 1
             sent_ms = deps.clock.now_ms()
             self._unanswered_since_ms[backend.backend_id] = sent_ms
-            head = deps.wire_format.read_head(
-                await connection.read_response_head(), self._admitted.request
-            )
+            head = await own_answer.OwnAnswer(
+                connection, deps, self._admitted
+            ).read_head()
             self._unanswered_since_ms.pop(backend.backend_id, None)
             gateway_common.observe_answer(deps, backend, head, sent_ms)
             if head.not_run:
@@ -362,11 +363,8 @@
         backend_checks.mark_replaced(self._deps, backend, head)
 
     def _record_answer(self, answer: large_answer.HeldAnswer) -> None:
-        took_ms = (
-            self._deps.clock.now_ms() - self._admitted.request.received_ms
-        )
-        self._deps.telemetry.first_piece_ms.observe(
-            {"service": self._admitted.service.name}, took_ms
+        took_ms = gateway_common.observe_first_piece(
+            self._deps, self._admitted
         )
         late = took_ms > self._admitted.route.latency_goal_ms
         if late or not answer.head.success or self._attempts.sent > 1:
--- a/src/oriolejunction/http/gateway_common.py
+++ b/src/oriolejunction/http/gateway_common.py
@@ -267,7 +267,9 @@
     head: gateway_messages.AnswerHead,
     sent_ms: float,
 ) -> None:
-    """Apply what a server says of itself in an answer."""
+    """Apply what a server says of itself in an answer to a request."""
+    if head.names is not None and not head.echoes_request_id:
+        return
     is_replaced = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
     if not is_replaced:
         load_observation.observe(
@@ -278,6 +280,17 @@
     )
 
 
+def observe_first_piece(
+    deps: GatewayDependencies, admitted: admitted_request.AdmittedRequest
+) -> float:
+    """Record and return the time until the first piece of an answer."""
+    took_ms = deps.clock.now_ms() - admitted.request.received_ms
+    deps.telemetry.first_piece_ms.observe(
+        {"service": admitted.service.name}, took_ms
+    )
+    return took_ms
+
+
 def log_decision(
     admitted: admitted_request.AdmittedRequest, decision: str, **inputs: object
 ) -> None:
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -23,6 +23,7 @@
 from oriolejunction.http import engine_answers
 from oriolejunction.http import event_reader
 from oriolejunction.http import gateway_common
+from oriolejunction.http import own_answer
 from oriolejunction.http import peer_forwarding
 from oriolejunction.http import stall_detection
 from oriolejunction.http import stall_handlers
@@ -223,10 +224,8 @@
             self._deps.speeds.gaps(plan.backend.backend_id),
             self._admitted.route.max_event_gap_ms,
         )
-        head = self._deps.wire_format.read_head(
-            await reader.read(connection.read_response_head, limits),
-            self._admitted.request,
-        )
+        answer = own_answer.OwnAnswer(connection, self._deps, self._admitted)
+        head = await reader.read(answer.read_head, limits)
         gateway_common.observe_answer(self._deps, plan.backend, head, sent_ms)
         refusal = await self._check_refusal(
             plan,
--- a/src/oriolejunction/http/stream_timing.py
+++ b/src/oriolejunction/http/stream_timing.py
@@ -132,8 +132,9 @@
         telemetry = self._deps.telemetry
         labels = {"service": self._admitted.service.name}
         if self._last_event_ms is None:
-            self.first_ms = now_ms - self._admitted.request.received_ms
-            telemetry.first_piece_ms.observe(labels, self.first_ms)
+            self.first_ms = gateway_common.observe_first_piece(
+                self._deps, self._admitted
+            )
         else:
             gap_ms = now_ms - self._last_event_ms
             if resumed:
--- a/tests/http/test_repeated_refusals.py
+++ b/tests/http/test_repeated_refusals.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from oriolejunction.http import own_answer
 from tests import event_loops
 from tests.platform import gateway_rig
 
@@ -15,6 +16,7 @@
     b"HTTP/1.1 421 Misdirected\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+TOO_LARGE = own_answer.MAX_COPY_BYTES + 1
 
 
 def refusal_of(arrival):
@@ -190,7 +192,9 @@
         pytest.param(REFUSAL % b"Attempt-Id: zz\r\n", id="not carried"),
         pytest.param(REFUSAL % b"", id="no id"),
         pytest.param(
-            REPEATED_SUCCESS + b"Content-Length: 99999\r\n\r\n" + b"." * 99999,
+            REPEATED_SUCCESS
+            + b"Content-Length: %d\r\n\r\n" % TOO_LARGE
+            + b"." * TOO_LARGE,
             id="too large",
         ),
         pytest.param(REPEATED_SUCCESS + b"\r\n", id="no length"),
