Keep engines in use that turn a stream away for its weights

A stream that goes on at another engine names the version of the weights it expects; an engine with others answers 421, as one that is another incarnation does. It was marked as replaced, so that this instance and those that it reports to left a sound engine out for up to 30 s. Without the expected weights, 421 still marks it.

test_engine_with_other_weights_is_not_marked_as_replaced failed before (llm-1 among the suspects).

--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -181,6 +181,10 @@
     backend: backends.Backend,
     head: gateway_messages.AnswerHead,
 ) -> None:
-    """Mark a server as lost if another incarnation has its address."""
+    """Mark a server as lost if another incarnation has its address.
+
+    The request must not have named the weights it expects, since an engine
+    with others turns it away in the same way.
+    """
     if head.status == MISDIRECTED_STATUS:
         deps.health.mark_lost(backend.backend_id, backend_health.REPLACED_MS)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -356,7 +356,8 @@
             # The KV cache copy is gone; the engine itself may be healthy.
             return
         self._attempts.excluded.add(plan.backend.backend_id)
-        backend_checks.mark_replaced(self._deps, plan.backend, head)
+        if self._answer.weights is None:
+            backend_checks.mark_replaced(self._deps, plan.backend, head)
 
     def _handle_loss(
         self, plan: stream_attempt.StreamPlan, why: str
--- a/tests/http/test_repeated_refusals.py
+++ b/tests/http/test_repeated_refusals.py
@@ -1,5 +1,8 @@
 """An earlier refusal that a server writes once more on a kept connection."""
 
+import contextlib
+
+import aiohttp
 import msgspec
 import pytest
 
@@ -243,3 +246,34 @@
                 assert response.status == 200
                 assert (await response.read()).count(b"id: ") == 2
     assert len(arrivals) == 2
+
+
+async def test_engine_with_other_weights_is_not_marked_as_replaced():
+    """Fault: 421 for the expected weights took a sound engine out of use."""
+
+    async def begin_and_reset(arrival):
+        arrival.writer.write(
+            arrival.head(
+                extra=b"Weight-Versions: 3\r\nTransfer-Encoding: chunked\r\n"
+            )
+        )
+        arrival.events([1])
+        await arrival.writer.drain()
+        arrival.reset()
+
+    async def have_other_weights(arrival):
+        if "expected-version" not in arrival.headers:
+            await begin_and_reset(arrival)
+            return
+        turned_away.append(arrival.headers["expected-instance"])
+        arrival.writer.write(
+            MISDIRECTED % arrival.headers["attempt-id"].encode()
+        )
+
+    turned_away = []
+    async with gateway_rig.running(llm=[have_other_weights] * 2) as rig:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with rig.ask("/brief/1") as response:
+                await response.read()
+        assert turned_away
+        assert not set(turned_away) & set(rig.deps.health.suspects())
