Open a connection for each generation sent to an engine

Its connections were kept, and such an answer names no attempt, so that a late copy of one denied a generation that ran. The commit point kept the attempts apart; only the outcome `not_run` was untrue.

--- a/src/oriolejunction/http/engine_client.py
+++ b/src/oriolejunction/http/engine_client.py
@@ -1,4 +1,8 @@
-"""HTTP client of the model engines."""
+"""HTTP client of the model engines.
+
+Connections are never reused: a refusal names no attempt, so a late copy of one
+would deny that a later attempt runs.
+"""
 
 import asyncio
 import collections.abc
@@ -56,7 +60,7 @@
 
     def __init__(self) -> None:
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_S
             ),
