--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -68,7 +68,7 @@
     --entries N starts N entry instances. With --stopped_servers, servers are
     processes, which signals stop now and then; with --full_disks, the disks
     of control replicas refuse writes in turns. With --repeated_answers,
-    servers of calls write some answers twice, and restart under new ids.
+    servers write some answers twice, and restart under new ids.
     """
     folder = tempfile.mkdtemp(prefix="soak-")
     options = {
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -133,8 +133,8 @@
         """Use a subnet for each number, so that fleets can run at once.
 
         With `has_server_processes`, the servers are processes, which nodes
-        reach without a proxy. With `repeats_answers`, those of calls write
-        some answers twice.
+        reach without a proxy. With `repeats_answers`, they write some answers
+        twice.
         """
         self._has_server_processes = has_server_processes
         self.observations = guarantees.Observations()
@@ -153,7 +153,9 @@
         # Nodes that were replaced by new machines.
         self.removed: list[Node] = []
         self.engines = [
-            self._make_server(f"i-llm-{index}", "stream")
+            self._make_server(
+                f"i-llm-{index}", "repeating" if repeats_answers else "stream"
+            )
             for index in range(ENGINES)
         ]
         self.call_servers = [
--- a/tests/soak/repeated_answers.py
+++ b/tests/soak/repeated_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import random
 
 from tests.platform import gateway_rig
@@ -17,17 +18,26 @@
 
 
 class RepeatingServer:
-    """Serves calls as the server with an id, and refuses those for others."""
+    """Serves requests as the server with an id, and refuses those for others.
 
-    def __init__(self, server_id: str, report) -> None:
+    A stream is served by `serve_stream`; its answer is not repeated.
+    """
+
+    def __init__(
+        self,
+        server_id: str,
+        report: collections.abc.Callable[[str], None],
+        serve_stream: gateway_rig.Behaviour,
+    ) -> None:
         self._id = server_id
         self._report = report
+        self._serve_stream = serve_stream
         self._rng = random.Random(server_id)
         # Written on a connection once its next request has arrived.
         self._due: dict[asyncio.StreamWriter, bytes] = {}
 
     async def serve(self, arrival: gateway_rig.Arrival) -> None:
-        """Run a call, or turn it away without running it."""
+        """Run a request, or turn it away without running it."""
         arrival.writer.write(self._due.pop(arrival.writer, b""))
         request_id = arrival.headers["attempt-id"]
         expected = arrival.headers.get("expected-instance", self._id)
@@ -35,6 +45,8 @@
             self._write(arrival, refusal("421 Misdirected", request_id), True)
         elif self._rng.random() < REFUSED_SHARE:
             self._write(arrival, refusal("503 Full", request_id), True)
+        elif request_id.startswith("stream"):
+            await self._serve_stream(arrival)
         else:
             self._report(request_id)
             await asyncio.sleep(CALL_S)
--- a/tests/soak/server_process.py
+++ b/tests/soak/server_process.py
@@ -137,7 +137,7 @@
         "call": work.serve_call,
         "stream": work.serve_stream,
         "repeating": repeated_answers.RepeatingServer(
-            server_id, _print_run
+            server_id, _print_run, work.serve_stream
         ).serve,
     }[kind]
     server = gateway_rig.Engine(server_id, behave)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -66,8 +66,8 @@
         `has_odd_entries`, the list has one that can't be read now and then.
         With `stops_servers`, servers are processes, which signals stop. With
         `fills_disks`, disks of control replicas refuse writes in turns. With
-        `repeats_answers`, servers are processes; those of calls write some
-        answers twice, are killed, and come back under new ids.
+        `repeats_answers`, servers are processes, which write some answers
+        twice, are killed, and come back under new ids.
         """
         self._seed = seed
         self._interrupt_start = interrupt_start
@@ -206,7 +206,7 @@
             )
 
     async def _restart_servers(self, length_s: float) -> None:
-        servers = self._fleet.call_servers
+        servers = [*self._fleet.call_servers, *self._fleet.engines]
         start_s = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as restarts:
             for restart in schedule.draw_restarts(
