Log the steps in which a node closes

Each step has a line now, and a close that takes over 2 s leaves the stacks of all threads.

The cause is open.

--- a/src/oriolejunction/node.py
+++ b/src/oriolejunction/node.py
@@ -46,6 +46,8 @@
     return control_wiring.ControlNode
 
 
+# A close that takes longer leaves the stacks of all threads in the log.
+SLOW_CLOSE_S = 2.0
 LOAD_BY_ROLE = {"entry": _load_entry, "control": _load_control}
 
 
@@ -108,7 +110,9 @@
     has_failed = await stop_signals.wait_for_end(stop, node.failed)
     if not has_failed:
         await node.drain()
+    faulthandler.dump_traceback_later(SLOW_CLOSE_S)
     await node.close()
+    _log.info("node closed")
     return has_failed
 
 
--- a/src/oriolejunction/node_base.py
+++ b/src/oriolejunction/node_base.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 import aioprometheus
+import structlog
 
 from oriolejunction import clock as clocks
 from oriolejunction.controllers.overload import arrivals
@@ -27,6 +28,7 @@
 INTERNAL_LIMITS = arrivals.ArrivalLimits(
     max_connections=32, max_arriving=16, max_bytes=1 << 20
 )
+_log = structlog.get_logger(__name__)
 
 
 class Node:
@@ -109,9 +111,11 @@
         """Close the listeners and end the tasks."""
         for runner in self._runners:
             await runner.cleanup()
+        _log.info("listeners closed", tasks=len(self._tasks))
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        _log.info("tasks ended")
 
 
 def internal_runner(app: web.Application) -> web.AppRunner:
