--- a/tests/soak/server_process.py
+++ b/tests/soak/server_process.py
@@ -76,10 +76,15 @@
         await self.start()
 
     async def stop_for(self, duration_s: float) -> None:
-        """Stop the process by a signal, and let it go on later."""
-        self._process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(duration_s)
-        self._process.send_signal(signal.SIGCONT)
+        """Stop the process by a signal, and let it go on later.
+
+        It may be killed meanwhile, or be starting again.
+        """
+        process = self._process
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(duration_s)
+            process.send_signal(signal.SIGCONT)
 
     async def close(self) -> None:
         """Kill the process and read what it wrote."""
