Tell other weights by what the engine states of them

An engine with other weights states their version in its answer; one that states none, or those that were expected, is another incarnation.

--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -183,8 +183,8 @@
 ) -> None:
     """Mark a server as lost if another incarnation has its address.
 
-    The request must not have named the weights it expects, since an engine
-    with others turns it away in the same way.
+    An engine with other weights than a request expects turns it away in the
+    same way, but states its own.
     """
     if head.status == MISDIRECTED_STATUS:
         deps.health.mark_lost(backend.backend_id, backend_health.REPLACED_MS)
--- a/src/oriolejunction/http/gateway_stream.py
+++ b/src/oriolejunction/http/gateway_stream.py
@@ -356,7 +356,7 @@
             # The KV cache copy is gone; the engine itself may be healthy.
             return
         self._attempts.excluded.add(plan.backend.backend_id)
-        if self._answer.weights is None:
+        if head.weights_version in (None, self._answer.weights):
             backend_checks.mark_replaced(self._deps, plan.backend, head)
 
     def _handle_loss(
--- a/tests/http/test_repeated_refusals.py
+++ b/tests/http/test_repeated_refusals.py
@@ -248,8 +248,21 @@
     assert len(arrivals) == 2
 
 
-async def test_engine_with_other_weights_is_not_marked_as_replaced():
-    """Fault: 421 for the expected weights took a sound engine out of use."""
+@pytest.mark.parametrize(
+    ("stated_weights", "is_replaced"),
+    [
+        (b"\r\nWeight-Versions: 4", False),
+        (b"\r\nWeight-Versions: 3", True),
+        (b"", True),
+    ],
+)
+async def test_engine_with_other_weights_is_not_marked_as_replaced(
+    stated_weights, is_replaced
+):
+    """Fault: 421 for the expected weights took a sound engine out of use.
+
+    One that has the expected weights, or states none, is another incarnation.
+    """
 
     async def begin_and_reset(arrival):
         arrival.writer.write(
@@ -267,7 +280,8 @@
             return
         turned_away.append(arrival.headers["expected-instance"])
         arrival.writer.write(
-            MISDIRECTED % arrival.headers["attempt-id"].encode()
+            MISDIRECTED
+            % (arrival.headers["attempt-id"].encode() + stated_weights)
         )
 
     turned_away = []
@@ -276,4 +290,7 @@
             async with rig.ask("/brief/1") as response:
                 await response.read()
         assert turned_away
-        assert not set(turned_away) & set(rig.deps.health.suspects())
+        is_suspect = not set(turned_away).isdisjoint(
+            rig.deps.health.suspects()
+        )
+    assert is_suspect is is_replaced
