--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -133,10 +133,11 @@
         """Use a subnet for each number, so that fleets can run at once.
 
         With `has_server_processes`, the servers are processes, which nodes
-        reach without a proxy. With `repeats_answers`, they write some answers
-        twice.
+        reach without a proxy. With `repeats_answers`, they are too, and write
+        some answers twice; a proxy stands before them unless both are set.
         """
-        self._has_server_processes = has_server_processes
+        self._has_proxies = not has_server_processes
+        self._has_server_processes = has_server_processes or repeats_answers
         self.observations = guarantees.Observations()
         self._folder = folder
         self._subnet = f"{loopback.SOAK_NETWORK}.{number % 250}"
@@ -297,9 +298,9 @@
                         "id": server.name,
                         "service": service,
                         "address": (
-                            server.address
-                            if self._has_server_processes
-                            else proxy.address
+                            proxy.address
+                            if self._has_proxies
+                            else server.address
                         ),
                         "zone": f"z{index % ZONES}",
                         "state": "ready",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -84,7 +84,7 @@
             folder,
             seed,
             entries,
-            stops_servers or repeats_answers,
+            stops_servers,
             repeats_answers,
         )
         self._observations = self._fleet.observations
