--- a/src/oriolejunction/http/backend_checks.py
+++ b/src/oriolejunction/http/backend_checks.py
@@ -183,8 +183,8 @@
 ) -> None:
     """Mark a server as lost if another incarnation has its address.
 
-    An engine with other weights than a request expects turns it away in the
-    same way, but states its own.
+    Not to be called for a request that expects certain weights if the engine
+    states others, since it then turns the request away in the same way.
     """
     if head.status == MISDIRECTED_STATUS:
         deps.health.mark_lost(backend.backend_id, backend_health.REPLACED_MS)
