--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -74,7 +74,7 @@
         assert {len(each.servers) for each in stops} <= {1, 3, 6}
 
 
-# Each of these seeds had orders that ran twice.
+# Callers got 502 for answers behind copies, at each of these seeds.
 @pytest.mark.parametrize("seed", [62002, 62010])
 async def test_repeated_answers_of_restarted_servers(tmp_path, seed):
     """Load: refusals come twice, and servers are back under new ids."""
