--- a/review/rig2/chunked_engine.py
+++ b/review/rig2/chunked_engine.py
@@ -22,6 +22,7 @@
 
     async def _stream(self, headers, writer):
         attempt = headers.get("attempt-id", "")
+        # `Kv-From` names the copy that the former engine was to send here.
         number = int(headers.get("last-event-id", "0"))
         self._log(f"begins {attempt} after event {number}")
         self.running.add(attempt)
