Review: a script that is told to end leaves no process

SIGTERM to case 7 left three processes. All that a script starts are kept in one list, killed before any wait. 12 tries, two for each script, left none.

--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -80,7 +80,7 @@
         environment["PYTHONPATH"] = "target/deps"
         environment["ORIOLEJUNCTION_BOOT"] = str(self.path)
         with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            self.process = await self.deployment.spawn(
                 *self.deployment.commands[self.role],
                 cwd=REPOSITORY,
                 env=environment,
@@ -135,6 +135,8 @@
         self.cores, self.fronts = [], []
         self.servers = []
         self.hidden = set()
+        # All that were ever started, so that none is left running.
+        self._spawned = []
         self.list_address = f"{next(self._ips)}:{self.ports[5]}"
         self._list_server = None
         seeds = [next(self._ips) for _ in range(cores)]
@@ -146,6 +148,14 @@
                 self._new_front(f"front-{index}", next(self._ips), index)
             )
 
+    async def spawn(self, *command, **options):
+        """Start a process that ends with the deployment at the latest."""
+        starting = asyncio.create_task(
+            asyncio.create_subprocess_exec(*command, **options)
+        )
+        self._spawned.append(starting)
+        return await asyncio.shield(starting)
+
     def next_ip(self):
         return next(self._ips)
 
@@ -200,6 +210,16 @@
         )
 
     async def start(self):
+        # A script that is told to end takes its processes with it.
+        script = asyncio.current_task()
+
+        def end_once():
+            if not script.cancelling():
+                script.cancel()
+
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, end_once
+        )
         host, _, port = self.list_address.rpartition(":")
         self._list_server = await asyncio.start_server(
             self._serve_list, host, int(port)
@@ -309,11 +329,11 @@
         return status, json.loads(body) if status == 200 else body
 
     async def close(self, keep_logs=None):
-        for node in (*self.cores, *self.fronts):
-            if node.process is not None and node.process.returncode is None:
-                node.process.send_signal(signal.SIGCONT)
-                node.process.kill()
-                await node.process.wait()
+        processes = await asyncio.gather(*self._spawned)
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+        await asyncio.gather(*(each.wait() for each in processes))
         for server in self.servers:
             server.close()
         if self._list_server is not None:
