--- a/review/more/large-bodies/case.py
+++ b/review/more/large-bodies/case.py
@@ -128,6 +128,7 @@
     finally:
         if watch is not None:
             watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
         await deployment.close()
 
 
@@ -135,7 +136,7 @@
     record = deployments.Record(HERE / "record.txt")
     try:
         code = asyncio.run(run(record))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         code = 2
     record.write(f"exit {code}")
